--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,14 @@
+import {defineConfig} from 'vitest/config';
+
+/** Test runner settings; tests that start processes run one file at a time. */
+const config = defineConfig({
+  test: {
+    include: ['src/**/test/**/*.test.ts', 'test/**/*.test.ts'],
+    testTimeout: 60000,
+    hookTimeout: 60000,
+    maxWorkers: 4,
+  },
+});
+
+// eslint-disable-next-line no-restricted-syntax -- vitest reads the default export.
+export default config;
