--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -173,3 +173,28 @@
       readonly candidates: number;
     }
   | {readonly kind: 'none'; readonly retryAfterMilliseconds: number};
+
+/** How much of a class's capacity each client account has used lately at one owner. */
+export interface ShareView {
+  /** Slot-milliseconds used, decayed over time, by `class/account`. */
+  readonly usedByAccount: ReadonlyMap<string, number>;
+  /** Slot-milliseconds used, decayed over time, by class. */
+  readonly usedByClass: ReadonlyMap<string, number>;
+  /** Slot-milliseconds that accounts asked for, granted or not, decayed over time, by `class/account`. */
+  readonly wantedByAccount: ReadonlyMap<string, number>;
+  /** Requests a second wanted by class, from the configuration. */
+  readonly targetByClass: ReadonlyMap<string, number>;
+}
+
+/** Decides on one piece of work over one cell; pure. */
+export abstract class RoutingPolicy {
+  abstract readonly name: string;
+
+  /** Chooses one stage for each layer range, or refuses. `now` is the owner's monotonic time. */
+  abstract decide(
+    view: CellView,
+    shares: ShareView,
+    work: WorkEstimate,
+    now: number,
+  ): RoutingDecision;
+}
