--- /dev/null
+++ b/test/support/tableRows.ts
@@ -0,0 +1,94 @@
+import {
+  RowCondition,
+  RowWrite,
+  TableRow,
+  TransactionMode,
+  WriteOutcome,
+} from '../../src/platform/table/common/tableService.js';
+
+/** Rows that a transaction may hold. */
+export const TRANSACTION_ROW_LIMIT = 100;
+
+/** The rules of the transactional table, shared by the in-memory fake and the stand-in. */
+export class TableRows {
+  private readonly rows = new Map<string, TableRow>();
+  /** Last version of each key, kept over deletions so that a version is never used twice. */
+  private readonly versions = new Map<string, number>();
+
+  read(keys: readonly string[]): ReadonlyArray<TableRow | undefined> {
+    return keys.map(key => this.rows.get(key));
+  }
+
+  scan(
+    prefix: string,
+    after: string | undefined,
+    limit: number,
+  ): readonly TableRow[] {
+    const matching = [...this.rows.values()].filter(
+      row =>
+        row.key.startsWith(prefix) && (after === undefined || row.key > after),
+    );
+    matching.sort((left, right) => (left.key < right.key ? -1 : 1));
+    return matching.slice(0, limit);
+  }
+
+  transact(
+    writes: readonly RowWrite[],
+    mode: TransactionMode,
+  ): readonly WriteOutcome[] {
+    const allHold = writes.every(write => this.holds(write));
+    if (mode === 'all' && !allHold) {
+      // Rows whose own condition held are conflicts too: nothing was written.
+      return writes.map(write => this.conflict(write.key));
+    }
+    return writes.map(write =>
+      this.holds(write) ? this.apply(write) : this.conflict(write.key),
+    );
+  }
+
+  private conflict(key: string): WriteOutcome {
+    return {kind: 'conflict', current: this.rows.get(key)};
+  }
+
+  private holds(write: RowWrite): boolean {
+    return conditionHolds(write.condition, this.rows.get(write.key));
+  }
+
+  private apply(write: RowWrite): WriteOutcome {
+    const version = (this.versions.get(write.key) ?? 0) + 1;
+    this.versions.set(write.key, version);
+    if (write.value === undefined) {
+      this.rows.delete(write.key);
+    } else {
+      this.rows.set(write.key, {key: write.key, version, value: write.value});
+    }
+    return {kind: 'written', version};
+  }
+}
+
+function conditionHolds(
+  condition: RowCondition,
+  row: TableRow | undefined,
+): boolean {
+  switch (condition.kind) {
+    case 'any':
+      return true;
+    case 'absent':
+      return row === undefined;
+    case 'version':
+      return row?.version === condition.version;
+  }
+}
+
+/** Throws when a transaction breaks the table's limits: a mistake of the program, not a fault. */
+export function checkTransaction(writes: readonly RowWrite[]): void {
+  if (writes.length === 0 || writes.length > TRANSACTION_ROW_LIMIT) {
+    throw new RangeError(
+      `a transaction holds 1 to ${TRANSACTION_ROW_LIMIT} rows, not ${writes.length}`,
+    );
+  }
+  const keys = new Set(writes.map(write => write.key));
+  if (keys.size !== writes.length) {
+    throw new RangeError('a transaction names each key once');
+  }
+}
