Adapters over HTTP for the platform, engines and plain services; bunyan and hot-shots behind their ports

Cause: the programs reach outside systems only through ports. Ruled out: fetch (cost on each token) and guessing from error codes whether a call was sent. Change: one exchange over an undici pool that knows whether writing had begun; adapters classify from that. CancelReport may name the engine's process.

--- a/src/platform/engine/common/engineConnection.ts
+++ b/src/platform/engine/common/engineConnection.ts
@@ -90,6 +90,8 @@
   readonly state: 'idle' | 'running';
   /** Whether any step of the request was ever begun here. */
   readonly begun: boolean;
+  /** The engine's process: one that started after a step was sent can't vouch for the one before it. */
+  readonly engineIncarnation?: string;
 }
 
 /** An engine's own report of its state; it lags. */
--- /dev/null
+++ b/src/platform/metrics/node/statsdMetrics.ts
@@ -0,0 +1,46 @@
+import {StatsD} from 'hot-shots';
+
+import {Disposable} from '../../../base/common/lifecycle.js';
+import {MetricTags, Metrics} from '../common/metrics.js';
+
+const BUFFER_BYTES = 1400;
+const FLUSH_MILLISECONDS = 1000;
+
+/** Sends measurements to a StatsD server over UDP; a server that is gone loses them silently. */
+export class StatsdMetrics extends Metrics implements Disposable {
+  private readonly client: StatsD;
+
+  constructor(address: string, globalTags: MetricTags = {}) {
+    super();
+    const separator = address.lastIndexOf(':');
+    this.client = new StatsD({
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+      prefix: 'redwing.',
+      globalTags: {...globalTags},
+      maxBufferSize: BUFFER_BYTES,
+      bufferFlushInterval: FLUSH_MILLISECONDS,
+      errorHandler: () => undefined,
+    });
+  }
+
+  override count(name: string, value: number, tags: MetricTags = {}): void {
+    this.client.increment(name, value, {...tags});
+  }
+
+  override gauge(name: string, value: number, tags: MetricTags = {}): void {
+    this.client.gauge(name, value, {...tags});
+  }
+
+  override milliseconds(
+    name: string,
+    value: number,
+    tags: MetricTags = {},
+  ): void {
+    this.client.timing(name, value, {...tags});
+  }
+
+  dispose(): void {
+    this.client.close(() => undefined);
+  }
+}
--- /dev/null
+++ b/src/platform/objects/node/httpObjectStore.ts
@@ -0,0 +1,93 @@
+import {z} from 'zod';
+
+import {CancellationToken} from '../../../base/common/cancellation.js';
+import {Disposable} from '../../../base/common/lifecycle.js';
+import {Result, success} from '../../../base/common/result.js';
+import {HttpClientOptions} from '../../http/node/httpClient.js';
+import {StorageClient} from '../../http/node/storageClient.js';
+import {StorageError} from '../../table/common/tableService.js';
+import {ObjectStore} from '../common/objectStore.js';
+
+const objectSchema = z.object({body: z.string()});
+
+const listSchema = z.object({names: z.array(z.string())});
+
+const doneSchema = z.object({});
+
+/** The platform's object store over HTTP; the protocol stands in docs/PROTOCOLS.md. */
+export class HttpObjectStore extends ObjectStore implements Disposable {
+  private readonly client: StorageClient;
+
+  constructor(
+    address: string,
+    instance: string,
+    options: Partial<HttpClientOptions> = {},
+  ) {
+    super();
+    this.client = new StorageClient(address, instance, options);
+  }
+
+  override async get(
+    name: string,
+    token: CancellationToken,
+  ): Promise<Result<string | undefined, StorageError>> {
+    const answer = await this.client.find(
+      {method: 'GET', path: objectPath(name)},
+      objectSchema,
+      token,
+    );
+    return answer.ok ? success(answer.value?.body) : answer;
+  }
+
+  override async put(
+    name: string,
+    body: string,
+    token: CancellationToken,
+  ): Promise<Result<void, StorageError>> {
+    const answer = await this.client.call(
+      {
+        method: 'PUT',
+        path: objectPath(name),
+        body: JSON.stringify({body}),
+      },
+      doneSchema,
+      token,
+    );
+    return answer.ok ? success(undefined) : answer;
+  }
+
+  override async list(
+    prefix: string,
+    token: CancellationToken,
+  ): Promise<Result<readonly string[], StorageError>> {
+    const answer = await this.client.call(
+      {
+        method: 'GET',
+        path: `/v1/objects?prefix=${encodeURIComponent(prefix)}`,
+      },
+      listSchema,
+      token,
+    );
+    return answer.ok ? success(answer.value.names) : answer;
+  }
+
+  override async delete(
+    name: string,
+    token: CancellationToken,
+  ): Promise<Result<void, StorageError>> {
+    const answer = await this.client.call(
+      {method: 'DELETE', path: objectPath(name)},
+      doneSchema,
+      token,
+    );
+    return answer.ok ? success(undefined) : answer;
+  }
+
+  dispose(): void {
+    this.client.dispose();
+  }
+}
+
+function objectPath(name: string): string {
+  return `/v1/objects/${encodeURIComponent(name)}`;
+}
--- /dev/null
+++ b/src/platform/table/node/httpTableService.ts
@@ -0,0 +1,156 @@
+import {z} from 'zod';
+
+import {CancellationToken} from '../../../base/common/cancellation.js';
+import {failure, Result, success} from '../../../base/common/result.js';
+import {Disposable} from '../../../base/common/lifecycle.js';
+import {HttpClientOptions} from '../../http/node/httpClient.js';
+import {StorageClient} from '../../http/node/storageClient.js';
+import {
+  RowWrite,
+  StorageError,
+  TableRow,
+  TableService,
+  TransactionMode,
+  WriteOutcome,
+} from '../common/tableService.js';
+import {checkTransaction} from '../common/transactionRules.js';
+
+const rowSchema = z.object({
+  key: z.string(),
+  version: z.number().int().positive(),
+  value: z.string(),
+});
+
+const readSchema = z.object({rows: z.array(rowSchema.nullable())});
+
+const scanSchema = z.object({rows: z.array(rowSchema)});
+
+const transactSchema = z.object({
+  outcomes: z.array(
+    z.discriminatedUnion('kind', [
+      z.object({
+        kind: z.literal('written'),
+        version: z.number().int().positive(),
+      }),
+      z.object({kind: z.literal('conflict'), current: rowSchema.nullable()}),
+    ]),
+  ),
+});
+
+/** The platform's table over HTTP; the protocol stands in docs/PROTOCOLS.md. */
+export class HttpTableService extends TableService implements Disposable {
+  private readonly client: StorageClient;
+
+  constructor(
+    address: string,
+    instance: string,
+    options: Partial<HttpClientOptions> = {},
+  ) {
+    super();
+    this.client = new StorageClient(address, instance, options);
+  }
+
+  override async read(
+    keys: readonly string[],
+    token: CancellationToken,
+  ): Promise<Result<ReadonlyArray<TableRow | undefined>, StorageError>> {
+    const answer = await this.client.call(
+      post('/v1/table/read', {keys}),
+      readSchema,
+      token,
+    );
+    if (!answer.ok) {
+      return answer;
+    }
+    const rows = answer.value.rows.map(row => row ?? undefined);
+    return rowsBelongTo(keys, rows) ? success(rows) : otherRows();
+  }
+
+  override async scan(
+    prefix: string,
+    after: string | undefined,
+    limit: number,
+    token: CancellationToken,
+  ): Promise<Result<readonly TableRow[], StorageError>> {
+    const answer = await this.client.call(
+      post('/v1/table/scan', {prefix, after, limit}),
+      scanSchema,
+      token,
+    );
+    if (!answer.ok) {
+      return answer;
+    }
+    const {rows} = answer.value;
+    return rows.every(row => row.key.startsWith(prefix))
+      ? success(rows)
+      : otherRows();
+  }
+
+  override async transact(
+    writes: readonly RowWrite[],
+    mode: TransactionMode,
+    token: CancellationToken,
+  ): Promise<Result<readonly WriteOutcome[], StorageError>> {
+    checkTransaction(writes);
+    const body = {
+      mode,
+      writes: writes.map(write => ({...write, value: write.value ?? null})),
+    };
+    const answer = await this.client.call(
+      post('/v1/table/transact', body),
+      transactSchema,
+      token,
+    );
+    if (!answer.ok) {
+      return answer;
+    }
+    const outcomes = answer.value.outcomes.map(toOutcome);
+    return outcomesBelongTo(writes, outcomes) ? success(outcomes) : otherRows();
+  }
+
+  dispose(): void {
+    this.client.dispose();
+  }
+}
+
+type WireOutcome = z.infer<typeof transactSchema>['outcomes'][number];
+
+function toOutcome(outcome: WireOutcome): WriteOutcome {
+  return outcome.kind === 'conflict'
+    ? {kind: 'conflict', current: outcome.current ?? undefined}
+    : outcome;
+}
+
+function rowsBelongTo(
+  keys: readonly string[],
+  rows: ReadonlyArray<TableRow | undefined>,
+): boolean {
+  return (
+    rows.length === keys.length &&
+    rows.every((row, index) => row === undefined || row.key === keys[index])
+  );
+}
+
+function outcomesBelongTo(
+  writes: readonly RowWrite[],
+  outcomes: readonly WriteOutcome[],
+): boolean {
+  return (
+    outcomes.length === writes.length &&
+    outcomes.every(
+      (outcome, index) =>
+        outcome.kind === 'written' ||
+        outcome.current === undefined ||
+        outcome.current.key === writes[index]?.key,
+    )
+  );
+}
+
+function otherRows(): Result<never, StorageError> {
+  const detail = 'the answer names other rows than asked';
+  return failure({kind: 'outcomeUnknown', detail});
+}
+
+function post(path: string, body: unknown) {
+  return {method: 'POST', path, body: JSON.stringify(body)};
+}
--- a/test/support/inMemoryPlatform.ts
+++ b/test/support/inMemoryPlatform.ts
@@ -19,11 +19,12 @@
   TransactionMode,
   WriteOutcome,
 } from '../../src/platform/table/common/tableService.js';
+import {checkTransaction} from '../../src/platform/table/common/transactionRules.js';
 import {
   WeightManifest,
   WeightStore,
 } from '../../src/platform/weights/common/weightStore.js';
-import {checkTransaction, TableRows} from './tableRows.js';
+import {TableRows} from './tableRows.js';
 
 /** In-memory stand-ins of the platform's services, for unit tests; several instances share one. */
 
--- a/test/support/tableRows.ts
+++ b/test/support/tableRows.ts
@@ -6,9 +6,6 @@
   WriteOutcome,
 } from '../../src/platform/table/common/tableService.js';
 
-/** Rows that a transaction may hold. */
-export const TRANSACTION_ROW_LIMIT = 100;
-
 /** The rules of the transactional table, shared by the in-memory fake and the stand-in. */
 export class TableRows {
   private readonly rows = new Map<string, TableRow>();
@@ -79,16 +76,3 @@
       return row?.version === condition.version;
   }
 }
-
-/** Throws when a transaction breaks the table's limits: a mistake of the program, not a fault. */
-export function checkTransaction(writes: readonly RowWrite[]): void {
-  if (writes.length === 0 || writes.length > TRANSACTION_ROW_LIMIT) {
-    throw new RangeError(
-      `a transaction holds 1 to ${TRANSACTION_ROW_LIMIT} rows, not ${writes.length}`,
-    );
-  }
-  const keys = new Set(writes.map(write => write.key));
-  if (keys.size !== writes.length) {
-    throw new RangeError('a transaction names each key once');
-  }
-}
