--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,61 @@
+import gts from 'gts';
+
+import {layerRule} from './lint/layerRule.js';
+
+/** Google's rules by gts, then this repository's own: layers, no default exports. */
+
+const ALL_FILES = ['**/*.ts', '**/*.js'];
+const CONFIGURATION_FILES = ['*.config.js', '*.config.ts'];
+
+const noDefaultExports = [
+  {
+    selector: 'ExportDefaultDeclaration',
+    message: 'Use a named export.',
+  },
+  {
+    selector: "ExportSpecifier[exported.name='default']",
+    message: 'Use a named export.',
+  },
+];
+
+const noInterfacePrefix = {
+  selector: 'TSInterfaceDeclaration[id.name=/^I[A-Z][a-z]/]',
+  message: 'Name the interface without an I prefix.',
+};
+
+const config = [
+  {ignores: ['dist/**', 'node_modules/**']},
+  ...gts,
+  {
+    files: ['**/*.js'],
+    languageOptions: {
+      sourceType: 'module',
+      globals: {console: 'readonly'},
+    },
+  },
+  {
+    files: ALL_FILES,
+    plugins: {layers: {rules: {order: layerRule}}},
+    rules: {
+      // `prettier --check` covers formatting of all files, these included.
+      'prettier/prettier': 'off',
+      'layers/order': 'error',
+      'no-restricted-syntax': ['error', noInterfacePrefix, ...noDefaultExports],
+      curly: 'error',
+    },
+  },
+  {
+    files: ['**/*.ts'],
+    rules: {
+      '@typescript-eslint/array-type': ['error', {default: 'array-simple'}],
+      '@typescript-eslint/no-empty-function': 'off',
+    },
+  },
+  {
+    // The tools read a default export.
+    files: CONFIGURATION_FILES,
+    rules: {'no-restricted-syntax': 'off'},
+  },
+];
+
+export default config;
--- /dev/null
+++ b/test/lint/layerRule.test.ts
@@ -0,0 +1,148 @@
+import {ESLint} from 'eslint';
+import {describe, expect, it} from 'vitest';
+
+/** The layer rule, run through the repository's own ESLint configuration. */
+
+interface Case {
+  readonly name: string;
+  readonly file: string;
+  readonly code: string;
+  /** The rule that must report; undefined when the code is in order. */
+  readonly rule: string | undefined;
+}
+
+const LAYERS_RULE = 'layers/order';
+
+const cases: readonly Case[] = [
+  {
+    name: 'base may import base',
+    file: 'src/base/common/a.ts',
+    code: "export * from './result.js';",
+    rule: undefined,
+  },
+  {
+    name: 'base must not import platform',
+    file: 'src/base/common/a.ts',
+    code: "export * from '../../platform/table/common/tableService.js';",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'platform must not import features',
+    file: 'src/platform/table/node/a.ts',
+    code: "import {x} from '../../../features/claims/common/claims.js';\nx();",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'features must not import programs',
+    file: 'src/features/claims/node/a.ts',
+    code: "export const load = import('../../../programs/entry/main.js');",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'features may import platform',
+    file: 'src/features/claims/common/a.ts',
+    code: "export * from '../../../platform/table/common/tableService.js';",
+    rule: undefined,
+  },
+  {
+    name: 'programs may import features',
+    file: 'src/programs/entry/a.ts',
+    code: "export * from '../../features/claims/common/claims.js';",
+    rule: undefined,
+  },
+  {
+    name: 'a type import counts',
+    file: 'src/base/common/a.ts',
+    code: "export type T = import('../../platform/logging/common/logger.js').Logger;",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'common must not import a node module',
+    file: 'src/base/common/a.ts',
+    code: "export {readFileSync} from 'node:fs';",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'common must not import a package that needs Node',
+    file: 'src/platform/http/common/a.ts',
+    code: "export {request} from 'undici';",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'common may import a portable package',
+    file: 'src/platform/http/common/a.ts',
+    code: "export {z} from 'zod';",
+    rule: undefined,
+  },
+  {
+    name: 'common must not import a node folder',
+    file: 'src/base/common/a.ts',
+    code: "export * from '../node/systemClock.js';",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'node may import common and node modules',
+    file: 'src/base/node/a.ts',
+    code: "export * from '../common/clock.js';\nexport * from 'node:fs';",
+    rule: undefined,
+  },
+  {
+    name: 'product code must not import a test folder',
+    file: 'src/features/claims/node/a.ts',
+    code: "export * from '../test/fakes.js';",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'product code must not import the measures',
+    file: 'src/programs/entry/a.ts',
+    code: "export * from '../../../measure/common/bound.js';",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'a test may import test support',
+    file: 'src/features/claims/test/a.test.ts',
+    code: "export * from '../../../../test/support/launcher.js';",
+    rule: undefined,
+  },
+  {
+    name: 'a test keeps to the layers',
+    file: 'src/base/test/a.test.ts',
+    code: "export * from '../../features/claims/common/claims.js';",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'no default export',
+    file: 'src/base/common/a.ts',
+    code: 'const x = 1;\nexport default x;',
+    rule: 'no-restricted-syntax',
+  },
+  {
+    name: 'no default export by renaming',
+    file: 'src/base/common/a.ts',
+    code: 'const x = 1;\nexport {x as default};',
+    rule: 'no-restricted-syntax',
+  },
+  {
+    name: 'a default export in a configuration file',
+    file: 'other.config.ts',
+    code: 'const x = 1;\nexport default x;',
+    rule: undefined,
+  },
+];
+
+/** The snippets are in no TypeScript project, so rules that need types are left out. */
+const eslint = new ESLint({
+  overrideConfig: {
+    files: ['**/*.ts'],
+    languageOptions: {parserOptions: {project: null}},
+    rules: {'@typescript-eslint/no-floating-promises': 'off'},
+  },
+});
+
+describe('lint', () => {
+  it.each(cases)('$name', async ({file, code, rule}) => {
+    const [result] = await eslint.lintText(code + '\n', {filePath: file});
+    const reported = result.messages.map(message => message.ruleId);
+    expect(reported).toEqual(rule === undefined ? [] : [rule]);
+  });
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,5 +10,4 @@
   },
 });
 
-// eslint-disable-next-line no-restricted-syntax -- vitest reads the default export.
 export default config;
