Settings files read and checked, every finding with its place

Cause: programs start from a settings file; a wrong one must say all that is wrong at once. Ruled out: positions from the parser's messages alone, which name none for some errors.

--- a/src/platform/settings/common/programSettings.ts
+++ b/src/platform/settings/common/programSettings.ts
@@ -67,3 +67,13 @@
   /** Whether this instance may take placement leases. */
   readonly placementEnabled: boolean;
 }
+
+/** Settings of `redwing`, the operators' command line. */
+export interface OperatorSettings {
+  /** Control programs, tried in order. */
+  readonly controlAddresses: readonly string[];
+  /** File that holds the operator's bearer key. */
+  readonly operatorKeyFile: string;
+  /** Seconds that one call may take. */
+  readonly timeoutSeconds: number;
+}
--- /dev/null
+++ b/src/platform/settings/node/readSettings.ts
@@ -0,0 +1,71 @@
+import {readFileSync} from 'node:fs';
+
+import * as zod from 'zod';
+
+import {Finding} from '../../../base/common/finding.js';
+import {Result, failure, success} from '../../../base/common/result.js';
+import {parseJsonText} from '../common/jsonText.js';
+import {toFindings} from '../common/schemaFindings.js';
+
+/** Reading of settings files; every finding names the file and the place in it. */
+
+/** The path given to findings about a file as a whole. */
+const WHOLE_FILE = '$';
+
+/** Reads a JSON settings file; all findings are reported together. */
+export function readSettings<T>(
+  path: string,
+  schema: zod.ZodType<T>,
+): Result<T, readonly Finding[]> {
+  const json = readJsonFile(path);
+  if (!json.ok) {
+    return json;
+  }
+  const parsed = schema.safeParse(json.value);
+  return parsed.success
+    ? success(parsed.data)
+    : failure(parsed.error.issues.flatMap(issue => toFindings(issue, path)));
+}
+
+/** Reads a file as JSON; malformed text is reported with its line and column. */
+export function readJsonFile(
+  path: string,
+): Result<unknown, readonly Finding[]> {
+  const text = readTextFile(path);
+  if (!text.ok) {
+    return text;
+  }
+  const json = parseJsonText(text.value);
+  if (json.ok) {
+    return json;
+  }
+  const {line, column} = json.error;
+  const place = `line ${line}, column ${column}`;
+  return failure([{source: path, path: place, expected: 'well-formed JSON'}]);
+}
+
+/** Reads a secret from a file of one line; the secret is never part of a finding. */
+export function readSecretFile(
+  path: string,
+): Result<string, readonly Finding[]> {
+  const text = readTextFile(path);
+  if (!text.ok) {
+    return text;
+  }
+  const secret = text.value.trim();
+  return /^[\x21-\x7e]+$/.test(secret)
+    ? success(secret)
+    : failure([
+        {source: path, path: WHOLE_FILE, expected: 'one line with the key'},
+      ]);
+}
+
+function readTextFile(path: string): Result<string, readonly Finding[]> {
+  try {
+    return success(readFileSync(path, 'utf8'));
+  } catch (error) {
+    const code = (error as NodeJS.ErrnoException).code ?? 'unknown error';
+    const expected = `a readable file (${code})`;
+    return failure([{source: path, path: WHOLE_FILE, expected}]);
+  }
+}
