Configuration log, membership, peer exchange, administration API and the control program

Cause: an accepted configuration has to be in force everywhere within seconds and never go back, through outages of the table and cuts between instances. Ruled out: a majority of failed table reads alone as permission to go on (the minority that still reaches the table could accept a change); ages taken from requests (a delayed request looks younger than it is). Change: log of revisions with compare-and-set and fencing of lost writes; replica that applies strictly in order; confirmation from dated table reads or from a majority of confirmed peers; view for the entry program; administration API under /v1; program redwing-control. Conclusion: unit tests of the core on the in-memory platform pass.

--- /dev/null
+++ b/src/features/membership/common/standingKeeper.ts
@@ -0,0 +1,73 @@
+import {Emitter} from '../../../base/common/event.js';
+import {Clock} from '../../../base/common/clock.js';
+import {DisposableOwner} from '../../../base/common/lifecycle.js';
+import {
+  ChartDefinition,
+  ChartInstance,
+  StateChart,
+} from '../../../platform/stateChart/common/stateChart.js';
+import {
+  Confirmation,
+  ConfirmationInput,
+  LifecycleState,
+  decideConfirmation,
+  toStanding,
+} from './confirmation.js';
+import chartDefinition from './instanceLifecycle.chart.json' with {type: 'json'};
+import {Standing} from './systemView.js';
+
+/** Events of the instance's life cycle. */
+export type LifecycleEvent = Confirmation | 'leave' | 'stop';
+
+/** Actions of the instance's life cycle. */
+export type LifecycleAction = 'publishStanding';
+
+/** The chart of the instance's life cycle. */
+export const instanceLifecycle = new StateChart<
+  LifecycleState,
+  LifecycleEvent,
+  LifecycleAction
+>(chartDefinition as ChartDefinition);
+
+/** Holds this instance's standing; the chart alone changes it. */
+export class StandingKeeper extends DisposableOwner {
+  private readonly chart = new ChartInstance(instanceLifecycle);
+  private readonly changed = this.register(new Emitter<Standing>());
+  private since: number;
+
+  /** Fires after each change of the standing. */
+  readonly onDidChange = this.changed.event;
+
+  constructor(private readonly clock: Clock) {
+    super();
+    this.since = clock.monotonicMilliseconds();
+  }
+
+  get standing(): Standing {
+    const elapsed = this.clock.monotonicMilliseconds() - this.since;
+    return toStanding(this.chart.state, Math.round(elapsed));
+  }
+
+  /** Decides again from what is known now. */
+  evaluate(input: ConfirmationInput): void {
+    this.send(decideConfirmation(input));
+  }
+
+  /** Takes no new work from now on. */
+  leave(): void {
+    this.send('leave');
+  }
+
+  /** Ends the life cycle. */
+  stop(): void {
+    this.send('stop');
+  }
+
+  private send(event: LifecycleEvent): void {
+    const step = this.chart.send(event);
+    if (step.actions.includes('publishStanding')) {
+      this.since = this.clock.monotonicMilliseconds();
+      this.changed.fire(this.standing);
+    }
+  }
+}
--- /dev/null
+++ b/src/features/peers/common/localState.ts
@@ -0,0 +1,105 @@
+import {Clock} from '../../../base/common/clock.js';
+import {ConfigurationReplica} from '../../configuration/common/configurationReplica.js';
+import {
+  ConfirmationTracker,
+  OUTAGE_EVIDENCE_FACTOR,
+  OutageEvidence,
+  TableEvidence,
+} from '../../membership/common/confirmation.js';
+import {
+  InstanceDirectory,
+  InstanceRecord,
+} from '../../membership/common/instanceDirectory.js';
+import {StatusTable} from '../../membership/common/statusTable.js';
+import {rosterName} from './roster.js';
+
+/** What this instance knows, shared by everything that talks to the table or to peers. */
+export class LocalState {
+  readonly statuses = new StatusTable();
+  readonly directory = new InstanceDirectory();
+  readonly confirmation = new ConfirmationTracker();
+  private own: InstanceRecord;
+  private failedSince: number | undefined;
+  private rosterText = rosterName([]);
+
+  constructor(
+    readonly id: string,
+    readonly replica: ConfigurationReplica,
+    readonly clock: Clock,
+    readonly boundMilliseconds: number,
+  ) {
+    this.own = {id, incarnation: undefined, ready: false, leaving: false};
+  }
+
+  /** What this instance says of itself. */
+  get record(): InstanceRecord {
+    return this.own;
+  }
+
+  /** The name of the list that `statuses` follows. */
+  get roster(): string {
+    return this.rosterText;
+  }
+
+  /** When reads of the table began to fail; undefined while they work. */
+  get tableFailedSince(): number | undefined {
+    return this.failedSince;
+  }
+
+  /** Changes what this instance says of itself; returns whether it differs. */
+  setRecord(change: Partial<InstanceRecord>): boolean {
+    const before = this.own;
+    this.own = {...before, ...change};
+    this.noteSelf();
+    return JSON.stringify(before) !== JSON.stringify(this.own);
+  }
+
+  /** Called after the directory took another list. */
+  rosterChanged(): void {
+    this.rosterText = rosterName(this.directory.ids);
+    this.statuses.keepOnly(this.directory.ids);
+    this.noteSelf();
+  }
+
+  /** A read of the head row ended well. */
+  tableRead(evidence: TableEvidence): void {
+    this.failedSince = undefined;
+    this.noteEvidence(evidence);
+  }
+
+  /** A read of the head row failed. */
+  tableFailed(): void {
+    this.failedSince ??= this.clock.monotonicMilliseconds();
+    this.noteSelf();
+  }
+
+  /** Takes a read of the head row by this or another instance. */
+  noteEvidence(evidence: TableEvidence): void {
+    this.replica.noteRevision(evidence.revision);
+    this.confirmation.note(evidence, this.replica.current.revision);
+    this.noteSelf();
+  }
+
+  /** Refreshes this instance's own status and record. */
+  noteSelf(): void {
+    const heardAt = this.clock.monotonicMilliseconds();
+    this.confirmation.noteApplied(this.replica.current.revision);
+    this.statuses.note(this.id, {
+      heardAt,
+      isVoter: this.confirmation.confirmedAt !== undefined,
+      tableFailed: this.failedSince !== undefined,
+    });
+    this.directory.note(this.own, heardAt);
+  }
+
+  /** How many of the listed instances said lately that they can't reach the table. */
+  outageEvidence(): OutageEvidence {
+    const ids = this.directory.ids;
+    const limit = this.boundMilliseconds * OUTAGE_EVIDENCE_FACTOR;
+    const now = this.clock.monotonicMilliseconds();
+    return {
+      listed: ids.length,
+      failed: this.statuses.countFailed(ids, now, limit),
+    };
+  }
+}
--- /dev/null
+++ b/src/features/peers/node/peerRouter.ts
@@ -0,0 +1,92 @@
+import * as zod from 'zod';
+
+import {
+  createRpcRouter,
+  peerProcedure,
+} from '../../../platform/rpc/node/rpc.js';
+import {ConfigurationRevision} from '../../configuration/common/configuration.js';
+import {
+  AgedRecord,
+  ExchangeAnswer,
+  ExchangeRequest,
+  PeerNotice,
+  PeerNoticeAnswer,
+  PeerSnapshot,
+  RosterAnswer,
+} from '../common/peerMessages.js';
+import {PeerResponder} from '../common/peerResponder.js';
+
+const TEXT_LIMIT = 256;
+const REVISION_LIMIT = 100;
+
+const text = zod.string().max(TEXT_LIMIT);
+const revisionNumber = zod.int().min(0);
+
+const recordSchema = zod.object({
+  id: text,
+  incarnation: text.optional(),
+  ready: zod.boolean(),
+  leaving: zod.boolean(),
+});
+
+const exchangeSchema = zod.object({
+  record: recordSchema,
+  revision: revisionNumber,
+});
+
+const revisionSchema = zod.object({
+  revision: revisionNumber,
+  operations: zod.array(zod.looseObject({kind: text})),
+  operator: text,
+  nonce: text,
+  committedAtWallMilliseconds: zod.number(),
+});
+
+const noticeSchema = zod.object({
+  record: recordSchema,
+  revision: revisionNumber,
+  revisions: zod.array(revisionSchema).max(REVISION_LIMIT).optional(),
+});
+
+/** The calls that control programs make to each other. */
+export function createPeerRouter(responder: PeerResponder) {
+  return createRpcRouter({
+    peer: createRpcRouter({
+      exchange: peerProcedure
+        .input(exchangeSchema)
+        .mutation(({input}): ExchangeAnswer =>
+          responder.exchange(toRequest(input)),
+        ),
+      notice: peerProcedure
+        .input(noticeSchema)
+        .mutation(({input}): PeerNoticeAnswer =>
+          responder.notice(toNotice(input)),
+        ),
+      roster: peerProcedure.query((): RosterAnswer => responder.roster()),
+      records: peerProcedure.query((): readonly AgedRecord[] =>
+        responder.records(),
+      ),
+      snapshot: peerProcedure.query((): PeerSnapshot => responder.snapshot()),
+    }),
+  });
+}
+
+/** The type of the router, for clients. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
+
+function toRequest(input: zod.infer<typeof exchangeSchema>): ExchangeRequest {
+  return {...input, record: toRecord(input.record)};
+}
+
+function toNotice(input: zod.infer<typeof noticeSchema>): PeerNotice {
+  const {record, revision} = input;
+  const notice = {record: toRecord(record), revision};
+  // Peers are authenticated and hold only operations that a proposer validated.
+  const revisions = input.revisions as unknown as
+    readonly ConfigurationRevision[] | undefined;
+  return revisions === undefined ? notice : {...notice, revisions};
+}
+
+function toRecord(record: zod.infer<typeof recordSchema>) {
+  return {...record, incarnation: record.incarnation};
+}
--- /dev/null
+++ b/src/features/peers/node/rpcPeerConnection.ts
@@ -0,0 +1,114 @@
+import {CancellationToken} from '../../../base/common/cancellation.js';
+import {Disposable} from '../../../base/common/lifecycle.js';
+import {Result, failure, success} from '../../../base/common/result.js';
+import {createRpcClient, RpcClient} from '../../../platform/rpc/node/rpc.js';
+import {PeerConnection, PeerError} from '../common/peerConnection.js';
+import {
+  AgedRecord,
+  ExchangeAnswer,
+  ExchangeRequest,
+  PeerNotice,
+  PeerNoticeAnswer,
+  PeerSnapshot,
+  RosterAnswer,
+} from '../common/peerMessages.js';
+import {PeerRouter} from './peerRouter.js';
+
+/** Clients kept; the one unused for longest is closed first. */
+const CLIENT_LIMIT = 64;
+
+type PeerCalls = RpcClient<PeerRouter>['call']['peer'];
+
+/** Calls peers over tRPC; keeps a bounded number of clients. */
+export class RpcPeerConnection extends PeerConnection implements Disposable {
+  private readonly clients = new Map<string, RpcClient<PeerRouter>>();
+
+  constructor(private readonly peerKey: string) {
+    super();
+  }
+
+  override exchange(
+    address: string,
+    request: ExchangeRequest,
+    token: CancellationToken,
+  ): Promise<Result<ExchangeAnswer, PeerError>> {
+    return this.call(address, peer =>
+      peer.exchange.mutate(request, {signal: token.signal}),
+    );
+  }
+
+  override notify(
+    address: string,
+    notice: PeerNotice,
+    token: CancellationToken,
+  ): Promise<Result<PeerNoticeAnswer, PeerError>> {
+    // The router reads operations loosely; their shape was checked when they were proposed.
+    const message = notice as unknown as Parameters<
+      PeerCalls['notice']['mutate']
+    >[0];
+    return this.call(address, peer =>
+      peer.notice.mutate(message, {signal: token.signal}),
+    );
+  }
+
+  override roster(
+    address: string,
+    token: CancellationToken,
+  ): Promise<Result<RosterAnswer, PeerError>> {
+    return this.call(address, peer =>
+      peer.roster.query(undefined, {signal: token.signal}),
+    );
+  }
+
+  override records(
+    address: string,
+    token: CancellationToken,
+  ): Promise<Result<readonly AgedRecord[], PeerError>> {
+    return this.call(address, peer =>
+      peer.records.query(undefined, {signal: token.signal}),
+    );
+  }
+
+  override snapshot(
+    address: string,
+    token: CancellationToken,
+  ): Promise<Result<PeerSnapshot, PeerError>> {
+    return this.call(address, peer =>
+      peer.snapshot.query(undefined, {signal: token.signal}),
+    );
+  }
+
+  dispose(): void {
+    for (const client of this.clients.values()) {
+      client.dispose();
+    }
+    this.clients.clear();
+  }
+
+  private async call<T>(
+    address: string,
+    send: (peer: PeerCalls) => Promise<unknown>,
+  ): Promise<Result<T, PeerError>> {
+    try {
+      const answer = await send(this.client(address).call.peer);
+      return success(answer as T);
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      return failure({kind: 'unreachable', detail});
+    }
+  }
+
+  private client(address: string): RpcClient<PeerRouter> {
+    const client =
+      this.clients.get(address) ??
+      createRpcClient<PeerRouter>(address, this.peerKey);
+    this.clients.delete(address);
+    this.clients.set(address, client);
+    const [oldest] = this.clients;
+    if (this.clients.size > CLIENT_LIMIT && oldest !== undefined) {
+      this.clients.delete(oldest[0]);
+      oldest[1].dispose();
+    }
+    return client;
+  }
+}
--- a/src/platform/rpc/node/rpc.ts
+++ b/src/platform/rpc/node/rpc.ts
@@ -1,8 +1,9 @@
 import {timingSafeEqual} from 'node:crypto';
+import {createServer, RequestListener} from 'node:http';
 
 import {createTRPCClient, httpLink, TRPCClient} from '@trpc/client';
 import {AnyTRPCRouter, initTRPC, TRPCError} from '@trpc/server';
-import {createHTTPServer} from '@trpc/server/adapters/standalone';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {Agent, fetch as undiciFetch} from 'undici';
 
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
@@ -59,13 +60,12 @@
   };
 }
 
-/** Serves a router on an address; resolves once it listens. */
-export async function serveRpc(
+/** Answers calls to a router; for programs that serve more than one protocol on an address. */
+export function createRpcHandler(
   router: AnyTRPCRouter,
-  address: string,
   peerKey: string,
-): Promise<Disposable> {
-  const server = createHTTPServer({
+): RequestListener {
+  return createHTTPHandler({
     router,
     createContext: ({req}): RpcContext => {
       const header = req.headers[KEY_HEADER];
@@ -75,6 +75,15 @@
       };
     },
   });
+}
+
+/** Serves a router on an address; resolves once it listens. */
+export async function serveRpc(
+  router: AnyTRPCRouter,
+  address: string,
+  peerKey: string,
+): Promise<Disposable> {
+  const server = createServer(createRpcHandler(router, peerKey));
   const {host, port} = parseAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- /dev/null
+++ b/src/programs/control/controlCore.ts
@@ -0,0 +1,374 @@
+import {
+  CancellationSource,
+  CancellationToken,
+} from '../../base/common/cancellation.js';
+import {Clock} from '../../base/common/clock.js';
+import {DisposableOwner} from '../../base/common/lifecycle.js';
+import {RandomSource} from '../../base/common/randomSource.js';
+import {
+  ConfigurationRevision,
+  ProposalResult,
+} from '../../features/configuration/common/configuration.js';
+import {
+  ConfigurationProposer,
+  NonceSource,
+} from '../../features/configuration/common/configurationProposer.js';
+import {ConfigurationReader} from '../../features/configuration/common/configurationReader.js';
+import {ConfigurationReplica} from '../../features/configuration/common/configurationReplica.js';
+import {ConfigurationStore} from '../../features/configuration/common/configurationStore.js';
+import {Proposal} from '../../features/configuration/common/operationSchemas.js';
+import {RepeatingTask} from '../../features/membership/common/repeatingTask.js';
+import {StandingKeeper} from '../../features/membership/common/standingKeeper.js';
+import {
+  EntryAnnouncement,
+  SystemView,
+} from '../../features/membership/common/systemView.js';
+import {UNKNOWN_AGE_SECONDS} from '../../features/membership/common/statusTable.js';
+import {ViewPublisher} from '../../features/membership/common/viewPublisher.js';
+import {LocalState} from '../../features/peers/common/localState.js';
+import {PeerConnection} from '../../features/peers/common/peerConnection.js';
+import {
+  Handover,
+  PeerExchanger,
+} from '../../features/peers/common/peerExchanger.js';
+import {PeerResponder} from '../../features/peers/common/peerResponder.js';
+import {Logger} from '../../platform/logging/common/logger.js';
+import {MembershipList} from '../../platform/membership/common/membershipList.js';
+import {Metrics} from '../../platform/metrics/common/metrics.js';
+import {ObjectStore} from '../../platform/objects/common/objectStore.js';
+import {TableService} from '../../platform/table/common/tableService.js';
+
+const SECOND = 1_000;
+const EVALUATION_MILLISECONDS = 500;
+const PLATFORM_CALL_MILLISECONDS = 2_000;
+const HANDOVER_MILLISECONDS = 2_000;
+/** An entry program that asked for nothing for so long counts as gone. */
+const ENTRY_SILENCE_MILLISECONDS = 10_000;
+/** While the table fails and it isn't known whether it fails for a majority, peers are asked so many times as often, for a while. */
+const HURRY_FACTOR = 4;
+const HURRY_MILLISECONDS = 30_000;
+
+/** Periods and bounds, in seconds. */
+export interface ControlTimes {
+  readonly headReadSeconds: number;
+  readonly membershipReadSeconds: number;
+  readonly peerExchangeSeconds: number;
+  readonly confirmationBoundSeconds: number;
+}
+
+/** The outside of the core. */
+export interface ControlPorts {
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  readonly membership: MembershipList;
+  readonly peers: PeerConnection;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly nonce: NonceSource;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** The outcome of a proposal and how far it was handed on. */
+export interface ProposalReport {
+  readonly result: ProposalResult;
+  readonly handover: Handover | undefined;
+}
+
+/** Everything the control program does apart from its servers. */
+export class ControlCore extends DisposableOwner {
+  readonly replica: ConfigurationReplica;
+  readonly state: LocalState;
+  readonly responder: PeerResponder;
+  readonly publisher: ViewPublisher;
+  private readonly log: ConfigurationStore;
+  private readonly reader: ConfigurationReader;
+  private readonly proposer: ConfigurationProposer;
+  private readonly keeper: StandingKeeper;
+  private readonly exchanger: PeerExchanger;
+  private readonly tasks: readonly RepeatingTask[];
+  private readonly headTask: RepeatingTask;
+  private readonly lifetime = new CancellationSource();
+  private entryHeardAt: number | undefined;
+  private announced: EntryAnnouncement | undefined;
+
+  constructor(
+    id: string,
+    private readonly times: ControlTimes,
+    private readonly ports: ControlPorts,
+  ) {
+    super();
+    const {clock, random, logger} = ports;
+    this.replica = this.register(new ConfigurationReplica());
+    this.state = new LocalState(
+      id,
+      this.replica,
+      clock,
+      times.confirmationBoundSeconds * SECOND,
+    );
+    this.responder = this.register(new PeerResponder(this.state));
+    this.publisher = this.register(new ViewPublisher());
+    this.keeper = this.register(new StandingKeeper(clock));
+    this.log = new ConfigurationStore(ports.table, ports.objects);
+    this.reader = new ConfigurationReader(this.log, this.replica, clock);
+    this.proposer = new ConfigurationProposer(
+      this.log,
+      this.reader,
+      this.replica,
+      clock,
+      ports.nonce,
+      logger,
+    );
+    this.exchanger = new PeerExchanger(
+      this.state,
+      ports.peers,
+      this.responder,
+      random,
+    );
+    this.headTask = this.task(
+      () => times.headReadSeconds * SECOND,
+      token => this.readHead(token),
+    );
+    this.tasks = [
+      this.task(
+        () => times.membershipReadSeconds * SECOND,
+        token => this.readMembership(token),
+      ),
+      this.headTask,
+      this.task(
+        () => this.exchangeMilliseconds(),
+        token => this.exchange(token),
+      ),
+      this.task(
+        () => EVALUATION_MILLISECONDS,
+        () => Promise.resolve(this.evaluate()),
+      ),
+    ];
+    this.register(this.responder.onDidLearn(() => this.learned()));
+    this.register(
+      this.keeper.onDidChange(standing =>
+        logger.decision('standing', {standing: standing.kind}),
+      ),
+    );
+  }
+
+  /** Begins to read the table and the list and to ask peers. */
+  start(): void {
+    for (const task of this.tasks) {
+      task.runNow();
+    }
+  }
+
+  /** The newest view, decided from what is known at this moment. */
+  view(): SystemView {
+    this.evaluate();
+    return this.publisher.current;
+  }
+
+  /** The entry program of this instance introduced itself. */
+  announce(announcement: EntryAnnouncement): void {
+    this.announced = announcement;
+    this.noteEntry();
+    this.evaluate();
+  }
+
+  /** The entry program of this instance asked for something. */
+  noteEntry(): void {
+    this.entryHeardAt = this.ports.clock.monotonicMilliseconds();
+  }
+
+  /** Proposes a change and hands an accepted one to all peers. */
+  async propose(
+    proposal: Proposal,
+    operator: string,
+    token: CancellationToken,
+  ): Promise<ProposalReport> {
+    const result = await this.proposer.propose(proposal, operator, token);
+    if (!result.ok) {
+      return {result, handover: undefined};
+    }
+    this.evaluate();
+    const handover = await this.handOver([result.value]);
+    void this.writeSnapshot(result.value.revision);
+    return {result, handover};
+  }
+
+  /** Reads revisions back from the log, the newest first. */
+  async readLog(
+    after: number,
+    token: CancellationToken,
+  ): Promise<readonly ConfigurationRevision[] | undefined> {
+    const rows = await this.log.readAfter(after, token);
+    return rows.ok ? rows.value : undefined;
+  }
+
+  /** Takes no new work, tells all peers, then stops. */
+  async leave(): Promise<void> {
+    this.keeper.leave();
+    this.state.setRecord({leaving: true, ready: false});
+    this.evaluate();
+    await this.handOver([]);
+    this.keeper.stop();
+    this.evaluate();
+  }
+
+  override dispose(): void {
+    this.lifetime.cancel('stopped');
+    super.dispose();
+  }
+
+  private task(
+    period: () => number,
+    run: (token: CancellationToken) => Promise<void>,
+  ): RepeatingTask {
+    const {clock, random} = this.ports;
+    return this.register(new RepeatingTask(clock, random, period, run));
+  }
+
+  private async readHead(token: CancellationToken): Promise<void> {
+    const reading = await this.bounded(
+      token,
+      PLATFORM_CALL_MILLISECONDS,
+      call => this.reader.readHead(call),
+    );
+    this.ports.metrics.count('control.head_reads', 1, {
+      outcome: reading.ok ? 'ok' : reading.error.kind,
+    });
+    if (reading.ok) {
+      const {head, startedAt} = reading.value;
+      this.state.tableRead({revision: head.revision, readAt: startedAt});
+    } else {
+      this.state.tableFailed();
+    }
+    this.evaluate();
+  }
+
+  private async readMembership(token: CancellationToken): Promise<void> {
+    const list = await this.bounded(token, PLATFORM_CALL_MILLISECONDS, call =>
+      this.ports.membership.read(call),
+    );
+    this.ports.metrics.count('control.list_reads', 1, {
+      outcome: list.ok ? 'ok' : list.error.kind,
+    });
+    if (!list.ok) {
+      return;
+    }
+    const change = this.state.directory.applyList(list.value.members);
+    if (change.instancesChanged) {
+      this.state.rosterChanged();
+    }
+    this.evaluate();
+  }
+
+  private async exchange(token: CancellationToken): Promise<void> {
+    await this.exchanger.exchange(token);
+    this.evaluate();
+  }
+
+  private exchangeMilliseconds(): number {
+    const period = this.times.peerExchangeSeconds * SECOND;
+    const since = this.state.tableFailedSince;
+    const now = this.ports.clock.monotonicMilliseconds();
+    if (since === undefined || now - since > HURRY_MILLISECONDS) {
+      return period;
+    }
+    const {failed, listed} = this.state.outageEvidence();
+    return failed * 2 > listed ? period : period / HURRY_FACTOR;
+  }
+
+  private learned(): void {
+    if (this.replica.knownRevision > this.replica.current.revision) {
+      this.headTask.runNow();
+    }
+    this.evaluate();
+  }
+
+  private evaluate(): void {
+    this.state.noteSelf();
+    this.keeper.evaluate({
+      now: this.ports.clock.monotonicMilliseconds(),
+      boundMilliseconds: this.state.boundMilliseconds,
+      appliedRevision: this.replica.current.revision,
+      knownRevision: this.replica.knownRevision,
+      confirmedAt: this.state.confirmation.confirmedAt,
+      outage: this.state.outageEvidence(),
+    });
+    this.updateRecord();
+    this.publisher.publish({
+      standing: this.keeper.standing,
+      configuration: this.replica.current,
+      instances: this.state.directory.views(id => this.isHeard(id)),
+      upstreams: this.state.directory.upstreams,
+    });
+  }
+
+  private updateRecord(): void {
+    const {standing} = this.keeper;
+    if (standing.kind === 'leaving') {
+      return;
+    }
+    const leaving = this.announced?.leaving === true;
+    const ready =
+      standing.kind === 'serving' && this.isEntryAlive() && !leaving;
+    const incarnation = this.announced?.incarnation;
+    if (this.state.setRecord({ready, leaving, incarnation})) {
+      this.responder.noteChange(this.state.id);
+      void this.handOver([]);
+    }
+  }
+
+  private isEntryAlive(): boolean {
+    const now = this.ports.clock.monotonicMilliseconds();
+    return (
+      this.entryHeardAt !== undefined &&
+      now - this.entryHeardAt <= ENTRY_SILENCE_MILLISECONDS
+    );
+  }
+
+  private isHeard(id: string): boolean {
+    const heardAt = this.state.statuses.get(id)?.heardAt;
+    const now = this.ports.clock.monotonicMilliseconds();
+    return (
+      heardAt !== undefined && now - heardAt < UNKNOWN_AGE_SECONDS * SECOND
+    );
+  }
+
+  private handOver(
+    revisions: readonly ConfigurationRevision[],
+  ): Promise<Handover> {
+    return this.bounded(this.lifetime.token, HANDOVER_MILLISECONDS, token =>
+      this.exchanger.broadcast(revisions, token),
+    );
+  }
+
+  private async writeSnapshot(revision: number): Promise<void> {
+    const written = await this.bounded(
+      this.lifetime.token,
+      PLATFORM_CALL_MILLISECONDS,
+      token => this.proposer.snapshotIfDue(revision, token),
+    );
+    if (!written.ok) {
+      this.ports.logger.warn('snapshot not written', {
+        revision,
+        error: written.error,
+      });
+    }
+  }
+
+  private async bounded<T>(
+    token: CancellationToken,
+    milliseconds: number,
+    call: (token: CancellationToken) => Promise<T>,
+  ): Promise<T> {
+    const source = new CancellationSource(token);
+    const timer = this.ports.clock.setTimer(milliseconds, () =>
+      source.cancel('no answer in time'),
+    );
+    try {
+      return await call(source.token);
+    } finally {
+      timer.dispose();
+      source.dispose();
+    }
+  }
+}
--- /dev/null
+++ b/src/programs/control/main.ts
@@ -0,0 +1,113 @@
+#!/usr/bin/env node
+import {Builtins, Cli, Command, Option} from 'clipanion';
+
+import {formatFinding, Finding} from '../../base/common/finding.js';
+import {Result, success} from '../../base/common/result.js';
+import {operatorKeysSchema} from '../../features/administration/node/operatorKeys.js';
+import {ControlSettings} from '../../platform/settings/common/programSettings.js';
+import {controlSettingsSchema} from '../../platform/settings/common/settingsSchemas.js';
+import {
+  readSecretFile,
+  readSettings,
+} from '../../platform/settings/node/readSettings.js';
+import {ControlProgram, ControlSecrets} from './wiring.js';
+
+/** The program `redwing-control`. */
+
+const VERSION = '0.1.0';
+const EXIT_SETTINGS = 2;
+
+interface Loaded {
+  readonly settings: ControlSettings;
+  readonly secrets: ControlSecrets;
+}
+
+function load(path: string): Result<Loaded, readonly Finding[]> {
+  const settings = readSettings(path, controlSettingsSchema);
+  if (!settings.ok) {
+    return settings;
+  }
+  const peerKey = readSecretFile(settings.value.peerKeyFile);
+  const operatorKeys = readSettings(
+    settings.value.operatorKeysFile,
+    operatorKeysSchema,
+  );
+  if (!peerKey.ok || !operatorKeys.ok) {
+    const findings = [peerKey, operatorKeys].flatMap(result =>
+      result.ok ? [] : result.error,
+    );
+    return {ok: false, error: findings};
+  }
+  return success({
+    settings: settings.value,
+    secrets: {peerKey: peerKey.value, operatorKeys: operatorKeys.value},
+  });
+}
+
+function formatFindings(findings: readonly Finding[]): string {
+  return findings.map(finding => `${formatFinding(finding)}\n`).join('');
+}
+
+/** Runs the program until SIGTERM or SIGINT. */
+class RunCommand extends Command {
+  static override paths = [Command.Default, ['run']];
+  static override usage = Command.Usage({
+    description: 'Run the control program of one instance.',
+    details: 'Stops on SIGTERM: tells its peers that it leaves, then exits.',
+    examples: [['Run with a settings file', '$0 control.json']],
+  });
+
+  readonly settingsFile = Option.String({name: 'settings'});
+
+  override async execute(): Promise<number> {
+    const loaded = load(this.settingsFile);
+    if (!loaded.ok) {
+      this.context.stderr.write(formatFindings(loaded.error));
+      return EXIT_SETTINGS;
+    }
+    const {settings, secrets} = loaded.value;
+    const program = new ControlProgram(settings, secrets);
+    await program.start();
+    await stopSignal();
+    await program.stop();
+    return 0;
+  }
+}
+
+/** Checks a settings file and the files that it names. */
+class CheckSettingsCommand extends Command {
+  static override paths = [['check-settings']];
+  static override usage = Command.Usage({
+    description: 'Check a settings file; all findings are printed.',
+  });
+
+  readonly settingsFile = Option.String({name: 'settings'});
+
+  override async execute(): Promise<number> {
+    const loaded = load(this.settingsFile);
+    if (!loaded.ok) {
+      this.context.stderr.write(formatFindings(loaded.error));
+      return EXIT_SETTINGS;
+    }
+    this.context.stdout.write('settings are valid\n');
+    return 0;
+  }
+}
+
+function stopSignal(): Promise<void> {
+  return new Promise(resolve => {
+    process.once('SIGTERM', () => resolve());
+    process.once('SIGINT', () => resolve());
+  });
+}
+
+const cli = new Cli({
+  binaryLabel: 'Control program',
+  binaryName: 'redwing-control',
+  binaryVersion: VERSION,
+});
+cli.register(RunCommand);
+cli.register(CheckSettingsCommand);
+cli.register(Builtins.HelpCommand);
+cli.register(Builtins.VersionCommand);
+process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- /dev/null
+++ b/src/programs/control/test/controlCluster.ts
@@ -0,0 +1,206 @@
+import {
+  CancellationToken,
+  neverCancelled,
+} from '../../../base/common/cancellation.js';
+import {SeededRandomSource} from '../../../base/common/randomSource.js';
+import {Result, failure, success} from '../../../base/common/result.js';
+import {ConfigurationOperation} from '../../../features/configuration/common/configuration.js';
+import {
+  PeerConnection,
+  PeerError,
+} from '../../../features/peers/common/peerConnection.js';
+import {PeerResponder} from '../../../features/peers/common/peerResponder.js';
+import {SilentLogger} from '../../../platform/logging/common/logger.js';
+import {InstanceMember} from '../../../platform/membership/common/membershipList.js';
+import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
+import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
+import {ControlCore, ControlTimes, ProposalReport} from '../controlCore.js';
+
+/** Several control cores over one in-memory platform and one fake clock. */
+
+export const times: ControlTimes = {
+  headReadSeconds: 2,
+  membershipReadSeconds: 2,
+  peerExchangeSeconds: 1,
+  confirmationBoundSeconds: 10,
+};
+
+/** A class of work of a name. */
+export function setClass(
+  name: string,
+  deadlineMilliseconds = 9_000,
+): ConfigurationOperation {
+  return {
+    kind: 'setClass',
+    value: {
+      name,
+      firstTokenMilliseconds: 500,
+      betweenTokensMilliseconds: 60,
+      deadlineMilliseconds,
+      requestsPerSecond: 10,
+      repeatable: false,
+    },
+  };
+}
+
+class ClusterConnection extends PeerConnection {
+  constructor(
+    private readonly cluster: ControlCluster,
+    private readonly from: string,
+  ) {
+    super();
+  }
+
+  override exchange(
+    address: string,
+    request: Parameters<PeerResponder['exchange']>[0],
+  ) {
+    return this.call(address, peer => peer.exchange(request));
+  }
+
+  override notify(
+    address: string,
+    notice: Parameters<PeerResponder['notice']>[0],
+  ) {
+    return this.call(address, peer => peer.notice(notice));
+  }
+
+  override roster(address: string) {
+    return this.call(address, peer => peer.roster());
+  }
+
+  override records(address: string) {
+    return this.call(address, peer => peer.records());
+  }
+
+  override snapshot(address: string) {
+    return this.call(address, peer => peer.snapshot());
+  }
+
+  private async call<T>(
+    address: string,
+    run: (peer: PeerResponder) => T,
+  ): Promise<Result<T, PeerError>> {
+    await Promise.resolve();
+    const peer = this.cluster.reach(this.from, address);
+    if (peer === undefined) {
+      return failure({kind: 'unreachable', detail: `${address} is cut off`});
+    }
+    const answer = JSON.parse(JSON.stringify(run(peer.responder))) as T;
+    return success(answer);
+  }
+}
+
+/** The cores and the faults between them. */
+export class ControlCluster {
+  readonly clock = new FakeClock();
+  readonly platform = new InMemoryPlatform(this.clock);
+  readonly cores = new Map<string, ControlCore>();
+  /** Instances that reach no peer and are reached by none. */
+  readonly isolated = new Set<string>();
+  private nonces = 0;
+
+  constructor(
+    readonly ids: readonly string[],
+    private readonly seed = 1,
+  ) {
+    this.platform.members = ids.map(toMember);
+  }
+
+  /** Starts all instances and waits until they had time to meet. */
+  async startAll(): Promise<void> {
+    this.ids.forEach(id => this.start(id));
+    await this.run(5);
+  }
+
+  /** Starts an instance, or a new process in its place. */
+  start(id: string): ControlCore {
+    this.cores.get(id)?.dispose();
+    const ports = this.platform.portsOf(id);
+    const core = new ControlCore(id, times, {
+      ...ports,
+      peers: new ClusterConnection(this, id),
+      clock: this.clock,
+      random: new SeededRandomSource(this.seed * 1_000 + this.ids.indexOf(id)),
+      nonce: () => `nonce-${++this.nonces}`,
+      logger: new SilentLogger(),
+      metrics: new SilentMetrics(),
+    });
+    this.cores.set(id, core);
+    core.start();
+    return core;
+  }
+
+  core(id: string): ControlCore {
+    const core = this.cores.get(id);
+    if (core === undefined) {
+      throw new Error(`${id} was not started`);
+    }
+    return core;
+  }
+
+  async run(seconds: number): Promise<void> {
+    await this.clock.advanceAsync(seconds * 1_000);
+  }
+
+  /** Proposes and moves time on until the answer is there. */
+  async propose(
+    id: string,
+    operations: readonly ConfigurationOperation[],
+    operator = 'ana',
+    token: CancellationToken = neverCancelled,
+  ): Promise<ProposalReport> {
+    let report: ProposalReport | undefined;
+    const proposing = this.core(id)
+      .propose({operations}, operator, token)
+      .then(answer => {
+        report = answer;
+      });
+    for (let step = 0; step < 200 && report === undefined; step++) {
+      await this.clock.advanceAsync(100);
+    }
+    await proposing;
+    return report as unknown as ProposalReport;
+  }
+
+  /** Cuts an instance off from the table. */
+  cutTable(id?: string): void {
+    const scope = {
+      part: 'table' as const,
+      ...(id === undefined ? {} : {instance: id}),
+    };
+    this.platform.addFault({kind: 'down'}, scope);
+  }
+
+  reach(from: string, address: string): ControlCore | undefined {
+    const id = address.split(':')[0] ?? '';
+    const isCut = this.isolated.has(from) || this.isolated.has(id);
+    return isCut ? undefined : this.cores.get(id);
+  }
+
+  standing(id: string): string {
+    return this.core(id).view().standing.kind;
+  }
+
+  revision(id: string): number {
+    return this.core(id).view().configuration.revision;
+  }
+
+  dispose(): void {
+    this.cores.forEach(core => core.dispose());
+  }
+}
+
+function toMember(id: string): InstanceMember {
+  return {
+    role: 'instance',
+    id,
+    dataCentre: 'rionegro',
+    region: 'antioquia',
+    callerAddress: `${id}:1`,
+    entryPeerAddress: `${id}:2`,
+    controlAddress: `${id}:3`,
+    state: 'live',
+  };
+}
--- /dev/null
+++ b/src/programs/control/test/controlCore.test.ts
@@ -0,0 +1,133 @@
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {ControlCluster, setClass} from './controlCluster.js';
+
+const FIVE = ['a', 'b', 'c', 'd', 'e'];
+
+let cluster: ControlCluster;
+
+async function started(): Promise<ControlCluster> {
+  cluster = new ControlCluster(FIVE);
+  await cluster.startAll();
+  return cluster;
+}
+
+function standings(): readonly string[] {
+  return FIVE.map(id => cluster.standing(id));
+}
+
+function revisions(): readonly number[] {
+  return FIVE.map(id => cluster.revision(id));
+}
+
+afterEach(() => cluster.dispose());
+
+describe('a change of the configuration', () => {
+  it('is in force on all instances at once', async () => {
+    await started();
+    const report = await cluster.propose('a', [setClass('orders')]);
+    expect(report.result.ok).toBe(true);
+    expect(report.handover).toEqual({acknowledged: 5, listed: 5});
+    await cluster.run(1);
+    expect(revisions()).toEqual([1, 1, 1, 1, 1]);
+    expect(standings()).toEqual(Array(5).fill('serving'));
+  });
+
+  it('reaches an instance that is cut off from the table', async () => {
+    await started();
+    cluster.cutTable('e');
+    await cluster.run(30);
+    expect(cluster.standing('e')).toBe('serving');
+    await cluster.propose('a', [setClass('orders')]);
+    await cluster.run(1);
+    expect(cluster.revision('e')).toBe(1);
+  });
+
+  it('reaches an instance that is cut off from its peers', async () => {
+    await started();
+    cluster.isolated.add('e');
+    await cluster.propose('a', [setClass('orders')]);
+    await cluster.run(3);
+    expect(cluster.revision('e')).toBe(1);
+    await cluster.run(30);
+    expect(cluster.standing('e')).toBe('serving');
+  });
+});
+
+describe('an instance', () => {
+  it('stops serving when it is cut off from both, and resumes', async () => {
+    await started();
+    cluster.cutTable('e');
+    cluster.isolated.add('e');
+    await cluster.propose('a', [setClass('orders')]);
+    await cluster.run(11);
+    expect(cluster.standing('e')).toBe('cutOff');
+    expect(cluster.standing('a')).toBe('serving');
+    cluster.isolated.delete('e');
+    await cluster.run(3);
+    expect(cluster.standing('e')).toBe('serving');
+    expect(cluster.revision('e')).toBe(1);
+  });
+
+  it('serves on through a long outage of the table with a majority of peers', async () => {
+    await started();
+    cluster.cutTable();
+    for (let second = 0; second < 120; second++) {
+      await cluster.run(1);
+      expect(standings()).toEqual(Array(5).fill('serving'));
+    }
+    const report = await cluster.propose('a', [setClass('orders')]);
+    expect(report.result).toMatchObject({error: {kind: 'unavailable'}});
+  });
+
+  it.each([
+    {lost: ['d', 'e'], minority: 'cutOff', majority: 'serving'},
+    {lost: ['c', 'd', 'e'], minority: 'cutOff', majority: 'cutOff'},
+  ])('without table and with $lost alone', async row => {
+    await started();
+    row.lost.forEach(id => cluster.isolated.add(id));
+    cluster.cutTable();
+    await cluster.run(60);
+    expect(cluster.standing('e')).toBe(row.minority);
+    expect(cluster.standing('a')).toBe(row.majority);
+  });
+
+  it('starts during an outage of the table once a majority confirms', async () => {
+    await started();
+    await cluster.propose('a', [setClass('orders')]);
+    await cluster.run(2);
+    cluster.cutTable();
+    await cluster.run(20);
+    cluster.start('e');
+    expect(cluster.standing('e')).toBe('starting');
+    await cluster.run(10);
+    expect(cluster.standing('e')).toBe('serving');
+    expect(cluster.revision('e')).toBe(1);
+  });
+
+  it('stays starting when neither table nor peers answer', async () => {
+    cluster = new ControlCluster(FIVE);
+    cluster.cutTable();
+    cluster.start('a');
+    await cluster.run(60);
+    expect(cluster.standing('a')).toBe('starting');
+  });
+
+  it('that leaves is not ready elsewhere at once', async () => {
+    await started();
+    FIVE.forEach(id =>
+      cluster.core(id).announce({incarnation: `${id}-1`, leaving: false}),
+    );
+    await cluster.run(1);
+    const readyAt = (at: string, id: string) =>
+      cluster
+        .core(at)
+        .view()
+        .instances.find(instance => instance.member.id === id)?.ready;
+    expect(readyAt('a', 'e')).toBe(true);
+    void cluster.core('e').leave();
+    await cluster.run(0.1);
+    expect(readyAt('a', 'e')).toBe(false);
+    expect(cluster.standing('e')).toBe('leaving');
+  });
+});
--- /dev/null
+++ b/src/programs/control/wiring.ts
@@ -0,0 +1,159 @@
+import {randomBytes, randomUUID} from 'node:crypto';
+import {createServer, RequestListener} from 'node:http';
+
+import {CancellationSource} from '../../base/common/cancellation.js';
+import {DisposableOwner, toDisposable} from '../../base/common/lifecycle.js';
+import {
+  RandomSource,
+  SeededRandomSource,
+} from '../../base/common/randomSource.js';
+import {SystemClock} from '../../base/node/systemClock.js';
+import {AdministrationApi} from '../../features/administration/node/administrationApi.js';
+import {OperatorKeys} from '../../features/administration/node/operatorKeys.js';
+import {
+  createViewRouter,
+  ViewWatcher,
+} from '../../features/membership/node/viewRouter.js';
+import {createPeerRouter} from '../../features/peers/node/peerRouter.js';
+import {RpcPeerConnection} from '../../features/peers/node/rpcPeerConnection.js';
+import {Logger} from '../../platform/logging/common/logger.js';
+import {BunyanLogger} from '../../platform/logging/node/bunyanLogger.js';
+import {HttpMembershipList} from '../../platform/membership/node/httpMembershipList.js';
+import {Metrics, SilentMetrics} from '../../platform/metrics/common/metrics.js';
+import {StatsdMetrics} from '../../platform/metrics/node/statsdMetrics.js';
+import {HttpObjectStore} from '../../platform/objects/node/httpObjectStore.js';
+import {
+  createRpcHandler,
+  mergeRpcRouters,
+  parseAddress,
+} from '../../platform/rpc/node/rpc.js';
+import {ControlSettings} from '../../platform/settings/common/programSettings.js';
+import {HttpTableService} from '../../platform/table/node/httpTableService.js';
+import {ControlCore} from './controlCore.js';
+import {describeStatus} from './statusReport.js';
+
+const PROGRAM = 'redwing-control';
+const SEED_BYTES = 4;
+/** Calls to the platform at once, for each of its services. */
+const PLATFORM_CONNECTIONS = 2;
+
+/** What is read from files beside the settings. */
+export interface ControlSecrets {
+  readonly peerKey: string;
+  /** Operators' names to hex SHA-256 hashes of their keys. */
+  readonly operatorKeys: Readonly<Record<string, string>>;
+}
+
+/** The running control program; the one place that joins its parts. */
+export class ControlProgram extends DisposableOwner {
+  private readonly logger: Logger;
+  private readonly core: ControlCore;
+  private readonly listener: RequestListener;
+  private readonly lifetime = new CancellationSource();
+
+  constructor(
+    private readonly settings: ControlSettings,
+    secrets: ControlSecrets,
+  ) {
+    super();
+    const {id} = settings.instance;
+    this.logger = BunyanLogger.create(PROGRAM, settings.observation.logLevel, {
+      instance: id,
+    });
+    this.core = this.register(this.createCore(secrets));
+    const watcher = new ViewWatcher(this.core, randomUUID());
+    const router = mergeRpcRouters(
+      createPeerRouter(this.core.responder),
+      createViewRouter(this.core, watcher),
+    );
+    const calls = createRpcHandler(router, secrets.peerKey);
+    const administration = this.createAdministration(secrets);
+    this.listener = (request, response) =>
+      request.url?.startsWith('/v1/') === true
+        ? administration.listener(request, response)
+        : calls(request, response);
+  }
+
+  /** Listens, then begins to read the table and the list. */
+  async start(): Promise<void> {
+    const server = createServer(this.listener);
+    const {host, port} = parseAddress(this.settings.controlAddress);
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, resolve);
+    });
+    this.register(
+      toDisposable(() => {
+        server.close();
+        server.closeAllConnections();
+      }),
+    );
+    this.core.start();
+    this.logger.info('listening', {address: this.settings.controlAddress});
+  }
+
+  /** Tells peers and the entry program, then releases everything. */
+  async stop(): Promise<void> {
+    this.logger.info('leaving');
+    await this.core.leave();
+    this.dispose();
+    this.logger.info('stopped');
+  }
+
+  override dispose(): void {
+    this.lifetime.cancel('stopped');
+    super.dispose();
+  }
+
+  private createCore(secrets: ControlSecrets): ControlCore {
+    const {settings} = this;
+    const {platform} = settings;
+    const {id} = settings.instance;
+    const options = {connections: PLATFORM_CONNECTIONS};
+    return new ControlCore(id, settings, {
+      table: this.register(
+        new HttpTableService(platform.tableAddress, id, options),
+      ),
+      objects: this.register(
+        new HttpObjectStore(platform.objectsAddress, id, options),
+      ),
+      membership: this.register(
+        new HttpMembershipList(platform.membershipAddress, id, options),
+      ),
+      peers: this.register(new RpcPeerConnection(secrets.peerKey)),
+      clock: new SystemClock(),
+      random: createRandomSource(),
+      nonce: randomUUID,
+      logger: this.logger,
+      metrics: this.createMetrics(),
+    });
+  }
+
+  private createMetrics(): Metrics {
+    const {metricsAddress} = this.settings.observation;
+    return metricsAddress === undefined
+      ? new SilentMetrics()
+      : this.register(new StatsdMetrics(metricsAddress));
+  }
+
+  private createAdministration(secrets: ControlSecrets): AdministrationApi {
+    const {core} = this;
+    return new AdministrationApi(
+      {
+        configuration: () => core.replica.current,
+        status: () => describeStatus(core),
+        isServing: () => core.view().standing.kind === 'serving',
+        readLog: (after, token) => core.readLog(after, token),
+        propose: (proposal, operator, token) =>
+          core.propose(proposal, operator, token),
+      },
+      new OperatorKeys(secrets.operatorKeys),
+      this.logger,
+      this.lifetime.token,
+    );
+  }
+}
+
+function createRandomSource(): RandomSource {
+  return new SeededRandomSource(randomBytes(SEED_BYTES).readUInt32LE());
+}
