--- a/src/features/membership/common/statusTable.ts
+++ b/src/features/membership/common/statusTable.ts
@@ -49,15 +49,33 @@
     now: number,
     limitMilliseconds: number,
   ): number {
-    return ids.filter(id => {
+    return this.recent(ids, now, limitMilliseconds).filter(
+      status => status.isVoter && status.tableFailed,
+    ).length;
+  }
+
+  /** Instances among those named that reach the table, by statuses not older than a limit. */
+  countReaching(
+    ids: readonly string[],
+    now: number,
+    limitMilliseconds: number,
+  ): number {
+    return this.recent(ids, now, limitMilliseconds).filter(
+      status => !status.tableFailed,
+    ).length;
+  }
+
+  private recent(
+    ids: readonly string[],
+    now: number,
+    limitMilliseconds: number,
+  ): readonly InstanceStatus[] {
+    return ids.flatMap(id => {
       const status = this.statuses.get(id);
-      return (
-        status !== undefined &&
-        status.isVoter &&
-        status.tableFailed &&
-        now - status.heardAt <= limitMilliseconds
-      );
-    }).length;
+      const isRecent =
+        status !== undefined && now - status.heardAt <= limitMilliseconds;
+      return isRecent ? [status] : [];
+    });
   }
 
   /** One byte for each id, in order, as base64. Ages are rounded up, so that nothing looks younger than it is. */
--- a/src/programs/control/controlCore.ts
+++ b/src/programs/control/controlCore.ts
@@ -5,6 +5,7 @@
 import {Clock} from '../../base/common/clock.js';
 import {DisposableOwner} from '../../base/common/lifecycle.js';
 import {RandomSource} from '../../base/common/randomSource.js';
+import {failure} from '../../base/common/result.js';
 import {
   ConfigurationRevision,
   ProposalResult,
@@ -183,6 +184,14 @@
     operator: string,
     token: CancellationToken,
   ): Promise<ProposalReport> {
+    if (!(await this.canInformMajority())) {
+      const detail =
+        'a majority of the instances can be reached neither directly nor through the table';
+      return {
+        result: failure({kind: 'unavailable', detail}),
+        handover: undefined,
+      };
+    }
     const result = await this.proposer.propose(proposal, operator, token);
     if (!result.ok) {
       return {result, handover: undefined};
@@ -320,6 +329,7 @@
   private isEntryAlive(): boolean {
     const now = this.ports.clock.monotonicMilliseconds();
     return (
+      this.announced !== undefined &&
       this.entryHeardAt !== undefined &&
       now - this.entryHeardAt <= ENTRY_SILENCE_MILLISECONDS
     );
@@ -341,6 +351,15 @@
     );
   }
 
+  /**
+   * A majority that can't reach the table goes on with the revision that it holds, so a change
+   * that it can't be told of must not be accepted.
+   */
+  private async canInformMajority(): Promise<boolean> {
+    const {acknowledged, listed} = await this.handOver([]);
+    return acknowledged * 2 > listed || this.state.reachingTable() * 2 > listed;
+  }
+
   private async writeSnapshot(revision: number): Promise<void> {
     const written = await this.bounded(
       this.lifetime.token,
--- a/src/programs/control/main.ts
+++ b/src/programs/control/main.ts
@@ -110,4 +110,5 @@
 cli.register(CheckSettingsCommand);
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
-process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
+// Connections that peers keep open must not delay the end.
+process.exit(await cli.run(process.argv.slice(2), Cli.defaultContext));
--- a/src/programs/control/test/controlCluster.ts
+++ b/src/programs/control/test/controlCluster.ts
@@ -97,8 +97,8 @@
   readonly clock = new FakeClock();
   readonly platform = new InMemoryPlatform(this.clock);
   readonly cores = new Map<string, ControlCore>();
-  /** Instances that reach no peer and are reached by none. */
-  readonly isolated = new Set<string>();
+  /** Instances reach each other only inside a group; all start in group 0. */
+  readonly groups = new Map<string, number>();
   private nonces = 0;
 
   constructor(
@@ -173,9 +173,14 @@
     this.platform.addFault({kind: 'down'}, scope);
   }
 
+  /** Cuts an instance off from all peers. */
+  isolate(id: string): void {
+    this.groups.set(id, 1 + this.ids.indexOf(id));
+  }
+
   reach(from: string, address: string): ControlCore | undefined {
     const id = address.split(':')[0] ?? '';
-    const isCut = this.isolated.has(from) || this.isolated.has(id);
+    const isCut = this.groupOf(from) !== this.groupOf(id);
     return isCut ? undefined : this.cores.get(id);
   }
 
@@ -187,6 +192,10 @@
     return this.core(id).view().configuration.revision;
   }
 
+  private groupOf(id: string): number {
+    return this.groups.get(id) ?? 0;
+  }
+
   dispose(): void {
     this.cores.forEach(core => core.dispose());
   }
--- a/src/programs/control/test/controlCore.test.ts
+++ b/src/programs/control/test/controlCore.test.ts
@@ -45,7 +45,7 @@
 
   it('reaches an instance that is cut off from its peers', async () => {
     await started();
-    cluster.isolated.add('e');
+    cluster.isolate('e');
     await cluster.propose('a', [setClass('orders')]);
     await cluster.run(3);
     expect(cluster.revision('e')).toBe(1);
@@ -54,16 +54,41 @@
   });
 });
 
+describe('a proposal', () => {
+  it('is refused where a majority can be reached neither directly nor through the table', async () => {
+    await started();
+    ['b', 'c', 'd', 'e'].forEach(id => cluster.cutTable(id));
+    await cluster.run(20);
+    cluster.isolate('a');
+    await cluster.run(40);
+    expect(standings()).toEqual(Array(5).fill('serving'));
+    const report = await cluster.propose('a', [setClass('orders')]);
+    expect(report.result).toMatchObject({error: {kind: 'unavailable'}});
+    await cluster.run(5);
+    expect(revisions()).toEqual([0, 0, 0, 0, 0]);
+  });
+
+  it('is taken while peers are cut off from each other but reach the table', async () => {
+    await started();
+    FIVE.forEach(id => cluster.isolate(id));
+    await cluster.run(5);
+    const report = await cluster.propose('a', [setClass('orders')]);
+    expect(report.result.ok).toBe(true);
+    await cluster.run(3);
+    expect(revisions()).toEqual([1, 1, 1, 1, 1]);
+  });
+});
+
 describe('an instance', () => {
   it('stops serving when it is cut off from both, and resumes', async () => {
     await started();
     cluster.cutTable('e');
-    cluster.isolated.add('e');
+    cluster.isolate('e');
     await cluster.propose('a', [setClass('orders')]);
     await cluster.run(11);
     expect(cluster.standing('e')).toBe('cutOff');
     expect(cluster.standing('a')).toBe('serving');
-    cluster.isolated.delete('e');
+    cluster.groups.clear();
     await cluster.run(3);
     expect(cluster.standing('e')).toBe('serving');
     expect(cluster.revision('e')).toBe(1);
@@ -85,7 +110,7 @@
     {lost: ['c', 'd', 'e'], minority: 'cutOff', majority: 'cutOff'},
   ])('without table and with $lost alone', async row => {
     await started();
-    row.lost.forEach(id => cluster.isolated.add(id));
+    row.lost.forEach(id => cluster.isolate(id));
     cluster.cutTable();
     await cluster.run(60);
     expect(cluster.standing('e')).toBe(row.minority);
