--- a/src/features/configuration/common/configurationProposer.ts
+++ b/src/features/configuration/common/configurationProposer.ts
@@ -3,6 +3,7 @@
 import {Result, failure, success} from '../../../base/common/result.js';
 import {Logger} from '../../../platform/logging/common/logger.js';
 import {StorageError} from '../../../platform/table/common/tableService.js';
+import {withDeadline} from './callDeadline.js';
 import {
   ConfigurationRevision,
   ProposalError,
@@ -18,6 +19,7 @@
 } from './configurationStore.js';
 import {Proposal} from './operationSchemas.js';
 
+const CALL_MILLISECONDS = 2_000;
 const RESOLVE_ATTEMPTS = 5;
 const RESOLVE_PAUSE_MILLISECONDS = 200;
 
@@ -78,14 +80,16 @@
       nonce: this.nonce(),
       committedAtWallMilliseconds: this.clock.wallMilliseconds(),
     };
-    const outcome = await this.store.commit(head, revision, token);
+    const outcome = await this.call(token, call =>
+      this.store.commit(head, revision, call),
+    );
     if (!outcome.ok && outcome.error.kind !== 'outcomeUnknown') {
       return failure(notAccepted(outcome.error));
     }
     if (outcome.ok && outcome.value.kind === 'committed') {
       return this.accept(revision);
     }
-    return this.resolve(head, revision, token);
+    return this.resolve(head, revision);
   }
 
   /**
@@ -95,23 +99,22 @@
   private async resolve(
     head: ConfigurationHead,
     revision: ConfigurationRevision,
-    token: CancellationToken,
   ): Promise<ProposalResult> {
     for (let attempt = 0; attempt < RESOLVE_ATTEMPTS; attempt++) {
-      if (token.isCancelled) {
-        break;
-      }
       if (attempt > 0) {
         await this.pause(RESOLVE_PAUSE_MILLISECONDS * attempt);
       }
-      const row = await this.store.readRevision(revision.revision, token);
+      const row = await this.call(undefined, call =>
+        this.store.readRevision(revision.revision, call),
+      );
       if (row.ok && row.value !== undefined) {
         return this.decide(revision, row.value);
       }
-      if (row.ok && (await this.fence(head, revision, token))) {
+      if (row.ok && (await this.fence(head, revision))) {
         return failure({
           kind: 'unavailable',
-          detail: 'the table lost the change; it is not accepted',
+          detail:
+            'the head row moved or the change was lost; it is not accepted',
         });
       }
     }
@@ -135,16 +138,17 @@
   private async fence(
     before: ConfigurationHead,
     revision: ConfigurationRevision,
-    token: CancellationToken,
   ): Promise<boolean> {
-    const head = await this.store.readHead(token);
+    const head = await this.call(undefined, call => this.store.readHead(call));
     if (!head.ok || head.value.revision >= revision.revision) {
       return false;
     }
     if (head.value.rowVersion !== before.rowVersion) {
       return true;
     }
-    const fenced = await this.store.rewriteHead(head.value, token);
+    const fenced = await this.call(undefined, call =>
+      this.store.rewriteHead(head.value, call),
+    );
     return fenced.ok && fenced.value.kind === 'committed';
   }
 
@@ -186,6 +190,14 @@
     return written.ok ? success(true) : written;
   }
 
+  /** Bounds a call; what settles a commit goes on when the operator is gone. */
+  private call<T>(
+    parent: CancellationToken | undefined,
+    call: (token: CancellationToken) => Promise<T>,
+  ): Promise<T> {
+    return withDeadline(this.clock, parent, CALL_MILLISECONDS, call);
+  }
+
   private pause(milliseconds: number): Promise<void> {
     return new Promise(resolve => {
       this.clock.setTimer(milliseconds, resolve);
--- a/src/features/peers/common/peerExchanger.ts
+++ b/src/features/peers/common/peerExchanger.ts
@@ -1,9 +1,7 @@
-import {
-  CancellationSource,
-  CancellationToken,
-} from '../../../base/common/cancellation.js';
+import {CancellationToken} from '../../../base/common/cancellation.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {InstanceMember} from '../../../platform/membership/common/membershipList.js';
+import {withDeadline} from '../../configuration/common/callDeadline.js';
 import {ConfigurationRevision} from '../../configuration/common/configuration.js';
 import {LocalState} from './localState.js';
 import {PeerConnection} from './peerConnection.js';
@@ -49,7 +47,7 @@
       return;
     }
     const askedAt = this.state.clock.monotonicMilliseconds();
-    const answer = await bounded(token, callToken =>
+    const answer = await this.bounded(token, callToken =>
       this.connection.exchange(
         peer.controlAddress,
         {
@@ -88,7 +86,7 @@
         if (peer === undefined || token.isCancelled) {
           return;
         }
-        const answer = await bounded(token, callToken =>
+        const answer = await this.bounded(token, callToken =>
           this.connection.notify(peer.controlAddress, notice, callToken),
         );
         if (answer.ok && answer.value.revision >= notice.revision) {
@@ -134,7 +132,7 @@
     if (this.lacking < SNAPSHOT_AFTER) {
       return;
     }
-    const snapshot = await bounded(token, callToken =>
+    const snapshot = await this.bounded(token, callToken =>
       this.connection.snapshot(peer.controlAddress, callToken),
     );
     if (snapshot.ok) {
@@ -177,7 +175,7 @@
     if (known !== undefined) {
       return known;
     }
-    const answer = await bounded(token, callToken =>
+    const answer = await this.bounded(token, callToken =>
       this.connection.roster(peer.controlAddress, callToken),
     );
     if (!answer.ok) {
@@ -207,24 +205,18 @@
       return;
     }
     const askedAt = this.state.clock.monotonicMilliseconds();
-    const records = await bounded(token, callToken =>
+    const records = await this.bounded(token, callToken =>
       this.connection.records(peer.controlAddress, callToken),
     );
     if (records.ok) {
       this.takeRecords(records.value, askedAt);
     }
   }
-}
 
-async function bounded<T>(
-  token: CancellationToken,
-  call: (token: CancellationToken) => Promise<T>,
-): Promise<T> {
-  const source = new CancellationSource(token);
-  source.cancelAfter(CALL_MILLISECONDS, 'peer did not answer in time');
-  try {
-    return await call(source.token);
-  } finally {
-    source.dispose();
+  private bounded<T>(
+    token: CancellationToken,
+    call: (token: CancellationToken) => Promise<T>,
+  ): Promise<T> {
+    return withDeadline(this.state.clock, token, CALL_MILLISECONDS, call);
   }
 }
--- a/src/programs/control/controlCore.ts
+++ b/src/programs/control/controlCore.ts
@@ -6,6 +6,7 @@
 import {DisposableOwner} from '../../base/common/lifecycle.js';
 import {RandomSource} from '../../base/common/randomSource.js';
 import {failure} from '../../base/common/result.js';
+import {withDeadline} from '../../features/configuration/common/callDeadline.js';
 import {
   ConfigurationRevision,
   ProposalResult,
@@ -374,20 +375,11 @@
     }
   }
 
-  private async bounded<T>(
+  private bounded<T>(
     token: CancellationToken,
     milliseconds: number,
     call: (token: CancellationToken) => Promise<T>,
   ): Promise<T> {
-    const source = new CancellationSource(token);
-    const timer = this.ports.clock.setTimer(milliseconds, () =>
-      source.cancel('no answer in time'),
-    );
-    try {
-      return await call(source.token);
-    } finally {
-      timer.dispose();
-      source.dispose();
-    }
+    return withDeadline(this.ports.clock, token, milliseconds, call);
   }
 }
