A change needs a majority that answers the proposer directly

Cause: random cuts found a case (two instances propose, three others reach the table a moment before, then lose it) in which a committed change stayed unknown to a majority that went on with the old revision. Ruled out: counting instances that said lately that they reach the table; they may lose it before they read the change. Change: only direct answers count, before the commit and after it; a committed change that no majority confirmed is answered as pending (202), not as accepted. Peer calls share one set of connections and send fewer headers.

--- a/src/features/administration/common/proposalAnswer.ts
+++ b/src/features/administration/common/proposalAnswer.ts
@@ -14,8 +14,8 @@
 }
 
 /**
- * 201: committed, and a majority of the listed instances know it.
- * 202: committed, but fewer know it yet; or the outcome could not be found out.
+ * 201: accepted: committed, and a majority of the listed instances know it.
+ * 202: committed, but fewer know it yet, so that it isn't surely in force; or the outcome could not be found out.
  */
 export function toAnswer(
   result: ProposalResult,
@@ -31,7 +31,7 @@
   return {
     status: isMajority ? 201 : 202,
     body: {
-      accepted: 'yes',
+      accepted: isMajority ? 'yes' : 'pending',
       revision,
       operator,
       nonce,
--- a/src/features/membership/common/statusTable.ts
+++ b/src/features/membership/common/statusTable.ts
@@ -54,17 +54,6 @@
     ).length;
   }
 
-  /** Instances among those named that reach the table, by statuses not older than a limit. */
-  countReaching(
-    ids: readonly string[],
-    now: number,
-    limitMilliseconds: number,
-  ): number {
-    return this.recent(ids, now, limitMilliseconds).filter(
-      status => !status.tableFailed,
-    ).length;
-  }
-
   private recent(
     ids: readonly string[],
     now: number,
--- a/src/features/peers/common/localState.ts
+++ b/src/features/peers/common/localState.ts
@@ -102,11 +102,4 @@
       failed: this.statuses.countFailed(ids, now, limit),
     };
   }
-
-  /** How many of the listed instances said lately that they reach the table. */
-  reachingTable(): number {
-    const now = this.clock.monotonicMilliseconds();
-    const ids = this.directory.ids;
-    return this.statuses.countReaching(ids, now, this.boundMilliseconds);
-  }
 }
--- a/src/features/peers/node/rpcPeerConnection.ts
+++ b/src/features/peers/node/rpcPeerConnection.ts
@@ -1,7 +1,7 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
 import {Result, failure, success} from '../../../base/common/result.js';
-import {createRpcClient, RpcClient} from '../../../platform/rpc/node/rpc.js';
+import {RpcConnections} from '../../../platform/rpc/node/rpc.js';
 import {PeerConnection, PeerError} from '../common/peerConnection.js';
 import {
   AgedRecord,
@@ -14,17 +14,22 @@
 } from '../common/peerMessages.js';
 import {PeerRouter} from './peerRouter.js';
 
-/** Clients kept; the one unused for longest is closed first. */
-const CLIENT_LIMIT = 64;
+/** Clients kept; the one unused for longest is forgotten first. */
+const CLIENT_LIMIT = 512;
 
-type PeerCalls = RpcClient<PeerRouter>['call']['peer'];
+type PeerClient = ReturnType<
+  typeof RpcConnections.prototype.client<PeerRouter>
+>;
+type PeerCalls = PeerClient['peer'];
 
-/** Calls peers over tRPC; keeps a bounded number of clients. */
+/** Calls peers over tRPC; keeps a bounded number of clients over one set of connections. */
 export class RpcPeerConnection extends PeerConnection implements Disposable {
-  private readonly clients = new Map<string, RpcClient<PeerRouter>>();
+  private readonly clients = new Map<string, PeerClient>();
+  private readonly connections: RpcConnections;
 
-  constructor(private readonly peerKey: string) {
+  constructor(peerKey: string) {
     super();
+    this.connections = new RpcConnections(peerKey);
   }
 
   override exchange(
@@ -79,10 +84,8 @@
   }
 
   dispose(): void {
-    for (const client of this.clients.values()) {
-      client.dispose();
-    }
     this.clients.clear();
+    this.connections.dispose();
   }
 
   private async call<T>(
@@ -90,7 +93,7 @@
     send: (peer: PeerCalls) => Promise<unknown>,
   ): Promise<Result<T, PeerError>> {
     try {
-      const answer = await send(this.client(address).call.peer);
+      const answer = await send(this.client(address).peer);
       return success(answer as T);
     } catch (error) {
       const detail = error instanceof Error ? error.message : String(error);
@@ -98,16 +101,14 @@
     }
   }
 
-  private client(address: string): RpcClient<PeerRouter> {
+  private client(address: string): PeerClient {
     const client =
-      this.clients.get(address) ??
-      createRpcClient<PeerRouter>(address, this.peerKey);
+      this.clients.get(address) ?? this.connections.client<PeerRouter>(address);
     this.clients.delete(address);
     this.clients.set(address, client);
-    const [oldest] = this.clients;
+    const oldest = this.clients.keys().next().value;
     if (this.clients.size > CLIENT_LIMIT && oldest !== undefined) {
-      this.clients.delete(oldest[0]);
-      oldest[1].dispose();
+      this.clients.delete(oldest);
     }
     return client;
   }
--- a/src/platform/rpc/node/rpc.ts
+++ b/src/platform/rpc/node/rpc.ts
@@ -126,3 +126,57 @@
     dispose: () => void agent.destroy(),
   };
 }
+
+/** Clients of one program for many addresses over one set of connections; sends few headers. */
+export class RpcConnections implements Disposable {
+  private readonly agent = new Agent({
+    connections: 1,
+    pipelining: 1,
+    connect: {timeout: 1000},
+  });
+
+  constructor(private readonly peerKey: string) {}
+
+  /** A client for an address; it holds no connection of its own. */
+  client<Router extends AnyTRPCRouter>(address: string): TRPCClient<Router> {
+    const link = httpLink({
+      url: `http://${address}`,
+      headers: {[KEY_HEADER]: this.peerKey},
+      fetch: (url: string, init: LeanRequest) => this.fetch(url, init),
+    } as never);
+    return createTRPCClient<Router>({links: [link]});
+  }
+
+  dispose(): void {
+    void this.agent.destroy();
+  }
+
+  private async fetch(
+    url: string,
+    init: LeanRequest,
+  ): Promise<Pick<Response, 'ok' | 'status' | 'json'>> {
+    const {origin, pathname, search} = new URL(url);
+    const {statusCode, body} = await this.agent.request({
+      origin,
+      path: pathname + search,
+      method: init.method,
+      headers: init.headers,
+      body: init.body ?? null,
+      signal: init.signal ?? null,
+    });
+    const text = await body.text();
+    return {
+      ok: statusCode < 300,
+      status: statusCode,
+      json: async () => JSON.parse(text) as unknown,
+    };
+  }
+}
+
+/** What the client library passes to its fetch function. */
+interface LeanRequest {
+  readonly method: 'GET' | 'POST';
+  readonly headers: Record<string, string>;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+}
--- a/src/programs/control/controlCore.ts
+++ b/src/programs/control/controlCore.ts
@@ -187,7 +187,7 @@
   ): Promise<ProposalReport> {
     if (!(await this.canInformMajority())) {
       const detail =
-        'a majority of the instances can be reached neither directly nor through the table';
+        'this instance reaches no majority of the listed instances; a change could not be made known';
       return {
         result: failure({kind: 'unavailable', detail}),
         handover: undefined,
@@ -354,11 +354,11 @@
 
   /**
    * A majority that can't reach the table goes on with the revision that it holds, so a change
-   * that it can't be told of must not be accepted.
+   * that no majority can be told of must not be accepted.
    */
   private async canInformMajority(): Promise<boolean> {
     const {acknowledged, listed} = await this.handOver([]);
-    return acknowledged * 2 > listed || this.state.reachingTable() * 2 > listed;
+    return acknowledged * 2 > listed;
   }
 
   private async writeSnapshot(revision: number): Promise<void> {
