--- a/src/programs/control/test/controlCluster.ts
+++ b/src/programs/control/test/controlCluster.ts
@@ -104,6 +104,7 @@
   constructor(
     readonly ids: readonly string[],
     private readonly seed = 1,
+    private readonly clusterTimes = times,
   ) {
     this.platform.members = ids.map(toMember);
   }
@@ -118,7 +119,7 @@
   start(id: string): ControlCore {
     this.cores.get(id)?.dispose();
     const ports = this.platform.portsOf(id);
-    const core = new ControlCore(id, times, {
+    const core = new ControlCore(id, this.clusterTimes, {
       ...ports,
       peers: new ClusterConnection(this, id),
       clock: this.clock,
--- a/src/programs/control/test/controlCore.test.ts
+++ b/src/programs/control/test/controlCore.test.ts
@@ -116,6 +116,24 @@
     expect(report.result).toMatchObject({error: {kind: 'unavailable'}});
   });
 
+  it('serves on through an outage among 40 that meet rarely', async () => {
+    const ids = Array.from({length: 40}, (_, index) => `n${index}`);
+    cluster = new ControlCluster(ids, 1, {
+      headReadSeconds: 3,
+      membershipReadSeconds: 5,
+      peerExchangeSeconds: 2,
+      confirmationBoundSeconds: 9,
+    });
+    await cluster.startAll();
+    await cluster.run(10);
+    cluster.cutTable();
+    for (let second = 0; second < 30; second++) {
+      await cluster.run(1);
+      const stopped = ids.filter(id => cluster.standing(id) !== 'serving');
+      expect(stopped).toEqual([]);
+    }
+  });
+
   it.each([
     {lost: ['d', 'e'], minority: 'cutOff', majority: 'serving'},
     {lost: ['c', 'd', 'e'], minority: 'cutOff', majority: 'cutOff'},
