--- /dev/null
+++ b/test/standins/engine.ts
@@ -0,0 +1,674 @@
+import {randomUUID} from 'node:crypto';
+
+import {request as httpRequest} from 'undici';
+
+import {
+  DisposableOwner,
+  toDisposable,
+} from '../../src/base/common/lifecycle.js';
+import {failure, Result, success} from '../../src/base/common/result.js';
+import {
+  CacheReference,
+  CancelReport,
+  EngineError,
+  EngineOrder,
+  EngineReport,
+  LayerRange,
+  PositionRange,
+  StepOutput,
+  StepReceipt,
+  StepRequest,
+} from '../../src/platform/engine/common/engineConnection.js';
+import {
+  DeathPoint,
+  EngineLedgerEntry,
+  EngineSettings,
+} from './engineSettings.js';
+import {Ledger} from './ledger.js';
+import {PrefixCache} from './prefixCache.js';
+import {
+  applyLayer,
+  decodeActivation,
+  embed,
+  encodeActivation,
+  LayerCache,
+  planReply,
+  remainingTokens,
+  tokenOf,
+} from './referenceModel.js';
+import {Sequence, SequenceSlots} from './sequences.js';
+
+/** Errors that the engine itself states. */
+export type EngineRefusal = Extract<
+  EngineError,
+  {readonly kind: 'stale' | 'cacheMissing' | 'overloaded' | 'refused'}
+>;
+
+/** What the program around an engine decides. */
+export interface EngineSurroundings {
+  /** Waits while the engine is frozen. */
+  thawed(): Promise<void>;
+  /** Called at each point of a step; the engine may be dead afterwards. */
+  reached(point: DeathPoint): void;
+}
+
+/** What engines remember of a request beyond its KV cache. */
+interface RequestRecord {
+  begun: boolean;
+  highestEpoch: number;
+  cancelledEpoch: number;
+}
+
+/** An exported KV cache. */
+interface CacheExport {
+  readonly requestId: string;
+  readonly layers: LayerRange;
+  readonly caches: ReadonlyArray<readonly [number, LayerCache]>;
+  readonly tokens: readonly string[];
+}
+
+/** What an engine holds at present. */
+type Holding = Pick<
+  EngineSettings,
+  'model' | 'version' | 'adapters' | 'layers' | 'role'
+>;
+
+type StepResult = Result<StepReceipt, EngineRefusal>;
+
+const RECORD_LIMIT = 50_000;
+const EXPORT_LIMIT = 64;
+const NO_EPOCH = -1;
+const OVERLOAD_RETRY_MILLISECONDS = 500;
+const HEX_DIGITS = 8;
+
+/** One incarnation of a model engine; dies for good, a new one takes its place. */
+export class Engine extends DisposableOwner {
+  readonly incarnation = randomUUID();
+  slowFactor = 1;
+  isLeaving = false;
+  reportsRenewed = true;
+  readonly links = new Map<string, number>();
+  private readonly slots: SequenceSlots;
+  private readonly prefixes: PrefixCache;
+  private readonly records = new Map<string, RequestRecord>();
+  private readonly exports = new Map<string, CacheExport>();
+  private holding: Holding;
+  private loadedAt = 0;
+  private highest = {fencing: NO_EPOCH, order: NO_EPOCH};
+  private snapshot: EngineReport | undefined;
+  private snapshotAt = 0;
+
+  constructor(
+    private readonly settings: EngineSettings,
+    private readonly ledger: Ledger<EngineLedgerEntry>,
+    private readonly surroundings: EngineSurroundings,
+  ) {
+    super();
+    this.holding = settings;
+    this.slots = new SequenceSlots(settings.sequenceLimit, settings.queueLimit);
+    this.prefixes = new PrefixCache(settings.prefixCacheLimit, {
+      lagMilliseconds: settings.cacheEventLagMilliseconds,
+      lossEvery: settings.cacheEventLossEvery,
+    });
+    this.renewReport();
+    this.every(settings.reportLagMilliseconds, () => this.renewReport());
+    this.every(settings.idleMilliseconds / 4, () =>
+      this.slots.freeIdle(performance.now() - settings.idleMilliseconds),
+    );
+  }
+
+  /** Ends this incarnation: nothing further is executed or written down. */
+  get isDead(): boolean {
+    return this.isDisposed;
+  }
+
+  /** Runs a step, or refuses before it is begun. */
+  async step(
+    step: StepRequest,
+    onDidGo: (stop: () => void) => void,
+  ): Promise<StepResult> {
+    const transferMilliseconds = this.linkFrom(step.previousUpstream);
+    if (transferMilliseconds > 0) {
+      await sleep(transferMilliseconds);
+    }
+    const arrivedAt = performance.now();
+    for (;;) {
+      const refusal = this.refusalOf(step);
+      if (refusal !== undefined) {
+        return failure(refusal);
+      }
+      const sequence = await this.sequenceFor(step, onDidGo);
+      if (sequence === undefined) {
+        return failure(this.stoppedWaiting(step));
+      }
+      const result = await sequence.inTurn(() =>
+        this.attempt(step, sequence, arrivedAt, transferMilliseconds),
+      );
+      if (result !== 'slotLost') {
+        return result;
+      }
+    }
+  }
+
+  /** Cancels a request at this and all lower epochs; always honoured, whether or not fencing is checked. */
+  cancel(requestId: string, epoch: number): CancelReport {
+    const record = this.recordOf(requestId);
+    record.cancelledEpoch = Math.max(record.cancelledEpoch, epoch);
+    const sequence = this.slots.get(requestId);
+    const isRunning = (sequence?.runningSteps ?? 0) > 0;
+    this.slots.stopRequest(requestId, epoch);
+    if (epoch >= record.highestEpoch) {
+      this.slots.free(requestId);
+    }
+    this.write({kind: 'cancelled', requestId, epoch});
+    return {
+      state: isRunning ? 'running' : 'idle',
+      begun: record.begun,
+      engineIncarnation: this.incarnation,
+    };
+  }
+
+  exportCache(requestId: string): Result<CacheReference, EngineRefusal> {
+    const sequence = this.slots.get(requestId);
+    const {layers} = this.holding;
+    if (sequence === undefined) {
+      return refused('no KV cache of the request');
+    }
+    const positions = {from: 0, to: sequence.coveredTo(layers)};
+    const id = randomUUID();
+    this.exports.set(id, {
+      requestId,
+      layers,
+      caches: [...sequence.caches].map(([layer, cache]) => [
+        layer,
+        cache.slice(0, positions.to),
+      ]),
+      tokens: sequence.tokens.slice(0, positions.to),
+    });
+    trim(this.exports, EXPORT_LIMIT);
+    const reference = `${this.settings.address}/v1/caches/${id}`;
+    return success({reference, layers, positions});
+  }
+
+  /** The content of an export, for other engines. */
+  exported(id: string): unknown {
+    return this.exports.get(id);
+  }
+
+  /** Fetches an exported KV cache from its engine and takes it over. */
+  async importCache(
+    requestId: string,
+    epoch: number,
+    reference: CacheReference,
+  ): Promise<Result<PositionRange, EngineRefusal>> {
+    const content = await fetchExport(reference.reference);
+    if (content === undefined || content.requestId !== requestId) {
+      return refused('the exported KV cache is absent');
+    }
+    const {layers} = this.holding;
+    const hasAll =
+      content.layers.from <= layers.from && content.layers.to >= layers.to;
+    if (!hasAll) {
+      return refused('the exported KV cache has other layers');
+    }
+    const stale = this.staleness(requestId, epoch);
+    if (stale !== undefined) {
+      return failure(stale);
+    }
+    return this.takeOver(requestId, epoch, content);
+  }
+
+  report(): EngineReport {
+    if (this.settings.reportLagMilliseconds <= 0) {
+      this.renewReport();
+    }
+    const ageMilliseconds = performance.now() - this.snapshotAt;
+    return {...(this.snapshot ?? this.present()), ageMilliseconds};
+  }
+
+  cacheEvents(after: number): unknown {
+    return this.prefixes.eventsAfter(after, performance.now());
+  }
+
+  /** Takes a desired state; idempotent. */
+  order(order: EngineOrder): Result<void, EngineRefusal> {
+    if (this.settings.checksFencing && this.isOld(order)) {
+      return failure({kind: 'stale', highest: this.highest.fencing});
+    }
+    const {fencing, order: number, model, version, layers, role} = order;
+    this.highest = {fencing, order: number};
+    this.load(order);
+    this.write({
+      kind: 'ordered',
+      fencing,
+      order: number,
+      model,
+      version,
+      layers,
+      role,
+    });
+    return success(undefined);
+  }
+
+  /** Loses all KV caches and prefixes. */
+  loseCaches(): void {
+    this.slots.clear();
+    this.prefixes.clear();
+  }
+
+  private every(milliseconds: number, run: () => void): void {
+    if (milliseconds > 0) {
+      const timer = setInterval(run, milliseconds).unref();
+      this.register(toDisposable(() => clearInterval(timer)));
+    }
+  }
+
+  private linkFrom(previousUpstream: string | undefined): number {
+    const {settings, links} = this;
+    const everywhere = links.get('*');
+    if (previousUpstream === undefined) {
+      return links.get('') ?? everywhere ?? settings.callerLinkMilliseconds;
+    }
+    return (
+      links.get(previousUpstream) ??
+      everywhere ??
+      settings.linkMilliseconds[previousUpstream] ??
+      settings.defaultLinkMilliseconds
+    );
+  }
+
+  private refusalOf(step: StepRequest): EngineRefusal | undefined {
+    const sequence = this.slots.get(step.requestId);
+    const unfit = this.unfitness(step, sequence !== undefined);
+    if (unfit !== undefined) {
+      return {kind: 'refused', detail: unfit};
+    }
+    const stale = this.staleness(step.requestId, step.epoch);
+    if (stale !== undefined) {
+      return stale;
+    }
+    const coveredTo = sequence?.coveredTo(step.layers) ?? 0;
+    if (step.positions.from > coveredTo) {
+      return {kind: 'cacheMissing', coveredTo};
+    }
+    if (sequence === undefined && this.slots.isFull) {
+      return overloaded();
+    }
+    return undefined;
+  }
+
+  private unfitness(
+    step: StepRequest,
+    isResident: boolean,
+  ): string | undefined {
+    const {holding} = this;
+    if (this.isLoading()) {
+      return 'loading';
+    }
+    if (this.isLeaving && !isResident) {
+      return 'leaving';
+    }
+    if (step.model !== holding.model || step.version !== holding.version) {
+      return 'holds another model or version';
+    }
+    if (
+      step.adapter !== undefined &&
+      !holding.adapters.includes(step.adapter)
+    ) {
+      return 'does not hold the adapter';
+    }
+    const {from, to} = step.layers;
+    if (from < holding.layers.from || to > holding.layers.to || from >= to) {
+      return 'does not hold these layers';
+    }
+    if (!roleFits(holding.role, step)) {
+      return `has the role ${holding.role}`;
+    }
+    return inputHashes(step) === undefined ? 'malformed input' : undefined;
+  }
+
+  private staleness(
+    requestId: string,
+    epoch: number,
+  ): EngineRefusal | undefined {
+    const record = this.records.get(requestId);
+    if (record === undefined) {
+      return undefined;
+    }
+    const {cancelledEpoch, highestEpoch} = record;
+    const isFenced = this.settings.checksFencing && epoch < highestEpoch;
+    if (epoch > cancelledEpoch && !isFenced) {
+      return undefined;
+    }
+    return {kind: 'stale', highest: Math.max(cancelledEpoch, highestEpoch)};
+  }
+
+  private async sequenceFor(
+    step: StepRequest,
+    onDidGo: (stop: () => void) => void,
+  ): Promise<Sequence | undefined> {
+    const {requestId, epoch, priority} = step;
+    return (
+      this.slots.get(requestId) ??
+      (await this.slots.acquire(requestId, epoch, priority, onDidGo))
+    );
+  }
+
+  private stoppedWaiting(step: StepRequest): EngineRefusal {
+    return this.staleness(step.requestId, step.epoch) ?? overloaded();
+  }
+
+  private async attempt(
+    step: StepRequest,
+    sequence: Sequence,
+    arrivedAt: number,
+    transferMilliseconds: number,
+  ): Promise<StepResult | 'slotLost'> {
+    await this.surroundings.thawed();
+    if (this.slots.get(step.requestId) !== sequence) {
+      return 'slotLost';
+    }
+    const refusal = this.refusalOf(step);
+    if (refusal !== undefined) {
+      return failure(refusal);
+    }
+    const begunAt = performance.now();
+    const output = await this.execute(step, sequence);
+    if (output === undefined) {
+      return refused('dead');
+    }
+    return success({
+      requestId: step.requestId,
+      epoch: step.epoch,
+      layers: step.layers,
+      positions: step.positions,
+      output,
+      engineIncarnation: this.incarnation,
+      queueMilliseconds: begunAt - arrivedAt,
+      computeMilliseconds: performance.now() - begunAt,
+      transferMilliseconds,
+    });
+  }
+
+  private async execute(
+    step: StepRequest,
+    sequence: Sequence,
+  ): Promise<StepOutput | undefined> {
+    const record = this.recordOf(step.requestId);
+    record.begun = true;
+    record.highestEpoch = Math.max(record.highestEpoch, step.epoch);
+    this.write({kind: 'begun', ...ledgerFields(step)});
+    this.surroundings.reached('begun');
+    sequence.runningSteps++;
+    await pass(sequence, this.computeMilliseconds(step));
+    await this.surroundings.thawed();
+    sequence.runningSteps--;
+    sequence.lastUsed = performance.now();
+    if (this.isDead) {
+      return undefined;
+    }
+    const output = compute(step, sequence);
+    const token = output.kind === 'token' ? output.token : undefined;
+    this.write({kind: 'completed', ...ledgerFields(step), token});
+    this.surroundings.reached('computed');
+    const isEnd = output.kind === 'token' && output.endOfText;
+    if (isEnd || sequence.isEnding) {
+      this.slots.free(step.requestId);
+    }
+    return output;
+  }
+
+  private computeMilliseconds(step: StepRequest): number {
+    const {settings} = this;
+    if (!isPrefill(step)) {
+      const others = this.slots.residentCount - 1;
+      const extra = settings.decodeMillisecondsPerSequence * others;
+      return (settings.decodeMilliseconds + extra) * this.slowFactor;
+    }
+    const positions = step.positions.to - step.positions.from;
+    const uncached = Math.max(1, positions - this.cachedPositions(step));
+    return settings.prefillMillisecondsPerToken * uncached * this.slowFactor;
+  }
+
+  private cachedPositions(step: StepRequest): number {
+    if (step.prefixKey === undefined || step.positions.from > 0) {
+      return 0;
+    }
+    const key = `${step.adapter ?? ''}/${step.prefixKey}`;
+    if (step.input.kind === 'tokens') {
+      const text = `${step.input.tokens.join(' ')} `;
+      const shared = text.slice(0, this.prefixes.use(step.prefixKey, text));
+      return shared.split(' ').length - 1;
+    }
+    const digits = step.input.data.slice(step.input.data.indexOf(':') + 1);
+    return Math.floor(this.prefixes.use(key, digits) / HEX_DIGITS);
+  }
+
+  private takeOver(
+    requestId: string,
+    epoch: number,
+    content: CacheExport,
+  ): Result<PositionRange, EngineRefusal> {
+    const hasRoom = this.slots.residentCount < this.settings.sequenceLimit;
+    if (!hasRoom && this.slots.get(requestId) === undefined) {
+      return failure(overloaded());
+    }
+    const record = this.recordOf(requestId);
+    record.highestEpoch = Math.max(record.highestEpoch, epoch);
+    const first = Number.NEGATIVE_INFINITY;
+    void this.slots.acquire(requestId, epoch, first, () => {});
+    const sequence = this.slots.get(requestId);
+    if (sequence === undefined) {
+      return failure(overloaded());
+    }
+    sequence.caches.clear();
+    for (const [layer, cache] of content.caches) {
+      sequence.caches.set(layer, [...cache]);
+    }
+    sequence.tokens.splice(0, sequence.tokens.length, ...content.tokens);
+    this.write({kind: 'imported', requestId, epoch});
+    return success({from: 0, to: sequence.coveredTo(this.holding.layers)});
+  }
+
+  private isOld(order: EngineOrder): boolean {
+    const {fencing, order: number} = this.highest;
+    return (
+      order.fencing < fencing ||
+      (order.fencing === fencing && order.order < number)
+    );
+  }
+
+  private load(order: EngineOrder): void {
+    const {holding, settings} = this;
+    const {model, version, adapters, layers, role} = order;
+    const sameWeights =
+      model === holding.model &&
+      version === holding.version &&
+      layers.from === holding.layers.from &&
+      layers.to === holding.layers.to;
+    const sameAdapters = adapters.every(name =>
+      holding.adapters.includes(name),
+    );
+    this.holding = {model, version, adapters, layers, role};
+    if (!sameWeights) {
+      this.loseCaches();
+      this.loadedAt = performance.now() + settings.loadMilliseconds;
+    } else if (!sameAdapters) {
+      this.loadedAt = performance.now() + settings.adapterLoadMilliseconds;
+    }
+  }
+
+  private isLoading(): boolean {
+    return performance.now() < this.loadedAt;
+  }
+
+  private renewReport(): void {
+    if (this.reportsRenewed) {
+      this.snapshot = this.present();
+      this.snapshotAt = performance.now();
+    }
+  }
+
+  private present(): EngineReport {
+    const {settings, holding, slots} = this;
+    const others = Math.max(0, slots.residentCount - 1);
+    const extra = settings.decodeMillisecondsPerSequence * others;
+    return {
+      upstream: settings.id,
+      engineIncarnation: this.incarnation,
+      acceleratorKind: settings.acceleratorKind,
+      model: holding.model,
+      version: holding.version,
+      adapters: holding.adapters,
+      layers: holding.layers,
+      role: holding.role,
+      checksFencing: settings.checksFencing,
+      sequenceLimit: settings.sequenceLimit,
+      residentSequences: slots.residentCount,
+      queuedSequences: slots.waitingCount,
+      decodeMilliseconds: settings.decodeMilliseconds + extra,
+      prefillMillisecondsPerToken: settings.prefillMillisecondsPerToken,
+      cachedPrefixes: this.prefixes.announcedPrefixes(performance.now()),
+      ageMilliseconds: 0,
+      leaving: this.isLeaving,
+      appliedOrder: Math.max(0, this.highest.order),
+      loading: this.isLoading(),
+    };
+  }
+
+  private recordOf(requestId: string): RequestRecord {
+    const existing = this.records.get(requestId);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const created = {
+      begun: false,
+      highestEpoch: NO_EPOCH,
+      cancelledEpoch: NO_EPOCH,
+    };
+    this.records.set(requestId, created);
+    trim(this.records, RECORD_LIMIT);
+    return created;
+  }
+
+  private write(entry: Unstamped<EngineLedgerEntry>): void {
+    const {id: upstream} = this.settings;
+    const {incarnation} = this;
+    this.ledger.add({upstream, incarnation, ...entry} as EngineLedgerEntry);
+  }
+}
+
+type Unstamped<T> = T extends unknown
+  ? Omit<T, 'upstream' | 'incarnation'>
+  : never;
+
+function compute(step: StepRequest, sequence: Sequence): StepOutput {
+  const {layers, positions} = step;
+  let hashes: readonly number[] = inputHashes(step) ?? [];
+  for (let layer = layers.from; layer < layers.to; layer++) {
+    const cache = sequence.cacheOf(layer);
+    hashes = applyLayer(layer, cache, positions.from, hashes);
+  }
+  const remaining = remainingAfter(step, sequence);
+  if (layers.to < step.layerCount) {
+    const data = encodeActivation({remaining, hashes});
+    return {kind: 'activation', data};
+  }
+  const token = tokenOf(hashes.at(-1) ?? 0);
+  return {kind: 'token', token, endOfText: remaining <= 1};
+}
+
+function remainingAfter(step: StepRequest, sequence: Sequence): number {
+  const {input, positions} = step;
+  if (input.kind === 'activation') {
+    const count = positions.to - positions.from;
+    return decodeActivation(input.data, count)?.remaining ?? 0;
+  }
+  const {tokens} = sequence;
+  tokens.splice(positions.from, tokens.length, ...input.tokens);
+  return remainingTokens(planReply(tokens), positions.to);
+}
+
+/** Undefined when the input does not fit the step. */
+function inputHashes(step: StepRequest): readonly number[] | undefined {
+  const {input, positions} = step;
+  const count = positions.to - positions.from;
+  const isFirst = step.layers.from === 0;
+  if (count < 1 || isFirst !== (input.kind === 'tokens')) {
+    return undefined;
+  }
+  if (input.kind === 'activation') {
+    return decodeActivation(input.data, count)?.hashes;
+  }
+  return input.tokens.length === count ? input.tokens.map(embed) : undefined;
+}
+
+function isPrefill(step: StepRequest): boolean {
+  const {from, to} = step.positions;
+  return from === 0 || to - from > 1;
+}
+
+function roleFits(role: EngineSettings['role'], step: StepRequest): boolean {
+  if (role === 'both' || step.rebuild) {
+    return true;
+  }
+  return (role === 'prefill') === isPrefill(step);
+}
+
+function ledgerFields(step: StepRequest) {
+  const {requestId, epoch, layers, positions, rebuild, version} = step;
+  return {requestId, epoch, layers, positions, rebuild, version};
+}
+
+/** Waits for the compute time; what a timer overshoots is taken off the sequence's next one. */
+async function pass(sequence: Sequence, milliseconds: number): Promise<void> {
+  const wanted = milliseconds - sequence.overshoot;
+  const start = performance.now();
+  if (wanted > 0) {
+    await sleep(Math.floor(wanted));
+  }
+  const passed = performance.now() - start;
+  sequence.overshoot = Math.min(passed - wanted, milliseconds);
+}
+
+async function fetchExport(
+  reference: string,
+): Promise<CacheExport | undefined> {
+  try {
+    const answer = await httpRequest(`http://${reference}`, {
+      headersTimeout: 1000,
+      bodyTimeout: 1000,
+    });
+    const body = await answer.body.text();
+    return answer.statusCode === 200
+      ? (JSON.parse(body) as CacheExport)
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function refused(detail: string): Result<never, EngineRefusal> {
+  return failure({kind: 'refused', detail});
+}
+
+function overloaded(): EngineRefusal {
+  return {
+    kind: 'overloaded',
+    retryAfterMilliseconds: OVERLOAD_RETRY_MILLISECONDS,
+  };
+}
+
+/** Drops the oldest entries beyond a limit. */
+function trim(map: Map<string, unknown>, limit: number): void {
+  for (const key of map.keys()) {
+    if (map.size <= limit) {
+      return;
+    }
+    map.delete(key);
+  }
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/test/standins/ledger.ts
@@ -0,0 +1,49 @@
+import {closeSync, openSync, writeSync} from 'node:fs';
+
+import {Disposable} from '../../src/base/common/lifecycle.js';
+
+const MEMORY_LIMIT = 200_000;
+
+/** When an entry was made, in order and by the wall clock. */
+export interface LedgerStamp {
+  readonly sequence: number;
+  readonly at: number;
+}
+
+/**
+ * What a stand-in executed, the witness of tests. Kept in memory (the newest entries) and, when a file
+ * is named, written there before the work goes on, so that it outlives the process.
+ */
+export class Ledger<Entry extends object> implements Disposable {
+  private entries: (Entry & LedgerStamp)[] = [];
+  private descriptor: number | undefined;
+  private sequence = 0;
+
+  constructor(file: string | undefined) {
+    this.descriptor = file === undefined ? undefined : openSync(file, 'a');
+  }
+
+  add(entry: Entry): void {
+    this.sequence++;
+    const stamped = {sequence: this.sequence, at: Date.now(), ...entry};
+    this.entries.push(stamped);
+    if (this.entries.length > MEMORY_LIMIT) {
+      this.entries = this.entries.slice(MEMORY_LIMIT / 2);
+    }
+    if (this.descriptor !== undefined) {
+      writeSync(this.descriptor, `${JSON.stringify(stamped)}\n`);
+    }
+  }
+
+  /** Entries after a sequence number. */
+  after(sequence: number): readonly (Entry & LedgerStamp)[] {
+    return this.entries.filter(entry => entry.sequence > sequence);
+  }
+
+  dispose(): void {
+    if (this.descriptor !== undefined) {
+      closeSync(this.descriptor);
+      this.descriptor = undefined;
+    }
+  }
+}
--- /dev/null
+++ b/test/standins/platform.test.ts
@@ -0,0 +1,206 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {
+  CancellationSource,
+  neverCancelled,
+} from '../../src/base/common/cancellation.js';
+import {Member} from '../../src/platform/membership/common/membershipList.js';
+import {HttpMembershipList} from '../../src/platform/membership/node/httpMembershipList.js';
+import {HttpObjectStore} from '../../src/platform/objects/node/httpObjectStore.js';
+import {
+  RowCondition,
+  RowWrite,
+  TableService,
+} from '../../src/platform/table/common/tableService.js';
+import {HttpTableService} from '../../src/platform/table/node/httpTableService.js';
+import {HttpWeightStore} from '../../src/platform/weights/node/httpWeightStore.js';
+import {InMemoryPlatform} from '../support/inMemoryPlatform.js';
+import {freeAddresses} from '../support/ports.js';
+import {
+  PlatformFault,
+  PlatformStandIn,
+  PlatformStandInSettings,
+  startPlatform,
+} from './platformStandIn.js';
+
+const ANY: RowCondition = {kind: 'any'};
+const ABSENT: RowCondition = {kind: 'absent'};
+const MANIFEST = {
+  model: 'assistant',
+  version: '1',
+  layerCount: 8,
+  layerBytes: 1000,
+  bytesPerSecond: 5000,
+};
+const MEMBER: Member = {
+  role: 'engine',
+  id: 'engine-1',
+  dataCentre: 'perth-1',
+  region: 'perth',
+  address: '127.0.0.1:1',
+  group: 'replica-1',
+  state: 'live',
+};
+
+let settings: PlatformStandInSettings;
+let platform: PlatformStandIn;
+let table: HttpTableService;
+let otherTable: HttpTableService;
+
+beforeEach(async () => {
+  const [a, b, c, d, e] = await freeAddresses(5);
+  settings = {
+    tableAddress: a!,
+    objectsAddress: b!,
+    weightsAddress: c!,
+    membershipAddress: d!,
+    faultAddress: e!,
+    manifests: [MANIFEST],
+    members: [MEMBER],
+  };
+  platform = await startPlatform(settings);
+  table = new HttpTableService(settings.tableAddress, 'instance-1');
+  otherTable = new HttpTableService(settings.tableAddress, 'instance-2');
+});
+
+afterEach(() => {
+  table.dispose();
+  otherTable.dispose();
+  platform.dispose();
+});
+
+function put(key: string, value: string, condition = ANY): RowWrite {
+  return {key, value, condition};
+}
+
+async function values(store: TableService, ...keys: string[]) {
+  const rows = await store.read(keys, neverCancelled);
+  return rows.ok ? rows.value.map(row => row?.value) : rows.error.kind;
+}
+
+describe('rules of the table, in memory and over HTTP', () => {
+  const stores: ReadonlyArray<readonly [string, () => TableService]> = [
+    ['in memory', () => new InMemoryPlatform().portsOf().table],
+    ['over HTTP', () => table],
+  ];
+  it.each(stores)('%s', async (name, create) => {
+    const store = create();
+    const transact = async (writes: RowWrite[], mode: 'all' | 'each') => {
+      const result = await store.transact(writes, mode, neverCancelled);
+      return result.ok ? result.value : result.error;
+    };
+    expect(await transact([put('a', '1', ABSENT)], 'all')).toEqual([
+      {kind: 'written', version: 1},
+    ]);
+    const current = {key: 'a', version: 1, value: '1'};
+    expect(
+      await transact([put('b', '2'), put('a', '3', ABSENT)], 'all'),
+    ).toEqual([
+      {kind: 'conflict', current: undefined},
+      {kind: 'conflict', current},
+    ]);
+    expect(await values(store, 'b', 'a')).toEqual([undefined, '1']);
+    expect(
+      await transact([put('b', '2'), put('a', '3', ABSENT)], 'each'),
+    ).toEqual([
+      {kind: 'written', version: 1},
+      {kind: 'conflict', current},
+    ]);
+    const version: RowCondition = {kind: 'version', version: 1};
+    await transact([{key: 'a', value: undefined, condition: version}], 'all');
+    expect(await transact([put('a', '4', ABSENT)], 'all')).toEqual([
+      {kind: 'written', version: 3},
+    ]);
+    const scan = await store.scan('', 'a', 5, neverCancelled);
+    expect(scan.ok && scan.value.map(row => row.key)).toEqual(['b']);
+    await expect(transact([], 'all')).rejects.toThrow('1 to 100 rows');
+  });
+});
+
+describe('classification of faults of the table', () => {
+  const cases: ReadonlyArray<
+    readonly [PlatformFault, string, string | undefined]
+  > = [
+    [{kind: 'down'}, 'unavailable', undefined],
+    [{kind: 'unavailable'}, 'unavailable', undefined],
+    [{kind: 'answerLost'}, 'outcomeUnknown', 'v'],
+    [{kind: 'requestLost'}, 'outcomeUnknown', undefined],
+    [
+      {kind: 'rateLimited', retryAfterMilliseconds: 70},
+      'rateLimited',
+      undefined,
+    ],
+  ];
+  it.each(cases)('%j is %s, then reads %s', async (fault, kind, value) => {
+    await platform.setFault({fault, part: 'table'});
+    const result = await table.transact([put('k', 'v')], 'all', neverCancelled);
+    expect(!result.ok && result.error.kind).toBe(kind);
+    await platform.setFault({fault: {kind: 'clear'}});
+    expect(await values(table, 'k')).toEqual([value]);
+  });
+
+  it('strikes the named instance only, as often as asked', async () => {
+    const fault = {kind: 'requestLost'} as const;
+    await platform.setFault({fault, instance: 'instance-1', times: 1});
+    expect(await values(table, 'k')).toBe('outcomeUnknown');
+    expect(await values(table, 'k')).toEqual([undefined]);
+    await platform.setFault({fault, instance: 'instance-1'});
+    expect(await values(otherTable, 'k')).toEqual([undefined]);
+  });
+
+  it('a slow write takes effect after its caller gave up', async () => {
+    const fault = {kind: 'slow', milliseconds: 60} as const;
+    await platform.setFault({fault, access: 'write'});
+    const source = new CancellationSource();
+    source.cancelAfter(20, 'impatient');
+    const result = await table.transact([put('k', 'v')], 'all', source.token);
+    expect(!result.ok && result.error.kind).toBe('outcomeUnknown');
+    await expect.poll(() => values(table, 'k')).toEqual(['v']);
+    const later = await table.read(['k'], source.token);
+    expect(!later.ok && later.error.kind).toBe('unavailable');
+  });
+});
+
+describe('the other services', () => {
+  it('objects are kept, listed and deleted', async () => {
+    const store = new HttpObjectStore(settings.objectsAddress, 'instance-1');
+    const name = 'configuration/1 ü';
+    await store.put(name, '{"a":1}', neverCancelled);
+    expect(await store.get(name, neverCancelled)).toMatchObject({
+      value: '{"a":1}',
+    });
+    expect(await store.list('configuration/', neverCancelled)).toMatchObject({
+      value: [name],
+    });
+    await store.delete(name, neverCancelled);
+    expect(await store.get(name, neverCancelled)).toEqual({
+      ok: true,
+      value: undefined,
+    });
+    store.dispose();
+  });
+
+  it('manifests are found or missing', async () => {
+    const store = new HttpWeightStore(settings.weightsAddress, 'instance-1');
+    const found = await store.manifest('assistant', '1', neverCancelled);
+    expect(found).toEqual({ok: true, value: MANIFEST});
+    const missing = await store.manifest('assistant', '2', neverCancelled);
+    expect(missing).toEqual({ok: true, value: undefined});
+    store.dispose();
+  });
+
+  it('the list of members lags', async () => {
+    const list = new HttpMembershipList(settings.membershipAddress, 'i');
+    const states = async () => {
+      const result = await list.read(neverCancelled);
+      return result.ok && result.value.members.map(member => member.state);
+    };
+    platform.setMembers({
+      set: [{...MEMBER, state: 'leaving'}],
+      lagMilliseconds: 40,
+    });
+    expect(await states()).toEqual(['live']);
+    await expect.poll(states).toEqual(['leaving']);
+    list.dispose();
+  });
+});
--- a/test/support/inMemoryPlatform.ts
+++ b/test/support/inMemoryPlatform.ts
@@ -24,6 +24,7 @@
   WeightManifest,
   WeightStore,
 } from '../../src/platform/weights/common/weightStore.js';
+import {FaultList} from '../standins/faultList.js';
 import {TableRows} from './tableRows.js';
 
 /** In-memory stand-ins of the platform's services, for unit tests; several instances share one. */
@@ -55,17 +56,11 @@
   readonly times?: number;
 }
 
-interface ActiveFault {
-  readonly fault: PlatformFault;
-  readonly scope: FaultScope;
-  remaining: number;
-}
-
-interface CallSite {
+type PlatformSite = {
   readonly part: PlatformPart;
   readonly instance: string;
   readonly access: 'read' | 'write';
-}
+};
 
 /** The ports of one instance. */
 export interface PlatformPorts {
@@ -83,7 +78,7 @@
   members: readonly Member[] = [];
   /** Calls that took effect. */
   readonly counts = {reads: 0, writes: 0};
-  private faults: ActiveFault[] = [];
+  private readonly faults = new FaultList<PlatformFault>();
 
   constructor(private readonly clock: Clock = new SystemClock()) {}
 
@@ -99,27 +94,25 @@
 
   /** Adds a fault; the first that matches a call strikes. */
   addFault(fault: PlatformFault, scope: FaultScope = {}): void {
-    const remaining = scope.times ?? Number.POSITIVE_INFINITY;
-    this.faults.push({fault, scope, remaining});
+    const {times, ...site} = scope;
+    this.faults.add(fault, site, times);
   }
 
   /** Ends all faults, or those of one part. */
   clearFaults(part?: PlatformPart): void {
-    this.faults = this.faults.filter(
-      active => part !== undefined && active.scope.part !== part,
-    );
+    this.faults.clear(part === undefined ? {} : {part});
   }
 
   /** Runs a call under the faults that strike it. */
   async run<T>(
-    site: CallSite,
+    site: PlatformSite,
     token: CancellationToken,
     effect: () => T,
   ): Promise<Result<T, StorageError>> {
     if (token.isCancelled) {
       return failure({kind: 'unavailable', detail: 'cancelled before sending'});
     }
-    const fault = this.strike(site);
+    const fault = this.faults.strike(site);
     const counted = (): T => {
       this.count(site.access);
       return effect();
@@ -158,17 +151,6 @@
     });
   }
 
-  private strike(site: CallSite): PlatformFault | undefined {
-    const active = this.faults.find(
-      candidate => candidate.remaining > 0 && matches(candidate.scope, site),
-    );
-    if (active === undefined) {
-      return undefined;
-    }
-    active.remaining--;
-    return active.fault;
-  }
-
   private count(access: 'read' | 'write'): void {
     if (access === 'read') {
       this.counts.reads++;
@@ -178,14 +160,6 @@
   }
 }
 
-function matches(scope: FaultScope, site: CallSite): boolean {
-  return (
-    (scope.part ?? site.part) === site.part &&
-    (scope.instance ?? site.instance) === site.instance &&
-    (scope.access ?? site.access) === site.access
-  );
-}
-
 /** The table port of one instance. */
 export class InMemoryTable extends TableService {
   constructor(
@@ -226,7 +200,7 @@
     );
   }
 
-  private site(access: 'read' | 'write'): CallSite {
+  private site(access: 'read' | 'write'): PlatformSite {
     return {part: 'table', instance: this.instance, access};
   }
 }
@@ -279,7 +253,7 @@
     });
   }
 
-  private site(access: 'read' | 'write'): CallSite {
+  private site(access: 'read' | 'write'): PlatformSite {
     return {part: 'objects', instance: this.instance, access};
   }
 }
@@ -296,7 +270,7 @@
   override read(
     token: CancellationToken = neverCancelled,
   ): Promise<Result<MembershipSnapshot, StorageError>> {
-    const site: CallSite = {
+    const site: PlatformSite = {
       part: 'membership',
       instance: this.instance,
       access: 'read',
@@ -321,7 +295,7 @@
     version: string,
     token: CancellationToken = neverCancelled,
   ): Promise<Result<WeightManifest | undefined, StorageError>> {
-    const site: CallSite = {
+    const site: PlatformSite = {
       part: 'weights',
       instance: this.instance,
       access: 'read',
