--- /dev/null
+++ b/src/features/callers/common/entrypoints.ts
@@ -0,0 +1,69 @@
+import {InstanceView} from '../../membership/common/systemView.js';
+
+/** The order in which a client account should use the instances. */
+
+/** Where the answering instance stands. */
+export interface Locality {
+  readonly dataCentre: string;
+  readonly region: string;
+}
+
+/** An instance and its share of the callers relative to the others of its tier. */
+export interface EntrypointCandidate {
+  readonly view: InstanceView;
+  /** Over 0; twice the weight draws twice the accounts. */
+  readonly weight: number;
+}
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const TWO_TO_THE_32 = 4294967296;
+
+/**
+ * Caller addresses, best first: the near data centre, then the region, then the rest; inside each
+ * by weighted rendezvous hashing of the client account (score -weight / ln hash). Only ready
+ * instances that aren't leaving are named.
+ */
+export function orderEntrypoints(
+  candidates: readonly EntrypointCandidate[],
+  clientAccount: string,
+  near: Locality,
+): readonly string[] {
+  return candidates
+    .filter(({view}) => view.ready && view.member.state === 'live')
+    .map(({view, weight}) => ({
+      address: view.member.callerAddress,
+      tier: tierOf(view, near),
+      score: rendezvousScore(clientAccount, view.member.id, weight),
+    }))
+    .sort((left, right) => left.tier - right.tier || right.score - left.score)
+    .map(({address}) => address);
+}
+
+/** Score of an instance for an account; the highest wins. */
+export function rendezvousScore(
+  clientAccount: string,
+  instance: string,
+  weight: number,
+): number {
+  return -weight / Math.log(unitHash(`${clientAccount}\n${instance}`));
+}
+
+function tierOf(view: InstanceView, near: Locality): number {
+  if (view.member.dataCentre === near.dataCentre) {
+    return 0;
+  }
+  return view.member.region === near.region ? 1 : 2;
+}
+
+/** A number in (0, 1): FNV-1a with the finishing steps of murmur3, so that similar names spread. */
+function unitHash(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  hash = (hash ^ (hash >>> 16)) >>> 0;
+  return (hash + 0.5) / TWO_TO_THE_32;
+}
--- /dev/null
+++ b/src/features/callers/node/accountIndex.ts
@@ -0,0 +1,36 @@
+import {createHash} from 'node:crypto';
+
+import {
+  ClientAccount,
+  Configuration,
+} from '../../configuration/common/configuration.js';
+
+/** Finds the client account of a bearer key by the key's SHA-256; the key itself is not kept. */
+export class AccountIndex {
+  private configuration: Configuration | undefined;
+  private byHash: ReadonlyMap<string, ClientAccount> = new Map();
+
+  /** The account that a key belongs to under a configuration. */
+  find(
+    configuration: Configuration,
+    bearerKey: string,
+  ): ClientAccount | undefined {
+    if (this.configuration !== configuration) {
+      this.rebuild(configuration);
+    }
+    return this.byHash.get(hashKey(bearerKey));
+  }
+
+  private rebuild(configuration: Configuration): void {
+    const accounts = Object.values(configuration.clientAccounts);
+    this.byHash = new Map(
+      accounts.map(account => [account.keyHash.toLowerCase(), account]),
+    );
+    this.configuration = configuration;
+  }
+}
+
+/** Hex SHA-256 of a bearer key. */
+export function hashKey(bearerKey: string): string {
+  return createHash('sha256').update(bearerKey).digest('hex');
+}
