Callers: HTTP handlers, exchange driven by the life cycle chart

Cause: callers need chat replies, service calls, outcomes and entrypoints over HTTP. Ruled out: streaming before the first token (a refusal could then have no status of its own).

--- a/src/features/callers/common/callerHeaders.ts
+++ b/src/features/callers/common/callerHeaders.ts
@@ -29,6 +29,8 @@
 /** What a request's headers state. */
 export interface CallerHeaders {
   readonly idempotencyKey: string | undefined;
+  /** Whether a key was sent, in the right form or not. */
+  readonly hasKey: boolean;
   /** Undefined when findings name the class. */
   readonly classOfWork: ClassOfWork | undefined;
   /** Milliseconds from arrival; undefined when the caller gave none. */
@@ -75,6 +77,7 @@
     classOfWork: readClass(get(headerNames.classOfWork), classes, findings),
     deadlineMilliseconds: readDeadline(get(headerNames.deadline), findings),
     idempotencyKey: readKey(get(headerNames.idempotencyKey), findings),
+    hasKey: get(headerNames.idempotencyKey) !== undefined,
     contentType: get(headerNames.contentType),
     findings,
   };
@@ -88,6 +91,14 @@
   );
 }
 
+/** The finding for a key that was never used and whose grant no longer counts. */
+export function expiredGrantFinding(detail: string): Finding {
+  return headerFinding(
+    headerNames.idempotencyKey,
+    `a key with a grant that is in force: ${detail}`,
+  );
+}
+
 function readClass(
   value: string | undefined,
   classes: Readonly<Record<string, ClassOfWork>>,
--- a/src/features/callers/common/claimAnswers.ts
+++ b/src/features/callers/common/claimAnswers.ts
@@ -2,7 +2,8 @@
 import {ClaimDecision} from '../../claims/common/claims.js';
 import {RequestFailure} from '../../requests/common/failure.js';
 import {RequestOutcome} from '../../requests/common/request.js';
-import {maybeExecuted, notExecuted} from './failureBody.js';
+import {expiredGrantFinding} from './callerHeaders.js';
+import {invalidRequest, maybeExecuted} from './failureBody.js';
 
 /** What a caller is answered for each decision on a claim. */
 
@@ -38,9 +39,7 @@
     case 'heldElsewhere':
       return answerHeldElsewhere(decision, addressOf);
     case 'refusedNotRun':
-      return refuse(
-        notExecuted({kind: 'claimUndecided', detail: decision.detail}, 0),
-      );
+      return refuse(invalidRequest([expiredGrantFinding(decision.detail)]));
     case 'undecided':
       return refuse(
         maybeExecuted(
--- /dev/null
+++ b/src/features/callers/node/callerAuthenticator.ts
@@ -0,0 +1,35 @@
+import {failure, Result, success} from '../../../base/common/result.js';
+import {
+  ClientAccount,
+  Configuration,
+} from '../../configuration/common/configuration.js';
+import {RequestFailure} from '../../requests/common/failure.js';
+import {
+  bearerKey,
+  duplicateFindings,
+  HeaderIndex,
+} from '../common/callerHeaders.js';
+import {invalidRequest, notExecuted} from '../common/failureBody.js';
+import {AccountIndex} from './accountIndex.js';
+
+/** Tells which client account a request comes from. */
+export class CallerAuthenticator {
+  private readonly index = new AccountIndex();
+
+  /** The account, or why the request counts as nobody's. */
+  authenticate(
+    headers: HeaderIndex,
+    configuration: Configuration,
+  ): Result<ClientAccount, RequestFailure> {
+    const duplicates = duplicateFindings(headers);
+    if (duplicates.length > 0) {
+      return failure(invalidRequest(duplicates));
+    }
+    const key = bearerKey(headers);
+    const account =
+      key === undefined ? undefined : this.index.find(configuration, key);
+    return account
+      ? success(account)
+      : failure(notExecuted({kind: 'unauthenticated'}));
+  }
+}
--- /dev/null
+++ b/src/features/callers/node/callerServer.ts
@@ -0,0 +1,136 @@
+import {createServer, Server, ServerResponse} from 'node:http';
+
+import restana from 'restana';
+
+import {maybeExecuted, notExecuted} from '../common/failureBody.js';
+import {CallerAuthenticator} from './callerAuthenticator.js';
+import {CallerResponse} from './callerResponse.js';
+import {CallerServices} from './callerServices.js';
+import {ChatHandler} from './chatHandler.js';
+import {QueryHandlers} from './queryHandlers.js';
+import {RequestExchange} from './requestExchange.js';
+import {ServiceHandler} from './serviceHandler.js';
+
+/** Milliseconds for a caller to send a whole request. */
+const REQUEST_LIMIT_MILLISECONDS = 30000;
+
+/** Milliseconds for a caller to send the headers. */
+const HEADERS_LIMIT_MILLISECONDS = 10000;
+
+/** Open connections for each request that may be in progress. */
+const CONNECTIONS_PER_REQUEST = 4;
+
+/** Routes whose match is remembered; the paths of keys vary without end. */
+const ROUTE_CACHE_SIZE = 100;
+
+/** Milliseconds that given-up requests have to send their last answer. */
+const LAST_ANSWER_MILLISECONDS = 1000;
+
+/** The callers' HTTP server. */
+export class CallerServer {
+  private readonly running = new Set<RequestExchange>();
+  private readonly server: Server;
+
+  constructor(private readonly services: CallerServices) {
+    this.server = createServer({
+      requestTimeout: REQUEST_LIMIT_MILLISECONDS,
+      headersTimeout: HEADERS_LIMIT_MILLISECONDS,
+    });
+    const {concurrentRequestLimit} = services.settings;
+    this.server.maxConnections =
+      concurrentRequestLimit * CONNECTIONS_PER_REQUEST;
+    this.addRoutes();
+  }
+
+  /** Listens; resolves with the port. */
+  async listen(host: string, port: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+    const address = this.server.address();
+    return typeof address === 'object' && address ? address.port : port;
+  }
+
+  /**
+   * Refuses new work, waits for requests in progress up to a limit, gives up what is left and
+   * closes. Resolves with the number of requests that were given up.
+   */
+  async drain(limitMilliseconds: number): Promise<number> {
+    const {clock, gate} = this.services;
+    const idle = gate.drain();
+    const wait = (milliseconds: number) =>
+      new Promise<void>(resolve => clock.setTimer(milliseconds, resolve));
+    await Promise.race([idle, wait(limitMilliseconds)]);
+    const givenUp = gate.count;
+    for (const exchange of this.running) {
+      exchange.giveUp({kind: 'shuttingDown'});
+    }
+    if (givenUp > 0) {
+      await Promise.race([idle, wait(LAST_ANSWER_MILLISECONDS)]);
+    }
+    await this.close();
+    return givenUp;
+  }
+
+  /** Stops listening and closes all connections. */
+  close(): Promise<void> {
+    return new Promise(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  private addRoutes(): void {
+    const authenticator = new CallerAuthenticator();
+    const {services, running} = this;
+    const chat = new ChatHandler(services, authenticator, running);
+    const service = new ServiceHandler(services, authenticator, running);
+    const queries = new QueryHandlers(services, authenticator);
+    const routes = restana({
+      server: this.server,
+      routerCacheSize: ROUTE_CACHE_SIZE,
+      defaultRoute: (_request, response) => this.sendNotFound(response),
+      errorHandler: (error, _request, response) =>
+        this.sendUnexpected(error, response),
+    });
+    routes.get('/v1/health', (_request, response) => queries.health(response));
+    routes.get('/v1/entrypoints', (request, response) =>
+      queries.entrypoints(request, response),
+    );
+    routes.get('/v1/requests/:key', (request, response) =>
+      queries.outcome(request, response),
+    );
+    routes.post('/v1/chat/completions', (request, response) =>
+      chat.handle(request, response),
+    );
+    routes.all('/v1/services/*', (request, response) =>
+      service.handle(request, response),
+    );
+  }
+
+  private sendNotFound(response: ServerResponse): void {
+    const what = 'such call; see docs/CALLERS.md';
+    this.open(response).sendFailure(notExecuted({kind: 'notFound', what}));
+  }
+
+  private sendUnexpected(error: Error, response: ServerResponse): void {
+    this.services.logger.error('unexpected error', {detail: error.message});
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    const detail = 'internal error';
+    this.open(response).sendFailure(
+      maybeExecuted({kind: 'upstreamFailed', detail}),
+    );
+  }
+
+  private open(response: ServerResponse): CallerResponse {
+    const {clock, gate} = this.services;
+    return new CallerResponse(response, clock, () => gate.isLeaving);
+  }
+}
--- /dev/null
+++ b/src/features/callers/node/serviceHandler.ts
@@ -0,0 +1,95 @@
+import {CancellationToken} from '../../../base/common/cancellation.js';
+import {Finding} from '../../../base/common/finding.js';
+import {failure, Result, success} from '../../../base/common/result.js';
+import {PlainService} from '../../configuration/common/configuration.js';
+import {RequestFailure} from '../../requests/common/failure.js';
+import {missingKeyFinding} from '../common/callerHeaders.js';
+import {CallerAnswer} from '../common/claimAnswers.js';
+import {invalidRequest, notExecuted} from '../common/failureBody.js';
+import {WholeFormat} from '../common/replyFormat.js';
+import {isRepeatableCall, readServiceTarget} from '../common/serviceCalls.js';
+import {ServiceCallRequest} from '../common/serviceDispatcher.js';
+import {ExchangePlan} from './requestExchange.js';
+import {WorkHandler, WorkInput} from './workHandler.js';
+
+const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
+
+/** `/v1/services/{service}/...`: calls to plain services, repeatable and not. */
+export class ServiceHandler extends WorkHandler {
+  protected override readonly name = 'service';
+
+  protected override plan(
+    input: WorkInput,
+  ): Result<ExchangePlan, RequestFailure> {
+    const target = readServiceTarget(input.url);
+    if (!target.ok) {
+      return failure(
+        invalidRequest([...input.headers.findings, ...target.error]),
+      );
+    }
+    const {service: name, path} = target.value;
+    const {services} = input.configuration;
+    if (!Object.hasOwn(services, name)) {
+      return failure(notExecuted({kind: 'notFound', what: 'such service'}));
+    }
+    return this.planCall(input, services[name]!, path);
+  }
+
+  private planCall(
+    input: WorkInput,
+    service: PlainService,
+    path: string,
+  ): Result<ExchangePlan, RequestFailure> {
+    const {classOfWork, idempotencyKey} = input.headers;
+    const repeatable =
+      (classOfWork?.repeatable ?? true) &&
+      isRepeatableCall(service, input.method, path);
+    const findings: Finding[] = [...input.headers.findings];
+    if (!repeatable && !input.headers.hasKey) {
+      findings.push(missingKeyFinding());
+    }
+    if (classOfWork === undefined || findings.length > 0) {
+      return failure(invalidRequest(findings));
+    }
+    return success(
+      this.planFor({
+        requestId: input.requestId,
+        service: service.name,
+        method: input.method,
+        path,
+        contentType: input.headers.contentType,
+        body: input.body,
+        idempotencyKey,
+        clientAccount: input.account.name,
+        classOfWork,
+        repeatable,
+        deadlineAt: this.deadlineAt(input, classOfWork),
+      }),
+    );
+  }
+
+  private planFor(request: ServiceCallRequest): ExchangePlan {
+    return {
+      claimedKey: this.claimedKey(request),
+      deadlineAt: request.deadlineAt,
+      format: new WholeFormat(),
+      work: (_sink, token) => this.run(request, token),
+    };
+  }
+
+  private async run(
+    request: ServiceCallRequest,
+    token: CancellationToken,
+  ): Promise<Result<CallerAnswer, RequestFailure>> {
+    const answer = await this.services.dispatcher.dispatch(request, token);
+    if (!answer.ok) {
+      return answer;
+    }
+    const {status, contentType, body} = answer.value;
+    return success({
+      status,
+      contentType: contentType ?? DEFAULT_CONTENT_TYPE,
+      body,
+    });
+  }
+}
