Claims: at-most-once execution by key

Cause: a resubmission may reach any instance, also during outages. Ruled out: leases on key ranges (a paused holder that wakes dispatches after its successor). Conclusion: not wired into a program here.

--- /dev/null
+++ b/src/features/claims/common/boundKeys.ts
@@ -0,0 +1,126 @@
+import {RequestOutcome} from '../../requests/common/request.js';
+import {bodyLength, isNotRun} from './claimRecord.js';
+import {HeldBodies} from './heldBodies.js';
+
+/** What came of taking a bound key. */
+export type BoundTake =
+  | {readonly kind: 'granted'}
+  | {readonly kind: 'seen'; readonly outcome: RequestOutcome}
+  /** Never dispatched, and the grant has expired. */
+  | {readonly kind: 'expired'}
+  /** So long expired that it may have been dispatched and forgotten. */
+  | {readonly kind: 'forgotten'}
+  /** Never dispatched, and there is no room to remember it. */
+  | {readonly kind: 'full'};
+
+/** Bounds of the memory; times in milliseconds. */
+export interface BoundKeyLimits {
+  readonly boundKeyLimit: number;
+  readonly rememberAfterExpiryMilliseconds: number;
+  readonly heldBodyLimit: number;
+}
+
+/** A bucket spans this share of the time that expired keys are remembered. */
+const BUCKET_SHARE = 0.1;
+const RUNNING: RequestOutcome = {kind: 'running'};
+
+/**
+ * The bound keys that this incarnation has granted. A key is remembered until its grant has expired
+ * and a margin has passed, and is never forgotten earlier: what isn't here before that time was
+ * never dispatched. `now` is this incarnation's own time, which issued the grants and never goes back.
+ */
+export class BoundKeys {
+  /** Outcomes by key hash, in buckets by expiry, so that forgetting is cheap. */
+  private readonly buckets = new Map<number, Map<string, RequestOutcome>>();
+  private readonly bodies: HeldBodies;
+  private readonly bucketMilliseconds: number;
+  private count = 0;
+
+  constructor(private readonly limits: BoundKeyLimits) {
+    const span = limits.rememberAfterExpiryMilliseconds * BUCKET_SHARE;
+    this.bucketMilliseconds = Math.max(1, span);
+    this.bodies = new HeldBodies(limits.heldBodyLimit);
+  }
+
+  /** Keys remembered now. */
+  get size(): number {
+    return this.count;
+  }
+
+  /** Takes a key; granted at most once, and again only after an outcome that says that nothing ran. */
+  take(keyHash: string, expiresAt: number, now: number): BoundTake {
+    this.forgetExpired(now);
+    if (now >= this.forgottenAt(expiresAt)) {
+      return {kind: 'forgotten'};
+    }
+    const outcome = this.get(keyHash, expiresAt);
+    if (outcome !== undefined && !isNotRun(outcome)) {
+      return {kind: 'seen', outcome};
+    }
+    if (now >= expiresAt) {
+      return outcome === undefined
+        ? {kind: 'expired'}
+        : {kind: 'seen', outcome};
+    }
+    if (outcome === undefined && this.count >= this.limits.boundKeyLimit) {
+      return {kind: 'full'};
+    }
+    this.set(keyHash, expiresAt, RUNNING);
+    return {kind: 'granted'};
+  }
+
+  /** The outcome of a key that was granted here. */
+  get(keyHash: string, expiresAt: number): RequestOutcome | undefined {
+    return this.buckets.get(this.bucketOf(expiresAt))?.get(keyHash);
+  }
+
+  /** Whether a key may have been granted here and forgotten. */
+  isForgotten(expiresAt: number, now: number): boolean {
+    return now >= this.forgottenAt(expiresAt);
+  }
+
+  /** Ends a running key; false when it isn't running here. */
+  end(keyHash: string, expiresAt: number, outcome: RequestOutcome): boolean {
+    if (this.get(keyHash, expiresAt)?.kind !== 'running') {
+      return false;
+    }
+    this.set(keyHash, expiresAt, outcome);
+    const length = bodyLength(outcome);
+    this.bodies.hold(keyHash, length, left => {
+      if (this.get(keyHash, expiresAt) !== undefined) {
+        this.set(keyHash, expiresAt, left);
+      }
+    });
+    return true;
+  }
+
+  private forgottenAt(expiresAt: number): number {
+    return expiresAt + this.limits.rememberAfterExpiryMilliseconds;
+  }
+
+  private set(
+    keyHash: string,
+    expiresAt: number,
+    outcome: RequestOutcome,
+  ): void {
+    const number = this.bucketOf(expiresAt);
+    const bucket = this.buckets.get(number) ?? new Map();
+    this.buckets.set(number, bucket);
+    this.count += bucket.has(keyHash) ? 0 : 1;
+    bucket.set(keyHash, outcome);
+  }
+
+  private forgetExpired(now: number): void {
+    for (const [number, bucket] of this.buckets) {
+      const lastExpiry = (number + 1) * this.bucketMilliseconds;
+      if (now >= this.forgottenAt(lastExpiry)) {
+        this.buckets.delete(number);
+        this.count -= bucket.size;
+      }
+    }
+  }
+
+  private bucketOf(expiresAt: number): number {
+    return Math.floor(expiresAt / this.bucketMilliseconds);
+  }
+}
--- /dev/null
+++ b/src/features/claims/common/heldBodies.ts
@@ -0,0 +1,41 @@
+import {RequestOutcome} from '../../requests/common/request.js';
+import {replyNotKept} from './claimRecord.js';
+
+interface HeldBody {
+  readonly length: number;
+  readonly replace: (outcome: RequestOutcome) => void;
+}
+
+/** Bounds the reply text kept in memory: the oldest replies are replaced by a note that they ran. */
+export class HeldBodies {
+  private readonly held = new Map<string, HeldBody>();
+  private characters = 0;
+
+  constructor(private readonly limit: number) {}
+
+  /** Counts a reply; `replace` is called when its text must go. */
+  hold(
+    keyHash: string,
+    length: number,
+    replace: (outcome: RequestOutcome) => void,
+  ): void {
+    if (length === 0) {
+      return;
+    }
+    this.characters -= this.held.get(keyHash)?.length ?? 0;
+    this.held.set(keyHash, {length, replace});
+    this.characters += length;
+    this.shrink();
+  }
+
+  private shrink(): void {
+    for (const [keyHash, body] of this.held) {
+      if (this.characters <= this.limit) {
+        return;
+      }
+      this.held.delete(keyHash);
+      this.characters -= body.length;
+      body.replace(replyNotKept);
+    }
+  }
+}
--- /dev/null
+++ b/src/features/claims/common/plainClaims.ts
@@ -0,0 +1,306 @@
+import {CancellationToken} from '../../../base/common/cancellation.js';
+import {Clock} from '../../../base/common/clock.js';
+import {
+  RowCondition,
+  TableRow,
+} from '../../../platform/table/common/tableService.js';
+import {RequestOutcome} from '../../requests/common/request.js';
+import {
+  abandonedOutcome,
+  boundOutcome,
+  ClaimRecord,
+  claimRowKey,
+  formatClaimRecord,
+  isNotRun,
+  parseClaimRecord,
+} from './claimRecord.js';
+import {ClaimSettings} from './claimSettings.js';
+import {EndedKeys} from './endedKeys.js';
+import {OutcomeRecorder} from './outcomeRecorder.js';
+import {RowWriter} from './rowWriter.js';
+
+/** What came of claiming a plain key. */
+export type PlainDecision =
+  | {readonly kind: 'granted'}
+  /** Known here. */
+  | {readonly kind: 'duplicate'; readonly outcome: RequestOutcome}
+  /** Claimed by an attempt of some incarnation; the row holds no outcome yet. */
+  | {readonly kind: 'claimedBy'; readonly incarnation: string}
+  | {readonly kind: 'undecided'; readonly detail: string};
+
+/** A key that this instance is working on. */
+type ActiveKey =
+  | {readonly kind: 'claiming'}
+  | {
+      readonly kind: 'running';
+      readonly record: ClaimRecord;
+      readonly condition: RowCondition;
+    }
+  /** Its end, without anything run, is being recorded; until then nobody can claim it again. */
+  | {readonly kind: 'settling'};
+
+/** One attempt to claim; its nonce tells its own row from those of others. */
+interface Attempt {
+  readonly keyHash: string;
+  readonly record: ClaimRecord;
+  condition: RowCondition;
+  /** The claimant was answered without waiting: the attempt must not be granted any more. */
+  givenUp: boolean;
+  /** A write was sent whose outcome isn't known. */
+  mayHaveLanded: boolean;
+}
+
+type Insertion =
+  | {readonly kind: 'held'; readonly version: number}
+  | {readonly kind: 'other'; readonly row: TableRow}
+  | {readonly kind: 'failed'; readonly detail: string};
+
+const ABSENT: RowCondition = {kind: 'absent'};
+
+/**
+ * Claims of plain keys by a row in the table. A claim is one conditional write that is repeated with
+ * the same nonce until its outcome is known: a conflict with the own nonce means that an earlier
+ * write took effect. An attempt that isn't decided in time is never granted afterwards; its row is
+ * closed as not run, so that the key can be claimed again.
+ */
+export class PlainClaims {
+  private readonly active = new Map<string, ActiveKey>();
+  private readonly ended: EndedKeys;
+
+  constructor(
+    private readonly writer: RowWriter,
+    private readonly recorder: OutcomeRecorder,
+    private readonly clock: Clock,
+    private readonly incarnation: string,
+    private readonly createNonce: () => string,
+    private readonly settings: ClaimSettings,
+  ) {
+    this.ended = new EndedKeys(
+      settings.endedPlainKeyLimit,
+      settings.heldBodyLimit,
+    );
+  }
+
+  async claim(
+    keyHash: string,
+    token: CancellationToken,
+  ): Promise<PlainDecision> {
+    const known = this.known(keyHash);
+    if (known !== undefined) {
+      return known;
+    }
+    if (this.active.size >= this.settings.activePlainKeyLimit) {
+      return {kind: 'undecided', detail: 'too many claims at once'};
+    }
+    this.active.set(keyHash, {kind: 'claiming'});
+    const attempt = this.createAttempt(keyHash);
+    const decided = this.decide(attempt);
+    return this.waitFor(decided, attempt, token);
+  }
+
+  /** Ends a running key; false when it isn't running here. */
+  complete(keyHash: string, outcome: RequestOutcome): boolean {
+    const active = this.active.get(keyHash);
+    if (active?.kind !== 'running') {
+      return false;
+    }
+    const {record, condition} = active;
+    if (isNotRun(outcome)) {
+      this.close(keyHash, record, condition, outcome);
+      return true;
+    }
+    this.active.delete(keyHash);
+    this.ended.add(keyHash, outcome);
+    const limit = this.settings.recordedBodyLimit;
+    this.recorder.record({
+      keyHash,
+      record: {...record, outcome: boundOutcome(outcome, limit)},
+      condition,
+      done: () => undefined,
+    });
+    return true;
+  }
+
+  /** What is known here of a key; undefined when nothing is. */
+  outcomeOf(keyHash: string): RequestOutcome | undefined {
+    switch (this.active.get(keyHash)?.kind) {
+      case 'running':
+        return {kind: 'running'};
+      case 'claiming':
+      case 'settling':
+        return {kind: 'unknown'};
+      case undefined:
+        return this.ended.get(keyHash);
+    }
+  }
+
+  private known(keyHash: string): PlainDecision | undefined {
+    switch (this.active.get(keyHash)?.kind) {
+      case 'running':
+        return {kind: 'duplicate', outcome: {kind: 'running'}};
+      case 'claiming':
+        return {kind: 'undecided', detail: 'being claimed'};
+      case 'settling':
+        return {
+          kind: 'undecided',
+          detail: 'an earlier attempt is being closed',
+        };
+      case undefined: {
+        const outcome = this.ended.get(keyHash);
+        return outcome && {kind: 'duplicate', outcome};
+      }
+    }
+  }
+
+  private createAttempt(keyHash: string): Attempt {
+    const {rowRetentionMilliseconds} = this.settings;
+    return {
+      keyHash,
+      record: {
+        nonce: this.createNonce(),
+        incarnation: this.incarnation,
+        expiresAt: this.clock.wallMilliseconds() + rowRetentionMilliseconds,
+      },
+      condition: ABSENT,
+      givenUp: false,
+      mayHaveLanded: false,
+    };
+  }
+
+  /** Waits for the decision, but no longer than the claimant and the settings allow. */
+  private waitFor(
+    decided: Promise<PlainDecision>,
+    attempt: Attempt,
+    token: CancellationToken,
+  ): Promise<PlainDecision> {
+    return new Promise(resolve => {
+      const giveUp = (detail: string) => {
+        attempt.givenUp = true;
+        resolve({kind: 'undecided', detail});
+      };
+      const timer = this.clock.setTimer(
+        this.settings.decideWithinMilliseconds,
+        () => giveUp('the table did not answer in time'),
+      );
+      const cancelled = token.onDidCancel(() => giveUp('no longer wanted'));
+      void decided.then(decision => {
+        timer.dispose();
+        cancelled.dispose();
+        resolve(decision);
+      });
+    });
+  }
+
+  private async decide(attempt: Attempt): Promise<PlainDecision> {
+    const insertion = await this.insert(attempt);
+    const {keyHash, record} = attempt;
+    if (insertion.kind === 'held') {
+      const condition: RowCondition = {
+        kind: 'version',
+        version: insertion.version,
+      };
+      if (attempt.givenUp) {
+        this.close(keyHash, record, condition, abandonedOutcome);
+        return {kind: 'undecided', detail: 'decided too late'};
+      }
+      this.active.set(keyHash, {kind: 'running', record, condition});
+      return {kind: 'granted'};
+    }
+    if (insertion.kind === 'other') {
+      this.active.delete(keyHash);
+      return decisionFor(insertion.row);
+    }
+    if (attempt.mayHaveLanded) {
+      this.close(keyHash, record, attempt.condition, abandonedOutcome);
+    } else {
+      this.active.delete(keyHash);
+    }
+    return {kind: 'undecided', detail: insertion.detail};
+  }
+
+  /** Repeats one write with one nonce until it is decided, given up or tried often enough. */
+  private async insert(attempt: Attempt): Promise<Insertion> {
+    const {insertAttempts, insertBackoffMilliseconds} = this.settings;
+    let detail = 'given up';
+    for (let count = 0; count < insertAttempts; count++) {
+      if (count > 0) {
+        await this.pause(insertBackoffMilliseconds * 2 ** (count - 1));
+      }
+      if (attempt.givenUp) {
+        break;
+      }
+      const result = await this.writer.write({
+        key: claimRowKey(attempt.keyHash),
+        value: formatClaimRecord(attempt.record),
+        condition: attempt.condition,
+      });
+      if (!result.ok) {
+        attempt.mayHaveLanded ||= result.error.kind === 'outcomeUnknown';
+        detail = `table: ${result.error.kind}`;
+        continue;
+      }
+      if (result.value.kind === 'written') {
+        return {kind: 'held', version: result.value.version};
+      }
+      const judged = this.judgeConflict(attempt, result.value.current);
+      if (judged !== undefined) {
+        return judged;
+      }
+      detail = 'the row changed meanwhile';
+    }
+    return {kind: 'failed', detail};
+  }
+
+  /** Undefined: try again, with the attempt's new condition. */
+  private judgeConflict(
+    attempt: Attempt,
+    current: TableRow | undefined,
+  ): Insertion | undefined {
+    if (current === undefined) {
+      attempt.condition = ABSENT;
+      return undefined;
+    }
+    const found = parseClaimRecord(current);
+    if (found?.nonce === attempt.record.nonce) {
+      return {kind: 'held', version: current.version};
+    }
+    if (found === undefined || !isNotRun(found.outcome)) {
+      return {kind: 'other', row: current};
+    }
+    attempt.condition = {kind: 'version', version: current.version};
+    return undefined;
+  }
+
+  /** Records that nothing ran; until that is done the key stays occupied here. */
+  private close(
+    keyHash: string,
+    record: ClaimRecord,
+    condition: RowCondition,
+    outcome: RequestOutcome,
+  ): void {
+    this.active.set(keyHash, {kind: 'settling'});
+    this.recorder.record({
+      keyHash,
+      record: {...record, outcome},
+      condition,
+      done: () => this.active.delete(keyHash),
+    });
+  }
+
+  private pause(milliseconds: number): Promise<void> {
+    return new Promise(resolve => {
+      this.clock.setTimer(milliseconds, resolve);
+    });
+  }
+}
+
+/** What a row of another attempt says. */
+function decisionFor(row: TableRow): PlainDecision {
+  const record = parseClaimRecord(row);
+  if (record === undefined) {
+    return {kind: 'duplicate', outcome: {kind: 'unknown'}};
+  }
+  return record.outcome === undefined
+    ? {kind: 'claimedBy', incarnation: record.incarnation}
+    : {kind: 'duplicate', outcome: record.outcome};
+}
--- /dev/null
+++ b/src/features/claims/node/defaultClaimService.ts
@@ -0,0 +1,413 @@
+import {randomUUID} from 'node:crypto';
+
+import {CancellationToken} from '../../../base/common/cancellation.js';
+import {Clock} from '../../../base/common/clock.js';
+import {Disposable, DisposableStore} from '../../../base/common/lifecycle.js';
+import {Logger} from '../../../platform/logging/common/logger.js';
+import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {
+  RowWrite,
+  TableService,
+} from '../../../platform/table/common/tableService.js';
+import {RequestOutcome} from '../../requests/common/request.js';
+import {BoundKeys, BoundTake} from '../common/boundKeys.js';
+import {ClaimAgeing} from '../common/claimAgeing.js';
+import {AskAnswer, AskMessage, ClaimPeers} from '../common/claimPeers.js';
+import {
+  boundOutcome,
+  claimRowKey,
+  isNotRun,
+  parseClaimRecord,
+} from '../common/claimRecord.js';
+import {ClaimDecision, ClaimService} from '../common/claims.js';
+import {ClaimSettings, defaultClaimSettings} from '../common/claimSettings.js';
+import {countCommitters, GatheringWriter} from '../common/gatheringWriter.js';
+import {GroupCommitter} from '../common/groupCommitter.js';
+import {OutcomeRecorder} from '../common/outcomeRecorder.js';
+import {
+  BoundBinding,
+  ForeignOutcome,
+  OutcomeFinder,
+} from '../common/outcomeFinder.js';
+import {PeerDirectory} from '../common/peerDirectory.js';
+import {PlainClaims} from '../common/plainClaims.js';
+import {RowResult} from '../common/rowWriter.js';
+import {GrantSigner, hashKey} from './grantSigner.js';
+
+/** What the claim service is built from. */
+export interface ClaimServiceParts {
+  readonly table: TableService;
+  readonly clock: Clock;
+  /** This process: 1 to 64 of `A-Z a-z 0-9 _ -`, never used by another process. */
+  readonly incarnation: string;
+  readonly peerKey: string;
+  /** Peer keys used earlier whose grants may still be in use. */
+  readonly formerPeerKeys?: readonly string[];
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly directory: PeerDirectory;
+  readonly peers: ClaimPeers;
+  readonly settings?: ClaimSettings;
+  /** A text that is never repeated; random by default. */
+  readonly createNonce?: () => string;
+}
+
+const UNKNOWN: RequestOutcome = {kind: 'unknown'};
+const RETRY_MILLISECONDS = 1000;
+
+/** Claims keys: bound ones in memory, plain ones in the table. */
+export class DefaultClaimService extends ClaimService implements Disposable {
+  private readonly owned = new DisposableStore();
+  private readonly settings: ClaimSettings;
+  private readonly signer: GrantSigner;
+  private readonly bound: BoundKeys;
+  private readonly plain: PlainClaims;
+  private readonly finder: OutcomeFinder;
+  private readonly committer: GroupCommitter;
+  private readonly recorder: OutcomeRecorder;
+  private readonly ageing: ClaimAgeing;
+  /** Wall time at monotonic zero, taken once: the own time must not go back. */
+  private readonly wallOffset: number;
+
+  constructor(private readonly parts: ClaimServiceParts) {
+    super();
+    const {clock, incarnation, logger, metrics, table} = parts;
+    this.settings = parts.settings ?? defaultClaimSettings;
+    this.wallOffset = clock.wallMilliseconds() - clock.monotonicMilliseconds();
+    this.signer = new GrantSigner(parts.peerKey, parts.formerPeerKeys);
+    this.bound = new BoundKeys(this.settings);
+    this.committer = this.createCommitter();
+    const writer = this.createWriter();
+    this.recorder = this.owned.add(
+      new OutcomeRecorder(writer, clock, logger, metrics, this.settings),
+    );
+    this.plain = new PlainClaims(
+      writer,
+      this.recorder,
+      clock,
+      incarnation,
+      parts.createNonce ?? randomUUID,
+      this.settings,
+    );
+    this.finder = new OutcomeFinder({
+      ...parts,
+      askMilliseconds: this.settings.askMilliseconds,
+    });
+    this.ageing = this.owned.add(
+      new ClaimAgeing(table, clock, metrics, this.settings.ageing, incarnation),
+    );
+  }
+
+  /** Begins to delete expired rows. */
+  start(): void {
+    this.ageing.start();
+  }
+
+  /** Before a planned stop: resolves when all outcomes are recorded, or after a time. */
+  drain(milliseconds: number): Promise<void> {
+    return this.recorder.whenEmpty(milliseconds);
+  }
+
+  dispose(): void {
+    this.owned.dispose();
+  }
+
+  override issueGrant(clientAccount: string): string {
+    const expiresAt = this.ownTime() + this.settings.grantMilliseconds;
+    return this.signer.sign(this.parts.incarnation, expiresAt, clientAccount);
+  }
+
+  override async claim(
+    clientAccount: string,
+    key: string,
+    token: CancellationToken,
+  ): Promise<ClaimDecision> {
+    const decision = await this.decide(clientAccount, key, token);
+    this.parts.metrics.count('claims.decisions', 1, {kind: decision.kind});
+    return decision;
+  }
+
+  override complete(
+    clientAccount: string,
+    key: string,
+    outcome: RequestOutcome,
+  ): void {
+    const keyHash = hashKey(clientAccount, key);
+    const binding = this.signer.read(clientAccount, key);
+    const ended =
+      binding.kind === 'bound'
+        ? this.completeBound(keyHash, binding, outcome)
+        : this.plain.complete(keyHash, outcome);
+    if (!ended) {
+      this.parts.logger.warn('outcome of a key that is not running here');
+    }
+  }
+
+  override async lookUp(
+    clientAccount: string,
+    key: string,
+    token: CancellationToken,
+  ): Promise<RequestOutcome | undefined> {
+    const keyHash = hashKey(clientAccount, key);
+    const binding = this.signer.read(clientAccount, key);
+    switch (binding.kind) {
+      case 'invalid':
+        return undefined;
+      case 'plain':
+        return this.lookUpPlain(keyHash, token);
+      case 'bound':
+        return this.lookUpBound(keyHash, binding, token);
+    }
+  }
+
+  /** Answers another instance's question. */
+  answer(message: AskMessage): AskAnswer {
+    const {grantExpiresAt, keyHash} = message;
+    if (message.incarnation !== this.parts.incarnation) {
+      return {kind: 'otherIncarnation'};
+    }
+    if (grantExpiresAt === undefined) {
+      const outcome = this.plain.outcomeOf(keyHash);
+      return outcome ? {kind: 'seen', outcome} : {kind: 'forgotten'};
+    }
+    const now = this.ownTime();
+    const outcome = this.bound.get(keyHash, grantExpiresAt);
+    if (outcome !== undefined) {
+      return {kind: 'seen', outcome};
+    }
+    return this.bound.isForgotten(grantExpiresAt, now)
+      ? {kind: 'forgotten'}
+      : {kind: 'notSeen', closed: now >= grantExpiresAt};
+  }
+
+  /** Writes claim rows for another instance. */
+  gather(writes: readonly RowWrite[]): Promise<readonly RowResult[]> {
+    return Promise.all(writes.map(write => this.committer.write(write)));
+  }
+
+  private createCommitter(): GroupCommitter {
+    const {clock, directory, metrics, table} = this.parts;
+    const {commit, gather} = this.settings;
+    return this.owned.add(
+      new GroupCommitter(table, clock, metrics, commit, () =>
+        countCommitters(directory, gather),
+      ),
+    );
+  }
+
+  private createWriter(): GatheringWriter {
+    const {clock, directory, incarnation, metrics, peers} = this.parts;
+    return this.owned.add(
+      new GatheringWriter({
+        direct: this.committer,
+        settings: this.settings.gather,
+        clock,
+        directory,
+        incarnation,
+        metrics,
+        peers,
+      }),
+    );
+  }
+
+  /** Wall time as this incarnation counts it: it issues and judges its own grants by it. */
+  private ownTime(): number {
+    return this.wallOffset + this.parts.clock.monotonicMilliseconds();
+  }
+
+  private async decide(
+    clientAccount: string,
+    key: string,
+    token: CancellationToken,
+  ): Promise<ClaimDecision> {
+    const keyHash = hashKey(clientAccount, key);
+    const binding = this.signer.read(clientAccount, key);
+    switch (binding.kind) {
+      case 'invalid':
+        return {kind: 'refusedNotRun', detail: 'the key holds no valid grant'};
+      case 'plain':
+        return this.claimPlain(keyHash, token);
+      case 'bound':
+        return binding.incarnation === this.parts.incarnation
+          ? this.claimOwn(keyHash, binding, token)
+          : this.claimForeign(keyHash, binding, token);
+    }
+  }
+
+  private async claimOwn(
+    keyHash: string,
+    binding: BoundBinding,
+    token: CancellationToken,
+  ): Promise<ClaimDecision> {
+    const expiresAt = binding.expiresAtWallMilliseconds;
+    const take: BoundTake = this.bound.take(keyHash, expiresAt, this.ownTime());
+    switch (take.kind) {
+      case 'granted':
+        return take;
+      case 'seen':
+        return {
+          kind: 'duplicate',
+          outcome: await this.finder.withKeptReply(
+            keyHash,
+            take.outcome,
+            token,
+          ),
+        };
+      case 'expired':
+        return {kind: 'refusedNotRun', detail: 'the grant has expired'};
+      case 'full':
+        return {kind: 'refusedNotRun', detail: 'too many keys to remember'};
+      case 'forgotten':
+        return {
+          kind: 'duplicate',
+          outcome: (await this.finder.recorded(keyHash, token)) ?? UNKNOWN,
+        };
+    }
+  }
+
+  private async claimForeign(
+    keyHash: string,
+    binding: BoundBinding,
+    token: CancellationToken,
+  ): Promise<ClaimDecision> {
+    const {incarnation} = binding;
+    const foreign = await this.finder.foreignOutcome(keyHash, binding, token);
+    switch (foreign.kind) {
+      case 'closed':
+        return {kind: 'refusedNotRun', detail: 'the grant has expired'};
+      case 'notSeen':
+      case 'notAsked':
+        return {kind: 'heldElsewhere', incarnation, outcome: undefined};
+      case 'outcome':
+        return {kind: 'heldElsewhere', incarnation, outcome: foreign.outcome};
+    }
+  }
+
+  private async claimPlain(
+    keyHash: string,
+    token: CancellationToken,
+  ): Promise<ClaimDecision> {
+    const decision = await this.plain.claim(keyHash, token);
+    switch (decision.kind) {
+      case 'granted':
+        return decision;
+      case 'duplicate':
+        return {
+          kind: 'duplicate',
+          outcome: await this.finder.withKeptReply(
+            keyHash,
+            decision.outcome,
+            token,
+          ),
+        };
+      case 'claimedBy':
+        return {
+          kind: 'duplicate',
+          outcome: await this.finder.askPlain(
+            keyHash,
+            decision.incarnation,
+            token,
+          ),
+        };
+      case 'undecided':
+        return {...decision, retryAfterMilliseconds: RETRY_MILLISECONDS};
+    }
+  }
+
+  private completeBound(
+    keyHash: string,
+    binding: BoundBinding,
+    outcome: RequestOutcome,
+  ): boolean {
+    const {incarnation} = this.parts;
+    const expiresAt = binding.expiresAtWallMilliseconds;
+    if (
+      binding.incarnation !== incarnation ||
+      !this.bound.end(keyHash, expiresAt, outcome)
+    ) {
+      return false;
+    }
+    if (!isNotRun(outcome)) {
+      this.recordBound(keyHash, outcome);
+    }
+    return true;
+  }
+
+  /**
+   * Outcomes that say `not run` are kept out of the table: the key may be granted again here, and
+   * the row would be out of date if this process then ended.
+   */
+  private recordBound(keyHash: string, outcome: RequestOutcome): void {
+    const {clock, incarnation} = this.parts;
+    const {recordedBodyLimit, rowRetentionMilliseconds} = this.settings;
+    this.recorder.record({
+      keyHash,
+      record: {
+        nonce: `bound-${keyHash}`,
+        incarnation,
+        expiresAt: clock.wallMilliseconds() + rowRetentionMilliseconds,
+        outcome: boundOutcome(outcome, recordedBodyLimit),
+      },
+      condition: {kind: 'any'},
+      done: () => undefined,
+    });
+  }
+
+  private async lookUpPlain(
+    keyHash: string,
+    token: CancellationToken,
+  ): Promise<RequestOutcome | undefined> {
+    const known = this.plain.outcomeOf(keyHash);
+    if (known !== undefined && known.kind !== 'unknown') {
+      return this.finder.withKeptReply(keyHash, known, token);
+    }
+    const rows = await this.parts.table.read([claimRowKey(keyHash)], token);
+    if (!rows.ok) {
+      return UNKNOWN;
+    }
+    const row = rows.value[0];
+    if (row === undefined) {
+      return known;
+    }
+    const record = parseClaimRecord(row);
+    if (record === undefined) {
+      return UNKNOWN;
+    }
+    return (
+      record.outcome ?? this.finder.askPlain(keyHash, record.incarnation, token)
+    );
+  }
+
+  private async lookUpBound(
+    keyHash: string,
+    binding: BoundBinding,
+    token: CancellationToken,
+  ): Promise<RequestOutcome | undefined> {
+    if (binding.incarnation !== this.parts.incarnation) {
+      const foreign = await this.finder.foreignOutcome(keyHash, binding, token);
+      return lookedUp(foreign);
+    }
+    const expiresAt = binding.expiresAtWallMilliseconds;
+    const known = this.bound.get(keyHash, expiresAt);
+    if (known !== undefined) {
+      return this.finder.withKeptReply(keyHash, known, token);
+    }
+    if (!this.bound.isForgotten(expiresAt, this.ownTime())) {
+      return undefined;
+    }
+    return (await this.finder.recorded(keyHash, token)) ?? UNKNOWN;
+  }
+}
+
+/** Undefined only when the incarnation itself says that it has not dispatched the key. */
+function lookedUp(foreign: ForeignOutcome): RequestOutcome | undefined {
+  switch (foreign.kind) {
+    case 'outcome':
+      return foreign.outcome;
+    case 'notAsked':
+      return UNKNOWN;
+    case 'notSeen':
+    case 'closed':
+      return undefined;
+  }
+}
