Callers: tests of chat, events, bad input, claims, services, standing

Cause: the handler's behaviour under bad input, claims and stops must be held by tests. Ruled out: mocks of the HTTP layer; the tests use real sockets over fakes at the contracts.

--- /dev/null
+++ b/src/features/callers/test/callerServer.test.ts
@@ -0,0 +1,563 @@
+import {connect} from 'node:net';
+
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+
+import {failure, success} from '../../../base/common/result.js';
+import {ClaimDecision} from '../../claims/common/claims.js';
+import {RequestOutcome} from '../../requests/common/request.js';
+import {maybeExecuted, notExecuted} from '../common/failureBody.js';
+import {
+  bearer,
+  CallerFixture,
+  chatBody,
+  chatPath,
+  configuration,
+  QuickClock,
+  replyOf,
+} from './callerFakes.js';
+
+const query = {'Redwing-Class': 'query'};
+const order = {'Redwing-Class': 'order', 'Idempotency-Key': 'key-1'};
+
+let fixture: CallerFixture;
+
+beforeEach(async () => {
+  fixture = await new CallerFixture().start();
+});
+
+afterEach(() => fixture.server.close());
+
+/** The JSON of each `data:` line that is JSON. */
+function eventsOf(text: string): any[] {
+  return text
+    .split('\n\n')
+    .map(event => /^data: (\{.*)$/m.exec(event)?.[1])
+    .filter(data => data !== undefined)
+    .map(data => JSON.parse(data));
+}
+
+describe('chat', () => {
+  test('a whole reply has the usual shape', async () => {
+    const response = await fixture.send(chatPath, query, chatBody());
+    expect(response.status).toBe(200);
+    const body: any = await response.json();
+    expect(body).toMatchObject({
+      object: 'chat.completion',
+      model: 'assistant',
+      choices: [
+        {
+          index: 0,
+          message: {role: 'assistant', content: 'Hello there'},
+          finish_reason: 'stop',
+        },
+      ],
+      usage: {prompt_tokens: 4, completion_tokens: 2, total_tokens: 6},
+    });
+    expect(body.id).toBe(`chatcmpl-${fixture.driver.requests[0]!.requestId}`);
+  });
+
+  test('a streamed reply carries each token once and ends with [DONE]', async () => {
+    const response = await fixture.send(chatPath, query, chatBody(true));
+    expect(response.headers.get('content-type')).toContain('text/event-stream');
+    const text = await response.text();
+    const deltas = eventsOf(text).map(event => event.choices[0].delta.content);
+    expect(deltas).toEqual(['', 'Hello ', 'there', undefined]);
+    expect(text.endsWith('data: [DONE]\n\n')).toBe(true);
+  });
+
+  test('a truncated reply ends with an error event and never like a whole one', async () => {
+    fixture.driver.script = async (_request, sink) => {
+      await sink('Hel', 0);
+      return failure(maybeExecuted({kind: 'upstreamFailed', detail: 'lost'}));
+    };
+    const response = await fixture.send(chatPath, order, chatBody(true));
+    const text = await response.text();
+    expect(text).not.toContain('[DONE]');
+    expect(text).not.toContain('"finish_reason":"stop"');
+    expect(text).toContain('event: error\n');
+    expect(eventsOf(text).at(-1).error).toMatchObject({
+      kind: 'upstreamFailed',
+      executed: 'unknown',
+    });
+    expect(fixture.claims.completed).toHaveLength(1);
+  });
+
+  test('a refusal before the first token has its status, also when events were asked for', async () => {
+    fixture.driver.script = async () =>
+      failure(notExecuted({kind: 'overShare'}, 1200));
+    const response = await fixture.send(chatPath, query, chatBody(true));
+    expect(response.status).toBe(429);
+    expect(response.headers.get('retry-after')).toBe('2');
+    expect(await response.json()).toMatchObject({
+      error: {kind: 'overShare', executed: 'no', retryAfterMilliseconds: 1200},
+    });
+  });
+
+  test('the reply to another request is never passed on', async () => {
+    fixture.driver.script = async request =>
+      success({...replyOf(request, ['x']), requestId: 'other'});
+    const response = await fixture.send(chatPath, query, chatBody());
+    expect(response.status).toBe(502);
+  });
+
+  test('work past its deadline is cancelled and answered at once', async () => {
+    fixture.driver.script = () => new Promise(() => undefined);
+    const headers = {...order, 'Redwing-Deadline-Milliseconds': '20'};
+    const response = await fixture.send(chatPath, headers, chatBody());
+    expect(response.status).toBe(504);
+    expect(await response.json()).toMatchObject({
+      error: {kind: 'deadlineExceeded', executed: 'unknown'},
+    });
+  });
+
+  test('a caller that disconnects cancels the work, and the outcome is kept', async () => {
+    const leaving = new AbortController();
+    const cancelled = new Promise<string | undefined>(resolve => {
+      fixture.driver.script = (request, _sink, token) =>
+        new Promise(settle => {
+          token.onDidCancel(() => {
+            resolve(token.reason);
+            settle(success(replyOf(request, ['late'])));
+          });
+          leaving.abort();
+        });
+    });
+    await expect(
+      fixture.send(chatPath, order, chatBody(), leaving.signal),
+    ).rejects.toThrow();
+    expect(await cancelled).toBe('callerGone');
+    await expect.poll(() => fixture.gate.count).toBe(0);
+    expect(fixture.claims.completed).toMatchObject([{kind: 'completed'}]);
+  });
+
+  test('a caller that stops reading holds the work back instead of filling memory', async () => {
+    await fixture.server.close();
+    fixture = await new CallerFixture(new QuickClock()).start();
+    const large = 'x'.repeat(100_000);
+    let taken = 0;
+    let stopped = false;
+    fixture.driver.script = async (request, sink, token) => {
+      for (; taken < 1000 && !token.isCancelled; taken += 1) {
+        await sink(large, taken);
+      }
+      stopped = token.isCancelled;
+      return success(replyOf(request, []));
+    };
+    const body = JSON.stringify(chatBody(true));
+    const socket = connect(fixture.port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    socket.write(
+      `POST ${chatPath} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${bearer}\r\n` +
+        `Redwing-Class: query\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+    );
+    socket.pause();
+    await expect.poll(() => taken).toBeGreaterThan(0);
+    await expect.poll(() => stopped, {timeout: 20_000}).toBe(true);
+    expect(taken).toBeLessThan(500);
+    socket.destroy();
+  });
+});
+
+interface BadCase {
+  readonly name: string;
+  readonly headers: Record<string, string>;
+  readonly body: unknown;
+  readonly status: number;
+  readonly paths: readonly string[];
+}
+
+const badCases: readonly BadCase[] = [
+  {
+    name: 'malformed JSON',
+    headers: query,
+    body: '{"model":',
+    status: 400,
+    paths: ['$'],
+  },
+  {
+    name: 'a class that does not exist',
+    headers: {'Redwing-Class': 'nothing'},
+    body: chatBody(),
+    status: 400,
+    paths: ['Redwing-Class'],
+  },
+  {
+    name: 'a class named like an object member',
+    headers: {'Redwing-Class': 'constructor'},
+    body: chatBody(),
+    status: 400,
+    paths: ['Redwing-Class'],
+  },
+  {
+    name: 'a negative deadline',
+    headers: {...query, 'Redwing-Deadline-Milliseconds': '-5'},
+    body: chatBody(),
+    status: 400,
+    paths: ['Redwing-Deadline-Milliseconds'],
+  },
+  {
+    name: 'no key on work that may not be repeated',
+    headers: {'Redwing-Class': 'order'},
+    body: chatBody(),
+    status: 400,
+    paths: ['Idempotency-Key'],
+  },
+  {
+    name: 'several faults at once',
+    headers: {'Redwing-Deadline-Milliseconds': 'soon'},
+    body: {model: 'none', messages: [{role: 7, content: 'x'}], max_tokens: 0},
+    status: 400,
+    paths: [
+      'Redwing-Class',
+      'Redwing-Deadline-Milliseconds',
+      '$.messages[0].role',
+      '$.max_tokens',
+      '$.model',
+    ],
+  },
+  {
+    name: 'an unknown adapter',
+    headers: query,
+    body: {...chatBody(), model: 'assistant:none'},
+    status: 400,
+    paths: ['$.model'],
+  },
+  {
+    name: 'a missing bearer key',
+    headers: {...query, Authorization: ''},
+    body: chatBody(),
+    status: 401,
+    paths: [],
+  },
+  {
+    name: 'a wrong bearer key',
+    headers: {...query, Authorization: 'Bearer wrong-key'},
+    body: chatBody(),
+    status: 401,
+    paths: [],
+  },
+  {
+    name: 'a body over the limit',
+    headers: query,
+    body: 'x'.repeat(3000),
+    status: 413,
+    paths: [],
+  },
+];
+
+test.each(badCases)('$name', async ({headers, body, status, paths}) => {
+  const response = await fixture.send(chatPath, headers, body);
+  expect(response.status).toBe(status);
+  const text = await response.text();
+  const {error} = JSON.parse(text);
+  expect(error.executed).toBe('no');
+  expect(error.findings.map((finding: any) => finding.path)).toEqual(paths);
+  expect(fixture.driver.requests).toHaveLength(0);
+  const log = JSON.stringify(fixture.logger.lines);
+  for (const secret of [bearer, 'wrong-key']) {
+    expect(text + log).not.toContain(secret);
+  }
+});
+
+test.each(['Redwing-Class: order', 'Authorization: Bearer other'])(
+  'a header sent twice (%s)',
+  async line => {
+    const socket = connect(fixture.port, '127.0.0.1');
+    const received: Buffer[] = [];
+    socket.on('data', chunk => received.push(chunk));
+    socket.end(
+      `POST ${chatPath} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${bearer}\r\n` +
+        `Redwing-Class: query\r\n${line}\r\nContent-Length: 0\r\n\r\n`,
+    );
+    await new Promise(resolve => socket.once('close', resolve));
+    const text = Buffer.concat(received).toString();
+    expect(text).toContain('400 Bad Request');
+    expect(text).toContain(`"path":"${line.split(':', 1)[0]}"`);
+  },
+);
+
+test('a body without end is not read past the limit', async () => {
+  const socket = connect(fixture.port, '127.0.0.1');
+  const received: Buffer[] = [];
+  socket.on('error', () => undefined);
+  socket.on('data', chunk => received.push(chunk));
+  socket.write(
+    `POST ${chatPath} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${bearer}\r\n` +
+      'Redwing-Class: query\r\nTransfer-Encoding: chunked\r\n\r\n',
+  );
+  const chunk = `400\r\n${'x'.repeat(1024)}\r\n`;
+  for (let index = 0; index < 4; index += 1) {
+    socket.write(chunk);
+  }
+  await new Promise(resolve => socket.once('close', resolve));
+  const text = Buffer.concat(received).toString();
+  expect(text).toContain('413 Payload Too Large');
+  expect(text).toContain('"kind":"tooLarge"');
+});
+
+const completed: RequestOutcome = {
+  kind: 'completed',
+  status: 200,
+  contentType: 'application/json',
+  body: JSON.stringify({
+    id: 'chatcmpl-first',
+    object: 'chat.completion',
+    created: 1,
+    model: 'assistant',
+    choices: [
+      {
+        index: 0,
+        message: {role: 'assistant', content: 'kept'},
+        finish_reason: 'stop',
+      },
+    ],
+    usage: {prompt_tokens: 1, completion_tokens: 1, total_tokens: 2},
+  }),
+};
+
+interface ClaimCase {
+  readonly name: string;
+  readonly decision: ClaimDecision;
+  readonly status: number;
+  readonly expected: Record<string, unknown>;
+}
+
+const claimCases: readonly ClaimCase[] = [
+  {
+    name: 'a completed duplicate repeats its reply',
+    decision: {kind: 'duplicate', outcome: completed},
+    status: 200,
+    expected: {id: 'chatcmpl-first'},
+  },
+  {
+    name: 'a running duplicate',
+    decision: {kind: 'duplicate', outcome: {kind: 'running'}},
+    status: 409,
+    expected: {
+      error: {
+        kind: 'duplicate',
+        executed: 'unknown',
+        retryAfterMilliseconds: 1000,
+      },
+    },
+  },
+  {
+    name: 'a failed duplicate repeats its failure',
+    decision: {
+      kind: 'duplicate',
+      outcome: {kind: 'failed', failure: notExecuted({kind: 'overShare'}, 10)},
+    },
+    status: 429,
+    expected: {error: {kind: 'overShare', executed: 'no'}},
+  },
+  {
+    name: 'a duplicate of which nothing is known',
+    decision: {kind: 'duplicate', outcome: {kind: 'unknown'}},
+    status: 409,
+    expected: {error: {kind: 'duplicate', executed: 'unknown'}},
+  },
+  {
+    name: 'held by a known instance',
+    decision: {kind: 'heldElsewhere', incarnation: 'b-1', outcome: undefined},
+    status: 421,
+    expected: {
+      error: {kind: 'heldElsewhere', executed: 'unknown', addresses: ['b:80']},
+    },
+  },
+  {
+    name: 'held by an instance that is not known',
+    decision: {kind: 'heldElsewhere', incarnation: 'z-1', outcome: undefined},
+    status: 503,
+    expected: {
+      error: {kind: 'heldElsewhere', executed: 'unknown', addresses: []},
+    },
+  },
+  {
+    name: 'held elsewhere with its outcome',
+    decision: {kind: 'heldElsewhere', incarnation: 'b-1', outcome: completed},
+    status: 200,
+    expected: {id: 'chatcmpl-first'},
+  },
+  {
+    name: 'an expired grant',
+    decision: {kind: 'refusedNotRun', detail: 'expired'},
+    status: 400,
+    expected: {error: {kind: 'invalidRequest', executed: 'no'}},
+  },
+  {
+    name: 'undecided',
+    decision: {
+      kind: 'undecided',
+      detail: 'table unavailable',
+      retryAfterMilliseconds: 700,
+    },
+    status: 503,
+    expected: {
+      error: {
+        kind: 'claimUndecided',
+        executed: 'unknown',
+        retryAfterMilliseconds: 700,
+      },
+    },
+  },
+];
+
+test.each(claimCases)('claim: $name', async ({decision, status, expected}) => {
+  fixture.claims.decision = decision;
+  const response = await fixture.send(chatPath, order, chatBody());
+  expect(response.status).toBe(status);
+  expect(await response.json()).toMatchObject(expected);
+  expect(fixture.driver.requests).toHaveLength(0);
+  expect(fixture.claims.completed).toHaveLength(0);
+});
+
+test('a recorded reply is repeated as events when these are asked for', async () => {
+  fixture.claims.decision = {kind: 'duplicate', outcome: completed};
+  const response = await fixture.send(chatPath, order, chatBody(true));
+  const text = await response.text();
+  const deltas = eventsOf(text).map(event => event.choices[0].delta.content);
+  expect(deltas).toEqual(['', 'kept', undefined]);
+  expect(text.endsWith('data: [DONE]\n\n')).toBe(true);
+});
+
+test('a granted claim is completed once, with the body that was sent', async () => {
+  const response = await fixture.send(chatPath, order, chatBody());
+  const body = await response.text();
+  expect(fixture.claims.claimed).toEqual(['key-1']);
+  expect(fixture.claims.completed).toMatchObject([{kind: 'completed', body}]);
+});
+
+describe('services', () => {
+  test.each([
+    ['/levels/7?site=2', query, 200],
+    ['/confirm', query, 400],
+    ['/confirm', {...query, 'Idempotency-Key': 'k'}, 200],
+    ['/levels/%2e%2e/confirm', query, 400],
+    ['/levels%2f..%2fconfirm', query, 400],
+  ])('GET %s', async (path, headers, status) => {
+    const response = await fixture.send(`/v1/services/stock${path}`, headers);
+    expect(response.status).toBe(status);
+    const passed = fixture.dispatcher.requests.map(request => request.path);
+    expect(passed).toEqual(status === 200 ? [path] : []);
+  });
+
+  test('an unknown service', async () => {
+    const response = await fixture.send('/v1/services/none/x', query);
+    expect(response.status).toBe(404);
+  });
+});
+
+describe('standing', () => {
+  test('entrypoints name the ready instances, how long to keep them, and a grant', async () => {
+    const response = await fixture.send('/v1/entrypoints');
+    const body: any = await response.json();
+    expect(body.addresses.toSorted()).toEqual(['a:80', 'b:80']);
+    expect(body).toMatchObject({
+      keepSeconds: 30,
+      grant: 'grant-a-1',
+      grantAddress: 'a:80',
+    });
+  });
+
+  test.each([
+    ['no view yet', () => (fixture.views.current = undefined)],
+    ['a silent control program', () => (fixture.views.heardAt = -40_000)],
+    [
+      'no confirmed configuration',
+      () => {
+        const view = fixture.views.current!;
+        fixture.views.current = {
+          ...view,
+          configuration: {...configuration, revision: 0},
+        };
+      },
+    ],
+  ])('%s: no new work', async (_name, change) => {
+    change();
+    const response = await fixture.send(chatPath, query, chatBody());
+    expect(response.status).toBe(503);
+    expect(await response.json()).toMatchObject({
+      error: {kind: 'cutOff', executed: 'no'},
+    });
+    expect((await fixture.send('/v1/health')).status).toBe(503);
+  });
+
+  test('a stop refuses new work with other addresses and finishes what is in progress', async () => {
+    let finish = () => undefined as void;
+    const begun = new Promise<void>(resolve => {
+      fixture.driver.script = (request, sink) =>
+        new Promise(settle => {
+          finish = () => {
+            void sink('whole', 0);
+            settle(success(replyOf(request, ['whole'])));
+          };
+          resolve();
+        });
+    });
+    const running = fixture.send(chatPath, order, chatBody(true));
+    await begun;
+    const drained = fixture.server.drain(60_000);
+    const refused = await fixture.send(chatPath, query, chatBody());
+    expect(refused.status).toBe(503);
+    expect(refused.headers.get('connection')).toBe('close');
+    expect(await refused.json()).toMatchObject({
+      error: {kind: 'shuttingDown', executed: 'no', addresses: ['b:80']},
+    });
+    const entrypoints = await fixture.send('/v1/entrypoints');
+    expect(await entrypoints.json()).toMatchObject({
+      addresses: ['b:80'],
+      grant: null,
+    });
+    finish();
+    expect(await (await running).text()).toContain('data: [DONE]');
+    expect(await drained).toBe(0);
+  });
+
+  test('more requests than may be in progress are refused', async () => {
+    fixture.driver.script = () => new Promise(() => undefined);
+    const leaving = new AbortController();
+    const held = [1, 2].map(() =>
+      fixture.send(chatPath, query, chatBody(), leaving.signal),
+    );
+    await expect.poll(() => fixture.driver.requests.length).toBe(2);
+    const response = await fixture.send(chatPath, query, chatBody());
+    expect(response.status).toBe(503);
+    leaving.abort();
+    await Promise.allSettled(held);
+  });
+});
+
+test('each request ends in one log line with what became of it', async () => {
+  await fixture.send(chatPath, query, chatBody());
+  await fixture.send(chatPath, {}, chatBody());
+  await expect.poll(() => fixture.logger.lines.length).toBe(2);
+  expect(fixture.logger.lines).toMatchObject([
+    {
+      class: 'query',
+      clientAccount: 'one',
+      outcome: 'completed',
+      executed: 'yes',
+    },
+    {outcome: 'failed', error: 'invalidRequest', executed: 'no'},
+  ]);
+});
+
+const outcomeCases: ReadonlyArray<
+  readonly [RequestOutcome | undefined, number, Record<string, unknown>]
+> = [
+  [undefined, 404, {error: {kind: 'notFound', executed: 'unknown'}}],
+  [{kind: 'running'}, 200, {key: 'k 1', state: 'running'}],
+  [completed, 200, {state: 'completed', status: 200, body: completed.body}],
+  [
+    {kind: 'failed', failure: notExecuted({kind: 'overShare'})},
+    200,
+    {state: 'failed', error: {kind: 'overShare', executed: 'no'}},
+  ],
+];
+
+test.each(outcomeCases)('outcome %j', async (outcome, status, expected) => {
+  fixture.claims.outcome = outcome;
+  const response = await fixture.send('/v1/requests/k%201');
+  expect(response.status).toBe(status);
+  expect(await response.json()).toMatchObject(expected);
+});
