--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -50,6 +50,8 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly prefixKey: string | undefined;
+  /** Prompt tokens that `prefixKey` covers; none are taken as cached if absent. */
+  readonly prefixTokens?: number;
   /** Milliseconds left to the first token's target. */
   readonly firstTokenWithin: number;
   readonly betweenTokensTarget: number;
@@ -184,6 +186,8 @@
   readonly wantedByAccount: ReadonlyMap<string, number>;
   /** Requests a second wanted by class, from the configuration. */
   readonly targetByClass: ReadonlyMap<string, number>;
+  /** Mean slot-milliseconds of one request by class; alike for all classes if absent. */
+  readonly workByClass?: ReadonlyMap<string, number>;
 }
 
 /** Decides on one piece of work over one cell; pure. */
--- /dev/null
+++ b/src/features/routing/common/shareStanding.ts
@@ -0,0 +1,94 @@
+import {fairLevel} from './maxMinShare.js';
+import {ShareView, WorkEstimate} from './routing.js';
+
+/** How a client account stands against its share at one owner. */
+export interface ShareStanding {
+  /** Used over fair share, less one; 0 or less if within it. */
+  readonly excess: number;
+  /** Share of the slot time wanted lately that was not granted, 0 to 1. */
+  readonly contention: number;
+}
+
+const WITHIN_SHARE: ShareStanding = {excess: 0, contention: 0};
+
+interface AccountUse {
+  readonly account: string;
+  readonly wanted: number;
+  readonly used: number;
+}
+
+/** Accounts of a class; what was granted counts as wanted. */
+function accountsOf(shares: ShareView, classOfWork: string): AccountUse[] {
+  const prefix = `${classOfWork}/`;
+  const found: AccountUse[] = [];
+  for (const [key, wanted] of shares.wantedByAccount) {
+    if (!key.startsWith(prefix)) {
+      continue;
+    }
+    const used = shares.usedByAccount.get(key) ?? 0;
+    const account = key.slice(prefix.length);
+    found.push({account, wanted: Math.max(wanted, used), used});
+  }
+  return found;
+}
+
+function sum(values: Iterable<number>): number {
+  let total = 0;
+  for (const value of values) {
+    total += value;
+  }
+  return total;
+}
+
+/** Slot time that each class wanted. */
+function wantedByClass(shares: ShareView): Map<string, number> {
+  const wanted = new Map<string, number>();
+  for (const [key, amount] of shares.wantedByAccount) {
+    const name = key.slice(0, key.lastIndexOf('/'));
+    wanted.set(name, (wanted.get(name) ?? 0) + amount);
+  }
+  return wanted;
+}
+
+/** Weight of a class: its target rate times the work of its requests, as far as seen. */
+function classWeight(shares: ShareView, classOfWork: string): number {
+  const target = shares.targetByClass.get(classOfWork) ?? 0;
+  const work = shares.workByClass?.get(classOfWork) ?? 1;
+  return Math.max(target * work, 1e-9);
+}
+
+/** The part of the observed capacity that is due to a class: max-min by target over classes. */
+function dueToClass(shares: ShareView, classOfWork: string): number {
+  const capacity = sum(shares.usedByClass.values());
+  const wanted = wantedByClass(shares);
+  const claimants = [...wanted].map(([name, amount]) => ({
+    wanted: amount,
+    weight: classWeight(shares, name),
+  }));
+  const level = fairLevel(claimants, capacity);
+  const due = level * classWeight(shares, classOfWork);
+  return Math.min(wanted.get(classOfWork) ?? 0, due);
+}
+
+/**
+ * Where the account of this work stands: capacity observed in use is divided over classes by
+ * target, then max-min over the accounts of the class; nothing of it is configured.
+ */
+export function shareStanding(
+  shares: ShareView,
+  work: WorkEstimate,
+): ShareStanding {
+  const wanted = sum(shares.wantedByAccount.values());
+  const used = sum(shares.usedByClass.values());
+  const contention = wanted <= 0 ? 0 : Math.max(0, 1 - used / wanted);
+  const accounts = accountsOf(shares, work.classOfWork);
+  const own = accounts.find(one => one.account === work.clientAccount);
+  if (own === undefined || contention === 0) {
+    return WITHIN_SHARE;
+  }
+  const claimants = accounts.map(one => ({wanted: one.wanted, weight: 1}));
+  const level = fairLevel(claimants, dueToClass(shares, work.classOfWork));
+  const due = Math.min(own.wanted, level);
+  const excess = due <= 0 ? 1 : own.used / due - 1;
+  return {excess, contention};
+}
