Callers: tokens are words; naive parts for comparison

Ruled out: tokens with their spaces, which engines would have to agree on. Change: src/features/naive (round robin, no admission, no claims, no recovery), tokenText.ts.

--- a/src/features/callers/common/chatReply.ts
+++ b/src/features/callers/common/chatReply.ts
@@ -1,4 +1,5 @@
 import {FinishReason, ModelReply} from '../../requests/common/request.js';
+import {replyText} from './tokenText.js';
 
 /** Replies in the shape that existing model clients read: whole, and as server-sent events. */
 
@@ -50,7 +51,7 @@
     choices: [
       {
         index: 0,
-        message: {role: 'assistant', content: reply.tokens.join('')},
+        message: {role: 'assistant', content: replyText(reply.tokens)},
         finish_reason: reply.finishReason,
       },
     ],
@@ -63,9 +64,9 @@
   return chunkEvent(identity, {role: 'assistant', content: ''}, null);
 }
 
-/** The event of one token. */
-export function tokenEvent(identity: ReplyIdentity, token: string): string {
-  return chunkEvent(identity, {content: token}, null);
+/** The event of a part of the text. */
+export function textEvent(identity: ReplyIdentity, text: string): string {
+  return chunkEvent(identity, {content: text}, null);
 }
 
 /** The events that end a whole reply, and only a whole one. */
@@ -92,7 +93,7 @@
   };
   const content = completion.choices[0].message.content;
   const opening = openingEvent(identity);
-  const whole = tokenEvent(identity, content);
+  const whole = textEvent(identity, content);
   return opening + whole + closingEvents(identity, completion, includeUsage);
 }
 
--- a/src/features/callers/common/replyFormat.ts
+++ b/src/features/callers/common/replyFormat.ts
@@ -1,12 +1,13 @@
-import {CallerAnswer} from './claimAnswers.js';
 import {
   closingEvents,
   openingEvent,
   parseChatCompletion,
   replayEvents,
   ReplyIdentity,
-  tokenEvent,
+  textEvent,
 } from './chatReply.js';
+import {CallerAnswer} from './claimAnswers.js';
+import {tokenText} from './tokenText.js';
 
 /** How an answer is sent: whole, or as events while it is made. */
 
@@ -16,7 +17,7 @@
   abstract readonly streams: boolean;
   /** Sent before the first token. */
   abstract opening(): string;
-  abstract token(token: string): string;
+  abstract token(token: string, index: number): string;
   /** Sent after a whole reply. */
   abstract closing(answer: CallerAnswer): string;
   /** A recorded answer, whole; undefined when it is none of this format. */
@@ -66,8 +67,8 @@
     return openingEvent(this.identity);
   }
 
-  override token(token: string): string {
-    return tokenEvent(this.identity, token);
+  override token(token: string, index: number): string {
+    return textEvent(this.identity, tokenText(token, index));
   }
 
   override closing(answer: CallerAnswer): string {
--- a/src/features/callers/node/chatHandler.ts
+++ b/src/features/callers/node/chatHandler.ts
@@ -8,7 +8,7 @@
 import {ChatRequest, readChatRequest} from '../common/chatRequest.js';
 import {CallerAnswer} from '../common/claimAnswers.js';
 import {invalidRequest} from '../common/failureBody.js';
-import {promptTokens} from '../common/promptTokens.js';
+import {promptTokens} from '../common/tokenText.js';
 import {
   ChatEventFormat,
   ReplyFormat,
--- a/src/features/callers/node/requestExchange.ts
+++ b/src/features/callers/node/requestExchange.ts
@@ -235,7 +235,7 @@
       this.source.token.onDidCancel(() => this.limitSettling(settle)),
     );
     try {
-      const sink: TokenSink = token => this.accept(token);
+      const sink: TokenSink = (token, index) => this.accept(token, index);
       settle(await this.plan!.work(sink, this.source.token));
     } catch (error) {
       this.services.onUnexpected(error);
@@ -268,7 +268,7 @@
     this.send('workFailed');
   }
 
-  private accept(token: string): void | Promise<void> {
+  private accept(token: string, index: number): void | Promise<void> {
     this.tokenCount += 1;
     this.firstTokenAt ??= this.services.clock.monotonicMilliseconds();
     const {format} = this.plan!;
@@ -281,7 +281,7 @@
     if (this.lifecycle.state !== 'streaming') {
       return undefined;
     }
-    return this.response.writeEvent(format.token(token));
+    return this.response.writeEvent(format.token(token, index));
   }
 
   private cancelWork(): void {
--- a/src/features/callers/test/callerFakes.ts
+++ b/src/features/callers/test/callerFakes.ts
@@ -148,9 +148,9 @@
 export class FakeDriver extends PipelineDriver {
   readonly requests: ModelRequest[] = [];
   script: RunFunction = async (request, sink) => {
-    await sink('Hello ', 0);
+    await sink('Hello', 0);
     await sink('there', 1);
-    return success(replyOf(request, ['Hello ', 'there']));
+    return success(replyOf(request, ['Hello', 'there']));
   };
 
   override run(
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -61,7 +61,7 @@
     expect(response.headers.get('content-type')).toContain('text/event-stream');
     const text = await response.text();
     const deltas = eventsOf(text).map(event => event.choices[0].delta.content);
-    expect(deltas).toEqual(['', 'Hello ', 'there', undefined]);
+    expect(deltas).toEqual(['', 'Hello', ' there', undefined]);
     expect(text.endsWith('data: [DONE]\n\n')).toBe(true);
   });
 
--- /dev/null
+++ b/src/features/naive/common/naiveClaimService.ts
@@ -0,0 +1,19 @@
+import {ClaimDecision, ClaimService} from '../../claims/common/claims.js';
+import {RequestOutcome} from '../../requests/common/request.js';
+
+/** Grants every key and keeps no records, for comparison only. */
+export class NaiveClaimService extends ClaimService {
+  override claim(): Promise<ClaimDecision> {
+    return Promise.resolve({kind: 'granted'});
+  }
+
+  override complete(): void {}
+
+  override lookUp(): Promise<RequestOutcome | undefined> {
+    return Promise.resolve(undefined);
+  }
+
+  override issueGrant(): string {
+    return '';
+  }
+}
--- /dev/null
+++ b/src/features/naive/node/naiveBroker.ts
@@ -0,0 +1,168 @@
+import {CancellationSource} from '../../../base/common/cancellation.js';
+import {Clock} from '../../../base/common/clock.js';
+import {
+  EngineConnector,
+  EngineReport,
+} from '../../../platform/engine/common/engineConnection.js';
+import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {SystemViewSource} from '../../membership/common/systemViewSource.js';
+import {
+  CapacityBroker,
+  ChosenStage,
+  ReservationReply,
+  ServiceChoice,
+  WorkEstimate,
+} from '../../routing/common/routing.js';
+
+/** Milliseconds for which an engine's report is believed. */
+const REPORT_MILLISECONDS = 5000;
+
+/** Milliseconds that an engine has to report. */
+const REPORT_LIMIT_MILLISECONDS = 1000;
+
+const RETRY_MILLISECONDS = 1000;
+
+interface KnownReport {
+  readonly report: EngineReport;
+  readonly takenAt: number;
+}
+
+/** Round robin over the live upstreams, for comparison only: no admission, no limits, no health. */
+export class NaiveBroker extends CapacityBroker {
+  private readonly reports = new Map<string, KnownReport>();
+  private turn = 0;
+  private count = 0;
+
+  constructor(
+    private readonly views: SystemViewSource,
+    private readonly connector: EngineConnector,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  override async reserve(
+    work: WorkEstimate,
+    model: string,
+  ): Promise<ReservationReply> {
+    const replicas = await this.replicasOf(model);
+    const replica = replicas[this.turn++ % Math.max(1, replicas.length)];
+    if (replica === undefined) {
+      return this.refusal();
+    }
+    this.count += 1;
+    return {
+      kind: 'reserved',
+      reservation: {
+        reservationId: `${work.requestId}-${this.count}`,
+        cell: 'naive',
+        stages: replica,
+        prediction: {
+          startsInMilliseconds: 0,
+          firstTokenMilliseconds: 0,
+          betweenTokensMilliseconds: 0,
+          wholeMilliseconds: 0,
+          figuresAgeMilliseconds: 0,
+        },
+        candidates: replicas.length,
+        reason: 'round robin',
+      },
+    };
+  }
+
+  override replan(): Promise<ReservationReply> {
+    return Promise.resolve(this.refusal());
+  }
+
+  override release(): void {}
+
+  override reportFailure(): void {}
+
+  override chooseService(service: string): ServiceChoice {
+    const replicas = this.live('service').filter(
+      member => member.group === service,
+    );
+    const replica = replicas[this.turn++ % Math.max(1, replicas.length)];
+    return replica === undefined
+      ? {kind: 'none', retryAfterMilliseconds: RETRY_MILLISECONDS}
+      : {
+          kind: 'chosen',
+          upstream: replica.id,
+          address: replica.address,
+          candidates: replicas.length,
+        };
+  }
+
+  override releaseService(): void {}
+
+  private refusal(): ReservationReply {
+    return {
+      kind: 'refused',
+      reason: 'noUpstream',
+      retryAfterMilliseconds: RETRY_MILLISECONDS,
+    };
+  }
+
+  /** The stages of each replica that holds the whole model, in layer order. */
+  private async replicasOf(
+    model: string,
+  ): Promise<ReadonlyArray<readonly ChosenStage[]>> {
+    const wanted = this.views.current?.configuration.models[model];
+    const engines = this.live('engine');
+    const reports = await Promise.all(engines.map(one => this.reportOf(one)));
+    const groups = new Map<string, ChosenStage[]>();
+    engines.forEach((engine, index) => {
+      const report = reports[index];
+      if (report?.model === model && report.version === wanted?.version) {
+        const {id: upstream, address, group} = engine;
+        const stage = {upstream, address, layers: report.layers};
+        groups.set(group, [...(groups.get(group) ?? []), stage]);
+      }
+    });
+    return [...groups.values()]
+      .map(stages => chainOf(stages, wanted?.layerCount ?? 0))
+      .filter(stages => stages !== undefined);
+  }
+
+  private async reportOf(
+    engine: UpstreamMember,
+  ): Promise<EngineReport | undefined> {
+    const now = this.clock.monotonicMilliseconds();
+    const known = this.reports.get(engine.id);
+    if (known && now - known.takenAt < REPORT_MILLISECONDS) {
+      return known.report;
+    }
+    const source = new CancellationSource();
+    source.cancelAfter(REPORT_LIMIT_MILLISECONDS, 'no report in time');
+    const connection = this.connector.connect(engine.id, engine.address);
+    const report = await connection.report(source.token);
+    source.dispose();
+    if (report.ok) {
+      this.reports.set(engine.id, {report: report.value, takenAt: now});
+    }
+    return report.ok ? report.value : undefined;
+  }
+
+  private live(role: UpstreamMember['role']): readonly UpstreamMember[] {
+    const upstreams = this.views.current?.upstreams ?? [];
+    return upstreams.filter(one => one.role === role && one.state === 'live');
+  }
+}
+
+/** Stages that cover all layers once, in order; undefined when there are none. */
+function chainOf(
+  stages: readonly ChosenStage[],
+  layerCount: number,
+): readonly ChosenStage[] | undefined {
+  const chain: ChosenStage[] = [];
+  let next = 0;
+  while (next < layerCount) {
+    const stage = stages.find(({layers}) => layers.from === next);
+    if (stage === undefined || stage.layers.to <= next) {
+      return undefined;
+    }
+    chain.push(stage);
+    next = stage.layers.to;
+  }
+  return chain;
+}
--- /dev/null
+++ b/src/features/naive/node/naivePipelineDriver.ts
@@ -0,0 +1,178 @@
+import {CancellationToken} from '../../../base/common/cancellation.js';
+import {failure, Result, success} from '../../../base/common/result.js';
+import {
+  EngineConnector,
+  EngineError,
+  PositionRange,
+  StepInput,
+  StepOutput,
+} from '../../../platform/engine/common/engineConnection.js';
+import {
+  PipelineDriver,
+  TokenSink,
+} from '../../pipeline/common/pipelineDriver.js';
+import {RequestFailure} from '../../requests/common/failure.js';
+import {
+  FinishReason,
+  ModelReply,
+  ModelRequest,
+} from '../../requests/common/request.js';
+import {CapacityBroker, ChosenStage} from '../../routing/common/routing.js';
+
+const EPOCH = 1;
+const PRIORITY = 0;
+
+/** Runs a request through the stages it is given, for comparison only: no checks and no recovery. */
+export class NaivePipelineDriver extends PipelineDriver {
+  constructor(
+    private readonly broker: CapacityBroker,
+    private readonly connector: EngineConnector,
+  ) {
+    super();
+  }
+
+  override async run(
+    request: ModelRequest,
+    sink: TokenSink,
+    token: CancellationToken,
+  ): Promise<Result<ModelReply, RequestFailure>> {
+    const model = request.model.name;
+    const reply = await this.broker.reserve(
+      estimateOf(request),
+      model,
+      token.signal,
+    );
+    if (reply.kind === 'refused') {
+      return failure({
+        error: {kind: 'noUpstream', detail: 'no whole replica is live'},
+        executed: 'no',
+        retryAfterMilliseconds: reply.retryAfterMilliseconds,
+        addresses: [],
+      });
+    }
+    return this.generate(request, reply.reservation.stages, sink, token);
+  }
+
+  private async generate(
+    request: ModelRequest,
+    stages: readonly ChosenStage[],
+    sink: TokenSink,
+    token: CancellationToken,
+  ): Promise<Result<ModelReply, RequestFailure>> {
+    const made: string[] = [];
+    let input = request.promptTokens;
+    let positions: PositionRange = {from: 0, to: input.length};
+    let finishReason: FinishReason = 'length';
+    while (made.length < request.maximumOutputTokens) {
+      const pass = {input, positions};
+      const output = await this.pass(request, stages, pass, token);
+      if (!output.ok) {
+        return failure(lost(output.error));
+      }
+      const {token: text, endOfText} = output.value;
+      if (text !== '' || !endOfText) {
+        await sink(text, made.length);
+        made.push(text);
+      }
+      if (endOfText) {
+        finishReason = 'stop';
+        break;
+      }
+      input = [text];
+      positions = {from: positions.to, to: positions.to + 1};
+    }
+    const {requestId} = request;
+    await this.free(requestId, stages, token);
+    return success({requestId, tokens: made, finishReason});
+  }
+
+  /** One token through all stages. */
+  private async pass(
+    request: ModelRequest,
+    stages: readonly ChosenStage[],
+    pass: TokenPass,
+    token: CancellationToken,
+  ): Promise<Result<TokenOutput, EngineError>> {
+    let input: StepInput = {kind: 'tokens', tokens: pass.input};
+    let previousUpstream: string | undefined;
+    for (const stage of stages) {
+      const engine = this.connector.connect(stage.upstream, stage.address);
+      const receipt = await engine.step(
+        {
+          requestId: request.requestId,
+          epoch: EPOCH,
+          model: request.model.name,
+          version: request.model.version,
+          adapter: request.adapter,
+          layers: stage.layers,
+          layerCount: request.model.layerCount,
+          positions: pass.positions,
+          input,
+          priority: PRIORITY,
+          rebuild: false,
+          previousUpstream,
+        },
+        token,
+      );
+      if (!receipt.ok) {
+        return receipt;
+      }
+      const {output} = receipt.value;
+      if (output.kind === 'token') {
+        return success(output);
+      }
+      input = output;
+      previousUpstream = stage.upstream;
+    }
+    const detail = 'the last stage made no token';
+    return failure({kind: 'mismatch', detail});
+  }
+
+  /** Lets the engines drop what they keep of a request that has ended. */
+  private async free(
+    requestId: string,
+    stages: readonly ChosenStage[],
+    token: CancellationToken,
+  ): Promise<void> {
+    await Promise.all(
+      stages.map(({upstream, address}) =>
+        this.connector
+          .connect(upstream, address)
+          .cancel(requestId, EPOCH, token),
+      ),
+    );
+  }
+}
+
+interface TokenPass {
+  readonly input: readonly string[];
+  readonly positions: PositionRange;
+}
+
+type TokenOutput = Extract<StepOutput, {readonly kind: 'token'}>;
+
+function estimateOf(request: ModelRequest) {
+  const {classOfWork} = request;
+  return {
+    requestId: request.requestId,
+    classOfWork: classOfWork.name,
+    clientAccount: request.clientAccount,
+    adapter: request.adapter,
+    promptTokens: request.promptTokens.length,
+    outputTokens: request.maximumOutputTokens,
+    prefixKey: undefined,
+    firstTokenWithin: classOfWork.firstTokenMilliseconds,
+    betweenTokensTarget: classOfWork.betweenTokensMilliseconds,
+    deadlineWithin: classOfWork.deadlineMilliseconds,
+    priority: PRIORITY,
+  };
+}
+
+function lost(error: EngineError): RequestFailure {
+  return {
+    error: {kind: 'upstreamFailed', detail: error.kind},
+    executed: 'unknown',
+    retryAfterMilliseconds: undefined,
+    addresses: [],
+  };
+}
