--- /dev/null
+++ b/src/features/pipeline/common/workEstimate.ts
@@ -0,0 +1,34 @@
+import {ModelRequest} from '../../requests/common/request.js';
+import {WorkEstimate} from '../../routing/common/routing.js';
+import {prefixKeyOf} from './prefixKey.js';
+
+/** Describes what is left of a request; `released` tokens were given out by monotonic time `now`. */
+export function estimateWork(
+  request: ModelRequest,
+  expectedTokens: number,
+  released: number,
+  now: number,
+): WorkEstimate {
+  const targets = request.classOfWork;
+  const firstTokenWithin =
+    request.arrivedAt + targets.firstTokenMilliseconds - now;
+  const dueWithin =
+    released > 0 ? targets.betweenTokensMilliseconds : firstTokenWithin;
+  return {
+    requestId: request.requestId,
+    classOfWork: targets.name,
+    clientAccount: request.clientAccount,
+    adapter: request.adapter,
+    promptTokens: request.promptTokens.length + released,
+    outputTokens: Math.max(1, expectedTokens - released),
+    prefixKey: prefixKeyOf(
+      request.model.name,
+      request.adapter,
+      request.promptTokens,
+    ),
+    firstTokenWithin: dueWithin,
+    betweenTokensTarget: targets.betweenTokensMilliseconds,
+    deadlineWithin: request.deadlineAt - now,
+    priority: Math.max(0, Math.round(dueWithin)),
+  };
+}
--- /dev/null
+++ b/src/features/pipeline/node/capacityClient.ts
@@ -0,0 +1,119 @@
+import {ModelRequest} from '../../requests/common/request.js';
+import {
+  Reservation,
+  ReservationReply,
+  StageObservation,
+} from '../../routing/common/routing.js';
+import {OutputEstimator} from '../common/outputEstimator.js';
+import {estimateWork} from '../common/workEstimate.js';
+import {untilCancelled} from './boundedCall.js';
+import {DecisionLog} from './decisionLog.js';
+import {PipelineDependencies} from './pipelineDependencies.js';
+import {RunState} from './runState.js';
+
+/** Asks for capacity on behalf of one request; what comes after the request ended is given back. */
+export class CapacityClient {
+  private readonly decisions: DecisionLog;
+
+  constructor(
+    private readonly dependencies: PipelineDependencies,
+    private readonly request: ModelRequest,
+    private readonly state: RunState,
+    private readonly estimator: OutputEstimator,
+  ) {
+    this.decisions = new DecisionLog(dependencies.logger, request);
+  }
+
+  /** Undefined when the run ended first. */
+  reserve(): Promise<ReservationReply | undefined> {
+    const {broker} = this.dependencies;
+    return this.ask('admission', [], () =>
+      broker.reserve(
+        this.work(),
+        this.request.model.name,
+        this.state.token.signal,
+      ),
+    );
+  }
+
+  /** Undefined when the run ended first. */
+  replan(
+    reservation: Reservation,
+    state: RunState,
+    excluded: readonly string[],
+    cause: string,
+  ): Promise<ReservationReply | undefined> {
+    const {broker} = this.dependencies;
+    return this.ask(cause, excluded, () =>
+      broker.replan(
+        reservation,
+        this.work(),
+        this.request.model.name,
+        excluded,
+        state.token.signal,
+      ),
+    );
+  }
+
+  reportFailure(observation: StageObservation): void {
+    const {reservation} = this.state;
+    if (reservation) {
+      this.dependencies.broker.reportFailure(reservation, observation);
+    }
+  }
+
+  logKept(cause: string, epoch: number, upstreams: readonly string[]): void {
+    this.decisions.writeKept(cause, epoch, upstreams);
+  }
+
+  /** Tokens expected of the whole reply. */
+  expectedTokens(): number {
+    return this.estimator.estimate(
+      this.request.classOfWork.name,
+      this.request.clientAccount,
+      this.request.maximumOutputTokens,
+    );
+  }
+
+  private work() {
+    return estimateWork(
+      this.request,
+      this.expectedTokens(),
+      this.state.released,
+      this.dependencies.clock.monotonicMilliseconds(),
+    );
+  }
+
+  private async ask(
+    cause: string,
+    excluded: readonly string[],
+    call: () => Promise<ReservationReply>,
+  ): Promise<ReservationReply | undefined> {
+    const asked = call().catch((error: unknown) => this.brokerFailed(error));
+    const reply = await untilCancelled(this.state.token, asked);
+    if (reply === undefined) {
+      void asked.then(late => this.giveBack(late));
+      return undefined;
+    }
+    this.decisions.write(cause, this.state.epoch, excluded, reply);
+    return reply;
+  }
+
+  private brokerFailed(error: unknown): ReservationReply {
+    this.dependencies.logger.warn('capacity could not be asked for', {
+      requestId: this.request.requestId,
+      error: String(error),
+    });
+    return {
+      kind: 'refused',
+      reason: 'noUpstream',
+      retryAfterMilliseconds: this.dependencies.settings.retryMilliseconds,
+    };
+  }
+
+  private giveBack(late: ReservationReply): void {
+    if (late.kind === 'reserved') {
+      this.dependencies.broker.release(late.reservation, []);
+    }
+  }
+}
--- /dev/null
+++ b/src/features/pipeline/node/decisionLog.ts
@@ -0,0 +1,62 @@
+import {Logger} from '../../../platform/logging/common/logger.js';
+import {ModelRequest} from '../../requests/common/request.js';
+import {ReservationReply} from '../../routing/common/routing.js';
+
+/** Writes one line for each decision on where a request runs. */
+export class DecisionLog {
+  constructor(
+    private readonly logger: Logger,
+    private readonly request: ModelRequest,
+  ) {}
+
+  /** `cause` is `admission`, or the failure that made a new plan necessary. */
+  write(
+    cause: string,
+    epoch: number,
+    excluded: readonly string[],
+    reply: ReservationReply,
+  ): void {
+    this.logger.decision('pipeline', {
+      requestId: this.request.requestId,
+      classOfWork: this.request.classOfWork.name,
+      clientAccount: this.request.clientAccount,
+      cause,
+      epoch,
+      excluded,
+      ...outcomeFields(reply),
+    });
+  }
+
+  /** The stages stay and only the epoch changes. */
+  writeKept(cause: string, epoch: number, upstreams: readonly string[]): void {
+    this.logger.decision('pipeline', {
+      requestId: this.request.requestId,
+      classOfWork: this.request.classOfWork.name,
+      clientAccount: this.request.clientAccount,
+      cause,
+      epoch,
+      outcome: 'kept',
+      upstreams,
+    });
+  }
+}
+
+function outcomeFields(reply: ReservationReply): Record<string, unknown> {
+  if (reply.kind === 'refused') {
+    return {
+      outcome: 'refused',
+      reason: reply.reason,
+      retryAfterMilliseconds: reply.retryAfterMilliseconds,
+    };
+  }
+  const {reservation} = reply;
+  return {
+    outcome: 'reserved',
+    cell: reservation.cell,
+    upstreams: reservation.stages.map(stage => stage.upstream),
+    candidates: reservation.candidates,
+    reason: reservation.reason,
+    figuresAgeMilliseconds: reservation.prediction.figuresAgeMilliseconds,
+    startsInMilliseconds: reservation.prediction.startsInMilliseconds,
+  };
+}
--- /dev/null
+++ b/src/features/pipeline/node/pipelineDependencies.ts
@@ -0,0 +1,18 @@
+import {Clock} from '../../../base/common/clock.js';
+import {EngineConnector} from '../../../platform/engine/common/engineConnection.js';
+import {Logger} from '../../../platform/logging/common/logger.js';
+import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {CapacityBroker} from '../../routing/common/routing.js';
+import {PipelineSettings} from '../common/pipelineSettings.js';
+import {Safeguards} from '../common/safeguards.js';
+
+/** What the driver works with. */
+export interface PipelineDependencies {
+  readonly broker: CapacityBroker;
+  readonly connector: EngineConnector;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly settings: PipelineSettings;
+  readonly safeguards: Safeguards;
+}
--- /dev/null
+++ b/src/features/pipeline/node/tokenStepper.ts
@@ -0,0 +1,161 @@
+import {failure, Result, success} from '../../../base/common/result.js';
+import {Clock} from '../../../base/common/clock.js';
+import {
+  StepInput,
+  StepOutput,
+  StepReceipt,
+  StepRequest,
+} from '../../../platform/engine/common/engineConnection.js';
+import {ModelRequest} from '../../requests/common/request.js';
+import {LineageChecker, LineageFault} from '../common/lineageChecker.js';
+import {ProgressWatch} from '../common/progressWatch.js';
+import {Safeguards} from '../common/safeguards.js';
+import {StepError} from '../common/stageFailure.js';
+import {EpochAttempt} from './epochAttempt.js';
+import {StageSession} from './stageSession.js';
+
+/** The token that a pass through all stages yields. */
+export type TokenOutput = Extract<StepOutput, {kind: 'token'}>;
+
+/** A step that failed and the stage where it did. */
+export interface StageFailure {
+  readonly session: StageSession;
+  readonly error: StepError;
+}
+
+/** What one pass through the pipeline works on. */
+export interface TokenPass {
+  readonly epoch: number;
+  readonly from: number;
+  readonly to: number;
+  readonly tokens: readonly string[];
+  readonly rebuild: boolean;
+  readonly priority: number;
+  /** Time limit of a stage for a pass over many positions; undefined for a decode step. */
+  readonly limitMilliseconds: number | undefined;
+}
+
+/** Told of an answer that did not belong to its step. */
+export type FaultListener = (step: StepRequest, fault: LineageFault) => void;
+
+/** Runs one pass after the other through the stages of a request. */
+export class TokenStepper {
+  private readonly lineage = new LineageChecker();
+
+  constructor(
+    private readonly request: ModelRequest,
+    private readonly prefixKey: string | undefined,
+    private readonly clock: Clock,
+    private readonly watch: ProgressWatch,
+    private readonly safeguards: Safeguards,
+    private readonly onFault: FaultListener,
+  ) {}
+
+  /** One step per stage; the token is returned only when the receipts cover all layers once, in order. */
+  async run(
+    sessions: readonly StageSession[],
+    attempt: EpochAttempt,
+    pass: TokenPass,
+  ): Promise<Result<TokenOutput, StageFailure>> {
+    let input: StepInput = {kind: 'tokens', tokens: pass.tokens};
+    let previous: StageSession | undefined;
+    let output: StepOutput | undefined;
+    this.lineage.begin();
+    for (const session of sessions) {
+      const step = this.buildStep(session, pass, input, previous);
+      const result = await this.runStage(session, attempt, pass, step);
+      if (!result.ok) {
+        return failure({session, error: result.error});
+      }
+      output = result.value.output;
+      input = output.kind === 'activation' ? output : input;
+      previous = session;
+    }
+    return this.release(previous as StageSession, output);
+  }
+
+  private release(
+    last: StageSession,
+    output: StepOutput | undefined,
+  ): Result<TokenOutput, StageFailure> {
+    const fault = this.safeguards.checkRelease(this.lineage);
+    if (fault === undefined && output?.kind === 'token') {
+      return success(output);
+    }
+    const detail = fault ?? 'wrongOutput';
+    return failure({session: last, error: {kind: 'mismatch', detail}});
+  }
+
+  private async runStage(
+    session: StageSession,
+    attempt: EpochAttempt,
+    pass: TokenPass,
+    step: StepRequest,
+  ): Promise<Result<StepReceipt, StepError>> {
+    const limit = pass.limitMilliseconds ?? this.decodeLimit(session);
+    const sentAt = this.clock.monotonicMilliseconds();
+    session.record.handOver(pass.epoch);
+    const result = await attempt.call(session.connection, step, limit);
+    if (!result.ok) {
+      return result;
+    }
+    const fault = this.safeguards.checkReceipt(
+      this.lineage,
+      step,
+      result.value,
+    );
+    if (fault !== undefined) {
+      this.onFault(step, fault);
+      return failure({kind: 'mismatch', detail: fault});
+    }
+    const elapsed = this.clock.monotonicMilliseconds() - sentAt;
+    this.observe(session, pass, result.value, elapsed);
+    return result;
+  }
+
+  private observe(
+    session: StageSession,
+    pass: TokenPass,
+    receipt: StepReceipt,
+    elapsed: number,
+  ): void {
+    const isDecode = pass.limitMilliseconds === undefined;
+    const compute = receipt.computeMilliseconds;
+    const link = Math.max(0, elapsed - receipt.queueMilliseconds - compute);
+    session.record.completed();
+    session.coveredTo = pass.to;
+    session.statistics.observe(isDecode, compute, link);
+    if (isDecode) {
+      session.spread.observe(elapsed);
+    }
+  }
+
+  private decodeLimit(session: StageSession): number {
+    const target = this.request.classOfWork.betweenTokensMilliseconds;
+    return this.watch.decodeLimit(session.spread, target);
+  }
+
+  private buildStep(
+    session: StageSession,
+    pass: TokenPass,
+    input: StepInput,
+    previous: StageSession | undefined,
+  ): StepRequest {
+    const {model} = this.request;
+    return {
+      requestId: this.request.requestId,
+      epoch: pass.epoch,
+      model: model.name,
+      version: model.version,
+      adapter: this.request.adapter,
+      layers: session.chosen.layers,
+      layerCount: model.layerCount,
+      positions: {from: pass.from, to: pass.to},
+      input,
+      priority: pass.priority,
+      rebuild: pass.rebuild,
+      previousUpstream: previous?.chosen.upstream,
+      prefixKey: this.prefixKey,
+    };
+  }
+}
--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -64,6 +64,8 @@
   readonly upstream: string;
   readonly address: string;
   readonly layers: LayerRange;
+  /** Whether the engine refuses steps of older epochs; undefined counts as no. */
+  readonly checksFencing?: boolean;
 }
 
 /** What the decision expects of the chosen pipeline. */
@@ -98,6 +100,10 @@
   readonly cell: string;
   readonly stages: readonly ChosenStage[];
   readonly prediction: Prediction;
+  /** How many pipelines the decision weighed; undefined when not told. */
+  readonly candidates?: number;
+  /** Why the decision chose these stages; undefined when not told. */
+  readonly reason?: string;
 }
 
 /** What the owner, or the requester itself, answers to a request for capacity. */
