--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -50,6 +50,8 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly prefixKey: string | undefined;
+  /** Prompt tokens that `prefixKey` covers; none are taken as cached if absent. */
+  readonly prefixTokens?: number;
   /** Milliseconds left to the first token's target. */
   readonly firstTokenWithin: number;
   readonly betweenTokensTarget: number;
@@ -64,6 +66,8 @@
   readonly upstream: string;
   readonly address: string;
   readonly layers: LayerRange;
+  /** Whether the engine refuses steps of older epochs; undefined counts as no. */
+  readonly checksFencing?: boolean;
 }
 
 /** What the decision expects of the chosen pipeline. */
@@ -98,6 +102,10 @@
   readonly cell: string;
   readonly stages: readonly ChosenStage[];
   readonly prediction: Prediction;
+  /** How many pipelines the decision weighed; undefined when not told. */
+  readonly candidates?: number;
+  /** Why the decision chose these stages; undefined when not told. */
+  readonly reason?: string;
 }
 
 /** What the owner, or the requester itself, answers to a request for capacity. */
@@ -184,6 +192,8 @@
   readonly wantedByAccount: ReadonlyMap<string, number>;
   /** Requests a second wanted by class, from the configuration. */
   readonly targetByClass: ReadonlyMap<string, number>;
+  /** Mean slot-milliseconds of one request by class; alike for all classes if absent. */
+  readonly workByClass?: ReadonlyMap<string, number>;
 }
 
 /** Decides on one piece of work over one cell; pure. */
