Launcher of the whole system on loopback

Cause: tests, demo and measures start the same stand-ins and programs as processes. Ruled out: pipes for logs (a program would wait for its reader), exit handlers alone (a killed launcher leaves its processes behind). Change: test/support/launcher.ts with handles on every part; a watchdog ends what a killed launcher left and removes its directory. The check that nothing is left counts a process that waits to be reaped as ended: the first form took such a one for running. Conclusion: processes can be killed, frozen, restarted and their ledgers read afterwards.

--- a/test/standins/engineStandIn.ts
+++ b/test/standins/engineStandIn.ts
@@ -316,8 +316,8 @@
   }
 
   async start(): Promise<void> {
-    const servers = [...this.engines, this.faultServer];
-    await Promise.all(servers.map(server => server.start()));
+    await Promise.all(this.engines.map(engine => engine.start()));
+    await this.faultServer.start();
   }
 
   /** Puts a fault in force at one engine or all. */
--- a/test/standins/platformStandIn.ts
+++ b/test/standins/platformStandIn.ts
@@ -131,8 +131,9 @@
   }
 
   async start(): Promise<void> {
-    const servers = [...this.servers.values(), this.faultServer];
+    const servers = [...this.servers.values()];
     await Promise.all(servers.map(server => server.start()));
+    await this.faultServer.start();
   }
 
   /** Puts a fault in force, or ends some. */
--- a/test/standins/serviceStandIn.ts
+++ b/test/standins/serviceStandIn.ts
@@ -85,7 +85,8 @@
   }
 
   async start(): Promise<void> {
-    await Promise.all([this.server.start(), this.faultServer.start()]);
+    await this.server.start();
+    await this.faultServer.start();
   }
 
   /** Puts a fault in force, or ends all. */
--- /dev/null
+++ b/test/support/launcher.test.ts
@@ -0,0 +1,136 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {existsSync, readFileSync} from 'node:fs';
+import {join} from 'node:path';
+
+import {afterEach, expect, it} from 'vitest';
+
+import {neverCancelled} from '../../src/base/common/cancellation.js';
+import {HttpEngineConnector} from '../../src/platform/engine/node/httpEngineConnector.js';
+import {HttpMembershipList} from '../../src/platform/membership/node/httpMembershipList.js';
+import {LaunchedSystem} from './launcher.js';
+import {repositoryRoot} from './managedProcess.js';
+
+let system: LaunchedSystem | undefined;
+
+afterEach(async () => {
+  await system?.dispose();
+  system = undefined;
+});
+
+it('spreads stand-ins over data centres and lists them', async () => {
+  system = await LaunchedSystem.launch({
+    instances: 0,
+    dataCentres: [
+      {name: 'perth-1', region: 'perth'},
+      {name: 'perth-2', region: 'perth'},
+    ],
+    layerCount: 5,
+    replicas: 3,
+    farLinkMilliseconds: 7,
+    mixedFencing: true,
+    services: [{name: 'dispatch', replicas: 2}],
+  });
+  const address = system.platformSettings.membershipAddress;
+  const list = new HttpMembershipList(address, 'test');
+  const snapshot = await list.read(neverCancelled);
+  list.dispose();
+  const places = snapshot.ok
+    ? snapshot.value.members.map(member => `${member.id} ${member.dataCentre}`)
+    : [];
+  expect(places).toEqual([
+    'engine-0-0 perth-1',
+    'engine-0-1 perth-1',
+    'engine-1-0 perth-2',
+    'engine-1-1 perth-2',
+    'engine-2-0 perth-1',
+    'engine-2-1 perth-1',
+    'dispatch-0 perth-1',
+    'dispatch-1 perth-2',
+  ]);
+  const settings = system.engines.map(engine => engine.settings);
+  expect(settings.slice(0, 2).map(engine => engine.layers)).toEqual([
+    {from: 0, to: 3},
+    {from: 3, to: 5},
+  ]);
+  expect(settings[0]?.linkMilliseconds).toEqual({
+    'engine-1-0': 7,
+    'engine-1-1': 7,
+  });
+  expect(settings.map(engine => engine.checksFencing)).toEqual([
+    true,
+    true,
+    false,
+    false,
+    true,
+    true,
+  ]);
+});
+
+it('kills and restarts one engine; its ledger outlives it', async () => {
+  system = await LaunchedSystem.launch({
+    instances: 0,
+    replicas: 1,
+    enginesPerProcess: 1,
+    services: [],
+  });
+  const [engine, other] = system.engines;
+  const connector = new HttpEngineConnector();
+  const connection = connector.connect(engine!.id, engine!.settings.address);
+  await connection.cancel('request', 3, neverCancelled);
+  await engine!.setFault({kind: 'leaving', leaving: true});
+  const before = await connection.report(neverCancelled);
+  await engine!.process.kill();
+  expect(other!.process.isRunning).toBe(true);
+  const down = await connection.report(neverCancelled);
+  expect(down.ok).toBe(false);
+  await engine!.process.restart();
+  await system.until('the engine is back', async () => {
+    const report = await connection.report(neverCancelled);
+    return report.ok;
+  });
+  const after = await connection.report(neverCancelled);
+  connector.dispose();
+  expect(before.ok && after.ok).toBe(true);
+  if (before.ok && after.ok) {
+    const {engineIncarnation} = before.value;
+    expect(after.value.engineIncarnation).not.toBe(engineIncarnation);
+    expect(after.value.leaving).toBe(false);
+  }
+  const ledger = await engine!.ledger();
+  expect(ledger).toMatchObject([{kind: 'cancelled', epoch: 3}]);
+});
+
+it('leaves no process behind when its own process is killed', async () => {
+  const launcher = join(repositoryRoot(), 'dist/test/support/launcher.js');
+  const script = `
+    import {LaunchedSystem} from ${JSON.stringify(launcher)};
+    const system = await LaunchedSystem.launch({instances: 0, replicas: 1});
+    system.platform.process.freeze();
+    const parts = [system.platform, ...system.engines, ...system.services];
+    const pids = parts.map(part => part.process.pid);
+    console.log(JSON.stringify(pids) + '\\n' + system.directory);
+    setInterval(() => undefined, 1000);`;
+  const child = spawn(
+    process.execPath,
+    ['--input-type=module', '--eval', script],
+    {stdio: ['ignore', 'pipe', 'inherit']},
+  );
+  const [output] = (await once(child.stdout, 'data')) as [Buffer];
+  const [pidText = '', directory = ''] = output.toString().split('\n');
+  const pids = JSON.parse(pidText) as number[];
+  expect(pids.filter(isRunning)).toEqual(pids);
+  child.kill('SIGKILL');
+  await expect.poll(() => pids.filter(isRunning)).toEqual([]);
+  await expect.poll(() => existsSync(directory)).toBe(false);
+});
+
+/** A process that has ended and waits to be reaped has the state Z. */
+function isRunning(pid: number): boolean {
+  try {
+    const state = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1];
+    return state?.startsWith('Z') === false;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/test/support/launcher.ts
@@ -0,0 +1,539 @@
+import {createHash, randomBytes} from 'node:crypto';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {ConfigurationOperation} from '../../src/features/configuration/common/configuration.js';
+import {
+  InstanceMember,
+  Member,
+  MemberState,
+  UpstreamMember,
+} from '../../src/platform/membership/common/membershipList.js';
+import {
+  ControlSettings,
+  EntrySettings,
+  PlatformSettings,
+} from '../../src/platform/settings/common/programSettings.js';
+import {
+  defaultEngineSettings,
+  EngineSettings,
+  EngineStandInSettings,
+} from '../standins/engineSettings.js';
+import {PlatformStandInSettings} from '../standins/platformStandIn.js';
+import {ServiceStandInSettings} from '../standins/serviceStandIn.js';
+import {ManagedProcess, ProcessSupervisor} from './managedProcess.js';
+import {freeAddresses} from './ports.js';
+import {
+  DataCentreOptions,
+  defaultSystemOptions,
+  ServiceOptions,
+  SystemOptions,
+} from './systemOptions.js';
+import {
+  callJson,
+  EngineHandle,
+  InstanceHandle,
+  JsonAnswer,
+  PlatformHandle,
+  ServiceHandle,
+} from './systemParts.js';
+
+const READY_MILLISECONDS = 20_000;
+const POLL_MILLISECONDS = 50;
+const OPERATOR = 'operator-1';
+
+/** Hex SHA-256 of a key, as configurations and settings hold it. */
+export function hashKey(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
+
+/** Stand-ins and programs as child processes on loopback, for tests, the demo and measures. */
+export class LaunchedSystem {
+  readonly options: SystemOptions;
+  /** Settings, logs and ledgers. */
+  readonly directory = mkdtempSync(join(tmpdir(), 'redwing-'));
+  readonly operatorKey = randomBytes(16).toString('hex');
+  private readonly peerKey = randomBytes(16).toString('hex');
+  private readonly supervisor = new ProcessSupervisor(this.directory);
+  private readonly engineList: EngineHandle[] = [];
+  private readonly serviceList: ServiceHandle[] = [];
+  private instanceList: readonly InstanceHandle[] = [];
+  private platformHandle: PlatformHandle | undefined;
+  private platformAddresses: PlatformSettings | undefined;
+  private instanceNumber = 0;
+
+  private constructor(options: Partial<SystemOptions>) {
+    this.options = {...defaultSystemOptions, ...options};
+  }
+
+  /**
+   * Starts everything, applies the operations and waits until all instances take work.
+   * After a failure everything started is ended.
+   */
+  static async launch(
+    options: Partial<SystemOptions> = {},
+    operations: readonly ConfigurationOperation[] = [],
+  ): Promise<LaunchedSystem> {
+    const system = new LaunchedSystem(options);
+    try {
+      await system.start(operations);
+      return system;
+    } catch (error) {
+      const logs = system.tailOfLogs();
+      await system.dispose();
+      throw new Error(`${String(error)}\n${logs}`);
+    }
+  }
+
+  get platform(): PlatformHandle {
+    if (this.platformHandle === undefined) {
+      throw new Error('not started');
+    }
+    return this.platformHandle;
+  }
+
+  /** Where the platform's services are. */
+  get platformSettings(): PlatformSettings {
+    if (this.platformAddresses === undefined) {
+      throw new Error('not started');
+    }
+    return this.platformAddresses;
+  }
+
+  get engines(): readonly EngineHandle[] {
+    return this.engineList;
+  }
+
+  get services(): readonly ServiceHandle[] {
+    return this.serviceList;
+  }
+
+  get instances(): readonly InstanceHandle[] {
+    return this.instanceList;
+  }
+
+  /** Starts a further instance and shows it in the list; does not wait until it is ready. */
+  async startInstance(dataCentre?: DataCentreOptions): Promise<InstanceHandle> {
+    const number = this.instanceNumber;
+    this.instanceNumber++;
+    const place = dataCentre ?? this.dataCentreOf(number);
+    const [callerAddress, entryPeerAddress, controlAddress] =
+      await freeAddresses(3);
+    const member: InstanceMember = {
+      role: 'instance',
+      id: `instance-${number}`,
+      dataCentre: place.name,
+      region: place.region,
+      callerAddress: callerAddress ?? '',
+      entryPeerAddress: entryPeerAddress ?? '',
+      controlAddress: controlAddress ?? '',
+      state: 'live',
+    };
+    const control = this.startProgram(
+      `${member.id}-control`,
+      'src/programs/control/main.js',
+      this.controlSettings(member),
+    );
+    const entry = this.startProgram(
+      `${member.id}-entry`,
+      'src/programs/entry/main.js',
+      this.entrySettings(member),
+    );
+    const instance = new InstanceHandle(member, entry, control);
+    this.instanceList = [...this.instanceList, instance];
+    await this.platform.setMembers({set: [member]});
+    return instance;
+  }
+
+  /**
+   * Stops an instance as planned: the list shows it leaving, its entry program finishes its requests,
+   * then its control program stops. Answers the exit codes.
+   */
+  async stopInstance(
+    instance: InstanceHandle,
+  ): Promise<ReadonlyArray<number | undefined>> {
+    await this.setMemberState(instance.member, 'leaving');
+    const entryCode = await instance.entry.terminate();
+    const controlCode = await instance.control.terminate();
+    await this.removeInstance(instance);
+    return [entryCode, controlCode];
+  }
+
+  /** Kills both programs of an instance; the list goes on showing it until told. */
+  async killInstance(instance: InstanceHandle): Promise<void> {
+    await Promise.all([instance.entry.kill(), instance.control.kill()]);
+  }
+
+  /** Takes an instance off the list. */
+  async removeInstance(instance: InstanceHandle): Promise<void> {
+    this.instanceList = this.instanceList.filter(other => other !== instance);
+    await this.platform.setMembers({remove: [instance.id]});
+  }
+
+  /** Shows a member as live or leaving. */
+  setMemberState(member: Member, state: MemberState): Promise<void> {
+    return this.platform.setMembers({set: [{...member, state}]});
+  }
+
+  /** Waits until an instance takes new work. */
+  async awaitReady(
+    instances: readonly InstanceHandle[] = this.instanceList,
+  ): Promise<void> {
+    await Promise.all(
+      instances.map(instance =>
+        this.until(`${instance.id} is ready`, () => instance.isReady()),
+      ),
+    );
+  }
+
+  /** Proposes a change of the configuration; refused connections are tried again while programs start. */
+  async administer(
+    operations: readonly ConfigurationOperation[],
+    instance: InstanceHandle | undefined = this.instanceList[0],
+  ): Promise<JsonAnswer> {
+    const address = instance?.member.controlAddress ?? '';
+    const url = `http://${address}/v1/configuration/revisions`;
+    const headers = {authorization: `Bearer ${this.operatorKey}`};
+    let answer: JsonAnswer | undefined;
+    await this.until('the change is answered', async () => {
+      answer = await post(url, {operations}, headers);
+      return answer !== undefined && answer.status !== 503;
+    });
+    return answer ?? {status: 0, body: undefined};
+  }
+
+  /** Ends everything it started. */
+  async dispose(): Promise<void> {
+    await this.supervisor.dispose();
+    rmSync(this.directory, {recursive: true, force: true});
+  }
+
+  /** Waits for a condition; throws with its name when it takes too long. */
+  async until(
+    what: string,
+    condition: () => Promise<boolean>,
+    milliseconds = READY_MILLISECONDS,
+  ): Promise<void> {
+    const end = performance.now() + milliseconds;
+    while (!(await condition())) {
+      if (performance.now() > end) {
+        throw new Error(`waited ${milliseconds} ms until ${what}`);
+      }
+      await sleep(POLL_MILLISECONDS);
+    }
+  }
+
+  private async start(
+    operations: readonly ConfigurationOperation[],
+  ): Promise<void> {
+    this.writeFile('peer.key', this.peerKey);
+    const hashes = {[OPERATOR]: hashKey(this.operatorKey)};
+    this.writeFile('operators.json', JSON.stringify(hashes));
+    await this.startPlatform();
+    await this.startEngines();
+    for (const service of this.options.services) {
+      await this.startService(service);
+    }
+    const upstreams = [...this.engineList, ...this.serviceList];
+    await this.platform.setMembers({
+      set: upstreams.map(upstream => upstream.member),
+    });
+    for (let count = 0; count < this.options.instances; count++) {
+      await this.startInstance();
+    }
+    if (operations.length > 0) {
+      await this.configure(operations);
+    }
+    await this.awaitReady();
+  }
+
+  private async configure(
+    operations: readonly ConfigurationOperation[],
+  ): Promise<void> {
+    const answer = await this.administer(operations);
+    if (answer.status >= 300) {
+      const body = JSON.stringify(answer.body);
+      throw new Error(`the change was refused: ${answer.status} ${body}`);
+    }
+  }
+
+  private async startPlatform(): Promise<void> {
+    const {options} = this;
+    const [table, objects, weights, membership, fault] = await freeAddresses(5);
+    this.platformAddresses = {
+      tableAddress: table ?? '',
+      objectsAddress: objects ?? '',
+      weightsAddress: weights ?? '',
+      membershipAddress: membership ?? '',
+    };
+    const faultAddress = fault ?? '';
+    const settings: PlatformStandInSettings = {
+      ...this.platformAddresses,
+      faultAddress,
+      ledgerFile: this.ledgerFile('platform'),
+      manifests: [
+        {
+          model: options.model,
+          version: options.version,
+          layerCount: options.layerCount,
+          layerBytes: 1_000_000,
+          bytesPerSecond: 100_000_000,
+        },
+      ],
+      ...options.platformSettings,
+    };
+    const started = this.startProgram(
+      'platform',
+      'test/standins/platformStandIn.js',
+      settings,
+    );
+    this.platformHandle = new PlatformHandle(
+      started,
+      faultAddress,
+      settings.ledgerFile,
+    );
+    await this.standInReady(faultAddress);
+  }
+
+  private async startEngines(): Promise<void> {
+    const {replicas, stagesPerReplica, enginesPerProcess} = this.options;
+    const count = replicas * stagesPerReplica;
+    const processes = Math.ceil(count / enginesPerProcess);
+    const addresses = await freeAddresses(count + processes);
+    const engines = Array.from({length: count}, (_, index) =>
+      this.engineSettings(index, addresses[index] ?? ''),
+    );
+    for (let process = 0; process < processes; process++) {
+      const faultAddress = addresses[count + process] ?? '';
+      const first = process * enginesPerProcess;
+      const hosted = engines.slice(first, first + enginesPerProcess);
+      this.startEngineProcess(`engines-${process}`, faultAddress, hosted);
+    }
+    await Promise.all(addresses.slice(count).map(a => this.standInReady(a)));
+  }
+
+  private startEngineProcess(
+    name: string,
+    faultAddress: string,
+    engines: readonly EngineSettings[],
+  ): void {
+    const settings: EngineStandInSettings = {
+      faultAddress,
+      exitOnDeath: this.options.enginesPerProcess === 1,
+      engines,
+    };
+    const program = 'test/standins/engineStandIn.js';
+    const started = this.startProgram(name, program, settings);
+    for (const engine of engines) {
+      const member = this.engineMember(engine);
+      this.engineList.push(
+        new EngineHandle(engine, member, started, faultAddress),
+      );
+    }
+  }
+
+  private engineSettings(index: number, address: string): EngineSettings {
+    const {options} = this;
+    const {stagesPerReplica, layerCount, accelerators} = options;
+    const replica = Math.floor(index / stagesPerReplica);
+    const stage = index % stagesPerReplica;
+    const boundary = (number: number): number =>
+      Math.round((number * layerCount) / stagesPerReplica);
+    const accelerator = accelerators[replica % accelerators.length];
+    return {
+      ...defaultEngineSettings,
+      id: engineId(replica, stage),
+      address,
+      acceleratorKind: accelerator?.kind ?? 'standard',
+      model: options.model,
+      version: options.version,
+      adapters: options.adapters,
+      layers: {from: boundary(stage), to: boundary(stage + 1)},
+      checksFencing: !(options.mixedFencing && replica % 2 === 1),
+      sequenceLimit: options.sequenceLimit,
+      decodeMilliseconds: accelerator?.decodeMilliseconds ?? 5,
+      prefillMillisecondsPerToken:
+        accelerator?.prefillMillisecondsPerToken ?? 0.2,
+      callerLinkMilliseconds: options.linkMilliseconds,
+      linkMilliseconds: this.linksOf(replica),
+      defaultLinkMilliseconds: options.linkMilliseconds,
+      ledgerFile: this.ledgerFile('{id}'),
+      ...options.engineSettings,
+    };
+  }
+
+  /** Links from engines of other data centres, where they differ from the default. */
+  private linksOf(replica: number): Readonly<Record<string, number>> {
+    const {options} = this;
+    const links: Record<string, number> = {};
+    if (options.farLinkMilliseconds === options.linkMilliseconds) {
+      return links;
+    }
+    const place = this.dataCentreOf(replica);
+    for (let other = 0; other < options.replicas; other++) {
+      if (this.dataCentreOf(other) !== place) {
+        for (let stage = 0; stage < options.stagesPerReplica; stage++) {
+          links[engineId(other, stage)] = options.farLinkMilliseconds;
+        }
+      }
+    }
+    return links;
+  }
+
+  private engineMember(engine: EngineSettings): UpstreamMember {
+    const replica = Number(engine.id.split('-')[1]);
+    const place = this.dataCentreOf(replica);
+    return {
+      role: 'engine',
+      id: engine.id,
+      dataCentre: place.name,
+      region: place.region,
+      address: engine.address,
+      group: `replica-${replica}`,
+      state: 'live',
+    };
+  }
+
+  private async startService(service: ServiceOptions): Promise<void> {
+    for (let replica = 0; replica < service.replicas; replica++) {
+      const [address, fault] = await freeAddresses(2);
+      const id = `${service.name}-${replica}`;
+      const place = this.dataCentreOf(replica);
+      const settings: ServiceStandInSettings = {
+        id,
+        service: service.name,
+        address: address ?? '',
+        faultAddress: fault ?? '',
+        ledgerFile: this.ledgerFile(id),
+        ...service.settings,
+      };
+      const program = 'test/standins/serviceStandIn.js';
+      const started = this.startProgram(id, program, settings);
+      const member: UpstreamMember = {
+        role: 'service',
+        id,
+        dataCentre: place.name,
+        region: place.region,
+        address: settings.address,
+        group: service.name,
+        state: 'live',
+      };
+      this.serviceList.push(
+        new ServiceHandle(
+          member,
+          started,
+          settings.faultAddress,
+          settings.ledgerFile,
+        ),
+      );
+      await this.standInReady(settings.faultAddress);
+    }
+  }
+
+  private entrySettings(member: InstanceMember): EntrySettings {
+    const {id, region, dataCentre} = member;
+    return {
+      instance: {id, region, dataCentre},
+      callerAddress: member.callerAddress,
+      peerAddress: member.entryPeerAddress,
+      controlAddress: member.controlAddress,
+      platform: this.platformSettings,
+      peerKeyFile: join(this.directory, 'peer.key'),
+      observation: {logLevel: 'info'},
+      bodyLimitBytes: 1_000_000,
+      concurrentRequestLimit: 1000,
+      entrypointsSeconds: 5,
+      drainSeconds: 30,
+      cellSize: this.options.cellSize,
+      policy: this.options.policy,
+      ...this.options.entrySettings,
+    };
+  }
+
+  private controlSettings(member: InstanceMember): ControlSettings {
+    const {id, region, dataCentre} = member;
+    return {
+      instance: {id, region, dataCentre},
+      controlAddress: member.controlAddress,
+      platform: this.platformSettings,
+      peerKeyFile: join(this.directory, 'peer.key'),
+      operatorKeysFile: join(this.directory, 'operators.json'),
+      observation: {logLevel: 'info'},
+      headReadSeconds: 1,
+      membershipReadSeconds: 1,
+      peerExchangeSeconds: 1,
+      confirmationBoundSeconds: 10,
+      placementEnabled: false,
+      ...this.options.controlSettings,
+    };
+  }
+
+  private dataCentreOf(index: number): DataCentreOptions {
+    const {dataCentres} = this.options;
+    const found = dataCentres[index % dataCentres.length];
+    if (found === undefined) {
+      throw new Error('options.dataCentres is empty');
+    }
+    return found;
+  }
+
+  private startProgram(
+    name: string,
+    program: string,
+    settings: object,
+  ): ManagedProcess {
+    const file = `${name}.json`;
+    this.writeFile(file, JSON.stringify(settings, undefined, 2));
+    return this.supervisor.start(name, program, join(this.directory, file));
+  }
+
+  /** A stand-in answers at its fault port only after all its ports listen. */
+  private standInReady(faultAddress: string): Promise<void> {
+    return this.until(`${faultAddress} answers`, async () => {
+      const url = `http://${faultAddress}/ready`;
+      return (await get(url)) !== undefined;
+    });
+  }
+
+  private ledgerFile(name: string): string | undefined {
+    return this.options.ledgerFiles
+      ? join(this.directory, `${name}.ledger`)
+      : undefined;
+  }
+
+  private writeFile(name: string, text: string): void {
+    writeFileSync(join(this.directory, name), text, {mode: 0o600});
+  }
+
+  private tailOfLogs(): string {
+    return this.supervisor.tails();
+  }
+}
+
+function engineId(replica: number, stage: number): string {
+  return `engine-${replica}-${stage}`;
+}
+
+/** Undefined while the connection is refused. */
+async function get(url: string): Promise<JsonAnswer | undefined> {
+  return callJson('GET', url).catch(ignoreRefused);
+}
+
+async function post(
+  url: string,
+  body: unknown,
+  headers: Readonly<Record<string, string>>,
+): Promise<JsonAnswer | undefined> {
+  return callJson('POST', url, body, headers).catch(ignoreRefused);
+}
+
+function ignoreRefused(error: unknown): undefined {
+  if ((error as NodeJS.ErrnoException).code !== 'ECONNREFUSED') {
+    throw error;
+  }
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
