--- a/src/platform/settings/common/schemaFindings.ts
+++ b/src/platform/settings/common/schemaFindings.ts
@@ -4,6 +4,9 @@
 
 /** Turns what a zod schema objects to into findings. */
 
+/** The library's own messages, in contrast to those that a schema states. */
+const DEFAULT_MESSAGE = /^(Invalid|Too small|Too big)/;
+
 /** What is said of a field that the schema doesn't know. */
 const UNKNOWN_FIELD = 'no such field';
 
@@ -33,6 +36,9 @@
 }
 
 function describeIssue(issue: zod.core.$ZodIssue): string {
+  if (!DEFAULT_MESSAGE.test(issue.message)) {
+    return issue.message;
+  }
   switch (issue.code) {
     case 'invalid_type':
       return isMissing(issue)
@@ -41,9 +47,9 @@
     case 'invalid_value':
       return `one of ${issue.values.map(value => String(value)).join(', ')}`;
     case 'too_small':
-      return `at least ${issue.minimum}${unitOf(issue.origin)}`;
+      return `${issue.inclusive === false ? 'more than' : 'at least'} ${issue.minimum}${unitOf(issue.origin)}`;
     case 'too_big':
-      return `at most ${issue.maximum}${unitOf(issue.origin)}`;
+      return `${issue.inclusive === false ? 'less than' : 'at most'} ${issue.maximum}${unitOf(issue.origin)}`;
     default:
       return issue.message;
   }
--- a/src/platform/settings/test/readSettings.test.ts
+++ b/src/platform/settings/test/readSettings.test.ts
@@ -163,6 +163,15 @@
     content: {...control, confirmationBoundSeconds: 1},
     findings: ['$.confirmationBoundSeconds: more than headReadSeconds'],
   },
+  {
+    name: 'a bound that is excluded, a stated message',
+    schema: zod.object({
+      plain: zod.number().positive(),
+      stated: zod.number().positive('seconds above 0'),
+    }),
+    content: {plain: 0, stated: 0},
+    findings: ['$.plain: more than 0', '$.stated: seconds above 0'],
+  },
   {
     name: 'a list in place of an object',
     schema: controlSettingsSchema,
--- /dev/null
+++ b/src/programs/redwing/test/scriptedApi.ts
@@ -0,0 +1,67 @@
+import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {AddressInfo} from 'node:net';
+
+/** An administration API that answers from a script and keeps what it was sent. */
+
+/** One answer; `cut` takes the call and closes the connection without answering. */
+export type ScriptedAnswer =
+  {readonly status: number; readonly body: unknown} | 'cut';
+
+/** Answers by `METHOD path`; the last of a list is repeated. */
+export type Script = Readonly<Record<string, readonly ScriptedAnswer[]>>;
+
+/** A call as received. */
+export interface ReceivedCall {
+  readonly call: string;
+  readonly body: unknown;
+  readonly authorization: string | undefined;
+}
+
+/** Serves one script on loopback. */
+export class ScriptedApi {
+  readonly received: ReceivedCall[] = [];
+  private readonly server: Server;
+
+  constructor(private readonly script: Script) {
+    this.server = createServer((request, response) => {
+      void this.answer(request, response);
+    });
+  }
+
+  async listen(): Promise<string> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', resolve),
+    );
+    const {port} = this.server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const call = `${request.method} ${request.url}`;
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+      chunks.push(chunk as Buffer);
+    }
+    const text = Buffer.concat(chunks).toString('utf8');
+    const {authorization} = request.headers;
+    const body: unknown = text === '' ? undefined : JSON.parse(text);
+    this.received.push({call, body, authorization});
+    const answers = this.script[call] ?? [{status: 404, body: {}}];
+    const count = this.received.filter(one => one.call === call).length;
+    const answer = answers[Math.min(count, answers.length) - 1];
+    if (answer === 'cut') {
+      request.socket.destroy();
+      return;
+    }
+    response.writeHead(answer.status, {'content-type': 'application/json'});
+    response.end(JSON.stringify(answer.body));
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,6 +7,8 @@
     testTimeout: 60000,
     hookTimeout: 60000,
     maxWorkers: 4,
+    // Its modules import folders, which only a bundler resolves.
+    server: {deps: {inline: ['clipanion']}},
   },
 });
 
