--- /dev/null
+++ b/src/programs/entry/entryParts.ts
@@ -0,0 +1,33 @@
+import {Clock} from '../../base/common/clock.js';
+import {Disposable} from '../../base/common/lifecycle.js';
+import {ServiceDispatcher} from '../../features/callers/common/serviceDispatcher.js';
+import {ClaimService} from '../../features/claims/common/claims.js';
+import {EntryViewSource} from '../../features/membership/node/entryViewSource.js';
+import {PipelineDriver} from '../../features/pipeline/common/pipelineDriver.js';
+import {HttpEngineConnector} from '../../platform/engine/node/httpEngineConnector.js';
+import {Logger} from '../../platform/logging/common/logger.js';
+import {Metrics} from '../../platform/metrics/common/metrics.js';
+import {HttpServiceConnector} from '../../platform/service/node/httpServiceConnector.js';
+import {EntrySettings} from '../../platform/settings/common/programSettings.js';
+
+/** What the parts of either policy are built from. */
+export interface EntryBase {
+  readonly settings: EntrySettings;
+  readonly peerKey: string;
+  readonly incarnation: string;
+  readonly views: EntryViewSource;
+  readonly engines: HttpEngineConnector;
+  readonly services: HttpServiceConnector;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** The parts that differ between policies. */
+export interface PolicyParts extends Disposable {
+  readonly claims: ClaimService;
+  readonly driver: PipelineDriver;
+  readonly dispatcher: ServiceDispatcher;
+  /** Begins to serve peers and to follow upstreams. */
+  start(): Promise<void>;
+}
