--- a/src/features/callers/test/callerFakes.ts
+++ b/src/features/callers/test/callerFakes.ts
@@ -124,7 +124,11 @@
   readonly claimed: string[] = [];
   readonly completed: RequestOutcome[] = [];
 
-  override claim(_account: string, key: string): Promise<ClaimDecision> {
+  override claim(
+    _account: string,
+    key: string,
+    _token: CancellationToken,
+  ): Promise<ClaimDecision> {
     this.claimed.push(key);
     return Promise.resolve(this.decision);
   }
--- a/src/programs/entry/main.ts
+++ b/src/programs/entry/main.ts
@@ -109,12 +109,12 @@
   cli.register(CheckSettingsCommand);
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
-  const {stdout} = process;
+  const {stderr} = process;
   try {
     const command = cli.process(process.argv.slice(2));
     return await cli.run(command, Cli.defaultContext);
   } catch (error) {
-    stdout.write(cli.error(error));
+    stderr.write(cli.error(error));
     return EXIT_USAGE;
   }
 }
