Pipeline driver: repeat cancels until engines are idle; a past deadline runs nothing

Cause: tests found a deadline already past that still ran (a timer of no time fires after the first step), and a frozen engine that kept its sequence after it woke. Change: immediate end on a past deadline; bounded, doubling repeats of cancel; no listeners on a shared token.

--- a/src/features/pipeline/common/attemptLedger.ts
+++ b/src/features/pipeline/common/attemptLedger.ts
@@ -5,6 +5,7 @@
   private flightEpoch = 0;
   private doubtEpoch = 0;
   private wasBegun = false;
+  private idleEpoch = 0;
 
   constructor(readonly upstream: string) {}
 
@@ -18,6 +19,11 @@
     return this.doubtEpoch !== 0 || this.flightEpoch !== 0;
   }
 
+  /** The engine has nothing of the request at this and lower epochs; 0 while it has not said so. */
+  get idleThrough(): number {
+    return this.idleEpoch;
+  }
+
   /** A step is about to be sent. */
   handOver(epoch: number): void {
     this.flightEpoch = epoch;
@@ -48,6 +54,7 @@
   /** The engine reports that nothing runs or will run at this and lower epochs. */
   idle(epoch: number, begun: boolean): void {
     this.wasBegun ||= begun;
+    this.idleEpoch = Math.max(this.idleEpoch, epoch);
     if (this.doubtEpoch <= epoch) {
       this.doubtEpoch = 0;
     }
--- a/src/features/pipeline/common/pipelineSettings.ts
+++ b/src/features/pipeline/common/pipelineSettings.ts
@@ -34,6 +34,10 @@
   readonly recoveryLimit: number;
   /** Bound of one cancel call. */
   readonly cancelMilliseconds: number;
+  /** First pause before a cancel is repeated; it doubles each time. */
+  readonly cancelRetryMilliseconds: number;
+  /** How often a cancel is repeated at an engine that is not idle. */
+  readonly cancelRetries: number;
   /** How long a failure waits for cancel reports that decide what it says. */
   readonly settleMilliseconds: number;
   /** Bound of one import of a KV cache. */
@@ -65,6 +69,8 @@
   },
   recoveryLimit: 8,
   cancelMilliseconds: 1000,
+  cancelRetryMilliseconds: 500,
+  cancelRetries: 6,
   settleMilliseconds: 100,
   importMilliseconds: 1500,
   exportMilliseconds: 2000,
--- a/src/features/pipeline/node/boundedCall.ts
+++ b/src/features/pipeline/node/boundedCall.ts
@@ -5,13 +5,13 @@
 import {Clock} from '../../../base/common/clock.js';
 
 /**
- * Runs a call that is cancelled after a time or with its parent.
+ * Runs a call that is cancelled after a time or with its parent, if it has one.
  * Resolves with undefined when it was given up or threw; never rejects.
  */
 export async function callWithin<T>(
   clock: Clock,
   milliseconds: number,
-  parent: CancellationToken,
+  parent: CancellationToken | undefined,
   call: (token: CancellationToken) => Promise<T>,
 ): Promise<T | undefined> {
   const source = new CancellationSource(parent);
@@ -46,6 +46,13 @@
   });
 }
 
+/** Waits for a time. */
+export function delay(clock: Clock, milliseconds: number): Promise<void> {
+  return new Promise(resolve => {
+    clock.setTimer(milliseconds, resolve);
+  });
+}
+
 /** Waits for a time; false when cancelled first. */
 export function delayWithin(
   clock: Clock,
--- a/src/features/pipeline/node/pipelineRecovery.ts
+++ b/src/features/pipeline/node/pipelineRecovery.ts
@@ -172,9 +172,9 @@
     const {safeguards} = this.dependencies;
     const formerEpoch = this.state.epoch - 1;
     const checks = [...this.excluded].map(async ([upstream, checksFencing]) => {
-      const answered = await this.canceller.cancel(upstream, formerEpoch);
+      const report = await this.canceller.cancel(upstream, formerEpoch);
       const record = this.stages.ledger.recordOf(upstream);
-      if (answered && safeguards.mayEnter(record, checksFencing)) {
+      if (report !== 'silent' && safeguards.mayEnter(record, checksFencing)) {
         this.excluded.delete(upstream);
         return true;
       }
--- a/src/features/pipeline/node/pipelineRun.ts
+++ b/src/features/pipeline/node/pipelineRun.ts
@@ -129,6 +129,9 @@
     const {clock} = this.dependencies;
     const left = this.request.deadlineAt - clock.monotonicMilliseconds();
     const deadline = clock.setTimer(left, () => this.source.cancel('deadline'));
+    if (left <= 0) {
+      this.source.cancel('deadline');
+    }
     try {
       const state = await this.followChart();
       return await this.conclude(state);
