--- a/src/features/claims/common/claimAgeing.ts
+++ b/src/features/claims/common/claimAgeing.ts
@@ -27,6 +27,8 @@
   private slice: number;
   private after: string | undefined;
   private isRetired = false;
+  /** Wall time at monotonic zero when this process began. */
+  private readonly wallOffset: number;
 
   constructor(
     private readonly table: TableService,
@@ -35,6 +37,7 @@
     private readonly settings: AgeingSettings,
     incarnation: string,
   ) {
+    this.wallOffset = clock.wallMilliseconds() - clock.monotonicMilliseconds();
     this.slice = rendezvousScore('claim-ageing', incarnation) % SLICES;
   }
 
@@ -68,8 +71,7 @@
     rows: readonly TableRow[],
     token: CancellationToken,
   ): Promise<number> {
-    const before =
-      this.clock.wallMilliseconds() - this.settings.clockMarginMilliseconds;
+    const before = this.now() - this.settings.clockMarginMilliseconds;
     const expired = rows.filter(row => hasExpired(row, before));
     if (expired.length === 0) {
       return 0;
@@ -83,6 +85,12 @@
     return deleted;
   }
 
+  /** A wall clock that was set forward must not delete rows too early. */
+  private now(): number {
+    const steady = this.wallOffset + this.clock.monotonicMilliseconds();
+    return Math.min(this.clock.wallMilliseconds(), steady);
+  }
+
   private moveOn(rows: readonly TableRow[], pageRows: number): void {
     if (rows.length < pageRows) {
       this.slice = (this.slice + 1) % SLICES;
