Pipeline driver: tests by the engines' own ledger; only the process that was there vouches for a lost step

Cause: an engine that restarted after a step was lost reports that nothing was begun; `executed: no` was said on its word. Ruled out: taking any idle report as proof; never taking one (a cut connection would always read unknown).

--- a/src/features/pipeline/common/attemptLedger.ts
+++ b/src/features/pipeline/common/attemptLedger.ts
@@ -1,22 +1,23 @@
+import {CancelReport} from '../../../platform/engine/common/engineConnection.js';
 import {Executed} from '../../requests/common/failure.js';
 
 /** What is known of one request's work at one engine. */
 export class EngineRecord {
-  private flightEpoch = 0;
-  private doubtEpoch = 0;
-  private wasBegun = false;
+  private flight: HandOver | undefined;
+  private doubt: HandOver | undefined;
+  private mayHaveBegun = false;
   private idleEpoch = 0;
 
   constructor(readonly upstream: string) {}
 
-  /** Whether a step is known to have begun here. */
+  /** Whether a step began here, or nobody can vouch that none did. */
   get begun(): boolean {
-    return this.wasBegun;
+    return this.mayHaveBegun;
   }
 
   /** Whether a step may be running here, or may yet run. */
   get inDoubt(): boolean {
-    return this.doubtEpoch !== 0 || this.flightEpoch !== 0;
+    return this.doubt !== undefined || this.flight !== undefined;
   }
 
   /** The engine has nothing of the request at this and lower epochs; 0 while it has not said so. */
@@ -24,43 +25,64 @@
     return this.idleEpoch;
   }
 
-  /** A step is about to be sent. */
-  handOver(epoch: number): void {
-    this.flightEpoch = epoch;
+  /** A step is about to be sent; `incarnation` is the engine's process last heard of. */
+  handOver(epoch: number, incarnation: string | undefined): void {
+    this.flight = {epoch, incarnation};
   }
 
   /** The step in flight was answered with its receipt. */
   completed(): void {
-    this.flightEpoch = 0;
-    this.wasBegun = true;
+    this.flight = undefined;
+    this.mayHaveBegun = true;
   }
 
   /** The step in flight was surely not begun and never will be. */
   refused(): void {
-    this.flightEpoch = 0;
+    this.flight = undefined;
   }
 
   /** The step in flight may have begun. */
   lost(): void {
-    this.doubtEpoch = Math.max(this.doubtEpoch, this.flightEpoch);
-    this.flightEpoch = 0;
+    const {flight, doubt} = this;
+    this.flight = undefined;
+    if (flight === undefined) {
+      return;
+    }
+    const isSameProcess =
+      doubt === undefined || doubt.incarnation === flight.incarnation;
+    const incarnation = isSameProcess ? flight.incarnation : undefined;
+    this.doubt = {epoch: flight.epoch, incarnation};
   }
 
   /** Something of the request ran here, whoever sent it. */
   seenBegun(): void {
-    this.wasBegun = true;
+    this.mayHaveBegun = true;
   }
 
-  /** The engine reports that nothing runs or will run at this and lower epochs. */
-  idle(epoch: number, begun: boolean): void {
-    this.wasBegun ||= begun;
+  /**
+   * The engine reports that nothing runs or will run at this and lower epochs. That nothing was begun
+   * counts for lost steps only from the process that was there before they were sent.
+   */
+  idle(epoch: number, report: Omit<CancelReport, 'state'>): void {
+    const {doubt} = this;
     this.idleEpoch = Math.max(this.idleEpoch, epoch);
-    if (this.doubtEpoch <= epoch) {
-      this.doubtEpoch = 0;
+    this.mayHaveBegun ||= report.begun;
+    if (doubt === undefined || doubt.epoch > epoch) {
+      return;
     }
+    const vouches =
+      doubt.incarnation !== undefined &&
+      doubt.incarnation === report.engineIncarnation;
+    this.mayHaveBegun ||= !vouches;
+    this.doubt = undefined;
   }
 }
 
+interface HandOver {
+  readonly epoch: number;
+  readonly incarnation: string | undefined;
+}
+
 /** The record of all engines that steps of one request were handed to. */
 export class AttemptLedger {
   private readonly records = new Map<string, EngineRecord>();
@@ -90,7 +112,7 @@
  * `no` needs every engine to have provably not begun; `yes` needs released tokens and no engine in doubt.
  */
 export function decideExecuted(
-  records: readonly Pick<EngineRecord, 'begun' | 'inDoubt'>[],
+  records: ReadonlyArray<Pick<EngineRecord, 'begun' | 'inDoubt'>>,
   releasedTokens: number,
 ): Executed {
   const inDoubt = records.some(record => record.inDoubt);
--- a/src/features/pipeline/common/progressWatch.ts
+++ b/src/features/pipeline/common/progressWatch.ts
@@ -4,17 +4,25 @@
 
 const ENOUGH_SAMPLES = 8;
 
+/** What is kept of an upstream across requests. */
+export class UpstreamKnowledge {
+  /** Observed decode step times, in milliseconds. */
+  readonly spread = new MovingSpread();
+  /** The engine's process that answered last. */
+  incarnation: string | undefined;
+}
+
 /** Says how long an answer of a stage may take before the stage counts as silent; times in milliseconds. */
 export class ProgressWatch {
-  private readonly spreads: BoundedMap<string, MovingSpread>;
+  private readonly known: BoundedMap<string, UpstreamKnowledge>;
 
   constructor(private readonly settings: WatchSettings) {
-    this.spreads = new BoundedMap(settings.trackedUpstreams);
+    this.known = new BoundedMap(settings.trackedUpstreams);
   }
 
-  /** The observed decode step times of an upstream; whoever holds it may add to it. */
-  spreadOf(upstream: string): MovingSpread {
-    return this.spreads.obtain(upstream, () => new MovingSpread());
+  /** What is known of an upstream; whoever holds it may add to it. */
+  knowledgeOf(upstream: string): UpstreamKnowledge {
+    return this.known.obtain(upstream, () => new UpstreamKnowledge());
   }
 
   /** The limit of one decode step, given the token target of the class. */
--- a/src/features/pipeline/node/defaultPipelineDriver.ts
+++ b/src/features/pipeline/node/defaultPipelineDriver.ts
@@ -8,7 +8,8 @@
 import {PipelineDriver, TokenSink} from '../common/pipelineDriver.js';
 import {ProgressWatch} from '../common/progressWatch.js';
 import {PipelineDependencies} from './pipelineDependencies.js';
-import {PipelineRun, SharedKnowledge} from './pipelineRun.js';
+import {PipelineRun} from './pipelineRun.js';
+import {SharedKnowledge} from './runParts.js';
 
 /** Drives requests through engines stage by stage and recovers them when stages fail. */
 export class DefaultPipelineDriver extends PipelineDriver {
--- a/src/features/pipeline/node/engineCanceller.ts
+++ b/src/features/pipeline/node/engineCanceller.ts
@@ -36,7 +36,7 @@
     const {state, begun} = result.value;
     const record = this.ledger.recordOf(upstream);
     if (state === 'idle') {
-      record.idle(epoch, begun);
+      record.idle(epoch, result.value);
     } else if (begun) {
       record.seenBegun();
     }
--- a/src/features/pipeline/node/pipelineRun.ts
+++ b/src/features/pipeline/node/pipelineRun.ts
@@ -3,10 +3,7 @@
   CancellationToken,
 } from '../../../base/common/cancellation.js';
 import {Result} from '../../../base/common/result.js';
-import {
-  ChartInstance,
-  StateChart,
-} from '../../../platform/stateChart/common/stateChart.js';
+import {ChartInstance} from '../../../platform/stateChart/common/stateChart.js';
 import {RequestFailure} from '../../requests/common/failure.js';
 import {
   FinishReason,
@@ -14,7 +11,6 @@
   ModelRequest,
 } from '../../requests/common/request.js';
 import {ReservationReply} from '../../routing/common/routing.js';
-import {OutputEstimator} from '../common/outputEstimator.js';
 import {
   AttemptAction,
   AttemptEvent,
@@ -22,44 +18,16 @@
 } from '../common/pipelineAttempt.js';
 import {TokenSink} from '../common/pipelineDriver.js';
 import {coversAllLayers} from '../common/planCheck.js';
-import {ProgressWatch} from '../common/progressWatch.js';
 import {recordFailure} from '../common/stageFailure.js';
-import {prefixKeyOf} from '../common/prefixKey.js';
 import {delayWithin, untilCancelled} from './boundedCall.js';
-import {CacheKeeper} from './cacheKeeper.js';
-import {CapacityClient} from './capacityClient.js';
-import {DroppedAnswers} from './droppedAnswers.js';
-import {EngineCanceller} from './engineCanceller.js';
 import {PipelineDependencies} from './pipelineDependencies.js';
-import {PipelineRecovery} from './pipelineRecovery.js';
-import {RunConclusion} from './runConclusion.js';
-import {RunState} from './runState.js';
-import {StageSet} from './stageSet.js';
-import {
-  StageFailure,
-  TokenOutput,
-  TokenPass,
-  TokenStepper,
-} from './tokenStepper.js';
-
-/** What all runs of a driver share. */
-export interface SharedKnowledge {
-  readonly watch: ProgressWatch;
-  readonly estimator: OutputEstimator;
-  readonly chart: StateChart<AttemptState, AttemptEvent, AttemptAction>;
-}
+import {createRunParts, RunParts, SharedKnowledge} from './runParts.js';
+import {StageFailure, TokenOutput} from './tokenStepper.js';
 
 /** One request on its way through a pipeline. */
 export class PipelineRun {
   private readonly source: CancellationSource;
-  private readonly state: RunState;
-  private readonly stages: StageSet;
-  private readonly capacity: CapacityClient;
-  private readonly canceller: EngineCanceller;
-  private readonly caches: CacheKeeper;
-  private readonly recovery: PipelineRecovery;
-  private readonly stepper: TokenStepper;
-  private readonly conclusion: RunConclusion;
+  private readonly parts: RunParts;
   private failed: StageFailure | undefined;
   private refusal: Extract<ReservationReply, {kind: 'refused'}> | undefined;
   private finishReason: FinishReason = 'length';
@@ -71,56 +39,12 @@
     private readonly sink: TokenSink,
     token: CancellationToken,
   ) {
-    const {clock} = dependencies;
-    const dropped = new DroppedAnswers(dependencies, request.requestId);
     this.source = new CancellationSource(token);
-    this.state = new RunState(
-      request,
-      clock,
-      this.source.token,
-      (step, result) => dropped.late(step, result),
-    );
-    this.stages = new StageSet(dependencies, shared.watch);
-    this.capacity = new CapacityClient(
+    this.parts = createRunParts(
       dependencies,
+      shared,
       request,
-      this.state,
-      shared.estimator,
-    );
-    this.canceller = new EngineCanceller(
-      dependencies,
-      request.requestId,
-      this.stages,
-    );
-    this.caches = new CacheKeeper(
-      dependencies,
-      request.requestId,
-      this.state,
-      this.stages,
-    );
-    this.recovery = new PipelineRecovery(
-      dependencies,
-      request,
-      this.state,
-      this.stages,
-      this.capacity,
-      this.canceller,
-      this.caches,
-    );
-    this.stepper = new TokenStepper(
-      request,
-      prefixKeyOf(request.model.name, request.adapter, request.promptTokens),
-      clock,
-      shared.watch,
-      dependencies.safeguards,
-      (step, fault) => dropped.faulty(step, fault),
-    );
-    this.conclusion = new RunConclusion(
-      dependencies,
-      request,
-      this.state,
-      this.stages,
-      this.canceller,
+      this.source.token,
     );
   }
 
@@ -137,7 +61,7 @@
       return await this.conclude(state);
     } finally {
       deadline.dispose();
-      this.state.attempt.dispose();
+      this.parts.state.attempt.dispose();
       this.source.dispose();
     }
   }
@@ -167,10 +91,11 @@
   }
 
   private async reserve(): Promise<AttemptEvent> {
-    if (this.state.token.isCancelled) {
+    const {state, stages, capacity} = this.parts;
+    if (state.token.isCancelled) {
       return 'ended';
     }
-    const reply = await this.capacity.reserve();
+    const reply = await capacity.reserve();
     if (reply === undefined) {
       return 'ended';
     }
@@ -179,28 +104,28 @@
       return 'refused';
     }
     const {reservation} = reply;
-    this.state.reservation = reservation;
+    state.reservation = reservation;
     if (!coversAllLayers(reservation.stages, this.request.model.layerCount)) {
       return 'refused';
     }
-    this.stages.adopt(reservation.stages, undefined);
-    const started = await this.waitForStart(
-      reservation.prediction.startsInMilliseconds,
-    );
+    stages.adopt(reservation.stages, undefined);
+    const {startsInMilliseconds} = reservation.prediction;
+    const started = await this.waitForStart(startsInMilliseconds);
     return started ? 'reserved' : 'ended';
   }
 
   /** Comes a little before the predicted start: engines queue by priority, and predictions err. */
   private async waitForStart(startsIn: number): Promise<boolean> {
+    const {token} = this.parts.state;
     const {clock, settings} = this.dependencies;
     const lead = Math.max(
       settings.startLeadMilliseconds,
       settings.startLeadShare * startsIn,
     );
     if (startsIn <= lead) {
-      return !this.state.token.isCancelled;
+      return !token.isCancelled;
     }
-    return delayWithin(clock, startsIn - lead, this.state.token);
+    return delayWithin(clock, startsIn - lead, token);
   }
 
   private async prefill(): Promise<AttemptEvent> {
@@ -218,74 +143,35 @@
   }
 
   private async recover(): Promise<AttemptEvent> {
-    const outcome = await this.recovery.recover(this.failed as StageFailure);
+    const {state, recovery} = this.parts;
+    const outcome = await recovery.recover(this.failed as StageFailure);
     if (outcome.kind === 'stageFailed') {
       this.failed = outcome.failure;
     }
-    return this.state.token.isCancelled ? 'ended' : outcome.kind;
+    return state.token.isCancelled ? 'ended' : outcome.kind;
   }
 
   /** Runs one pass and releases its token; an event when the generation can't simply go on. */
   private async nextToken(): Promise<AttemptEvent | undefined> {
-    const {state} = this;
-    const pass = this.nextPass();
-    const epoch = state.epoch;
-    const result = await this.stepper.run(
-      this.stages.sessions,
-      state.attempt,
-      pass,
-    );
-    const [first] = this.stages.sessions;
-    state.steppedTo = Math.max(state.steppedTo, first.coveredTo);
+    const {state, stages, stepper, planner} = this.parts;
+    const {sessions} = stages;
+    const pass = planner.next();
+    const result = await stepper.run(sessions, state.attempt, pass);
+    state.steppedTo = Math.max(state.steppedTo, sessions[0].coveredTo);
     if (!result.ok) {
       const {session, error} = result.error;
-      recordFailure(session.record, error, epoch);
+      recordFailure(session.record, error, pass.epoch);
       this.failed = result.error;
       return state.token.isCancelled ? 'ended' : 'stageFailed';
     }
     return state.token.isCancelled ? 'ended' : this.release(result.value);
   }
 
-  private nextPass(): TokenPass {
-    const {state, request} = this;
-    const to = state.tokens.length;
-    const from = Math.min(this.stages.coveredTo, to - 1);
-    const isDecode = state.released > 0 && to - from === 1;
-    return {
-      epoch: state.epoch,
-      from,
-      to,
-      tokens: state.tokens.slice(from, to),
-      rebuild: from < state.steppedTo,
-      priority: isDecode
-        ? request.classOfWork.betweenTokensMilliseconds
-        : this.prefillPriority(),
-      limitMilliseconds: isDecode ? undefined : this.prefillLimit(to - from),
-    };
-  }
-
-  private prefillPriority(): number {
-    const {firstTokenMilliseconds} = this.request.classOfWork;
-    const dueAt = this.request.arrivedAt + firstTokenMilliseconds;
-    const now = this.dependencies.clock.monotonicMilliseconds();
-    return Math.max(0, Math.round(dueAt - now));
-  }
-
-  private prefillLimit(positions: number): number {
-    const {firstTokenMilliseconds} = this.request.classOfWork;
-    const predicted =
-      this.state.reservation?.prediction.firstTokenMilliseconds ?? 0;
-    return this.shared.watch.prefillLimit(
-      positions,
-      this.state.promptLength,
-      Math.max(firstTokenMilliseconds, predicted),
-    );
-  }
-
   private async release(
     output: TokenOutput,
   ): Promise<AttemptEvent | undefined> {
-    const {state, request} = this;
+    const {state, caches, capacity} = this.parts;
+    const {maximumOutputTokens} = this.request;
     const isBareEnd = output.endOfText && output.token === '';
     if (!isBareEnd && !(await this.deliver(output.token))) {
       return 'ended';
@@ -294,21 +180,21 @@
       this.finishReason = 'stop';
       return 'finished';
     }
-    if (state.released >= request.maximumOutputTokens) {
+    if (state.released >= maximumOutputTokens) {
       return 'finished';
     }
-    this.caches.exportWhenDue({
+    caches.exportWhenDue({
       contextTokens: state.tokens.length,
       releasedTokens: state.released,
-      expectedTokens: this.capacity.expectedTokens(),
-      maximumTokens: request.maximumOutputTokens,
+      expectedTokens: capacity.expectedTokens(),
+      maximumTokens: maximumOutputTokens,
     });
     return undefined;
   }
 
   /** Hands a token to the caller; false when the run ended meanwhile. */
   private async deliver(text: string): Promise<boolean> {
-    const {state} = this;
+    const {state} = this.parts;
     const index = state.released;
     state.tokens.push(text);
     try {
@@ -327,21 +213,22 @@
   }
 
   private conclude(
-    state: AttemptState,
+    end: AttemptState,
   ): Promise<Result<ModelReply, RequestFailure>> {
-    if (state === 'completed') {
+    const {state, conclusion, recovery} = this.parts;
+    if (end === 'completed') {
       this.shared.estimator.observe(
         this.request.classOfWork.name,
         this.request.clientAccount,
-        this.state.released,
+        state.released,
       );
-      return Promise.resolve(this.conclusion.complete(this.finishReason));
+      return Promise.resolve(conclusion.complete(this.finishReason));
     }
-    if (state === 'cancelled') {
-      return this.conclusion.end();
+    if (end === 'cancelled') {
+      return conclusion.end();
     }
     return this.refusal
-      ? this.conclusion.refuse(this.refusal)
-      : this.conclusion.fail(this.failed, this.recovery.retryAfterMilliseconds);
+      ? conclusion.refuse(this.refusal)
+      : conclusion.fail(this.failed, recovery.retryAfterMilliseconds);
   }
 }
--- a/src/features/pipeline/node/stageSession.ts
+++ b/src/features/pipeline/node/stageSession.ts
@@ -1,7 +1,7 @@
 import {EngineConnection} from '../../../platform/engine/common/engineConnection.js';
 import {ChosenStage, StageObservation} from '../../routing/common/routing.js';
 import {EngineRecord} from '../common/attemptLedger.js';
-import {MovingSpread} from '../common/movingSpread.js';
+import {UpstreamKnowledge} from '../common/progressWatch.js';
 
 /** What one request saw of one upstream. */
 export class UpstreamStatistics {
@@ -49,7 +49,7 @@
     readonly chosen: ChosenStage,
     readonly connection: EngineConnection,
     readonly record: EngineRecord,
-    readonly spread: MovingSpread,
+    readonly knowledge: UpstreamKnowledge,
     readonly statistics: UpstreamStatistics,
   ) {}
 
--- a/src/features/pipeline/node/stageSet.ts
+++ b/src/features/pipeline/node/stageSet.ts
@@ -85,7 +85,7 @@
       chosen,
       this.connect(chosen),
       this.ledger.recordOf(chosen.upstream),
-      this.watch.spreadOf(chosen.upstream),
+      this.watch.knowledgeOf(chosen.upstream),
       this.statisticsOf(chosen.upstream),
     );
   }
--- a/src/features/pipeline/node/tokenStepper.ts
+++ b/src/features/pipeline/node/tokenStepper.ts
@@ -94,7 +94,7 @@
   ): Promise<Result<StepReceipt, StepError>> {
     const limit = pass.limitMilliseconds ?? this.decodeLimit(session);
     const sentAt = this.clock.monotonicMilliseconds();
-    session.record.handOver(pass.epoch);
+    session.record.handOver(pass.epoch, session.knowledge.incarnation);
     const result = await attempt.call(session.connection, step, limit);
     if (!result.ok) {
       return result;
@@ -123,16 +123,17 @@
     const compute = receipt.computeMilliseconds;
     const link = Math.max(0, elapsed - receipt.queueMilliseconds - compute);
     session.record.completed();
+    session.knowledge.incarnation = receipt.engineIncarnation;
     session.coveredTo = pass.to;
     session.statistics.observe(isDecode, compute, link);
     if (isDecode) {
-      session.spread.observe(elapsed);
+      session.knowledge.spread.observe(elapsed);
     }
   }
 
   private decodeLimit(session: StageSession): number {
     const target = this.request.classOfWork.betweenTokensMilliseconds;
-    return this.watch.decodeLimit(session.spread, target);
+    return this.watch.decodeLimit(session.knowledge.spread, target);
   }
 
   private buildStep(
--- /dev/null
+++ b/src/features/pipeline/test/pipelineFaults.test.ts
@@ -0,0 +1,237 @@
+import {describe, expect, test} from 'vitest';
+
+import {Executed} from '../../requests/common/failure.js';
+import {ExportMode, Fault, FaultKind, faultKinds} from './faultyEngine.js';
+import {PipelineBench, upstreamName} from './pipelineBench.js';
+import {violationsOf} from './verdict.js';
+
+const stages = [0, 1, 2];
+const PREFILL = 0;
+const DECODE = 5;
+
+interface FaultCase {
+  readonly kind: FaultKind;
+  readonly stage: number;
+  readonly atStep: number;
+  readonly unfenced: boolean;
+}
+
+const faultCases: readonly FaultCase[] = faultKinds.flatMap(kind =>
+  stages.flatMap(stage =>
+    [PREFILL, DECODE].flatMap(atStep =>
+      [false, true].map(unfenced => ({kind, stage, atStep, unfenced})),
+    ),
+  ),
+);
+
+function faultAt(stage: number, kind: FaultKind, atStep: number): Fault {
+  const upstream = upstreamName(stage, 0);
+  return {upstream, kind, atStep, milliseconds: 8000};
+}
+
+describe('one fault at one stage, with a replacement', () => {
+  test.each(faultCases)(
+    '$kind at stage $stage, step $atStep, unfenced $unfenced',
+    async ({kind, stage, atStep, unfenced}) => {
+      const bench = new PipelineBench({
+        faults: [faultAt(stage, kind, atStep)],
+        unfenced: unfenced ? 'all' : [],
+      });
+      const run = bench.start();
+      await bench.finish();
+      expect(violationsOf(bench)).toEqual([]);
+      expect(run.result?.ok).toBe(true);
+      expect(run.endedAt).toBeLessThan(5000);
+    },
+  );
+});
+
+describe('KV export', () => {
+  // 4 prompt tokens and 7 released ones; the export after 5 covers 4 + 5 - 1 positions, a stale one half.
+  const exportCases: ReadonlyArray<{mode: ExportMode; recomputed: number}> = [
+    {mode: 'present', recomputed: 11 - 8},
+    {mode: 'stale', recomputed: 11 - 4},
+    {mode: 'absent', recomputed: 11},
+  ];
+  test.each(exportCases)(
+    '$mode: the rebuild runs $recomputed positions',
+    async ({mode, recomputed}) => {
+      const bench = new PipelineBench({
+        faults: [faultAt(1, 'killBefore', 7)],
+        exportMode: mode,
+        settings: {
+          exports: {
+            everyTokens: 5,
+            minimumContextTokens: 1,
+            minimumRemainingTokens: 1,
+          },
+        },
+      });
+      const run = bench.start();
+      await bench.finish();
+      expect(violationsOf(bench)).toEqual([]);
+      expect(run.result?.ok).toBe(true);
+      const first = bench.ledger.find(
+        entry => entry.upstream === upstreamName(1, 1),
+      );
+      const {from, to} = first?.positions ?? {from: 0, to: 0};
+      expect(to - from).toBe(recomputed);
+    },
+  );
+});
+
+describe('when nothing can replace the stage', () => {
+  const cases: ReadonlyArray<{
+    name: string;
+    fault: Fault;
+    unfenced: boolean;
+    executed: Executed | 'whole';
+  }> = [
+    {
+      name: 'dead first stage, never reached',
+      fault: faultAt(0, 'unreachable', PREFILL),
+      unfenced: true,
+      executed: 'no',
+    },
+    {
+      name: 'first stage refuses',
+      fault: faultAt(0, 'refused', PREFILL),
+      unfenced: true,
+      executed: 'no',
+    },
+    {
+      name: 'first stage has no room',
+      fault: faultAt(0, 'overloaded', PREFILL),
+      unfenced: true,
+      executed: 'no',
+    },
+    {
+      name: 'first stage dies before it ran',
+      fault: faultAt(0, 'killBefore', PREFILL),
+      unfenced: true,
+      executed: 'unknown',
+    },
+    {
+      name: 'second stage dies at prefill',
+      fault: faultAt(1, 'killBefore', PREFILL),
+      unfenced: true,
+      executed: 'unknown',
+    },
+    {
+      name: 'stage dies after tokens',
+      fault: faultAt(1, 'killAfter', DECODE),
+      unfenced: true,
+      executed: 'unknown',
+    },
+    {
+      name: 'connection cut, engine up, fenced',
+      fault: faultAt(1, 'cutAfter', DECODE),
+      unfenced: false,
+      executed: 'whole',
+    },
+    {
+      name: 'connection cut, engine up, unfenced',
+      fault: faultAt(1, 'cutAfter', DECODE),
+      unfenced: true,
+      executed: 'whole',
+    },
+    {
+      name: 'frozen, fenced',
+      fault: faultAt(1, 'freezeBefore', DECODE),
+      unfenced: false,
+      executed: 'whole',
+    },
+    {
+      name: 'frozen, unfenced',
+      fault: faultAt(1, 'freezeBefore', DECODE),
+      unfenced: true,
+      executed: 'whole',
+    },
+    {
+      name: 'slow, unfenced',
+      fault: faultAt(1, 'slow', DECODE),
+      unfenced: true,
+      executed: 'whole',
+    },
+  ];
+  test.each(cases)('$name: $executed', async ({fault, unfenced, executed}) => {
+    const bench = new PipelineBench({
+      replicas: 1,
+      faults: [fault],
+      unfenced: unfenced ? 'all' : [],
+      settings: {recoveryLimit: 40},
+    });
+    const run = bench.start();
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    const {result} = run;
+    expect(result?.ok ? 'whole' : result?.error.executed).toBe(executed);
+    if (result?.ok === false) {
+      expect(result.error.retryAfterMilliseconds).toBeGreaterThan(0);
+    }
+  });
+});
+
+describe('a lost first step, with no recovery', () => {
+  const cases: ReadonlyArray<{
+    kind: FaultKind;
+    servedBefore: boolean;
+    executed: Executed;
+  }> = [
+    {kind: 'cutBefore', servedBefore: true, executed: 'no'},
+    {kind: 'cutBefore', servedBefore: false, executed: 'unknown'},
+    {kind: 'cutAfter', servedBefore: true, executed: 'unknown'},
+    {kind: 'restartAfter', servedBefore: true, executed: 'unknown'},
+  ];
+  test.each(cases)(
+    '$kind, process known before $servedBefore: $executed',
+    async ({kind, servedBefore, executed}) => {
+      const served = servedBefore ? 12 : 0;
+      const bench = new PipelineBench({
+        replicas: 1,
+        faults: [faultAt(0, kind, served)],
+        settings: {recoveryLimit: 0},
+      });
+      if (servedBefore) {
+        bench.start();
+        await bench.finish();
+      }
+      const run = bench.start();
+      await bench.finish();
+      expect(violationsOf(bench)).toEqual([]);
+      expect(run.result).toMatchObject({ok: false, error: {executed}});
+    },
+  );
+});
+
+describe('several faults', () => {
+  test('two streams at once, one stage killed, one answer crossed', async () => {
+    const bench = new PipelineBench({
+      replicas: 3,
+      faults: [
+        faultAt(0, 'crossed', 7),
+        faultAt(1, 'killAfter', 8),
+        faultAt(2, 'twice', 9),
+      ],
+    });
+    const runs = [bench.start(), bench.start(), bench.start()];
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(runs.map(run => run.result?.ok)).toEqual([true, true, true]);
+    expect(bench.metrics.counts.get('pipeline.droppedAnswers')).toBe(2);
+  });
+
+  test('recoveries are bounded', async () => {
+    const faults = Array.from({length: 50}, (_, atStep) =>
+      faultAt(1, 'cutAfter', atStep),
+    );
+    const bench = new PipelineBench({replicas: 1, faults});
+    const run = bench.start();
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(run.result).toMatchObject({
+      ok: false,
+      error: {error: {kind: 'upstreamFailed'}, executed: 'unknown'},
+    });
+  });
+});
--- /dev/null
+++ b/src/features/pipeline/test/pipelineLifecycle.test.ts
@@ -0,0 +1,162 @@
+import {describe, expect, test} from 'vitest';
+
+import {STEP_MILLISECONDS} from './faultyEngine.js';
+import {PipelineBench, upstreamName} from './pipelineBench.js';
+import {violationsOf} from './verdict.js';
+
+function residents(bench: PipelineBench): readonly string[] {
+  return bench.engines.flatMap(engine => engine.resident);
+}
+
+describe('whole replies', () => {
+  const cases = [
+    {name: 'ends by itself', maximumOutputTokens: 40, finishReason: 'stop'},
+    {
+      name: 'ends at the maximum',
+      maximumOutputTokens: 7,
+      finishReason: 'length',
+    },
+    {name: 'one token', maximumOutputTokens: 1, finishReason: 'length'},
+  ];
+  test.each(cases)('$name', async ({maximumOutputTokens, finishReason}) => {
+    const bench = new PipelineBench();
+    const run = bench.start({maximumOutputTokens});
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(run.result).toMatchObject({ok: true, value: {finishReason}});
+    expect(residents(bench)).toEqual([]);
+    expect(bench.broker.observations).toHaveLength(3);
+    expect(bench.logger.decisions).toHaveLength(1);
+  });
+
+  test('a slow reader holds the next step back', async () => {
+    const bench = new PipelineBench();
+    let release = (): void => undefined;
+    const run = bench.start({}, ({delivered}) =>
+      delivered.length === 3
+        ? new Promise<void>(resolve => {
+            release = resolve;
+          })
+        : undefined,
+    );
+    await bench.clock.advanceAsync(5000);
+    expect(run.delivered).toHaveLength(3);
+    expect(bench.ledger).toHaveLength(9);
+    release();
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(run.result?.ok).toBe(true);
+  });
+
+  test('waits for a start that lies ahead, a little less than predicted', async () => {
+    const bench = new PipelineBench({startsInMilliseconds: 400});
+    bench.start();
+    await bench.clock.advanceAsync(300 + STEP_MILLISECONDS - 1);
+    expect(bench.ledger).toHaveLength(0);
+    await bench.clock.advanceAsync(1);
+    expect(bench.ledger).toHaveLength(1);
+    await bench.finish();
+  });
+
+  test('learns the length of replies', async () => {
+    const bench = new PipelineBench();
+    for (let index = 0; index < 10; index++) {
+      bench.start();
+      await bench.finish();
+    }
+    const asked = bench.broker.works.map(work => work.outputTokens);
+    expect(asked[0]).toBe(40);
+    expect(asked[9]).toBeLessThan(30);
+  });
+});
+
+describe('ends before the reply is whole', () => {
+  test('caller gone while tokens flow', async () => {
+    const bench = new PipelineBench();
+    const run = bench.start({}, ({delivered, source}) => {
+      if (delivered.length === 4) {
+        source.cancel('caller gone');
+      }
+    });
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(run.result).toMatchObject({
+      ok: false,
+      error: {error: {kind: 'callerGone'}, executed: 'yes'},
+    });
+    expect(run.delivered).toHaveLength(4);
+    expect(residents(bench)).toEqual([]);
+  });
+
+  test('caller gone while waiting for the start', async () => {
+    const bench = new PipelineBench({startsInMilliseconds: 4000});
+    const run = bench.start();
+    await bench.clock.advanceAsync(100);
+    run.source.cancel('caller gone');
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(run.result).toMatchObject({ok: false, error: {executed: 'no'}});
+    expect(run.endedAt).toBe(100);
+  });
+
+  test('caller gone while a frozen stage holds the step', async () => {
+    const fault = {
+      upstream: upstreamName(1, 0),
+      atStep: 0,
+      kind: 'freezeBefore',
+      milliseconds: 9000,
+    } as const;
+    const bench = new PipelineBench({faults: [fault]});
+    const run = bench.start();
+    await bench.clock.advanceAsync(50);
+    run.source.cancel('caller gone');
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(run.result).toMatchObject({ok: false, error: {executed: 'unknown'}});
+    expect(run.endedAt).toBeLessThanOrEqual(150);
+    expect(residents(bench)).toEqual([]);
+  });
+
+  test('the deadline passes in the middle', async () => {
+    const fault = {
+      upstream: upstreamName(2, 0),
+      atStep: 3,
+      kind: 'freezeBefore',
+      milliseconds: 9000,
+    } as const;
+    const bench = new PipelineBench({faults: [fault], unfenced: 'all'});
+    const run = bench.start({deadlineAt: 300});
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(run.result).toMatchObject({
+      ok: false,
+      error: {
+        error: {kind: 'deadlineExceeded'},
+        executed: 'unknown',
+        retryAfterMilliseconds: 1000,
+      },
+    });
+    expect(run.endedAt).toBeLessThanOrEqual(400);
+  });
+
+  test('a deadline already past runs nothing', async () => {
+    const bench = new PipelineBench();
+    const run = bench.start({deadlineAt: -1});
+    await bench.finish();
+    expect(run.result).toMatchObject({ok: false, error: {executed: 'no'}});
+    expect(bench.ledger).toEqual([]);
+  });
+
+  test.each([
+    {overrides: {promptTokens: []}, path: '$.messages'},
+    {overrides: {maximumOutputTokens: 0}, path: '$.max_tokens'},
+  ])('refuses $path', async ({overrides, path}) => {
+    const bench = new PipelineBench();
+    const run = bench.start(overrides);
+    await bench.finish();
+    expect(run.result).toMatchObject({
+      ok: false,
+      error: {error: {findings: [{path}]}, executed: 'no'},
+    });
+  });
+});
