--- a/src/features/routing/common/laxityPolicy.ts
+++ b/src/features/routing/common/laxityPolicy.ts
@@ -1,8 +1,9 @@
-import {findPipelines, Pipeline} from './pipelineSearch.js';
+import {admit, PipelinePolicy, refuse} from './pipelinePolicy.js';
+import {Pipeline} from './pipelineSearch.js';
 import {
   CellView,
+  Prediction,
   RoutingDecision,
-  RoutingPolicy,
   ShareView,
   WorkEstimate,
 } from './routing.js';
@@ -11,8 +12,6 @@
 /** How one of several pipelines that are in time is chosen. */
 export type PipelineChoice = 'bestFit' | 'earliestFinish' | 'leastPrefill';
 
-/** Milliseconds before a caller comes back where no pipeline exists at all. */
-const NO_PIPELINE_RETRY_MILLISECONDS = 1000;
 /** Milliseconds before a caller comes back where even an idle pipeline would be too slow. */
 const TOO_SLOW_RETRY_MILLISECONDS = 5000;
 const SHORTEST_RETRY_MILLISECONDS = 20;
@@ -72,7 +71,7 @@
  * per pipeline and per token target. An account over its share may fill idle slots only and leaves
  * some free.
  */
-export class LaxityPolicy extends RoutingPolicy {
+export class LaxityPolicy extends PipelinePolicy {
   override readonly name: string;
 
   constructor(private readonly choice: PipelineChoice = 'bestFit') {
@@ -80,60 +79,52 @@
     this.name = `laxity, ${choice}`;
   }
 
-  override decide(
+  protected override decideAmong(
+    pipelines: readonly Pipeline[],
     view: CellView,
     shares: ShareView,
     work: WorkEstimate,
     now: number,
   ): RoutingDecision {
-    const pipelines = findPipelines(view, work, now);
     const candidates = pipelines.length;
-    if (candidates === 0) {
-      const retryAfterMilliseconds = NO_PIPELINE_RETRY_MILLISECONDS;
-      const reason = 'noUpstream';
-      return {kind: 'refuse', reason, retryAfterMilliseconds, candidates};
-    }
     const inTime = pipelines.filter(one => laxity(one, work) >= 0);
     if (inTime.length === 0) {
-      const retryAfterMilliseconds = comeBackAfter(pipelines, work);
-      const reason = 'cannotMeetTarget';
-      return {kind: 'refuse', reason, retryAfterMilliseconds, candidates};
+      const after = comeBackAfter(pipelines, work);
+      return refuse('cannotMeetTarget', after, candidates);
     }
     if (isOverShare(view, shares, work, inTime)) {
-      const retryAfterMilliseconds = nextFinish(view, now);
-      const reason = 'overShare';
-      return {kind: 'refuse', reason, retryAfterMilliseconds, candidates};
+      return refuse('overShare', nextFinish(view, now), candidates);
     }
-    const chosen = this.choose(inTime, work);
-    return {
-      kind: 'admit',
-      stages: chosen.stages.map(({upstream, address, layers}) => ({
-        upstream,
-        address,
-        layers,
-      })),
-      prediction: chosen.prediction,
-      candidates,
-      reason: this.name,
-    };
+    return admit(this.choose(inTime), candidates, this.name);
+  }
+
+  /** A free slot is certain and a predicted one is not, so those that start at once come first. */
+  private choose(inTime: readonly Pipeline[]): Pipeline {
+    const free = inTime.filter(
+      one => one.prediction.startsInMilliseconds === 0,
+    );
+    return free.length > 0
+      ? leastBy(free, one => this.cost(one.prediction))
+      : leastBy(inTime, one => one.prediction.startsInMilliseconds);
   }
 
-  private choose(inTime: readonly Pipeline[], work: WorkEstimate): Pipeline {
-    const cost = (one: Pipeline): number => {
-      const {prediction} = one;
-      switch (this.choice) {
-        case 'bestFit':
-          return laxity(one, work);
-        case 'earliestFinish':
-          return prediction.wholeMilliseconds;
-        case 'leastPrefill':
-          return prediction.firstTokenMilliseconds;
-      }
-    };
-    return inTime.reduce((best, one) => (cost(one) < cost(best) ? one : best));
+  private cost(prediction: Prediction): number {
+    switch (this.choice) {
+      case 'bestFit':
+        return -prediction.wholeMilliseconds;
+      case 'earliestFinish':
+        return prediction.wholeMilliseconds;
+      case 'leastPrefill':
+        return prediction.firstTokenMilliseconds;
+    }
   }
 }
 
+/** The member with the least cost; the first of equals. */
+function leastBy<T>(members: readonly T[], cost: (member: T) => number): T {
+  return members.reduce((best, one) => (cost(one) < cost(best) ? one : best));
+}
+
 /** Whether the account is over its share and no slot beyond those kept for others is free. */
 function isOverShare(
   view: CellView,
--- a/src/features/routing/common/pipelineSearch.ts
+++ b/src/features/routing/common/pipelineSearch.ts
@@ -22,6 +22,8 @@
 const MAXIMUM_STARTS = 8;
 /** Widening of compute and wait for each second of a figure's age. */
 const WIDENING_PER_SECOND = 0.02;
+/** Longest time past its expected finish that a sequence takes, over the time of the work at hand. */
+const OVERRUN_SHARE = 0.2;
 const MAXIMUM_AGE_MILLISECONDS = 5000;
 
 /** Whether new work may go to a stage at all. */
@@ -32,12 +34,27 @@
   return stage.health === 'healthy' || stage.busyUntil.length === 0;
 }
 
-/** Milliseconds until a sequence more can be resident: the finish that leaves one below the limit. */
-export function waitForSlot(stage: StageView, now: number): number {
-  const limit =
-    stage.health === 'probing' ? 1 : Math.max(1, stage.sequenceLimit);
-  const ahead = stage.busyUntil.length - Math.floor(limit);
-  return ahead < 0 ? 0 : Math.max(0, stage.busyUntil[ahead]! - now);
+/**
+ * Milliseconds until one more sequence can be resident: the finish that leaves one below the
+ * limit. Sequences past their expected finish are taken to end evenly over `overrun` from now.
+ */
+export function waitForSlot(
+  stage: StageView,
+  now: number,
+  overrun: number,
+): number {
+  const probing = stage.health === 'probing';
+  const limit = probing ? 1 : Math.max(1, Math.floor(stage.sequenceLimit));
+  const ahead = stage.busyUntil.length - limit;
+  if (ahead < 0) {
+    return 0;
+  }
+  const overdue = stage.busyUntil.filter(finish => finish <= now).length;
+  if (ahead < overdue) {
+    return (overrun * (ahead + 1)) / (overdue + 1);
+  }
+  const uncertain = overdue === 0 ? 0 : overrun;
+  return Math.max(uncertain, stage.busyUntil[ahead]! - now);
 }
 
 /** Factor that widens figures by their age. */
@@ -58,15 +75,18 @@
   stage: StageView,
   work: WorkEstimate,
   now: number,
+  chainLength: number,
 ): TimedStage {
   const factor = widening(stage);
   const tokens = promptTokensToCompute(stage, work);
   const compute = tokens * stage.prefillMillisecondsPerToken * factor;
+  const step = stage.decodeMilliseconds * factor + stage.linkMilliseconds;
+  const overrun = OVERRUN_SHARE * chainLength * step * work.outputTokens;
   return {
     stage,
-    wait: waitForSlot(stage, now) * factor,
+    wait: waitForSlot(stage, now, overrun) * factor,
     prefill: compute + stage.linkMilliseconds,
-    step: stage.decodeMilliseconds * factor + stage.linkMilliseconds,
+    step,
   };
 }
 
@@ -160,9 +180,10 @@
   work: WorkEstimate,
   now: number,
 ): readonly Pipeline[] {
+  const ranges = new Set(view.stages.map(stage => stage.layers.from)).size;
   const timed = view.stages
     .filter(isUsable)
-    .map(stage => timeStage(stage, work, now))
+    .map(stage => timeStage(stage, work, now, ranges))
     .sort((a, b) => a.stage.layers.from - b.stage.layers.from);
   const chains = byReplica(timed).map(group =>
     cheapestChain(group, view.layerCount, work),
--- /dev/null
+++ b/src/features/routing/common/roundRobinPolicy.ts
@@ -0,0 +1,17 @@
+import {Pipeline} from './pipelineSearch.js';
+import {admit, PipelinePolicy} from './pipelinePolicy.js';
+import {RoutingDecision} from './routing.js';
+
+/** The naive comparison: takes all work, on one pipeline after the other. */
+export class RoundRobinPolicy extends PipelinePolicy {
+  override readonly name = 'round robin, no admission';
+  private turn = 0;
+
+  protected override decideAmong(
+    pipelines: readonly Pipeline[],
+  ): RoutingDecision {
+    this.turn += 1;
+    const chosen = pipelines[this.turn % pipelines.length]!;
+    return admit(chosen, pipelines.length, this.name);
+  }
+}
--- a/src/features/routing/common/shareAccounts.ts
+++ b/src/features/routing/common/shareAccounts.ts
@@ -3,7 +3,12 @@
 /** Milliseconds in which recorded use falls to 1/e. */
 export const SHARE_TIME_CONSTANT_MILLISECONDS = 10000;
 const MAXIMUM_ENTRIES = 4096;
+/** Slot-milliseconds below which a sum is dropped. */
 const SMALLEST_KEPT = 0.5;
+/** Requests below which a count is dropped. */
+const SMALLEST_COUNT = 0.001;
+/** Milliseconds between two rounds of decay; what is added in between counts as added at the round. */
+const DECAY_INTERVAL_MILLISECONDS = 50;
 
 /** The key of an account within a class. */
 export function shareKey(classOfWork: string, clientAccount: string): string {
@@ -14,8 +19,14 @@
 class DecayingSums {
   private readonly sums = new Map<string, number>();
 
+  constructor(private readonly smallestKept = SMALLEST_KEPT) {}
+
+  get(key: string): number {
+    return this.sums.get(key) ?? 0;
+  }
+
   add(key: string, amount: number): void {
-    this.sums.set(key, (this.sums.get(key) ?? 0) + amount);
+    this.sums.set(key, this.get(key) + amount);
     if (this.sums.size > MAXIMUM_ENTRIES) {
       this.dropSmallest();
     }
@@ -23,7 +34,7 @@
 
   decay(factor: number): void {
     for (const [key, sum] of this.sums) {
-      if (sum * factor < SMALLEST_KEPT) {
+      if (sum * factor < this.smallestKept) {
         this.sums.delete(key);
       } else {
         this.sums.set(key, sum * factor);
@@ -49,6 +60,8 @@
   private readonly used = new DecayingSums();
   private readonly usedByClass = new DecayingSums();
   private readonly wanted = new DecayingSums();
+  private readonly wantedByClass = new DecayingSums();
+  private readonly requestsByClass = new DecayingSums(SMALLEST_COUNT);
   private decayedAt: number | undefined;
 
   /** Records slot-milliseconds asked for, once for each request whether granted or not. */
@@ -60,6 +73,8 @@
   ): void {
     this.decayTo(now);
     this.wanted.add(shareKey(classOfWork, clientAccount), slotMilliseconds);
+    this.wantedByClass.add(classOfWork, slotMilliseconds);
+    this.requestsByClass.add(classOfWork, 1);
   }
 
   /** Records slot-milliseconds granted; negative to return what was not used. */
@@ -82,12 +97,22 @@
       usedByClass: this.usedByClass.copy(),
       wantedByAccount: this.wanted.copy(),
       targetByClass,
+      workByClass: this.workByClass(),
     };
   }
 
+  /** Mean slot time of a request by class; the decay cancels out. */
+  private workByClass(): ReadonlyMap<string, number> {
+    const means = new Map<string, number>();
+    for (const [name, requests] of this.requestsByClass.copy()) {
+      means.set(name, this.wantedByClass.get(name) / requests);
+    }
+    return means;
+  }
+
   private decayTo(now: number): void {
     const elapsed = now - (this.decayedAt ?? now);
-    if (this.decayedAt !== undefined && elapsed < 50) {
+    if (this.decayedAt !== undefined && elapsed < DECAY_INTERVAL_MILLISECONDS) {
       return;
     }
     this.decayedAt = now;
@@ -95,5 +120,7 @@
     this.used.decay(factor);
     this.usedByClass.decay(factor);
     this.wanted.decay(factor);
+    this.wantedByClass.decay(factor);
+    this.requestsByClass.decay(factor);
   }
 }
