Cells with soft owners and the broker that asks them

Cause: capacity must be decided where all that is outstanding is known, without broadcasts. Change: division into cells, rendezvous ownership, ledger of each engine, owner of a cell, search over cells with fallback to the next owner and to a decision without one, choice of plain services.

--- /dev/null
+++ b/src/features/routing/common/cellMap.ts
@@ -0,0 +1,43 @@
+import {InstanceMember} from '../../../platform/membership/common/membershipList.js';
+import {SystemView} from '../../membership/common/systemView.js';
+import {CellOwnership} from './cellOwnership.js';
+import {Cell, divideIntoCells} from './cells.js';
+
+/** The cells of one view of the system and their owners. */
+export class CellMap {
+  /** A map without cells, before the first view. */
+  static readonly empty = new CellMap(new Map(), new CellOwnership([]));
+
+  private constructor(
+    private readonly cells: ReadonlyMap<string, Cell>,
+    private readonly ownership: CellOwnership,
+  ) {}
+
+  /** Divides a view's engines into cells and finds their owners. */
+  static of(view: SystemView, cellSize: number): CellMap {
+    const cells = divideIntoCells(view.upstreams, cellSize);
+    return new CellMap(cells, new CellOwnership(view.instances));
+  }
+
+  get(id: string): Cell | undefined {
+    return this.cells.get(id);
+  }
+
+  /** All cells. */
+  get all(): readonly Cell[] {
+    return [...this.cells.values()];
+  }
+
+  /** The instances to ask about a cell, in order; the first is the owner. */
+  ownersOf(id: string, limit: number): readonly InstanceMember[] {
+    const cell = this.cells.get(id);
+    return cell === undefined ? [] : this.ownership.ownersOf(cell, limit);
+  }
+
+  /** Ids of the cells that an instance owns. */
+  ownedBy(instanceId: string): readonly string[] {
+    return [...this.cells.keys()].filter(
+      id => this.ownersOf(id, 1)[0]?.id === instanceId,
+    );
+  }
+}
--- /dev/null
+++ b/src/features/routing/test/brokerBench.ts
@@ -0,0 +1,178 @@
+import {SeededRandomSource} from '../../../base/common/randomSource.js';
+import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
+import {
+  InstanceMember,
+  UpstreamMember,
+} from '../../../platform/membership/common/membershipList.js';
+import {FakeClock, settle} from '../../../../test/support/fakeClock.js';
+import {
+  CellAuthority,
+  FailureNote,
+  ReleaseNote,
+  ReplanCall,
+  ReserveAnswer,
+  ReserveCall,
+  SummaryNote,
+} from '../common/cellMessages.js';
+import {DefaultCapacityBroker} from '../node/defaultCapacityBroker.js';
+import {
+  FakeEngines,
+  FakeViews,
+  RecordingLogger,
+  systemView,
+} from './routingFakes.js';
+
+/** How messages to an instance fare. */
+export type Reach = 'up' | 'down' | 'silent';
+
+/** Several brokers in one process, joined by fakes of the peer calls; messages pass as JSON. */
+export class BrokerBench {
+  readonly clock = new FakeClock();
+  readonly engines = new FakeEngines();
+  readonly logger = new RecordingLogger();
+  readonly reach = new Map<string, Reach>();
+  readonly brokers = new Map<string, DefaultCapacityBroker>();
+  readonly views = new Map<string, FakeViews>();
+  /** Whether releases sent to peers are lost. */
+  losesReleases = false;
+  private sequence = 0;
+
+  constructor(
+    private readonly instances: readonly InstanceMember[],
+    upstreams: readonly UpstreamMember[],
+    cellSize: number,
+  ) {
+    for (const upstream of upstreams) {
+      this.engines.set(upstream.id);
+    }
+    instances.forEach((instance, index) =>
+      this.start(instance, index, cellSize),
+    );
+    this.show(instances, upstreams);
+  }
+
+  broker(id: string): DefaultCapacityBroker {
+    return this.brokers.get(id)!;
+  }
+
+  /** Shows a view to some instances, to all by default. */
+  show(
+    instances: readonly InstanceMember[],
+    upstreams: readonly UpstreamMember[],
+    to: readonly string[] = this.instances.map(one => one.id),
+  ): void {
+    this.sequence += 1;
+    for (const id of to) {
+      this.views.get(id)!.set(systemView(instances, upstreams, this.sequence));
+    }
+  }
+
+  /** Runs until a promise settles, moving time on by up to ten seconds. */
+  async complete<T>(promise: Promise<T>): Promise<T> {
+    let isDone = false;
+    void promise.finally(() => (isDone = true));
+    for (let passed = 0; passed < 10000 && !isDone; passed += 10) {
+      await settle();
+      if (!isDone) {
+        await this.clock.advanceAsync(10);
+      }
+    }
+    return promise;
+  }
+
+  dispose(): void {
+    for (const broker of this.brokers.values()) {
+      broker.dispose();
+    }
+  }
+
+  private start(
+    instance: InstanceMember,
+    index: number,
+    cellSize: number,
+  ): void {
+    const views = new FakeViews();
+    this.views.set(instance.id, views);
+    const broker = new DefaultCapacityBroker({
+      views,
+      connector: this.engines,
+      clock: this.clock,
+      random: new SeededRandomSource(index + 1),
+      logger: this.logger,
+      metrics: new SilentMetrics(),
+      peerKey: 'key',
+      instanceId: instance.id,
+      incarnation: 'a',
+      place: instance,
+      cellSize,
+      createPeer: address => new FakePeer(address.split(':')[0]!, this),
+    });
+    this.brokers.set(instance.id, broker);
+  }
+}
+
+class FakePeer extends CellAuthority {
+  constructor(
+    private readonly id: string,
+    private readonly bench: BrokerBench,
+  ) {
+    super();
+  }
+
+  override reserve(call: ReserveCall, signal: AbortSignal) {
+    return this.send<ReserveAnswer>(signal, target =>
+      target.reserve(throughJson(call), signal),
+    );
+  }
+
+  override replan(call: ReplanCall, signal: AbortSignal) {
+    return this.send<ReserveAnswer>(signal, target =>
+      target.replan(throughJson(call), signal),
+    );
+  }
+
+  override release(notes: readonly ReleaseNote[]): void {
+    if (this.isUp && !this.bench.losesReleases) {
+      this.target.release(throughJson(notes));
+    }
+  }
+
+  override reportFailure(note: FailureNote): void {
+    if (this.isUp) {
+      this.target.reportFailure(throughJson(note));
+    }
+  }
+
+  override summaries(model: string | undefined, signal: AbortSignal) {
+    return this.send<readonly SummaryNote[]>(signal, target =>
+      target.summaries(model, signal),
+    );
+  }
+
+  private get target(): CellAuthority {
+    return this.bench.broker(this.id).cells;
+  }
+
+  private get isUp(): boolean {
+    return (this.bench.reach.get(this.id) ?? 'up') === 'up';
+  }
+
+  private async send<T>(
+    signal: AbortSignal,
+    call: (target: CellAuthority) => Promise<T>,
+  ): Promise<T> {
+    if (this.bench.reach.get(this.id) === 'down') {
+      throw new Error('connection refused');
+    }
+    if (!this.isUp) {
+      return new Promise((_, reject) =>
+        signal.addEventListener('abort', () => reject(new Error('aborted'))),
+      );
+    }
+    return throughJson(await call(this.target));
+  }
+}
+
+function throughJson<T>(value: T): T {
+  return JSON.parse(JSON.stringify(value)) as T;
+}
--- /dev/null
+++ b/src/features/routing/test/stageLedger.test.ts
@@ -0,0 +1,133 @@
+import {describe, expect, test} from 'vitest';
+
+import {DecayedMean} from '../common/decayedMean.js';
+import {StageLedger} from '../common/stageLedger.js';
+import {engineReport} from './routingFakes.js';
+
+interface Step {
+  readonly at: number;
+  readonly reserve?: string;
+  readonly release?: string;
+  /** Resident sequences reported. */
+  readonly report?: number;
+  readonly reportAge?: number;
+  readonly incarnation?: string;
+}
+
+const HOLD = 10000;
+
+function play(steps: readonly Step[]): StageLedger {
+  const ledger = new StageLedger();
+  for (const step of steps) {
+    if (step.reserve !== undefined) {
+      ledger.reserve(step.reserve, step.at, step.at + HOLD, step.at + 2 * HOLD);
+    }
+    if (step.release !== undefined) {
+      ledger.release(step.release, step.at);
+    }
+    if (step.report !== undefined) {
+      const report = {
+        ...engineReport('e1'),
+        residentSequences: step.report,
+        ageMilliseconds: step.reportAge ?? 0,
+        engineIncarnation: step.incarnation ?? 'first',
+      };
+      ledger.takeReport(report, 1, step.at);
+    }
+  }
+  return ledger;
+}
+
+describe('sequences counted at an engine', () => {
+  const a = {at: 0, reserve: 'a'};
+  const b = {at: 0, reserve: 'b'};
+  const cases: {name: string; steps: Step[]; now: number; count: number}[] = [
+    {name: 'own reservations', steps: [a, b], now: 1, count: 2},
+    {
+      name: 'less what was released',
+      steps: [a, b, {at: 5, release: 'a'}],
+      now: 6,
+      count: 1,
+    },
+    {
+      name: 'a release of something unknown',
+      steps: [a, {at: 5, release: 'x'}],
+      now: 6,
+      count: 1,
+    },
+    {
+      name: 'reported ones that nobody here reserved',
+      steps: [{at: 0, report: 3}],
+      now: 1,
+      count: 3,
+    },
+    {
+      name: 'reported ones that are the own',
+      steps: [a, b, {at: 3000, report: 2}],
+      now: 3001,
+      count: 2,
+    },
+    {
+      name: 'a report older than a release counts the released one no more',
+      steps: [
+        a,
+        {at: 3000, release: 'a'},
+        {at: 3100, report: 1, reportAge: 500},
+      ],
+      now: 3101,
+      count: 0,
+    },
+    {
+      name: 'long settled ones that the engine no longer holds are taken as ended',
+      steps: [a, b, {at: 3000, report: 1}],
+      now: 3001,
+      count: 1,
+    },
+    {
+      name: 'new ones that the report can not show yet',
+      steps: [
+        {at: 2900, reserve: 'c'},
+        {at: 3000, report: 0},
+      ],
+      now: 3001,
+      count: 1,
+    },
+    {name: 'not after the time-out', steps: [a], now: 2 * HOLD, count: 0},
+    {
+      name: 'none after a restart',
+      steps: [a, {at: 1, report: 1}, {at: 2, report: 0, incarnation: 'next'}],
+      now: 3,
+      count: 0,
+    },
+  ];
+  test.each(cases)('$name', ({steps, now, count}) => {
+    expect(play(steps).busyUntil(now).length).toBe(count);
+  });
+
+  test('overdue ones are expected to end later, in order', () => {
+    const busy = play([
+      {at: 0, reserve: 'a'},
+      {at: 100, reserve: 'b'},
+    ]);
+    const finishes = busy.busyUntil(HOLD + 1000);
+    expect(finishes.every(finish => finish > HOLD + 1000)).toBe(true);
+    expect(finishes).toEqual([...finishes].sort((x, y) => x - y));
+  });
+});
+
+describe('a decayed mean', () => {
+  test.each([
+    {name: 'without samples is the fallback', samples: [], now: 0, value: 7},
+    {name: 'of fresh samples', samples: [2, 4], now: 0, value: 3},
+    {
+      name: 'of old samples nears the fallback',
+      samples: [2],
+      now: 1e6,
+      value: 7,
+    },
+  ])('$name', ({samples, now, value}) => {
+    const mean = new DecayedMean(1000);
+    samples.forEach(sample => mean.add(sample, 1, 0));
+    expect(mean.value(7, now)).toBeCloseTo(value, 3);
+  });
+});
