--- a/src/features/claims/common/plainClaims.ts
+++ b/src/features/claims/common/plainClaims.ts
@@ -9,11 +9,10 @@
   abandonedOutcome,
   boundOutcome,
   ClaimRecord,
-  claimRowKey,
-  formatClaimRecord,
   isNotRun,
   parseClaimRecord,
 } from './claimRecord.js';
+import {ABSENT, Attempt, ClaimInserter} from './claimInserter.js';
 import {ClaimSettings} from './claimSettings.js';
 import {EndedKeys} from './endedKeys.js';
 import {OutcomeRecorder} from './outcomeRecorder.js';
@@ -39,24 +38,6 @@
   /** Its end, without anything run, is being recorded; until then nobody can claim it again. */
   | {readonly kind: 'settling'};
 
-/** One attempt to claim; its nonce tells its own row from those of others. */
-interface Attempt {
-  readonly keyHash: string;
-  readonly record: ClaimRecord;
-  condition: RowCondition;
-  /** The claimant was answered without waiting: the attempt must not be granted any more. */
-  givenUp: boolean;
-  /** A write was sent whose outcome isn't known. */
-  mayHaveLanded: boolean;
-}
-
-type Insertion =
-  | {readonly kind: 'held'; readonly version: number}
-  | {readonly kind: 'other'; readonly row: TableRow}
-  | {readonly kind: 'failed'; readonly detail: string};
-
-const ABSENT: RowCondition = {kind: 'absent'};
-
 /**
  * Claims of plain keys by a row in the table. A claim is one conditional write that is repeated with
  * the same nonce until its outcome is known: a conflict with the own nonce means that an earlier
@@ -66,15 +47,17 @@
 export class PlainClaims {
   private readonly active = new Map<string, ActiveKey>();
   private readonly ended: EndedKeys;
+  private readonly inserter: ClaimInserter;
 
   constructor(
-    private readonly writer: RowWriter,
+    writer: RowWriter,
     private readonly recorder: OutcomeRecorder,
     private readonly clock: Clock,
     private readonly incarnation: string,
     private readonly createNonce: () => string,
     private readonly settings: ClaimSettings,
   ) {
+    this.inserter = new ClaimInserter(writer, clock, settings);
     this.ended = new EndedKeys(
       settings.endedPlainKeyLimit,
       settings.heldBodyLimit,
@@ -192,7 +175,7 @@
   }
 
   private async decide(attempt: Attempt): Promise<PlainDecision> {
-    const insertion = await this.insert(attempt);
+    const insertion = await this.inserter.insert(attempt);
     const {keyHash, record} = attempt;
     if (insertion.kind === 'held') {
       const condition: RowCondition = {
@@ -218,59 +201,6 @@
     return {kind: 'undecided', detail: insertion.detail};
   }
 
-  /** Repeats one write with one nonce until it is decided, given up or tried often enough. */
-  private async insert(attempt: Attempt): Promise<Insertion> {
-    const {insertAttempts, insertBackoffMilliseconds} = this.settings;
-    let detail = 'given up';
-    for (let count = 0; count < insertAttempts; count++) {
-      if (count > 0) {
-        await this.pause(insertBackoffMilliseconds * 2 ** (count - 1));
-      }
-      if (attempt.givenUp) {
-        break;
-      }
-      const result = await this.writer.write({
-        key: claimRowKey(attempt.keyHash),
-        value: formatClaimRecord(attempt.record),
-        condition: attempt.condition,
-      });
-      if (!result.ok) {
-        attempt.mayHaveLanded ||= result.error.kind === 'outcomeUnknown';
-        detail = `table: ${result.error.kind}`;
-        continue;
-      }
-      if (result.value.kind === 'written') {
-        return {kind: 'held', version: result.value.version};
-      }
-      const judged = this.judgeConflict(attempt, result.value.current);
-      if (judged !== undefined) {
-        return judged;
-      }
-      detail = 'the row changed meanwhile';
-    }
-    return {kind: 'failed', detail};
-  }
-
-  /** Undefined: try again, with the attempt's new condition. */
-  private judgeConflict(
-    attempt: Attempt,
-    current: TableRow | undefined,
-  ): Insertion | undefined {
-    if (current === undefined) {
-      attempt.condition = ABSENT;
-      return undefined;
-    }
-    const found = parseClaimRecord(current);
-    if (found?.nonce === attempt.record.nonce) {
-      return {kind: 'held', version: current.version};
-    }
-    if (found === undefined || !isNotRun(found.outcome)) {
-      return {kind: 'other', row: current};
-    }
-    attempt.condition = {kind: 'version', version: current.version};
-    return undefined;
-  }
-
   /** Records that nothing ran; until that is done the key stays occupied here. */
   private close(
     keyHash: string,
@@ -286,12 +216,6 @@
       done: () => this.active.delete(keyHash),
     });
   }
-
-  private pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => {
-      this.clock.setTimer(milliseconds, resolve);
-    });
-  }
 }
 
 /** What a row of another attempt says. */
--- a/src/features/claims/node/defaultClaimService.ts
+++ b/src/features/claims/node/defaultClaimService.ts
@@ -10,25 +10,16 @@
   TableService,
 } from '../../../platform/table/common/tableService.js';
 import {RequestOutcome} from '../../requests/common/request.js';
-import {BoundKeys, BoundTake} from '../common/boundKeys.js';
+import {BoundClaims} from '../common/boundClaims.js';
 import {ClaimAgeing} from '../common/claimAgeing.js';
 import {AskAnswer, AskMessage, ClaimPeers} from '../common/claimPeers.js';
-import {
-  boundOutcome,
-  claimRowKey,
-  isNotRun,
-  parseClaimRecord,
-} from '../common/claimRecord.js';
+import {claimRowKey, parseClaimRecord} from '../common/claimRecord.js';
 import {ClaimDecision, ClaimService} from '../common/claims.js';
 import {ClaimSettings, defaultClaimSettings} from '../common/claimSettings.js';
 import {countCommitters, GatheringWriter} from '../common/gatheringWriter.js';
 import {GroupCommitter} from '../common/groupCommitter.js';
 import {OutcomeRecorder} from '../common/outcomeRecorder.js';
-import {
-  BoundBinding,
-  ForeignOutcome,
-  OutcomeFinder,
-} from '../common/outcomeFinder.js';
+import {OutcomeFinder} from '../common/outcomeFinder.js';
 import {PeerDirectory} from '../common/peerDirectory.js';
 import {PlainClaims} from '../common/plainClaims.js';
 import {RowResult} from '../common/rowWriter.js';
@@ -60,27 +51,34 @@
   private readonly owned = new DisposableStore();
   private readonly settings: ClaimSettings;
   private readonly signer: GrantSigner;
-  private readonly bound: BoundKeys;
+  private readonly bound: BoundClaims;
   private readonly plain: PlainClaims;
   private readonly finder: OutcomeFinder;
   private readonly committer: GroupCommitter;
   private readonly recorder: OutcomeRecorder;
   private readonly ageing: ClaimAgeing;
-  /** Wall time at monotonic zero, taken once: the own time must not go back. */
-  private readonly wallOffset: number;
 
   constructor(private readonly parts: ClaimServiceParts) {
     super();
     const {clock, incarnation, logger, metrics, table} = parts;
     this.settings = parts.settings ?? defaultClaimSettings;
-    this.wallOffset = clock.wallMilliseconds() - clock.monotonicMilliseconds();
     this.signer = new GrantSigner(parts.peerKey, parts.formerPeerKeys);
-    this.bound = new BoundKeys(this.settings);
     this.committer = this.createCommitter();
     const writer = this.createWriter();
     this.recorder = this.owned.add(
       new OutcomeRecorder(writer, clock, logger, metrics, this.settings),
     );
+    this.finder = new OutcomeFinder({
+      ...parts,
+      askMilliseconds: this.settings.askMilliseconds,
+    });
+    this.bound = new BoundClaims(
+      this.finder,
+      this.recorder,
+      clock,
+      incarnation,
+      this.settings,
+    );
     this.plain = new PlainClaims(
       writer,
       this.recorder,
@@ -89,10 +87,6 @@
       parts.createNonce ?? randomUUID,
       this.settings,
     );
-    this.finder = new OutcomeFinder({
-      ...parts,
-      askMilliseconds: this.settings.askMilliseconds,
-    });
     this.ageing = this.owned.add(
       new ClaimAgeing(table, clock, metrics, this.settings.ageing, incarnation),
     );
@@ -113,7 +107,7 @@
   }
 
   override issueGrant(clientAccount: string): string {
-    const expiresAt = this.ownTime() + this.settings.grantMilliseconds;
+    const expiresAt = this.bound.ownTime() + this.settings.grantMilliseconds;
     return this.signer.sign(this.parts.incarnation, expiresAt, clientAccount);
   }
 
@@ -136,7 +130,7 @@
     const binding = this.signer.read(clientAccount, key);
     const ended =
       binding.kind === 'bound'
-        ? this.completeBound(keyHash, binding, outcome)
+        ? this.bound.complete(keyHash, binding, outcome)
         : this.plain.complete(keyHash, outcome);
     if (!ended) {
       this.parts.logger.warn('outcome of a key that is not running here');
@@ -156,7 +150,7 @@
       case 'plain':
         return this.lookUpPlain(keyHash, token);
       case 'bound':
-        return this.lookUpBound(keyHash, binding, token);
+        return this.bound.lookUp(keyHash, binding, token);
     }
   }
 
@@ -170,14 +164,7 @@
       const outcome = this.plain.outcomeOf(keyHash);
       return outcome ? {kind: 'seen', outcome} : {kind: 'forgotten'};
     }
-    const now = this.ownTime();
-    const outcome = this.bound.get(keyHash, grantExpiresAt);
-    if (outcome !== undefined) {
-      return {kind: 'seen', outcome};
-    }
-    return this.bound.isForgotten(grantExpiresAt, now)
-      ? {kind: 'forgotten'}
-      : {kind: 'notSeen', closed: now >= grantExpiresAt};
+    return this.bound.answer(keyHash, grantExpiresAt);
   }
 
   /** Writes claim rows for another instance. */
@@ -210,11 +197,6 @@
     );
   }
 
-  /** Wall time as this incarnation counts it: it issues and judges its own grants by it. */
-  private ownTime(): number {
-    return this.wallOffset + this.parts.clock.monotonicMilliseconds();
-  }
-
   private async decide(
     clientAccount: string,
     key: string,
@@ -228,62 +210,7 @@
       case 'plain':
         return this.claimPlain(keyHash, token);
       case 'bound':
-        return binding.incarnation === this.parts.incarnation
-          ? this.claimOwn(keyHash, binding, token)
-          : this.claimForeign(keyHash, binding, token);
-    }
-  }
-
-  private async claimOwn(
-    keyHash: string,
-    binding: BoundBinding,
-    token: CancellationToken,
-  ): Promise<ClaimDecision> {
-    const expiresAt = binding.expiresAtWallMilliseconds;
-    const take: BoundTake = this.bound.take(keyHash, expiresAt, this.ownTime());
-    switch (take.kind) {
-      case 'granted':
-        return take;
-      case 'seen':
-        return {
-          kind: 'duplicate',
-          outcome: await this.finder.withKeptReply(
-            keyHash,
-            take.outcome,
-            token,
-          ),
-        };
-      case 'expired':
-        return {kind: 'refusedNotRun', detail: 'the grant has expired'};
-      case 'full':
-        return {kind: 'refusedNotRun', detail: 'too many keys to remember'};
-      case 'forgotten':
-        return {
-          kind: 'duplicate',
-          outcome: (await this.finder.recorded(keyHash, token)) ?? UNKNOWN,
-        };
-    }
-  }
-
-  private async claimForeign(
-    keyHash: string,
-    binding: BoundBinding,
-    token: CancellationToken,
-  ): Promise<ClaimDecision> {
-    const {incarnation} = binding;
-    const foreign = await this.finder.foreignOutcome(keyHash, binding, token);
-    switch (foreign.kind) {
-      case 'closed':
-        return {kind: 'refusedNotRun', detail: 'the grant has expired'};
-      case 'notSeen':
-      case 'notAsked':
-        return {kind: 'heldElsewhere', incarnation, outcome: undefined};
-      case 'outcome':
-        return {
-          kind: 'heldElsewhere',
-          incarnation,
-          outcome: unlessNotRun(foreign.outcome),
-        };
+        return this.bound.claim(keyHash, binding, token);
     }
   }
 
@@ -318,45 +245,6 @@
     }
   }
 
-  private completeBound(
-    keyHash: string,
-    binding: BoundBinding,
-    outcome: RequestOutcome,
-  ): boolean {
-    const {incarnation} = this.parts;
-    const expiresAt = binding.expiresAtWallMilliseconds;
-    if (
-      binding.incarnation !== incarnation ||
-      !this.bound.end(keyHash, expiresAt, outcome)
-    ) {
-      return false;
-    }
-    if (!isNotRun(outcome)) {
-      this.recordBound(keyHash, outcome);
-    }
-    return true;
-  }
-
-  /**
-   * Outcomes that say `not run` are kept out of the table: the key may be granted again here, and
-   * the row would be out of date if this process then ended.
-   */
-  private recordBound(keyHash: string, outcome: RequestOutcome): void {
-    const {clock, incarnation} = this.parts;
-    const {recordedBodyLimit, rowRetentionMilliseconds} = this.settings;
-    this.recorder.record({
-      keyHash,
-      record: {
-        nonce: `bound-${keyHash}`,
-        incarnation,
-        expiresAt: clock.wallMilliseconds() + rowRetentionMilliseconds,
-        outcome: boundOutcome(outcome, recordedBodyLimit),
-      },
-      condition: {kind: 'any'},
-      done: () => undefined,
-    });
-  }
-
   private async lookUpPlain(
     keyHash: string,
     token: CancellationToken,
@@ -381,42 +269,4 @@
       record.outcome ?? this.finder.askPlain(keyHash, record.incarnation, token)
     );
   }
-
-  private async lookUpBound(
-    keyHash: string,
-    binding: BoundBinding,
-    token: CancellationToken,
-  ): Promise<RequestOutcome | undefined> {
-    if (binding.incarnation !== this.parts.incarnation) {
-      const foreign = await this.finder.foreignOutcome(keyHash, binding, token);
-      return lookedUp(foreign);
-    }
-    const expiresAt = binding.expiresAtWallMilliseconds;
-    const known = this.bound.get(keyHash, expiresAt);
-    if (known !== undefined) {
-      return this.finder.withKeptReply(keyHash, known, token);
-    }
-    if (!this.bound.isForgotten(expiresAt, this.ownTime())) {
-      return undefined;
-    }
-    return (await this.finder.recorded(keyHash, token)) ?? UNKNOWN;
-  }
-}
-
-/** Its incarnation may grant the key again, so that `not run` may be out of date when it arrives. */
-function unlessNotRun(outcome: RequestOutcome): RequestOutcome | undefined {
-  return isNotRun(outcome) ? undefined : outcome;
-}
-
-/** Undefined only when the incarnation itself says that it has not dispatched the key. */
-function lookedUp(foreign: ForeignOutcome): RequestOutcome | undefined {
-  switch (foreign.kind) {
-    case 'outcome':
-      return foreign.outcome;
-    case 'notAsked':
-      return UNKNOWN;
-    case 'notSeen':
-    case 'closed':
-      return undefined;
-  }
 }
