--- a/src/features/routing/common/stageLedger.ts
+++ b/src/features/routing/common/stageLedger.ts
@@ -28,8 +28,6 @@
 const UNKNOWN_WIDENING = 1.5;
 /** A reservation this old must show in the resident count if it is still running. */
 const RESIDENT_AFTER_MILLISECONDS = 2000;
-const SHORTEST_OVERDUE_MILLISECONDS = 20;
-const OVERDUE_SHARE = 0.2;
 const RETURNED_KEPT = 512;
 const OUTSTANDING_KEPT = 2048;
 
@@ -133,10 +131,10 @@
     return this.newest === undefined ? Infinity : now - this.newest.takenAt;
   }
 
-  /** Expected finish times of all that is resident or about to be, ascending. */
+  /** Expected finish times of all that is resident or about to be, ascending; in the past if overdue. */
   busyUntil(now: number): readonly number[] {
     this.expire(now);
-    const own = this.ownFinishes(now);
+    const own = this.ownFinishes();
     const unknown = this.unknownFinishes(own.length, now);
     return [...own, ...unknown].sort((a, b) => a - b);
   }
@@ -150,12 +148,11 @@
   }
 
   /** Own reservations, without those that the resident count shows to have ended. */
-  private ownFinishes(now: number): number[] {
-    const finishes = [...this.outstanding.values()]
-      .sort((a, b) => a.finishAt - b.finishAt)
-      .slice(this.endedUnnoticed())
-      .map(entry => expectedFinish(entry, now));
-    return finishes;
+  private ownFinishes(): number[] {
+    return [...this.outstanding.values()]
+      .map(entry => entry.finishAt)
+      .sort((a, b) => a - b)
+      .slice(this.endedUnnoticed());
   }
 
   /** How many reservations must have ended without a release reaching us, by the newest report. */
@@ -201,12 +198,3 @@
 function sequencesOf(report: EngineReport): number {
   return report.residentSequences + report.queuedSequences;
 }
-
-/** The expected finish; what is overdue is taken to need a part of its time so far again. */
-function expectedFinish(entry: Outstanding, now: number): number {
-  if (entry.finishAt > now) {
-    return entry.finishAt;
-  }
-  const overdue = (now - entry.reservedAt) * OVERDUE_SHARE;
-  return now + Math.max(SHORTEST_OVERDUE_MILLISECONDS, overdue);
-}
