Engines out of reach, restarts and own pauses

Cause: an engine that is down was given requests as probes between its quarantines; a restarted one kept the quarantine of its predecessor; a pause of this process made all polls and peer calls time out at once and would have put every engine into quarantine. Change: no request goes to an engine whose reports can't be had, it is polled each 300 ms until it answers; a new process counts as a new upstream; answers that stayed away while this process stood still are held against nobody; owners are ranked in one pass; cells of little knowledge are sought only when needed.

--- a/src/features/routing/common/cellOwnership.ts
+++ b/src/features/routing/common/cellOwnership.ts
@@ -16,6 +16,9 @@
   readonly weight: number;
 }
 
+/** Instances kept in the order of a cell; more are never asked. */
+const RANKED_KEPT = 4;
+
 /** Ranks the ready instances of one view for cells; results are kept for the life of the view. */
 export class CellOwnership {
   private readonly instances: readonly HashedInstance[];
@@ -38,25 +41,38 @@
     return ranked.slice(0, limit);
   }
 
+  /** The first few by distance and weight, in one pass: cells times instances are many. */
   private rank(cell: Cell): readonly InstanceMember[] {
     const cellHash = hashText(cell.id);
-    const ranked: RankedInstance[] = this.instances.map(({member, hash}) => ({
-      member,
-      distance: distanceTo(cell, member),
-      weight: rendezvousWeight(cellHash, hash),
-    }));
-    ranked.sort(
-      (a, b) =>
-        a.distance - b.distance ||
-        b.weight - a.weight ||
-        (a.member.id < b.member.id ? -1 : 1),
-    );
-    return ranked.slice(0, RANKED_KEPT).map(({member}) => member);
+    const first: RankedInstance[] = [];
+    for (const {member, hash} of this.instances) {
+      const distance = distanceTo(cell, member);
+      const weight = rendezvousWeight(cellHash, hash);
+      insert(first, {member, distance, weight});
+    }
+    return first.map(({member}) => member);
   }
 }
 
-/** Instances kept in the order of a cell; more are never asked. */
-const RANKED_KEPT = 4;
+/** Puts an instance in its place among the first few, if it belongs there. */
+function insert(first: RankedInstance[], added: RankedInstance): void {
+  const worse = first.findIndex(one => isBefore(added, one));
+  const place = worse < 0 ? first.length : worse;
+  if (place < RANKED_KEPT) {
+    first.splice(place, 0, added);
+    first.length = Math.min(first.length, RANKED_KEPT);
+  }
+}
+
+function isBefore(left: RankedInstance, right: RankedInstance): boolean {
+  if (left.distance !== right.distance) {
+    return left.distance < right.distance;
+  }
+  if (left.weight !== right.weight) {
+    return left.weight > right.weight;
+  }
+  return left.member.id < right.member.id;
+}
 
 /** 0 in the cell's data centre, 1 in its region, 2 elsewhere. */
 function distanceTo(cell: Cell, member: InstanceMember): number {
--- a/src/features/routing/node/cellCaller.ts
+++ b/src/features/routing/node/cellCaller.ts
@@ -26,6 +26,8 @@
 }
 
 const OWNERS_ASKED = 3;
+/** A call that took this many times its time-out shows that this process was paused. */
+const PAUSE_RATIO = 2;
 const FIRST_TIMEOUT_MILLISECONDS = 100;
 const SHORTEST_TIMEOUT_MILLISECONDS = 40;
 const LONGEST_TIMEOUT_MILLISECONDS = 250;
@@ -118,7 +120,7 @@
       this.answered(peer, member, startedAt);
       return answer;
     } catch {
-      if (!token.aborted) {
+      if (!token.aborted && !this.wasPaused(peer, startedAt)) {
         this.failed(peer);
       }
       return undefined;
@@ -128,6 +130,12 @@
     }
   }
 
+  /** Whether this process itself stood still, so that the peer can't be blamed. */
+  private wasPaused(peer: Peer, startedAt: number): boolean {
+    const took = this.clock.monotonicMilliseconds() - startedAt;
+    return took > PAUSE_RATIO * timeoutOf(peer);
+  }
+
   /** While a peer that failed is tried again, other calls pass it by. */
   private avoidOthersMeanwhile(peer: Peer, now: number): void {
     if (peer.failuresInARow > 0) {
--- a/src/features/routing/node/cellDirectory.ts
+++ b/src/features/routing/node/cellDirectory.ts
@@ -13,6 +13,7 @@
 /** Notes older than this tell nothing of load, only which models a cell serves. */
 const FORGET_MILLISECONDS = 120000;
 const NOTES_KEPT = 8192;
+const LINK_SMOOTHING = 0.2;
 
 /** What this process has heard of all cells, from replies and its own decisions. */
 export class CellDirectory {
@@ -66,7 +67,7 @@
     return [...near, ...far];
   }
 
-  /** Cells heard of, the longest ago first. */
+  /** Cells heard of, the one heard of the longest ago first. */
   longestUnheard(cells: CellMap): readonly Cell[] {
     const oldestFirst = [...this.notes.values()].sort(
       (a, b) => a.madeAt - b.madeAt,
@@ -78,12 +79,16 @@
   /** A few notes to tell another process, those of the model first, the freshest first. */
   toTell(model: string | undefined, limit: number): readonly SummaryNote[] {
     const now = this.clock.monotonicMilliseconds();
-    const newestFirst = [...this.notes.values()].sort(
-      (a, b) => b.madeAt - a.madeAt,
-    );
-    const matching = newestFirst.filter(({note}) => note.model === model);
-    const rest = newestFirst.filter(({note}) => note.model !== model);
-    return [...matching, ...rest].slice(0, limit).map(({note, madeAt}) => ({
+    const chosen: Learned[] = [];
+    for (const learned of this.notes.values()) {
+      const worse = chosen.findIndex(one => isTold(learned, one, model));
+      const place = worse < 0 ? chosen.length : worse;
+      if (place < limit) {
+        chosen.splice(place, 0, learned);
+        chosen.length = Math.min(chosen.length, limit);
+      }
+    }
+    return chosen.map(({note, madeAt}) => ({
       ...note,
       ageMilliseconds: Math.round(now - madeAt),
     }));
@@ -133,4 +138,15 @@
   }
 }
 
-const LINK_SMOOTHING = 0.2;
+/** Whether one note is rather told than another. */
+function isTold(
+  left: Learned,
+  right: Learned,
+  model: string | undefined,
+): boolean {
+  const leftMatches = left.note.model === model;
+  if (leftMatches !== (right.note.model === model)) {
+    return leftMatches;
+  }
+  return left.madeAt > right.madeAt;
+}
--- a/src/features/routing/node/cellSearch.ts
+++ b/src/features/routing/node/cellSearch.ts
@@ -89,10 +89,9 @@
   }
 
   private async run(search: Search): Promise<ReservationReply> {
-    const order = this.cellsToAsk(search);
     const refusals: Refusal[] = [];
     const unanswered: string[] = [];
-    for (const cell of order) {
+    for (const cell of this.cellsToAsk(search)) {
       if (search.token.aborted || isEnough(refusals)) {
         break;
       }
@@ -118,18 +117,28 @@
   }
 
   /** The cells to ask in order: the chosen ones, then ones of which too little is known. */
-  private cellsToAsk(search: Search): readonly string[] {
+  private *cellsToAsk(search: Search): Generator<string> {
+    const asked = new Set<string>();
+    for (const id of this.inOrder(search)) {
+      const isNew = !asked.has(id) && this.cells.get(id) !== undefined;
+      if (isNew && asked.size < MAXIMUM_ASKED) {
+        asked.add(id);
+        yield id;
+      }
+    }
+  }
+
+  /** Lazily, since all but the first few are seldom needed. */
+  private *inOrder(search: Search): Generator<string> {
     const {directory, dataCentre, random} = this.parts;
     const {work, model, replaced} = search;
+    if (replaced !== undefined) {
+      yield replaced.cell;
+    }
     const serving = directory.serving(model, this.cells);
-    const chosen = chooseCells(serving, model, work, dataCentre, random);
-    const own = replaced === undefined ? [] : [replaced.cell];
-    const unheard = directory.unheard(this.cells).map(({id}) => id);
-    const stale = directory.longestUnheard(this.cells).map(({id}) => id);
-    const inOrder = new Set([...own, ...chosen, ...unheard, ...stale]);
-    return [...inOrder]
-      .filter(id => this.cells.get(id) !== undefined)
-      .slice(0, MAXIMUM_ASKED);
+    yield* chooseCells(serving, model, work, dataCentre, random);
+    yield* directory.unheard(this.cells).map(({id}) => id);
+    yield* directory.longestUnheard(this.cells).map(({id}) => id);
   }
 
   private async ask(
--- a/src/features/routing/node/localCells.ts
+++ b/src/features/routing/node/localCells.ts
@@ -67,7 +67,7 @@
   constructor(private readonly parts: LocalCellsParts) {
     super();
     const {connector, clock, random, metrics} = parts;
-    this.registry = new StageRegistry(change => this.logHealth(change));
+    this.registry = new StageRegistry(change => this.healthChanged(change));
     this.poller = this.register(
       new ReportPoller(this.registry, connector, clock, random, metrics),
     );
@@ -266,9 +266,12 @@
     metrics.gauge('routing.reservations', reservations);
   }
 
-  private logHealth(change: HealthChange): void {
+  private healthChanged(change: HealthChange): void {
+    const {upstream, to, cause} = change;
+    if (to === 'quarantined') {
+      this.poller.hurry(upstream);
+    }
     this.parts.logger.decision('upstreamHealth', {...change});
-    const {to, cause} = change;
     this.parts.metrics.count('routing.health.changed', 1, {to, cause});
   }
 
--- a/src/features/routing/node/reportPoller.ts
+++ b/src/features/routing/node/reportPoller.ts
@@ -7,11 +7,14 @@
 import {FollowedStage, StageRegistry} from './stageRegistry.js';
 
 const INTERVAL_MILLISECONDS = 1000;
+const RETURN_INTERVAL_MILLISECONDS = 300;
 /** Share of the interval by which each poll is put off or brought forward at random. */
 const JITTER = 0.2;
 const TICK_MILLISECONDS = 50;
 const TIMEOUT_MILLISECONDS = 1000;
 const CONCURRENT_POLLS = 64;
+/** A poll that took this many times its time-out shows that this process was paused. */
+const PAUSE_RATIO = 2;
 
 /** Asks each followed engine for its load report about once a second, a bounded number at once. */
 export class ReportPoller extends DisposableOwner {
@@ -35,6 +38,11 @@
     this.tick();
   }
 
+  /** Brings an engine's next poll forward to now, as when a dispatcher saw it fail. */
+  hurry(upstream: string): void {
+    this.dueAt.delete(upstream);
+  }
+
   /** Polls engines of which nothing is known yet at once, and waits until they answered or failed. */
   async pollUnknown(upstreams: readonly string[]): Promise<void> {
     const unknown = upstreams
@@ -90,12 +98,19 @@
     }
     const jitter = 1 + JITTER * (2 * this.random.next() - 1);
     const now = this.clock.monotonicMilliseconds();
-    this.dueAt.set(id, now + INTERVAL_MILLISECONDS * jitter);
+    this.dueAt.set(id, now + this.intervalOf(id) * jitter);
     const poll = this.poll(stage, now).finally(() => this.polling.delete(id));
     this.polling.set(id, poll);
     return poll;
   }
 
+  /** Engines out of reach are asked more often, so that their return is noticed soon. */
+  private intervalOf(id: string): number {
+    return this.registry.isOutOfReach(id)
+      ? RETURN_INTERVAL_MILLISECONDS
+      : INTERVAL_MILLISECONDS;
+  }
+
   private async poll(stage: FollowedStage, startedAt: number): Promise<void> {
     const {id, address} = stage.member;
     const source = new CancellationSource(this.stopped.token);
@@ -115,9 +130,11 @@
       this.registry.reportCame(answer.value, now - startedAt, now);
       return;
     }
-    this.metrics.count('routing.report.failed', 1, {kind: answer.error.kind});
-    if (answer.error.kind !== 'overloaded') {
-      this.registry.reportFailed(id, now);
+    const {kind} = answer.error;
+    this.metrics.count('routing.report.failed', 1, {kind});
+    const wasPaused = now - startedAt > PAUSE_RATIO * TIMEOUT_MILLISECONDS;
+    if (kind !== 'overloaded' && !wasPaused) {
+      this.registry.reportFailed(id, kind === 'unreachable', now);
     }
   }
 }
--- a/src/features/routing/node/stageRegistry.ts
+++ b/src/features/routing/node/stageRegistry.ts
@@ -18,12 +18,16 @@
 /** Milliseconds for which an engine that refused a step as leaving or not holding the layers gets nothing new. */
 const REFUSED_MILLISECONDS = 1000;
 
+/** Load reports missed in a row after which an engine counts as out of reach, unless it refuses connections. */
+const FAILURES_NEEDED = 2;
+
 /** Everything known of the engines that this process follows: ledgers, health, learned limits. */
 export class StageRegistry {
   private readonly stages = new Map<string, FollowedStage>();
   private readonly tracker = new UpstreamHealthTracker();
   private readonly limits = new ConcurrencyLimit();
   private readonly refusedUntil = new Map<string, number>();
+  private readonly reportFailures = new Map<string, number>();
 
   /** @param onHealthChange told of each change of health */
   constructor(
@@ -72,9 +76,14 @@
     this.apply(this.tracker.observe(observation, now));
   }
 
-  /** A load report could not be had. */
-  reportFailed(upstream: string, now: number): void {
-    this.apply(this.tracker.connectionFailed(upstream, now));
+  /** A load report could not be had; `isSure` if no connection was made. Engines out of reach get nothing new. */
+  reportFailed(upstream: string, isSure: boolean, now: number): void {
+    const before = this.reportFailures.get(upstream) ?? 0;
+    const after = before + (isSure ? FAILURES_NEEDED : 1);
+    this.reportFailures.set(upstream, after);
+    if (before < FAILURES_NEEDED && after >= FAILURES_NEEDED) {
+      this.apply(this.tracker.connectionFailed(upstream, now));
+    }
   }
 
   /** Takes a load report. */
@@ -87,6 +96,7 @@
     if (stage === undefined) {
       return;
     }
+    this.reportFailures.delete(report.upstream);
     const before = stage.ledger.report?.report;
     const restarted = stage.ledger.takeReport(
       report,
@@ -94,9 +104,9 @@
       now,
     );
     if (restarted) {
-      this.limits.forget(report.upstream);
+      this.restart(report.upstream, now);
     }
-    if (before?.leaving !== report.leaving || restarted) {
+    if (before?.leaving !== report.leaving) {
       this.tellTracker(now);
     }
   }
@@ -113,7 +123,8 @@
     if (stage === undefined || report === undefined) {
       return undefined;
     }
-    if (isLeaving(stage) || this.wasRefused(upstream, now)) {
+    const isBarred = isLeaving(stage) || this.isOutOfReach(upstream);
+    if (isBarred || this.wasRefused(upstream, now)) {
       return undefined;
     }
     const {member, ledger} = stage;
@@ -151,6 +162,19 @@
     this.limits.observe(id, decodeMilliseconds, resident, reported, now);
   }
 
+  /** Whether load reports can't be had, so that no request should try. */
+  isOutOfReach(upstream: string): boolean {
+    return (this.reportFailures.get(upstream) ?? 0) >= FAILURES_NEEDED;
+  }
+
+  /** A new process is a new upstream: what its predecessor failed at is not held against it. */
+  private restart(upstream: string, now: number): void {
+    this.limits.forget(upstream);
+    const others = this.followed.filter(one => one.member.id !== upstream);
+    this.apply(this.tracker.list(others.map(listedUpstream), now));
+    this.tellTracker(now);
+  }
+
   private wasRefused(upstream: string, now: number): boolean {
     const until = this.refusedUntil.get(upstream);
     if (until === undefined || until > now) {
@@ -164,6 +188,7 @@
     this.stages.delete(upstream);
     this.limits.forget(upstream);
     this.refusedUntil.delete(upstream);
+    this.reportFailures.delete(upstream);
   }
 
   private tellTracker(now: number): void {
--- a/src/features/routing/test/routingFakes.ts
+++ b/src/features/routing/test/routingFakes.ts
@@ -135,7 +135,8 @@
 /** Engines that only report. */
 export class FakeEngines extends EngineConnector {
   readonly reports = new Map<string, EngineReport>();
-  readonly polls: string[] = [];
+  /** Whether reports stay away until they are cancelled. */
+  isSilent = false;
 
   override connect(upstream: string): EngineConnection {
     return new ReportingConnection(upstream, this);
@@ -160,9 +161,14 @@
   override async report(
     token: CancellationToken,
   ): Promise<Result<EngineReport, EngineError>> {
-    this.engines.polls.push(this.upstream);
+    if (this.engines.isSilent) {
+      await new Promise<void>(resolve => token.onDidCancel(resolve));
+    }
     const report = this.engines.reports.get(this.upstream);
-    if (report === undefined || token.isCancelled) {
+    if (token.isCancelled) {
+      return failure({kind: 'cancelled'});
+    }
+    if (report === undefined) {
       return failure({kind: 'unreachable', detail: 'no such engine'});
     }
     return success(report);
