Entry program: the redwing policy wired from its real parts

Cause: a request is to be served end to end through separate processes. Ruled out: placeholders in the product; the naive parts serve the naive policy only. Change: redwingParts.ts joins claims, cells, pipelines, services and serves peers.

--- a/src/features/callers/common/entrypoints.ts
+++ b/src/features/callers/common/entrypoints.ts
@@ -40,6 +40,15 @@
     .map(({address}) => address);
 }
 
+/** The caller address of the instance that runs an incarnation; undefined when none is known to. */
+export function addressOfIncarnation(
+  instances: readonly InstanceView[],
+  incarnation: string,
+): string | undefined {
+  const holder = instances.find(view => view.incarnation === incarnation);
+  return holder?.member.callerAddress;
+}
+
 /** Score of an instance for an account; the highest wins. */
 export function rendezvousScore(
   clientAccount: string,
--- a/src/features/callers/common/requestGate.ts
+++ b/src/features/callers/common/requestGate.ts
@@ -5,6 +5,7 @@
 import {SystemViewSource} from '../../membership/common/systemViewSource.js';
 import {RequestFailure} from '../../requests/common/failure.js';
 import {
+  addressOfIncarnation,
   EntrypointCandidate,
   Locality,
   orderEntrypoints,
@@ -82,9 +83,10 @@
 
   /** The caller address of the instance that runs an incarnation. */
   addressOf(incarnation: string): string | undefined {
-    const instances = this.views.current?.instances ?? [];
-    return instances.find(view => view.incarnation === incarnation)?.member
-      .callerAddress;
+    return addressOfIncarnation(
+      this.views.current?.instances ?? [],
+      incarnation,
+    );
   }
 
   /** The view to decide new work by, or why none is taken. */
--- /dev/null
+++ b/src/programs/entry/redwingParts.ts
@@ -0,0 +1,119 @@
+import {randomBytes} from 'node:crypto';
+
+import {DisposableOwner} from '../../base/common/lifecycle.js';
+import {
+  RandomSource,
+  SeededRandomSource,
+} from '../../base/common/randomSource.js';
+import {addressOfIncarnation} from '../../features/callers/common/entrypoints.js';
+import {ViewPeerDirectory} from '../../features/claims/common/peerDirectory.js';
+import {createClaimRouter} from '../../features/claims/node/claimRouter.js';
+import {DefaultClaimService} from '../../features/claims/node/defaultClaimService.js';
+import {RpcClaimPeers} from '../../features/claims/node/rpcClaimPeers.js';
+import {emptyConfiguration} from '../../features/configuration/common/configuration.js';
+import {defaultPipelineSettings} from '../../features/pipeline/common/pipelineSettings.js';
+import {StrictSafeguards} from '../../features/pipeline/common/safeguards.js';
+import {DefaultPipelineDriver} from '../../features/pipeline/node/defaultPipelineDriver.js';
+import {createCellRouter} from '../../features/routing/node/cellRouter.js';
+import {DefaultCapacityBroker} from '../../features/routing/node/defaultCapacityBroker.js';
+import {DefaultServiceDispatcher} from '../../features/services/common/defaultServiceDispatcher.js';
+import {mergeRpcRouters, serveRpc} from '../../platform/rpc/node/rpc.js';
+import {HttpTableService} from '../../platform/table/node/httpTableService.js';
+import {EntryBase, PolicyParts} from './entryParts.js';
+
+const SEED_BYTES = 4;
+
+/** The parts of the policy `redwing`: cells, pipelines with recovery, claims, records. */
+export class RedwingParts extends DisposableOwner implements PolicyParts {
+  readonly claims: DefaultClaimService;
+  readonly driver: DefaultPipelineDriver;
+  readonly dispatcher: DefaultServiceDispatcher;
+  private readonly broker: DefaultCapacityBroker;
+  private readonly random = createRandomSource();
+
+  constructor(private readonly base: EntryBase) {
+    super();
+    this.claims = this.register(this.createClaims());
+    this.broker = this.register(this.createBroker());
+    this.driver = this.createDriver();
+    this.dispatcher = this.createDispatcher();
+  }
+
+  /** Serves peers and begins to delete expired claims. */
+  async start(): Promise<void> {
+    const {settings, peerKey} = this.base;
+    const router = mergeRpcRouters(
+      createCellRouter(this.broker.cells),
+      createClaimRouter(this.claims),
+    );
+    this.register(await serveRpc(router, settings.peerAddress, peerKey));
+    this.claims.start();
+  }
+
+  private createClaims(): DefaultClaimService {
+    const {settings, views, peerKey, incarnation} = this.base;
+    const {clock, logger, metrics} = this.base;
+    const {tableAddress} = settings.platform;
+    const directory = new ViewPeerDirectory();
+    this.register(views.onDidChange(view => directory.update(view)));
+    const peers = this.register(new RpcClaimPeers(peerKey));
+    const table = this.register(
+      new HttpTableService(tableAddress, settings.instance.id),
+    );
+    const outside = {table, clock, logger, metrics, directory, peers};
+    return new DefaultClaimService({...outside, incarnation, peerKey});
+  }
+
+  private createBroker(): DefaultCapacityBroker {
+    const {settings, views, engines, peerKey, incarnation} = this.base;
+    const {clock, logger, metrics} = this.base;
+    const {id, dataCentre, region} = settings.instance;
+    return new DefaultCapacityBroker({
+      views,
+      connector: engines,
+      clock,
+      random: this.random,
+      logger,
+      metrics,
+      peerKey,
+      instanceId: id,
+      incarnation,
+      place: {dataCentre, region},
+      cellSize: settings.cellSize,
+    });
+  }
+
+  private createDriver(): DefaultPipelineDriver {
+    const {engines, clock, logger, metrics} = this.base;
+    return new DefaultPipelineDriver({
+      broker: this.broker,
+      connector: engines,
+      clock,
+      logger,
+      metrics,
+      settings: defaultPipelineSettings,
+      safeguards: new StrictSafeguards(),
+    });
+  }
+
+  private createDispatcher(): DefaultServiceDispatcher {
+    const {views, services, clock, logger, metrics} = this.base;
+    return new DefaultServiceDispatcher({
+      broker: this.broker,
+      connector: services,
+      claims: this.claims,
+      claimPlace: 'handler',
+      configuration: () => views.current?.configuration ?? emptyConfiguration,
+      addressOf: incarnation =>
+        addressOfIncarnation(views.current?.instances ?? [], incarnation),
+      clock,
+      random: this.random,
+      logger,
+      metrics,
+    });
+  }
+}
+
+function createRandomSource(): RandomSource {
+  return new SeededRandomSource(randomBytes(SEED_BYTES).readUInt32LE());
+}
--- a/src/programs/entry/wiring.ts
+++ b/src/programs/entry/wiring.ts
@@ -18,6 +18,7 @@
 import {HttpServiceConnector} from '../../platform/service/node/httpServiceConnector.js';
 import {EntrySettings} from '../../platform/settings/common/programSettings.js';
 import {EntryBase, PolicyParts} from './entryParts.js';
+import {RedwingParts} from './redwingParts.js';
 
 /** Constructs all parts of the entry program. */
 
@@ -124,7 +125,9 @@
 }
 
 function createParts(base: EntryBase): PolicyParts {
-  return createNaiveParts(base);
+  return base.settings.policy === 'naive'
+    ? createNaiveParts(base)
+    : new RedwingParts(base);
 }
 
 function createNaiveParts(base: EntryBase): PolicyParts {
