Entry program: a planned stop announces itself and keeps outcomes before it exits

Cause: with nothing in flight the program ended before its announcement was delivered and before outcomes of keyed requests were recorded. Ruled out: a fixed wait. Change: the stop awaits the announcement (about 1 s at most) and the claims' records (2 s at most); a second signal no longer cuts the stop short; tests of start, health, announcement and stop. Conclusion: a stop leaves nothing unsaid.

--- a/src/features/membership/common/systemViewSource.ts
+++ b/src/features/membership/common/systemViewSource.ts
@@ -14,7 +14,7 @@
   abstract readonly onDidChange: Event<SystemView>;
 
   /** Tells the control program which process serves and whether it is leaving; repeated until it was taken. */
-  abstract announce(announcement: EntryAnnouncement): void;
+  abstract announce(announcement: EntryAnnouncement): void | Promise<boolean>;
 
   abstract dispose(): void;
 }
--- a/src/features/membership/node/entryViewSource.ts
+++ b/src/features/membership/node/entryViewSource.ts
@@ -43,8 +43,9 @@
     this.source.start();
   }
 
-  override announce(announcement: EntryAnnouncement): void {
-    void this.source.announce(announcement);
+  /** Resolves with whether the control program took it, within about a second. */
+  override announce(announcement: EntryAnnouncement): Promise<boolean> {
+    return this.source.announce(announcement);
   }
 
   override dispose(): void {
--- a/src/programs/entry/entryParts.ts
+++ b/src/programs/entry/entryParts.ts
@@ -30,4 +30,6 @@
   readonly dispatcher: ServiceDispatcher;
   /** Begins to serve peers and to follow upstreams. */
   start(): Promise<void>;
+  /** Resolves when what must be kept of ended requests is kept, or after a time. */
+  drain(milliseconds: number): Promise<void>;
 }
--- a/src/programs/entry/main.ts
+++ b/src/programs/entry/main.ts
@@ -91,10 +91,11 @@
   }
 }
 
+/** Resolves at the first signal; later ones don't cut the stop short. */
 function stopSignal(): Promise<void> {
   return new Promise(resolve => {
-    process.once('SIGTERM', () => resolve());
-    process.once('SIGINT', () => resolve());
+    process.on('SIGTERM', () => resolve());
+    process.on('SIGINT', () => resolve());
   });
 }
 
--- a/src/programs/entry/redwingParts.ts
+++ b/src/programs/entry/redwingParts.ts
@@ -50,6 +50,10 @@
     this.claims.start();
   }
 
+  drain(milliseconds: number): Promise<void> {
+    return this.claims.drain(milliseconds);
+  }
+
   private createClaims(): DefaultClaimService {
     const {settings, views, peerKey, incarnation} = this.base;
     const {clock, logger, metrics} = this.base;
--- /dev/null
+++ b/src/programs/entry/test/entryProgram.test.ts
@@ -0,0 +1,122 @@
+import {createServer} from 'node:net';
+
+import {afterEach, expect, test} from 'vitest';
+
+import {
+  createRpcRouter,
+  parseAddress,
+  peerProcedure,
+  serveRpc,
+} from '../../../platform/rpc/node/rpc.js';
+import {EntrySettings} from '../../../platform/settings/common/programSettings.js';
+import {Disposable} from '../../../base/common/lifecycle.js';
+import {
+  configuration,
+  instanceView,
+} from '../../../features/callers/test/callerFakes.js';
+import {EntryAnnouncement} from '../../../features/membership/common/systemView.js';
+import {EntryProgram} from '../wiring.js';
+
+const peerKey = 'peer-secret';
+const releases: Disposable[] = [];
+
+afterEach(() => {
+  releases.splice(0).forEach(release => release.dispose());
+});
+
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const address = server.address();
+  await new Promise(resolve => server.close(resolve));
+  const port = typeof address === 'object' && address ? address.port : 0;
+  return `127.0.0.1:${port}`;
+}
+
+async function entrySettings(
+  policy: EntrySettings['policy'],
+): Promise<EntrySettings> {
+  const nowhere = await freeAddress();
+  return {
+    instance: {id: 'a', region: 'east', dataCentre: 'dc1'},
+    callerAddress: await freeAddress(),
+    peerAddress: await freeAddress(),
+    controlAddress: await freeAddress(),
+    platform: {
+      tableAddress: nowhere,
+      objectsAddress: nowhere,
+      weightsAddress: nowhere,
+      membershipAddress: nowhere,
+    },
+    peerKeyFile: 'none',
+    observation: {logLevel: 'error'},
+    bodyLimitBytes: 1024,
+    concurrentRequestLimit: 10,
+    entrypointsSeconds: 30,
+    drainSeconds: 5,
+    cellSize: 8,
+    policy,
+  };
+}
+
+/** A control program that serves one view and keeps what it is told. */
+async function serveControl(address: string): Promise<EntryAnnouncement[]> {
+  const announcements: EntryAnnouncement[] = [];
+  let watches = 0;
+  const update = {
+    position: {source: 'control', sequence: 1},
+    standing: {kind: 'serving'},
+    configuration,
+    instances: [instanceView('a')],
+    upstreams: [],
+  };
+  const view = createRpcRouter({
+    watch: peerProcedure.query(async ({signal}) => {
+      watches += 1;
+      if (watches > 1) {
+        await new Promise(resolve =>
+          signal?.addEventListener('abort', resolve, {once: true}),
+        );
+      }
+      return update;
+    }),
+    announce: peerProcedure
+      .input((value: unknown) => value as EntryAnnouncement)
+      .mutation(({input}) => void announcements.push(input)),
+  });
+  releases.push(await serveRpc(createRpcRouter({view}), address, peerKey));
+  return announcements;
+}
+
+async function health(settings: EntrySettings): Promise<number> {
+  const {host, port} = parseAddress(settings.callerAddress);
+  return (await fetch(`http://${host}:${port}/v1/health`)).status;
+}
+
+test.each(['redwing', 'naive'] as const)(
+  '%s: serves once it has a view, announces itself, and says when it leaves',
+  async policy => {
+    const settings = await entrySettings(policy);
+    const program = new EntryProgram(settings, peerKey);
+    await program.start();
+    expect(await health(settings)).toBe(503);
+    const announcements = await serveControl(settings.controlAddress);
+    await expect.poll(() => health(settings)).toBe(200);
+    await expect.poll(() => announcements.length).toBe(1);
+    await program.stop();
+    expect(announcements.map(({leaving}) => leaving)).toEqual([false, true]);
+    await expect(health(settings)).rejects.toThrow();
+  },
+);
+
+test('an address in use fails the start', async () => {
+  const settings = await entrySettings('naive');
+  const first = new EntryProgram(settings, peerKey);
+  await first.start();
+  const second = new EntryProgram(settings, peerKey);
+  await expect(second.start()).rejects.toThrow('EADDRINUSE');
+  second.dispose();
+  await first.stop();
+});
--- a/src/programs/entry/wiring.ts
+++ b/src/programs/entry/wiring.ts
@@ -24,6 +24,9 @@
 
 const MILLISECONDS_PER_SECOND = 1000;
 
+/** Longest wait of a planned stop for outcomes to be recorded. */
+const RECORD_MILLISECONDS = 2000;
+
 /** The entry program of one instance. */
 export class EntryProgram extends DisposableOwner {
   private readonly base: EntryBase;
@@ -59,13 +62,15 @@
   /** Leaves: refuses new work at once, finishes what is in flight, then closes. */
   async stop(): Promise<void> {
     const {views, logger, incarnation} = this.base;
-    views.announce({incarnation, leaving: true});
+    const announced = views.announce({incarnation, leaving: true});
     logger.info('entry program leaves', {requests: this.gate.count});
     const limit = this.settings.drainSeconds * MILLISECONDS_PER_SECOND;
     const givenUp = await this.server.drain(limit);
     if (givenUp > 0) {
       logger.warn('requests were given up at the end of the drain', {givenUp});
     }
+    await this.parts.drain(RECORD_MILLISECONDS);
+    await announced;
     this.dispose();
     logger.info('entry program stopped', {givenUp});
   }
@@ -138,6 +143,7 @@
     driver: new NaivePipelineDriver(broker, engines),
     dispatcher: new NaiveServiceDispatcher(broker, services),
     start: () => Promise.resolve(),
+    drain: () => Promise.resolve(),
     dispose: () => undefined,
   };
 }
