--- a/src/features/callers/common/chatRequest.ts
+++ b/src/features/callers/common/chatRequest.ts
@@ -2,6 +2,7 @@
 
 import {Finding} from '../../../base/common/finding.js';
 import {failure, Result, success} from '../../../base/common/result.js';
+import {toFindings} from '../../../platform/settings/common/schemaFindings.js';
 import {Model} from '../../configuration/common/configuration.js';
 import {ChatMessage} from '../../requests/common/request.js';
 
@@ -17,10 +18,10 @@
 const BODY_SOURCE = 'body';
 const ADAPTER_SEPARATOR = ':';
 
-const contentSchema = z.union([
-  z.string(),
-  z.array(z.object({type: z.literal('text'), text: z.string()})),
-]);
+const contentSchema = z.union(
+  [z.string(), z.array(z.object({type: z.literal('text'), text: z.string()}))],
+  'a text, or a list of text parts',
+);
 
 const outputLimitSchema = z.int().min(1).max(OUTPUT_TOKEN_LIMIT).nullish();
 
@@ -58,7 +59,9 @@
     return json;
   }
   const parsed = chatSchema.safeParse(json.value);
-  const findings = parsed.success ? [] : parsed.error.issues.map(toFinding);
+  const findings: Finding[] = parsed.success
+    ? []
+    : parsed.error.issues.flatMap(issue => toFindings(issue, BODY_SOURCE));
   const modelName = modelNameOf(json.value);
   const target = modelName === undefined ? undefined : find(modelName, models);
   if (modelName !== undefined && target === undefined) {
@@ -135,18 +138,6 @@
   return content.map(part => part.text).join('');
 }
 
-function toFinding(issue: z.core.$ZodIssue): Finding {
-  return bodyFinding(jsonPath(issue.path), issue.message);
-}
-
-/** A JSON path such as `$.messages[0].role`. */
-function jsonPath(parts: readonly PropertyKey[]): string {
-  const steps = parts.map(part =>
-    typeof part === 'number' ? `[${part}]` : `.${String(part)}`,
-  );
-  return `$${steps.join('')}`;
-}
-
 function bodyFinding(path: string, expected: string): Finding {
   return {source: BODY_SOURCE, path, expected};
 }
--- a/src/features/callers/node/requestExchange.ts
+++ b/src/features/callers/node/requestExchange.ts
@@ -105,7 +105,7 @@
       recordNotRun: () =>
         this.record({
           kind: 'failed',
-          failure: notExecuted({kind: 'callerGone'}),
+          failure: notExecuted(this.givenUpFor ?? {kind: 'callerGone'}),
         }),
     });
   }
