--- a/src/features/pipeline/test/faultyEngine.ts
+++ b/src/features/pipeline/test/faultyEngine.ts
@@ -110,9 +110,9 @@
     return `${this.upstream}/${this.incarnationNumber}`;
   }
 
-  /** Sequences that hold a KV cache here. */
+  /** Sequences that hold a KV cache here; none once it is dead. */
   get resident(): readonly string[] {
-    return [...this.sequences.keys()];
+    return this.dead ? [] : [...this.sequences.keys()];
   }
 
   override async step(
--- a/src/features/pipeline/test/pipelineBench.ts
+++ b/src/features/pipeline/test/pipelineBench.ts
@@ -23,6 +23,7 @@
   PipelineSettings,
 } from '../common/pipelineSettings.js';
 import {Safeguards, StrictSafeguards} from '../common/safeguards.js';
+import {delay} from '../node/boundedCall.js';
 import {DefaultPipelineDriver} from '../node/defaultPipelineDriver.js';
 import {
   CacheStore,
@@ -50,6 +51,10 @@
   readonly safeguards?: Safeguards;
   readonly settings?: Partial<PipelineSettings>;
   readonly startsInMilliseconds?: number;
+  /** How long the broker takes to answer. */
+  readonly brokerMilliseconds?: number;
+  /** Whether new plans prefer other engines for all stages. */
+  readonly movesAll?: boolean;
 }
 
 /** One run as its caller saw it. */
@@ -71,14 +76,16 @@
 
   constructor(
     private readonly engines: readonly FaultyEngine[],
-    private readonly startsInMilliseconds: number,
+    private readonly clock: FakeClock,
+    private readonly options: BenchOptions,
   ) {
     super();
   }
 
   override async reserve(work: WorkEstimate): Promise<ReservationReply> {
     this.works.push(work);
-    return this.choose([]);
+    await delay(this.clock, this.options.brokerMilliseconds ?? 0);
+    return this.choose(this.engines, []);
   }
 
   override async replan(
@@ -87,16 +94,22 @@
     model: string,
     excluded: readonly string[],
   ): Promise<ReservationReply> {
-    const reply = this.choose(excluded);
+    const engines = this.options.movesAll
+      ? [...this.engines].reverse()
+      : this.engines;
+    const reply = this.choose(engines, excluded);
     if (reply.kind === 'reserved') {
       this.held.delete(reservation.reservationId);
     }
     return reply;
   }
 
-  private choose(excluded: readonly string[]): ReservationReply {
+  private choose(
+    engines: readonly FaultyEngine[],
+    excluded: readonly string[],
+  ): ReservationReply {
     const chosen = ranges.map(range =>
-      this.engines.find(
+      engines.find(
         engine =>
           engine.layers.from === range.from &&
           !excluded.includes(engine.upstream),
@@ -116,7 +129,7 @@
     const reservationId = `r${this.made}`;
     this.held.add(reservationId);
     const prediction = {
-      startsInMilliseconds: this.startsInMilliseconds,
+      startsInMilliseconds: this.options.startsInMilliseconds ?? 0,
       firstTokenMilliseconds: 100,
       betweenTokensMilliseconds: 10,
       wholeMilliseconds: 1000,
@@ -212,10 +225,7 @@
         );
       }),
     );
-    this.broker = new ListBroker(
-      this.engines,
-      options.startsInMilliseconds ?? 0,
-    );
+    this.broker = new ListBroker(this.engines, this.clock, options);
     this.driver = new DefaultPipelineDriver({
       broker: this.broker,
       connector: new MapConnector(this.engines),
--- a/src/features/pipeline/test/pipelineFaults.test.ts
+++ b/src/features/pipeline/test/pipelineFaults.test.ts
@@ -221,6 +221,32 @@
     expect(bench.metrics.counts.get('pipeline.droppedAnswers')).toBe(2);
   });
 
+  test('a new plan on other engines frees those left behind', async () => {
+    const bench = new PipelineBench({
+      movesAll: true,
+      faults: [faultAt(1, 'killAfter', DECODE)],
+    });
+    const left = bench.engines.filter(engine => engine.upstream.endsWith('0'));
+    const held: string[] = [];
+    const run = bench.start({}, ({delivered}) => {
+      if (delivered.length === DECODE + 3) {
+        held.push(...left.flatMap(engine => engine.resident));
+      }
+    });
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(run.result?.ok).toBe(true);
+    expect(held).toEqual([]);
+  });
+
+  test('a late answer is counted and dropped', async () => {
+    const bench = new PipelineBench({faults: [faultAt(1, 'late', DECODE)]});
+    bench.start();
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(bench.metrics.counts.get('pipeline.droppedAnswers')).toBe(1);
+  });
+
   test('recoveries are bounded', async () => {
     const faults = Array.from({length: 50}, (_, atStep) =>
       faultAt(1, 'cutAfter', atStep),
--- a/src/features/pipeline/test/pipelineLifecycle.test.ts
+++ b/src/features/pipeline/test/pipelineLifecycle.test.ts
@@ -4,10 +4,6 @@
 import {PipelineBench, upstreamName} from './pipelineBench.js';
 import {violationsOf} from './verdict.js';
 
-function residents(bench: PipelineBench): readonly string[] {
-  return bench.engines.flatMap(engine => engine.resident);
-}
-
 describe('whole replies', () => {
   const cases = [
     {name: 'ends by itself', maximumOutputTokens: 40, finishReason: 'stop'},
@@ -24,7 +20,6 @@
     await bench.finish();
     expect(violationsOf(bench)).toEqual([]);
     expect(run.result).toMatchObject({ok: true, value: {finishReason}});
-    expect(residents(bench)).toEqual([]);
     expect(bench.broker.observations).toHaveLength(3);
     expect(bench.logger.decisions).toHaveLength(1);
   });
@@ -85,7 +80,16 @@
       error: {error: {kind: 'callerGone'}, executed: 'yes'},
     });
     expect(run.delivered).toHaveLength(4);
-    expect(residents(bench)).toEqual([]);
+  });
+
+  test('caller gone while capacity is asked for', async () => {
+    const bench = new PipelineBench({brokerMilliseconds: 300});
+    const run = bench.start();
+    await bench.clock.advanceAsync(100);
+    run.source.cancel('caller gone');
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(run.result).toMatchObject({ok: false, error: {executed: 'no'}});
   });
 
   test('caller gone while waiting for the start', async () => {
@@ -114,7 +118,6 @@
     expect(violationsOf(bench)).toEqual([]);
     expect(run.result).toMatchObject({ok: false, error: {executed: 'unknown'}});
     expect(run.endedAt).toBeLessThanOrEqual(150);
-    expect(residents(bench)).toEqual([]);
   });
 
   test('the deadline passes in the middle', async () => {
--- a/src/features/pipeline/test/verdict.ts
+++ b/src/features/pipeline/test/verdict.ts
@@ -11,7 +11,10 @@
     ),
   );
   const held = [...bench.broker.held].map(id => `reservation ${id} is held`);
-  return [...found, ...held];
+  const resident = bench.engines.flatMap(({upstream, resident}) =>
+    resident.map(requestId => `${upstream} still holds ${requestId}`),
+  );
+  return [...found, ...held, ...resident];
 }
 
 function runViolations(
