--- a/src/features/pipeline/node/capacityClient.ts
+++ b/src/features/pipeline/node/capacityClient.ts
@@ -3,6 +3,7 @@
   Reservation,
   ReservationReply,
   StageObservation,
+  WorkEstimate,
 } from '../../routing/common/routing.js';
 import {OutputEstimator} from '../common/outputEstimator.js';
 import {estimateWork} from '../common/workEstimate.js';
@@ -13,15 +14,22 @@
 
 /** Asks for capacity on behalf of one request; what comes after the request ended is given back. */
 export class CapacityClient {
+  /** Tokens expected of the whole reply. */
+  readonly expectedTokens: number;
   private readonly decisions: DecisionLog;
 
   constructor(
     private readonly dependencies: PipelineDependencies,
     private readonly request: ModelRequest,
     private readonly state: RunState,
-    private readonly estimator: OutputEstimator,
+    estimator: OutputEstimator,
   ) {
     this.decisions = new DecisionLog(dependencies.logger, request);
+    this.expectedTokens = estimator.estimate(
+      request.classOfWork.name,
+      request.clientAccount,
+      request.maximumOutputTokens,
+    );
   }
 
   /** Undefined when the run ended first. */
@@ -66,19 +74,10 @@
     this.decisions.writeKept(cause, epoch, upstreams);
   }
 
-  /** Tokens expected of the whole reply. */
-  expectedTokens(): number {
-    return this.estimator.estimate(
-      this.request.classOfWork.name,
-      this.request.clientAccount,
-      this.request.maximumOutputTokens,
-    );
-  }
-
-  private work() {
+  private work(): WorkEstimate {
     return estimateWork(
       this.request,
-      this.expectedTokens(),
+      this.expectedTokens,
       this.state.released,
       this.dependencies.clock.monotonicMilliseconds(),
     );
--- a/src/features/pipeline/node/pipelineRun.ts
+++ b/src/features/pipeline/node/pipelineRun.ts
@@ -186,7 +186,7 @@
     caches.exportWhenDue({
       contextTokens: state.tokens.length,
       releasedTokens: state.released,
-      expectedTokens: capacity.expectedTokens(),
+      expectedTokens: capacity.expectedTokens,
       maximumTokens: maximumOutputTokens,
     });
     return undefined;
--- a/src/features/pipeline/node/tokenStepper.ts
+++ b/src/features/pipeline/node/tokenStepper.ts
@@ -36,7 +36,10 @@
 }
 
 /** Told of an answer that did not belong to its step. */
-export type FaultListener = (step: StepRequest, fault: LineageFault) => void;
+export type FaultListener = (
+  step: StepRequest,
+  fault: LineageFault | 'mismatch',
+) => void;
 
 /** Runs one pass after the other through the stages of a request. */
 export class TokenStepper {
@@ -97,6 +100,7 @@
     session.record.handOver(pass.epoch, session.knowledge.incarnation);
     const result = await attempt.call(session.connection, step, limit);
     if (!result.ok) {
+      this.countMismatch(step, result.error);
       return result;
     }
     const fault = this.safeguards.checkReceipt(
@@ -113,6 +117,13 @@
     return result;
   }
 
+  /** Connections also find answers that don't belong to their step. */
+  private countMismatch(step: StepRequest, error: StepError): void {
+    if (error.kind === 'mismatch') {
+      this.onFault(step, error.kind);
+    }
+  }
+
   private observe(
     session: StageSession,
     pass: TokenPass,
--- a/src/features/pipeline/test/pipelineBench.ts
+++ b/src/features/pipeline/test/pipelineBench.ts
@@ -1,4 +1,5 @@
 import {CancellationSource} from '../../../base/common/cancellation.js';
+import {Clock} from '../../../base/common/clock.js';
 import {Result} from '../../../base/common/result.js';
 import {
   EngineConnection,
@@ -34,7 +35,7 @@
 } from './faultyEngine.js';
 
 export const layerCount = 6;
-const ranges: readonly LayerRange[] = [
+export const ranges: readonly LayerRange[] = [
   {from: 0, to: 2},
   {from: 2, to: 4},
   {from: 4, to: 6},
@@ -67,7 +68,14 @@
   endedAt: number;
 }
 
-class ListBroker extends CapacityBroker {
+/** What the broker knows of an engine. */
+export type BrokerEngine = Pick<
+  FaultyEngine,
+  'upstream' | 'layers' | 'checksFencing'
+> & {readonly address?: string};
+
+/** Gives the first engine of each layer range that is not excluded. */
+export class ListBroker extends CapacityBroker {
   readonly held = new Set<string>();
   readonly works: WorkEstimate[] = [];
   readonly observations: StageObservation[] = [];
@@ -75,8 +83,8 @@
   private made = 0;
 
   constructor(
-    private readonly engines: readonly FaultyEngine[],
-    private readonly clock: FakeClock,
+    private readonly engines: readonly BrokerEngine[],
+    private readonly clock: Clock,
     private readonly options: BenchOptions,
   ) {
     super();
@@ -105,7 +113,7 @@
   }
 
   private choose(
-    engines: readonly FaultyEngine[],
+    engines: readonly BrokerEngine[],
     excluded: readonly string[],
   ): ReservationReply {
     const chosen = ranges.map(range =>
@@ -119,9 +127,9 @@
       const retryAfterMilliseconds = 200;
       return {kind: 'refused', reason: 'noUpstream', retryAfterMilliseconds};
     }
-    const stages = (chosen as FaultyEngine[]).map(engine => ({
+    const stages = (chosen as BrokerEngine[]).map(engine => ({
       upstream: engine.upstream,
-      address: engine.upstream,
+      address: engine.address ?? engine.upstream,
       layers: engine.layers,
       checksFencing: engine.checksFencing,
     }));
@@ -243,7 +251,13 @@
     onToken: (run: BenchRun) => void | Promise<void> = () => undefined,
   ): BenchRun {
     const run: BenchRun = {
-      request: {...this.makeRequest(), ...overrides},
+      request: {
+        ...makeRequest(
+          `q${this.runs.length}`,
+          this.clock.monotonicMilliseconds(),
+        ),
+        ...overrides,
+      },
       delivered: [],
       indices: [],
       source: new CancellationSource(),
@@ -274,32 +288,31 @@
     }
     await this.clock.advanceAsync(120_000);
   }
+}
 
-  private makeRequest(): ModelRequest {
-    const requestId = `q${this.runs.length}`;
-    const now = this.clock.monotonicMilliseconds();
-    return {
-      requestId,
-      idempotencyKey: undefined,
-      clientAccount: 'bakery',
-      classOfWork: {
-        name: 'assistant',
-        firstTokenMilliseconds: 500,
-        betweenTokensMilliseconds: 60,
-        deadlineMilliseconds: 20_000,
-        requestsPerSecond: 1,
-        repeatable: false,
-      },
-      model: {name: 'm', version: '1', layerCount, adapters: []},
-      adapter: undefined,
-      messages: [],
-      promptTokens: ['order', 'for', requestId, '[reply:12]'],
-      maximumOutputTokens: 40,
-      stream: true,
-      arrivedAt: now,
-      deadlineAt: now + 20_000,
-    };
-  }
+/** A request for a reply of 12 tokens. */
+export function makeRequest(requestId: string, now: number): ModelRequest {
+  return {
+    requestId,
+    idempotencyKey: undefined,
+    clientAccount: 'bakery',
+    classOfWork: {
+      name: 'assistant',
+      firstTokenMilliseconds: 500,
+      betweenTokensMilliseconds: 60,
+      deadlineMilliseconds: 20_000,
+      requestsPerSecond: 1,
+      repeatable: false,
+    },
+    model: {name: 'm', version: '1', layerCount, adapters: []},
+    adapter: undefined,
+    messages: [],
+    promptTokens: ['order', 'for', requestId, '[reply:12]'],
+    maximumOutputTokens: 40,
+    stream: true,
+    arrivedAt: now,
+    deadlineAt: now + 20_000,
+  };
 }
 
 /** The name of a replica of a stage, both from 0. */
