--- a/src/platform/rpc/test/rpc.test.ts
+++ b/src/platform/rpc/test/rpc.test.ts
@@ -74,7 +74,7 @@
 
 describe('calls', () => {
   type Call = (client: RpcClient<typeof router>) => Promise<unknown>;
-  const good: {name: string; call: Call; answer: unknown}[] = [
+  const good: Array<{name: string; call: Call; answer: unknown}> = [
     {
       name: 'a mutation',
       call: ({call}) => call.words.echo.mutate('héllo'),
@@ -100,34 +100,35 @@
     expect(await call(connect())).toEqual(answer);
   });
 
-  const bad: {name: string; call: Call; key?: string; message: RegExp}[] = [
-    {
-      name: 'a wrong key',
-      call: ({call}) => call.words.echo.mutate('x'),
-      key: 'wrong',
-      message: /peer key missing or wrong/,
-    },
-    {
-      name: 'a failing procedure',
-      call: ({call}) => call.words.fail.mutate(),
-      message: /as told/,
-    },
-    {
-      name: 'an input that is refused',
-      call: ({call}) => call.words.echo.mutate(7 as never),
-      message: /expected a string/,
-    },
-    {
-      name: 'an unknown procedure',
-      call: ({call}) => (call.words as never as Echoing).missing.mutate('x'),
-      message: /No "mutation"-procedure/,
-    },
-    {
-      name: 'a body that is too large',
-      call: ({call}) => call.words.echo.mutate('x'.repeat(5_000_000)),
-      message: /larger than|socket|EPIPE|ECONNRESET/,
-    },
-  ];
+  const bad: Array<{name: string; call: Call; key?: string; message: RegExp}> =
+    [
+      {
+        name: 'a wrong key',
+        call: ({call}) => call.words.echo.mutate('x'),
+        key: 'wrong',
+        message: /peer key missing or wrong/,
+      },
+      {
+        name: 'a failing procedure',
+        call: ({call}) => call.words.fail.mutate(),
+        message: /as told/,
+      },
+      {
+        name: 'an input that is refused',
+        call: ({call}) => call.words.echo.mutate(7 as never),
+        message: /expected a string/,
+      },
+      {
+        name: 'an unknown procedure',
+        call: ({call}) => (call.words as never as Echoing).missing.mutate('x'),
+        message: /No "mutation"-procedure/,
+      },
+      {
+        name: 'a body that is too large',
+        call: ({call}) => call.words.echo.mutate('x'.repeat(5_000_000)),
+        message: /larger than|socket|EPIPE|ECONNRESET/,
+      },
+    ];
   test.each(bad)('$name fails', async ({call, key, message}) => {
     const error = await call(connect(key)).then(
       () => undefined,
