--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -37,6 +37,7 @@
   tokenOf,
 } from './referenceModel.js';
 import {Sequence, SequenceSlots} from './sequences.js';
+import {sleep} from '../support/sleep.js';
 
 /** Errors that the engine itself states. */
 export type EngineRefusal = Extract<
@@ -668,7 +669,3 @@
     map.delete(key);
   }
 }
-
-function sleep(milliseconds: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/test/standins/engineStandIn.ts
+++ b/test/standins/engineStandIn.ts
@@ -24,6 +24,7 @@
   StandInCall,
   StandInServer,
 } from './standInServer.js';
+import {sleep} from '../support/sleep.js';
 
 interface Death {
   steps: number;
@@ -245,7 +246,7 @@
       case 'answerLost':
         return {kind: 'cut'};
       case 'late':
-        await new Promise(resolve => setTimeout(resolve, fault.milliseconds));
+        await sleep(fault.milliseconds);
         return answerOk(receipt);
       case 'crossed':
         return answerOk(crossedReceipt(receipt, earlier));
--- a/test/standins/platform.test.ts
+++ b/test/standins/platform.test.ts
@@ -14,7 +14,10 @@
 } from '../../src/platform/table/common/tableService.js';
 import {HttpTableService} from '../../src/platform/table/node/httpTableService.js';
 import {HttpWeightStore} from '../../src/platform/weights/node/httpWeightStore.js';
-import {InMemoryPlatform} from '../support/inMemoryPlatform.js';
+import {
+  InMemoryPlatform,
+  PlatformFault as MemoryFault,
+} from '../support/inMemoryPlatform.js';
 import {freeAddresses} from '../support/ports.js';
 import {
   PlatformFault,
@@ -139,6 +142,22 @@
     expect(await values(table, 'k')).toEqual([value]);
   });
 
+  it.each(cases.filter(([fault]) => fault.kind !== 'unavailable'))(
+    'in memory too: %j is %s, then reads %s',
+    async (fault, kind, value) => {
+      const shared = new InMemoryPlatform();
+      const store = shared.portsOf('a').table;
+      shared.addFault(fault as MemoryFault, {instance: 'a', times: 1});
+      const result = await store.transact(
+        [put('k', 'v')],
+        'all',
+        neverCancelled,
+      );
+      expect(!result.ok && result.error.kind).toBe(kind);
+      expect(await values(shared.portsOf('b').table, 'k')).toEqual([value]);
+    },
+  );
+
   it('strikes the named instance only, as often as asked', async () => {
     const fault = {kind: 'requestLost'} as const;
     await platform.setFault({fault, instance: 'instance-1', times: 1});
--- a/test/standins/platformStandIn.ts
+++ b/test/standins/platformStandIn.ts
@@ -20,6 +20,7 @@
   StandInCall,
   StandInServer,
 } from './standInServer.js';
+import {sleep} from '../support/sleep.js';
 
 /** Settings of the platform stand-in; addresses are `IP:port`. */
 export interface PlatformStandInSettings {
@@ -427,10 +428,6 @@
   };
 }
 
-function sleep(milliseconds: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 /** Starts a platform stand-in. */
 export async function startPlatform(
   settings: PlatformStandInSettings,
--- a/test/standins/serviceStandIn.ts
+++ b/test/standins/serviceStandIn.ts
@@ -10,6 +10,7 @@
   StandInCall,
   StandInServer,
 } from './standInServer.js';
+import {sleep} from '../support/sleep.js';
 
 /** Settings of a plain service stand-in; addresses are `IP:port`. */
 export interface ServiceStandInSettings {
@@ -219,10 +220,6 @@
   };
 }
 
-function sleep(milliseconds: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 /** Starts a plain service stand-in. */
 export async function startService(
   settings: ServiceStandInSettings,
--- a/test/support/launcher.test.ts
+++ b/test/support/launcher.test.ts
@@ -6,10 +6,12 @@
 import {afterEach, expect, it} from 'vitest';
 
 import {neverCancelled} from '../../src/base/common/cancellation.js';
+import {ConfigurationOperation} from '../../src/features/configuration/common/configuration.js';
 import {HttpEngineConnector} from '../../src/platform/engine/node/httpEngineConnector.js';
 import {HttpMembershipList} from '../../src/platform/membership/node/httpMembershipList.js';
-import {LaunchedSystem} from './launcher.js';
+import {hashKey, LaunchedSystem} from './launcher.js';
 import {repositoryRoot} from './managedProcess.js';
+import {callJson} from './systemParts.js';
 
 let system: LaunchedSystem | undefined;
 
@@ -101,6 +103,56 @@
   expect(ledger).toMatchObject([{kind: 'cancelled', epoch: 3}]);
 });
 
+it('starts instances that serve a model, and stops one as planned', async () => {
+  const operations: readonly ConfigurationOperation[] = [
+    {
+      kind: 'setModel',
+      value: {name: 'assistant', version: '1', layerCount: 8, adapters: []},
+    },
+    {
+      kind: 'setClass',
+      value: {
+        name: 'quote',
+        firstTokenMilliseconds: 2000,
+        betweenTokensMilliseconds: 200,
+        deadlineMilliseconds: 20000,
+        requestsPerSecond: 10,
+        repeatable: true,
+      },
+    },
+    {
+      kind: 'setClientAccount',
+      value: {name: 'site-1', keyHash: hashKey('site-key')},
+    },
+  ];
+  system = await LaunchedSystem.launch(
+    {entrySettings: {drainSeconds: 2}},
+    operations,
+  );
+  const [first, second] = system.instances;
+  const content = '[reply:6] pour twelve metres';
+  const url = `http://${first!.member.callerAddress}/v1/chat/completions`;
+  const answer = await callJson(
+    'POST',
+    url,
+    {model: 'assistant', messages: [{role: 'user', content}], max_tokens: 20},
+    {authorization: 'Bearer site-key', 'redwing-class': 'quote'},
+  );
+  expect(answer.status).toBe(200);
+  const ledgers = await Promise.all(
+    system.engines.map(engine => engine.ledger()),
+  );
+  const made = ledgers
+    .flat()
+    .flatMap(entry => (entry.kind === 'completed' ? (entry.token ?? []) : []));
+  const text = JSON.stringify(answer.body);
+  expect(made).toHaveLength(6);
+  expect(text).toContain(made.join(' '));
+  expect(await system.stopInstance(second!)).toEqual([0, 0]);
+  await first!.entry.kill();
+  expect(await first!.isReady()).toBe(false);
+});
+
 it('leaves no process behind when its own process is killed', async () => {
   const launcher = join(repositoryRoot(), 'dist/test/support/launcher.js');
   const script = `
--- a/test/support/launcher.ts
+++ b/test/support/launcher.ts
@@ -38,6 +38,7 @@
   PlatformHandle,
   ServiceHandle,
 } from './systemParts.js';
+import {sleep} from './sleep.js';
 
 const READY_MILLISECONDS = 20_000;
 const POLL_MILLISECONDS = 50;
@@ -68,7 +69,8 @@
   }
 
   /**
-   * Starts everything, applies the operations and waits until all instances take work.
+   * Starts everything, applies the operations and waits until all instances take work. Without
+   * operations there is nothing to serve: configure with `administer`, then `awaitReady`.
    * After a failure everything started is ended.
    */
   static async launch(
@@ -244,8 +246,8 @@
     }
     if (operations.length > 0) {
       await this.configure(operations);
+      await this.awaitReady();
     }
-    await this.awaitReady();
   }
 
   private async configure(
@@ -533,7 +535,3 @@
     throw error;
   }
 }
-
-function sleep(milliseconds: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/test/support/managedProcess.ts
+++ b/test/support/managedProcess.ts
@@ -9,7 +9,7 @@
 /** The root of the repository, from the sources or from the build. */
 export function repositoryRoot(): string {
   let directory = dirname(fileURLToPath(import.meta.url));
-  while (!existsSync(join(directory, 'package.json'))) {
+  while (!existsSync(join(directory, 'tsconfig.json'))) {
     directory = dirname(directory);
   }
   return directory;
--- /dev/null
+++ b/test/support/sleep.ts
@@ -0,0 +1,4 @@
+/** Waits. */
+export function sleep(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
