--- a/lint/layerRule.js
+++ b/lint/layerRule.js
@@ -13,9 +13,6 @@
   'zod',
 ]);
 
-/** The one file outside `src` that product code reads. */
-const VERSION_FILE = 'package.json';
-
 const MESSAGES = {
   layer: '{{from}} is below {{to}}: imports go downwards only.',
   nodeModule: 'A common folder must not import {{specifier}}: it needs Node.',
@@ -61,7 +58,7 @@
   if (!from.isTest && to.isTest) {
     return {messageId: 'testFolder'};
   }
-  if (!from.isTest && !to.inSource && to.topFolder !== VERSION_FILE) {
+  if (!from.isTest && !to.inSource) {
     return {messageId: 'outside', data: {folder: to.topFolder}};
   }
   if (to.inSource && to.layer > from.layer) {
--- /dev/null
+++ b/src/base/test/version.test.ts
@@ -0,0 +1,10 @@
+import {readFileSync} from 'node:fs';
+
+import {expect, it} from 'vitest';
+
+import {version} from '../common/version.js';
+
+it('is the version of the package', () => {
+  const packageFile = JSON.parse(readFileSync('package.json', 'utf8'));
+  expect(packageFile.version).toBe(version);
+});
--- a/src/features/routing/node/cellOwner.ts
+++ b/src/features/routing/node/cellOwner.ts
@@ -138,7 +138,7 @@
     return this.bookings.size;
   }
 
-  private stages(now: number): {view: StageView; model: string}[] {
+  private stages(now: number): Array<{view: StageView; model: string}> {
     const {registry} = this.parts;
     return this.cell.engines.flatMap(({id}) => {
       const view = registry.viewOf(id, now);
--- a/src/features/routing/test/capacityBroker.test.ts
+++ b/src/features/routing/test/capacityBroker.test.ts
@@ -63,28 +63,32 @@
 }
 
 describe('who decides', () => {
-  const cases: {name: string; from: () => string; owner: Reach; by: string}[] =
-    [
-      {name: 'the owner itself', from: ownerOf, owner: 'up', by: 'owner'},
-      {
-        name: 'the owner, asked',
-        from: () => others()[0]!,
-        owner: 'up',
-        by: 'owner',
-      },
-      {
-        name: 'the next when the owner refuses connections',
-        from: () => others()[0]!,
-        owner: 'down',
-        by: 'other',
-      },
-      {
-        name: 'the next when the owner is silent',
-        from: () => others()[0]!,
-        owner: 'silent',
-        by: 'other',
-      },
-    ];
+  const cases: Array<{
+    name: string;
+    from: () => string;
+    owner: Reach;
+    by: string;
+  }> = [
+    {name: 'the owner itself', from: ownerOf, owner: 'up', by: 'owner'},
+    {
+      name: 'the owner, asked',
+      from: () => others()[0]!,
+      owner: 'up',
+      by: 'owner',
+    },
+    {
+      name: 'the next when the owner refuses connections',
+      from: () => others()[0]!,
+      owner: 'down',
+      by: 'other',
+    },
+    {
+      name: 'the next when the owner is silent',
+      from: () => others()[0]!,
+      owner: 'silent',
+      by: 'other',
+    },
+  ];
   test.each(cases)('$name', async ({from, owner, by}) => {
     await startBench();
     bench.reach.set(ownerOf(), owner);
@@ -109,7 +113,7 @@
     engineMember('e1', {state: 'leaving'}),
     ...engines.slice(1),
   ];
-  const cases: {name: string; cause: () => void}[] = [
+  const cases: Array<{name: string; cause: () => void}> = [
     {
       name: 'leaving by the list',
       cause: () => bench.show(instances, leavingList),
--- a/src/features/routing/test/routingFakes.ts
+++ b/src/features/routing/test/routingFakes.ts
@@ -196,7 +196,7 @@
 
 /** Keeps decision lines. */
 export class RecordingLogger extends SilentLogger {
-  readonly decisions: {name: string; fields: LogFields}[] = [];
+  readonly decisions: Array<{name: string; fields: LogFields}> = [];
 
   override decision(name?: string, fields?: LogFields): void {
     this.decisions.push({name: name!, fields: fields!});
--- a/src/features/routing/test/stageLedger.test.ts
+++ b/src/features/routing/test/stageLedger.test.ts
@@ -41,7 +41,12 @@
 describe('sequences counted at an engine', () => {
   const a = {at: 0, reserve: 'a'};
   const b = {at: 0, reserve: 'b'};
-  const cases: {name: string; steps: Step[]; now: number; count: number}[] = [
+  const cases: Array<{
+    name: string;
+    steps: Step[];
+    now: number;
+    count: number;
+  }> = [
     {name: 'own reservations', steps: [a, b], now: 1, count: 2},
     {
       name: 'less what was released',
--- a/src/programs/redwing/runRedwing.ts
+++ b/src/programs/redwing/runRedwing.ts
@@ -2,7 +2,7 @@
 
 import {Builtins, Cli, Command} from 'clipanion';
 
-import packageFile from '../../../package.json' with {type: 'json'};
+import {version} from '../../base/common/version.js';
 import {
   AccountListCommand,
   AccountRemoveCommand,
@@ -73,7 +73,7 @@
   const cli = Cli.from(COMMANDS, {
     binaryLabel: 'redwing',
     binaryName: 'redwing',
-    binaryVersion: packageFile.version,
+    binaryVersion: version,
     enableColors: false,
   });
   const refused = findRefusedOption(words);
