--- a/src/features/callers/common/requestGate.ts
+++ b/src/features/callers/common/requestGate.ts
@@ -71,13 +71,18 @@
     });
   }
 
-  /** Caller addresses for an account, best first; without this instance while it takes no new work. */
+  /**
+   * Caller addresses for an account, best first. This instance is named exactly while it takes new
+   * work: what peers have heard of it comes later.
+   */
   addressesFor(clientAccount: string): readonly string[] {
     const instances = this.views.current?.instances ?? [];
     const {isServing} = this;
-    const candidates = instances
-      .filter(({member}) => isServing || member.id !== this.settings.id)
-      .map((view): EntrypointCandidate => ({view, weight: 1}));
+    const candidates = instances.map((view): EntrypointCandidate => {
+      const isOwn = view.member.id === this.settings.id;
+      const ready = isOwn ? isServing : view.ready;
+      return {view: {...view, ready}, weight: 1};
+    });
     return orderEntrypoints(candidates, clientAccount, this.settings);
   }
 
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -459,6 +459,14 @@
     });
   });
 
+  test('entrypoints name an instance that takes work before its peers have heard so', async () => {
+    const view = fixture.views.current!;
+    const instances = view.instances.map(one => ({...one, ready: false}));
+    fixture.views.current = {...view, instances};
+    const response = await fixture.send('/v1/entrypoints');
+    expect(await response.json()).toMatchObject({addresses: ['a:80']});
+  });
+
   test.each([
     ['no view yet', () => (fixture.views.current = undefined)],
     ['a silent control program', () => (fixture.views.heardAt = -40_000)],
--- a/src/programs/entry/test/entryProgram.test.ts
+++ b/src/programs/entry/test/entryProgram.test.ts
@@ -1,5 +1,3 @@
-import {createServer} from 'node:net';
-
 import {afterEach, expect, test} from 'vitest';
 
 import {
@@ -15,6 +13,7 @@
   instanceView,
 } from '../../../features/callers/test/callerFakes.js';
 import {EntryAnnouncement} from '../../../features/membership/common/systemView.js';
+import {freeAddresses} from '../../../../test/support/ports.js';
 import {EntryProgram} from '../wiring.js';
 
 const peerKey = 'peer-secret';
@@ -25,14 +24,8 @@
 });
 
 async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>(resolve =>
-    server.listen(0, '127.0.0.1', () => resolve()),
-  );
-  const address = server.address();
-  await new Promise(resolve => server.close(resolve));
-  const port = typeof address === 'object' && address ? address.port : 0;
-  return `127.0.0.1:${port}`;
+  const [address] = await freeAddresses(1);
+  return address!;
 }
 
 async function entrySettings(
