Pipeline driver: an engine that took over a KV cache and was never stepped is freed

Change: the engine's record remembers the import; a failure cancels wherever a cache may lie. The case was added first and failed.

--- a/src/features/pipeline/common/attemptLedger.ts
+++ b/src/features/pipeline/common/attemptLedger.ts
@@ -6,6 +6,7 @@
   private flight: HandOver | undefined;
   private doubt: HandOver | undefined;
   private mayHaveBegun = false;
+  private wasFilled = false;
   private idleEpoch = 0;
 
   constructor(readonly upstream: string) {}
@@ -20,6 +21,11 @@
     return this.doubt !== undefined || this.flight !== undefined;
   }
 
+  /** Whether a KV cache of the request may lie here. */
+  get mayHoldCache(): boolean {
+    return this.wasFilled || this.mayHaveBegun || this.inDoubt;
+  }
+
   /** The engine has nothing of the request at this and lower epochs; 0 while it has not said so. */
   get idleThrough(): number {
     return this.idleEpoch;
@@ -30,6 +36,11 @@
     this.flight = {epoch, incarnation};
   }
 
+  /** The engine is asked to import a KV cache, which runs no layer. */
+  fill(): void {
+    this.wasFilled = true;
+  }
+
   /** The step in flight was answered with its receipt. */
   completed(): void {
     this.flight = undefined;
--- a/src/features/pipeline/node/cacheKeeper.ts
+++ b/src/features/pipeline/node/cacheKeeper.ts
@@ -65,6 +65,7 @@
       return success(undefined);
     }
     const limit = this.dependencies.settings.importMilliseconds;
+    session.record.fill();
     const result = await callWithin(
       this.dependencies.clock,
       limit,
--- a/src/features/pipeline/node/engineCanceller.ts
+++ b/src/features/pipeline/node/engineCanceller.ts
@@ -53,7 +53,7 @@
   /** Cancels at all engines that may hold something of the request; waits for the reports up to a bound. */
   async cancelAll(epoch: number, waitMilliseconds: number): Promise<void> {
     const upstreams = this.ledger.all
-      .filter(record => record.begun || record.inDoubt)
+      .filter(record => record.mayHoldCache)
       .map(record => record.upstream);
     if (upstreams.length === 0) {
       return;
--- a/src/features/pipeline/test/pipelineFaults.test.ts
+++ b/src/features/pipeline/test/pipelineFaults.test.ts
@@ -8,6 +8,11 @@
 const stages = [0, 1, 2];
 const PREFILL = 0;
 const DECODE = 5;
+const eagerExports = {
+  everyTokens: 5,
+  minimumContextTokens: 1,
+  minimumRemainingTokens: 1,
+};
 
 interface FaultCase {
   readonly kind: FaultKind;
@@ -59,13 +64,7 @@
       const bench = new PipelineBench({
         faults: [faultAt(1, 'killBefore', 7)],
         exportMode: mode,
-        settings: {
-          exports: {
-            everyTokens: 5,
-            minimumContextTokens: 1,
-            minimumRemainingTokens: 1,
-          },
-        },
+        settings: {exports: eagerExports},
       });
       const run = bench.start();
       await bench.finish();
@@ -239,6 +238,21 @@
     expect(held).toEqual([]);
   });
 
+  test('an engine that took over a cache and was never stepped is freed', async () => {
+    const bench = new PipelineBench({
+      faults: [
+        faultAt(1, 'killBefore', 7),
+        {...faultAt(0, 'killBefore', 8), upstream: upstreamName(0, 0)},
+        {...faultAt(0, 'killBefore', 0), upstream: upstreamName(0, 1)},
+      ],
+      settings: {exports: eagerExports},
+    });
+    const run = bench.start();
+    await bench.finish();
+    expect(run.result?.ok).toBe(false);
+    expect(violationsOf(bench)).toEqual([]);
+  });
+
   test('a late answer is counted and dropped', async () => {
     const bench = new PipelineBench({faults: [faultAt(1, 'late', DECODE)]});
     bench.start();
