Decisions: waits stretched by contention, choice by tightness, tests

Change: choice by tightness; wait factor 0.7 to 1.6 by contention; one request's work of grain in shares; baseline of the concurrency limit drifts by time; tests of all parts.

--- a/src/features/routing/common/concurrencyLimit.ts
+++ b/src/features/routing/common/concurrencyLimit.ts
@@ -3,8 +3,8 @@
 const DECREASE = 0.9;
 /** Share of the limit that must have been in use for the limit to grow. */
 const IN_USE_SHARE = 0.8;
-/** Upward drift of the uncontended time with each observation, so that a lasting change is learned. */
-const BASELINE_DRIFT = 1.001;
+/** Milliseconds in which the uncontended time grows by e, so that a lasting change is learned. */
+const BASELINE_TIME_CONSTANT_MILLISECONDS = 3600000;
 /** Milliseconds between two decreases: one round of sequences must show the effect first. */
 const DECREASE_INTERVAL_MILLISECONDS = 500;
 const MAXIMUM_ENTRIES = 4096;
@@ -13,6 +13,7 @@
   readonly limit: number;
   readonly uncontended: number;
   readonly decreasedAt: number;
+  readonly at: number;
 }
 
 /**
@@ -35,19 +36,26 @@
     }
     const known = this.learned.get(upstream);
     const limit = Math.min(known?.limit ?? engineLimit, engineLimit);
-    const baseline = (known?.uncontended ?? Infinity) * BASELINE_DRIFT;
+    const elapsed = now - (known?.at ?? now);
+    const drift = Math.exp(elapsed / BASELINE_TIME_CONSTANT_MILLISECONDS);
+    const baseline = (known?.uncontended ?? Infinity) * drift;
     const uncontended = Math.min(baseline, decodeMilliseconds);
     const decreasedAt = known?.decreasedAt ?? -Infinity;
     const contended = decodeMilliseconds > CONTENDED_RATIO * uncontended;
     const mayDecrease = now - decreasedAt >= DECREASE_INTERVAL_MILLISECONDS;
     if (contended && mayDecrease) {
       const lower = Math.max(1, Math.min(limit, resident) * DECREASE);
-      this.keep(upstream, {limit: lower, uncontended, decreasedAt: now});
+      this.keep(upstream, {
+        limit: lower,
+        uncontended,
+        decreasedAt: now,
+        at: now,
+      });
       return;
     }
     const grows = !contended && resident >= limit * IN_USE_SHARE;
     const next = grows ? Math.min(engineLimit, limit + 1 / limit) : limit;
-    this.keep(upstream, {limit: next, uncontended, decreasedAt});
+    this.keep(upstream, {limit: next, uncontended, decreasedAt, at: now});
   }
 
   /** Sequences that may be resident, a whole number from 1 to the engine's limit. */
--- a/src/features/routing/common/laxityPolicy.ts
+++ b/src/features/routing/common/laxityPolicy.ts
@@ -1,34 +1,61 @@
 import {admit, PipelinePolicy, refuse} from './pipelinePolicy.js';
 import {Pipeline} from './pipelineSearch.js';
-import {
-  CellView,
-  Prediction,
-  RoutingDecision,
-  ShareView,
-  WorkEstimate,
-} from './routing.js';
-import {shareStanding} from './shareStanding.js';
+import {CellView, RoutingDecision, ShareView, WorkEstimate} from './routing.js';
+import {ShareStanding, shareStanding} from './shareStanding.js';
 
 /** How one of several pipelines that are in time is chosen. */
-export type PipelineChoice = 'bestFit' | 'earliestFinish' | 'leastPrefill';
+export type PipelineChoice =
+  | 'bestFit'
+  | 'earliestFinish'
+  | 'leastPrefill'
+  /** The slowest for work with a loose token target, else the fastest. */
+  | 'byTightness';
 
 /** Milliseconds before a caller comes back where even an idle pipeline would be too slow. */
 const TOO_SLOW_RETRY_MILLISECONDS = 5000;
+/** Token target over predicted time from which work counts as loose. */
+const LOOSE_RATIO = 2;
+/** Contention from which waits are stretched in full; then the factor with and without contention. */
+const FULL_CONTENTION = 0.1;
+const CAREFUL_WAIT = 1.6;
+const BOLD_WAIT = 0.7;
 const SHORTEST_RETRY_MILLISECONDS = 20;
 /** Part of each target kept back for what the prediction doesn't see. */
 const SAFETY = 0.05;
+/**
+ * Slots kept for accounts within their share, over the square root of all slots (arrivals in a while
+ * vary by the root of their number), at full strictness.
+ */
+const KEPT_SHARE = 0.5;
 
-/** Milliseconds that the start could still be put off without missing a target; negative if late. */
-export function laxity(pipeline: Pipeline, work: WorkEstimate): number {
+/**
+ * Milliseconds that the start could still be put off without missing a target; negative if late.
+ * `waitFactor` stretches the predicted wait.
+ */
+export function laxity(
+  pipeline: Pipeline,
+  work: WorkEstimate,
+  waitFactor: number,
+): number {
   const {prediction} = pipeline;
-  const keep = 1 - SAFETY;
   if (prediction.betweenTokensMilliseconds > work.betweenTokensTarget) {
     return -Infinity;
   }
+  const keep = 1 - SAFETY;
+  const stretch = (waitFactor - 1) * prediction.startsInMilliseconds;
   const first =
     work.firstTokenWithin * keep - prediction.firstTokenMilliseconds;
   const whole = work.deadlineWithin * keep - prediction.wholeMilliseconds;
-  return Math.min(first, whole);
+  return Math.min(first, whole) - stretch;
+}
+
+/**
+ * Finish times of others are the least certain figures. While slots are plentiful, work that may
+ * be late costs nobody; where others are turned away it must be fairly sure to be on time.
+ */
+function waitFactorAt(contention: number): number {
+  const part = Math.min(1, contention / FULL_CONTENTION);
+  return BOLD_WAIT + part * (CAREFUL_WAIT - BOLD_WAIT);
 }
 
 /** Free slots of the narrowest layer range: pipelines that could start at once. */
@@ -52,17 +79,12 @@
 }
 
 /** Slots kept for accounts within their share, when one over its share asks. */
-function slotsKept(
-  shares: ShareView,
-  work: WorkEstimate,
-  total: number,
-): number {
-  const {excess, contention} = shareStanding(shares, work);
+function slotsKept({excess, contention}: ShareStanding, total: number): number {
   if (excess <= 0 || contention <= 0) {
     return 0;
   }
   const strictness = Math.min(1, excess + contention);
-  return Math.ceil(strictness * Math.sqrt(total));
+  return Math.ceil(KEPT_SHARE * strictness * Math.sqrt(total));
 }
 
 /**
@@ -74,7 +96,7 @@
 export class LaxityPolicy extends PipelinePolicy {
   override readonly name: string;
 
-  constructor(private readonly choice: PipelineChoice = 'bestFit') {
+  constructor(private readonly choice: PipelineChoice = 'byTightness') {
     super();
     this.name = `laxity, ${choice}`;
   }
@@ -87,39 +109,49 @@
     now: number,
   ): RoutingDecision {
     const candidates = pipelines.length;
-    const inTime = pipelines.filter(one => laxity(one, work) >= 0);
+    const standing = shareStanding(shares, work);
+    const waitFactor = waitFactorAt(standing.contention);
+    const inTime = pipelines.filter(one => laxity(one, work, waitFactor) >= 0);
     if (inTime.length === 0) {
-      const after = comeBackAfter(pipelines, work);
+      const after = comeBackAfter(pipelines, work, waitFactor);
       return refuse('cannotMeetTarget', after, candidates);
     }
-    if (isOverShare(view, shares, work, inTime)) {
+    if (isOverShare(view, standing, inTime)) {
       return refuse('overShare', nextFinish(view, now), candidates);
     }
-    return admit(this.choose(inTime), candidates, this.name);
+    return admit(this.choose(inTime, work), candidates, this.name);
   }
 
   /** A free slot is certain and a predicted one is not, so those that start at once come first. */
-  private choose(inTime: readonly Pipeline[]): Pipeline {
+  private choose(inTime: readonly Pipeline[], work: WorkEstimate): Pipeline {
     const free = inTime.filter(
       one => one.prediction.startsInMilliseconds === 0,
     );
-    return free.length > 0
-      ? leastBy(free, one => this.cost(one.prediction))
-      : leastBy(inTime, one => one.prediction.startsInMilliseconds);
-  }
-
-  private cost(prediction: Prediction): number {
+    if (free.length === 0) {
+      return leastBy(inTime, one => one.prediction.startsInMilliseconds);
+    }
+    const whole = (one: Pipeline): number => one.prediction.wholeMilliseconds;
     switch (this.choice) {
-      case 'bestFit':
-        return -prediction.wholeMilliseconds;
       case 'earliestFinish':
-        return prediction.wholeMilliseconds;
+        return leastBy(free, whole);
       case 'leastPrefill':
-        return prediction.firstTokenMilliseconds;
+        return leastBy(free, one => one.prediction.firstTokenMilliseconds);
+      case 'bestFit':
+        return leastBy(free, one => -whole(one));
+      case 'byTightness':
+        return free.every(one => isLoose(one, work))
+          ? leastBy(free, one => -whole(one))
+          : leastBy(free, whole);
     }
   }
 }
 
+/** Whether the token target is far above a pipeline's time between tokens. */
+function isLoose(pipeline: Pipeline, work: WorkEstimate): boolean {
+  const step = pipeline.prediction.betweenTokensMilliseconds;
+  return work.betweenTokensTarget >= LOOSE_RATIO * step;
+}
+
 /** The member with the least cost; the first of equals. */
 function leastBy<T>(members: readonly T[], cost: (member: T) => number): T {
   return members.reduce((best, one) => (cost(one) < cost(best) ? one : best));
@@ -128,12 +160,11 @@
 /** Whether the account is over its share and no slot beyond those kept for others is free. */
 function isOverShare(
   view: CellView,
-  shares: ShareView,
-  work: WorkEstimate,
+  standing: ShareStanding,
   inTime: readonly Pipeline[],
 ): boolean {
   const {free, total} = freePipelines(view);
-  const kept = slotsKept(shares, work, total);
+  const kept = slotsKept(standing, total);
   if (kept === 0) {
     return false;
   }
@@ -147,14 +178,15 @@
 function comeBackAfter(
   pipelines: readonly Pipeline[],
   work: WorkEstimate,
+  waitFactor: number,
 ): number {
-  const lateness = pipelines
-    .filter(one => laxity(one, work) + one.prediction.startsInMilliseconds >= 0)
-    .map(one => -laxity(one, work));
-  if (lateness.length === 0) {
+  const waits = pipelines
+    .filter(one => laxity(one, work, 0) >= 0)
+    .map(one => -laxity(one, work, waitFactor) / waitFactor);
+  if (waits.length === 0) {
     return TOO_SLOW_RETRY_MILLISECONDS;
   }
-  return Math.max(SHORTEST_RETRY_MILLISECONDS, Math.min(...lateness));
+  return Math.max(SHORTEST_RETRY_MILLISECONDS, Math.min(...waits));
 }
 
 /** Milliseconds until the next sequence of the cell ends. */
--- a/src/features/routing/common/pipelineSearch.ts
+++ b/src/features/routing/common/pipelineSearch.ts
@@ -23,7 +23,7 @@
 /** Widening of compute and wait for each second of a figure's age. */
 const WIDENING_PER_SECOND = 0.02;
 /** Longest time past its expected finish that a sequence takes, over the time of the work at hand. */
-const OVERRUN_SHARE = 0.2;
+const OVERRUN_SHARE = 0.1;
 const MAXIMUM_AGE_MILLISECONDS = 5000;
 
 /** Whether new work may go to a stage at all. */
--- a/src/features/routing/common/shareAccounts.ts
+++ b/src/features/routing/common/shareAccounts.ts
@@ -1,7 +1,7 @@
 import {ShareView} from './routing.js';
 
 /** Milliseconds in which recorded use falls to 1/e. */
-export const SHARE_TIME_CONSTANT_MILLISECONDS = 10000;
+export const SHARE_TIME_CONSTANT_MILLISECONDS = 20000;
 const MAXIMUM_ENTRIES = 4096;
 /** Slot-milliseconds below which a sum is dropped. */
 const SMALLEST_KEPT = 0.5;
--- a/src/features/routing/common/shareStanding.ts
+++ b/src/features/routing/common/shareStanding.ts
@@ -3,14 +3,12 @@
 
 /** How a client account stands against its share at one owner. */
 export interface ShareStanding {
-  /** Used over fair share, less one; 0 or less if within it. */
+  /** What was used beyond the fair share and one request's work, over the share; 0 or less if within. */
   readonly excess: number;
   /** Share of the slot time wanted lately that was not granted, 0 to 1. */
   readonly contention: number;
 }
 
-const WITHIN_SHARE: ShareStanding = {excess: 0, contention: 0};
-
 interface AccountUse {
   readonly account: string;
   readonly wanted: number;
@@ -84,11 +82,13 @@
   const accounts = accountsOf(shares, work.classOfWork);
   const own = accounts.find(one => one.account === work.clientAccount);
   if (own === undefined || contention === 0) {
-    return WITHIN_SHARE;
+    return {excess: 0, contention};
   }
   const claimants = accounts.map(one => ({wanted: one.wanted, weight: 1}));
   const level = fairLevel(claimants, dueToClass(shares, work.classOfWork));
   const due = Math.min(own.wanted, level);
-  const excess = due <= 0 ? 1 : own.used / due - 1;
+  const grain = shares.workByClass?.get(work.classOfWork) ?? 0;
+  const over = own.used - due - grain;
+  const excess = due <= 0 ? Math.sign(over) : over / due;
   return {excess, contention};
 }
--- a/src/features/routing/common/slownessDetector.ts
+++ b/src/features/routing/common/slownessDetector.ts
@@ -5,7 +5,7 @@
 /** Times the median of its peers at which an upstream counts as much slower. */
 const MUCH_SLOWER = 3;
 /** Observations in a row that must be much slower. */
-const CONSECUTIVE = 3;
+const CONSECUTIVE = 5;
 
 interface DecodeRecord {
   readonly kind: string;
--- a/src/features/routing/common/upstreamHealthTracker.ts
+++ b/src/features/routing/common/upstreamHealthTracker.ts
@@ -39,6 +39,8 @@
 
 const FIRST_QUARANTINE_MILLISECONDS = 500;
 const LONGEST_QUARANTINE_MILLISECONDS = 8000;
+/** Failing again this soon after a return doubles the quarantine. */
+const RELAPSE_MILLISECONDS = 10000;
 const RAMP_MILLISECONDS = 2000;
 const RAMP_START = 0.25;
 /** Largest share of the upstreams that suspicion (silence, slowness) may keep out at once. */
@@ -55,6 +57,8 @@
   quarantinedAt: number;
   probeAt: number;
   rampFrom: number;
+  /** When a probe last succeeded. */
+  returnedAt: number;
   failedAt: number;
 }
 
@@ -176,6 +180,7 @@
       quarantinedAt: now,
       probeAt: now,
       rampFrom: now,
+      returnedAt: -Infinity,
       failedAt: -Infinity,
     };
   }
@@ -261,23 +266,32 @@
 
   private act(one: TrackedUpstream, action: HealthAction, now: number): void {
     switch (action) {
-      case 'quarantine':
-        one.quarantineMilliseconds = FIRST_QUARANTINE_MILLISECONDS;
-        one.quarantinedAt = now;
-        one.probeAt = now + one.quarantineMilliseconds;
+      case 'quarantine': {
+        const relapse = now - one.returnedAt <= RELAPSE_MILLISECONDS;
+        this.quarantine(one, relapse ? 2 * one.quarantineMilliseconds : 0, now);
         this.slowness.forget(one.listed.upstream);
         return;
+      }
       case 'extend':
-        one.quarantineMilliseconds = Math.min(
-          LONGEST_QUARANTINE_MILLISECONDS,
-          one.quarantineMilliseconds * 2,
-        );
-        one.quarantinedAt = now;
-        one.probeAt = now + one.quarantineMilliseconds;
+        this.quarantine(one, 2 * one.quarantineMilliseconds, now);
         return;
       case 'ramp':
         one.rampFrom = now;
+        one.returnedAt = now;
         return;
     }
   }
+
+  private quarantine(
+    one: TrackedUpstream,
+    milliseconds: number,
+    now: number,
+  ): void {
+    one.quarantineMilliseconds = Math.min(
+      LONGEST_QUARANTINE_MILLISECONDS,
+      Math.max(FIRST_QUARANTINE_MILLISECONDS, milliseconds),
+    );
+    one.quarantinedAt = now;
+    one.probeAt = now + one.quarantineMilliseconds;
+  }
 }
--- /dev/null
+++ b/src/features/routing/test/common/laxityPolicy.test.ts
@@ -0,0 +1,269 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {LaxityPolicy} from '../../common/laxityPolicy.js';
+import {RoundRobinPolicy} from '../../common/roundRobinPolicy.js';
+import {
+  CellView,
+  RoutingDecision,
+  ShareView,
+  StageView,
+  WorkEstimate,
+} from '../../common/routing.js';
+
+const NOW = 10000;
+const noShares: ShareView = {
+  usedByAccount: new Map(),
+  usedByClass: new Map(),
+  wantedByAccount: new Map(),
+  targetByClass: new Map(),
+};
+const work: WorkEstimate = {
+  requestId: 'r',
+  classOfWork: 'c',
+  clientAccount: 'a',
+  adapter: undefined,
+  promptTokens: 100,
+  outputTokens: 11,
+  prefixKey: undefined,
+  firstTokenWithin: 500,
+  betweenTokensTarget: 60,
+  deadlineWithin: 5000,
+  priority: 0,
+};
+
+function stage(
+  replica: string,
+  from: number,
+  to: number,
+  change: Partial<StageView> = {},
+): StageView {
+  return {
+    upstream: `${replica}.${from}`,
+    address: 'http://localhost',
+    dataCentre: 'd',
+    replica,
+    acceleratorKind: 'k',
+    layers: {from, to},
+    health: 'healthy',
+    leaving: false,
+    sequenceLimit: 2,
+    busyUntil: [],
+    decodeMilliseconds: 10,
+    prefillMillisecondsPerToken: 1,
+    linkMilliseconds: 1,
+    reportAgeMilliseconds: 0,
+    cachedPrefixes: new Set(),
+    ...change,
+  };
+}
+
+function cell(...stages: readonly StageView[]): CellView {
+  return {cell: 'c', model: 'm', version: '1', layerCount: 8, stages};
+}
+
+/** The outcome in one line: chosen upstreams, or the reason and the time to come back. */
+function outcome(decision: RoutingDecision): string {
+  return decision.kind === 'admit'
+    ? decision.stages.map(one => one.upstream).join('+')
+    : `${decision.reason} ${Math.round(decision.retryAfterMilliseconds)}`;
+}
+
+const full = {busyUntil: [NOW + 200, NOW + 400]};
+const slow = {decodeMilliseconds: 20};
+const busyHealthy = {busyUntil: [NOW + 50]};
+const cases: readonly [string, CellView, Partial<WorkEstimate>, string][] = [
+  ['one replica', cell(stage('x', 0, 4), stage('x', 4, 8)), {}, 'x.0+x.4'],
+  ['no stages', cell(), {}, 'noUpstream 1000'],
+  ['a gap in the layers', cell(stage('x', 0, 4)), {}, 'noUpstream 1000'],
+  [
+    'halves of two broken replicas',
+    cell(
+      stage('x', 0, 4),
+      stage('x', 4, 8, {health: 'quarantined'}),
+      stage('y', 0, 4, {leaving: true}),
+      stage('y', 4, 8),
+    ),
+    {},
+    'x.0+y.4',
+  ],
+  [
+    'replicas cut at different layers',
+    cell(stage('x', 0, 8, full), stage('y', 0, 2), stage('y', 2, 8)),
+    {},
+    'y.0+y.2',
+  ],
+  [
+    'the fast one for a tight token target',
+    cell(stage('x', 0, 8, slow), stage('y', 0, 8)),
+    {betweenTokensTarget: 30},
+    'y.0',
+  ],
+  [
+    'the slow one for a loose token target',
+    cell(stage('x', 0, 8, slow), stage('y', 0, 8)),
+    {betweenTokensTarget: 300},
+    'x.0',
+  ],
+  [
+    'token target not to be met',
+    cell(stage('x', 0, 8, {decodeMilliseconds: 70})),
+    {},
+    'cannotMeetTarget 5000',
+  ],
+  [
+    'deadline not to be met',
+    cell(stage('x', 0, 8)),
+    {outputTokens: 1000},
+    'cannotMeetTarget 5000',
+  ],
+  ['a wait that fits', cell(stage('x', 0, 8, full)), {}, 'x.0'],
+  [
+    'a wait that is too long: when 0.7 of what is left of it fits',
+    cell(stage('x', 0, 8, {busyUntil: [NOW + 1000, NOW + 1900]})),
+    {},
+    'cannotMeetTarget 466',
+  ],
+  [
+    'the place in the queue counts, not the mean',
+    cell(
+      stage('x', 0, 8, {busyUntil: [NOW + 9, NOW + 9, NOW + 900, NOW + 900]}),
+    ),
+    {},
+    'cannotMeetTarget 366',
+  ],
+  [
+    'a prompt too long unless its prefix is cached',
+    cell(stage('x', 0, 8), stage('y', 0, 8, {cachedPrefixes: new Set('p')})),
+    {promptTokens: 900, prefixKey: 'p', prefixTokens: 800},
+    'y.0',
+  ],
+  [
+    'probing takes one request',
+    cell(stage('x', 0, 8, {health: 'probing'})),
+    {},
+    'x.0',
+  ],
+  [
+    'probing takes no second request',
+    cell(stage('x', 0, 8, {health: 'probing', ...busyHealthy})),
+    {},
+    'noUpstream 1000',
+  ],
+  [
+    'old figures are widened past the target',
+    cell(stage('x', 0, 8, {reportAgeMilliseconds: Infinity})),
+    {betweenTokensTarget: 11.5},
+    'cannotMeetTarget 5000',
+  ],
+];
+
+describe('LaxityPolicy', () => {
+  it.each(cases)('%s', (_, view, change, expected) => {
+    const decision = new LaxityPolicy().decide(
+      view,
+      noShares,
+      {...work, ...change},
+      NOW,
+    );
+    expect(outcome(decision)).toBe(expected);
+  });
+
+  it.each(cases.filter(one => /Target (?!5000)/.test(one[3])))(
+    '%s: taken at the time to come back',
+    (_, view, change, expected) => {
+      const later = NOW + Number(expected.split(' ')[1]) + 1;
+      const sent = {...work, ...change};
+      const decision = new LaxityPolicy().decide(view, noShares, sent, later);
+      expect(decision.kind).toBe('admit');
+    },
+  );
+
+  it('stretches waits where others are turned away', () => {
+    const shares: ShareView = {
+      ...noShares,
+      usedByClass: new Map([['c', 800]]),
+      wantedByAccount: new Map([['c/b', 1000]]),
+    };
+    const view = cell(stage('x', 0, 8, {busyUntil: [NOW + 250, NOW + 900]}));
+    const decide = (shares: ShareView): string =>
+      outcome(new LaxityPolicy().decide(view, shares, work, NOW));
+    expect(decide(noShares)).toBe('x.0');
+    expect(decide(shares)).toBe('cannotMeetTarget 20');
+  });
+
+  it('refuses an account over its share unless more slots are free than are kept', () => {
+    const shares: ShareView = {
+      usedByAccount: new Map([
+        ['c/a', 900],
+        ['c/b', 100],
+      ]),
+      usedByClass: new Map([['c', 1000]]),
+      wantedByAccount: new Map([
+        ['c/a', 1500],
+        ['c/b', 500],
+      ]),
+      targetByClass: new Map([['c', 1]]),
+    };
+    const decide = (clientAccount: string, busy: number): string => {
+      const busyUntil = Array<number>(busy).fill(NOW + 100);
+      const view = cell(stage('x', 0, 8, {sequenceLimit: 16, busyUntil}));
+      return outcome(
+        new LaxityPolicy().decide(view, shares, {...work, clientAccount}, NOW),
+      );
+    };
+    expect(decide('a', 13)).toBe('x.0');
+    expect(decide('a', 14)).toBe('overShare 100');
+    expect(decide('b', 14)).toBe('x.0');
+    expect(decide('b', 16)).toBe('x.0');
+  });
+
+  const stages = fc.array(
+    fc.record({
+      replica: fc.constantFrom('x', 'y', 'z'),
+      from: fc.nat(7),
+      size: fc.integer({min: 1, max: 8}),
+      health: fc.constantFrom(
+        'healthy' as const,
+        'probing' as const,
+        'quarantined' as const,
+      ),
+      leaving: fc.boolean(),
+      finishes: fc.array(fc.nat(3000), {maxLength: 5}),
+    }),
+    {maxLength: 14},
+  );
+  const policies = [new LaxityPolicy(), new RoundRobinPolicy()];
+
+  it.each(policies)('$name covers all layers once, in order', policy => {
+    fc.assert(
+      fc.property(stages, drawn => {
+        const view = cell(
+          ...drawn.map((one, index) =>
+            stage(one.replica, one.from, Math.min(8, one.from + one.size), {
+              upstream: String(index),
+              health: one.health,
+              leaving: one.leaving,
+              busyUntil: one.finishes
+                .map(finish => NOW + finish)
+                .sort((a, b) => a - b),
+            }),
+          ),
+        );
+        const decision = policy.decide(view, noShares, work, NOW);
+        if (decision.kind === 'refuse') {
+          expect(decision.retryAfterMilliseconds).toBeGreaterThan(0);
+          return;
+        }
+        let covered = 0;
+        for (const {layers, upstream} of decision.stages) {
+          const {leaving, health} = view.stages[Number(upstream)]!;
+          expect([leaving, health === 'quarantined']).toEqual([false, false]);
+          expect(layers.from).toBe(covered);
+          covered = layers.to;
+        }
+        expect(covered).toBe(8);
+      }),
+      {seed: 5, numRuns: 300},
+    );
+  });
+});
--- a/src/features/routing/test/common/queueModelTable.ts
+++ b/src/features/routing/test/common/queueModelTable.ts
@@ -5,7 +5,8 @@
 import {RoutingPolicy} from '../../common/routing.js';
 import {StaticThresholdPolicy} from '../../common/staticThresholdPolicy.js';
 import {TwoChoicesPolicy} from '../../common/twoChoicesPolicy.js';
-import {QueueCase, runQueueModel} from './queueModel.js';
+import {QueueResult, runQueueModel} from './queueModel.js';
+import {QueueCase} from './queueWorkload.js';
 
 /** Prints the queue model's table of policies: mean of the seeds given as arguments (1 2 3 by default). */
 
@@ -17,40 +18,49 @@
   () => new LaxityPolicy('leastPrefill'),
   () => new LaxityPolicy('earliestFinish'),
   () => new LaxityPolicy('bestFit'),
+  () => new LaxityPolicy('byTightness'),
 ];
 const cells = [
   {replicas: 14, stages: 2, slots: 16, milliseconds: 30000},
+  {replicas: 8, stages: 2, slots: 8, milliseconds: 40000},
   {replicas: 4, stages: 2, slots: 4, milliseconds: 100000},
 ];
-const seeds =
-  process.argv.length > 2 ? process.argv.slice(2).map(Number) : [1, 2, 3];
+const accounts = {smallAccounts: 8, largeShare: 0.5, error: 0.2};
+const given = process.argv.slice(2).map(Number);
+const seeds = given.length > 0 ? given : [1, 2, 3];
 
+function printRow(makePolicy: () => RoutingPolicy, one: QueueCase): void {
+  const results = seeds.map(seed =>
+    runQueueModel({...one, seed}, makePolicy()),
+  );
+  const mean = (key: keyof QueueResult): string =>
+    (
+      results.reduce((sum, result) => sum + result[key], 0) / seeds.length
+    ).toFixed(3);
+  const {replicas, slots, load, betweenTarget} = one;
+  const figures = [
+    mean('ratio'),
+    mean('worstSmall'),
+    mean('meanSmall'),
+    mean('large'),
+    mean('lateShare'),
+  ];
+  console.log(
+    `| ${replicas} x ${slots} | ${betweenTarget} | ${load} | ${makePolicy().name} | ${figures.join(' | ')} |`,
+  );
+}
+
+console.log(`seeds ${seeds.join(' ')}`);
+console.log(
+  '| cell | token target | load | policy | ratio | worst small | mean small | large | late |',
+);
 for (const cell of cells) {
-  for (const load of [0.8, 1, 1.5]) {
-    console.log(
-      `${cell.replicas} replicas x ${cell.stages} stages x ${cell.slots} slots, load ${load}: ratio, worst small, large, late`,
-    );
-    for (const makePolicy of policies) {
-      const results = seeds.map(seed => {
-        const one: QueueCase = {
-          ...cell,
-          load,
-          seed,
-          smallAccounts: 8,
-          largeShare: 0.5,
-          error: 0.2,
-        };
-        return runQueueModel(one, makePolicy());
-      });
-      const mean = (
-        pick: (result: (typeof results)[number]) => number,
-      ): string =>
-        (results.map(pick).reduce((a, b) => a + b, 0) / results.length).toFixed(
-          3,
-        );
-      console.log(
-        `  ${makePolicy().name}: ${mean(r => r.ratio)} ${mean(r => r.worstSmall)} ${mean(r => r.large)} ${mean(r => r.lateShare)}`,
-      );
+  for (const betweenTarget of [61, 30]) {
+    for (const load of [0.8, 1, 1.5]) {
+      for (const makePolicy of policies) {
+        const one = {...cell, ...accounts, betweenTarget, load, seed: 0};
+        printRow(makePolicy, one);
+      }
     }
   }
 }
