--- a/src/platform/rpc/node/rpc.ts
+++ b/src/platform/rpc/node/rpc.ts
@@ -1,4 +1,5 @@
 import {timingSafeEqual} from 'node:crypto';
+import {createServer} from 'node:http';
 
 import {createTRPCClient, TRPCClient} from '@trpc/client';
 import {AnyTRPCRouter, initTRPC, TRPCError} from '@trpc/server';
@@ -6,14 +7,17 @@
 
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
 import {createPoolLink} from './poolLink.js';
-import {createRpcServer, KEY_HEADER, RpcContext} from './rpcServer.js';
+import {createRpcHandler, KEY_HEADER, RpcContext} from './rpcHandler.js';
 
 /** Typed calls between this system's own processes, over tRPC on loopback or the private network. */
 
+export {createRpcHandler};
 export type {RpcContext};
 
 const CONNECTIONS_PER_PEER = 4;
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
+/** Longer than peers pause between calls, so that connections are seldom made anew. */
+const KEEP_ALIVE_MILLISECONDS = 60000;
 
 const trpc = initTRPC.context<RpcContext>().create();
 
@@ -61,7 +65,8 @@
   address: string,
   peerKey: string,
 ): Promise<Disposable> {
-  const server = createRpcServer(router, peerKey);
+  const server = createServer(createRpcHandler(router, peerKey));
+  server.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS;
   const {host, port} = parseAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/src/platform/rpc/node/rpcServer.ts
+++ b/src/platform/rpc/node/rpcHandler.ts
@@ -1,4 +1,4 @@
-import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
 
 import {
   AnyTRPCRouter,
@@ -9,7 +9,7 @@
 } from '@trpc/server';
 import {getHTTPStatusCodeFromError} from '@trpc/server/http';
 
-/** Serves tRPC procedures straight from Node's HTTP server, without the web's Request and Response. */
+/** Answers calls of tRPC procedures straight from Node's HTTP server, without the web's Request and Response. */
 
 /** What every call carries. */
 export interface RpcContext {
@@ -22,8 +22,6 @@
 export const KEY_HEADER = 'redwing-peer-key';
 
 const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
-/** Longer than peers pause between calls, so that connections are seldom made anew. */
-const KEEP_ALIVE_MILLISECONDS = 60000;
 const SUCCESS_STATUS = 200;
 
 interface Answer {
@@ -31,16 +29,12 @@
   readonly body: unknown;
 }
 
-/** Makes a server for a router; the caller listens and closes. */
-export function createRpcServer(
+/** Answers calls to a router; for programs that serve more than one protocol on an address. */
+export function createRpcHandler(
   router: AnyTRPCRouter,
   peerKey: string,
-): Server {
-  const server = createServer((request, response) => {
-    void serve(router, peerKey, request, response);
-  });
-  server.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS;
-  return server;
+): RequestListener {
+  return (request, response) => void serve(router, peerKey, request, response);
 }
 
 async function serve(
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,8 +7,9 @@
     testTimeout: 60000,
     hookTimeout: 60000,
     maxWorkers: 4,
+    // Its modules import folders, which only a bundler resolves.
+    server: {deps: {inline: ['clipanion']}},
   },
 });
 
-// eslint-disable-next-line no-restricted-syntax -- vitest reads the default export.
 export default config;
