--- a/src/platform/rpc/node/rpc.ts
+++ b/src/platform/rpc/node/rpc.ts
@@ -1,5 +1,4 @@
 import {timingSafeEqual} from 'node:crypto';
-import {createServer} from 'node:http';
 
 import {createTRPCClient, TRPCClient} from '@trpc/client';
 import {AnyTRPCRouter, initTRPC, TRPCError} from '@trpc/server';
@@ -7,7 +6,12 @@
 
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
 import {createPoolLink} from './poolLink.js';
-import {createRpcHandler, KEY_HEADER, RpcContext} from './rpcHandler.js';
+import {
+  createRpcHandler,
+  createRpcServer,
+  KEY_HEADER,
+  RpcContext,
+} from './rpcServer.js';
 
 /** Typed calls between this system's own processes, over tRPC on loopback or the private network. */
 
@@ -16,8 +20,6 @@
 
 const CONNECTIONS_PER_PEER = 4;
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
-/** Longer than peers pause between calls, so that connections are seldom made anew. */
-const KEEP_ALIVE_MILLISECONDS = 60000;
 
 const trpc = initTRPC.context<RpcContext>().create();
 
@@ -65,8 +67,7 @@
   address: string,
   peerKey: string,
 ): Promise<Disposable> {
-  const server = createServer(createRpcHandler(router, peerKey));
-  server.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS;
+  const server = createRpcServer(router, peerKey);
   const {host, port} = parseAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/src/platform/rpc/node/rpcHandler.ts
+++ b/src/platform/rpc/node/rpcServer.ts
@@ -1,4 +1,10 @@
-import {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
+import {
+  createServer,
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+} from 'node:http';
 
 import {
   AnyTRPCRouter,
@@ -9,7 +15,7 @@
 } from '@trpc/server';
 import {getHTTPStatusCodeFromError} from '@trpc/server/http';
 
-/** Answers calls of tRPC procedures straight from Node's HTTP server, without the web's Request and Response. */
+/** Serves tRPC procedures straight from Node's HTTP server, without the web's Request and Response. */
 
 /** What every call carries. */
 export interface RpcContext {
@@ -22,6 +28,8 @@
 export const KEY_HEADER = 'redwing-peer-key';
 
 const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
+/** Longer than peers pause between calls, so that connections are seldom made anew. */
+const KEEP_ALIVE_MILLISECONDS = 60000;
 const SUCCESS_STATUS = 200;
 
 interface Answer {
@@ -34,7 +42,19 @@
   router: AnyTRPCRouter,
   peerKey: string,
 ): RequestListener {
-  return (request, response) => void serve(router, peerKey, request, response);
+  return (request, response) => {
+    void serve(router, peerKey, request, response);
+  };
+}
+
+/** Makes a server for a router; the caller listens and closes. */
+export function createRpcServer(
+  router: AnyTRPCRouter,
+  peerKey: string,
+): Server {
+  const server = createServer(createRpcHandler(router, peerKey));
+  server.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS;
+  return server;
 }
 
 async function serve(
