Callers: a stop with nothing in flight ends at once; claims and settling in modules of their own

Cause: the drain's timer held the process until its limit: in a scratch run an idle stop took 10,014 ms with drainSeconds 10. Found by that run; the test failed first. Ruled out: ending the process by process.exit, which would hide what else is left. Conclusion: mended; the time of an idle stop is measured again next.

--- a/src/features/callers/node/callerServer.ts
+++ b/src/features/callers/node/callerServer.ts
@@ -2,6 +2,7 @@
 
 import restana from 'restana';
 
+import {Clock} from '../../../base/common/clock.js';
 import {maybeExecuted, notExecuted} from '../common/failureBody.js';
 import {CallerAuthenticator} from './callerAuthenticator.js';
 import {CallerResponse} from './callerResponse.js';
@@ -62,15 +63,13 @@
   async drain(limitMilliseconds: number): Promise<number> {
     const {clock, gate} = this.services;
     const idle = gate.drain();
-    const wait = (milliseconds: number) =>
-      new Promise<void>(resolve => clock.setTimer(milliseconds, resolve));
-    await Promise.race([idle, wait(limitMilliseconds)]);
+    await settledWithin(idle, limitMilliseconds, clock);
     const givenUp = gate.count;
     for (const exchange of this.running) {
       exchange.giveUp({kind: 'shuttingDown'});
     }
     if (givenUp > 0) {
-      await Promise.race([idle, wait(LAST_ANSWER_MILLISECONDS)]);
+      await settledWithin(idle, LAST_ANSWER_MILLISECONDS, clock);
     }
     await this.close();
     return givenUp;
@@ -134,3 +133,18 @@
     return new CallerResponse(response, clock, () => gate.isLeaving);
   }
 }
+
+/** Waits for a promise, for a time at most; leaves no timer behind. */
+async function settledWithin(
+  promise: Promise<void>,
+  milliseconds: number,
+  clock: Clock,
+): Promise<void> {
+  await new Promise<void>(resolve => {
+    const timer = clock.setTimer(milliseconds, resolve);
+    void promise.then(() => {
+      timer.dispose();
+      resolve();
+    });
+  });
+}
--- a/src/features/callers/node/requestExchange.ts
+++ b/src/features/callers/node/requestExchange.ts
@@ -4,38 +4,25 @@
 } from '../../../base/common/cancellation.js';
 import {Clock} from '../../../base/common/clock.js';
 import {Disposable, DisposableStore} from '../../../base/common/lifecycle.js';
-import {Result} from '../../../base/common/result.js';
-import {ClaimDecision, ClaimService} from '../../claims/common/claims.js';
 import {TokenSink} from '../../pipeline/common/pipelineDriver.js';
 import {RequestError, RequestFailure} from '../../requests/common/failure.js';
 import {RequestOutcome} from '../../requests/common/request.js';
-import {
-  answerForClaim,
-  CallerAnswer,
-  IncarnationAddress,
-} from '../common/claimAnswers.js';
+import {errorEvent} from '../common/chatReply.js';
+import {CallerAnswer} from '../common/claimAnswers.js';
 import {
   maybeExecuted,
   notExecuted,
   toFailureBody,
 } from '../common/failureBody.js';
-import {errorEvent} from '../common/chatReply.js';
 import {ReplyFormat} from '../common/replyFormat.js';
 import {RequestEvent, RequestLifecycle} from '../common/requestLifecycle.js';
 import {CallerResponse} from './callerResponse.js';
+import {ClaimedKey, KeyClaim, KeyClaimServices} from './keyClaim.js';
+import {settledWork, WorkResult} from './settledWork.js';
 
 /** Milliseconds that given-up work has to say truthfully whether it ran, before the answer is sent without it. */
 export const GIVE_UP_GRACE_MILLISECONDS = 50;
 
-/** Milliseconds that cancelled work has to end, before its outcome is recorded as not known. */
-export const SETTLE_LIMIT_MILLISECONDS = 5000;
-
-/** The key that is claimed before anything is dispatched. */
-export interface ClaimedKey {
-  readonly clientAccount: string;
-  readonly key: string;
-}
-
 /** What a valid request comes to. */
 export interface ExchangePlan {
   /** Undefined for work that may be repeated. */
@@ -46,16 +33,12 @@
   readonly work: (
     sink: TokenSink,
     token: CancellationToken,
-  ) => Promise<Result<CallerAnswer, RequestFailure>>;
+  ) => Promise<WorkResult>;
 }
 
 /** What an exchange works with. */
-export interface ExchangeServices {
-  readonly claims: ClaimService;
+export interface ExchangeServices extends KeyClaimServices {
   readonly clock: Clock;
-  readonly addressOf: IncarnationAddress;
-  /** Told of faults in our own code; never of a caller's. */
-  readonly onUnexpected: (error: unknown) => void;
 }
 
 /** How a request ended, for its log line. */
@@ -73,10 +56,10 @@
   private readonly source = this.owned.add(new CancellationSource());
   private readonly lifecycle: RequestLifecycle;
   private plan: ExchangePlan | undefined;
+  private keyClaim: KeyClaim | undefined;
   private failure: RequestFailure | undefined;
   private answer: CallerAnswer | undefined;
   private givenUpFor: RequestError | undefined;
-  private claimGranted = false;
   private working = false;
   private firstTokenAt: number | undefined;
   private tokenCount = 0;
@@ -101,9 +84,9 @@
       sendFailure: () => this.response.sendFailure(this.failure!),
       sendErrorEvent: () =>
         this.response.finish(errorEvent(toFailureBody(this.failure!))),
-      recordOutcome: () => this.record(this.outcome()),
+      recordOutcome: () => this.keyClaim?.record(this.outcome()),
       recordNotRun: () =>
-        this.record({
+        this.keyClaim?.record({
           kind: 'failed',
           failure: notExecuted(this.givenUpFor ?? {kind: 'callerGone'}),
         }),
@@ -133,11 +116,15 @@
   /** Starts the work of a valid request, after its claim where one is needed. */
   start(plan: ExchangePlan): void {
     this.plan = plan;
+    const {claimedKey} = plan;
+    if (claimedKey !== undefined) {
+      this.keyClaim = new KeyClaim(claimedKey, this.services);
+    }
     const {clock} = this.services;
     const left = plan.deadlineAt - clock.monotonicMilliseconds();
     const giveUp = () => this.giveUp({kind: 'deadlineExceeded'});
     this.owned.add(clock.setTimer(Math.max(0, left), giveUp));
-    this.send(plan.claimedKey ? 'claimNeeded' : 'claimNotNeeded');
+    this.send(claimedKey ? 'claimNeeded' : 'claimNotNeeded');
   }
 
   /** The caller has gone or stopped reading. */
@@ -179,10 +166,8 @@
 
   private async claim(): Promise<void> {
     this.working = true;
-    const decision = await this.decideClaim(this.plan!.claimedKey!);
+    const answer = await this.keyClaim!.decide(this.source.token);
     this.working = false;
-    this.claimGranted = decision.kind === 'granted';
-    const answer = answerForClaim(decision, this.services.addressOf);
     switch (answer.kind) {
       case 'run':
         this.send('granted');
@@ -195,18 +180,6 @@
     }
   }
 
-  private async decideClaim(claimed: ClaimedKey): Promise<ClaimDecision> {
-    try {
-      const {clientAccount, key} = claimed;
-      const {claims} = this.services;
-      return await claims.claim(clientAccount, key, this.source.token);
-    } catch (error) {
-      this.services.onUnexpected(error);
-      const detail = 'internal error';
-      return {kind: 'undecided', detail, retryAfterMilliseconds: 1000};
-    }
-  }
-
   private replay(answer: CallerAnswer): void {
     const body = this.plan!.format.replay(answer);
     if (body === undefined) {
@@ -224,39 +197,11 @@
 
   private async work(): Promise<void> {
     this.working = true;
-    let settled = false;
-    const settle = (result: Result<CallerAnswer, RequestFailure>) => {
-      if (!settled) {
-        settled = true;
-        this.settle(result);
-      }
-    };
-    this.owned.add(
-      this.source.token.onDidCancel(() => this.limitSettling(settle)),
-    );
-    try {
-      const sink: TokenSink = (token, index) => this.accept(token, index);
-      settle(await this.plan!.work(sink, this.source.token));
-    } catch (error) {
-      this.services.onUnexpected(error);
-      const detail = 'internal error';
-      settle({
-        ok: false,
-        error: maybeExecuted({kind: 'upstreamFailed', detail}),
-      });
-    }
-  }
-
-  private limitSettling(
-    settle: (result: Result<CallerAnswer, RequestFailure>) => void,
-  ): void {
-    const error = this.givenUpFor ?? {kind: 'callerGone'};
-    const giveIn = () => settle({ok: false, error: maybeExecuted(error)});
-    const {clock} = this.services;
-    this.owned.add(clock.setTimer(SETTLE_LIMIT_MILLISECONDS, giveIn));
-  }
-
-  private settle(result: Result<CallerAnswer, RequestFailure>): void {
+    const {clock, onUnexpected} = this.services;
+    const {token} = this.source;
+    const sink: TokenSink = (text, index) => this.accept(text, index);
+    const work = () => this.plan!.work(sink, token);
+    const result = await settledWork(work, token, clock, onUnexpected);
     this.working = false;
     if (result.ok) {
       this.answer = result.value;
@@ -317,13 +262,4 @@
     }
     return {kind: 'failed', failure: this.failure!};
   }
-
-  private record(outcome: RequestOutcome): void {
-    const claimed = this.plan?.claimedKey;
-    if (claimed === undefined || !this.claimGranted) {
-      return;
-    }
-    this.claimGranted = false;
-    this.services.claims.complete(claimed.clientAccount, claimed.key, outcome);
-  }
 }
--- a/src/features/callers/node/workHandler.ts
+++ b/src/features/callers/node/workHandler.ts
@@ -19,7 +19,8 @@
 import {CallerAuthenticator} from './callerAuthenticator.js';
 import {CallerResponse} from './callerResponse.js';
 import {CallerServices} from './callerServices.js';
-import {ClaimedKey, ExchangePlan, RequestExchange} from './requestExchange.js';
+import {ClaimedKey} from './keyClaim.js';
+import {ExchangePlan, RequestExchange} from './requestExchange.js';
 import {RequestLog} from './requestLog.js';
 
 /** A request that was read whole, from a known account. */
--- a/src/features/callers/test/callerFakes.ts
+++ b/src/features/callers/test/callerFakes.ts
@@ -214,6 +214,25 @@
   }
 }
 
+/** Counts the timers that wait. */
+export class CountingClock extends SystemClock {
+  readonly waiting = new Set<Disposable>();
+
+  override setTimer(milliseconds: number, callback: () => void): Disposable {
+    const timer = super.setTimer(milliseconds, () => {
+      this.waiting.delete(timer);
+      callback();
+    });
+    const dispose = timer.dispose.bind(timer);
+    timer.dispose = () => {
+      this.waiting.delete(timer);
+      dispose();
+    };
+    this.waiting.add(timer);
+    return timer;
+  }
+}
+
 /** A server on a free port over fakes. */
 export class CallerFixture {
   readonly views = new FakeViews();
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -12,6 +12,7 @@
   chatBody,
   chatPath,
   configuration,
+  CountingClock,
   QuickClock,
   replyOf,
 } from './callerFakes.js';
@@ -513,6 +514,14 @@
     expect(await drained).toBe(0);
   });
 
+  test('a stop with nothing in progress leaves no timer that would hold the process', async () => {
+    const clock = new CountingClock();
+    const idle = await new CallerFixture(clock).start();
+    await idle.send(chatPath, order, chatBody());
+    expect(await idle.server.drain(60_000)).toBe(0);
+    expect(clock.waiting.size).toBe(0);
+  });
+
   test('more requests than may be in progress are refused', async () => {
     fixture.driver.script = () => new Promise(() => undefined);
     const leaving = new AbortController();
