--- a/src/platform/rpc/node/poolLink.ts
+++ b/src/platform/rpc/node/poolLink.ts
@@ -6,9 +6,9 @@
 } from '@trpc/client';
 import {AnyTRPCRouter} from '@trpc/server';
 import {observable} from '@trpc/server/observable';
-import {Pool} from 'undici';
+import {Dispatcher} from 'undici';
 
-/** Carries tRPC calls by plain requests of an undici pool, without the web's fetch. */
+/** Carries tRPC calls by plain requests of an undici dispatcher, without the web's fetch. */
 
 /** The body of an answer, as the server writes it. */
 interface AnswerBody {
@@ -18,7 +18,8 @@
 
 /** Makes a link that sends every call as a POST of JSON; calls end when their signal fires. */
 export function createPoolLink<Router extends AnyTRPCRouter>(
-  pool: Pool,
+  dispatcher: Dispatcher,
+  origin: string,
   headers: Readonly<Record<string, string>>,
 ): TRPCLink<Router> {
   const sentHeaders = {...headers, 'content-type': 'application/json'};
@@ -34,7 +35,7 @@
           abort();
         }
         op.signal?.addEventListener('abort', abort, {once: true});
-        send(pool, sentHeaders, op, controller.signal)
+        send(dispatcher, origin, sentHeaders, op, controller.signal)
           .then(({result}) => {
             observer.next({result: {type: 'data', data: result?.data}});
             observer.complete();
@@ -53,12 +54,14 @@
 }
 
 async function send(
-  pool: Pool,
+  dispatcher: Dispatcher,
+  origin: string,
   headers: Readonly<Record<string, string>>,
   operation: Operation,
   signal: AbortSignal,
 ): Promise<AnswerBody> {
-  const {body} = await pool.request({
+  const {body} = await dispatcher.request({
+    origin,
     path: `/${operation.path}`,
     method: 'POST',
     headers,
--- a/src/platform/rpc/node/rpc.ts
+++ b/src/platform/rpc/node/rpc.ts
@@ -2,7 +2,7 @@
 
 import {createTRPCClient, TRPCClient} from '@trpc/client';
 import {AnyTRPCRouter, initTRPC, TRPCError} from '@trpc/server';
-import {Pool} from 'undici';
+import {Agent} from 'undici';
 
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
 import {createPoolLink} from './poolLink.js';
@@ -89,68 +89,43 @@
   address: string,
   peerKey: string,
 ): RpcClient<Router> {
-  const pool = new Pool(`http://${address}`, {
-    connections: CONNECTIONS_PER_PEER,
-    pipelining: 1,
-    connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS},
-  });
-  const link = createPoolLink(pool, {[KEY_HEADER]: peerKey});
+  const agent = createAgent(CONNECTIONS_PER_PEER);
   return {
-    call: createTRPCClient<Router>({links: [link]}),
-    dispose: () => void pool.destroy(),
+    call: createClient<Router>(agent, address, peerKey),
+    dispose: () => void agent.destroy(),
   };
 }
 
-/** Clients of one program for many addresses over one set of connections; sends few headers. */
+/** Clients of one program for many addresses over one set of connections, one for each address. */
 export class RpcConnections implements Disposable {
-  private readonly agent = new Agent({
-    connections: 1,
-    pipelining: 1,
-    connect: {timeout: 1000},
-  });
+  private readonly agent = createAgent(1);
 
   constructor(private readonly peerKey: string) {}
 
   /** A client for an address; it holds no connection of its own. */
   client<Router extends AnyTRPCRouter>(address: string): TRPCClient<Router> {
-    const link = httpLink({
-      url: `http://${address}`,
-      headers: {[KEY_HEADER]: this.peerKey},
-      fetch: (url: string, init: LeanRequest) => this.fetch(url, init),
-    } as never);
-    return createTRPCClient<Router>({links: [link]});
+    return createClient<Router>(this.agent, address, this.peerKey);
   }
 
   dispose(): void {
     void this.agent.destroy();
   }
+}
 
-  private async fetch(
-    url: string,
-    init: LeanRequest,
-  ): Promise<Pick<Response, 'ok' | 'status' | 'json'>> {
-    const {origin, pathname, search} = new URL(url);
-    const {statusCode, body} = await this.agent.request({
-      origin,
-      path: pathname + search,
-      method: init.method,
-      headers: init.headers,
-      body: init.body ?? null,
-      signal: init.signal ?? null,
-    });
-    const text = await body.text();
-    return {
-      ok: statusCode < 300,
-      status: statusCode,
-      json: async () => JSON.parse(text) as unknown,
-    };
-  }
+function createAgent(connections: number): Agent {
+  return new Agent({
+    connections,
+    pipelining: 1,
+    connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS},
+  });
 }
 
-/** What the client library passes to its fetch function. */
-interface LeanRequest {
-  readonly method: 'GET' | 'POST';
-  readonly headers: Record<string, string>;
-  readonly body?: string;
-  readonly signal?: AbortSignal;
+function createClient<Router extends AnyTRPCRouter>(
+  agent: Agent,
+  address: string,
+  peerKey: string,
+): TRPCClient<Router> {
+  const headers = {[KEY_HEADER]: peerKey};
+  const link = createPoolLink<Router>(agent, `http://${address}`, headers);
+  return createTRPCClient<Router>({links: [link]});
 }
