--- a/measure/main.ts
+++ b/measure/main.ts
@@ -6,11 +6,13 @@
 
 const DEFAULT_SEED = 20261202;
 const DEFAULT_SECONDS = 5;
-const USAGE = 'usage: npm run measure -- throughput [--seed N] [--seconds N]';
+const USAGE =
+  'usage: npm run measure -- throughput [--seed N] [--seconds N] [--loads 0.8,1]';
 
 interface MeasureOptions {
   readonly seed: number;
   readonly seconds: number;
+  readonly loads: readonly number[] | undefined;
 }
 
 const measures: Readonly<
@@ -22,7 +24,11 @@
 async function main(): Promise<number> {
   const {values, positionals} = parseArgs({
     allowPositionals: true,
-    options: {seed: {type: 'string'}, seconds: {type: 'string'}},
+    options: {
+      seed: {type: 'string'},
+      seconds: {type: 'string'},
+      loads: {type: 'string'},
+    },
   });
   const measure = measures[positionals[0] ?? ''];
   if (measure === undefined) {
@@ -31,8 +37,9 @@
   }
   const seed = Number(values.seed ?? DEFAULT_SEED);
   const seconds = Number(values.seconds ?? DEFAULT_SECONDS);
+  const loads = values.loads?.split(',').map(Number);
   console.log(`seed ${seed}`);
-  console.log(JSON.stringify(await measure({seed, seconds})));
+  console.log(JSON.stringify(await measure({seed, seconds, loads})));
   return 0;
 }
 
--- a/measure/throughput.ts
+++ b/measure/throughput.ts
@@ -22,6 +22,8 @@
   readonly seed: number;
   /** Seconds counted at each load. */
   readonly seconds: number;
+  /** Loads as multiples of the bound. */
+  readonly loads?: readonly number[];
 }
 
 /** One load's outcome; ratios are on-time work over the bound for what arrived. */
@@ -41,6 +43,9 @@
   readonly wrongReplies: number;
   /** Replies that were taken and ended late, over those taken. */
   readonly lateShare: number;
+  /** Failures by error kind. */
+  readonly failures: Readonly<Record<string, number>>;
+  readonly naiveFailures: Readonly<Record<string, number>>;
 }
 
 const LOADS = [0.8, 1.0, 1.5];
@@ -113,7 +118,7 @@
   );
   try {
     const loads: LoadReport[] = [];
-    for (const offered of LOADS) {
+    for (const offered of options.loads ?? LOADS) {
       loads.push(await measureLoad(offered, own, naive, options));
     }
     return {seed: options.seed, loads};
@@ -151,6 +156,8 @@
       record => record.outcome.whole && !record.correct,
     ).length,
     lateShare: lateShare(counted),
+    failures: failuresOf(counted),
+    naiveFailures: failuresOf(naiveRecords),
   };
 }
 
@@ -273,6 +280,18 @@
   return round(late.length / Math.max(1, taken.length));
 }
 
+function failuresOf(
+  records: readonly LoadRecord[],
+): Readonly<Record<string, number>> {
+  const failures: Record<string, number> = {};
+  for (const {outcome} of records) {
+    if (outcome.errorKind !== undefined) {
+      failures[outcome.errorKind] = (failures[outcome.errorKind] ?? 0) + 1;
+    }
+  }
+  return failures;
+}
+
 function round(value: number): number {
   return Math.round(value * 1000) / 1000;
 }
