--- a/src/platform/rpc/node/rpc.ts
+++ b/src/platform/rpc/node/rpc.ts
@@ -1,24 +1,25 @@
 import {timingSafeEqual} from 'node:crypto';
-import {createServer, RequestListener} from 'node:http';
 
-import {createTRPCClient, httpLink, TRPCClient} from '@trpc/client';
+import {createTRPCClient, TRPCClient} from '@trpc/client';
 import {AnyTRPCRouter, initTRPC, TRPCError} from '@trpc/server';
-import {createHTTPHandler} from '@trpc/server/adapters/standalone';
-import {Agent, fetch as undiciFetch} from 'undici';
+import {Agent} from 'undici';
 
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
+import {createPoolLink} from './poolLink.js';
+import {
+  createRpcHandler,
+  createRpcServer,
+  KEY_HEADER,
+  RpcContext,
+} from './rpcServer.js';
 
 /** Typed calls between this system's own processes, over tRPC on loopback or the private network. */
 
-/** What every call carries. */
-export interface RpcContext {
-  /** The secret that the caller presented. */
-  readonly presentedKey: string | undefined;
-  readonly expectedKey: string;
-}
+export {createRpcHandler};
+export type {RpcContext};
 
-const KEY_HEADER = 'redwing-peer-key';
 const CONNECTIONS_PER_PEER = 4;
+const CONNECT_TIMEOUT_MILLISECONDS = 1000;
 
 const trpc = initTRPC.context<RpcContext>().create();
 
@@ -60,30 +61,13 @@
   };
 }
 
-/** Answers calls to a router; for programs that serve more than one protocol on an address. */
-export function createRpcHandler(
-  router: AnyTRPCRouter,
-  peerKey: string,
-): RequestListener {
-  return createHTTPHandler({
-    router,
-    createContext: ({req}): RpcContext => {
-      const header = req.headers[KEY_HEADER];
-      return {
-        presentedKey: Array.isArray(header) ? header[0] : header,
-        expectedKey: peerKey,
-      };
-    },
-  });
-}
-
 /** Serves a router on an address; resolves once it listens. */
 export async function serveRpc(
   router: AnyTRPCRouter,
   address: string,
   peerKey: string,
 ): Promise<Disposable> {
-  const server = createServer(createRpcHandler(router, peerKey));
+  const server = createRpcServer(router, peerKey);
   const {host, port} = parseAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
@@ -105,78 +89,43 @@
   address: string,
   peerKey: string,
 ): RpcClient<Router> {
-  const agent = new Agent({
-    connections: CONNECTIONS_PER_PEER,
-    pipelining: 1,
-    connect: {timeout: 1000},
-  });
-  // The cast joins two declarations of the same fetch interface: undici's and the global one.
-  const fetchWithAgent = ((input: string, init: Record<string, unknown>) =>
-    undiciFetch(input, {
-      ...init,
-      dispatcher: agent,
-    })) as unknown as typeof fetch;
-  const link = httpLink({
-    url: `http://${address}`,
-    headers: {[KEY_HEADER]: peerKey},
-    fetch: fetchWithAgent,
-  } as never);
+  const agent = createAgent(CONNECTIONS_PER_PEER);
   return {
-    call: createTRPCClient<Router>({links: [link]}),
+    call: createClient<Router>(agent, address, peerKey),
     dispose: () => void agent.destroy(),
   };
 }
 
-/** Clients of one program for many addresses over one set of connections; sends few headers. */
+/** Clients of one program for many addresses over one set of connections, one for each address. */
 export class RpcConnections implements Disposable {
-  private readonly agent = new Agent({
-    connections: 1,
-    pipelining: 1,
-    connect: {timeout: 1000},
-  });
+  private readonly agent = createAgent(1);
 
   constructor(private readonly peerKey: string) {}
 
   /** A client for an address; it holds no connection of its own. */
   client<Router extends AnyTRPCRouter>(address: string): TRPCClient<Router> {
-    const link = httpLink({
-      url: `http://${address}`,
-      headers: {[KEY_HEADER]: this.peerKey},
-      fetch: (url: string, init: LeanRequest) => this.fetch(url, init),
-    } as never);
-    return createTRPCClient<Router>({links: [link]});
+    return createClient<Router>(this.agent, address, this.peerKey);
   }
 
   dispose(): void {
     void this.agent.destroy();
   }
+}
 
-  private async fetch(
-    url: string,
-    init: LeanRequest,
-  ): Promise<Pick<Response, 'ok' | 'status' | 'json'>> {
-    const {origin, pathname, search} = new URL(url);
-    const {statusCode, body} = await this.agent.request({
-      origin,
-      path: pathname + search,
-      method: init.method,
-      headers: init.headers,
-      body: init.body ?? null,
-      signal: init.signal ?? null,
-    });
-    const text = await body.text();
-    return {
-      ok: statusCode < 300,
-      status: statusCode,
-      json: async () => JSON.parse(text) as unknown,
-    };
-  }
+function createAgent(connections: number): Agent {
+  return new Agent({
+    connections,
+    pipelining: 1,
+    connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS},
+  });
 }
 
-/** What the client library passes to its fetch function. */
-interface LeanRequest {
-  readonly method: 'GET' | 'POST';
-  readonly headers: Record<string, string>;
-  readonly body?: string;
-  readonly signal?: AbortSignal;
+function createClient<Router extends AnyTRPCRouter>(
+  agent: Agent,
+  address: string,
+  peerKey: string,
+): TRPCClient<Router> {
+  const headers = {[KEY_HEADER]: peerKey};
+  const link = createPoolLink<Router>(agent, `http://${address}`, headers);
+  return createTRPCClient<Router>({links: [link]});
 }
