--- a/src/features/membership/node/controlViewSource.ts
+++ b/src/features/membership/node/controlViewSource.ts
@@ -9,7 +9,6 @@
 import {EntryAnnouncement, SystemView} from '../common/systemView.js';
 import {ViewMerger} from '../common/viewMerger.js';
 import {ViewPosition, ViewUpdate} from '../common/viewPublisher.js';
-import {ViewSource} from '../common/viewSource.js';
 import {ViewRouter} from './viewRouter.js';
 
 const CALL_MILLISECONDS = 8_000;
@@ -17,14 +16,15 @@
 const RETRY_MILLISECONDS = 250;
 
 /** Follows the view of the instance's control program and announces the entry program to it. */
-export class ControlViewSource extends ViewSource implements Disposable {
+export class ControlViewSource implements Disposable {
   private readonly merger = new ViewMerger();
   private readonly changed = new Emitter<SystemView>();
   private readonly lifetime = new CancellationSource();
   private readonly client: RpcClient<ViewRouter>;
   private position: ViewPosition | undefined;
 
-  override readonly onDidChange = this.changed.event;
+  /** Fires after each newer view. */
+  readonly onDidChange = this.changed.event;
 
   constructor(
     controlAddress: string,
@@ -32,11 +32,11 @@
     private readonly clock: Clock,
     private announcement: EntryAnnouncement,
   ) {
-    super();
     this.client = createRpcClient<ViewRouter>(controlAddress, peerKey);
   }
 
-  override get current(): SystemView | undefined {
+  /** The newest view; undefined until the first. */
+  get current(): SystemView | undefined {
     return this.merger.current;
   }
 
