Stand-in engines keep the plan of a reply; a token that is never cancelled keeps no listeners

Cause: a trial with 32 sequences warned of piled-up listeners on the shared token, and first stages went over the whole reply at every step. Change: neverCancelled registers nothing; the plan of a reply is kept while only its own tokens follow.

--- a/src/base/common/cancellation.ts
+++ b/src/base/common/cancellation.ts
@@ -71,7 +71,14 @@
   }
 }
 
+class NeverToken extends SignalToken {
+  /** Keeps no listener: work that shares this token would pile them up on its signal. */
+  override onDidCancel(): Disposable {
+    return toDisposable(() => undefined);
+  }
+}
+
 /** A token that is never cancelled. */
-export const neverCancelled: CancellationToken = new SignalToken(
+export const neverCancelled: CancellationToken = new NeverToken(
   new AbortController().signal,
 );
--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -31,6 +31,7 @@
   decodeActivation,
   embed,
   encodeActivation,
+  isReplyToken,
   LayerCache,
   planReply,
   remainingTokens,
@@ -467,6 +468,7 @@
       sequence.caches.set(layer, [...cache]);
     }
     sequence.tokens.splice(0, sequence.tokens.length, ...content.tokens);
+    sequence.plan = undefined;
     this.write({kind: 'imported', requestId, epoch});
     return success({from: 0, to: sequence.coveredTo(this.holding.layers)});
   }
@@ -585,9 +587,14 @@
     const count = positions.to - positions.from;
     return decodeActivation(input.data, count)?.remaining ?? 0;
   }
-  const {tokens} = sequence;
+  const {tokens, plan} = sequence;
   tokens.splice(positions.from, tokens.length, ...input.tokens);
-  return remainingTokens(planReply(tokens), positions.to);
+  const planHolds =
+    plan !== undefined &&
+    positions.from >= plan.promptLength &&
+    input.tokens.every(isReplyToken);
+  sequence.plan = planHolds ? plan : planReply(tokens);
+  return remainingTokens(sequence.plan, positions.to);
 }
 
 /** Undefined when the input does not fit the step. */
--- a/test/standins/referenceModel.ts
+++ b/test/standins/referenceModel.ts
@@ -87,13 +87,18 @@
 /** Where the prompt ends (its last token is not one of the model's own) and how long the reply is. */
 export function planReply(tokens: readonly string[]): ReplyPlan {
   let promptLength = tokens.length;
-  while (promptLength > 0 && REPLY_TOKEN.test(tokens[promptLength - 1] ?? '')) {
+  while (promptLength > 0 && isReplyToken(tokens[promptLength - 1] ?? '')) {
     promptLength--;
   }
   const prompt = tokens.slice(0, promptLength);
   return {promptLength, replyLength: replyLengthOf(prompt)};
 }
 
+/** Whether a plan still holds when tokens are added: one of the model's own never changes it. */
+export function isReplyToken(token: string): boolean {
+  return REPLY_TOKEN.test(token);
+}
+
 function replyLengthOf(prompt: readonly string[]): number {
   for (const token of prompt) {
     const marked = LENGTH_MARKER.exec(token);
--- a/test/standins/sequences.ts
+++ b/test/standins/sequences.ts
@@ -1,11 +1,13 @@
 import {LayerRange} from '../../src/platform/engine/common/engineConnection.js';
-import {LayerCache} from './referenceModel.js';
+import {LayerCache, ReplyPlan} from './referenceModel.js';
 
 /** A request's KV cache, which holds one of the engine's slots. */
 export class Sequence {
   readonly caches = new Map<number, LayerCache>();
   /** Token texts, at first stages only. */
   readonly tokens: string[] = [];
+  /** Of the tokens; undefined until a first stage has computed it. */
+  plan: ReplyPlan | undefined;
   runningSteps = 0;
   lastUsed = performance.now();
   /** Its slot is given up when the last running step ends. */
