--- a/test/support/managedProcess.ts
+++ b/test/support/managedProcess.ts
@@ -5,11 +5,12 @@
 
 const LOG_TAIL_BYTES = 256 * 1024;
 const LOG_TAIL_LINES = 5;
+const WATCHDOG = 'test/support/watchdog.js';
 
 /** The root of the repository, from the sources or from the build. */
 export function repositoryRoot(): string {
   let directory = dirname(fileURLToPath(import.meta.url));
-  while (!existsSync(join(directory, 'tsconfig.json'))) {
+  while (!existsSync(join(directory, 'package-lock.json'))) {
     directory = dirname(directory);
   }
   return directory;
@@ -21,7 +22,7 @@
   private readonly processes = new Set<ManagedProcess>();
 
   constructor(private readonly directory: string) {
-    const script = builtProgram('test/support/watchdog.js');
+    const script = builtProgram(WATCHDOG);
     this.watchdog = spawn(process.execPath, [script, directory], {
       stdio: ['pipe', 'ignore', 'ignore'],
       detached: true,
@@ -163,6 +164,11 @@
   }
 }
 
+/** Throws when the programs are not built. */
+export function requireBuild(): void {
+  builtProgram(WATCHDOG);
+}
+
 function builtProgram(path: string): string {
   const program = join(repositoryRoot(), 'dist', path);
   if (!existsSync(program)) {
