--- a/src/features/naive/node/naivePipelineDriver.ts
+++ b/src/features/naive/node/naivePipelineDriver.ts
@@ -1,4 +1,7 @@
-import {CancellationToken} from '../../../base/common/cancellation.js';
+import {
+  CancellationToken,
+  neverCancelled,
+} from '../../../base/common/cancellation.js';
 import {failure, Result, success} from '../../../base/common/result.js';
 import {
   EngineConnector,
@@ -50,7 +53,10 @@
         addresses: [],
       });
     }
-    return this.generate(request, reply.reservation.stages, sink, token);
+    const {stages} = reply.reservation;
+    const outcome = await this.generate(request, stages, sink, token);
+    void this.free(request.requestId, stages);
+    return outcome;
   }
 
   private async generate(
@@ -82,7 +88,6 @@
       positions = {from: positions.to, to: positions.to + 1};
     }
     const {requestId} = request;
-    await this.free(requestId, stages, token);
     return success({requestId, tokens: made, finishReason});
   }
 
@@ -132,13 +137,12 @@
   private async free(
     requestId: string,
     stages: readonly ChosenStage[],
-    token: CancellationToken,
   ): Promise<void> {
     await Promise.all(
       stages.map(({upstream, address}) =>
         this.connector
           .connect(upstream, address)
-          .cancel(requestId, EPOCH, token),
+          .cancel(requestId, EPOCH, neverCancelled),
       ),
     );
   }
--- a/src/programs/entry/test/entryProgram.test.ts
+++ b/src/programs/entry/test/entryProgram.test.ts
@@ -1,7 +1,6 @@
-import {createServer} from 'node:net';
-
 import {afterEach, expect, test} from 'vitest';
 
+import {freeAddresses} from '../../../../test/support/ports.js';
 import {
   createRpcRouter,
   parseAddress,
@@ -24,26 +23,16 @@
   releases.splice(0).forEach(release => release.dispose());
 });
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>(resolve =>
-    server.listen(0, '127.0.0.1', () => resolve()),
-  );
-  const address = server.address();
-  await new Promise(resolve => server.close(resolve));
-  const port = typeof address === 'object' && address ? address.port : 0;
-  return `127.0.0.1:${port}`;
-}
-
 async function entrySettings(
   policy: EntrySettings['policy'],
 ): Promise<EntrySettings> {
-  const nowhere = await freeAddress();
+  const [callerAddress, peerAddress, controlAddress, nowhere] =
+    (await freeAddresses(4)) as [string, string, string, string];
   return {
     instance: {id: 'a', region: 'east', dataCentre: 'dc1'},
-    callerAddress: await freeAddress(),
-    peerAddress: await freeAddress(),
-    controlAddress: await freeAddress(),
+    callerAddress,
+    peerAddress,
+    controlAddress,
     platform: {
       tableAddress: nowhere,
       objectsAddress: nowhere,
