--- a/src/platform/rpc/node/rpc.ts
+++ b/src/platform/rpc/node/rpc.ts
@@ -2,7 +2,7 @@
 
 import {createTRPCClient, TRPCClient} from '@trpc/client';
 import {AnyTRPCRouter, initTRPC, TRPCError} from '@trpc/server';
-import {Pool} from 'undici';
+import {Agent} from 'undici';
 
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
 import {createPoolLink} from './poolLink.js';
@@ -89,14 +89,43 @@
   address: string,
   peerKey: string,
 ): RpcClient<Router> {
-  const pool = new Pool(`http://${address}`, {
-    connections: CONNECTIONS_PER_PEER,
+  const agent = createAgent(CONNECTIONS_PER_PEER);
+  return {
+    call: createClient<Router>(agent, address, peerKey),
+    dispose: () => void agent.destroy(),
+  };
+}
+
+/** Clients of one program for many addresses over one set of connections, one for each address. */
+export class RpcConnections implements Disposable {
+  private readonly agent = createAgent(1);
+
+  constructor(private readonly peerKey: string) {}
+
+  /** A client for an address; it holds no connection of its own. */
+  client<Router extends AnyTRPCRouter>(address: string): TRPCClient<Router> {
+    return createClient<Router>(this.agent, address, this.peerKey);
+  }
+
+  dispose(): void {
+    void this.agent.destroy();
+  }
+}
+
+function createAgent(connections: number): Agent {
+  return new Agent({
+    connections,
     pipelining: 1,
     connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS},
   });
-  const link = createPoolLink(pool, {[KEY_HEADER]: peerKey});
-  return {
-    call: createTRPCClient<Router>({links: [link]}),
-    dispose: () => void pool.destroy(),
-  };
+}
+
+function createClient<Router extends AnyTRPCRouter>(
+  agent: Agent,
+  address: string,
+  peerKey: string,
+): TRPCClient<Router> {
+  const headers = {[KEY_HEADER]: peerKey};
+  const link = createPoolLink<Router>(agent, `http://${address}`, headers);
+  return createTRPCClient<Router>({links: [link]});
 }
