Callers: input that is not HTTP, and a good request after each bad one

Cause: bad input must disturb nothing else. Ruled out: nothing. Change: three raw cases; each bad case is followed by a good request.

--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -258,6 +258,29 @@
   for (const secret of [bearer, 'wrong-key']) {
     expect(text + log).not.toContain(secret);
   }
+  const next = await fixture.send(chatPath, query, chatBody());
+  expect(next.status).toBe(200);
+  await expect.poll(() => fixture.gate.count).toBe(0);
+});
+
+test.each([
+  ['no HTTP', 'nonsense\r\n\r\n', '400'],
+  ['headers without end', `GET / HTTP/1.1\r\nX: ${'x'.repeat(20_000)}`, '431'],
+  [
+    'two lengths',
+    `POST ${chatPath} HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx`,
+    '400',
+  ],
+])('%s', async (_name, bytes, status) => {
+  const socket = connect(fixture.port, '127.0.0.1');
+  const received: Buffer[] = [];
+  socket.on('error', () => undefined);
+  socket.on('data', chunk => received.push(chunk));
+  socket.write(bytes);
+  await new Promise(resolve => socket.once('close', resolve));
+  const text = Buffer.concat(received).toString();
+  expect(text.startsWith(`HTTP/1.1 ${status}`)).toBe(true);
+  expect((await fixture.send('/v1/health')).status).toBe(200);
 });
 
 test.each(['Redwing-Class: order', 'Authorization: Bearer other'])(
