--- a/src/platform/rpc/node/poolLink.ts
+++ b/src/platform/rpc/node/poolLink.ts
@@ -29,17 +29,27 @@
         TRPCClientError<Router>
       >(observer => {
         const controller = new AbortController();
-        const abort = (): void => controller.abort();
+        let isDone = false;
+        // Aborting costs an exception, so only while the call runs.
+        const abort = (): void => {
+          if (!isDone) {
+            controller.abort();
+          }
+        };
         if (op.signal?.aborted) {
           abort();
         }
         op.signal?.addEventListener('abort', abort, {once: true});
         send(pool, sentHeaders, op, controller.signal)
           .then(({result}) => {
+            isDone = true;
             observer.next({result: {type: 'data', data: result?.data}});
             observer.complete();
           })
-          .catch(cause => observer.error(clientError<Router>(cause)))
+          .catch(cause => {
+            isDone = true;
+            observer.error(clientError<Router>(cause));
+          })
           .finally(() => op.signal?.removeEventListener('abort', abort));
         return abort;
       });
--- a/src/platform/rpc/node/rpcServer.ts
+++ b/src/platform/rpc/node/rpcServer.ts
@@ -64,7 +64,12 @@
   response: ServerResponse,
 ): Promise<void> {
   const closed = new AbortController();
-  response.once('close', () => closed.abort());
+  // Aborting costs an exception, so only where somebody still works.
+  response.once('close', () => {
+    if (!response.writableFinished) {
+      closed.abort();
+    }
+  });
   const answer = await call(router, peerKey, request, closed.signal);
   if (response.destroyed) {
     return;
