--- a/src/features/routing/common/laxityPolicy.ts
+++ b/src/features/routing/common/laxityPolicy.ts
@@ -4,12 +4,15 @@
 import {ShareStanding, shareStanding} from './shareStanding.js';
 
 /** How one of several pipelines that are in time is chosen. */
-export type PipelineChoice =
-  | 'bestFit'
-  | 'earliestFinish'
-  | 'leastPrefill'
-  /** The slowest for work with a loose token target, else the fastest. */
-  | 'byTightness';
+export type PipelineChoice = (typeof pipelineChoices)[number];
+
+/** The slowest, the fastest, the first to its first token; or the slowest for a loose token target, else the fastest. */
+export const pipelineChoices = [
+  'bestFit',
+  'earliestFinish',
+  'leastPrefill',
+  'byTightness',
+] as const;
 
 /** Milliseconds before a caller comes back where even an idle pipeline would be too slow. */
 const TOO_SLOW_RETRY_MILLISECONDS = 5000;
