--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -12,6 +12,7 @@
   chatBody,
   chatPath,
   configuration,
+  CountingClock,
   QuickClock,
   replyOf,
 } from './callerFakes.js';
@@ -459,6 +460,14 @@
     });
   });
 
+  test('entrypoints name an instance that takes work before its peers have heard so', async () => {
+    const view = fixture.views.current!;
+    const instances = view.instances.map(one => ({...one, ready: false}));
+    fixture.views.current = {...view, instances};
+    const response = await fixture.send('/v1/entrypoints');
+    expect(await response.json()).toMatchObject({addresses: ['a:80']});
+  });
+
   test.each([
     ['no view yet', () => (fixture.views.current = undefined)],
     ['a silent control program', () => (fixture.views.heardAt = -40_000)],
@@ -513,6 +522,14 @@
     expect(await drained).toBe(0);
   });
 
+  test('a stop with nothing in progress leaves no timer that would hold the process', async () => {
+    const clock = new CountingClock();
+    const idle = await new CallerFixture(clock).start();
+    await idle.send(chatPath, order, chatBody());
+    expect(await idle.server.drain(60_000)).toBe(0);
+    expect(clock.waiting.size).toBe(0);
+  });
+
   test('more requests than may be in progress are refused', async () => {
     fixture.driver.script = () => new Promise(() => undefined);
     const leaving = new AbortController();
--- a/src/features/routing/node/reportPoller.ts
+++ b/src/features/routing/node/reportPoller.ts
@@ -20,7 +20,7 @@
 export class ReportPoller extends DisposableOwner {
   private readonly dueAt = new Map<string, number>();
   private readonly polling = new Map<string, Promise<void>>();
-  private readonly stopped = new CancellationSource();
+  private readonly sources = new Set<CancellationSource>();
   private timer: Disposable | undefined;
 
   constructor(
@@ -54,8 +54,9 @@
 
   override dispose(): void {
     this.timer?.dispose();
-    this.stopped.cancel('stopped');
-    this.stopped.dispose();
+    for (const source of this.sources) {
+      source.cancel('stopped');
+    }
     super.dispose();
   }
 
@@ -113,7 +114,8 @@
 
   private async poll(stage: FollowedStage, startedAt: number): Promise<void> {
     const {id, address} = stage.member;
-    const source = new CancellationSource(this.stopped.token);
+    const source = new CancellationSource();
+    this.sources.add(source);
     const timeout = this.clock.setTimer(TIMEOUT_MILLISECONDS, () =>
       source.cancel('timed out'),
     );
@@ -122,6 +124,7 @@
       .report(source.token);
     timeout.dispose();
     source.dispose();
+    this.sources.delete(source);
     if (this.isDisposed) {
       return;
     }
