--- a/src/features/routing/test/common/chooseCells.test.ts
+++ b/src/features/routing/test/common/chooseCells.test.ts
@@ -19,7 +19,7 @@
 }
 
 const full = {freeSlots: 0, earliestStartMilliseconds: 300};
-const cases: readonly [string, readonly CellSummary[], string][] = [
+const cases: ReadonlyArray<[string, readonly CellSummary[], string]> = [
   ['no cell', [], ''],
   ['another model', [summary('a1', {model: 'n'})], ''],
   ['near before far', [summary('b1'), summary('a1')], 'a1 b1'],
--- a/src/features/routing/test/common/laxityPolicy.test.ts
+++ b/src/features/routing/test/common/laxityPolicy.test.ts
@@ -68,93 +68,65 @@
     : `${decision.reason} ${Math.round(decision.retryAfterMilliseconds)}`;
 }
 
-const full = {busyUntil: [NOW + 200, NOW + 400]};
+const x = (change?: Partial<StageView>): StageView => stage('x', 0, 8, change);
+const y = (change?: Partial<StageView>): StageView => stage('y', 0, 8, change);
+const busy = (...waits: readonly number[]): Partial<StageView> => ({
+  busyUntil: waits.map(wait => NOW + wait),
+});
 const slow = {decodeMilliseconds: 20};
-const busyHealthy = {busyUntil: [NOW + 50]};
-const cases: readonly [string, CellView, Partial<WorkEstimate>, string][] = [
-  ['one replica', cell(stage('x', 0, 4), stage('x', 4, 8)), {}, 'x.0+x.4'],
+const out = {health: 'quarantined' as const};
+const probing = {health: 'probing' as const};
+const halves = [
+  ...[stage('x', 0, 4), stage('x', 4, 8, out)],
+  ...[stage('y', 0, 4, {leaving: true}), stage('y', 4, 8)],
+];
+const cached = {cachedPrefixes: new Set('p')};
+const longPrompt = {promptTokens: 900, prefixKey: 'p', prefixTokens: 800};
+
+type Case = readonly [string, CellView, Partial<WorkEstimate>, string];
+const cases: readonly Case[] = [
+  ['one chain', cell(stage('x', 0, 4), stage('x', 4, 8)), {}, 'x.0+x.4'],
   ['no stages', cell(), {}, 'noUpstream 1000'],
   ['a gap in the layers', cell(stage('x', 0, 4)), {}, 'noUpstream 1000'],
-  [
-    'halves of two broken replicas',
-    cell(
-      stage('x', 0, 4),
-      stage('x', 4, 8, {health: 'quarantined'}),
-      stage('y', 0, 4, {leaving: true}),
-      stage('y', 4, 8),
-    ),
-    {},
-    'x.0+y.4',
-  ],
+  ['halves of two broken replicas', cell(...halves), {}, 'x.0+y.4'],
   [
     'replicas cut at different layers',
-    cell(stage('x', 0, 8, full), stage('y', 0, 2), stage('y', 2, 8)),
+    cell(x(busy(200, 400)), stage('y', 0, 2), stage('y', 2, 8)),
     {},
     'y.0+y.2',
   ],
+  ['a tight target', cell(x(slow), y()), {betweenTokensTarget: 30}, 'y.0'],
+  ['a loose target', cell(x(slow), y()), {betweenTokensTarget: 300}, 'x.0'],
   [
-    'the fast one for a tight token target',
-    cell(stage('x', 0, 8, slow), stage('y', 0, 8)),
-    {betweenTokensTarget: 30},
-    'y.0',
-  ],
-  [
-    'the slow one for a loose token target',
-    cell(stage('x', 0, 8, slow), stage('y', 0, 8)),
-    {betweenTokensTarget: 300},
-    'x.0',
-  ],
-  [
-    'token target not to be met',
-    cell(stage('x', 0, 8, {decodeMilliseconds: 70})),
-    {},
-    'cannotMeetTarget 5000',
-  ],
-  [
-    'deadline not to be met',
-    cell(stage('x', 0, 8)),
-    {outputTokens: 1000},
+    'too slow',
+    cell(x(slow)),
+    {betweenTokensTarget: 20},
     'cannotMeetTarget 5000',
   ],
-  ['a wait that fits', cell(stage('x', 0, 8, full)), {}, 'x.0'],
+  ['too long', cell(x()), {outputTokens: 1000}, 'cannotMeetTarget 5000'],
+  ['a wait that fits', cell(x(busy(200, 400))), {}, 'x.0'],
   [
     'a wait that is too long: when 0.7 of what is left of it fits',
-    cell(stage('x', 0, 8, {busyUntil: [NOW + 1000, NOW + 1900]})),
+    cell(x(busy(1000, 1900))),
     {},
     'cannotMeetTarget 466',
   ],
   [
     'the place in the queue counts, not the mean',
-    cell(
-      stage('x', 0, 8, {busyUntil: [NOW + 9, NOW + 9, NOW + 900, NOW + 900]}),
-    ),
+    cell(x(busy(9, 9, 900, 900))),
     {},
     'cannotMeetTarget 366',
   ],
-  [
-    'a prompt too long unless its prefix is cached',
-    cell(stage('x', 0, 8), stage('y', 0, 8, {cachedPrefixes: new Set('p')})),
-    {promptTokens: 900, prefixKey: 'p', prefixTokens: 800},
-    'y.0',
-  ],
-  [
-    'probing takes one request',
-    cell(stage('x', 0, 8, {health: 'probing'})),
-    {},
-    'x.0',
-  ],
-  [
-    'probing takes no second request',
-    cell(stage('x', 0, 8, {health: 'probing', ...busyHealthy})),
-    {},
-    'noUpstream 1000',
-  ],
+  ['a cached prefix', cell(x(), y(cached)), longPrompt, 'y.0'],
+  ['probing takes one request', cell(x(probing)), {}, 'x.0'],
+  ['and no second', cell(x({...probing, ...busy(9)})), {}, 'noUpstream 1000'],
   [
     'old figures are widened past the target',
-    cell(stage('x', 0, 8, {reportAgeMilliseconds: Infinity})),
-    {betweenTokensTarget: 11.5},
+    cell(x({reportAgeMilliseconds: Infinity})),
+    {betweenTokensTarget: 11.4},
     'cannotMeetTarget 5000',
   ],
+  ['new ones are not', cell(x()), {betweenTokensTarget: 11.4}, 'x.0'],
 ];
 
 describe('LaxityPolicy', () => {
@@ -184,7 +156,7 @@
       usedByClass: new Map([['c', 800]]),
       wantedByAccount: new Map([['c/b', 1000]]),
     };
-    const view = cell(stage('x', 0, 8, {busyUntil: [NOW + 250, NOW + 900]}));
+    const view = cell(x(busy(250, 900)));
     const decide = (shares: ShareView): string =>
       outcome(new LaxityPolicy().decide(view, shares, work, NOW));
     expect(decide(noShares)).toBe('x.0');
@@ -204,9 +176,9 @@
       ]),
       targetByClass: new Map([['c', 1]]),
     };
-    const decide = (clientAccount: string, busy: number): string => {
-      const busyUntil = Array<number>(busy).fill(NOW + 100);
-      const view = cell(stage('x', 0, 8, {sequenceLimit: 16, busyUntil}));
+    const decide = (clientAccount: string, taken: number): string => {
+      const waits = Array<number>(taken).fill(100);
+      const view = cell(x({sequenceLimit: 16, ...busy(...waits)}));
       return outcome(
         new LaxityPolicy().decide(view, shares, {...work, clientAccount}, NOW),
       );
--- a/src/features/routing/test/common/queueModelTable.ts
+++ b/src/features/routing/test/common/queueModelTable.ts
@@ -10,7 +10,7 @@
 
 /** Prints the queue model's table of policies: mean of the seeds given as arguments (1 2 3 by default). */
 
-const policies: readonly (() => RoutingPolicy)[] = [
+const policies: ReadonlyArray<() => RoutingPolicy> = [
   () => new RoundRobinPolicy(),
   () => new LeastLoadedPolicy(),
   () => new TwoChoicesPolicy(new SeededRandomSource(1)),
--- a/src/features/routing/test/common/shares.test.ts
+++ b/src/features/routing/test/common/shares.test.ts
@@ -66,47 +66,56 @@
 });
 
 type Sums = Readonly<Record<string, number>>;
-const cases: readonly [string, Sums, Sums, Sums, string, number, number][] = [
-  // name, wanted, used, class targets, class/account, excess, contention
-  ['nobody turned away', {'c/a': 90}, {'c/a': 90}, {c: 1}, 'c/a', 0, 0],
+const cases: ReadonlyArray<[string, Sums, Sums, Sums, string, number, number]> =
   [
-    'the large one of two',
-    {'c/a': 160, 'c/b': 40},
-    {'c/a': 70, 'c/b': 30},
-    {c: 1},
-    'c/a',
-    70 / 60 - 1,
-    0.5,
-  ],
-  [
-    'the small one of two',
-    {'c/a': 160, 'c/b': 40},
-    {'c/a': 70, 'c/b': 30},
-    {c: 1},
-    'c/b',
-    30 / 40 - 1,
-    0.5,
-  ],
-  [
-    'a class over its target beside one under',
-    {'c/a': 100, 'd/a': 100},
-    {'c/a': 60, 'd/a': 40},
-    {c: 1, d: 3},
-    'c/a',
-    60 / 25 - 1,
-    0.5,
-  ],
-  [
-    'a class may use what another leaves',
-    {'c/a': 180, 'd/a': 20},
-    {'c/a': 80, 'd/a': 20},
-    {c: 1, d: 3},
-    'c/a',
-    0,
-    0.5,
-  ],
-  ['an account not seen yet', {'c/a': 20}, {'c/a': 10}, {c: 1}, 'c/n', 0, 0.5],
-];
+    // name, wanted, used, class targets, class/account, excess, contention
+    ['nobody turned away', {'c/a': 90}, {'c/a': 90}, {c: 1}, 'c/a', 0, 0],
+    [
+      'the large one of two',
+      {'c/a': 160, 'c/b': 40},
+      {'c/a': 70, 'c/b': 30},
+      {c: 1},
+      'c/a',
+      70 / 60 - 1,
+      0.5,
+    ],
+    [
+      'the small one of two',
+      {'c/a': 160, 'c/b': 40},
+      {'c/a': 70, 'c/b': 30},
+      {c: 1},
+      'c/b',
+      30 / 40 - 1,
+      0.5,
+    ],
+    [
+      'a class over its target beside one under',
+      {'c/a': 100, 'd/a': 100},
+      {'c/a': 60, 'd/a': 40},
+      {c: 1, d: 3},
+      'c/a',
+      60 / 25 - 1,
+      0.5,
+    ],
+    [
+      'a class may use what another leaves',
+      {'c/a': 180, 'd/a': 20},
+      {'c/a': 80, 'd/a': 20},
+      {c: 1, d: 3},
+      'c/a',
+      0,
+      0.5,
+    ],
+    [
+      'an account not seen yet',
+      {'c/a': 20},
+      {'c/a': 10},
+      {c: 1},
+      'c/n',
+      0,
+      0.5,
+    ],
+  ];
 
 describe('shareStanding', () => {
   it.each(cases)('%s', (_, wanted, used, targets, key, excess, contention) => {
--- a/src/features/routing/test/common/upstreamHealthTracker.test.ts
+++ b/src/features/routing/test/common/upstreamHealthTracker.test.ts
@@ -57,7 +57,7 @@
 }
 
 /** h healthy, q quarantined (also leaving), p probing. */
-const cases: readonly (readonly [string, string, string])[] = [
+const cases: ReadonlyArray<readonly [string, string, string]> = [
   ['a broken connection counts at once', '0 connection', 'q'],
   ['silence counts', '0 silent', 'q'],
   ['refusal and cancellation are no faults', '0 refused, 1 cancelled', 'hh'],
@@ -161,7 +161,7 @@
       for (let now = 0; now < 3600000; now += 100) {
         const name = names[random.nextInteger(names.length)]!;
         const batch = 1 + random.next();
-        const pause = random.next() < 0.02 ? 5 : 1;
+        const pause = random.next() < 0.05 ? 8 : 1;
         const draw = random.next();
         const outcome =
           draw < 0.1 ? 'refused' : draw < 0.2 ? 'cancelled' : 'completed';
