Pipeline driver: a request that another driver holds reads unknown and is left alone

Cause: a stale answer with an epoch never used here ended, after released tokens, as `executed: yes`, and the final cancel rose above the other driver's epoch. The cases were added first; one failed. Ruled out: rising above the other epoch for work that may not be repeated. Change: such an engine stays in doubt; the epoch is not raised and the other driver's work is not cancelled.

--- a/src/features/pipeline/common/attemptLedger.ts
+++ b/src/features/pipeline/common/attemptLedger.ts
@@ -62,14 +62,21 @@
     const isSameProcess =
       doubt === undefined || doubt.incarnation === flight.incarnation;
     const incarnation = isSameProcess ? flight.incarnation : undefined;
-    this.doubt = {epoch: flight.epoch, incarnation};
+    const epoch = Math.max(flight.epoch, doubt?.epoch ?? 0);
+    this.doubt = {epoch, incarnation};
   }
 
-  /** Something of the request ran here, whoever sent it. */
+  /** The engine reports that something of the request began here. */
   seenBegun(): void {
     this.mayHaveBegun = true;
   }
 
+  /** Another driver runs the request here; no report can end that doubt. */
+  seenElsewhere(): void {
+    this.mayHaveBegun = true;
+    this.doubt = {epoch: Infinity, incarnation: undefined};
+  }
+
   /**
    * The engine reports that nothing runs or will run at this and lower epochs. That nothing was begun
    * counts for lost steps only from the process that was there before they were sent.
--- a/src/features/pipeline/common/stageFailure.ts
+++ b/src/features/pipeline/common/stageFailure.ts
@@ -50,7 +50,7 @@
     record.lost();
   }
   if (isForeign(error, epoch)) {
-    record.seenBegun();
+    record.seenElsewhere();
   }
 }
 
--- a/src/features/pipeline/node/pipelineRecovery.ts
+++ b/src/features/pipeline/node/pipelineRecovery.ts
@@ -44,10 +44,14 @@
   /** The epoch rises before anything else, so that no answer of the old attempt counts. */
   async recover(failed: StageFailure): Promise<RecoveryOutcome> {
     const formerEpoch = this.state.epoch;
+    if (this.isDrivenElsewhere(failed, formerEpoch)) {
+      this.report(failed);
+      return {kind: 'exhausted'};
+    }
     this.raiseEpoch(failed);
     this.report(failed);
     this.state.recoveries += 1;
-    if (this.isBeyondLimit() || this.isDrivenElsewhere(failed, formerEpoch)) {
+    if (this.isBeyondLimit()) {
       return {kind: 'exhausted'};
     }
     if (this.keepStage(failed)) {
@@ -75,7 +79,7 @@
     return this.state.recoveries > this.dependencies.settings.recoveryLimit;
   }
 
-  /** Work that may not be repeated is left to whoever drives it under an epoch not ours. */
+  /** Work that may not be repeated is left to whoever drives it under an epoch not ours, not even cancelled. */
   private isDrivenElsewhere(failed: StageFailure, epoch: number): boolean {
     return (
       isForeign(failed.error, epoch) && !this.request.classOfWork.repeatable
--- a/src/features/pipeline/test/faultyEngine.ts
+++ b/src/features/pipeline/test/faultyEngine.ts
@@ -24,6 +24,8 @@
   tokenOf,
 } from '../../../../test/standins/referenceModel.js';
 
+const FOREIGN_EPOCH = 50;
+
 /** How long every step takes. */
 export const STEP_MILLISECONDS = 5;
 
@@ -47,7 +49,8 @@
   'restart',
   'restartAfter',
 ] as const;
-export type FaultKind = (typeof faultKinds)[number];
+/** `foreign`: the engine has seen an epoch of another driver. */
+export type FaultKind = (typeof faultKinds)[number] | 'foreign';
 
 /** A fault at the n-th step that reaches an engine. */
 export interface Fault {
@@ -144,6 +147,8 @@
         return lost;
       case 'refused':
         return failure({kind: 'refused', detail: 'leaving'});
+      case 'foreign':
+        return failure({kind: 'stale', highest: FOREIGN_EPOCH});
       case 'overloaded':
         return failure({kind: 'overloaded', retryAfterMilliseconds: 50});
       case 'restart':
--- a/src/features/pipeline/test/pipelineFaults.test.ts
+++ b/src/features/pipeline/test/pipelineFaults.test.ts
@@ -2,7 +2,7 @@
 
 import {Executed} from '../../requests/common/failure.js';
 import {ExportMode, Fault, FaultKind, faultKinds} from './faultyEngine.js';
-import {PipelineBench, upstreamName} from './pipelineBench.js';
+import {makeRequest, PipelineBench, upstreamName} from './pipelineBench.js';
 import {violationsOf} from './verdict.js';
 
 const stages = [0, 1, 2];
@@ -203,6 +203,25 @@
   );
 });
 
+describe('another driver holds the request', () => {
+  test.each([
+    {repeatable: true, atStep: PREFILL, outcome: 'whole'},
+    {repeatable: true, atStep: DECODE, outcome: 'whole'},
+    {repeatable: false, atStep: PREFILL, outcome: 'unknown'},
+    {repeatable: false, atStep: DECODE, outcome: 'unknown'},
+  ])('repeatable $repeatable, step $atStep: $outcome', async row => {
+    const faults = [faultAt(1, 'foreign', row.atStep)];
+    const bench = new PipelineBench({faults});
+    const {classOfWork} = makeRequest('q0', 0);
+    const {repeatable} = row;
+    const run = bench.start({classOfWork: {...classOfWork, repeatable}});
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    const {result} = run;
+    expect(result?.ok ? 'whole' : result?.error.executed).toBe(row.outcome);
+  });
+});
+
 describe('several faults', () => {
   test('two streams at once, one stage killed, one answer crossed', async () => {
     const bench = new PipelineBench({
