--- a/src/programs/redwing/tableText.ts
+++ b/src/programs/redwing/tableText.ts
@@ -23,10 +23,11 @@
   if (rows.length === 0) {
     return `${NOTHING}\n`;
   }
-  const names = [...new Set(rows.flatMap(row => Object.keys(row)))];
+  const flat = rows.map(flatten);
+  const names = [...new Set(flat.flatMap(row => Object.keys(row)))];
   const cells = [
     names,
-    ...rows.map(row => names.map(name => formatCell(row[name]))),
+    ...flat.map(row => names.map(name => formatCell(row[name]))),
   ];
   const widths = names.map((_, column) =>
     Math.max(...cells.map(line => line[column].length)),
@@ -41,7 +42,10 @@
   const entries = Object.entries(value);
   const plain = entries.filter(([, inner]) => !isRows(inner));
   const lists = entries.filter(([, inner]) => isRows(inner));
-  const summary = plain.map(([field, inner]) => ({field, value: inner}));
+  const summary = plain.map(([field, inner]) => ({
+    field,
+    value: formatCell(inner),
+  }));
   const tables = lists.map(
     ([name, rows]) =>
       `\n${name}\n${formatTable(rows as ReadonlyArray<Record<string, unknown>>)}`,
@@ -49,6 +53,18 @@
   return formatTable(summary) + tables.join('');
 }
 
+/** Fields of objects inside a row become columns of their own. */
+function flatten(
+  row: Readonly<Record<string, unknown>>,
+): Readonly<Record<string, unknown>> {
+  const fields = Object.entries(row).flatMap(([name, value]) =>
+    typeof value === 'object' && value !== null && !Array.isArray(value)
+      ? Object.entries(value)
+      : [[name, value] as const],
+  );
+  return Object.fromEntries(fields);
+}
+
 function formatLine(
   line: readonly string[],
   widths: readonly number[],
--- a/src/programs/redwing/test/redwing.test.ts
+++ b/src/programs/redwing/test/redwing.test.ts
@@ -236,6 +236,24 @@
     exitCode: exitCodes.done,
     stdout: 'setClass dispatch',
   },
+  {
+    name: 'shows the status with one column for each field of a member',
+    words: ['status'],
+    script: {
+      'GET /v1/status': [
+        {
+          status: 200,
+          body: {
+            standing: {kind: 'serving'},
+            instances: [{member: {id: 'a', region: 'north'}, ready: true}],
+          },
+        },
+      ],
+    },
+    exitCode: exitCodes.done,
+    stdout:
+      'field     value\nstanding  kind=serving\n\ninstances\nid  region  ready\na   north   true\n',
+  },
   {
     name: 'checks its settings',
     words: ['check-settings'],
