--- a/src/features/pipeline/test/pipelineBench.ts
+++ b/src/features/pipeline/test/pipelineBench.ts
@@ -1,4 +1,5 @@
 import {CancellationSource} from '../../../base/common/cancellation.js';
+import {Clock} from '../../../base/common/clock.js';
 import {Result} from '../../../base/common/result.js';
 import {
   EngineConnection,
@@ -23,6 +24,7 @@
   PipelineSettings,
 } from '../common/pipelineSettings.js';
 import {Safeguards, StrictSafeguards} from '../common/safeguards.js';
+import {delay} from '../node/boundedCall.js';
 import {DefaultPipelineDriver} from '../node/defaultPipelineDriver.js';
 import {
   CacheStore,
@@ -33,7 +35,7 @@
 } from './faultyEngine.js';
 
 export const layerCount = 6;
-const ranges: readonly LayerRange[] = [
+export const ranges: readonly LayerRange[] = [
   {from: 0, to: 2},
   {from: 2, to: 4},
   {from: 4, to: 6},
@@ -50,6 +52,10 @@
   readonly safeguards?: Safeguards;
   readonly settings?: Partial<PipelineSettings>;
   readonly startsInMilliseconds?: number;
+  /** How long the broker takes to answer. */
+  readonly brokerMilliseconds?: number;
+  /** Whether new plans prefer other engines for all stages. */
+  readonly movesAll?: boolean;
 }
 
 /** One run as its caller saw it. */
@@ -62,7 +68,14 @@
   endedAt: number;
 }
 
-class ListBroker extends CapacityBroker {
+/** What the broker knows of an engine. */
+export type BrokerEngine = Pick<
+  FaultyEngine,
+  'upstream' | 'layers' | 'checksFencing'
+> & {readonly address?: string};
+
+/** Gives the first engine of each layer range that is not excluded. */
+export class ListBroker extends CapacityBroker {
   readonly held = new Set<string>();
   readonly works: WorkEstimate[] = [];
   readonly observations: StageObservation[] = [];
@@ -70,15 +83,17 @@
   private made = 0;
 
   constructor(
-    private readonly engines: readonly FaultyEngine[],
-    private readonly startsInMilliseconds: number,
+    private readonly engines: readonly BrokerEngine[],
+    private readonly clock: Clock,
+    private readonly options: BenchOptions,
   ) {
     super();
   }
 
   override async reserve(work: WorkEstimate): Promise<ReservationReply> {
     this.works.push(work);
-    return this.choose([]);
+    await delay(this.clock, this.options.brokerMilliseconds ?? 0);
+    return this.choose(this.engines, []);
   }
 
   override async replan(
@@ -87,16 +102,22 @@
     model: string,
     excluded: readonly string[],
   ): Promise<ReservationReply> {
-    const reply = this.choose(excluded);
+    const engines = this.options.movesAll
+      ? [...this.engines].reverse()
+      : this.engines;
+    const reply = this.choose(engines, excluded);
     if (reply.kind === 'reserved') {
       this.held.delete(reservation.reservationId);
     }
     return reply;
   }
 
-  private choose(excluded: readonly string[]): ReservationReply {
+  private choose(
+    engines: readonly BrokerEngine[],
+    excluded: readonly string[],
+  ): ReservationReply {
     const chosen = ranges.map(range =>
-      this.engines.find(
+      engines.find(
         engine =>
           engine.layers.from === range.from &&
           !excluded.includes(engine.upstream),
@@ -106,9 +127,9 @@
       const retryAfterMilliseconds = 200;
       return {kind: 'refused', reason: 'noUpstream', retryAfterMilliseconds};
     }
-    const stages = (chosen as FaultyEngine[]).map(engine => ({
+    const stages = (chosen as BrokerEngine[]).map(engine => ({
       upstream: engine.upstream,
-      address: engine.upstream,
+      address: engine.address ?? engine.upstream,
       layers: engine.layers,
       checksFencing: engine.checksFencing,
     }));
@@ -116,7 +137,7 @@
     const reservationId = `r${this.made}`;
     this.held.add(reservationId);
     const prediction = {
-      startsInMilliseconds: this.startsInMilliseconds,
+      startsInMilliseconds: this.options.startsInMilliseconds ?? 0,
       firstTokenMilliseconds: 100,
       betweenTokensMilliseconds: 10,
       wholeMilliseconds: 1000,
@@ -212,10 +233,7 @@
         );
       }),
     );
-    this.broker = new ListBroker(
-      this.engines,
-      options.startsInMilliseconds ?? 0,
-    );
+    this.broker = new ListBroker(this.engines, this.clock, options);
     this.driver = new DefaultPipelineDriver({
       broker: this.broker,
       connector: new MapConnector(this.engines),
@@ -233,7 +251,13 @@
     onToken: (run: BenchRun) => void | Promise<void> = () => undefined,
   ): BenchRun {
     const run: BenchRun = {
-      request: {...this.makeRequest(), ...overrides},
+      request: {
+        ...makeRequest(
+          `q${this.runs.length}`,
+          this.clock.monotonicMilliseconds(),
+        ),
+        ...overrides,
+      },
       delivered: [],
       indices: [],
       source: new CancellationSource(),
@@ -264,32 +288,31 @@
     }
     await this.clock.advanceAsync(120_000);
   }
+}
 
-  private makeRequest(): ModelRequest {
-    const requestId = `q${this.runs.length}`;
-    const now = this.clock.monotonicMilliseconds();
-    return {
-      requestId,
-      idempotencyKey: undefined,
-      clientAccount: 'bakery',
-      classOfWork: {
-        name: 'assistant',
-        firstTokenMilliseconds: 500,
-        betweenTokensMilliseconds: 60,
-        deadlineMilliseconds: 20_000,
-        requestsPerSecond: 1,
-        repeatable: false,
-      },
-      model: {name: 'm', version: '1', layerCount, adapters: []},
-      adapter: undefined,
-      messages: [],
-      promptTokens: ['order', 'for', requestId, '[reply:12]'],
-      maximumOutputTokens: 40,
-      stream: true,
-      arrivedAt: now,
-      deadlineAt: now + 20_000,
-    };
-  }
+/** A request for a reply of 12 tokens. */
+export function makeRequest(requestId: string, now: number): ModelRequest {
+  return {
+    requestId,
+    idempotencyKey: undefined,
+    clientAccount: 'bakery',
+    classOfWork: {
+      name: 'assistant',
+      firstTokenMilliseconds: 500,
+      betweenTokensMilliseconds: 60,
+      deadlineMilliseconds: 20_000,
+      requestsPerSecond: 1,
+      repeatable: false,
+    },
+    model: {name: 'm', version: '1', layerCount, adapters: []},
+    adapter: undefined,
+    messages: [],
+    promptTokens: ['order', 'for', requestId, '[reply:12]'],
+    maximumOutputTokens: 40,
+    stream: true,
+    arrivedAt: now,
+    deadlineAt: now + 20_000,
+  };
 }
 
 /** The name of a replica of a stage, both from 0. */
--- a/src/features/pipeline/test/pipelineFaults.test.ts
+++ b/src/features/pipeline/test/pipelineFaults.test.ts
@@ -8,6 +8,11 @@
 const stages = [0, 1, 2];
 const PREFILL = 0;
 const DECODE = 5;
+const eagerExports = {
+  everyTokens: 5,
+  minimumContextTokens: 1,
+  minimumRemainingTokens: 1,
+};
 
 interface FaultCase {
   readonly kind: FaultKind;
@@ -59,13 +64,7 @@
       const bench = new PipelineBench({
         faults: [faultAt(1, 'killBefore', 7)],
         exportMode: mode,
-        settings: {
-          exports: {
-            everyTokens: 5,
-            minimumContextTokens: 1,
-            minimumRemainingTokens: 1,
-          },
-        },
+        settings: {exports: eagerExports},
       });
       const run = bench.start();
       await bench.finish();
@@ -221,6 +220,47 @@
     expect(bench.metrics.counts.get('pipeline.droppedAnswers')).toBe(2);
   });
 
+  test('a new plan on other engines frees those left behind', async () => {
+    const bench = new PipelineBench({
+      movesAll: true,
+      faults: [faultAt(1, 'killAfter', DECODE)],
+    });
+    const left = bench.engines.filter(engine => engine.upstream.endsWith('0'));
+    const held: string[] = [];
+    const run = bench.start({}, ({delivered}) => {
+      if (delivered.length === DECODE + 3) {
+        held.push(...left.flatMap(engine => engine.resident));
+      }
+    });
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(run.result?.ok).toBe(true);
+    expect(held).toEqual([]);
+  });
+
+  test('an engine that took over a cache and was never stepped is freed', async () => {
+    const bench = new PipelineBench({
+      faults: [
+        faultAt(1, 'killBefore', 7),
+        {...faultAt(0, 'killBefore', 8), upstream: upstreamName(0, 0)},
+        {...faultAt(0, 'killBefore', 0), upstream: upstreamName(0, 1)},
+      ],
+      settings: {exports: eagerExports},
+    });
+    const run = bench.start();
+    await bench.finish();
+    expect(run.result?.ok).toBe(false);
+    expect(violationsOf(bench)).toEqual([]);
+  });
+
+  test('a late answer is counted and dropped', async () => {
+    const bench = new PipelineBench({faults: [faultAt(1, 'late', DECODE)]});
+    bench.start();
+    await bench.finish();
+    expect(violationsOf(bench)).toEqual([]);
+    expect(bench.metrics.counts.get('pipeline.droppedAnswers')).toBe(1);
+  });
+
   test('recoveries are bounded', async () => {
     const faults = Array.from({length: 50}, (_, atStep) =>
       faultAt(1, 'cutAfter', atStep),
