--- a/src/features/routing/test/common/laxityPolicy.test.ts
+++ b/src/features/routing/test/common/laxityPolicy.test.ts
@@ -71,91 +71,92 @@
 const full = {busyUntil: [NOW + 200, NOW + 400]};
 const slow = {decodeMilliseconds: 20};
 const busyHealthy = {busyUntil: [NOW + 50]};
-const cases: readonly [string, CellView, Partial<WorkEstimate>, string][] = [
-  ['one replica', cell(stage('x', 0, 4), stage('x', 4, 8)), {}, 'x.0+x.4'],
-  ['no stages', cell(), {}, 'noUpstream 1000'],
-  ['a gap in the layers', cell(stage('x', 0, 4)), {}, 'noUpstream 1000'],
+const cases: ReadonlyArray<[string, CellView, Partial<WorkEstimate>, string]> =
   [
-    'halves of two broken replicas',
-    cell(
-      stage('x', 0, 4),
-      stage('x', 4, 8, {health: 'quarantined'}),
-      stage('y', 0, 4, {leaving: true}),
-      stage('y', 4, 8),
-    ),
-    {},
-    'x.0+y.4',
-  ],
-  [
-    'replicas cut at different layers',
-    cell(stage('x', 0, 8, full), stage('y', 0, 2), stage('y', 2, 8)),
-    {},
-    'y.0+y.2',
-  ],
-  [
-    'the fast one for a tight token target',
-    cell(stage('x', 0, 8, slow), stage('y', 0, 8)),
-    {betweenTokensTarget: 30},
-    'y.0',
-  ],
-  [
-    'the slow one for a loose token target',
-    cell(stage('x', 0, 8, slow), stage('y', 0, 8)),
-    {betweenTokensTarget: 300},
-    'x.0',
-  ],
-  [
-    'token target not to be met',
-    cell(stage('x', 0, 8, {decodeMilliseconds: 70})),
-    {},
-    'cannotMeetTarget 5000',
-  ],
-  [
-    'deadline not to be met',
-    cell(stage('x', 0, 8)),
-    {outputTokens: 1000},
-    'cannotMeetTarget 5000',
-  ],
-  ['a wait that fits', cell(stage('x', 0, 8, full)), {}, 'x.0'],
-  [
-    'a wait that is too long: when 0.7 of what is left of it fits',
-    cell(stage('x', 0, 8, {busyUntil: [NOW + 1000, NOW + 1900]})),
-    {},
-    'cannotMeetTarget 466',
-  ],
-  [
-    'the place in the queue counts, not the mean',
-    cell(
-      stage('x', 0, 8, {busyUntil: [NOW + 9, NOW + 9, NOW + 900, NOW + 900]}),
-    ),
-    {},
-    'cannotMeetTarget 366',
-  ],
-  [
-    'a prompt too long unless its prefix is cached',
-    cell(stage('x', 0, 8), stage('y', 0, 8, {cachedPrefixes: new Set('p')})),
-    {promptTokens: 900, prefixKey: 'p', prefixTokens: 800},
-    'y.0',
-  ],
-  [
-    'probing takes one request',
-    cell(stage('x', 0, 8, {health: 'probing'})),
-    {},
-    'x.0',
-  ],
-  [
-    'probing takes no second request',
-    cell(stage('x', 0, 8, {health: 'probing', ...busyHealthy})),
-    {},
-    'noUpstream 1000',
-  ],
-  [
-    'old figures are widened past the target',
-    cell(stage('x', 0, 8, {reportAgeMilliseconds: Infinity})),
-    {betweenTokensTarget: 11.5},
-    'cannotMeetTarget 5000',
-  ],
-];
+    ['one replica', cell(stage('x', 0, 4), stage('x', 4, 8)), {}, 'x.0+x.4'],
+    ['no stages', cell(), {}, 'noUpstream 1000'],
+    ['a gap in the layers', cell(stage('x', 0, 4)), {}, 'noUpstream 1000'],
+    [
+      'halves of two broken replicas',
+      cell(
+        stage('x', 0, 4),
+        stage('x', 4, 8, {health: 'quarantined'}),
+        stage('y', 0, 4, {leaving: true}),
+        stage('y', 4, 8),
+      ),
+      {},
+      'x.0+y.4',
+    ],
+    [
+      'replicas cut at different layers',
+      cell(stage('x', 0, 8, full), stage('y', 0, 2), stage('y', 2, 8)),
+      {},
+      'y.0+y.2',
+    ],
+    [
+      'the fast one for a tight token target',
+      cell(stage('x', 0, 8, slow), stage('y', 0, 8)),
+      {betweenTokensTarget: 30},
+      'y.0',
+    ],
+    [
+      'the slow one for a loose token target',
+      cell(stage('x', 0, 8, slow), stage('y', 0, 8)),
+      {betweenTokensTarget: 300},
+      'x.0',
+    ],
+    [
+      'token target not to be met',
+      cell(stage('x', 0, 8, {decodeMilliseconds: 70})),
+      {},
+      'cannotMeetTarget 5000',
+    ],
+    [
+      'deadline not to be met',
+      cell(stage('x', 0, 8)),
+      {outputTokens: 1000},
+      'cannotMeetTarget 5000',
+    ],
+    ['a wait that fits', cell(stage('x', 0, 8, full)), {}, 'x.0'],
+    [
+      'a wait that is too long: when 0.7 of what is left of it fits',
+      cell(stage('x', 0, 8, {busyUntil: [NOW + 1000, NOW + 1900]})),
+      {},
+      'cannotMeetTarget 466',
+    ],
+    [
+      'the place in the queue counts, not the mean',
+      cell(
+        stage('x', 0, 8, {busyUntil: [NOW + 9, NOW + 9, NOW + 900, NOW + 900]}),
+      ),
+      {},
+      'cannotMeetTarget 366',
+    ],
+    [
+      'a prompt too long unless its prefix is cached',
+      cell(stage('x', 0, 8), stage('y', 0, 8, {cachedPrefixes: new Set('p')})),
+      {promptTokens: 900, prefixKey: 'p', prefixTokens: 800},
+      'y.0',
+    ],
+    [
+      'probing takes one request',
+      cell(stage('x', 0, 8, {health: 'probing'})),
+      {},
+      'x.0',
+    ],
+    [
+      'probing takes no second request',
+      cell(stage('x', 0, 8, {health: 'probing', ...busyHealthy})),
+      {},
+      'noUpstream 1000',
+    ],
+    [
+      'old figures are widened past the target',
+      cell(stage('x', 0, 8, {reportAgeMilliseconds: Infinity})),
+      {betweenTokensTarget: 11.5},
+      'cannotMeetTarget 5000',
+    ],
+  ];
 
 describe('LaxityPolicy', () => {
   it.each(cases)('%s', (_, view, change, expected) => {
--- a/src/features/routing/test/common/upstreamHealthTracker.test.ts
+++ b/src/features/routing/test/common/upstreamHealthTracker.test.ts
@@ -56,7 +56,7 @@
 }
 
 /** h healthy, q quarantined (also leaving), p probing. */
-const cases: readonly [string, readonly Step[], string][] = [
+const cases: ReadonlyArray<[string, readonly Step[], string]> = [
   ['a broken connection counts at once', [[0, 'connection']], 'q'],
   ['silence counts', [[0, 'silent']], 'q'],
   [
