--- a/test/support/ports.ts
+++ b/test/support/ports.ts
@@ -1,39 +1,65 @@
-import {randomInt} from 'node:crypto';
 import {createServer, Server} from 'node:net';
 
 const HOST = '127.0.0.1';
 
-/** Below the ports that systems give to outgoing connections, which could take one before it is used. */
-const LOWEST_PORT = 10_000;
-const HIGHEST_PORT = 32_000;
-const TRIES = 100;
+/** Below the range from which the system gives ports to outgoing connections. */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 31_999;
+const BLOCK_SIZE = 200;
+const BLOCK_COUNT = Math.floor((LAST_PORT - FIRST_PORT) / BLOCK_SIZE);
 
-/** Free loopback addresses `IP:port`; held together while they are chosen, so that all differ. */
+/**
+ * Ports that no other test process gets: a process holds the first port of each block that it uses
+ * for as long as it lives.
+ */
+class PortBlocks {
+  private next = 0;
+  private end = 0;
+
+  /** The next free port of the blocks of this process. */
+  async take(): Promise<number> {
+    for (;;) {
+      if (this.next >= this.end) {
+        await this.claimBlock();
+      }
+      const port = this.next++;
+      const server = await tryListen(port);
+      if (server !== undefined) {
+        await close(server);
+        return port;
+      }
+    }
+  }
+
+  private async claimBlock(): Promise<void> {
+    const offset = Math.floor(Math.random() * BLOCK_COUNT);
+    for (let tried = 0; tried < BLOCK_COUNT; tried++) {
+      const block = (offset + tried) % BLOCK_COUNT;
+      const first = FIRST_PORT + block * BLOCK_SIZE;
+      const holder = await tryListen(first);
+      if (holder !== undefined) {
+        holder.unref();
+        this.next = first + 1;
+        this.end = first + BLOCK_SIZE;
+        return;
+      }
+    }
+    throw new Error('all blocks of ports are in use');
+  }
+}
+
+const blocks = new PortBlocks();
+
+/** Free loopback addresses `IP:port`, all different and never given twice to running processes. */
 export async function freeAddresses(count: number): Promise<readonly string[]> {
-  const servers: Server[] = [];
   const addresses: string[] = [];
   while (addresses.length < count) {
-    const {server, port} = await listenSomewhere();
-    servers.push(server);
-    addresses.push(`${HOST}:${port}`);
+    addresses.push(`${HOST}:${await blocks.take()}`);
   }
-  await Promise.all(servers.map(close));
   return addresses;
 }
 
-async function listenSomewhere(): Promise<{server: Server; port: number}> {
-  for (let count = 0; count < TRIES; count++) {
-    const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
-    const server = await listen(port);
-    if (server !== undefined) {
-      return {server, port};
-    }
-  }
-  throw new Error(`no free port found in ${TRIES} tries`);
-}
-
-/** Undefined when the port is taken. */
-function listen(port: number): Promise<Server | undefined> {
+function tryListen(port: number): Promise<Server | undefined> {
   return new Promise(resolve => {
     const server = createServer();
     server.once('error', () => resolve(undefined));
