Only listed instances count towards the majority that knows a change

Cause: an instance without a list counted itself as the whole majority and took a change of which no other knew. Change: an instance counts itself only if the list shows it; without a list, changes are refused. Tests of that, of waking from a long pause, and of a list that can't be read. Conclusion: the test of the missing list failed first (the change was taken) and passes.

--- a/src/features/peers/common/localState.ts
+++ b/src/features/peers/common/localState.ts
@@ -41,6 +41,11 @@
     return this.rosterText;
   }
 
+  /** Whether the platform's list shows this instance. */
+  get isListed(): boolean {
+    return this.directory.ids.includes(this.id);
+  }
+
   /** When reads of the table began to fail; undefined while they work. */
   get tableFailedSince(): number | undefined {
     return this.failedSince;
--- a/src/features/peers/common/peerExchanger.ts
+++ b/src/features/peers/common/peerExchanger.ts
@@ -22,7 +22,7 @@
 
 /** How many instances know of a revision. */
 export interface Handover {
-  /** Listed instances that know it, this one included. */
+  /** Listed instances that know it, this one included if it is listed. */
   readonly acknowledged: number;
   readonly listed: number;
 }
@@ -79,7 +79,7 @@
   ): Promise<Handover> {
     const notice = this.makeNotice(revisions);
     const waiting = [...this.peers()];
-    let acknowledged = 1;
+    let acknowledged = this.state.isListed ? 1 : 0;
     const worker = async () => {
       for (;;) {
         const peer = waiting.pop();
--- a/src/programs/control/test/controlCore.test.ts
+++ b/src/programs/control/test/controlCore.test.ts
@@ -78,6 +78,15 @@
     expect(revisions()).toEqual([0, 0, 0, 0, 0]);
   });
 
+  it('is refused by an instance that has no list of instances yet', async () => {
+    cluster = new ControlCluster(FIVE);
+    cluster.platform.addFault({kind: 'down'}, {part: 'membership'});
+    cluster.start('a');
+    await cluster.run(5);
+    const report = await cluster.propose('a', [setClass('orders')]);
+    expect(report.result).toMatchObject({error: {kind: 'unavailable'}});
+  });
+
   it('is refused by a minority and taken by the majority of a cut', async () => {
     await started();
     ['d', 'e'].forEach(id => cluster.groups.set(id, 1));
@@ -167,6 +176,25 @@
     expect(cluster.standing('a')).toBe('starting');
   });
 
+  it('that wakes from a long pause does not serve before it has read', async () => {
+    await started();
+    cluster.clock.pause(60_000);
+    expect(standings()).toEqual(Array(5).fill('cutOff'));
+    await cluster.run(1);
+    expect(standings()).toEqual(Array(5).fill('serving'));
+  });
+
+  it('keeps the last list when the list can not be read', async () => {
+    await started();
+    cluster.platform.addFault({kind: 'down'}, {part: 'membership'});
+    cluster.platform.members = [];
+    await cluster.run(30);
+    expect(cluster.core('a').view().instances).toHaveLength(5);
+    cluster.platform.clearFaults();
+    await cluster.run(3);
+    expect(cluster.core('a').view().instances).toHaveLength(0);
+  });
+
   it('that leaves is not ready elsewhere at once', async () => {
     await started();
     FIVE.forEach(id =>
