Control program: proposals and the presence of the entry program in modules of their own

Change: ChangeDesk and EntryPresence; no behaviour changed but that a newer configuration is published as soon as it is applied.

--- a/src/programs/control/controlCore.ts
+++ b/src/programs/control/controlCore.ts
@@ -1,16 +1,8 @@
-import {
-  CancellationSource,
-  CancellationToken,
-} from '../../base/common/cancellation.js';
+import {CancellationToken} from '../../base/common/cancellation.js';
 import {Clock} from '../../base/common/clock.js';
 import {DisposableOwner} from '../../base/common/lifecycle.js';
 import {RandomSource} from '../../base/common/randomSource.js';
-import {failure} from '../../base/common/result.js';
 import {withDeadline} from '../../features/configuration/common/callDeadline.js';
-import {
-  ConfigurationRevision,
-  ProposalResult,
-} from '../../features/configuration/common/configuration.js';
 import {
   ConfigurationProposer,
   NonceSource,
@@ -18,7 +10,7 @@
 import {ConfigurationReader} from '../../features/configuration/common/configurationReader.js';
 import {ConfigurationReplica} from '../../features/configuration/common/configurationReplica.js';
 import {ConfigurationStore} from '../../features/configuration/common/configurationStore.js';
-import {Proposal} from '../../features/configuration/common/operationSchemas.js';
+import {EntryPresence} from '../../features/membership/common/entryPresence.js';
 import {RepeatingTask} from '../../features/membership/common/repeatingTask.js';
 import {StandingKeeper} from '../../features/membership/common/standingKeeper.js';
 import {
@@ -29,23 +21,18 @@
 import {ViewPublisher} from '../../features/membership/common/viewPublisher.js';
 import {LocalState} from '../../features/peers/common/localState.js';
 import {PeerConnection} from '../../features/peers/common/peerConnection.js';
-import {
-  Handover,
-  PeerExchanger,
-} from '../../features/peers/common/peerExchanger.js';
+import {PeerExchanger} from '../../features/peers/common/peerExchanger.js';
 import {PeerResponder} from '../../features/peers/common/peerResponder.js';
 import {Logger} from '../../platform/logging/common/logger.js';
 import {MembershipList} from '../../platform/membership/common/membershipList.js';
 import {Metrics} from '../../platform/metrics/common/metrics.js';
 import {ObjectStore} from '../../platform/objects/common/objectStore.js';
 import {TableService} from '../../platform/table/common/tableService.js';
+import {ChangeDesk} from './changeDesk.js';
 
 const SECOND = 1_000;
 const EVALUATION_MILLISECONDS = 500;
 const PLATFORM_CALL_MILLISECONDS = 2_000;
-const HANDOVER_MILLISECONDS = 2_000;
-/** An entry program that asked for nothing for so long counts as gone. */
-const ENTRY_SILENCE_MILLISECONDS = 10_000;
 /** While the table fails and it isn't known whether it fails for a majority, peers are asked so many times as often, for a while. */
 const HURRY_FACTOR = 4;
 const HURRY_MILLISECONDS = 30_000;
@@ -71,28 +58,19 @@
   readonly metrics: Metrics;
 }
 
-/** The outcome of a proposal and how far it was handed on. */
-export interface ProposalReport {
-  readonly result: ProposalResult;
-  readonly handover: Handover | undefined;
-}
-
 /** Everything the control program does apart from its servers. */
 export class ControlCore extends DisposableOwner {
   readonly replica: ConfigurationReplica;
   readonly state: LocalState;
   readonly responder: PeerResponder;
   readonly publisher: ViewPublisher;
-  private readonly log: ConfigurationStore;
+  readonly changes: ChangeDesk;
   private readonly reader: ConfigurationReader;
-  private readonly proposer: ConfigurationProposer;
   private readonly keeper: StandingKeeper;
   private readonly exchanger: PeerExchanger;
   private readonly tasks: readonly RepeatingTask[];
   private readonly headTask: RepeatingTask;
-  private readonly lifetime = new CancellationSource();
-  private entryHeardAt: number | undefined;
-  private announced: EntryAnnouncement | undefined;
+  private readonly entry: EntryPresence;
 
   constructor(
     id: string,
@@ -111,22 +89,31 @@
     this.responder = this.register(new PeerResponder(this.state));
     this.publisher = this.register(new ViewPublisher());
     this.keeper = this.register(new StandingKeeper(clock));
-    this.log = new ConfigurationStore(ports.table, ports.objects);
-    this.reader = new ConfigurationReader(this.log, this.replica, clock);
-    this.proposer = new ConfigurationProposer(
-      this.log,
-      this.reader,
-      this.replica,
-      clock,
-      ports.nonce,
-      logger,
-    );
+    this.entry = new EntryPresence(clock);
+    const log = new ConfigurationStore(ports.table, ports.objects);
+    this.reader = new ConfigurationReader(log, this.replica, clock);
     this.exchanger = new PeerExchanger(
       this.state,
       ports.peers,
       this.responder,
       random,
     );
+    this.changes = this.register(
+      new ChangeDesk(
+        log,
+        new ConfigurationProposer(
+          log,
+          this.reader,
+          this.replica,
+          clock,
+          ports.nonce,
+          logger,
+        ),
+        this.exchanger,
+        clock,
+        logger,
+      ),
+    );
     this.headTask = this.task(
       () => times.headReadSeconds * SECOND,
       token => this.readHead(token),
@@ -146,6 +133,7 @@
         () => Promise.resolve(this.evaluate()),
       ),
     ];
+    this.register(this.replica.onDidChange(() => this.evaluate()));
     this.register(this.responder.onDidLearn(() => this.learned()));
     this.register(
       this.keeper.onDidChange(standing =>
@@ -169,47 +157,13 @@
 
   /** The entry program of this instance introduced itself. */
   announce(announcement: EntryAnnouncement): void {
-    this.announced = announcement;
-    this.noteEntry();
+    this.entry.announce(announcement);
     this.evaluate();
   }
 
   /** The entry program of this instance asked for something. */
   noteEntry(): void {
-    this.entryHeardAt = this.ports.clock.monotonicMilliseconds();
-  }
-
-  /** Proposes a change and hands an accepted one to all peers. */
-  async propose(
-    proposal: Proposal,
-    operator: string,
-    token: CancellationToken,
-  ): Promise<ProposalReport> {
-    if (!(await this.canInformMajority())) {
-      const detail =
-        'this instance reaches no majority of the listed instances; a change could not be made known';
-      return {
-        result: failure({kind: 'unavailable', detail}),
-        handover: undefined,
-      };
-    }
-    const result = await this.proposer.propose(proposal, operator, token);
-    if (!result.ok) {
-      return {result, handover: undefined};
-    }
-    this.evaluate();
-    const handover = await this.handOver([result.value]);
-    void this.writeSnapshot(result.value.revision);
-    return {result, handover};
-  }
-
-  /** Reads revisions back from the log, the newest first. */
-  async readLog(
-    after: number,
-    token: CancellationToken,
-  ): Promise<readonly ConfigurationRevision[] | undefined> {
-    const rows = await this.log.readAfter(after, token);
-    return rows.ok ? rows.value : undefined;
+    this.entry.noteHeard();
   }
 
   /** Takes no new work, tells all peers, then stops. */
@@ -217,16 +171,11 @@
     this.keeper.leave();
     this.state.setRecord({leaving: true, ready: false});
     this.evaluate();
-    await this.handOver([]);
+    await this.changes.handOver([]);
     this.keeper.stop();
     this.evaluate();
   }
 
-  override dispose(): void {
-    this.lifetime.cancel('stopped');
-    super.dispose();
-  }
-
   private task(
     period: () => number,
     run: (token: CancellationToken) => Promise<void>,
@@ -317,25 +266,14 @@
     if (standing.kind === 'leaving') {
       return;
     }
-    const leaving = this.announced?.leaving === true;
-    const ready =
-      standing.kind === 'serving' && this.isEntryAlive() && !leaving;
-    const incarnation = this.announced?.incarnation;
+    const {leaving, incarnation, isAlive} = this.entry;
+    const ready = standing.kind === 'serving' && isAlive && !leaving;
     if (this.state.setRecord({ready, leaving, incarnation})) {
       this.responder.noteChange(this.state.id);
-      void this.handOver([]);
+      void this.changes.handOver([]);
     }
   }
 
-  private isEntryAlive(): boolean {
-    const now = this.ports.clock.monotonicMilliseconds();
-    return (
-      this.announced !== undefined &&
-      this.entryHeardAt !== undefined &&
-      now - this.entryHeardAt <= ENTRY_SILENCE_MILLISECONDS
-    );
-  }
-
   private isHeard(id: string): boolean {
     const heardAt = this.state.statuses.get(id)?.heardAt;
     const now = this.ports.clock.monotonicMilliseconds();
@@ -344,37 +282,6 @@
     );
   }
 
-  private handOver(
-    revisions: readonly ConfigurationRevision[],
-  ): Promise<Handover> {
-    return this.bounded(this.lifetime.token, HANDOVER_MILLISECONDS, token =>
-      this.exchanger.broadcast(revisions, token),
-    );
-  }
-
-  /**
-   * A majority that can't reach the table goes on with the revision that it holds, so a change
-   * that no majority can be told of must not be accepted.
-   */
-  private async canInformMajority(): Promise<boolean> {
-    const {acknowledged, listed} = await this.handOver([]);
-    return acknowledged * 2 > listed;
-  }
-
-  private async writeSnapshot(revision: number): Promise<void> {
-    const written = await this.bounded(
-      this.lifetime.token,
-      PLATFORM_CALL_MILLISECONDS,
-      token => this.proposer.snapshotIfDue(revision, token),
-    );
-    if (!written.ok) {
-      this.ports.logger.warn('snapshot not written', {
-        revision,
-        error: written.error,
-      });
-    }
-  }
-
   private bounded<T>(
     token: CancellationToken,
     milliseconds: number,
--- a/src/programs/control/test/controlCluster.ts
+++ b/src/programs/control/test/controlCluster.ts
@@ -15,7 +15,8 @@
 import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
-import {ControlCore, ControlTimes, ProposalReport} from '../controlCore.js';
+import {ProposalReport} from '../changeDesk.js';
+import {ControlCore, ControlTimes} from '../controlCore.js';
 
 /** Several control cores over one in-memory platform and one fake clock. */
 
@@ -154,7 +155,7 @@
   ): Promise<ProposalReport> {
     let report: ProposalReport | undefined;
     const proposing = this.core(id)
-      .propose({operations}, operator, token)
+      .changes.propose({operations}, operator, token)
       .then(answer => {
         report = answer;
       });
--- a/src/programs/control/wiring.ts
+++ b/src/programs/control/wiring.ts
@@ -143,9 +143,9 @@
         configuration: () => core.replica.current,
         status: () => describeStatus(core),
         isServing: () => core.view().standing.kind === 'serving',
-        readLog: (after, token) => core.readLog(after, token),
+        readLog: (after, token) => core.changes.readLog(after, token),
         propose: (proposal, operator, token) =>
-          core.propose(proposal, operator, token),
+          core.changes.propose(proposal, operator, token),
       },
       new OperatorKeys(secrets.operatorKeys),
       this.logger,
