--- a/src/features/routing/common/laxityPolicy.ts
+++ b/src/features/routing/common/laxityPolicy.ts
@@ -41,7 +41,7 @@
   waitFactor: number,
 ): number {
   const {prediction} = pipeline;
-  if (prediction.betweenTokensMilliseconds > work.betweenTokensTarget) {
+  if (!meetsTokenTarget(pipeline, work)) {
     return -Infinity;
   }
   const keep = 1 - SAFETY;
@@ -112,6 +112,9 @@
     now: number,
   ): RoutingDecision {
     const candidates = pipelines.length;
+    if (work.inProgress === true) {
+      return this.decideInProgress(pipelines, work);
+    }
     const standing = shareStanding(shares, work);
     const waitFactor = waitFactorAt(standing.contention);
     const inTime = pipelines.filter(one => laxity(one, work, waitFactor) >= 0);
@@ -125,6 +128,29 @@
     return admit(this.choose(inTime, work), candidates, this.name);
   }
 
+  /**
+   * Work that lost its stages goes on wherever it ends soonest, whatever its share: what was done
+   * for it is lost otherwise. Proven pipelines with the token target met come first.
+   */
+  private decideInProgress(
+    pipelines: readonly Pipeline[],
+    work: WorkEstimate,
+  ): RoutingDecision {
+    const whole = (one: Pipeline): number => one.prediction.wholeMilliseconds;
+    const candidates = pipelines.length;
+    const due = pipelines.filter(one => whole(one) <= work.deadlineWithin);
+    if (due.length === 0) {
+      return refuse(
+        'cannotMeetTarget',
+        TOO_SLOW_RETRY_MILLISECONDS,
+        candidates,
+      );
+    }
+    const proven = preferring(due, one => !isProbe(one));
+    const steady = preferring(proven, one => meetsTokenTarget(one, work));
+    return admit(leastBy(steady, whole), candidates, 'work in progress');
+  }
+
   /** A free slot is certain and a predicted one is not, so those that start at once come first. */
   private choose(inTime: readonly Pipeline[], work: WorkEstimate): Pipeline {
     const free = inTime.filter(
@@ -155,6 +181,25 @@
   return work.betweenTokensTarget >= LOOSE_RATIO * step;
 }
 
+/** Whether a pipeline has a stage that is being probed. */
+function isProbe(pipeline: Pipeline): boolean {
+  return pipeline.stages.some(stage => stage.health === 'probing');
+}
+
+function meetsTokenTarget(pipeline: Pipeline, work: WorkEstimate): boolean {
+  const step = pipeline.prediction.betweenTokensMilliseconds;
+  return step <= work.betweenTokensTarget;
+}
+
+/** The members that pass a test, or all if none does. */
+function preferring<T>(
+  members: readonly T[],
+  test: (member: T) => boolean,
+): readonly T[] {
+  const passing = members.filter(test);
+  return passing.length > 0 ? passing : members;
+}
+
 /** The member with the least cost; the first of equals. */
 function leastBy<T>(members: readonly T[], cost: (member: T) => number): T {
   return members.reduce((best, one) => (cost(one) < cost(best) ? one : best));
--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -59,6 +59,8 @@
   readonly deadlineWithin: number;
   /** Lower numbers run first at engines. */
   readonly priority: number;
+  /** Whether the work was admitted before and lost its stages: then only its deadline can refuse it. */
+  readonly inProgress?: boolean;
 }
 
 /** One stage of a chosen pipeline. */
--- a/src/features/routing/common/shareAccounts.ts
+++ b/src/features/routing/common/shareAccounts.ts
@@ -64,17 +64,21 @@
   private readonly requestsByClass = new DecayingSums(SMALLEST_COUNT);
   private decayedAt: number | undefined;
 
-  /** Records slot-milliseconds asked for, once for each request whether granted or not. */
+  /**
+   * Records slot-milliseconds asked for, once for each request whether granted or not. A later
+   * correction of the amount passes 0 requests.
+   */
   recordWant(
     classOfWork: string,
     clientAccount: string,
     slotMilliseconds: number,
     now: number,
+    requests = 1,
   ): void {
     this.decayTo(now);
     this.wanted.add(shareKey(classOfWork, clientAccount), slotMilliseconds);
     this.wantedByClass.add(classOfWork, slotMilliseconds);
-    this.requestsByClass.add(classOfWork, 1);
+    this.requestsByClass.add(classOfWork, requests);
   }
 
   /** Records slot-milliseconds granted; negative to return what was not used. */
--- a/src/features/routing/test/common/laxityPolicy.test.ts
+++ b/src/features/routing/test/common/laxityPolicy.test.ts
@@ -83,6 +83,8 @@
 const cached = {cachedPrefixes: new Set('p')};
 const longPrompt = {promptTokens: 900, prefixKey: 'p', prefixTokens: 800};
 
+const lost = {inProgress: true, firstTokenWithin: -9, betweenTokensTarget: 15};
+
 type Case = readonly [string, CellView, Partial<WorkEstimate>, string];
 const cases: readonly Case[] = [
   ['one chain', cell(stage('x', 0, 4), stage('x', 4, 8)), {}, 'x.0+x.4'],
@@ -126,6 +128,21 @@
     {betweenTokensTarget: 11.4},
     'cannotMeetTarget 5000',
   ],
+  [
+    'no first token in time',
+    cell(y()),
+    {firstTokenWithin: 9},
+    'cannotMeetTarget 5000',
+  ],
+  ['work in progress goes on', cell(x(slow), y(busy(1))), lost, 'y.0'],
+  ['on what is left', cell(x(slow), y(out)), lost, 'x.0'],
+  ['on a probe only if need be', cell(x(probing), y(slow)), lost, 'y.0'],
+  [
+    'but not past its deadline',
+    cell(x(slow)),
+    {...lost, deadlineWithin: 300},
+    'cannotMeetTarget 5000',
+  ],
   ['new ones are not', cell(x()), {betweenTokensTarget: 11.4}, 'x.0'],
 ];
 
