--- a/src/programs/entry/test/entryProgram.test.ts
+++ b/src/programs/entry/test/entryProgram.test.ts
@@ -1,5 +1,6 @@
 import {afterEach, expect, test} from 'vitest';
 
+import {freeAddresses} from '../../../../test/support/ports.js';
 import {
   createRpcRouter,
   parseAddress,
@@ -13,7 +14,6 @@
   instanceView,
 } from '../../../features/callers/test/callerFakes.js';
 import {EntryAnnouncement} from '../../../features/membership/common/systemView.js';
-import {freeAddresses} from '../../../../test/support/ports.js';
 import {EntryProgram} from '../wiring.js';
 
 const peerKey = 'peer-secret';
@@ -23,20 +23,16 @@
   releases.splice(0).forEach(release => release.dispose());
 });
 
-async function freeAddress(): Promise<string> {
-  const [address] = await freeAddresses(1);
-  return address!;
-}
-
 async function entrySettings(
   policy: EntrySettings['policy'],
 ): Promise<EntrySettings> {
-  const nowhere = await freeAddress();
+  const [callerAddress, peerAddress, controlAddress, nowhere] =
+    (await freeAddresses(4)) as [string, string, string, string];
   return {
     instance: {id: 'a', region: 'east', dataCentre: 'dc1'},
-    callerAddress: await freeAddress(),
-    peerAddress: await freeAddress(),
-    controlAddress: await freeAddress(),
+    callerAddress,
+    peerAddress,
+    controlAddress,
     platform: {
       tableAddress: nowhere,
       objectsAddress: nowhere,
