--- a/src/features/pipeline/common/prefixKey.ts
+++ b/src/features/pipeline/common/prefixKey.ts
@@ -1,4 +1,6 @@
-const PREFIX_TOKENS = 32;
+/** Prompt tokens that a prefix key covers. */
+export const PREFIX_TOKENS = 32;
+
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 
--- a/src/features/pipeline/common/workEstimate.ts
+++ b/src/features/pipeline/common/workEstimate.ts
@@ -1,6 +1,6 @@
 import {ModelRequest} from '../../requests/common/request.js';
 import {WorkEstimate} from '../../routing/common/routing.js';
-import {prefixKeyOf} from './prefixKey.js';
+import {PREFIX_TOKENS, prefixKeyOf} from './prefixKey.js';
 
 /** Describes what is left of a request; `released` tokens were given out by monotonic time `now`. */
 export function estimateWork(
@@ -14,6 +14,11 @@
     request.arrivedAt + targets.firstTokenMilliseconds - now;
   const dueWithin =
     released > 0 ? targets.betweenTokensMilliseconds : firstTokenWithin;
+  const prefixKey = prefixKeyOf(
+    request.model.name,
+    request.adapter,
+    request.promptTokens,
+  );
   return {
     requestId: request.requestId,
     classOfWork: targets.name,
@@ -21,11 +26,8 @@
     adapter: request.adapter,
     promptTokens: request.promptTokens.length + released,
     outputTokens: Math.max(1, expectedTokens - released),
-    prefixKey: prefixKeyOf(
-      request.model.name,
-      request.adapter,
-      request.promptTokens,
-    ),
+    prefixKey,
+    prefixTokens: prefixKey === undefined ? 0 : PREFIX_TOKENS,
     firstTokenWithin: dueWithin,
     betweenTokensTarget: targets.betweenTokensMilliseconds,
     deadlineWithin: request.deadlineAt - now,
--- a/src/features/pipeline/node/capacityClient.ts
+++ b/src/features/pipeline/node/capacityClient.ts
@@ -55,7 +55,7 @@
     return this.ask(cause, excluded, () =>
       broker.replan(
         reservation,
-        this.work(),
+        {...this.work(), inProgress: true},
         this.request.model.name,
         excluded,
         state.token.signal,
--- a/src/features/routing/common/cellSchemas.ts
+++ b/src/features/routing/common/cellSchemas.ts
@@ -36,6 +36,7 @@
     betweenTokensTarget: z.number(),
     deadlineWithin: z.number(),
     priority: z.number(),
+    inProgress: z.boolean().optional(),
   })
   .transform(({adapter, prefixKey, ...rest}) => ({
     ...rest,
--- a/src/features/routing/node/cellOwner.ts
+++ b/src/features/routing/node/cellOwner.ts
@@ -246,7 +246,7 @@
     const beyond = held - booking.expectedMilliseconds;
     const {classOfWork, clientAccount} = booking;
     this.accountUse(booking, beyond, now);
-    this.shares.recordWant(classOfWork, clientAccount, beyond, now);
+    this.shares.recordWant(classOfWork, clientAccount, beyond, now, 0);
   }
 
   /** Restores a reservation on the stages that are still good. */
@@ -340,7 +340,7 @@
       stagesConsidered: view.stages.length,
       candidates: decision.candidates,
       excluded: call.excluded,
-      decision: decision.kind,
+      outcome: decision.kind,
       why: decision.reason,
       chosen: admitted ? decision.stages.map(stage => stage.upstream) : [],
       prediction: admitted ? decision.prediction : undefined,
@@ -350,7 +350,7 @@
       oldestFigureMilliseconds: ages.length > 0 ? Math.max(...ages) : undefined,
     });
     this.parts.metrics.count('routing.decision', 1, {
-      decision: decision.kind,
+      outcome: decision.kind,
       why: admitted ? this.parts.policy.name : decision.reason,
     });
   }
