Decision lines keep what was decided; one name for the class in all lines

Cause: in the log line of a reservation the outcome was overwritten by the line's own name. Change: the field is called outcome; the type of decision fields refuses the name 'decision'; the line of a request says classOfWork as the others do.

--- a/src/features/callers/node/requestLog.ts
+++ b/src/features/callers/node/requestLog.ts
@@ -34,7 +34,7 @@
     logger.info('request', {
       requestId: this.requestId,
       call: this.name,
-      class: this.classOfWork,
+      classOfWork: this.classOfWork,
       clientAccount: this.clientAccount,
       outcome: summary.state,
       error: failed?.error.kind,
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -550,7 +550,7 @@
   await expect.poll(() => fixture.logger.lines.length).toBe(2);
   expect(fixture.logger.lines).toMatchObject([
     {
-      class: 'query',
+      classOfWork: 'query',
       clientAccount: 'one',
       outcome: 'completed',
       executed: 'yes',
--- a/src/features/routing/node/cellOwner.ts
+++ b/src/features/routing/node/cellOwner.ts
@@ -340,7 +340,7 @@
       stagesConsidered: view.stages.length,
       candidates: decision.candidates,
       excluded: call.excluded,
-      decision: decision.kind,
+      outcome: decision.kind,
       why: decision.reason,
       chosen: admitted ? decision.stages.map(stage => stage.upstream) : [],
       prediction: admitted ? decision.prediction : undefined,
--- a/src/platform/logging/node/bunyanLogger.ts
+++ b/src/platform/logging/node/bunyanLogger.ts
@@ -1,6 +1,6 @@
 import bunyan from 'bunyan';
 
-import {LogFields, Logger} from '../common/logger.js';
+import {DecisionFields, LogFields, Logger} from '../common/logger.js';
 
 /** Levels that settings may name. */
 export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error';
@@ -28,7 +28,7 @@
     return new BunyanLogger(bunyan.createLogger(options));
   }
 
-  override decision(name: string, fields: LogFields): void {
+  override decision(name: string, fields: DecisionFields): void {
     this.log.info({...guard(fields), decision: name}, name);
   }
 
