--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -81,6 +81,7 @@
 const NO_EPOCH = -1;
 const OVERLOAD_RETRY_MILLISECONDS = 500;
 const HEX_DIGITS = 8;
+const KEY_WORD = '[key:';
 
 /** One incarnation of a model engine; dies for good, a new one takes its place. */
 export class Engine extends DisposableOwner {
@@ -618,7 +619,16 @@
 
 function ledgerFields(step: StepRequest) {
   const {requestId, epoch, layers, positions, rebuild, version} = step;
-  return {requestId, epoch, layers, positions, rebuild, version};
+  const key = businessKey(step);
+  return {requestId, epoch, layers, positions, rebuild, version, key};
+}
+
+function businessKey(step: StepRequest): string | undefined {
+  if (step.input.kind !== 'tokens') {
+    return undefined;
+  }
+  const word = step.input.tokens.find(token => token.startsWith(KEY_WORD));
+  return word?.slice(KEY_WORD.length, -1);
 }
 
 /** Waits for the compute time; what a timer overshoots is taken off the sequence's next one. */
--- a/test/standins/engineSettings.ts
+++ b/test/standins/engineSettings.ts
@@ -160,6 +160,8 @@
       readonly positions: PositionRange;
       readonly rebuild: boolean;
       readonly version: string;
+      /** The business key: the word `[key:…]` among the step's tokens, at first stages. */
+      readonly key?: string;
       /** The token made, for completed steps of a last stage. */
       readonly token?: string;
     }
