--- a/measure/common/caller.ts
+++ b/measure/common/caller.ts
@@ -22,6 +22,8 @@
   readonly firstTokenMilliseconds: number | undefined;
   /** Mean time between tokens; undefined with fewer than two. */
   readonly betweenTokensMilliseconds: number | undefined;
+  /** Monotonic milliseconds at which each token came. */
+  readonly tokenTimes: readonly number[];
   readonly wholeMilliseconds: number;
   /** `executed` of a failure body. */
   readonly executed: string | undefined;
@@ -114,6 +116,7 @@
   private lastAt = 0;
   private failure: FailureBody | undefined;
   private readonly tokens: string[] = [];
+  private readonly tokenTimes: number[] = [];
 
   constructor(private readonly startedAt: number) {}
 
@@ -140,6 +143,7 @@
       firstTokenMilliseconds:
         this.firstAt === undefined ? undefined : this.firstAt - this.startedAt,
       betweenTokensMilliseconds: this.betweenTokens(),
+      tokenTimes: this.tokenTimes,
       wholeMilliseconds: endedAt - this.startedAt,
       executed: error?.executed,
       errorKind: error?.kind ?? (this.lost ? 'connectionLost' : undefined),
@@ -182,6 +186,7 @@
     this.lastAt = performance.now();
     this.firstAt ??= this.lastAt;
     this.tokens.push(content.trim());
+    this.tokenTimes.push(this.lastAt);
   }
 }
 
--- a/measure/main.ts
+++ b/measure/main.ts
@@ -1,13 +1,13 @@
 import {parseArgs} from 'node:util';
 
+import {measureOverhead} from './overhead.js';
 import {measureThroughput} from './throughput.js';
 
 /** Runs one measure and prints its figures as one JSON line, the last line of its output. */
 
 const DEFAULT_SEED = 20261202;
-const DEFAULT_SECONDS = 5;
 const USAGE =
-  'usage: npm run measure -- throughput [--seed N] [--seconds N] [--loads 0.8,1]';
+  'usage: npm run measure -- (throughput|overhead) [--seed N] [--seconds N] [--loads 0.8,1]';
 
 interface MeasureOptions {
   readonly seed: number;
@@ -15,10 +15,15 @@
   readonly loads: readonly number[] | undefined;
 }
 
-const measures: Readonly<
-  Record<string, (options: MeasureOptions) => Promise<object>>
-> = {
-  throughput: measureThroughput,
+interface Measure {
+  readonly run: (options: MeasureOptions) => Promise<object>;
+  /** Seconds of one part of it, where none are given. */
+  readonly seconds: number;
+}
+
+const measures: Readonly<Record<string, Measure>> = {
+  throughput: {run: measureThroughput, seconds: 5},
+  overhead: {run: measureOverhead, seconds: 1.5},
 };
 
 async function main(): Promise<number> {
@@ -36,10 +41,10 @@
     return 2;
   }
   const seed = Number(values.seed ?? DEFAULT_SEED);
-  const seconds = Number(values.seconds ?? DEFAULT_SECONDS);
+  const seconds = Number(values.seconds ?? measure.seconds);
   const loads = values.loads?.split(',').map(Number);
   console.log(`seed ${seed}`);
-  console.log(JSON.stringify(await measure({seed, seconds, loads})));
+  console.log(JSON.stringify(await measure.run({seed, seconds, loads})));
   return 0;
 }
 
