--- a/src/features/routing/node/cellCaller.ts
+++ b/src/features/routing/node/cellCaller.ts
@@ -29,7 +29,7 @@
 /** A call that took this many times its time-out shows that this process was paused. */
 const PAUSE_RATIO = 2;
 const FIRST_TIMEOUT_MILLISECONDS = 100;
-const SHORTEST_TIMEOUT_MILLISECONDS = 40;
+const SHORTEST_TIMEOUT_MILLISECONDS = 60;
 const LONGEST_TIMEOUT_MILLISECONDS = 250;
 const ROUND_TRIPS_WAITED = 4;
 const ROUND_TRIP_SMOOTHING = 0.2;
