--- a/src/features/routing/node/cellSearch.ts
+++ b/src/features/routing/node/cellSearch.ts
@@ -1,6 +1,9 @@
 import {Clock} from '../../../base/common/clock.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
-import {Logger} from '../../../platform/logging/common/logger.js';
+import {
+  DecisionFields,
+  Logger,
+} from '../../../platform/logging/common/logger.js';
 import {Metrics} from '../../../platform/metrics/common/metrics.js';
 import {ReserveAnswer, ReserveCall} from '../common/cellMessages.js';
 import {CellMap} from '../common/cellMap.js';
@@ -225,7 +228,7 @@
     const {reservation} = answer;
     this.endReplaced(search, reservation, instanceId);
     this.log(search, {
-      decision: 'reserved',
+      outcome: 'reserved',
       cell: reservation.cell,
       owner: instanceId,
       refusedBefore,
@@ -277,7 +280,7 @@
     const jitter = 1 + RETRY_JITTER * this.parts.random.next();
     const retryAfterMilliseconds = Math.ceil(base * jitter);
     this.log(search, {
-      decision: 'refused',
+      outcome: 'refused',
       why: reason,
       retryAfterMilliseconds,
       refusedBefore: refusals.length,
@@ -286,7 +289,7 @@
     return {kind: 'refused', reason, retryAfterMilliseconds};
   }
 
-  private log(search: Search, fields: Readonly<Record<string, unknown>>): void {
+  private log(search: Search, fields: DecisionFields): void {
     const {work, model, replaced} = search;
     const took = this.now() - search.startedAt;
     this.parts.logger.decision('cellChoice', {
