--- a/test/support/launcher.ts
+++ b/test/support/launcher.ts
@@ -22,7 +22,11 @@
 } from '../standins/engineSettings.js';
 import {PlatformStandInSettings} from '../standins/platformStandIn.js';
 import {ServiceStandInSettings} from '../standins/serviceStandIn.js';
-import {ManagedProcess, ProcessSupervisor} from './managedProcess.js';
+import {
+  ManagedProcess,
+  ProcessSupervisor,
+  requireBuild,
+} from './managedProcess.js';
 import {freeAddresses} from './ports.js';
 import {
   DataCentreOptions,
@@ -77,6 +81,8 @@
     options: Partial<SystemOptions> = {},
     operations: readonly ConfigurationOperation[] = [],
   ): Promise<LaunchedSystem> {
+    // Before anything is made that would have to be removed again.
+    requireBuild();
     const system = new LaunchedSystem(options);
     try {
       await system.start(operations);
