--- a/src/programs/control/main.ts
+++ b/src/programs/control/main.ts
@@ -1,9 +1,13 @@
 #!/usr/bin/env node
-import {Builtins, Cli, Command, Option} from 'clipanion';
+import {Command, Option} from 'clipanion';
 
 import {formatFinding, Finding} from '../../base/common/finding.js';
 import {Result, success} from '../../base/common/result.js';
 import {operatorKeysSchema} from '../../features/administration/node/operatorKeys.js';
+import {
+  runCommandLine,
+  USAGE_EXIT_CODE,
+} from '../../platform/commandLine/node/runCommandLine.js';
 import {ControlSettings} from '../../platform/settings/common/programSettings.js';
 import {controlSettingsSchema} from '../../platform/settings/common/settingsSchemas.js';
 import {
@@ -14,9 +18,6 @@
 
 /** The program `redwing-control`. */
 
-const VERSION = '0.1.0';
-const EXIT_SETTINGS = 2;
-
 interface Loaded {
   readonly settings: ControlSettings;
   readonly secrets: ControlSecrets;
@@ -63,7 +64,7 @@
     const loaded = load(this.settingsFile);
     if (!loaded.ok) {
       this.context.stderr.write(formatFindings(loaded.error));
-      return EXIT_SETTINGS;
+      return USAGE_EXIT_CODE;
     }
     const {settings, secrets} = loaded.value;
     const program = new ControlProgram(settings, secrets);
@@ -87,7 +88,7 @@
     const loaded = load(this.settingsFile);
     if (!loaded.ok) {
       this.context.stderr.write(formatFindings(loaded.error));
-      return EXIT_SETTINGS;
+      return USAGE_EXIT_CODE;
     }
     this.context.stdout.write('settings are valid\n');
     return 0;
@@ -101,14 +102,14 @@
   });
 }
 
-const cli = new Cli({
-  binaryLabel: 'Control program',
-  binaryName: 'redwing-control',
-  binaryVersion: VERSION,
-});
-cli.register(RunCommand);
-cli.register(CheckSettingsCommand);
-cli.register(Builtins.HelpCommand);
-cli.register(Builtins.VersionCommand);
+const exitCode = await runCommandLine(
+  {
+    name: 'redwing-control',
+    label: 'redwing-control',
+    commands: [RunCommand, CheckSettingsCommand],
+  },
+  process.argv.slice(2),
+  process,
+);
 // Connections that peers keep open must not delay the end.
-process.exit(await cli.run(process.argv.slice(2), Cli.defaultContext));
+process.exit(exitCode);
--- a/src/programs/entry/main.ts
+++ b/src/programs/entry/main.ts
@@ -1,8 +1,12 @@
 #!/usr/bin/env node
-import {Builtins, Cli, Command, Option} from 'clipanion';
+import {Command, Option} from 'clipanion';
 
 import {formatFinding, Finding} from '../../base/common/finding.js';
 import {failure, Result, success} from '../../base/common/result.js';
+import {
+  runCommandLine,
+  USAGE_EXIT_CODE,
+} from '../../platform/commandLine/node/runCommandLine.js';
 import {EntrySettings} from '../../platform/settings/common/programSettings.js';
 import {entrySettingsSchema} from '../../platform/settings/common/settingsSchemas.js';
 import {
@@ -13,9 +17,7 @@
 
 /** The program `redwing-entry`. Exit codes: 0 ok, 1 failure, 2 wrong settings or usage. */
 
-const VERSION = '0.1.0';
 const EXIT_FAILURE = 1;
-const EXIT_USAGE = 2;
 
 interface Loaded {
   readonly settings: EntrySettings;
@@ -53,7 +55,7 @@
     const loaded = load(this.settingsFile);
     if (!loaded.ok) {
       this.context.stderr.write(formatFindings(loaded.error));
-      return EXIT_USAGE;
+      return USAGE_EXIT_CODE;
     }
     const {settings, peerKey} = loaded.value;
     const program = new EntryProgram(settings, peerKey);
@@ -84,7 +86,7 @@
     const loaded = load(this.settingsFile);
     if (!loaded.ok) {
       this.context.stderr.write(formatFindings(loaded.error));
-      return EXIT_USAGE;
+      return USAGE_EXIT_CODE;
     }
     this.context.stdout.write('settings are valid\n');
     return 0;
@@ -99,25 +101,12 @@
   });
 }
 
-/** Clipanion ends with 1 for wrong usage; here that is 2, as for wrong settings. */
-async function run(): Promise<number> {
-  const cli = new Cli({
-    binaryLabel: 'Entry program',
-    binaryName: 'redwing-entry',
-    binaryVersion: VERSION,
-  });
-  cli.register(RunCommand);
-  cli.register(CheckSettingsCommand);
-  cli.register(Builtins.HelpCommand);
-  cli.register(Builtins.VersionCommand);
-  const {stderr} = process;
-  try {
-    const command = cli.process(process.argv.slice(2));
-    return await cli.run(command, Cli.defaultContext);
-  } catch (error) {
-    stderr.write(cli.error(error));
-    return EXIT_USAGE;
-  }
-}
-
-process.exitCode = await run();
+process.exitCode = await runCommandLine(
+  {
+    name: 'redwing-entry',
+    label: 'redwing-entry',
+    commands: [RunCommand, CheckSettingsCommand],
+  },
+  process.argv.slice(2),
+  process,
+);
--- a/src/programs/redwing/runRedwing.ts
+++ b/src/programs/redwing/runRedwing.ts
@@ -1,8 +1,7 @@
-import {Writable} from 'node:stream';
-
-import {Builtins, Cli, Command} from 'clipanion';
-
-import {version} from '../../base/common/version.js';
+import {
+  runCommandLine,
+  Streams,
+} from '../../platform/commandLine/node/runCommandLine.js';
 import {
   AccountListCommand,
   AccountRemoveCommand,
@@ -37,15 +36,7 @@
 
 /** The operators' command line, put together. */
 
-/** Where a command writes. */
-export interface Streams {
-  readonly stdout: Writable;
-  readonly stderr: Writable;
-}
-
 const COMMANDS = [
-  Builtins.HelpCommand,
-  Builtins.VersionCommand,
   AccountListCommand,
   AccountRemoveCommand,
   AccountSetCommand,
@@ -70,23 +61,11 @@
   words: readonly string[],
   streams: Streams,
 ): Promise<number> {
-  const cli = Cli.from(COMMANDS, {
-    binaryLabel: 'redwing',
-    binaryName: 'redwing',
-    binaryVersion: version,
-    enableColors: false,
-  });
   const refused = findRefusedOption(words);
   if (refused !== undefined) {
     streams.stderr.write(`${refused}: ${TARGETS_ONLY}\n`);
     return exitCodes.usage;
   }
-  let command: Command;
-  try {
-    command = cli.process([...words], streams);
-  } catch (error) {
-    streams.stderr.write(cli.error(error, {colored: false}));
-    return exitCodes.usage;
-  }
-  return cli.run(command, streams);
+  const program = {name: 'redwing', label: 'redwing', commands: COMMANDS};
+  return runCommandLine(program, words, streams);
 }
