--- a/test/prove/faults.ts
+++ b/test/prove/faults.ts
@@ -7,7 +7,7 @@
 import {ServiceFault} from '../standins/serviceStandIn.js';
 import {LaunchedSystem} from '../support/launcher.js';
 import {ManagedProcess} from '../support/managedProcess.js';
-import {EngineHandle} from '../support/systemParts.js';
+import {EngineHandle, ServiceHandle} from '../support/systemParts.js';
 import {LeavingWindow} from './observations.js';
 import {Operators} from './operators.js';
 
@@ -206,29 +206,36 @@
     return fault(
       name,
       engine.id,
-      () => ignoreEnded(engine, () => engine.setFault(engineFault, {times})),
-      () => clearEngine(engine),
+      () => ignoreUnreachable(() => engine.setFault(engineFault, {times})),
+      () => restore(system, engine),
     );
   };
 }
 
-/** A process killed by another fault of the round can't be told anything. */
-async function ignoreEnded(
-  engine: EngineHandle,
-  command: () => Promise<void>,
-): Promise<void> {
+/** A process that another fault of the round killed or paused can't be told anything. */
+async function ignoreUnreachable(command: () => Promise<void>): Promise<void> {
   try {
     await command();
   } catch (error) {
-    if (engine.process.isRunning) {
+    if ((error as NodeJS.ErrnoException).code === undefined) {
       throw error;
     }
   }
 }
 
-async function clearEngine(engine: EngineHandle): Promise<void> {
-  await ignoreEnded(engine, () => engine.setFault({kind: 'clear'}));
-  await restartEnded(engine.process);
+/** Brings a stand-in back, whatever struck it. */
+async function restore(
+  system: LaunchedSystem,
+  standIn: EngineHandle | ServiceHandle,
+): Promise<void> {
+  standIn.process.resume();
+  await restartEnded(standIn.process);
+  await system.until(`${standIn.id} answers`, () =>
+    standIn.setFault({kind: 'clear'}).then(
+      () => true,
+      () => false,
+    ),
+  );
 }
 
 function stageDies(point: 'begun' | 'computed' | 'answered'): FaultMaker {
@@ -251,13 +258,13 @@
       strike: async () => {
         await Promise.all(
           others.map(engine =>
-            ignoreEnded(engine, () => engine.setFault(importFault, {times: 5})),
+            ignoreUnreachable(() => engine.setFault(importFault, {times: 5})),
           ),
         );
         await kill.strike();
       },
       clear: async () => {
-        await Promise.all(others.map(clearEngine));
+        await Promise.all(others.map(engine => restore(system, engine)));
         await kill.clear();
       },
     };
@@ -407,20 +414,8 @@
     return fault(
       name,
       service.id,
-      async () => {
-        if (service.process.isRunning) {
-          await service.setFault(serviceFault, 3);
-        }
-      },
-      async () => {
-        await restartEnded(service.process);
-        await system.until(`${service.id} answers`, () =>
-          service.setFault({kind: 'clear'}).then(
-            () => true,
-            () => false,
-          ),
-        );
-      },
+      () => ignoreUnreachable(() => service.setFault(serviceFault, 3)),
+      () => restore(system, service),
     );
   };
 }
