--- a/test/standins/platform.test.ts
+++ b/test/standins/platform.test.ts
@@ -168,15 +168,21 @@
   });
 
   it('a slow write takes effect after its caller gave up', async () => {
-    const fault = {kind: 'slow', milliseconds: 60} as const;
+    // With its one connection open, a call is written as soon as it is made.
+    const single = new HttpTableService(settings.tableAddress, 'instance-1', {
+      connections: 1,
+    });
+    await values(single, 'k');
+    const fault = {kind: 'slow', milliseconds: 300} as const;
     await platform.setFault({fault, access: 'write'});
     const source = new CancellationSource();
     source.cancelAfter(20, 'impatient');
-    const result = await table.transact([put('k', 'v')], 'all', source.token);
+    const result = await single.transact([put('k', 'v')], 'all', source.token);
     expect(!result.ok && result.error.kind).toBe('outcomeUnknown');
     await expect.poll(() => values(table, 'k')).toEqual(['v']);
-    const later = await table.read(['k'], source.token);
+    const later = await single.read(['k'], source.token);
     expect(!later.ok && later.error.kind).toBe('unavailable');
+    single.dispose();
   });
 });
 
