A refusal before the claim says no more of a key than is known

Cause: the gate answered 'executed: no' (shuttingDown, cutOff, too many requests) before looking at the Idempotency-Key. A resubmission of a key that ran at a killed instance, or elsewhere while this one was paused, was told that it was not run; a caller that then orders under a new key would run it twice. Ruled out: saying 'unknown' always (a caller with a key bound to a stopping instance could not move on). Change: with a key such a refusal says 'unknown', but for a key bound to this incarnation that it never ran.

--- a/src/features/callers/node/workHandler.ts
+++ b/src/features/callers/node/workHandler.ts
@@ -2,7 +2,7 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 
 import {Disposable} from '../../../base/common/lifecycle.js';
-import {Result, success} from '../../../base/common/result.js';
+import {failure, Result, success} from '../../../base/common/result.js';
 import {
   ClientAccount,
   ClassOfWork,
@@ -20,6 +20,7 @@
 import {CallerResponse} from './callerResponse.js';
 import {CallerServices} from './callerServices.js';
 import {ClaimedKey} from './keyClaim.js';
+import {KeyedRefusals} from './keyedRefusals.js';
 import {ExchangePlan, RequestExchange} from './requestExchange.js';
 import {RequestLog} from './requestLog.js';
 
@@ -53,11 +54,15 @@
 
 /** What every kind of work does alike: gate, account, body, exchange, log line. */
 export abstract class WorkHandler {
+  private readonly refusals: KeyedRefusals;
+
   constructor(
     protected readonly services: CallerServices,
     private readonly authenticator: CallerAuthenticator,
     private readonly running: Set<RequestExchange>,
-  ) {}
+  ) {
+    this.refusals = new KeyedRefusals(services, authenticator);
+  }
 
   /** Reads the request into a plan; all findings come back together. */
   protected abstract plan(
@@ -161,7 +166,7 @@
     const {gate} = this.services;
     const view = gate.servingView();
     if (!view.ok) {
-      return view;
+      return failure(this.refusals.state(view.error, headers));
     }
     const {configuration} = view.value;
     const account = this.authenticator.authenticate(headers, configuration);
@@ -171,7 +176,7 @@
     const place = gate.enter();
     return place.ok
       ? success({account: account.value, configuration, place: place.value})
-      : place;
+      : failure(this.refusals.state(place.error, headers));
   }
 
   private start(exchange: RequestExchange, input: WorkInput): void {
--- a/src/features/callers/test/callerFakes.ts
+++ b/src/features/callers/test/callerFakes.ts
@@ -121,6 +121,7 @@
 export class FakeClaims extends ClaimService {
   decision: ClaimDecision = {kind: 'granted'};
   outcome: RequestOutcome | undefined;
+  surelyNotRun = false;
   readonly claimed: string[] = [];
   readonly completed: RequestOutcome[] = [];
 
@@ -141,6 +142,10 @@
     return Promise.resolve(this.outcome);
   }
 
+  override isSurelyNotRun(): boolean {
+    return this.surelyNotRun;
+  }
+
   override issueGrant(): string {
     return 'grant-a-1';
   }
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -553,6 +553,40 @@
     expect(clock.waiting.size).toBe(0);
   });
 
+  test.each([
+    {headers: query, surelyNotRun: false, executed: 'no'},
+    {headers: order, surelyNotRun: false, executed: 'unknown'},
+    {headers: order, surelyNotRun: true, executed: 'no'},
+  ])(
+    'new work refused as a whole says no more of a key than is known: $executed',
+    async ({headers, surelyNotRun, executed}) => {
+      fixture.claims.surelyNotRun = surelyNotRun;
+      fixture.driver.script = () => new Promise(() => undefined);
+      const caller = new AbortController();
+      const held = [1, 2].map(() =>
+        fixture.send(chatPath, query, chatBody(), caller.signal),
+      );
+      await expect.poll(() => fixture.driver.requests.length).toBe(2);
+      const answers = [await fixture.send(chatPath, headers, chatBody())];
+      const serving = fixture.views.current!;
+      fixture.views.current = {
+        ...serving,
+        standing: {kind: 'cutOff', sinceMilliseconds: 0},
+      };
+      answers.push(await fixture.send(chatPath, headers, chatBody()));
+      fixture.views.current = {...serving, standing: {kind: 'leaving'}};
+      answers.push(await fixture.send(chatPath, headers, chatBody()));
+      const bodies = await Promise.all(answers.map(answer => answer.json()));
+      expect(bodies).toMatchObject(
+        ['cannotMeetTarget', 'cutOff', 'shuttingDown'].map(kind => ({
+          error: {kind, executed},
+        })),
+      );
+      caller.abort();
+      await Promise.allSettled(held);
+    },
+  );
+
   test('more requests than may be in progress are refused', async () => {
     fixture.driver.script = () => new Promise(() => undefined);
     const leaving = new AbortController();
--- a/src/features/claims/common/boundClaims.ts
+++ b/src/features/claims/common/boundClaims.ts
@@ -85,6 +85,18 @@
     return (await this.finder.recorded(keyHash, token)) ?? UNKNOWN;
   }
 
+  /** Whether the key is this incarnation's own and surely nothing ran or is running under it. */
+  isSurelyNotRun(keyHash: string, binding: BoundBinding): boolean {
+    if (binding.incarnation !== this.incarnation) {
+      return false;
+    }
+    const answer = this.answer(keyHash, binding.expiresAtWallMilliseconds);
+    return (
+      answer.kind === 'notSeen' ||
+      (answer.kind === 'seen' && isNotRun(answer.outcome))
+    );
+  }
+
   /** What this incarnation says of one of its own keys. */
   answer(keyHash: string, grantExpiresAt: number): AskAnswer {
     const now = this.ownTime();
--- a/src/features/claims/common/claims.ts
+++ b/src/features/claims/common/claims.ts
@@ -59,6 +59,12 @@
     token: CancellationToken,
   ): Promise<RequestOutcome | undefined>;
 
+  /**
+   * Whether this process knows, without asking anyone, that nothing was dispatched under the key and nothing
+   * is being dispatched: only of keys bound to this incarnation, and of keys that nobody can run.
+   */
+  abstract isSurelyNotRun(clientAccount: string, key: string): boolean;
+
   /** A grant for keys bound to this incarnation. */
   abstract issueGrant(clientAccount: string): string;
 }
--- a/src/features/claims/node/defaultClaimService.ts
+++ b/src/features/claims/node/defaultClaimService.ts
@@ -154,6 +154,18 @@
     }
   }
 
+  override isSurelyNotRun(clientAccount: string, key: string): boolean {
+    const binding = this.signer.read(clientAccount, key);
+    switch (binding.kind) {
+      case 'invalid':
+        return true;
+      case 'plain':
+        return false;
+      case 'bound':
+        return this.bound.isSurelyNotRun(hashKey(clientAccount, key), binding);
+    }
+  }
+
   /** Answers another instance's question. */
   answer(message: AskMessage): AskAnswer {
     const {grantExpiresAt, keyHash} = message;
--- a/src/features/naive/common/naiveClaimService.ts
+++ b/src/features/naive/common/naiveClaimService.ts
@@ -13,6 +13,10 @@
     return Promise.resolve(undefined);
   }
 
+  override isSurelyNotRun(): boolean {
+    return true;
+  }
+
   override issueGrant(): string {
     return '';
   }
--- a/src/features/services/test/serviceWorld.ts
+++ b/src/features/services/test/serviceWorld.ts
@@ -184,6 +184,10 @@
     return this.outcomes.get(key);
   }
 
+  override isSurelyNotRun(): boolean {
+    return true;
+  }
+
   override issueGrant(): string {
     return '';
   }
