--- /dev/null
+++ b/test/prove/checks/checkLedgers.ts
@@ -0,0 +1,21 @@
+import {LedgerIndex} from '../ledgerIndex.js';
+import {Submission, Violation} from '../observations.js';
+import {checkAtMostOnce} from './atMostOnce.js';
+import {checkLayersOnceInOrder} from './layersOnceInOrder.js';
+import {checkNotRunMeansNotRun} from './notRunMeansNotRun.js';
+import {checkWholeOwnReply} from './wholeOwnReply.js';
+
+/** The checks that hold what callers were told against the ledgers. */
+export function checkLedgers(
+  submissions: readonly Submission[],
+  ledger: LedgerIndex,
+  layerCount: number,
+): readonly Violation[] {
+  const answered = submissions.filter(({answer}) => answer.status > 0);
+  return [
+    ...checkLayersOnceInOrder(answered, ledger, layerCount),
+    ...checkWholeOwnReply(answered, layerCount),
+    ...checkNotRunMeansNotRun(submissions, ledger),
+    ...checkAtMostOnce(submissions, ledger),
+  ];
+}
--- a/test/prove/proofRounds.ts
+++ b/test/prove/proofRounds.ts
@@ -4,13 +4,10 @@
 } from '../../src/base/common/randomSource.js';
 import {LaunchedSystem} from '../support/launcher.js';
 import {sleep} from '../support/sleep.js';
-import {checkAtMostOnce} from './checks/atMostOnce.js';
 import {checkConfigurationInForce} from './checks/configurationInForce.js';
-import {checkLayersOnceInOrder} from './checks/layersOnceInOrder.js';
+import {checkLedgers} from './checks/checkLedgers.js';
 import {checkLeavingGetsNothing} from './checks/leavingGetsNothing.js';
-import {checkNotRunMeansNotRun} from './checks/notRunMeansNotRun.js';
 import {checkPlannedStopCutsNothing} from './checks/plannedStopCutsNothing.js';
-import {checkWholeOwnReply} from './checks/wholeOwnReply.js';
 import {ChosenFault, faultMakers, FaultRecords} from './faults.js';
 import {Follower} from './follower.js';
 import {LedgerReader} from './ledgerReader.js';
@@ -218,12 +215,8 @@
     this.ledgers.readOn();
     const {index} = this.ledgers;
     const {layerCount} = this.system.options;
-    const calls = submissions.filter(({answer}) => answer.status > 0);
     return [
-      ...checkLayersOnceInOrder(calls, index, layerCount),
-      ...checkWholeOwnReply(calls, layerCount),
-      ...checkNotRunMeansNotRun(submissions, index),
-      ...checkAtMostOnce(submissions, index),
+      ...checkLedgers(submissions, index, layerCount),
       ...checkLeavingGetsNothing(this.windows, index),
       ...checkPlannedStopCutsNothing(this.stops),
       ...checkConfigurationInForce(this.operators.evidence),
--- a/test/prove/provedSystem.ts
+++ b/test/prove/provedSystem.ts
@@ -29,7 +29,9 @@
 };
 
 /** The model, one class for work that may be repeated and one for work that may not, an account, a service. */
-export const provedOperations: readonly ConfigurationOperation[] = [
+export const provedOperations = (
+  deadlineMilliseconds: number,
+): readonly ConfigurationOperation[] => [
   {
     kind: 'setModel',
     value: {
@@ -39,8 +41,8 @@
       adapters: [],
     },
   },
-  classOf(classNames.repeatable, true),
-  classOf(classNames.once, false),
+  classOf(classNames.repeatable, true, deadlineMilliseconds),
+  classOf(classNames.once, false, deadlineMilliseconds),
   {
     kind: 'setClientAccount',
     value: {name: ACCOUNT.name, keyHash: hashKey(ACCOUNT.bearerKey)},
@@ -60,21 +62,26 @@
 /** Starts the system; all instances take work when it resolves. */
 export function launchProvedSystem(
   options: Partial<SystemOptions> = {},
+  deadlineMilliseconds = DEADLINE_MILLISECONDS,
 ): Promise<LaunchedSystem> {
   return LaunchedSystem.launch(
     {...provedOptions, ...options},
-    provedOperations,
+    provedOperations(deadlineMilliseconds),
   );
 }
 
-function classOf(name: string, repeatable: boolean): ConfigurationOperation {
+function classOf(
+  name: string,
+  repeatable: boolean,
+  deadlineMilliseconds: number,
+): ConfigurationOperation {
   return {
     kind: 'setClass',
     value: {
       name,
       firstTokenMilliseconds: 2000,
       betweenTokensMilliseconds: 200,
-      deadlineMilliseconds: DEADLINE_MILLISECONDS,
+      deadlineMilliseconds,
       requestsPerSecond: 20,
       repeatable,
     },
