--- a/test/proofs/resubmissions.test.ts
+++ b/test/proofs/resubmissions.test.ts
@@ -39,7 +39,7 @@
     : bench.boundKey(bench.instance(0), work);
 }
 
-function statements(answers: readonly Answer[]): ReadonlyArray<unknown> {
+function statements(answers: readonly Answer[]): readonly unknown[] {
   return answers.map(({executed}) => executed);
 }
 
