Placement: a lease per data centre, pure plans, orders with read-back

Cause: nothing told engines what to hold, so a changed model version left no engine that served it. Change: src/features/placement decides and sends orders under a fenced lease; redwing-control runs it where placementEnabled is set. While versions change, cell owners give out replicas of the version before too, and a reply that has begun keeps its version.

--- a/src/features/pipeline/node/capacityClient.ts
+++ b/src/features/pipeline/node/capacityClient.ts
@@ -80,6 +80,7 @@
       this.expectedTokens,
       this.state.released,
       this.dependencies.clock.monotonicMilliseconds(),
+      this.state.reservation?.stages[0]?.version,
     );
   }
 
--- a/src/features/pipeline/node/stageSession.ts
+++ b/src/features/pipeline/node/stageSession.ts
@@ -57,6 +57,7 @@
   matches(other: ChosenStage): boolean {
     return (
       this.chosen.upstream === other.upstream &&
+      this.chosen.version === other.version &&
       this.chosen.layers.from === other.layers.from &&
       this.chosen.layers.to === other.layers.to
     );
--- a/src/features/pipeline/node/tokenStepper.ts
+++ b/src/features/pipeline/node/tokenStepper.ts
@@ -158,7 +158,7 @@
       requestId: this.request.requestId,
       epoch: pass.epoch,
       model: model.name,
-      version: model.version,
+      version: session.chosen.version ?? model.version,
       adapter: this.request.adapter,
       layers: session.chosen.layers,
       layerCount: model.layerCount,
--- /dev/null
+++ b/src/features/placement/common/tableLease.ts
@@ -0,0 +1,366 @@
+import {CancellationToken} from '../../../base/common/cancellation.js';
+import {Clock} from '../../../base/common/clock.js';
+import {Emitter} from '../../../base/common/event.js';
+import {DisposableOwner} from '../../../base/common/lifecycle.js';
+import {Result} from '../../../base/common/result.js';
+import {
+  ChartDefinition,
+  ChartInstance,
+  StateChart,
+} from '../../../platform/stateChart/common/stateChart.js';
+import {
+  RowCondition,
+  StorageError,
+  TableRow,
+  TableService,
+} from '../../../platform/table/common/tableService.js';
+import {withDeadline} from '../../configuration/common/callDeadline.js';
+import chartDefinition from './lease.chart.json' with {type: 'json'};
+import {isSameWrite, LeaseRecord, readLeaseRecord} from './leaseRecord.js';
+
+/** States of a lease as one process sees it. */
+export type LeaseState = 'idle' | 'acquiring' | 'held' | 'uncertain' | 'lost';
+
+/** What happens to a lease. */
+export type LeaseEvent =
+  | 'observed'
+  | 'takeable'
+  | 'due'
+  | 'unchanged'
+  | 'confirmed'
+  | 'superseded'
+  | 'failed'
+  | 'answerLost'
+  | 'expired'
+  | 'released';
+
+type LeaseAction =
+  | 'readRow'
+  | 'writeTaking'
+  | 'writeRenewal'
+  | 'writeRelease'
+  | 'writeAgain'
+  | 'readBack'
+  | 'announceHeld'
+  | 'announceLost'
+  | 'forget';
+
+/** Times of a lease in milliseconds. */
+export interface LeaseSettings {
+  readonly durationMilliseconds: number;
+  /** Kept free before the expiry, for clocks that run at different speeds. */
+  readonly marginMilliseconds: number;
+  /** Longest time of one call to the table. */
+  readonly callMilliseconds: number;
+}
+
+/** One call every 8 s per instance keeps 370 instances under 50 reads a second. */
+export const defaultLeaseSettings: LeaseSettings = {
+  durationMilliseconds: 30_000,
+  marginMilliseconds: 3_000,
+  callMilliseconds: 2_000,
+};
+
+interface PendingWrite {
+  readonly record: LeaseRecord;
+  readonly condition: RowCondition;
+  /** Monotonic milliseconds before the first attempt: authority may be counted from here. */
+  readonly startedAt: number;
+}
+
+interface Observed {
+  readonly version: number;
+  readonly record: LeaseRecord;
+  /** Monotonic milliseconds at which the version was first seen, after the answer. */
+  readonly since: number;
+}
+
+const chart = new StateChart<LeaseState, LeaseEvent, LeaseAction>(
+  chartDefinition as ChartDefinition,
+);
+
+/**
+ * A lease on a row of the table. Its holder counts the expiry from before its last confirmed write;
+ * others take it only after they saw the row unchanged for a whole duration, each on its own
+ * monotonic clock, so that no wall clocks need to agree.
+ */
+export class TableLease extends DisposableOwner {
+  private readonly life = new ChartInstance(chart);
+  private readonly changed = this.register(new Emitter<LeaseState>());
+  private observed: Observed | undefined;
+  private pending: PendingWrite | undefined;
+  private held: LeaseRecord | undefined;
+  private rowVersion = 0;
+  private confirmedFrom = -Infinity;
+  private leastFencing = 1;
+
+  /** Fires when the lease becomes held or lost. */
+  readonly onDidChange = this.changed.event;
+
+  constructor(
+    private readonly key: string,
+    private readonly holder: string,
+    private readonly table: TableService,
+    private readonly clock: Clock,
+    private readonly createNonce: () => string,
+    private readonly settings: LeaseSettings = defaultLeaseSettings,
+  ) {
+    super();
+  }
+
+  get state(): LeaseState {
+    return this.life.state;
+  }
+
+  /** The fencing number while the lease was confirmed and not lost. */
+  get fencing(): number | undefined {
+    return this.state === 'held' ? this.held?.fencing : undefined;
+  }
+
+  /** Whether something that ends within a time may begin now. To be asked right before it begins. */
+  permits(milliseconds: number): boolean {
+    const {marginMilliseconds} = this.settings;
+    const end = this.now() + milliseconds + marginMilliseconds;
+    return this.state === 'held' && end <= this.expiresAt;
+  }
+
+  /** Takes the next step: observes, takes, renews or reads back. One call at a time. */
+  async advance(token: CancellationToken): Promise<void> {
+    const isOwn = this.state === 'held' || this.state === 'uncertain';
+    if (isOwn && this.now() >= this.expiresAt) {
+      await this.send('expired', token);
+    }
+    await this.send(this.state === 'idle' ? 'observed' : 'due', token);
+  }
+
+  /** Someone holds a higher fencing number: gives up and takes a higher one next time. */
+  async supersededBy(fencing: number, token: CancellationToken): Promise<void> {
+    this.leastFencing = Math.max(this.leastFencing, fencing + 1);
+    await this.send('superseded', token);
+  }
+
+  /** Gives the lease up, so that another may take it at once. */
+  release(token: CancellationToken): Promise<void> {
+    return this.send('released', token);
+  }
+
+  private get expiresAt(): number {
+    const from = this.pending?.startedAt ?? -Infinity;
+    const base = this.held === undefined ? from : this.confirmedFrom;
+    return base + this.settings.durationMilliseconds;
+  }
+
+  private async send(
+    event: LeaseEvent,
+    token: CancellationToken,
+  ): Promise<void> {
+    const {actions} = this.life.send(event);
+    for (const action of actions) {
+      await this.perform(action, token);
+    }
+  }
+
+  private perform(
+    action: LeaseAction,
+    token: CancellationToken,
+  ): Promise<void> | void {
+    switch (action) {
+      case 'readRow':
+        return this.observe(token);
+      case 'writeTaking':
+        return this.take(token);
+      case 'writeRenewal':
+        return this.renew(token);
+      case 'writeRelease':
+        return this.giveUp(token);
+      case 'writeAgain':
+        return this.write(this.pending!, token);
+      case 'readBack':
+        return this.readBack(token);
+      case 'announceHeld':
+      case 'announceLost':
+        return this.changed.fire(this.state);
+      case 'forget':
+        this.pending = undefined;
+        this.held = undefined;
+        this.observed = undefined;
+    }
+  }
+
+  private async observe(token: CancellationToken): Promise<void> {
+    const row = await this.readRow(token);
+    if (!row.ok) {
+      return;
+    }
+    this.note(row.value);
+    if (this.isTakeable()) {
+      await this.send('takeable', token);
+    }
+  }
+
+  private note(row: TableRow | undefined): void {
+    const record = readLeaseRecord(row);
+    if (row === undefined || record === undefined) {
+      this.observed = undefined;
+    } else if (row.version !== this.observed?.version) {
+      this.observed = {version: row.version, record, since: this.now()};
+    }
+  }
+
+  private isTakeable(): boolean {
+    const {observed} = this;
+    if (observed === undefined || observed.record.released) {
+      return true;
+    }
+    const unchangedFor = this.now() - observed.since;
+    return unchangedFor >= this.settings.durationMilliseconds;
+  }
+
+  private take(token: CancellationToken): Promise<void> {
+    const {observed} = this;
+    const previous = observed?.record.fencing ?? 0;
+    const fencing = Math.max(previous + 1, this.leastFencing);
+    this.held = undefined;
+    return this.begin(
+      {
+        holder: this.holder,
+        fencing,
+        nonce: this.createNonce(),
+        released: false,
+      },
+      observed === undefined
+        ? {kind: 'absent'}
+        : {kind: 'version', version: observed.version},
+      token,
+    );
+  }
+
+  private renew(token: CancellationToken): Promise<void> {
+    const record = {...this.held!, nonce: this.createNonce()};
+    const condition = {kind: 'version', version: this.rowVersion} as const;
+    return this.begin(record, condition, token);
+  }
+
+  private async giveUp(token: CancellationToken): Promise<void> {
+    const value = JSON.stringify({...this.held!, released: true});
+    const condition = {kind: 'version', version: this.rowVersion} as const;
+    const writes = [{key: this.key, value, condition}];
+    this.held = undefined;
+    this.pending = undefined;
+    await this.bounded(token, call => this.table.transact(writes, 'all', call));
+  }
+
+  private begin(
+    record: LeaseRecord,
+    condition: RowCondition,
+    token: CancellationToken,
+  ): Promise<void> {
+    this.pending = {record, condition, startedAt: this.now()};
+    return this.write(this.pending, token);
+  }
+
+  private async write(
+    pending: PendingWrite,
+    token: CancellationToken,
+  ): Promise<void> {
+    const {record, condition} = pending;
+    const value = JSON.stringify(record);
+    const writes = [{key: this.key, value, condition}];
+    const result = await this.bounded(token, call =>
+      this.table.transact(writes, 'all', call),
+    );
+    if (!result.ok) {
+      const isLost = result.error.kind === 'outcomeUnknown';
+      return this.send(isLost ? 'answerLost' : 'failed', token);
+    }
+    const [outcome] = result.value;
+    if (outcome?.kind === 'written') {
+      this.confirm(record, outcome.version, pending.startedAt);
+      return this.send('confirmed', token);
+    }
+    return this.judge(outcome?.current, token);
+  }
+
+  private async readBack(token: CancellationToken): Promise<void> {
+    const row = await this.readRow(token);
+    if (!row.ok) {
+      return this.send('failed', token);
+    }
+    const isUnchanged =
+      this.pending !== undefined && meets(row.value, this.pending.condition);
+    const isRenewal = this.held !== undefined;
+    if (isUnchanged && !isRenewal) {
+      return this.send('unchanged', token);
+    }
+    return this.judge(row.value, token);
+  }
+
+  /** Decides whose the row is after a conflict or a lost answer. */
+  private judge(
+    row: TableRow | undefined,
+    token: CancellationToken,
+  ): Promise<void> {
+    const record = readLeaseRecord(row);
+    const {pending, held} = this;
+    if (row !== undefined && isSameWrite(record, pending?.record)) {
+      this.confirm(pending!.record, row.version, pending!.startedAt);
+      return this.send('confirmed', token);
+    }
+    if (row !== undefined && isHeldStill(record, held)) {
+      this.rowVersion = row.version;
+      return this.send('confirmed', token);
+    }
+    this.note(row);
+    return this.send('superseded', token);
+  }
+
+  private confirm(
+    record: LeaseRecord,
+    version: number,
+    startedAt: number,
+  ): void {
+    this.held = record;
+    this.rowVersion = version;
+    this.confirmedFrom = startedAt;
+  }
+
+  private async readRow(
+    token: CancellationToken,
+  ): Promise<Result<TableRow | undefined, StorageError>> {
+    const rows = await this.bounded(token, call =>
+      this.table.read([this.key], call),
+    );
+    return rows.ok ? {ok: true, value: rows.value[0]} : rows;
+  }
+
+  private bounded<T>(
+    token: CancellationToken,
+    call: (token: CancellationToken) => Promise<T>,
+  ): Promise<T> {
+    const {callMilliseconds} = this.settings;
+    return withDeadline(this.clock, token, callMilliseconds, call);
+  }
+
+  private now(): number {
+    return this.clock.monotonicMilliseconds();
+  }
+}
+
+function meets(row: TableRow | undefined, condition: RowCondition): boolean {
+  return condition.kind === 'version'
+    ? row?.version === condition.version
+    : row === undefined;
+}
+
+/** Whether the row still names the taking that is held, whatever its nonce. */
+function isHeldStill(
+  record: LeaseRecord | undefined,
+  held: LeaseRecord | undefined,
+): boolean {
+  return (
+    held !== undefined &&
+    record?.holder === held.holder &&
+    record.fencing === held.fencing &&
+    !record.released
+  );
+}
--- a/src/features/routing/common/cellSchemas.ts
+++ b/src/features/routing/common/cellSchemas.ts
@@ -32,6 +32,7 @@
     outputTokens: z.number(),
     prefixKey: z.string().optional(),
     prefixTokens: z.number().optional(),
+    version: z.string().optional(),
     firstTokenWithin: z.number(),
     betweenTokensTarget: z.number(),
     deadlineWithin: z.number(),
--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -52,6 +52,8 @@
   readonly prefixKey: string | undefined;
   /** Prompt tokens that `prefixKey` covers; none are taken as cached if absent. */
   readonly prefixTokens?: number;
+  /** The version that began the reply; any that is served if absent, the configured one rather. */
+  readonly version?: string;
   /** Milliseconds left to the first token's target. */
   readonly firstTokenWithin: number;
   readonly betweenTokensTarget: number;
@@ -70,6 +72,8 @@
   readonly layers: LayerRange;
   /** Whether the engine refuses steps of older epochs; undefined counts as no. */
   readonly checksFencing?: boolean;
+  /** The version of the model that the engine holds; undefined counts as the configured one. */
+  readonly version?: string;
 }
 
 /** What the decision expects of the chosen pipeline. */
--- a/src/features/routing/node/cellOwner.ts
+++ b/src/features/routing/node/cellOwner.ts
@@ -41,6 +41,12 @@
   readonly expiresAt: number;
 }
 
+/** A decision and the version that it was made for. */
+interface VersionDecision {
+  readonly view: CellView;
+  readonly decision: RoutingDecision;
+}
+
 /** Milliseconds beyond the deadline after which a reservation is forgotten. */
 const EXPIRY_GRACE_MILLISECONDS = 2000;
 const WORK_MEMORY_MILLISECONDS = 60000;
@@ -75,9 +81,8 @@
     if (repeated !== undefined) {
       this.take(call.reservationId, repeated, now);
     }
-    const view = this.viewFor(call, configuration, now);
     const shares = this.shareView(configuration, now);
-    const decision = this.parts.policy.decide(view, shares, call.work, now);
+    const {view, decision} = this.decide(call, configuration, shares, now);
     this.accountWant(call.work, decision, now);
     this.log(call, view, decision);
     const summaries = this.summaries(now);
@@ -85,10 +90,48 @@
       const {reason, retryAfterMilliseconds} = decision;
       return {kind: 'refused', reason, retryAfterMilliseconds, summaries};
     }
-    const reservation = this.book(call, decision, now);
+    const reservation = this.book(call, decision, view.version, now);
     return {kind: 'reserved', reservation, summaries};
   }
 
+  /** While replicas are brought to another version one by one, those that still hold the one before serve too. */
+  private decide(
+    call: ReserveCall,
+    configuration: Configuration,
+    shares: ShareView,
+    now: number,
+  ): VersionDecision {
+    let refused: VersionDecision | undefined;
+    for (const version of this.versionsFor(call, configuration)) {
+      const view = this.viewFor(call, configuration, version, now);
+      const decision = this.parts.policy.decide(view, shares, call.work, now);
+      if (decision.kind === 'admit') {
+        return {view, decision};
+      }
+      const isTold = refused !== undefined && decision.reason === 'noUpstream';
+      refused = isTold ? refused : {view, decision};
+    }
+    return refused!;
+  }
+
+  /** The version of a reply that has begun, else the configured one and then others held here. */
+  private versionsFor(
+    {model, work}: ReserveCall,
+    configuration: Configuration,
+  ): readonly string[] {
+    if (work.version !== undefined) {
+      return [work.version];
+    }
+    const versions = new Set([configuration.models[model]?.version ?? '']);
+    for (const {id} of this.cell.engines) {
+      const report = this.parts.registry.get(id)?.ledger.report?.report;
+      if (report?.model === model) {
+        versions.add(report.version);
+      }
+    }
+    return [...versions];
+  }
+
   /** Decides anew without the excluded upstreams; the old reservation ends only if this succeeds. */
   replan(
     call: ReplanCall,
@@ -150,11 +193,11 @@
   private viewFor(
     call: ReserveCall,
     configuration: Configuration,
+    version: string,
     now: number,
   ): CellView {
     const model = configuration.models[call.model];
     const excluded = new Set(call.excluded);
-    const version = model?.version ?? '';
     const usable = this.cell.engines.filter(
       ({id}) => !excluded.has(id) && this.serves(id, call, version),
     );
@@ -169,7 +212,7 @@
     };
   }
 
-  /** Whether an engine holds the model's version and adapter and may both prefill and decode. */
+  /** Whether an engine holds a version and adapter of the model and may both prefill and decode. */
   private serves(id: string, call: ReserveCall, version: string): boolean {
     const report = this.parts.registry.get(id)?.ledger.report?.report;
     if (report === undefined || report.loading || report.role !== 'both') {
@@ -186,6 +229,7 @@
   private book(
     call: ReserveCall,
     decision: RoutingDecision & {kind: 'admit'},
+    version: string,
     now: number,
   ): Reservation {
     const {work} = call;
@@ -211,16 +255,17 @@
     return {
       reservationId: call.reservationId,
       cell: this.cell.id,
-      stages: decision.stages.map(stage => this.withFencing(stage)),
+      stages: decision.stages.map(stage => this.describe(stage, version)),
       prediction: roundPrediction(prediction),
       candidates,
       reason,
     };
   }
 
-  private withFencing(stage: ChosenStage): ChosenStage {
+  private describe(stage: ChosenStage, version: string): ChosenStage {
     const report = this.parts.registry.get(stage.upstream)?.ledger.report;
-    return {...stage, checksFencing: report?.report.checksFencing ?? false};
+    const checksFencing = report?.report.checksFencing ?? false;
+    return {...stage, version, checksFencing};
   }
 
   private enterInLedgers(id: string, booking: Booking): void {
--- a/src/features/routing/test/common/cellSchemas.test.ts
+++ b/src/features/routing/test/common/cellSchemas.test.ts
@@ -12,6 +12,7 @@
   outputTokens: 8,
   prefixKey: 'p',
   prefixTokens: 32,
+  version: '2',
   firstTokenWithin: 500,
   betweenTokensTarget: 60,
   deadlineWithin: 4000,
--- a/src/programs/control/wiring.ts
+++ b/src/programs/control/wiring.ts
@@ -16,6 +16,8 @@
 } from '../../features/membership/node/viewRouter.js';
 import {createPeerRouter} from '../../features/peers/node/peerRouter.js';
 import {RpcPeerConnection} from '../../features/peers/node/rpcPeerConnection.js';
+import {PlacementController} from '../../features/placement/common/placementController.js';
+import {HttpEngineConnector} from '../../platform/engine/node/httpEngineConnector.js';
 import {Logger} from '../../platform/logging/common/logger.js';
 import {BunyanLogger} from '../../platform/logging/node/bunyanLogger.js';
 import {HttpMembershipList} from '../../platform/membership/node/httpMembershipList.js';
@@ -29,6 +31,7 @@
 } from '../../platform/rpc/node/rpc.js';
 import {ControlSettings} from '../../platform/settings/common/programSettings.js';
 import {HttpTableService} from '../../platform/table/node/httpTableService.js';
+import {HttpWeightStore} from '../../platform/weights/node/httpWeightStore.js';
 import {ControlCore} from './controlCore.js';
 import {describeStatus} from './statusReport.js';
 
@@ -36,6 +39,11 @@
 const SEED_BYTES = 4;
 /** Calls to the platform at once, for each of its services. */
 const PLATFORM_CONNECTIONS = 2;
+/** Placement asks each engine for one thing at a time. */
+const ENGINE_CONNECTIONS = {
+  steps: {connections: 1},
+  control: {connections: 1},
+};
 
 /** What is read from files beside the settings. */
 export interface ControlSecrets {
@@ -47,7 +55,9 @@
 /** The running control program; the one place that joins its parts. */
 export class ControlProgram extends DisposableOwner {
   private readonly logger: Logger;
+  private readonly metrics: Metrics;
   private readonly core: ControlCore;
+  private readonly placement: PlacementController | undefined;
   private readonly listener: RequestListener;
   private readonly lifetime = new CancellationSource();
 
@@ -60,7 +70,11 @@
     this.logger = BunyanLogger.create(PROGRAM, settings.observation.logLevel, {
       instance: id,
     });
+    this.metrics = this.createMetrics();
     this.core = this.register(this.createCore(secrets));
+    this.placement = settings.placementEnabled
+      ? this.register(this.createPlacement())
+      : undefined;
     const watcher = new ViewWatcher(this.core, randomUUID());
     const router = mergeRpcRouters(
       createPeerRouter(this.core.responder),
@@ -89,13 +103,14 @@
       }),
     );
     this.core.start();
+    this.placement?.start();
     this.logger.info('listening', {address: this.settings.controlAddress});
   }
 
   /** Tells peers and the entry program, then releases everything. */
   async stop(): Promise<void> {
     this.logger.info('leaving');
-    await this.core.leave();
+    await Promise.all([this.core.leave(), this.placement?.stop()]);
     this.dispose();
     this.logger.info('stopped');
   }
@@ -125,7 +140,30 @@
       random: createRandomSource(),
       nonce: randomUUID,
       logger: this.logger,
-      metrics: this.createMetrics(),
+      metrics: this.metrics,
+    });
+  }
+
+  private createPlacement(): PlacementController {
+    const {platform, instance} = this.settings;
+    const {id, dataCentre} = instance;
+    const options = {connections: 1};
+    return new PlacementController({
+      dataCentre,
+      incarnation: randomUUID(),
+      view: () => this.core.view(),
+      table: this.register(
+        new HttpTableService(platform.tableAddress, id, options),
+      ),
+      weights: this.register(
+        new HttpWeightStore(platform.weightsAddress, id, options),
+      ),
+      connector: this.register(new HttpEngineConnector(ENGINE_CONNECTIONS)),
+      clock: new SystemClock(),
+      random: createRandomSource(),
+      nonce: randomUUID,
+      logger: this.logger,
+      metrics: this.metrics,
     });
   }
 
