--- /dev/null
+++ b/src/features/placement/test/planPlacement.test.ts
@@ -0,0 +1,381 @@
+import * as fastCheck from 'fast-check';
+import {expect, it} from 'vitest';
+
+import {EngineReport} from '../../../platform/engine/common/engineConnection.js';
+import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {WeightManifest} from '../../../platform/weights/common/weightStore.js';
+import {Model} from '../../configuration/common/configuration.js';
+import {coversOnce, splitLayers} from '../common/layerSplit.js';
+import {PlacementPlan} from '../common/placementPlan.js';
+import {
+  Demand,
+  manifestKey,
+  PlacementView,
+  ReplicaView,
+} from '../common/placementView.js';
+import {planPlacement} from '../common/planPlacement.js';
+import {stateOf} from '../common/replicaState.js';
+
+const LAYERS = 8;
+const NOW = 1_000_000;
+
+/** A replica of engines as `model/version`, with the sequences that it works on. */
+function replica(
+  group: string,
+  holds: string,
+  occupied = 0,
+  overrides: Partial<EngineReport> = {},
+): ReplicaView {
+  const [model = '', version = ''] = holds.split('/');
+  const engines = [0, 1].map(stage => {
+    const member: UpstreamMember = {
+      role: 'engine',
+      id: `${group}-${stage}`,
+      dataCentre: 'd',
+      region: 'r',
+      address: '127.0.0.1:1',
+      group,
+      state: 'live',
+    };
+    const report: EngineReport = {
+      upstream: member.id,
+      engineIncarnation: 'i',
+      acceleratorKind: 'standard',
+      model,
+      version,
+      adapters: [],
+      layers: {from: stage * 4, to: stage * 4 + 4},
+      role: 'both',
+      checksFencing: true,
+      sequenceLimit: 8,
+      residentSequences: occupied,
+      queuedSequences: 0,
+      decodeMilliseconds: 5,
+      prefillMillisecondsPerToken: 0.2,
+      cachedPrefixes: [],
+      ageMilliseconds: 0,
+      leaving: false,
+      appliedOrder: 0,
+      loading: false,
+      ...overrides,
+    };
+    return {member, report, reachable: true, pending: false};
+  });
+  return {group, engines};
+}
+
+function viewOf(
+  replicas: readonly ReplicaView[],
+  models: readonly string[],
+  adapters: readonly string[] = [],
+): PlacementView {
+  const stated = models.map((text): Model => {
+    const [name = '', version = ''] = text.split('/');
+    return {name, version, layerCount: LAYERS, adapters};
+  });
+  const target = {firstTokenMilliseconds: 500, betweenTokensMilliseconds: 50};
+  const order = {name: 'order', deadlineMilliseconds: 8_000, repeatable: false};
+  return {
+    dataCentre: 'd',
+    share: 1,
+    models: Object.fromEntries(stated.map(one => [one.name, one])),
+    classes: {order: {...order, ...target, requestsPerSecond: 1}},
+    replicas,
+  };
+}
+
+function manifestsOf(view: PlacementView) {
+  const layerBytes = 1e9;
+  const entries = Object.values(view.models).map(
+    ({name: model, version, layerCount}): [string, WeightManifest] => [
+      manifestKey(model, version),
+      {model, version, layerCount, layerBytes, bytesPerSecond: 1e9},
+    ],
+  );
+  return new Map(entries);
+}
+
+function demandOf(
+  sequences: Readonly<Record<string, number>>,
+  observedMilliseconds = 600_000,
+): Demand {
+  return {sequences: new Map(Object.entries(sequences)), observedMilliseconds};
+}
+
+/** What a plan says, as `kind group>model/version`, and the causes of what waits. */
+function summary(plan: PlacementPlan): string {
+  const changes = plan.changes.map(
+    ({kind, group, to}) => `${kind} ${group}>${to.model}/${to.version}`,
+  );
+  const causes = new Set(plan.heldBack.map(({cause}) => cause));
+  return [...changes, ...causes].join(', ');
+}
+
+const three = (holds: string, occupied = 0): readonly ReplicaView[] =>
+  ['a', 'b', 'c'].map(group => replica(group, holds, occupied));
+const two = (holds: string, occupied = 0): readonly ReplicaView[] =>
+  three(holds, occupied).slice(0, 2);
+const draining = {drainingSince: NOW - 4_000};
+
+const cases: ReadonlyArray<readonly [string, PlacementView, Demand, string]> = [
+  ['all is as stated', viewOf(three('m/1'), ['m/1']), demandOf({}), ''],
+  [
+    'one replica at a time changes its version',
+    viewOf(three('m/1', 2), ['m/2']),
+    demandOf({m: 6}),
+    'drain a>m/2, othersChange',
+  ],
+  [
+    'the only live replica stays',
+    viewOf([replica('a', 'm/1')], ['m/2']),
+    demandOf({}),
+    'tooFewLive',
+  ],
+  [
+    'the others could not carry the load',
+    viewOf(two('m/1', 5), ['m/2']),
+    demandOf({m: 10}),
+    'tooFewLive',
+  ],
+  [
+    'an adapter is missing',
+    viewOf(two('m/1'), ['m/1'], ['x']),
+    demandOf({}),
+    'drain a>m/1, tooFewLive',
+  ],
+  [
+    'an emptied replica loads',
+    viewOf(
+      [
+        {...replica('a', 'm/1', 0, {role: 'decode'}), ...draining},
+        replica('b', 'm/1', 3),
+      ],
+      ['m/2'],
+    ),
+    demandOf({m: 3}),
+    'load a>m/2, tooFewLive',
+  ],
+  [
+    'a replica with requests is waited for',
+    viewOf(
+      [
+        {...replica('a', 'm/1', 1, {role: 'decode'}), ...draining},
+        replica('b', 'm/1', 3),
+      ],
+      ['m/2'],
+    ),
+    demandOf({m: 4}),
+    'tooFewLive',
+  ],
+  [
+    'a change is taken back: the replica serves again',
+    viewOf(
+      [replica('a', 'm/1', 0, {role: 'decode'}), replica('b', 'm/1')],
+      ['m/1'],
+    ),
+    demandOf({}),
+    'restore a>m/1',
+  ],
+  [
+    'orders half done are done again at once',
+    viewOf(
+      [
+        {
+          group: 'a',
+          engines: [
+            replica('a', 'm/2').engines[0]!,
+            replica('a', 'm/1').engines[1]!,
+          ],
+        },
+        replica('b', 'm/2'),
+      ],
+      ['m/2'],
+    ),
+    demandOf({}),
+    'load a>m/2',
+  ],
+  [
+    'the weight store is busy with another',
+    viewOf(
+      [
+        replica('a', 'n/1', 0, {loading: true}),
+        {...replica('b', 'm/1', 0, {role: 'decode'}), ...draining},
+        replica('c', 'm/2'),
+        replica('d', 'n/1'),
+      ],
+      ['m/2', 'n/1'],
+    ),
+    demandOf({}),
+    'weightStoreBusy',
+  ],
+  [
+    'a model without replicas gets one',
+    viewOf(three('m/1'), ['m/1', 'n/1']),
+    demandOf({m: 2}),
+    'drain a>n/1, othersChange',
+  ],
+  [
+    'load that was not observed for long moves nothing',
+    viewOf(three('m/1'), ['m/1', 'n/1']),
+    demandOf({m: 2}, 1_000),
+    '',
+  ],
+  [
+    'a loaded model gets a replica of an idle one',
+    viewOf([...three('m/1'), replica('d', 'n/1', 8)], ['m/1', 'n/1']),
+    demandOf({n: 8}),
+    'drain a>n/1, othersChange',
+  ],
+  [
+    'a gain smaller than the cost moves nothing',
+    {
+      ...viewOf([...three('m/1'), replica('d', 'n/1', 8)], ['m/1', 'n/1']),
+      share: 1e-4,
+    },
+    demandOf({n: 8}),
+    'costsMoreThanGain',
+  ],
+  [
+    'a model that is no longer stated gives its replicas up',
+    viewOf([replica('a', 'old/1'), replica('b', 'm/1')], ['m/1']),
+    demandOf({}),
+    'drain a>m/1',
+  ],
+  [
+    'engines out of reach for long leave their layers to the others',
+    viewOf(
+      [
+        {
+          ...replica('a', 'm/1'),
+          engines: replica('a', 'm/1').engines.map((engine, stage) => ({
+            ...engine,
+            reachable: stage === 0,
+          })),
+          incompleteSince: NOW - 121_000,
+        },
+        replica('b', 'm/1'),
+      ],
+      ['m/1'],
+    ),
+    demandOf({}),
+    'load a>m/1',
+  ],
+];
+
+it.each(cases)('%s', (_, view, demand, expected) => {
+  const manifests = manifestsOf(view);
+  const plan = planPlacement(view, demand, manifests, NOW);
+  expect(summary(plan)).toBe(expected);
+  expect(planPlacement(view, demand, manifests, NOW)).toEqual(plan);
+  expect(summary(planPlacement(view, demand, new Map(), NOW))).not.toContain(
+    'load',
+  );
+});
+
+const speeds = fastCheck.array(
+  fastCheck.double({min: 1, max: 30, noNaN: true}),
+  {
+    minLength: 1,
+    maxLength: 5,
+  },
+);
+
+it('splits layers without gap or overlap, in bounds of what engines held', () => {
+  fastCheck.assert(
+    fastCheck.property(
+      speeds,
+      fastCheck.integer({min: 1, max: 40}),
+      (decode, layerCount) => {
+        const [engine] = replica('a', 'm/1').engines;
+        const reports = decode.map(decodeMilliseconds => ({
+          ...engine!.report!,
+          decodeMilliseconds,
+        }));
+        const ranges = splitLayers(reports, layerCount);
+        const fits =
+          layerCount >= decode.length && layerCount <= decode.length * 8;
+        expect(ranges !== undefined).toBe(fits);
+        expect(ranges === undefined || coversOnce(ranges, layerCount)).toBe(
+          true,
+        );
+        expect(ranges?.every(({from, to}) => to - from <= 8) ?? true).toBe(
+          true,
+        );
+      },
+    ),
+  );
+});
+
+const holding = fastCheck.constantFrom('m/1', 'm/2', 'n/1', 'old/1');
+const worldArbitrary = fastCheck.record({
+  replicas: fastCheck.array(
+    fastCheck.tuple(holding, fastCheck.integer({min: 0, max: 8})),
+    {minLength: 1, maxLength: 12},
+  ),
+  stated: fastCheck.constantFrom(['m/2'], ['m/2', 'n/1'], ['n/1', 'm/1']),
+});
+
+/** Carries a plan out; orders take effect at once. */
+function carryOut(
+  replicas: readonly ReplicaView[],
+  plan: PlacementPlan,
+): readonly ReplicaView[] {
+  return replicas.map(view => {
+    const change = plan.changes.find(one => one.group === view.group);
+    if (change === undefined) {
+      return view;
+    }
+    const isDrain = change.kind === 'drain';
+    return {
+      group: view.group,
+      intent: isDrain ? change.to : undefined,
+      drainingSince: isDrain ? NOW - 60_000 : undefined,
+      engines: view.engines.map((engine, index) => ({
+        ...engine,
+        report: {
+          ...engine.report!,
+          ...change.targets[index]!.desired,
+          residentSequences: 0,
+        },
+      })),
+    };
+  });
+}
+
+it('comes to rest, and no model that was served is ever without a live replica', () => {
+  fastCheck.assert(
+    fastCheck.property(worldArbitrary, ({replicas, stated}) => {
+      let views: readonly ReplicaView[] = replicas.map(
+        ([holds, occupied], index) => replica(`g${index}`, holds, occupied),
+      );
+      const sequences: Record<string, number> = {};
+      for (const [holds, occupied] of replicas) {
+        const model = holds.split('/')[0]!;
+        sequences[model] = (sequences[model] ?? 0) + occupied;
+      }
+      const served = (model: string, models: PlacementView['models']) =>
+        views.some(view => {
+          const state = stateOf(view, models);
+          return state.kind === 'live' && state.model === model;
+        });
+      for (let round = 0; ; round++) {
+        const view = viewOf(views, stated);
+        const models = Object.keys(view.models);
+        const before = models.filter(name => served(name, view.models));
+        const manifests = manifestsOf(view);
+        const plan = planPlacement(view, demandOf(sequences), manifests, NOW);
+        if (plan.changes.length === 0) {
+          return;
+        }
+        expect(round).toBeLessThan(4 * views.length + 4);
+        const changed = plan.changes.map(({group}) => group);
+        expect(new Set(changed).size).toBe(changed.length);
+        views = carryOut(views, plan);
+        expect(models.filter(name => served(name, view.models))).toEqual(
+          expect.arrayContaining(before),
+        );
+      }
+    }),
+    {numRuns: 400},
+  );
+});
--- /dev/null
+++ b/src/features/placement/test/tableLease.test.ts
@@ -0,0 +1,148 @@
+import * as fastCheck from 'fast-check';
+import {expect, it} from 'vitest';
+
+import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {
+  InMemoryPlatform,
+  PlatformFault,
+} from '../../../../test/support/inMemoryPlatform.js';
+import {neverCancelled} from '../../../base/common/cancellation.js';
+import {LeaseRecord} from '../common/leaseRecord.js';
+import {defaultLeaseSettings, TableLease} from '../common/tableLease.js';
+
+const KEY = 'lease';
+const {durationMilliseconds: DURATION} = defaultLeaseSettings;
+const STEP = 5_000;
+
+/** Several processes that compete for one row. */
+class LeaseWorld {
+  readonly clock = new FakeClock();
+  readonly platform = new InMemoryPlatform(this.clock);
+  readonly leases: readonly TableLease[];
+  private readonly calls: Array<Promise<void> | undefined> = [];
+  private nonces = 0;
+
+  constructor(count: number) {
+    this.leases = Array.from({length: count}, (_, index) => {
+      const {table} = this.platform.portsOf(`p${index}`);
+      const nonce = () => `n${this.nonces++}`;
+      return new TableLease(KEY, `p${index}`, table, this.clock, nonce);
+    });
+  }
+
+  /** Lets time pass after some processes took their next step, one call at a time each. */
+  async pass(milliseconds: number, ...indices: readonly number[]) {
+    for (const index of indices) {
+      this.calls[index] ??= this.leases[index]!.advance(neverCancelled).finally(
+        () => (this.calls[index] = undefined),
+      );
+    }
+    await this.clock.advanceAsync(milliseconds);
+  }
+
+  get row(): LeaseRecord | undefined {
+    const [row] = this.platform.rows.read([KEY]);
+    return row && (JSON.parse(row.value) as LeaseRecord);
+  }
+
+  /** Which processes may act now. */
+  get acting(): readonly number[] {
+    return [...this.leases.keys()].filter(i => this.leases[i]!.permits(0));
+  }
+}
+
+/** What strikes the first or the second write of process 0; it holds the lease two steps later all the same. */
+const lostWrites: ReadonlyArray<readonly [PlatformFault, number]> = [
+  [{kind: 'answerLost'}, 0],
+  [{kind: 'requestLost'}, 0],
+  [{kind: 'slow', milliseconds: 3_000}, 0],
+  [{kind: 'answerLost'}, 1],
+  [{kind: 'requestLost'}, 1],
+  [{kind: 'slow', milliseconds: 3_000}, 1],
+  [{kind: 'down'}, 1],
+  [{kind: 'rateLimited', retryAfterMilliseconds: 100}, 1],
+];
+
+it.each(lostWrites)('reads back after %o at write %i', async (fault, write) => {
+  const world = new LeaseWorld(1);
+  for (let done = 0; done < write; done++) {
+    await world.pass(STEP, 0);
+  }
+  world.platform.addFault(fault, {access: 'write', times: 1});
+  await world.pass(STEP, 0);
+  expect(world.acting).toEqual([]);
+  await world.pass(STEP, 0);
+  expect([world.acting, world.leases[0]!.fencing]).toEqual([[0], 1]);
+});
+
+it('is not acted on after a pause, and the next holder has a higher number', async () => {
+  const world = new LeaseWorld(2);
+  await world.pass(STEP, 0);
+  await world.pass(STEP, 0, 1);
+  world.clock.pause(DURATION);
+  expect(world.acting).toEqual([]);
+  await world.pass(0, 1);
+  expect([world.acting, world.leases[1]!.fencing]).toEqual([[1], 2]);
+  await world.pass(STEP, 0);
+  expect(world.leases[0]!.state).toBe('idle');
+});
+
+it('passes on at once when released, and above a number that an engine has seen', async () => {
+  const world = new LeaseWorld(2);
+  await world.pass(STEP, 0, 1);
+  await world.leases[0]!.release(neverCancelled);
+  await world.pass(STEP, 1);
+  expect([world.acting, world.leases[1]!.fencing]).toEqual([[1], 2]);
+  await world.leases[1]!.supersededBy(7, neverCancelled);
+  expect(world.acting).toEqual([]);
+  for (let waited = 0; waited < DURATION + 3 * STEP; waited += STEP) {
+    await world.pass(STEP, 1);
+  }
+  expect(world.leases[1]!.fencing).toBe(8);
+});
+
+const fault = fastCheck.constantFrom<PlatformFault>(
+  {kind: 'answerLost'},
+  {kind: 'requestLost'},
+  {kind: 'down'},
+  {kind: 'slow', milliseconds: 500},
+  {kind: 'slow', milliseconds: 12_000},
+);
+const process = fastCheck.integer({min: 0, max: 2});
+const step = fastCheck.record({
+  milliseconds: fastCheck.constantFrom(0, 100, 2_500, 7_500, DURATION),
+  advancing: fastCheck.uniqueArray(process),
+  faults: fastCheck.array(fastCheck.tuple(process, fault), {maxLength: 2}),
+  released: fastCheck.option(process, {freq: 12}),
+});
+
+it('never lets two act, whatever is lost, late or paused', async () => {
+  await fastCheck.assert(
+    fastCheck.asyncProperty(
+      fastCheck.array(step, {minLength: 5, maxLength: 30}),
+      async steps => {
+        const world = new LeaseWorld(3);
+        let highest = 0;
+        for (const {milliseconds, advancing, faults, released} of steps) {
+          for (const [index, kind] of faults) {
+            const scope = {instance: `p${index}`, times: 1};
+            world.platform.addFault(kind, scope);
+          }
+          await world.pass(milliseconds, ...advancing);
+          if (released !== null && released !== undefined) {
+            void world.leases[released]!.release(neverCancelled);
+          }
+          const {acting, row} = world;
+          expect(acting.length).toBeLessThanOrEqual(1);
+          for (const index of acting) {
+            const {fencing} = world.leases[index]!;
+            expect([row?.holder, row?.fencing]).toEqual([`p${index}`, fencing]);
+            expect(fencing).toBeGreaterThanOrEqual(highest);
+            highest = fencing!;
+          }
+        }
+      },
+    ),
+    {numRuns: 400},
+  );
+});
