Launcher: a build outside the repository is an error, not an endless loop

Cause: a copy of dist elsewhere looked for the root for ever (stack of a process at full load). Change: the search ends at the file system's root with an error.

--- a/test/support/managedProcess.ts
+++ b/test/support/managedProcess.ts
@@ -11,7 +11,11 @@
 export function repositoryRoot(): string {
   let directory = dirname(fileURLToPath(import.meta.url));
   while (!existsSync(join(directory, 'package-lock.json'))) {
-    directory = dirname(directory);
+    const parent = dirname(directory);
+    if (parent === directory) {
+      throw new Error('no tsconfig.json above the build');
+    }
+    directory = parent;
   }
   return directory;
 }
