Plain keys: another instance hears 'running' while an end without a run is being recorded

Cause: it heard 'unknown', and its caller was told 409 without a time to come back, though the key could be run again as soon as the record stood. Ruled out: answering the coming outcome early (the record may fail and the key stay occupied).

--- a/src/features/claims/common/plainClaims.ts
+++ b/src/features/claims/common/plainClaims.ts
@@ -104,6 +104,13 @@
     return true;
   }
 
+  /** What another instance is told of a key: one that is decided or closed soon is worth asking for again. */
+  answerOf(keyHash: string): RequestOutcome | undefined {
+    return this.active.has(keyHash)
+      ? {kind: 'running'}
+      : this.ended.get(keyHash);
+  }
+
   /** What is known here of a key; undefined when nothing is. */
   outcomeOf(keyHash: string): RequestOutcome | undefined {
     switch (this.active.get(keyHash)?.kind) {
--- a/src/features/claims/node/defaultClaimService.ts
+++ b/src/features/claims/node/defaultClaimService.ts
@@ -173,7 +173,7 @@
       return {kind: 'otherIncarnation'};
     }
     if (grantExpiresAt === undefined) {
-      const outcome = this.plain.outcomeOf(keyHash);
+      const outcome = this.plain.answerOf(keyHash);
       return outcome ? {kind: 'seen', outcome} : {kind: 'forgotten'};
     }
     return this.bound.answer(keyHash, grantExpiresAt);
--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -216,6 +216,20 @@
     expect((await claim(world, 0, 'order')).kind).toBe('duplicate');
   });
 
+  test('whose end without a run is still being recorded can be asked for again later', async () => {
+    const world = newWorld(2);
+    await claim(world, 0, 'order');
+    world.platform.addFault({kind: 'down'}, {part: 'table', instance: 'slot0'});
+    world.slots[0]!.service.complete(ACCOUNT, 'order', notRun);
+    expect(await claim(world, 1, 'order')).toEqual({
+      kind: 'duplicate',
+      outcome: {kind: 'running'},
+    });
+    world.platform.clearFaults();
+    await world.advance(500);
+    expect(await claim(world, 1, 'order')).toEqual({kind: 'granted'});
+  });
+
   test('a reply over the limit is recorded as run, not cut', async () => {
     const world = newWorld(2, {...testSettings, recordedBodyLimit: 3});
     await claim(world, 0, 'order');
--- a/test/prove/follower.ts
+++ b/test/prove/follower.ts
@@ -1,5 +1,6 @@
 import {RandomSource} from '../../src/base/common/randomSource.js';
 import {sleep} from '../support/sleep.js';
+import {AddressBook} from './addressBook.js';
 import {Answer, Submission, Work} from './observations.js';
 import {Entrypoints, ProofCaller} from './proofCaller.js';
 
@@ -39,8 +40,7 @@
   constructor(
     private readonly caller: ProofCaller,
     private readonly work: Work,
-    /** All caller addresses that an old answer named. */
-    private readonly addresses: readonly string[],
+    private readonly book: Pick<AddressBook, 'addresses' | 'current'>,
     private readonly random: RandomSource,
     private readonly options: FollowerOptions = defaultFollowerOptions,
   ) {}
@@ -51,9 +51,9 @@
   }
 
   /** Goes on until the work is done or its patience ends; answers whether it is done. */
-  async run(entrypoints: Entrypoints | undefined): Promise<boolean> {
+  async run(): Promise<boolean> {
     const end = Date.now() + this.options.patienceMilliseconds;
-    let target = this.firstTarget(entrypoints);
+    let target = this.firstTarget(await this.book.current());
     while (Date.now() < end) {
       const answer = await this.submitPerhapsTwice(target);
       if (answer.end === 'whole') {
@@ -127,6 +127,7 @@
   }
 
   private async nextTarget(target: Target, answer: Answer): Promise<Target> {
+    await this.book.current();
     const address = answer.addresses[0] ?? this.anyAddress();
     const mayChangeKey =
       answer.executed === 'no' ||
@@ -170,7 +171,8 @@
   }
 
   private anyAddress(): string {
-    return this.addresses[this.random.nextInteger(this.addresses.length)]!;
+    const {addresses} = this.book;
+    return addresses[this.random.nextInteger(addresses.length)]!;
   }
 }
 
--- a/test/prove/proofRounds.ts
+++ b/test/prove/proofRounds.ts
@@ -70,14 +70,9 @@
     };
     const faults = this.chooseFaults(random, records);
     const entrypoints = await this.askAll();
-    const followers = this.makeFollowers(random, round);
+    const followers = this.makeFollowers(random, round, entrypoints);
     const before = this.submissions.length;
-    const undone = await this.strikeUnderLoad(
-      random,
-      faults,
-      followers,
-      entrypoints,
-    );
+    const undone = await this.strikeUnderLoad(random, faults, followers);
     await this.lookUpUndone(random, undone);
     followers.forEach(({submissions}) => this.submissions.push(...submissions));
     this.noteStop(faults, records, undone);
@@ -121,13 +116,17 @@
   private makeFollowers(
     random: RandomSource,
     round: number,
+    entrypoints: ReadonlyArray<Entrypoints | undefined>,
   ): readonly Follower[] {
     const count = FEWEST_WORKS + random.nextInteger(WORK_SPREAD);
     return Array.from({length: count}, (_, number) => {
       const work = randomWork(random, round, number);
       const seed = this.seed * ROUND_PRIME + round * WORK_PRIME + number;
       const own = new SeededRandomSource(seed);
-      return new Follower(this.caller, work, this.addresses, own);
+      const kept = entrypoints[number % entrypoints.length];
+      const {addresses} = this;
+      const book = {addresses, current: () => Promise.resolve(kept)};
+      return new Follower(this.caller, work, book, own);
     });
   }
 
@@ -136,7 +135,6 @@
     random: RandomSource,
     faults: readonly ChosenFault[],
     followers: readonly Follower[],
-    entrypoints: ReadonlyArray<Entrypoints | undefined>,
   ): Promise<readonly Follower[]> {
     const duration = Math.max(...faults.map(({milliseconds}) => milliseconds));
     const sampling = this.sampleWhile(sleep(duration));
@@ -144,10 +142,9 @@
       await sleep(random.nextInteger(Math.min(duration, 500) / 2));
       await fault.strike();
     });
-    const running = followers.map(async (follower, index) => {
+    const running = followers.map(async follower => {
       await sleep(random.nextInteger(duration));
-      const kept = entrypoints[index % entrypoints.length];
-      return (await follower.run(kept)) ? undefined : follower;
+      return (await follower.run()) ? undefined : follower;
     });
     await Promise.all(striking);
     await sleep(duration);
