A stop answers what comes on kept connections

Cause: at the end of a drain all connections were cut; a request just written to a kept connection got no answer, and a key bound to the leaving incarnation then stays unknown for good. Ruled out: closing idle connections earlier (the same race, earlier). Change: a stop goes on refusing until no connection is open (3.5 s at most from its start), then stops listening, then closes; idle connections end after 3 s and callers are told so.

--- a/src/features/callers/node/callerServer.ts
+++ b/src/features/callers/node/callerServer.ts
@@ -8,6 +8,7 @@
 import {CallerResponse} from './callerResponse.js';
 import {CallerServices} from './callerServices.js';
 import {ChatHandler} from './chatHandler.js';
+import {OpenConnections} from './openConnections.js';
 import {QueryHandlers} from './queryHandlers.js';
 import {RequestExchange} from './requestExchange.js';
 import {ServiceHandler} from './serviceHandler.js';
@@ -18,6 +19,12 @@
 /** Milliseconds for a caller to send the headers. */
 const HEADERS_LIMIT_MILLISECONDS = 10000;
 
+/** Milliseconds for which an idle connection stays open; callers are told whole seconds of it. */
+const KEEP_ALIVE_MILLISECONDS = 3000;
+
+/** Milliseconds of a stop in which callers may still use the connections that they kept. */
+const STOP_MILLISECONDS = KEEP_ALIVE_MILLISECONDS + 500;
+
 /** Open connections for each request that may be in progress. */
 const CONNECTIONS_PER_REQUEST = 4;
 
@@ -31,15 +38,18 @@
 export class CallerServer {
   private readonly running = new Set<RequestExchange>();
   private readonly server: Server;
+  private readonly connections: OpenConnections;
 
   constructor(private readonly services: CallerServices) {
     this.server = createServer({
       requestTimeout: REQUEST_LIMIT_MILLISECONDS,
       headersTimeout: HEADERS_LIMIT_MILLISECONDS,
+      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
     });
     const {concurrentRequestLimit} = services.settings;
     this.server.maxConnections =
       concurrentRequestLimit * CONNECTIONS_PER_REQUEST;
+    this.connections = new OpenConnections(this.server);
     this.addRoutes();
   }
 
@@ -58,10 +68,12 @@
 
   /**
    * Refuses new work, waits for requests in progress up to a limit, gives up what is left and
-   * closes. Resolves with the number of requests that were given up.
+   * closes. Kept connections are closed only when a caller wouldn't use them any more: a request
+   * cut off unanswered leaves open whether it ran. Resolves with the number of requests given up.
    */
   async drain(limitMilliseconds: number): Promise<number> {
     const {clock, gate} = this.services;
+    const stopAt = clock.monotonicMilliseconds() + STOP_MILLISECONDS;
     const idle = gate.drain();
     await settledWithin(idle, limitMilliseconds, clock);
     const givenUp = gate.count;
@@ -71,6 +83,11 @@
     if (givenUp > 0) {
       await settledWithin(idle, LAST_ANSWER_MILLISECONDS, clock);
     }
+    const left = Math.max(0, stopAt - clock.monotonicMilliseconds());
+    await settledWithin(this.connections.whenNone(), left, clock);
+    this.connections.stopListening();
+    const unused = this.connections.whenNone();
+    await settledWithin(unused, LAST_ANSWER_MILLISECONDS, clock);
     await this.close();
     return givenUp;
   }
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {connect} from 'node:net';
 
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
@@ -545,6 +546,21 @@
     expect(await drained).toBe(0);
   });
 
+  test('a request sent on a kept connection while the instance stops is answered', async () => {
+    const socket = connect(fixture.port, '127.0.0.1');
+    const texts: string[] = [];
+    socket.setEncoding('utf8').on('data', text => texts.push(String(text)));
+    const ask = () =>
+      socket.write('GET /v1/health HTTP/1.1\r\nHost: callers\r\n\r\n');
+    ask();
+    await expect.poll(() => texts.join('')).toContain('"serving":true');
+    const drained = fixture.server.drain(60_000);
+    ask();
+    await once(socket, 'close');
+    expect(texts.join('')).toContain('"leaving":true');
+    expect(await drained).toBe(0);
+  });
+
   test('a stop with nothing in progress leaves no timer that would hold the process', async () => {
     const clock = new CountingClock();
     const idle = await new CallerFixture(clock).start();
