--- a/test/prove/main.ts
+++ b/test/prove/main.ts
@@ -69,6 +69,7 @@
   }
   result.print('at the end', rounds.checkAll());
   result.requests = rounds.requestCount;
+  console.log(JSON.stringify({witnesses: rounds.witnesses()}));
   await rounds.close();
   return end - first;
 }
--- a/test/prove/proofRounds.ts
+++ b/test/prove/proofRounds.ts
@@ -59,6 +59,32 @@
     return this.submissions.filter(({kind}) => kind === 'work').length;
   }
 
+  /** How much there was to check: answers by their end, keys, rebuilds, changes. */
+  witnesses(): Readonly<Record<string, number>> {
+    const ended = (end: string) =>
+      this.submissions.filter(({answer}) => answer.end === end).length;
+    const told = (executed: string) =>
+      this.submissions.filter(({answer}) => answer.executed === executed)
+        .length;
+    const {index} = this.ledgers;
+    const rebuilt = index.requestIds.filter(
+      id => new Set(index.steps(id).map(({epoch}) => epoch)).size > 1,
+    );
+    return {
+      whole: ended('whole'),
+      cut: ended('cut'),
+      unreachable: ended('unreachable'),
+      toldNotRun: told('no'),
+      toldUnknown: told('unknown'),
+      toldRun: told('yes'),
+      requestsInLedgers: index.requestIds.length,
+      requestsOfSeveralEpochs: rebuilt.length,
+      acceptedChanges: this.operators.evidence.accepted.length,
+      plannedStopsAlone: this.stops.length,
+      leavingUpstreams: this.windows.length,
+    };
+  }
+
   /** Runs one round; the faults are gone when it resolves. */
   async run(round: number): Promise<RoundReport> {
     const random = new SeededRandomSource(this.seed * ROUND_PRIME + round);
