State charts: each transition is interpreted once and kept

Cause: xstate builds an actor scope for every transition; the entry program's profile at 16 callers with 2-token replies had 608 of 3,854 ms of its callbacks in StateChart.next. Ruled out: calling xstate less often - the charts have 7 events a request already. Change: steps are kept by state and event (a chart has no context, so nothing else decides them).

--- a/src/platform/stateChart/common/stateChart.ts
+++ b/src/platform/stateChart/common/stateChart.ts
@@ -29,26 +29,42 @@
   readonly handled: boolean;
 }
 
-/** A chart made ready; holds no current state of its own. */
+/**
+ * A chart made ready; holds no current state of its own. A transition depends on the state and the event
+ * alone, so each is interpreted once and kept; there are no more than the chart's states times its events.
+ */
 export class StateChart<
   State extends string,
   EventName extends string,
   Action extends string,
 > {
+  /** The state to start in. */
+  readonly initial: State;
   private readonly machine;
+  private readonly steps = new Map<
+    State,
+    Map<EventName, ChartStep<State, Action>>
+  >();
 
   constructor(readonly definition: ChartDefinition) {
     this.machine = createMachine(definition as never);
-  }
-
-  /** The state to start in. */
-  get initial(): State {
     const [snapshot] = initialTransition(this.machine);
-    return String(snapshot.value) as State;
+    this.initial = String(snapshot.value) as State;
   }
 
   /** Applies an event to a state. */
   next(state: State, event: EventName): ChartStep<State, Action> {
+    const known = this.steps.get(state)?.get(event);
+    if (known !== undefined) {
+      return known;
+    }
+    const step = this.interpret(state, event);
+    const ofState = this.steps.get(state) ?? new Map();
+    this.steps.set(state, ofState.set(event, step));
+    return step;
+  }
+
+  private interpret(state: State, event: EventName): ChartStep<State, Action> {
     const handled = this.definition.states[state]?.on?.[event] !== undefined;
     const snapshot = this.machine.resolveState({
       value: state,
