--- a/measure/overhead.ts
+++ b/measure/overhead.ts
@@ -68,7 +68,7 @@
 
 const CONCURRENCIES = [1, 8, 32, 64];
 /** Output tokens of the requests of a round; the rounds differ so that a request's cost shows beside a token's. */
-const OUTPUT_TOKENS = [16, 4, 16];
+const OUTPUT_TOKENS = [12, 32, 12];
 const PROMPT_TOKENS = 16;
 const IDLE_MILLISECONDS = 1500;
 /** Longest pause before a request; without it all requests of a round would start together. */
@@ -76,12 +76,13 @@
 
 const SYSTEM: Partial<SystemOptions> = {
   instances: 1,
-  replicas: 4,
+  // One pipeline, so that both sides load the same engines alike.
+  replicas: 1,
   stagesPerReplica: 2,
   accelerators: [
-    {kind: 'even', decodeMilliseconds: 15, prefillMillisecondsPerToken: 0.5},
+    {kind: 'even', decodeMilliseconds: 20, prefillMillisecondsPerToken: 0.5},
   ],
-  sequenceLimit: 32,
+  sequenceLimit: 128,
   enginesPerProcess: 1,
   services: [],
   ledgerFiles: false,
@@ -93,7 +94,7 @@
   name: 'even',
   requestsPerSecond: 500,
   promptTokens: PROMPT_TOKENS,
-  outputTokens: 16,
+  outputTokens: 12,
   firstTokenMilliseconds: 2000,
   betweenTokensMilliseconds: 300,
   deadlineMilliseconds: 10000,
