--- a/measure/main.ts
+++ b/measure/main.ts
@@ -1,13 +1,14 @@
 import {parseArgs} from 'node:util';
 
 import {measureOverhead} from './overhead.js';
+import {measureRecovery} from './recovery.js';
 import {measureThroughput} from './throughput.js';
 
 /** Runs one measure and prints its figures as one JSON line, the last line of its output. */
 
 const DEFAULT_SEED = 20261202;
 const USAGE =
-  'usage: npm run measure -- (throughput|overhead) [--seed N] [--seconds N] [--loads 0.8,1]';
+  'usage: npm run measure -- (throughput|overhead|recovery) [--seed N] [--seconds N] [--loads 0.8,1]';
 
 interface MeasureOptions {
   readonly seed: number;
@@ -24,6 +25,7 @@
 const measures: Readonly<Record<string, Measure>> = {
   throughput: {run: measureThroughput, seconds: 5},
   overhead: {run: measureOverhead, seconds: 1.5},
+  recovery: {run: measureRecovery, seconds: 4},
 };
 
 async function main(): Promise<number> {
