--- a/src/features/pipeline/node/capacityClient.ts
+++ b/src/features/pipeline/node/capacityClient.ts
@@ -55,7 +55,7 @@
     return this.ask(cause, excluded, () =>
       broker.replan(
         reservation,
-        this.work(),
+        {...this.work(), inProgress: true},
         this.request.model.name,
         excluded,
         state.token.signal,
@@ -80,6 +80,7 @@
       this.expectedTokens,
       this.state.released,
       this.dependencies.clock.monotonicMilliseconds(),
+      this.state.reservation?.stages[0]?.version,
     );
   }
 
--- a/src/features/routing/common/cellSchemas.ts
+++ b/src/features/routing/common/cellSchemas.ts
@@ -32,10 +32,12 @@
     outputTokens: z.number(),
     prefixKey: z.string().optional(),
     prefixTokens: z.number().optional(),
+    version: z.string().optional(),
     firstTokenWithin: z.number(),
     betweenTokensTarget: z.number(),
     deadlineWithin: z.number(),
     priority: z.number(),
+    inProgress: z.boolean().optional(),
   })
   .transform(({adapter, prefixKey, ...rest}) => ({
     ...rest,
--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -31,6 +31,7 @@
   decodeActivation,
   embed,
   encodeActivation,
+  isReplyToken,
   LayerCache,
   planReply,
   remainingTokens,
@@ -81,6 +82,7 @@
 const NO_EPOCH = -1;
 const OVERLOAD_RETRY_MILLISECONDS = 500;
 const HEX_DIGITS = 8;
+const KEY_WORD = '[key:';
 
 /** One incarnation of a model engine; dies for good, a new one takes its place. */
 export class Engine extends DisposableOwner {
@@ -467,6 +469,7 @@
       sequence.caches.set(layer, [...cache]);
     }
     sequence.tokens.splice(0, sequence.tokens.length, ...content.tokens);
+    sequence.plan = undefined;
     this.write({kind: 'imported', requestId, epoch});
     return success({from: 0, to: sequence.coveredTo(this.holding.layers)});
   }
@@ -585,9 +588,14 @@
     const count = positions.to - positions.from;
     return decodeActivation(input.data, count)?.remaining ?? 0;
   }
-  const {tokens} = sequence;
+  const {tokens, plan} = sequence;
   tokens.splice(positions.from, tokens.length, ...input.tokens);
-  return remainingTokens(planReply(tokens), positions.to);
+  const planHolds =
+    plan !== undefined &&
+    positions.from >= plan.promptLength &&
+    input.tokens.every(isReplyToken);
+  sequence.plan = planHolds ? plan : planReply(tokens);
+  return remainingTokens(sequence.plan, positions.to);
 }
 
 /** Undefined when the input does not fit the step. */
@@ -618,7 +626,16 @@
 
 function ledgerFields(step: StepRequest) {
   const {requestId, epoch, layers, positions, rebuild, version} = step;
-  return {requestId, epoch, layers, positions, rebuild, version};
+  const key = businessKey(step);
+  return {requestId, epoch, layers, positions, rebuild, version, key};
+}
+
+function businessKey(step: StepRequest): string | undefined {
+  if (step.input.kind !== 'tokens') {
+    return undefined;
+  }
+  const word = step.input.tokens.find(token => token.startsWith(KEY_WORD));
+  return word?.slice(KEY_WORD.length, -1);
 }
 
 /** Waits for the compute time; what a timer overshoots is taken off the sequence's next one. */
