--- a/measure/main.ts
+++ b/measure/main.ts
@@ -1,5 +1,6 @@
 import {parseArgs} from 'node:util';
 
+import {measureControl} from './control.js';
 import {measureOverhead} from './overhead.js';
 import {measureRecovery} from './recovery.js';
 import {measureThroughput} from './throughput.js';
@@ -8,7 +9,7 @@
 
 const DEFAULT_SEED = 20261202;
 const USAGE =
-  'usage: npm run measure -- (throughput|overhead|recovery) [--seed N] [--seconds N] [--loads 0.8,1]';
+  'usage: npm run measure -- (throughput|overhead|recovery|control) [--seed N] [--seconds N] [--loads 0.8,1]';
 
 interface MeasureOptions {
   readonly seed: number;
@@ -26,6 +27,7 @@
   throughput: {run: measureThroughput, seconds: 5},
   overhead: {run: measureOverhead, seconds: 1.5},
   recovery: {run: measureRecovery, seconds: 4},
+  control: {run: measureControl, seconds: 2.2},
 };
 
 async function main(): Promise<number> {
