Routing: tests of versions side by side; orders checked after a wake one by one

Change: what waits in a paused process comes one by one; a case for late confirmations; cases for versions in the broker.

--- a/src/features/placement/test/placementController.test.ts
+++ b/src/features/placement/test/placementController.test.ts
@@ -48,7 +48,7 @@
   await world.pass(5_000);
   expect(world.taken.length).toBeGreaterThan(0);
   await world.pass(60_000);
-  holder.clock.resume();
+  await holder.clock.resume();
   await world.passUntilRolledOut();
   expect(world.isRolledOut).toBe(true);
   expect(world.fewestServing).toBeGreaterThanOrEqual(1);
@@ -85,10 +85,10 @@
   index: fastCheck.integer({min: 0, max: 1}),
 });
 
-function strike(
+async function strike(
   seen: PlacementWorld,
   {kind, index}: {readonly kind: string; readonly index: number},
-): void {
+): Promise<void> {
   const {clock, name, orderFaults: faults} = seen.processes[index]!;
   switch (kind) {
     case 'pause':
@@ -123,13 +123,13 @@
         await seen.pass(12_000);
         seen.version = '2';
         for (const one of happenings) {
-          strike(seen, one);
+          await strike(seen, one);
           await seen.pass(one.milliseconds);
         }
         seen.platform.clearFaults();
         for (const {clock, orderFaults: faults} of seen.processes) {
           faults.length = 0;
-          clock.resume();
+          await clock.resume();
         }
         await seen.passUntilRolledOut();
         await seen.stop();
--- a/src/features/placement/test/placementWorld.ts
+++ b/src/features/placement/test/placementWorld.ts
@@ -16,7 +16,7 @@
 import {SilentLogger} from '../../../platform/logging/common/logger.js';
 import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
 import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
-import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {FakeClock, settle} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
 import {Configuration} from '../../configuration/common/configuration.js';
 import {PlacementController} from '../common/placementController.js';
@@ -51,10 +51,14 @@
     this.waiting ??= [];
   }
 
-  resume(): void {
+  /** What waits comes in its order, with all that follows from each before the next. */
+  async resume(): Promise<void> {
     const {waiting = []} = this;
     this.waiting = undefined;
-    waiting.forEach(callback => callback());
+    for (const callback of waiting) {
+      callback();
+      await settle();
+    }
   }
 
   whenAwake(callback: () => void): void {
@@ -283,7 +287,7 @@
 
   async stop(): Promise<void> {
     for (const {controller, clock} of this.processes) {
-      clock.resume();
+      await clock.resume();
       await controller.stop();
     }
   }
--- a/src/features/placement/test/tableLease.test.ts
+++ b/src/features/placement/test/tableLease.test.ts
@@ -87,6 +87,17 @@
   expect(world.leases[0]!.state).toBe('idle');
 });
 
+it('ends a duration after its write began, however late that was confirmed', async () => {
+  const world = new LeaseWorld(2);
+  world.platform.addFault({kind: 'answerLost'}, {access: 'write', times: 1});
+  await world.pass(100, 0);
+  await world.pass(25_000, 1);
+  await world.pass(5_500, 0);
+  expect(world.leases[0]!.state).toBe('held');
+  await world.pass(0, 1);
+  expect(world.acting).toEqual([1]);
+});
+
 it('passes on at once when released, and above a number that an engine has seen', async () => {
   const world = new LeaseWorld(2);
   await world.pass(STEP, 0, 1);
--- a/src/features/routing/test/capacityBroker.test.ts
+++ b/src/features/routing/test/capacityBroker.test.ts
@@ -169,6 +169,24 @@
   });
 });
 
+describe('while versions change', () => {
+  const cases = [
+    {name: 'the version before serves', began: undefined, served: '0'},
+    {name: 'a reply goes on with its version', began: '0', served: '0'},
+    {name: 'none takes over a reply of another', began: '1', served: undefined},
+  ];
+  test.each(cases)('$name', async ({began, served}) => {
+    await startBench([engines[0]!]);
+    bench.engines.set('e1', {version: '0'});
+    await bench.clock.advanceAsync(1300);
+    const work = {...workEstimate('r1'), version: began};
+    const broker = bench.broker(ownerOf());
+    const reply = await bench.complete(broker.reserve(work, 'm', signal));
+    const stages = reply.kind === 'reserved' ? reply.reservation.stages : [];
+    expect(stages[0]?.version).toBe(served);
+  });
+});
+
 describe('reservations', () => {
   test('of a full cell are refused with differing times to come back', async () => {
     await startBench([engines[0]!]);
