--- a/src/features/placement/common/placementController.ts
+++ b/src/features/placement/common/placementController.ts
@@ -7,23 +7,15 @@
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {EngineConnector} from '../../../platform/engine/common/engineConnection.js';
 import {Logger} from '../../../platform/logging/common/logger.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
 import {Metrics} from '../../../platform/metrics/common/metrics.js';
 import {TableService} from '../../../platform/table/common/tableService.js';
 import {WeightStore} from '../../../platform/weights/common/weightStore.js';
 import {RepeatingTask} from '../../membership/common/repeatingTask.js';
 import {SystemView} from '../../membership/common/systemView.js';
-import {DemandMeter} from './demandMeter.js';
-import {EngineWatch} from './engineWatch.js';
-import {replicasOf} from './dataCentreReplicas.js';
-import {ManifestCache} from './manifestCache.js';
 import {ORDER_MILLISECONDS, OrderSender, SendOutcome} from './orderSender.js';
-import {PlacementChange, PlacementPlan} from './placementPlan.js';
-import {planPlacement} from './planPlacement.js';
 import {PlacementLog} from './placementLog.js';
-import {PlacementView, ReplicaView} from './placementView.js';
-import {ReplicaMemory} from './replicaMemory.js';
-import {stateOf} from './replicaState.js';
+import {PlacementChange} from './placementPlan.js';
+import {PlacementSurvey} from './placementSurvey.js';
 import {defaultLeaseSettings, TableLease} from './tableLease.js';
 
 /** What placement of one data centre works with. */
@@ -45,23 +37,15 @@
 const LEASE_KEY_PREFIX = 'placement/lease/';
 const LEASE_STEPS = 4;
 const ROUND_MILLISECONDS = 1_000;
-/** Engines at rest asked in each round: about 0.75 KB/s, whatever the size of the data centre. */
-const RESTING_POLLS = 1;
-/** Engines of replicas that change, asked in each round at most. */
-const CHANGING_POLLS = 16;
-/** Reports that a change rests on may be this old. */
-const FRESH_MILLISECONDS = 5_000;
+/** A replica is left alone for so long after an order failed, or was refused. */
 const FAILED_MILLISECONDS = 10_000;
 const REFUSED_MILLISECONDS = 60_000;
 
 /** Holds the lease of one data centre's placement if it can, and carries the decisions out. */
 export class PlacementController extends DisposableOwner {
   private readonly lease: TableLease;
-  private readonly watch: EngineWatch;
-  private readonly memory: ReplicaMemory;
+  private readonly survey: PlacementSurvey;
   private readonly sender: OrderSender;
-  private readonly manifests: ManifestCache;
-  private readonly demand = new DemandMeter();
   private readonly log: PlacementLog;
   private readonly tasks: readonly RepeatingTask[];
   private leaseCalls: Promise<void> = Promise.resolve();
@@ -70,15 +54,14 @@
   constructor(private readonly parts: PlacementParts) {
     super();
     const {dataCentre, incarnation, clock, connector} = parts;
-    const {logger, metrics, table, nonce} = parts;
+    const {logger, metrics, table, weights, nonce} = parts;
     const key = `${LEASE_KEY_PREFIX}${dataCentre}`;
     this.lease = this.register(
       new TableLease(key, incarnation, table, clock, nonce),
     );
-    this.watch = new EngineWatch(connector, clock);
-    this.memory = new ReplicaMemory(this.watch);
-    this.sender = new OrderSender(this.lease, connector, this.watch, clock);
-    this.manifests = new ManifestCache(parts.weights, clock);
+    this.survey = new PlacementSurvey(dataCentre, connector, weights, clock);
+    const {watch} = this.survey;
+    this.sender = new OrderSender(this.lease, connector, watch, clock);
     this.log = new PlacementLog(dataCentre, logger, metrics);
     this.register(
       this.lease.onDidChange(state =>
@@ -129,21 +112,22 @@
 
   private async round(token: CancellationToken): Promise<void> {
     if (this.lease.state === 'idle' || this.lease.state === 'lost') {
-      this.forget();
+      this.survey.forget();
     }
     if (!this.mayAct()) {
       return;
     }
     const system = this.parts.view();
-    const groups = replicasOf(system.upstreams, this.parts.dataCentre);
-    this.watch.follow([...groups.values()].flat());
-    await this.manifests.refresh(
-      Object.values(system.configuration.models),
-      token,
-    );
-    await this.watch.poll(this.pollsOf(groups, system), token);
-    if (this.watch.isComplete) {
-      await this.decide(groups, system, token);
+    await this.survey.refresh(system, token);
+    if (!this.survey.isDue(system)) {
+      return;
+    }
+    const plan = this.survey.decide(system);
+    this.log.heldBack(plan.heldBack);
+    for (const change of plan.changes) {
+      if (await this.survey.isStillPlanned(change, system, token)) {
+        await this.carryOut(change, token);
+      }
     }
   }
 
@@ -156,91 +140,6 @@
     );
   }
 
-  private forget(): void {
-    this.watch.follow([]);
-    this.memory.reset();
-    this.demand.reset();
-  }
-
-  private pollsOf(
-    groups: ReadonlyMap<string, readonly UpstreamMember[]>,
-    system: SystemView,
-  ): readonly string[] {
-    const {models} = system.configuration;
-    const changing = this.replicas(groups, system)
-      .filter(view => isMoving(stateOf(view, models).kind))
-      .flatMap(view => view.engines.map(({member}) => member.id));
-    return [
-      ...changing.slice(0, CHANGING_POLLS),
-      ...this.watch.oldest(RESTING_POLLS),
-    ];
-  }
-
-  private async decide(
-    groups: ReadonlyMap<string, readonly UpstreamMember[]>,
-    system: SystemView,
-    token: CancellationToken,
-  ): Promise<void> {
-    this.observe(groups, system);
-    const plan = this.plan(groups, system);
-    this.log.heldBack(plan.heldBack);
-    for (const change of plan.changes) {
-      if (await this.isStillPlanned(change, groups, system, token)) {
-        await this.carryOut(change, token);
-      }
-    }
-  }
-
-  private observe(
-    groups: ReadonlyMap<string, readonly UpstreamMember[]>,
-    system: SystemView,
-  ): void {
-    const {models} = system.configuration;
-    const states = this.replicas(groups, system).map(view =>
-      stateOf(view, models),
-    );
-    this.demand.observe(states, this.now());
-  }
-
-  private plan(
-    groups: ReadonlyMap<string, readonly UpstreamMember[]>,
-    system: SystemView,
-  ): PlacementPlan {
-    const {models, classes} = system.configuration;
-    const replicas = this.replicas(groups, system);
-    const view: PlacementView = {
-      dataCentre: this.parts.dataCentre,
-      share: shareOf(replicas, system.upstreams),
-      models,
-      classes,
-      replicas,
-    };
-    const now = this.now();
-    const {manifests} = this.manifests;
-    return planPlacement(view, this.demand.demand(now), manifests, now);
-  }
-
-  /** Renews reports that are old, and decides again on them. */
-  private async isStillPlanned(
-    change: PlacementChange,
-    groups: ReadonlyMap<string, readonly UpstreamMember[]>,
-    system: SystemView,
-    token: CancellationToken,
-  ): Promise<boolean> {
-    const ids = (groups.get(change.group) ?? []).map(({id}) => id);
-    if (this.watch.wereAskedSince(ids, this.now() - FRESH_MILLISECONDS)) {
-      return true;
-    }
-    await this.watch.poll(ids, token);
-    return this.plan(groups, system).changes.some(
-      ({group, kind, to}) =>
-        group === change.group &&
-        kind === change.kind &&
-        to.model === change.to.model &&
-        to.version === change.to.version,
-    );
-  }
-
   private async carryOut(
     change: PlacementChange,
     token: CancellationToken,
@@ -250,7 +149,7 @@
       return;
     }
     if (change.kind !== 'restore') {
-      this.memory.intend(change.group, change.to);
+      this.survey.memory.intend(change.group, change.to);
     }
     const outcome = await this.sender.send(change.targets, token);
     this.log.change(change, outcome, fencing);
@@ -261,33 +160,8 @@
     if (outcome.kind === 'failed') {
       const isRefused = outcome.error.kind === 'refused';
       const wait = isRefused ? REFUSED_MILLISECONDS : FAILED_MILLISECONDS;
-      this.memory.bar(group, this.now() + wait);
+      const now = this.parts.clock.monotonicMilliseconds();
+      this.survey.memory.bar(group, now + wait);
     }
   }
-
-  private replicas(
-    groups: ReadonlyMap<string, readonly UpstreamMember[]>,
-    system: SystemView,
-  ): readonly ReplicaView[] {
-    const {models} = system.configuration;
-    return this.memory.views(groups, models, this.now());
-  }
-
-  private now(): number {
-    return this.parts.clock.monotonicMilliseconds();
-  }
-}
-
-function isMoving(kind: string): boolean {
-  return kind === 'draining' || kind === 'loading' || kind === 'incomplete';
-}
-
-/** Share of all listed engines that belong to these replicas. */
-function shareOf(
-  replicas: readonly ReplicaView[],
-  upstreams: readonly UpstreamMember[],
-): number {
-  const own = replicas.reduce((sum, one) => sum + one.engines.length, 0);
-  const all = upstreams.filter(({role}) => role === 'engine').length;
-  return all === 0 ? 0 : own / all;
 }
--- a/src/features/placement/common/placementLog.ts
+++ b/src/features/placement/common/placementLog.ts
@@ -2,7 +2,7 @@
 import {Metrics} from '../../../platform/metrics/common/metrics.js';
 import {SendOutcome} from './orderSender.js';
 import {HeldBack, PlacementChange} from './placementPlan.js';
-import {LeaseState} from './tableLease.js';
+import {LeaseState} from './leaseChart.js';
 
 /** Writes one line for each placement decision. */
 export class PlacementLog {
--- a/src/features/placement/common/tableLease.ts
+++ b/src/features/placement/common/tableLease.ts
@@ -2,48 +2,15 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Emitter} from '../../../base/common/event.js';
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
-import {Result} from '../../../base/common/result.js';
-import {
-  ChartDefinition,
-  ChartInstance,
-  StateChart,
-} from '../../../platform/stateChart/common/stateChart.js';
+import {ChartInstance} from '../../../platform/stateChart/common/stateChart.js';
 import {
   RowCondition,
-  StorageError,
   TableRow,
   TableService,
 } from '../../../platform/table/common/tableService.js';
-import {withDeadline} from '../../configuration/common/callDeadline.js';
-import chartDefinition from './lease.chart.json' with {type: 'json'};
+import {LeaseAction, leaseChart, LeaseEvent, LeaseState} from './leaseChart.js';
 import {isSameWrite, LeaseRecord, readLeaseRecord} from './leaseRecord.js';
-
-/** States of a lease as one process sees it. */
-export type LeaseState = 'idle' | 'acquiring' | 'held' | 'uncertain' | 'lost';
-
-/** What happens to a lease. */
-export type LeaseEvent =
-  | 'observed'
-  | 'takeable'
-  | 'due'
-  | 'unchanged'
-  | 'confirmed'
-  | 'superseded'
-  | 'failed'
-  | 'answerLost'
-  | 'expired'
-  | 'released';
-
-type LeaseAction =
-  | 'readRow'
-  | 'writeTaking'
-  | 'writeRenewal'
-  | 'writeRelease'
-  | 'writeAgain'
-  | 'readBack'
-  | 'announceHeld'
-  | 'announceLost'
-  | 'forget';
+import {LeaseRow, meets} from './leaseRow.js';
 
 /** Times of a lease in milliseconds. */
 export interface LeaseSettings {
@@ -75,18 +42,15 @@
   readonly since: number;
 }
 
-const chart = new StateChart<LeaseState, LeaseEvent, LeaseAction>(
-  chartDefinition as ChartDefinition,
-);
-
 /**
  * A lease on a row of the table. Its holder counts the expiry from before its last confirmed write;
  * others take it only after they saw the row unchanged for a whole duration, each on its own
  * monotonic clock, so that no wall clocks need to agree.
  */
 export class TableLease extends DisposableOwner {
-  private readonly life = new ChartInstance(chart);
+  private readonly life = new ChartInstance(leaseChart);
   private readonly changed = this.register(new Emitter<LeaseState>());
+  private readonly row: LeaseRow;
   private observed: Observed | undefined;
   private pending: PendingWrite | undefined;
   private held: LeaseRecord | undefined;
@@ -98,14 +62,15 @@
   readonly onDidChange = this.changed.event;
 
   constructor(
-    private readonly key: string,
+    key: string,
     private readonly holder: string,
-    private readonly table: TableService,
+    table: TableService,
     private readonly clock: Clock,
     private readonly createNonce: () => string,
     private readonly settings: LeaseSettings = defaultLeaseSettings,
   ) {
     super();
+    this.row = new LeaseRow(key, table, clock, settings.callMilliseconds);
   }
 
   get state(): LeaseState {
@@ -188,7 +153,7 @@
   }
 
   private async observe(token: CancellationToken): Promise<void> {
-    const row = await this.readRow(token);
+    const row = await this.row.read(token);
     if (!row.ok) {
       return;
     }
@@ -242,12 +207,11 @@
   }
 
   private async giveUp(token: CancellationToken): Promise<void> {
-    const value = JSON.stringify({...this.held!, released: true});
+    const record = {...this.held!, released: true};
     const condition = {kind: 'version', version: this.rowVersion} as const;
-    const writes = [{key: this.key, value, condition}];
     this.held = undefined;
     this.pending = undefined;
-    await this.bounded(token, call => this.table.transact(writes, 'all', call));
+    await this.row.write(record, condition, token);
   }
 
   private begin(
@@ -260,29 +224,22 @@
   }
 
   private async write(
-    pending: PendingWrite,
+    {record, condition, startedAt}: PendingWrite,
     token: CancellationToken,
   ): Promise<void> {
-    const {record, condition} = pending;
-    const value = JSON.stringify(record);
-    const writes = [{key: this.key, value, condition}];
-    const result = await this.bounded(token, call =>
-      this.table.transact(writes, 'all', call),
-    );
-    if (!result.ok) {
-      const isLost = result.error.kind === 'outcomeUnknown';
-      return this.send(isLost ? 'answerLost' : 'failed', token);
+    const outcome = await this.row.write(record, condition, token);
+    if (outcome.kind === 'conflict') {
+      return this.judge(outcome.row, token);
     }
-    const [outcome] = result.value;
-    if (outcome?.kind === 'written') {
-      this.confirm(record, outcome.version, pending.startedAt);
-      return this.send('confirmed', token);
+    if (outcome.kind !== 'written') {
+      return this.send(outcome.kind, token);
     }
-    return this.judge(outcome?.current, token);
+    this.confirm(record, outcome.version, startedAt);
+    return this.send('confirmed', token);
   }
 
   private async readBack(token: CancellationToken): Promise<void> {
-    const row = await this.readRow(token);
+    const row = await this.row.read(token);
     if (!row.ok) {
       return this.send('failed', token);
     }
@@ -324,34 +281,11 @@
     this.confirmedFrom = startedAt;
   }
 
-  private async readRow(
-    token: CancellationToken,
-  ): Promise<Result<TableRow | undefined, StorageError>> {
-    const rows = await this.bounded(token, call =>
-      this.table.read([this.key], call),
-    );
-    return rows.ok ? {ok: true, value: rows.value[0]} : rows;
-  }
-
-  private bounded<T>(
-    token: CancellationToken,
-    call: (token: CancellationToken) => Promise<T>,
-  ): Promise<T> {
-    const {callMilliseconds} = this.settings;
-    return withDeadline(this.clock, token, callMilliseconds, call);
-  }
-
   private now(): number {
     return this.clock.monotonicMilliseconds();
   }
 }
 
-function meets(row: TableRow | undefined, condition: RowCondition): boolean {
-  return condition.kind === 'version'
-    ? row?.version === condition.version
-    : row === undefined;
-}
-
 /** Whether the row still names the taking that is held, whatever its nonce. */
 function isHeldStill(
   record: LeaseRecord | undefined,
