A repeated key with another request is refused (422 keyReused) instead of given the first one's reply

Cause: claims knew an account's key by its hash alone. A second request with the key got the outcome of the first, whatever it asked for: an answer that was not to its own request. Ruled out: one digest with the class in it (a change of class alone would be answered `no` though the work may have run, and a caller would then send it under a new key); sorted JSON for bodies of plain services (numbers too long for a double would look the same); rebinding after an outcome that says `no`; comparing at the holder (an earlier version would not do it). It is compared in memory, with the holder's answer, with the row, also when a gatherer wrote it, and before a key that was not run is claimed again. Without a fingerprint on either side the requests match. Additive in contracts: the error kind, a decision kind, an optional argument of `claim`, an optional member of ServiceCallRequest and of the answer between peers. Conclusion: a key stands for the first request that was claimed with it.

--- a/src/features/callers/common/claimAnswers.ts
+++ b/src/features/callers/common/claimAnswers.ts
@@ -3,7 +3,7 @@
 import {RequestFailure} from '../../requests/common/failure.js';
 import {RequestOutcome} from '../../requests/common/request.js';
 import {expiredGrantFinding} from './callerHeaders.js';
-import {invalidRequest, maybeExecuted} from './failureBody.js';
+import {invalidRequest, maybeExecuted, notExecuted} from './failureBody.js';
 
 /** What a caller is answered for each decision on a claim. */
 
@@ -40,6 +40,11 @@
       return answerHeldElsewhere(decision, addressOf);
     case 'refusedNotRun':
       return refuse(invalidRequest([expiredGrantFinding(decision.detail)]));
+    case 'keyReused': {
+      // Work that differs by its class alone may have run under the other class.
+      const state = decision.sameWork ? maybeExecuted : notExecuted;
+      return refuse(state({kind: 'keyReused'}));
+    }
     case 'undecided':
       return refuse(
         maybeExecuted(
--- a/src/features/callers/common/failureBody.ts
+++ b/src/features/callers/common/failureBody.ts
@@ -17,6 +17,7 @@
     duplicate: 409,
     tooLarge: 413,
     heldElsewhere: 421,
+    keyReused: 422,
     overShare: 429,
     callerGone: 499,
     upstreamFailed: 502,
@@ -125,6 +126,8 @@
       return 'Another instance holds the key; ask that one.';
     case 'duplicate':
       return 'A request with the same key is running or has run.';
+    case 'keyReused':
+      return 'The key stands for another request; this one was not run.';
     case 'upstreamFailed':
       return `An upstream failed: ${error.detail}.`;
     case 'deadlineExceeded':
--- a/src/features/callers/common/serviceDispatcher.ts
+++ b/src/features/callers/common/serviceDispatcher.ts
@@ -18,6 +18,8 @@
   readonly body: string;
   /** The caller's Idempotency-Key, or undefined. */
   readonly idempotencyKey: string | undefined;
+  /** What the key stands for, to tell a resubmission from another request with the key. */
+  readonly fingerprint?: string | undefined;
   readonly clientAccount: string;
   readonly classOfWork: ClassOfWork;
   /** Whether both the class and the call may be run again; only then may it be retried after it may have run. */
--- a/src/features/callers/node/chatHandler.ts
+++ b/src/features/callers/node/chatHandler.ts
@@ -14,6 +14,7 @@
   ReplyFormat,
   WholeChatFormat,
 } from '../common/replyFormat.js';
+import {fingerprintOf, RequestIdentity} from './requestFingerprint.js';
 import {ExchangePlan} from './requestExchange.js';
 import {WorkHandler, WorkInput} from './workHandler.js';
 
@@ -49,13 +50,20 @@
       arrivedAt: input.arrivedAt,
       deadlineAt,
     };
-    return success(this.planFor(request, chat.value));
+    return success(this.planFor(request, chat.value, input));
   }
 
-  private planFor(request: ModelRequest, chat: ChatRequest): ExchangePlan {
+  private planFor(
+    request: ModelRequest,
+    chat: ChatRequest,
+    {method}: WorkInput,
+  ): ExchangePlan {
     const identity = this.identify(request);
     return {
-      claimedKey: this.claimedKey(request),
+      claimedKey: this.claimedKey({
+        ...request,
+        fingerprint: () => fingerprintOf(chatIdentity(request, method)),
+      }),
       deadlineAt: request.deadlineAt,
       format: chooseFormat(chat, identity),
       work: (sink, token) => this.run(request, identity, sink, token),
@@ -92,6 +100,19 @@
   }
 }
 
+/** The fields that the reply hangs on; a recorded reply may be asked for whole or as events. */
+function chatIdentity(request: ModelRequest, method: string): RequestIdentity {
+  const {model, adapter, messages, maximumOutputTokens} = request;
+  const read = [model.name, adapter ?? null, messages, maximumOutputTokens];
+  return {
+    kind: 'chat',
+    method,
+    path: '',
+    body: JSON.stringify(read),
+    classOfWork: request.classOfWork.name,
+  };
+}
+
 function chooseFormat(chat: ChatRequest, identity: ReplyIdentity): ReplyFormat {
   return chat.stream
     ? new ChatEventFormat(identity, chat.includeUsage)
--- a/src/features/callers/node/keyClaim.ts
+++ b/src/features/callers/node/keyClaim.ts
@@ -11,6 +11,8 @@
 export interface ClaimedKey {
   readonly clientAccount: string;
   readonly key: string;
+  /** What the key stands for. */
+  readonly fingerprint: string;
 }
 
 /** What a claim works with. */
@@ -51,8 +53,9 @@
 
   private async ask(token: CancellationToken): Promise<ClaimDecision> {
     try {
-      const {clientAccount, key} = this.claimed;
-      return await this.services.claims.claim(clientAccount, key, token);
+      const {clientAccount, key, fingerprint} = this.claimed;
+      const {claims} = this.services;
+      return await claims.claim(clientAccount, key, token, fingerprint);
     } catch (error) {
       this.services.onUnexpected(error);
       return {
--- a/src/features/callers/node/serviceHandler.ts
+++ b/src/features/callers/node/serviceHandler.ts
@@ -9,6 +9,7 @@
 import {WholeFormat} from '../common/replyFormat.js';
 import {isRepeatableCall, readServiceTarget} from '../common/serviceCalls.js';
 import {ServiceCallRequest} from '../common/serviceDispatcher.js';
+import {fingerprintOf} from './requestFingerprint.js';
 import {ExchangePlan} from './requestExchange.js';
 import {WorkHandler, WorkInput} from './workHandler.js';
 
@@ -51,6 +52,14 @@
     if (classOfWork === undefined || findings.length > 0) {
       return failure(invalidRequest(findings));
     }
+    const fingerprint = () =>
+      fingerprintOf({
+        kind: 'service',
+        method: input.method,
+        path: `${service.name}${path}`,
+        body: input.body,
+        classOfWork: classOfWork.name,
+      });
     return success(
       this.planFor({
         requestId: input.requestId,
@@ -60,6 +69,7 @@
         contentType: input.headers.contentType,
         body: input.body,
         idempotencyKey,
+        fingerprint: idempotencyKey === undefined ? undefined : fingerprint(),
         clientAccount: input.account.name,
         classOfWork,
         repeatable,
@@ -70,7 +80,10 @@
 
   private planFor(request: ServiceCallRequest): ExchangePlan {
     return {
-      claimedKey: this.claimedKey(request),
+      claimedKey: this.claimedKey({
+        ...request,
+        fingerprint: () => request.fingerprint ?? '',
+      }),
       deadlineAt: request.deadlineAt,
       format: new WholeFormat(),
       work: (_sink, token) => this.run(request, token),
--- a/src/features/callers/node/workHandler.ts
+++ b/src/features/callers/node/workHandler.ts
@@ -44,6 +44,8 @@
   readonly classOfWork: ClassOfWork;
   /** Goes before the class's word. */
   readonly repeatable?: boolean;
+  /** What the key stands for; formed only where it is needed. */
+  readonly fingerprint: () => string;
 }
 
 interface Admission {
@@ -192,7 +194,9 @@
   protected claimedKey(work: KeyedWork): ClaimedKey | undefined {
     const {idempotencyKey: key, clientAccount} = work;
     const repeatable = work.repeatable ?? work.classOfWork.repeatable;
-    return repeatable || key === undefined ? undefined : {clientAccount, key};
+    return repeatable || key === undefined
+      ? undefined
+      : {clientAccount, key, fingerprint: work.fingerprint()};
   }
 
   /** When the whole answer is due: the class's deadline, or the caller's where that is sooner. */
--- a/src/features/callers/test/callerFakes.ts
+++ b/src/features/callers/test/callerFakes.ts
@@ -123,14 +123,17 @@
   outcome: RequestOutcome | undefined;
   surelyNotRun = false;
   readonly claimed: string[] = [];
+  readonly fingerprints: Array<string | undefined> = [];
   readonly completed: RequestOutcome[] = [];
 
   override claim(
     _account: string,
     key: string,
     _token: CancellationToken,
+    fingerprint?: string,
   ): Promise<ClaimDecision> {
     this.claimed.push(key);
+    this.fingerprints.push(fingerprint);
     return Promise.resolve(this.decision);
   }
 
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -408,6 +408,18 @@
     status: 400,
     expected: {error: {kind: 'invalidRequest', executed: 'no'}},
   },
+  {
+    name: 'a key that stands for another request',
+    decision: {kind: 'keyReused', sameWork: false},
+    status: 422,
+    expected: {error: {kind: 'keyReused', executed: 'no'}},
+  },
+  {
+    name: 'a key that stands for the same work of another class',
+    decision: {kind: 'keyReused', sameWork: true},
+    status: 422,
+    expected: {error: {kind: 'keyReused', executed: 'unknown'}},
+  },
   {
     name: 'undecided',
     decision: {
@@ -451,6 +463,24 @@
   expect(fixture.claims.completed).toMatchObject([{kind: 'completed', body}]);
 });
 
+const service = '/v1/services/stock/confirm';
+const longer = {...chatBody(), max_tokens: 9};
+
+test.each([
+  {name: 'asked as events', path: chatPath, body: chatBody(true), same: true},
+  {name: 'another prompt limit', path: chatPath, body: longer, same: false},
+  {name: 'another call', path: service, body: chatBody(), same: false},
+])('fingerprint: $name, same $same', async ({path, body, same}) => {
+  await fixture.send(chatPath, order, chatBody());
+  await fixture.send(path, order, body);
+  await fixture.send(service, order, 'x');
+  await fixture.send(`${service}?y`, order, 'x');
+  const [first, second, ...calls] = fixture.claims.fingerprints;
+  expect(second === first).toBe(same);
+  expect(calls[0]).toMatch(/^[\w-]{43}\.order$/);
+  expect(calls[1]).not.toBe(calls[0]);
+});
+
 describe('services', () => {
   test.each([
     ['/levels/7?site=2', query, 200],
--- a/src/features/claims/common/boundClaims.ts
+++ b/src/features/claims/common/boundClaims.ts
@@ -5,6 +5,7 @@
 import {AskAnswer} from './claimPeers.js';
 import {boundOutcome, isNotRun} from './claimRecord.js';
 import {ClaimDecision} from './claims.js';
+import {refuseReuse} from './fingerprints.js';
 import {ClaimSettings} from './claimSettings.js';
 import {BoundBinding, ForeignOutcome, OutcomeFinder} from './outcomeFinder.js';
 import {OutcomeRecorder} from './outcomeRecorder.js';
@@ -40,10 +41,11 @@
     keyHash: string,
     binding: BoundBinding,
     token: CancellationToken,
+    fingerprint?: string,
   ): Promise<ClaimDecision> {
     return binding.incarnation === this.incarnation
-      ? this.claimOwn(keyHash, binding, token)
-      : this.claimForeign(keyHash, binding, token);
+      ? this.claimOwn(keyHash, binding, token, fingerprint)
+      : this.claimForeign(keyHash, binding, token, fingerprint);
   }
 
   /** Ends a running key; false when it isn't running here. */
@@ -53,6 +55,7 @@
     outcome: RequestOutcome,
   ): boolean {
     const expiresAt = binding.expiresAtWallMilliseconds;
+    const known = this.keys.get(keyHash, expiresAt);
     if (
       binding.incarnation !== this.incarnation ||
       !this.keys.end(keyHash, expiresAt, outcome)
@@ -60,7 +63,7 @@
       return false;
     }
     if (!isNotRun(outcome)) {
-      this.record(keyHash, outcome);
+      this.record(keyHash, outcome, known?.fingerprint);
     }
     return true;
   }
@@ -77,12 +80,13 @@
     const expiresAt = binding.expiresAtWallMilliseconds;
     const known = this.keys.get(keyHash, expiresAt);
     if (known !== undefined) {
-      return this.finder.withKeptReply(keyHash, known, token);
+      return this.finder.withKeptReply(keyHash, known.outcome, token);
     }
     if (!this.keys.isForgotten(expiresAt, this.ownTime())) {
       return undefined;
     }
-    return (await this.finder.recorded(keyHash, token)) ?? UNKNOWN;
+    const recorded = await this.finder.recorded(keyHash, token);
+    return recorded?.outcome ?? UNKNOWN;
   }
 
   /** Whether the key is this incarnation's own and surely nothing ran or is running under it. */
@@ -100,9 +104,9 @@
   /** What this incarnation says of one of its own keys. */
   answer(keyHash: string, grantExpiresAt: number): AskAnswer {
     const now = this.ownTime();
-    const outcome = this.keys.get(keyHash, grantExpiresAt);
-    if (outcome !== undefined) {
-      return {kind: 'seen', outcome};
+    const known = this.keys.get(keyHash, grantExpiresAt);
+    if (known !== undefined) {
+      return {kind: 'seen', ...known};
     }
     return this.keys.isForgotten(grantExpiresAt, now)
       ? {kind: 'forgotten'}
@@ -113,11 +117,14 @@
     keyHash: string,
     binding: BoundBinding,
     token: CancellationToken,
+    fingerprint: string | undefined,
   ): Promise<ClaimDecision> {
     const expiresAt = binding.expiresAtWallMilliseconds;
-    const take = this.keys.take(keyHash, expiresAt, this.ownTime());
+    const now = this.ownTime();
+    const take = this.keys.take(keyHash, expiresAt, now, fingerprint);
     switch (take.kind) {
       case 'granted':
+      case 'keyReused':
         return take;
       case 'seen':
         return {
@@ -133,17 +140,29 @@
       case 'full':
         return {kind: 'refusedNotRun', detail: 'too many keys to remember'};
       case 'forgotten':
-        return {
-          kind: 'duplicate',
-          outcome: (await this.finder.recorded(keyHash, token)) ?? UNKNOWN,
-        };
+        return this.claimForgotten(keyHash, token, fingerprint);
     }
   }
 
+  private async claimForgotten(
+    keyHash: string,
+    token: CancellationToken,
+    fingerprint: string | undefined,
+  ): Promise<ClaimDecision> {
+    const recorded = await this.finder.recorded(keyHash, token);
+    return (
+      refuseReuse(recorded?.fingerprint, fingerprint) ?? {
+        kind: 'duplicate',
+        outcome: recorded?.outcome ?? UNKNOWN,
+      }
+    );
+  }
+
   private async claimForeign(
     keyHash: string,
     binding: BoundBinding,
     token: CancellationToken,
+    fingerprint: string | undefined,
   ): Promise<ClaimDecision> {
     const {incarnation} = binding;
     const foreign = await this.finder.foreignOutcome(keyHash, binding, token);
@@ -154,11 +173,13 @@
       case 'notAsked':
         return {kind: 'heldElsewhere', incarnation, outcome: undefined};
       case 'outcome':
-        return {
-          kind: 'heldElsewhere',
-          incarnation,
-          outcome: unlessNotRun(foreign.outcome),
-        };
+        return (
+          refuseReuse(foreign.fingerprint, fingerprint) ?? {
+            kind: 'heldElsewhere',
+            incarnation,
+            outcome: unlessNotRun(foreign.outcome),
+          }
+        );
     }
   }
 
@@ -166,7 +187,11 @@
    * Outcomes that say `not run` are kept out of the table: the key may be granted again here, and
    * the row would be out of date if this process then ended.
    */
-  private record(keyHash: string, outcome: RequestOutcome): void {
+  private record(
+    keyHash: string,
+    outcome: RequestOutcome,
+    fingerprint: string | undefined,
+  ): void {
     const {clock, incarnation} = this;
     const {recordedBodyLimit, rowRetentionMilliseconds} = this.settings;
     this.recorder.record({
@@ -175,6 +200,7 @@
         nonce: `bound-${keyHash}`,
         incarnation,
         expiresAt: clock.wallMilliseconds() + rowRetentionMilliseconds,
+        fingerprint,
         outcome: boundOutcome(outcome, recordedBodyLimit),
       },
       condition: {kind: 'any'},
--- a/src/features/claims/common/boundKeys.ts
+++ b/src/features/claims/common/boundKeys.ts
@@ -1,11 +1,14 @@
 import {RequestOutcome} from '../../requests/common/request.js';
-import {bodyLength, isNotRun} from './claimRecord.js';
+import {bodyLength, isNotRun, KnownKey} from './claimRecord.js';
+import {refuseReuse} from './fingerprints.js';
 import {HeldBodies} from './heldBodies.js';
 
 /** What came of taking a bound key. */
 export type BoundTake =
   | {readonly kind: 'granted'}
   | {readonly kind: 'seen'; readonly outcome: RequestOutcome}
+  /** Granted for another request. */
+  | {readonly kind: 'keyReused'; readonly sameWork: boolean}
   /** Never dispatched, and the grant has expired. */
   | {readonly kind: 'expired'}
   /** So long expired that it may have been dispatched and forgotten. */
@@ -30,8 +33,8 @@
  * never dispatched. `now` is this incarnation's own time, which issued the grants and never goes back.
  */
 export class BoundKeys {
-  /** Outcomes by key hash, in buckets by expiry, so that forgetting is cheap. */
-  private readonly buckets = new Map<number, Map<string, RequestOutcome>>();
+  /** By key hash, in buckets by expiry, so that forgetting is cheap. */
+  private readonly buckets = new Map<number, Map<string, KnownKey>>();
   private readonly bodies: HeldBodies;
   private readonly bucketMilliseconds: number;
   private count = 0;
@@ -47,13 +50,26 @@
     return this.count;
   }
 
-  /** Takes a key; granted at most once, and again only after an outcome that says that nothing ran. */
-  take(keyHash: string, expiresAt: number, now: number): BoundTake {
+  /**
+   * Takes a key; granted at most once, and again only after an outcome that says that nothing ran.
+   * A key stands for the request that it was first granted for, whatever came of it.
+   */
+  take(
+    keyHash: string,
+    expiresAt: number,
+    now: number,
+    fingerprint?: string,
+  ): BoundTake {
     this.forgetExpired(now);
     if (now >= this.forgottenAt(expiresAt)) {
       return {kind: 'forgotten'};
     }
-    const outcome = this.get(keyHash, expiresAt);
+    const known = this.get(keyHash, expiresAt);
+    const reused = refuseReuse(known?.fingerprint, fingerprint);
+    if (reused !== undefined) {
+      return reused;
+    }
+    const outcome = known?.outcome;
     if (outcome !== undefined && !isNotRun(outcome)) {
       return {kind: 'seen', outcome};
     }
@@ -65,12 +81,15 @@
     if (outcome === undefined && this.count >= this.limits.boundKeyLimit) {
       return {kind: 'full'};
     }
-    this.set(keyHash, expiresAt, RUNNING);
+    this.set(keyHash, expiresAt, {
+      outcome: RUNNING,
+      fingerprint: known?.fingerprint ?? fingerprint,
+    });
     return {kind: 'granted'};
   }
 
-  /** The outcome of a key that was granted here. */
-  get(keyHash: string, expiresAt: number): RequestOutcome | undefined {
+  /** A key that was granted here. */
+  get(keyHash: string, expiresAt: number): KnownKey | undefined {
     return this.buckets.get(this.bucketOf(expiresAt))?.get(keyHash);
   }
 
@@ -81,14 +100,16 @@
 
   /** Ends a running key; false when it isn't running here. */
   end(keyHash: string, expiresAt: number, outcome: RequestOutcome): boolean {
-    if (this.get(keyHash, expiresAt)?.kind !== 'running') {
+    const known = this.get(keyHash, expiresAt);
+    if (known?.outcome.kind !== 'running') {
       return false;
     }
-    this.set(keyHash, expiresAt, outcome);
+    const {fingerprint} = known;
+    this.set(keyHash, expiresAt, {outcome, fingerprint});
     const length = bodyLength(outcome);
     this.bodies.hold(keyHash, length, left => {
       if (this.get(keyHash, expiresAt) !== undefined) {
-        this.set(keyHash, expiresAt, left);
+        this.set(keyHash, expiresAt, {outcome: left, fingerprint});
       }
     });
     return true;
@@ -98,16 +119,12 @@
     return expiresAt + this.limits.rememberAfterExpiryMilliseconds;
   }
 
-  private set(
-    keyHash: string,
-    expiresAt: number,
-    outcome: RequestOutcome,
-  ): void {
+  private set(keyHash: string, expiresAt: number, known: KnownKey): void {
     const number = this.bucketOf(expiresAt);
     const bucket = this.buckets.get(number) ?? new Map();
     this.buckets.set(number, bucket);
     this.count += bucket.has(keyHash) ? 0 : 1;
-    bucket.set(keyHash, outcome);
+    bucket.set(keyHash, known);
   }
 
   private forgetExpired(now: number): void {
--- a/src/features/claims/common/claimInserter.ts
+++ b/src/features/claims/common/claimInserter.ts
@@ -10,6 +10,7 @@
   isNotRun,
   parseClaimRecord,
 } from './claimRecord.js';
+import {matchFingerprints} from './fingerprints.js';
 import {ClaimSettings} from './claimSettings.js';
 import {RowWriter} from './rowWriter.js';
 
@@ -87,7 +88,7 @@
     if (found?.nonce === attempt.record.nonce) {
       return {kind: 'held', version: current.version};
     }
-    if (found === undefined || !isNotRun(found.outcome)) {
+    if (found === undefined || !mayClaimAgain(found, attempt.record)) {
       return {kind: 'other', row: current};
     }
     attempt.condition = {kind: 'version', version: current.version};
@@ -100,3 +101,9 @@
     });
   }
 }
+
+/** A key that was not run may be claimed again, for the same request. */
+function mayClaimAgain(found: ClaimRecord, wanted: ClaimRecord): boolean {
+  const match = matchFingerprints(found.fingerprint, wanted.fingerprint);
+  return isNotRun(found.outcome) && match === 'same';
+}
--- a/src/features/claims/common/claimPeers.ts
+++ b/src/features/claims/common/claimPeers.ts
@@ -16,7 +16,12 @@
 
 /** What an incarnation knows of a key. */
 export type AskAnswer =
-  | {readonly kind: 'seen'; readonly outcome: RequestOutcome}
+  | {
+      readonly kind: 'seen';
+      readonly outcome: RequestOutcome;
+      /** What the key stands for; undefined when the claim named none. */
+      readonly fingerprint?: string | undefined;
+    }
   /** Never dispatched here. `closed`: nor will it be, since its grant has expired. */
   | {readonly kind: 'notSeen'; readonly closed: boolean}
   /** It may have been dispatched and forgotten since. */
--- a/src/features/claims/common/claimRecord.ts
+++ b/src/features/claims/common/claimRecord.ts
@@ -15,6 +15,8 @@
   readonly incarnation: string;
   /** Wall milliseconds after which the row may be deleted. */
   readonly expiresAt: number;
+  /** What the key stands for; undefined in rows of earlier versions. */
+  readonly fingerprint?: string | undefined;
   /** Undefined until the outcome was recorded. */
   readonly outcome?: RequestOutcome;
 }
@@ -23,6 +25,7 @@
   nonce: z.string(),
   incarnation: z.string(),
   expiresAt: z.number(),
+  fingerprint: z.string().optional(),
   outcome: z.custom<RequestOutcome>(isOutcome).optional(),
 });
 
@@ -46,6 +49,13 @@
   }
 }
 
+/** What became of a key, and what it stands for. */
+export interface KnownKey {
+  readonly outcome: RequestOutcome;
+  /** Undefined when the claim named none. */
+  readonly fingerprint: string | undefined;
+}
+
 /** Whether an outcome says that nothing ran, so that the key may be claimed again. */
 export function isNotRun(outcome: RequestOutcome | undefined): boolean {
   return outcome?.kind === 'failed' && outcome.failure.executed === 'no';
--- a/src/features/claims/common/claims.ts
+++ b/src/features/claims/common/claims.ts
@@ -30,6 +30,11 @@
     }
   /** Surely never dispatched by anyone and not claimed here (bound key of this incarnation, expired grant). */
   | {readonly kind: 'refusedNotRun'; readonly detail: string}
+  /**
+   * The key stands for another request. Nothing of this one was or will be dispatched under it; with
+   * `sameWork` only the class of work differs, so that the work itself may have run.
+   */
+  | {readonly kind: 'keyReused'; readonly sameWork: boolean}
   /** The claim could not be decided: another instance may have dispatched it. */
   | {
       readonly kind: 'undecided';
@@ -39,10 +44,12 @@
 
 /** Decides who may dispatch a keyed request and remembers what became of it. */
 export abstract class ClaimService {
+  /** `fingerprint` tells requests apart; without one a key is taken to stand for the same request. */
   abstract claim(
     clientAccount: string,
     key: string,
     token: CancellationToken,
+    fingerprint?: string,
   ): Promise<ClaimDecision>;
 
   /** Records the outcome of a key that was granted here. */
--- a/src/features/claims/common/endedKeys.ts
+++ b/src/features/claims/common/endedKeys.ts
@@ -1,10 +1,10 @@
 import {RequestOutcome} from '../../requests/common/request.js';
-import {bodyLength} from './claimRecord.js';
+import {bodyLength, KnownKey} from './claimRecord.js';
 import {HeldBodies} from './heldBodies.js';
 
 /** The last ended plain keys, so that most resubmissions need no table; the oldest make room. */
 export class EndedKeys {
-  private readonly outcomes = new Map<string, RequestOutcome>();
+  private readonly keys = new Map<string, KnownKey>();
   private readonly bodies: HeldBodies;
 
   constructor(
@@ -14,20 +14,24 @@
     this.bodies = new HeldBodies(bodyLimit);
   }
 
-  get(keyHash: string): RequestOutcome | undefined {
-    return this.outcomes.get(keyHash);
+  get(keyHash: string): KnownKey | undefined {
+    return this.keys.get(keyHash);
   }
 
-  add(keyHash: string, outcome: RequestOutcome): void {
-    this.outcomes.delete(keyHash);
-    this.outcomes.set(keyHash, outcome);
-    if (this.outcomes.size > this.limit) {
-      const [oldest] = this.outcomes.keys();
-      this.outcomes.delete(oldest!);
+  add(
+    keyHash: string,
+    outcome: RequestOutcome,
+    fingerprint: string | undefined,
+  ): void {
+    this.keys.delete(keyHash);
+    this.keys.set(keyHash, {outcome, fingerprint});
+    if (this.keys.size > this.limit) {
+      const [oldest] = this.keys.keys();
+      this.keys.delete(oldest!);
     }
     this.bodies.hold(keyHash, bodyLength(outcome), left => {
-      if (this.outcomes.has(keyHash)) {
-        this.outcomes.set(keyHash, left);
+      if (this.keys.has(keyHash)) {
+        this.keys.set(keyHash, {outcome: left, fingerprint});
       }
     });
   }
--- a/src/features/claims/common/outcomeFinder.ts
+++ b/src/features/claims/common/outcomeFinder.ts
@@ -7,7 +7,12 @@
 import {TableService} from '../../../platform/table/common/tableService.js';
 import {RequestOutcome} from '../../requests/common/request.js';
 import {AskAnswer, AskMessage, ClaimPeers} from './claimPeers.js';
-import {claimRowKey, isReplyNotKept, parseClaimRecord} from './claimRecord.js';
+import {
+  claimRowKey,
+  isReplyNotKept,
+  KnownKey,
+  parseClaimRecord,
+} from './claimRecord.js';
 import {KeyBinding} from './claims.js';
 import {PeerDirectory} from './peerDirectory.js';
 
@@ -16,7 +21,7 @@
 
 /** What another incarnation or the table says of a bound key. */
 export type ForeignOutcome =
-  | {readonly kind: 'outcome'; readonly outcome: RequestOutcome}
+  | ({readonly kind: 'outcome'} & KnownKey)
   /** Never dispatched, nor will it be. */
   | {readonly kind: 'closed'}
   /** Not dispatched so far; it may be yet. */
@@ -34,7 +39,10 @@
   readonly askMilliseconds: number;
 }
 
-const UNKNOWN: RequestOutcome = {kind: 'unknown'};
+const NOTHING_KNOWN: KnownKey = {
+  outcome: {kind: 'unknown'},
+  fingerprint: undefined,
+};
 
 /** Finds what became of keys that this instance didn't run: from their incarnation, then the table. */
 export class OutcomeFinder {
@@ -54,21 +62,21 @@
     };
     const answer = await this.ask(message, token);
     if (answer?.kind === 'seen') {
-      const {outcome} = answer;
+      const {outcome, fingerprint} = answer;
       const kept = await this.withKeptReply(keyHash, outcome, token);
-      return {kind: 'outcome', outcome: kept};
+      return {kind: 'outcome', outcome: kept, fingerprint};
     }
     if (answer?.kind === 'notSeen') {
       return {kind: answer.closed ? 'closed' : 'notSeen'};
     }
     const recorded = await this.recorded(keyHash, token);
     if (recorded !== undefined) {
-      return {kind: 'outcome', outcome: recorded};
+      return {kind: 'outcome', ...recorded};
     }
     const mayBeAlive = answer === undefined && this.isKnown(incarnation);
     return mayBeAlive
       ? {kind: 'notAsked'}
-      : {kind: 'outcome', outcome: UNKNOWN};
+      : {kind: 'outcome', ...NOTHING_KNOWN};
   }
 
   /** The outcome of a plain key whose row holds none; only its incarnation can know. */
@@ -76,10 +84,14 @@
     keyHash: string,
     incarnation: string,
     token: CancellationToken,
-  ): Promise<RequestOutcome> {
+  ): Promise<KnownKey> {
     const message = {incarnation, keyHash, grantExpiresAt: undefined};
     const answer = await this.ask(message, token);
-    return answer?.kind === 'seen' ? answer.outcome : UNKNOWN;
+    if (answer?.kind !== 'seen') {
+      return NOTHING_KNOWN;
+    }
+    const {outcome, fingerprint} = answer;
+    return {outcome, fingerprint};
   }
 
   /** Fetches a reply whose text memory no longer holds. */
@@ -91,17 +103,23 @@
     if (!isReplyNotKept(outcome)) {
       return outcome;
     }
-    return (await this.recorded(keyHash, token)) ?? outcome;
+    return (await this.recorded(keyHash, token))?.outcome ?? outcome;
   }
 
   /** The outcome that stands in the table; undefined when there is none or it can't be read. */
   async recorded(
     keyHash: string,
     token: CancellationToken,
-  ): Promise<RequestOutcome | undefined> {
+  ): Promise<KnownKey | undefined> {
     const rows = await this.parts.table.read([claimRowKey(keyHash)], token);
     const row = rows.ok ? rows.value[0] : undefined;
-    return row && parseClaimRecord(row)?.outcome;
+    const record = row && parseClaimRecord(row);
+    return (
+      record?.outcome && {
+        outcome: record.outcome,
+        fingerprint: record.fingerprint,
+      }
+    );
   }
 
   /** Undefined when the incarnation isn't known or didn't answer. */
--- a/src/features/claims/common/plainClaims.ts
+++ b/src/features/claims/common/plainClaims.ts
@@ -10,10 +10,12 @@
   boundOutcome,
   ClaimRecord,
   isNotRun,
+  KnownKey,
   parseClaimRecord,
 } from './claimRecord.js';
 import {ABSENT, Attempt, ClaimInserter} from './claimInserter.js';
 import {ClaimSettings} from './claimSettings.js';
+import {refuseReuse} from './fingerprints.js';
 import {EndedKeys} from './endedKeys.js';
 import {OutcomeRecorder} from './outcomeRecorder.js';
 import {RowWriter} from './rowWriter.js';
@@ -25,6 +27,7 @@
   | {readonly kind: 'duplicate'; readonly outcome: RequestOutcome}
   /** Claimed by an attempt of some incarnation; the row holds no outcome yet. */
   | {readonly kind: 'claimedBy'; readonly incarnation: string}
+  | {readonly kind: 'keyReused'; readonly sameWork: boolean}
   | {readonly kind: 'undecided'; readonly detail: string};
 
 /** A key that this instance is working on. */
@@ -67,8 +70,9 @@
   async claim(
     keyHash: string,
     token: CancellationToken,
+    fingerprint?: string,
   ): Promise<PlainDecision> {
-    const known = this.known(keyHash);
+    const known = this.known(keyHash, fingerprint);
     if (known !== undefined) {
       return known;
     }
@@ -76,7 +80,7 @@
       return {kind: 'undecided', detail: 'too many claims at once'};
     }
     this.active.set(keyHash, {kind: 'claiming'});
-    const attempt = this.createAttempt(keyHash);
+    const attempt = this.createAttempt(keyHash, fingerprint);
     const decided = this.decide(attempt);
     return this.waitFor(decided, attempt, token);
   }
@@ -93,7 +97,7 @@
       return true;
     }
     this.active.delete(keyHash);
-    this.ended.add(keyHash, outcome);
+    this.ended.add(keyHash, outcome, record.fingerprint);
     const limit = this.settings.recordedBodyLimit;
     this.recorder.record({
       keyHash,
@@ -105,22 +109,27 @@
   }
 
   /** What is known here of a key; undefined when nothing is. */
-  outcomeOf(keyHash: string): RequestOutcome | undefined {
-    switch (this.active.get(keyHash)?.kind) {
-      case 'running':
-        return {kind: 'running'};
+  outcomeOf(keyHash: string): KnownKey | undefined {
+    const active = this.active.get(keyHash);
+    switch (active?.kind) {
+      case 'running': {
+        const {fingerprint} = active.record;
+        return {outcome: {kind: 'running'}, fingerprint};
+      }
       case 'claiming':
       case 'settling':
-        return {kind: 'unknown'};
+        return {outcome: {kind: 'unknown'}, fingerprint: undefined};
       case undefined:
         return this.ended.get(keyHash);
     }
   }
 
-  private known(keyHash: string): PlainDecision | undefined {
+  /** While a key isn't surely held here, what it stands for isn't known either. */
+  private known(
+    keyHash: string,
+    fingerprint: string | undefined,
+  ): PlainDecision | undefined {
     switch (this.active.get(keyHash)?.kind) {
-      case 'running':
-        return {kind: 'duplicate', outcome: {kind: 'running'}};
       case 'claiming':
         return {kind: 'undecided', detail: 'being claimed'};
       case 'settling':
@@ -128,14 +137,18 @@
           kind: 'undecided',
           detail: 'an earlier attempt is being closed',
         };
+      case 'running':
       case undefined: {
-        const outcome = this.ended.get(keyHash);
-        return outcome && {kind: 'duplicate', outcome};
+        const known = this.outcomeOf(keyHash);
+        return known && duplicateOf(known, fingerprint);
       }
     }
   }
 
-  private createAttempt(keyHash: string): Attempt {
+  private createAttempt(
+    keyHash: string,
+    fingerprint: string | undefined,
+  ): Attempt {
     const {rowRetentionMilliseconds} = this.settings;
     return {
       keyHash,
@@ -143,6 +156,7 @@
         nonce: this.createNonce(),
         incarnation: this.incarnation,
         expiresAt: this.clock.wallMilliseconds() + rowRetentionMilliseconds,
+        fingerprint,
       },
       condition: ABSENT,
       givenUp: false,
@@ -191,7 +205,7 @@
     }
     if (insertion.kind === 'other') {
       this.active.delete(keyHash);
-      return decisionFor(insertion.row);
+      return decisionFor(insertion.row, record.fingerprint);
     }
     if (attempt.mayHaveLanded) {
       this.close(keyHash, record, attempt.condition, abandonedOutcome);
@@ -219,12 +233,31 @@
 }
 
 /** What a row of another attempt says. */
-function decisionFor(row: TableRow): PlainDecision {
+function decisionFor(
+  row: TableRow,
+  fingerprint: string | undefined,
+): PlainDecision {
   const record = parseClaimRecord(row);
   if (record === undefined) {
     return {kind: 'duplicate', outcome: {kind: 'unknown'}};
   }
-  return record.outcome === undefined
-    ? {kind: 'claimedBy', incarnation: record.incarnation}
-    : {kind: 'duplicate', outcome: record.outcome};
+  const {incarnation, outcome} = record;
+  return outcome === undefined
+    ? (refuseReuse(record.fingerprint, fingerprint) ?? {
+        kind: 'claimedBy',
+        incarnation,
+      })
+    : duplicateOf({outcome, fingerprint: record.fingerprint}, fingerprint);
+}
+
+function duplicateOf(
+  known: KnownKey,
+  fingerprint: string | undefined,
+): PlainDecision {
+  return (
+    refuseReuse(known.fingerprint, fingerprint) ?? {
+      kind: 'duplicate',
+      outcome: known.outcome,
+    }
+  );
 }
--- a/src/features/claims/node/defaultClaimService.ts
+++ b/src/features/claims/node/defaultClaimService.ts
@@ -14,6 +14,7 @@
 import {ClaimAgeing} from '../common/claimAgeing.js';
 import {AskAnswer, AskMessage, ClaimPeers} from '../common/claimPeers.js';
 import {claimRowKey, parseClaimRecord} from '../common/claimRecord.js';
+import {refuseReuse} from '../common/fingerprints.js';
 import {ClaimDecision, ClaimService} from '../common/claims.js';
 import {ClaimSettings, defaultClaimSettings} from '../common/claimSettings.js';
 import {countCommitters, GatheringWriter} from '../common/gatheringWriter.js';
@@ -115,8 +116,9 @@
     clientAccount: string,
     key: string,
     token: CancellationToken,
+    fingerprint?: string,
   ): Promise<ClaimDecision> {
-    const decision = await this.decide(clientAccount, key, token);
+    const decision = await this.decide(clientAccount, key, token, fingerprint);
     this.parts.metrics.count('claims.decisions', 1, {kind: decision.kind});
     return decision;
   }
@@ -173,8 +175,8 @@
       return {kind: 'otherIncarnation'};
     }
     if (grantExpiresAt === undefined) {
-      const outcome = this.plain.outcomeOf(keyHash);
-      return outcome ? {kind: 'seen', outcome} : {kind: 'forgotten'};
+      const known = this.plain.outcomeOf(keyHash);
+      return known ? {kind: 'seen', ...known} : {kind: 'forgotten'};
     }
     return this.bound.answer(keyHash, grantExpiresAt);
   }
@@ -213,6 +215,7 @@
     clientAccount: string,
     key: string,
     token: CancellationToken,
+    fingerprint: string | undefined,
   ): Promise<ClaimDecision> {
     const keyHash = hashKey(clientAccount, key);
     const binding = this.signer.read(clientAccount, key);
@@ -220,19 +223,21 @@
       case 'invalid':
         return {kind: 'refusedNotRun', detail: 'the key holds no valid grant'};
       case 'plain':
-        return this.claimPlain(keyHash, token);
+        return this.claimPlain(keyHash, token, fingerprint);
       case 'bound':
-        return this.bound.claim(keyHash, binding, token);
+        return this.bound.claim(keyHash, binding, token, fingerprint);
     }
   }
 
   private async claimPlain(
     keyHash: string,
     token: CancellationToken,
+    fingerprint: string | undefined,
   ): Promise<ClaimDecision> {
-    const decision = await this.plain.claim(keyHash, token);
+    const decision = await this.plain.claim(keyHash, token, fingerprint);
     switch (decision.kind) {
       case 'granted':
+      case 'keyReused':
         return decision;
       case 'duplicate':
         return {
@@ -243,15 +248,17 @@
             token,
           ),
         };
-      case 'claimedBy':
-        return {
-          kind: 'duplicate',
-          outcome: await this.finder.askPlain(
-            keyHash,
-            decision.incarnation,
-            token,
-          ),
-        };
+      case 'claimedBy': {
+        const {incarnation} = decision;
+        const held = await this.finder.askPlain(keyHash, incarnation, token);
+        const {outcome} = held;
+        return (
+          refuseReuse(held.fingerprint, fingerprint) ?? {
+            kind: 'duplicate',
+            outcome,
+          }
+        );
+      }
       case 'undecided':
         return {...decision, retryAfterMilliseconds: RETRY_MILLISECONDS};
     }
@@ -261,7 +268,7 @@
     keyHash: string,
     token: CancellationToken,
   ): Promise<RequestOutcome | undefined> {
-    const known = this.plain.outcomeOf(keyHash);
+    const known = this.plain.outcomeOf(keyHash)?.outcome;
     if (known !== undefined && known.kind !== 'unknown') {
       return this.finder.withKeptReply(keyHash, known, token);
     }
@@ -277,8 +284,10 @@
     if (record === undefined) {
       return UNKNOWN;
     }
-    return (
-      record.outcome ?? this.finder.askPlain(keyHash, record.incarnation, token)
-    );
+    if (record.outcome !== undefined) {
+      return record.outcome;
+    }
+    const {incarnation} = record;
+    return (await this.finder.askPlain(keyHash, incarnation, token)).outcome;
   }
 }
--- a/src/features/claims/test/claimProperties.test.ts
+++ b/src/features/claims/test/claimProperties.test.ts
@@ -22,6 +22,8 @@
 const SLOTS = 3;
 const SEED = 20260115;
 const ROUNDS = 300;
+/** What most submissions of a key ask for. */
+const USUAL = 'a.x';
 
 type Action =
   | {
@@ -30,6 +32,7 @@
       readonly key: number;
       readonly think: number;
       readonly deadline: number;
+      readonly fingerprint?: string;
     }
   | {readonly kind: 'advance'; readonly milliseconds: number}
   | {readonly kind: 'pause' | 'resume' | 'restart'; readonly slot: number}
@@ -44,6 +47,7 @@
   key: fc.nat(4),
   think: fc.constantFrom(0, 20, 300),
   deadline: fc.constantFrom(60, 1000),
+  fingerprint: fc.constantFrom(USUAL, USUAL, USUAL, 'b.x', 'a.y'),
 });
 const action: fc.Arbitrary<Action> = fc.oneof(
   {weight: 8, arbitrary: submit},
@@ -111,7 +115,7 @@
     await world.advance(wait);
     for (const key of keys) {
       for (const each of world.slots) {
-        pending.push(world.submit(each, key, 0, 1000, completed));
+        pending.push(world.submit(each, key, 0, 1000, completed, USUAL));
       }
     }
   }
@@ -130,9 +134,10 @@
     case 'submit': {
       const target = world.slots[each.slot]!;
       if (target.wake === undefined) {
+        const {think, deadline, fingerprint = USUAL} = each;
         const key = keys[each.key]!;
         pending.push(
-          world.submit(target, key, each.think, each.deadline, completed),
+          world.submit(target, key, think, deadline, completed, fingerprint),
         );
       }
       return;
--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -37,9 +37,15 @@
   worlds.splice(0).forEach(world => world.dispose());
 });
 
-async function claim(world: ClaimWorld, slot: number, key: string, wait = 500) {
+async function claim(
+  world: ClaimWorld,
+  slot: number,
+  key: string,
+  wait = 500,
+  fingerprint?: string,
+) {
   const {service} = world.slots[slot]!;
-  const decision = service.claim(ACCOUNT, key, neverCancelled);
+  const decision = service.claim(ACCOUNT, key, neverCancelled, fingerprint);
   await world.advance(wait);
   return decision;
 }
@@ -228,6 +234,45 @@
   });
 });
 
+describe('a key that comes with another request', () => {
+  const other = {kind: 'keyReused', sameWork: false};
+  test.each([
+    {at: 'its holder, running', key: 'plain', slot: 0, end: undefined},
+    {at: 'its holder, ended', key: 'plain', slot: 0, end: completed},
+    {at: 'its holder, not run', key: 'plain', slot: 0, end: notRun},
+    {at: 'another, running', key: 'plain', slot: 1, end: undefined},
+    {at: 'another, ended', key: 'plain', slot: 1, end: completed},
+    {at: 'another, not run', key: 'plain', slot: 1, end: notRun},
+    {at: 'its holder, running', key: 'bound', slot: 0, end: undefined},
+    {at: 'its holder, ended', key: 'bound', slot: 0, end: completed},
+    {at: 'its holder, not run', key: 'bound', slot: 0, end: notRun},
+    {at: 'another, running', key: 'bound', slot: 1, end: undefined},
+    {at: 'another, ended', key: 'bound', slot: 1, end: completed},
+    {at: 'one after its holder died', key: 'bound', slot: 1, end: completed},
+    {at: 'its holder, forgotten', key: 'bound', slot: 0, end: completed},
+  ])('$key key at $at', async ({at, key: kind, slot, end}) => {
+    const world = newWorld(4);
+    const {service} = world.slots[0]!;
+    const key = kind === 'bound' ? `${service.issueGrant(ACCOUNT)}.a` : 'order';
+    expect(await claim(world, 0, key, 200, 'x.order')).toEqual({
+      kind: 'granted',
+    });
+    if (end !== undefined) {
+      service.complete(ACCOUNT, key, end);
+      await world.advance(at.includes('forgotten') ? 6000 : 200);
+    }
+    if (at.includes('died')) {
+      world.restart(world.slots[0]!);
+    }
+    const decide = (fingerprint?: string) =>
+      claim(world, slot, key, 200, fingerprint);
+    expect(await decide('y.order')).toEqual(other);
+    expect(await decide('x.query')).toEqual({...other, sameWork: true});
+    expect((await decide('x.order')).kind).not.toBe('keyReused');
+    expect((await decide()).kind).not.toBe('keyReused');
+  });
+});
+
 test.each([
   {key: 'plain', before: undefined, after: completed},
   {key: 'bound', before: undefined, after: completed},
--- a/src/features/claims/test/claimWorld.ts
+++ b/src/features/claims/test/claimWorld.ts
@@ -18,6 +18,7 @@
 import {AskAnswer, AskMessage, ClaimPeers} from '../common/claimPeers.js';
 import {ClaimDecision} from '../common/claims.js';
 import {ClaimSettings, defaultClaimSettings} from '../common/claimSettings.js';
+import {matchFingerprints} from '../common/fingerprints.js';
 import {PeerDirectory, PeerInstance} from '../common/peerDirectory.js';
 import {RowResult} from '../common/rowWriter.js';
 import {DefaultClaimService} from '../node/defaultClaimService.js';
@@ -55,6 +56,7 @@
 
 interface Grant {
   readonly incarnation: string;
+  readonly fingerprint: string | undefined;
   state: 'open' | 'dispatched' | 'closedNotRun';
 }
 
@@ -101,6 +103,7 @@
     thinkMilliseconds: number,
     deadlineMilliseconds: number,
     ending: RequestOutcome,
+    fingerprint?: string,
   ): Promise<Executed> {
     const {incarnation, service, clock} = slot;
     const source = new CancellationSource();
@@ -108,12 +111,17 @@
     const timer = clock.setTimer(deadlineMilliseconds, () =>
       source.cancel('deadline'),
     );
-    const decision = await service.claim(ACCOUNT, key, source.token);
+    const decision = await service.claim(
+      ACCOUNT,
+      key,
+      source.token,
+      fingerprint,
+    );
     timer.dispose();
     if (decision.kind !== 'granted') {
-      return this.answer(key, this.executedOf(decision));
+      return this.answer(key, this.executedOf(decision), fingerprint);
     }
-    const grant = this.addGrant(key, incarnation);
+    const grant = this.addGrant(key, incarnation, fingerprint);
     await new Promise<void>(resolve =>
       clock.setTimer(thinkMilliseconds, resolve),
     );
@@ -123,12 +131,12 @@
     if (clock.monotonicMilliseconds() >= deadlineAt) {
       grant.state = 'closedNotRun';
       service.complete(ACCOUNT, key, notRun);
-      return this.answer(key, 'no');
+      return this.answer(key, 'no', fingerprint);
     }
     grant.state = 'dispatched';
     this.checkDispatches(key);
     service.complete(ACCOUNT, key, ending);
-    return this.answer(key, 'yes');
+    return this.answer(key, 'yes', fingerprint);
   }
 
   async advance(milliseconds: number): Promise<void> {
@@ -205,12 +213,19 @@
     return (this.mutation.executedOf ?? executedOf)(decision);
   }
 
-  private addGrant(key: string, incarnation: string): Grant {
+  private addGrant(
+    key: string,
+    incarnation: string,
+    fingerprint: string | undefined,
+  ): Grant {
     const known = this.grants.get(key) ?? [];
+    if (known.some(grant => grant.fingerprint !== fingerprint)) {
+      this.violations.push(`${key} granted for two requests`);
+    }
     if (known.some(grant => grant.state !== 'closedNotRun')) {
       this.violations.push(`${key} granted twice`);
     }
-    const grant: Grant = {incarnation, state: 'open'};
+    const grant: Grant = {incarnation, fingerprint, state: 'open'};
     this.grants.set(key, [...known, grant]);
     return grant;
   }
@@ -224,10 +239,16 @@
     }
   }
 
-  private answer(key: string, executed: Executed): Executed {
+  private answer(
+    key: string,
+    executed: Executed,
+    fingerprint: string | undefined,
+  ): Executed {
     this.answers.push(executed);
     const open = (this.grants.get(key) ?? []).some(
-      grant => grant.state !== 'closedNotRun',
+      grant =>
+        grant.state !== 'closedNotRun' &&
+        matchFingerprints(grant.fingerprint, fingerprint) !== 'otherWork',
     );
     if (executed === 'no' && open) {
       this.violations.push(`${key} said not run while granted`);
@@ -243,6 +264,8 @@
       return executedOfOutcome(decision.outcome);
     case 'heldElsewhere':
       return decision.outcome ? executedOfOutcome(decision.outcome) : 'unknown';
+    case 'keyReused':
+      return decision.sameWork ? 'unknown' : 'no';
     case 'refusedNotRun':
       return 'no';
     default:
--- a/src/features/requests/common/failure.ts
+++ b/src/features/requests/common/failure.ts
@@ -28,6 +28,8 @@
   | {readonly kind: 'heldElsewhere'; readonly incarnation: string}
   /** A request with the same key is running or has run. */
   | {readonly kind: 'duplicate'}
+  /** The key stands for another request. */
+  | {readonly kind: 'keyReused'}
   | {readonly kind: 'upstreamFailed'; readonly detail: string}
   | {readonly kind: 'deadlineExceeded'}
   | {readonly kind: 'callerGone'};
--- a/src/features/services/common/defaultServiceDispatcher.ts
+++ b/src/features/services/common/defaultServiceDispatcher.ts
@@ -97,13 +97,18 @@
     token: CancellationToken,
   ): Promise<DispatchResult> {
     const {claims, addressOf} = this.parts;
-    const {clientAccount, idempotencyKey: key} = request;
+    const {clientAccount, idempotencyKey: key, fingerprint} = request;
     if (key === undefined) {
       return failure(missingKey());
     }
     const source = new CancellationSource(token);
     const timer = this.cancelAtDeadline(request, source);
-    const decision = await claims.claim(clientAccount, key, source.token);
+    const decision = await claims.claim(
+      clientAccount,
+      key,
+      source.token,
+      fingerprint,
+    );
     timer.dispose();
     source.dispose();
     const answer = answerForClaim(decision, addressOf);
--- a/src/features/services/test/serviceDispatcher.test.ts
+++ b/src/features/services/test/serviceDispatcher.test.ts
@@ -204,6 +204,7 @@
   const first = await dispatcher.dispatch(order, neverCancelled);
   const second = await dispatcher.dispatch(order, neverCancelled);
   expect([first.ok, second.ok, world.sent]).toEqual([true, true, 1]);
+  expect(world.claims.fingerprint).toBe(order.fingerprint);
 });
 
 test.each([
--- a/src/features/services/test/serviceWorld.ts
+++ b/src/features/services/test/serviceWorld.ts
@@ -163,8 +163,15 @@
 export class LedgerClaims extends ClaimService {
   readonly outcomes = new Map<string, RequestOutcome>();
   decision: ClaimDecision | undefined;
-
-  override async claim(_account: string, key: string): Promise<ClaimDecision> {
+  fingerprint: string | undefined;
+
+  override async claim(
+    _account: string,
+    key: string,
+    _token: unknown,
+    fingerprint?: string,
+  ): Promise<ClaimDecision> {
+    this.fingerprint = fingerprint;
     if (this.decision !== undefined) {
       return this.decision;
     }
@@ -204,6 +211,7 @@
     contentType: undefined,
     body: '{}',
     idempotencyKey: 'key',
+    fingerprint: 'digest.orders',
     clientAccount: 'desk',
     classOfWork: {
       name: 'orders',
