Whether a call may be repeated is decided by the longest matching prefix at the callers' side too

Cause: isRepeatableCall took any matching prefix that may be repeated, so `GET /` covered `GET /reserve`; the dispatcher had a second function, mayRepeat, by the longest prefix. Ruled out: mending the copy; two functions had already come apart once. Change: the callers' side uses mayRepeat of services/common; isRepeatableCall is gone. The handler thus asks for a key where the dispatcher would. Conclusion: one function decides.

--- a/src/features/callers/common/serviceCalls.ts
+++ b/src/features/callers/common/serviceCalls.ts
@@ -1,6 +1,5 @@
 import {Finding} from '../../../base/common/finding.js';
 import {failure, Result, success} from '../../../base/common/result.js';
-import {PlainService} from '../../configuration/common/configuration.js';
 
 /** Reading of calls to plain services. */
 
@@ -38,17 +37,3 @@
   }
   return success({service, path});
 }
-
-/** Whether a call may be run again; calls that match nothing may not. */
-export function isRepeatableCall(
-  service: PlainService,
-  method: string,
-  path: string,
-): boolean {
-  return service.calls.some(
-    call =>
-      call.repeatable &&
-      call.method.toUpperCase() === method.toUpperCase() &&
-      path.startsWith(call.pathPrefix),
-  );
-}
--- a/src/features/callers/node/serviceHandler.ts
+++ b/src/features/callers/node/serviceHandler.ts
@@ -3,11 +3,12 @@
 import {failure, Result, success} from '../../../base/common/result.js';
 import {PlainService} from '../../configuration/common/configuration.js';
 import {RequestFailure} from '../../requests/common/failure.js';
+import {mayRepeat} from '../../services/common/repeatability.js';
 import {missingKeyFinding} from '../common/callerHeaders.js';
 import {CallerAnswer} from '../common/claimAnswers.js';
 import {invalidRequest, notExecuted} from '../common/failureBody.js';
 import {WholeFormat} from '../common/replyFormat.js';
-import {isRepeatableCall, readServiceTarget} from '../common/serviceCalls.js';
+import {readServiceTarget} from '../common/serviceCalls.js';
 import {ServiceCallRequest} from '../common/serviceDispatcher.js';
 import {fingerprintOf} from './requestFingerprint.js';
 import {ExchangePlan} from './requestExchange.js';
@@ -44,7 +45,7 @@
     const {classOfWork, idempotencyKey} = input.headers;
     const repeatable =
       (classOfWork?.repeatable ?? true) &&
-      isRepeatableCall(service, input.method, path);
+      mayRepeat(service, input.method, path);
     const findings: Finding[] = [...input.headers.findings];
     if (!repeatable && !input.headers.hasKey) {
       findings.push(missingKeyFinding());
--- a/src/features/callers/test/callerFakes.ts
+++ b/src/features/callers/test/callerFakes.ts
@@ -72,7 +72,10 @@
   services: {
     stock: {
       name: 'stock',
-      calls: [{method: 'GET', pathPrefix: '/levels', repeatable: true}],
+      calls: [
+        {method: 'GET', pathPrefix: '/levels', repeatable: true},
+        {method: 'GET', pathPrefix: '/levels/reserve', repeatable: false},
+      ],
     },
   },
 };
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -485,6 +485,7 @@
   test.each([
     ['/levels/7?site=2', query, 200],
     ['/confirm', query, 400],
+    ['/levels/reserve', query, 400],
     ['/confirm', {...query, 'Idempotency-Key': 'k'}, 200],
     ['/levels/%2e%2e/confirm', query, 400],
     ['/levels%2f..%2fconfirm', query, 400],
