No room for a further key is a 503 with a time to come back; an expired grant says what to do

Cause: claims answered both by refusedNotRun, which callers got as 400 `invalidRequest` with a finding about the grant: a full memory looked like the caller's fault, without a time to come back. Ruled out: `claimUndecided` for it (`unknown` is less than is known: nothing ran); a fixed pause (a memory that is full of keys in force has no room for minutes). Change: decision `noRoom` with the time at which the first keys are forgotten, answered 503 `cannotMeetTarget`, `executed: no`. The finding on a grant that isn't in force names Idempotency-Key and says to ask for a new grant at GET /v1/entrypoints. Conclusion: the two refusals are told apart.

--- a/src/features/callers/common/callerHeaders.ts
+++ b/src/features/callers/common/callerHeaders.ts
@@ -95,7 +95,7 @@
 export function expiredGrantFinding(detail: string): Finding {
   return headerFinding(
     headerNames.idempotencyKey,
-    `a key with a grant that is in force: ${detail}`,
+    `a key with a grant that is in force (${detail}); ask for a new grant at GET /v1/entrypoints`,
   );
 }
 
--- a/src/features/callers/common/claimAnswers.ts
+++ b/src/features/callers/common/claimAnswers.ts
@@ -40,6 +40,11 @@
       return answerHeldElsewhere(decision, addressOf);
     case 'refusedNotRun':
       return refuse(invalidRequest([expiredGrantFinding(decision.detail)]));
+    case 'noRoom': {
+      const {detail, retryAfterMilliseconds} = decision;
+      const error = {kind: 'cannotMeetTarget', detail} as const;
+      return refuse(notExecuted(error, retryAfterMilliseconds));
+    }
     case 'keyReused': {
       // Work that differs by its class alone may have run under the other class.
       const state = decision.sameWork ? maybeExecuted : notExecuted;
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -406,7 +406,32 @@
     name: 'an expired grant',
     decision: {kind: 'refusedNotRun', detail: 'expired'},
     status: 400,
-    expected: {error: {kind: 'invalidRequest', executed: 'no'}},
+    expected: {
+      error: {
+        kind: 'invalidRequest',
+        executed: 'no',
+        findings: [
+          {
+            source: 'headers',
+            path: 'Idempotency-Key',
+            expected:
+              'a key with a grant that is in force (expired); ask for a new grant at GET /v1/entrypoints',
+          },
+        ],
+      },
+    },
+  },
+  {
+    name: 'no room to remember the key',
+    decision: {kind: 'noRoom', detail: 'full', retryAfterMilliseconds: 4000},
+    status: 503,
+    expected: {
+      error: {
+        kind: 'cannotMeetTarget',
+        executed: 'no',
+        retryAfterMilliseconds: 4000,
+      },
+    },
   },
   {
     name: 'a key that stands for another request',
--- a/src/features/claims/common/boundClaims.ts
+++ b/src/features/claims/common/boundClaims.ts
@@ -138,7 +138,11 @@
       case 'expired':
         return {kind: 'refusedNotRun', detail: 'the grant has expired'};
       case 'full':
-        return {kind: 'refusedNotRun', detail: 'too many keys to remember'};
+        return {
+          kind: 'noRoom',
+          detail: 'this instance remembers as many keys as it may',
+          retryAfterMilliseconds: take.retryAfterMilliseconds,
+        };
       case 'forgotten':
         return this.claimForgotten(keyHash, token, fingerprint);
     }
--- a/src/features/claims/common/boundKeys.ts
+++ b/src/features/claims/common/boundKeys.ts
@@ -13,8 +13,8 @@
   | {readonly kind: 'expired'}
   /** So long expired that it may have been dispatched and forgotten. */
   | {readonly kind: 'forgotten'}
-  /** Never dispatched, and there is no room to remember it. */
-  | {readonly kind: 'full'};
+  /** Never dispatched, and there is no room to remember it until the time has passed. */
+  | {readonly kind: 'full'; readonly retryAfterMilliseconds: number};
 
 /** Bounds of the memory; times in milliseconds. */
 export interface BoundKeyLimits {
@@ -79,7 +79,7 @@
         : {kind: 'seen', outcome};
     }
     if (outcome === undefined && this.count >= this.limits.boundKeyLimit) {
-      return {kind: 'full'};
+      return {kind: 'full', retryAfterMilliseconds: this.roomAt() - now};
     }
     this.set(keyHash, expiresAt, {
       outcome: RUNNING,
@@ -129,14 +129,22 @@
 
   private forgetExpired(now: number): void {
     for (const [number, bucket] of this.buckets) {
-      const lastExpiry = (number + 1) * this.bucketMilliseconds;
-      if (now >= this.forgottenAt(lastExpiry)) {
+      if (now >= this.bucketForgottenAt(number)) {
         this.buckets.delete(number);
         this.count -= bucket.size;
       }
     }
   }
 
+  /** When the first keys are forgotten. */
+  private roomAt(): number {
+    return this.bucketForgottenAt(Math.min(...this.buckets.keys()));
+  }
+
+  private bucketForgottenAt(number: number): number {
+    return this.forgottenAt((number + 1) * this.bucketMilliseconds);
+  }
+
   private bucketOf(expiresAt: number): number {
     return Math.floor(expiresAt / this.bucketMilliseconds);
   }
--- a/src/features/claims/common/claims.ts
+++ b/src/features/claims/common/claims.ts
@@ -35,6 +35,12 @@
    * `sameWork` only the class of work differs, so that the work itself may have run.
    */
   | {readonly kind: 'keyReused'; readonly sameWork: boolean}
+  /** As `refusedNotRun`, for want of memory at present: there is room again after the time. */
+  | {
+      readonly kind: 'noRoom';
+      readonly detail: string;
+      readonly retryAfterMilliseconds: number;
+    }
   /** The claim could not be decided: another instance may have dispatched it. */
   | {
       readonly kind: 'undecided';
--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -144,11 +144,27 @@
   test('beyond the limit are refused, and none is forgotten', async () => {
     const world = newWorld(1, {...testSettings, boundKeyLimit: 2});
     const grant = world.slots[0]!.service.issueGrant(ACCOUNT);
-    const kinds = [];
+    const decisions = [];
     for (const suffix of ['a', 'b', 'c', 'a']) {
-      kinds.push((await claim(world, 0, `${grant}.${suffix}`, 20)).kind);
+      decisions.push(await claim(world, 0, `${grant}.${suffix}`, 20));
+    }
+    expect(decisions.map(({kind}) => kind)).toEqual([
+      'granted',
+      'granted',
+      'noRoom',
+      'duplicate',
+    ]);
+    const [, , full] = decisions;
+    const wait = full?.kind === 'noRoom' ? full.retryAfterMilliseconds : 0;
+    // The time to come back is when room is due, also for a key with a new grant.
+    for (const [after, kind] of [
+      [wait - 100, 'noRoom'],
+      [200, 'granted'],
+    ] as const) {
+      await world.advance(after);
+      const later = `${world.slots[0]!.service.issueGrant(ACCOUNT)}.c`;
+      expect((await claim(world, 0, later, 0)).kind).toBe(kind);
     }
-    expect(kinds).toEqual(['granted', 'granted', 'refusedNotRun', 'duplicate']);
   });
 
   test('are not granted again when the wall clock goes back', async () => {
--- a/src/features/claims/test/claimWorld.ts
+++ b/src/features/claims/test/claimWorld.ts
@@ -267,6 +267,7 @@
     case 'keyReused':
       return decision.sameWork ? 'unknown' : 'no';
     case 'refusedNotRun':
+    case 'noRoom':
       return 'no';
     default:
       return 'unknown';
