The token that is never cancelled hands out a signal of its own each time

Cause: its onDidCancel keeps no listener since, but `signal` was still one shared AbortSignal; calls between peers (tRPC) add listeners to it themselves. Ruled out: a higher listener limit (the listeners would still pile up on one object). Change: `signal` is new at each reading. Looked through: onDidCancel is used by the HTTP client, claims, services and callers; `signal` by calls between peers (claims, peers, membership, pipeline).

--- a/src/base/common/cancellation.ts
+++ b/src/base/common/cancellation.ts
@@ -71,14 +71,20 @@
   }
 }
 
-class NeverToken extends SignalToken {
-  /** Keeps no listener: work that shares this token would pile them up on its signal. */
-  override onDidCancel(): Disposable {
+class NeverToken implements CancellationToken {
+  readonly isCancelled = false;
+  readonly reason = undefined;
+
+  /** A new one each time: users of a shared one would pile up their listeners on it. */
+  get signal(): AbortSignal {
+    return new AbortController().signal;
+  }
+
+  /** Keeps no listener, for the same reason. */
+  onDidCancel(): Disposable {
     return toDisposable(() => undefined);
   }
 }
 
 /** A token that is never cancelled. */
-export const neverCancelled: CancellationToken = new NeverToken(
-  new AbortController().signal,
-);
+export const neverCancelled: CancellationToken = new NeverToken();
--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -428,6 +428,16 @@
         kind: 'notSeen',
         closed: false,
       });
+      const warnings: Error[] = [];
+      const keep = (warning: Error) => void warnings.push(warning);
+      process.on('warning', keep);
+      // Many calls at once share the token that is never cancelled.
+      const asks = Array.from({length: 20}, () =>
+        peers.ask(address, message, neverCancelled),
+      );
+      expect(await Promise.all(asks)).toHaveLength(20);
+      process.off('warning', keep);
+      expect(warnings).toEqual([]);
       const write = {
         key: claimRowKey('ab'),
         value: '{}',
