--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -407,7 +407,44 @@
     name: 'an expired grant',
     decision: {kind: 'refusedNotRun', detail: 'expired'},
     status: 400,
-    expected: {error: {kind: 'invalidRequest', executed: 'no'}},
+    expected: {
+      error: {
+        kind: 'invalidRequest',
+        executed: 'no',
+        findings: [
+          {
+            source: 'headers',
+            path: 'Idempotency-Key',
+            expected:
+              'a key with a grant that is in force (expired); ask for a new grant at GET /v1/entrypoints',
+          },
+        ],
+      },
+    },
+  },
+  {
+    name: 'no room to remember the key',
+    decision: {kind: 'noRoom', detail: 'full', retryAfterMilliseconds: 4000},
+    status: 503,
+    expected: {
+      error: {
+        kind: 'cannotMeetTarget',
+        executed: 'no',
+        retryAfterMilliseconds: 4000,
+      },
+    },
+  },
+  {
+    name: 'a key that stands for another request',
+    decision: {kind: 'keyReused', sameWork: false},
+    status: 422,
+    expected: {error: {kind: 'keyReused', executed: 'no'}},
+  },
+  {
+    name: 'a key that stands for the same work of another class',
+    decision: {kind: 'keyReused', sameWork: true},
+    status: 422,
+    expected: {error: {kind: 'keyReused', executed: 'unknown'}},
   },
   {
     name: 'undecided',
@@ -452,10 +489,29 @@
   expect(fixture.claims.completed).toMatchObject([{kind: 'completed', body}]);
 });
 
+const service = '/v1/services/stock/confirm';
+const longer = {...chatBody(), max_tokens: 9};
+
+test.each([
+  {name: 'asked as events', path: chatPath, body: chatBody(true), same: true},
+  {name: 'another prompt limit', path: chatPath, body: longer, same: false},
+  {name: 'another call', path: service, body: chatBody(), same: false},
+])('fingerprint: $name, same $same', async ({path, body, same}) => {
+  await fixture.send(chatPath, order, chatBody());
+  await fixture.send(path, order, body);
+  await fixture.send(service, order, 'x');
+  await fixture.send(`${service}?y`, order, 'x');
+  const [first, second, ...calls] = fixture.claims.fingerprints;
+  expect(second === first).toBe(same);
+  expect(calls[0]).toMatch(/^[\w-]{43}\.order$/);
+  expect(calls[1]).not.toBe(calls[0]);
+});
+
 describe('services', () => {
   test.each([
     ['/levels/7?site=2', query, 200],
     ['/confirm', query, 400],
+    ['/levels/reserve', query, 400],
     ['/confirm', {...query, 'Idempotency-Key': 'k'}, 200],
     ['/levels/%2e%2e/confirm', query, 400],
     ['/levels%2f..%2fconfirm', query, 400],
