Peer calls without undici's streams and without headers that nobody reads

Cause: Pool.request makes a body stream and an async resource, and the link made an abort controller, for each call; answers told the content type and how long connections are kept. Ruled out: dropping undici's connection header (only with a closed connection) or the key after the first call of a connection (undici doesn't tell which connection carries a request). Change: the link dispatches with a small handler that collects the answer and aborts by the controller; the server collects the body by events. Peer servers leave out connection headers, since clients know how long connections are kept (55 s, servers 60 s); the control program's server, which keeps them for 5 s, still tells it.

--- a/src/platform/rpc/node/poolLink.ts
+++ b/src/platform/rpc/node/poolLink.ts
@@ -22,72 +22,110 @@
   origin: string,
   headers: Readonly<Record<string, string>>,
 ): TRPCLink<Router> {
-  const sentHeaders = {...headers, 'content-type': 'application/json'};
   return () =>
     ({op}) =>
       observable<
         OperationResultEnvelope<unknown, TRPCClientError<Router>>,
         TRPCClientError<Router>
       >(observer => {
-        const controller = new AbortController();
-        let isDone = false;
-        // Aborting costs an exception, so only while the call runs.
-        const abort = (): void => {
-          if (!isDone) {
-            controller.abort();
+        const onAbort = (): void => exchange.abort();
+        const exchange = new Exchange((cause, answer) => {
+          op.signal?.removeEventListener('abort', onAbort);
+          if (answer === undefined || answer.error !== undefined) {
+            const source = answer ?? (cause as Error);
+            observer.error(TRPCClientError.from<Router>(source as Error));
+            return;
           }
-        };
+          observer.next({result: {type: 'data', data: answer.result?.data}});
+          observer.complete();
+        });
+        op.signal?.addEventListener('abort', onAbort, {once: true});
         if (op.signal?.aborted) {
-          abort();
+          onAbort();
+        } else {
+          send(dispatcher, origin, headers, op, exchange);
         }
-        op.signal?.addEventListener('abort', abort, {once: true});
-        send(dispatcher, origin, sentHeaders, op, controller.signal)
-          .then(({result}) => {
-            isDone = true;
-            observer.next({result: {type: 'data', data: result?.data}});
-            observer.complete();
-          })
-          .catch(cause => {
-            isDone = true;
-            observer.error(clientError<Router>(cause));
-          })
-          .finally(() => op.signal?.removeEventListener('abort', abort));
-        return abort;
+        return onAbort;
       });
 }
 
-/** What the server said went wrong. */
-class AnsweredError extends Error {
-  constructor(readonly body: AnswerBody) {
-    super('the peer answered with an error');
-  }
-}
-
-async function send(
+function send(
   dispatcher: Dispatcher,
   origin: string,
   headers: Readonly<Record<string, string>>,
   operation: Operation,
-  signal: AbortSignal,
-): Promise<AnswerBody> {
-  const {body} = await dispatcher.request({
-    origin,
-    path: `/${operation.path}`,
-    method: 'POST',
-    headers,
-    body: JSON.stringify(operation.input) ?? '',
-    signal,
-  });
-  const answer = (await body.json()) as AnswerBody;
-  if (answer.error !== undefined) {
-    throw new AnsweredError(answer);
+  exchange: Exchange,
+): void {
+  const path = `/${operation.path}`;
+  try {
+    const body = JSON.stringify(operation.input) ?? '';
+    dispatcher.dispatch(
+      {origin, path, method: 'POST', headers, body},
+      exchange,
+    );
+  } catch (cause) {
+    exchange.fail(cause);
   }
-  return answer;
 }
 
-function clientError<Router extends AnyTRPCRouter>(
-  cause: unknown,
-): TRPCClientError<Router> {
-  const source = cause instanceof AnsweredError ? cause.body : cause;
-  return TRPCClientError.from<Router>(source as Error);
+/** One request and its answer; it ends once, by the answer, a failure or an abort. */
+class Exchange implements Dispatcher.DispatchHandler {
+  private readonly chunks: Buffer[] = [];
+  private controller: Dispatcher.DispatchController | undefined;
+  private isDone = false;
+
+  constructor(
+    private readonly onDone: (cause: unknown, answer?: AnswerBody) => void,
+  ) {}
+
+  /** Ends the request; one that still waits for a connection is never sent. */
+  abort(): void {
+    if (!this.isDone) {
+      const cause = new Error('the call was aborted');
+      this.controller?.abort(cause);
+      this.fail(cause);
+    }
+  }
+
+  fail(cause: unknown): void {
+    this.end(cause);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.isDone) {
+      controller.abort(new Error('the call was aborted'));
+    }
+  }
+
+  onResponseStart(): void {}
+
+  onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const [first] = this.chunks;
+    const isWhole = first !== undefined && this.chunks.length === 1;
+    const body = isWhole ? first : Buffer.concat(this.chunks);
+    let answer: AnswerBody;
+    try {
+      answer = JSON.parse(body.toString('utf8')) as AnswerBody;
+    } catch (cause) {
+      this.end(cause);
+      return;
+    }
+    this.end(undefined, answer);
+  }
+
+  onResponseError(_: Dispatcher.DispatchController, cause: Error): void {
+    this.end(cause);
+  }
+
+  private end(cause: unknown, answer?: AnswerBody): void {
+    if (!this.isDone) {
+      this.isDone = true;
+      this.onDone(cause, answer);
+    }
+  }
 }
--- a/src/platform/rpc/node/rpc.ts
+++ b/src/platform/rpc/node/rpc.ts
@@ -9,6 +9,7 @@
 import {
   createRpcHandler,
   createRpcServer,
+  KEEP_ALIVE_MILLISECONDS,
   KEY_HEADER,
   RpcContext,
 } from './rpcServer.js';
@@ -20,6 +21,8 @@
 
 const CONNECTIONS_PER_PEER = 4;
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
+/** Shorter than servers keep idle connections, for those that don't tell how long. */
+const IDLE_MILLISECONDS = KEEP_ALIVE_MILLISECONDS - 5000;
 
 const trpc = initTRPC.context<RpcContext>().create();
 
@@ -116,6 +119,7 @@
   return new Agent({
     connections,
     pipelining: 1,
+    keepAliveTimeout: IDLE_MILLISECONDS,
     connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS},
   });
 }
--- a/src/platform/rpc/node/rpcServer.ts
+++ b/src/platform/rpc/node/rpcServer.ts
@@ -29,7 +29,7 @@
 
 const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
 /** Longer than peers pause between calls, so that connections are seldom made anew. */
-const KEEP_ALIVE_MILLISECONDS = 60000;
+export const KEEP_ALIVE_MILLISECONDS = 60000;
 const SUCCESS_STATUS = 200;
 
 interface Answer {
@@ -52,7 +52,12 @@
   router: AnyTRPCRouter,
   peerKey: string,
 ): Server {
-  const server = createServer(createRpcHandler(router, peerKey));
+  const handler = createRpcHandler(router, peerKey);
+  const server = createServer((request, response) => {
+    // Clients know how long connections are kept, so no answer need tell it.
+    response.removeHeader('connection');
+    handler(request, response);
+  });
   server.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS;
   return server;
 }
@@ -77,7 +82,6 @@
   const text = JSON.stringify(answer.body);
   response.sendDate = false;
   response.writeHead(answer.status, {
-    'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
   });
   response.end(text);
@@ -138,18 +142,27 @@
   }
 }
 
-async function readBody(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    length += chunk.length;
-    if (length > BODY_LIMIT_BYTES) {
-      throw new TRPCError({
-        code: 'PAYLOAD_TOO_LARGE',
-        message: `the body is larger than ${BODY_LIMIT_BYTES} bytes`,
-      });
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
+function readBody(request: IncomingMessage): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    request.on('data', (chunk: Buffer) => {
+      length += chunk.length;
+      if (length <= BODY_LIMIT_BYTES) {
+        chunks.push(chunk);
+        return;
+      }
+      request.removeAllListeners('data');
+      request.destroy();
+      reject(
+        new TRPCError({
+          code: 'PAYLOAD_TOO_LARGE',
+          message: `the body is larger than ${BODY_LIMIT_BYTES} bytes`,
+        }),
+      );
+    });
+    request.once('end', () => resolve(Buffer.concat(chunks).toString('utf8')));
+    request.once('error', reject);
+    request.once('close', () => reject(new Error('the caller has left')));
+  });
 }
