--- a/demo/demoCaller.ts
+++ b/demo/demoCaller.ts
@@ -20,7 +20,7 @@
   readonly body?: unknown;
 }
 
-const TIMEOUT_MILLISECONDS = 15_000;
+const TIMEOUT_MILLISECONDS = 40_000;
 
 /** Asks which address to use, keeps the grant, and calls there. */
 export class DemoCaller {
--- a/demo/demoSteps.ts
+++ b/demo/demoSteps.ts
@@ -49,7 +49,9 @@
   }
 
   private async orders(): Promise<void> {
-    this.title('Orders of two desks at once, none of which may run twice');
+    this.title(
+      'Orders of two client accounts at once, none of which may run twice',
+    );
     const orders: ReadonlyArray<readonly [DemoCaller, string]> = [
       [this.concrete, 'Book 12 cubic metres for Thursday 6 am, gate 3.'],
       [this.concrete, 'Move the Friday pour to 7 am.'],
@@ -147,9 +149,9 @@
       'class',
       'set',
       'urgent',
-      '--first-token-milliseconds=800',
-      '--between-tokens-milliseconds=120',
-      '--deadline-milliseconds=6000',
+      '--first-token-milliseconds=8000',
+      '--between-tokens-milliseconds=2000',
+      '--deadline-milliseconds=25000',
       '--requests-per-second=2',
       '--repeatable',
     ];
