One class for the view source of the entry program

Cause: EntryViewSource only wrapped ControlViewSource behind SystemViewSource. Change: ControlViewSource is the SystemViewSource; heardAt is the time of its last answer.

--- a/src/features/membership/node/controlViewSource.ts
+++ b/src/features/membership/node/controlViewSource.ts
@@ -4,9 +4,9 @@
 } from '../../../base/common/cancellation.js';
 import {Clock} from '../../../base/common/clock.js';
 import {Emitter} from '../../../base/common/event.js';
-import {Disposable} from '../../../base/common/lifecycle.js';
 import {createRpcClient, RpcClient} from '../../../platform/rpc/node/rpc.js';
 import {EntryAnnouncement, SystemView} from '../common/systemView.js';
+import {SystemViewSource} from '../common/systemViewSource.js';
 import {ViewMerger} from '../common/viewMerger.js';
 import {ViewPosition, ViewUpdate} from '../common/viewPublisher.js';
 import {ViewRouter} from './viewRouter.js';
@@ -16,15 +16,16 @@
 const RETRY_MILLISECONDS = 250;
 
 /** Follows the view of the instance's control program and announces the entry program to it. */
-export class ControlViewSource implements Disposable {
+export class ControlViewSource extends SystemViewSource {
   private readonly merger = new ViewMerger();
   private readonly changed = new Emitter<SystemView>();
   private readonly lifetime = new CancellationSource();
   private readonly client: RpcClient<ViewRouter>;
   private position: ViewPosition | undefined;
+  private answeredAt: number | undefined;
 
   /** Fires after each newer view. */
-  readonly onDidChange = this.changed.event;
+  override readonly onDidChange = this.changed.event;
 
   constructor(
     controlAddress: string,
@@ -32,26 +33,31 @@
     private readonly clock: Clock,
     private announcement: EntryAnnouncement,
   ) {
+    super();
     this.client = createRpcClient<ViewRouter>(controlAddress, peerKey);
   }
 
   /** The newest view; undefined until the first. */
-  get current(): SystemView | undefined {
+  override get current(): SystemView | undefined {
     return this.merger.current;
   }
 
+  override get heardAt(): number | undefined {
+    return this.answeredAt;
+  }
+
   /** Begins to follow; ends on dispose. */
   start(): void {
     void this.follow(this.lifetime.token);
   }
 
   /** Tells the control program what changed; it is told again when it starts again. */
-  async announce(announcement: EntryAnnouncement): Promise<boolean> {
+  override async announce(announcement: EntryAnnouncement): Promise<boolean> {
     this.announcement = announcement;
     return this.sendAnnouncement(this.lifetime.token);
   }
 
-  dispose(): void {
+  override dispose(): void {
     this.lifetime.cancel('stopped');
     this.lifetime.dispose();
     this.client.dispose();
@@ -80,6 +86,7 @@
       const isOther = update.position.source !== since?.source;
       this.position = update.position;
       const now = this.clock.monotonicMilliseconds();
+      this.answeredAt = now;
       // JSON leaves out fields without a value, which reads the same.
       this.changed.fire(this.merger.take(update as ViewUpdate, now));
       return isOther ? await this.sendAnnouncement(token) : true;
--- a/src/programs/entry/entryParts.ts
+++ b/src/programs/entry/entryParts.ts
@@ -2,7 +2,7 @@
 import {Disposable} from '../../base/common/lifecycle.js';
 import {ServiceDispatcher} from '../../features/callers/common/serviceDispatcher.js';
 import {ClaimService} from '../../features/claims/common/claims.js';
-import {EntryViewSource} from '../../features/membership/node/entryViewSource.js';
+import {ControlViewSource} from '../../features/membership/node/controlViewSource.js';
 import {PipelineDriver} from '../../features/pipeline/common/pipelineDriver.js';
 import {HttpEngineConnector} from '../../platform/engine/node/httpEngineConnector.js';
 import {Logger} from '../../platform/logging/common/logger.js';
@@ -15,7 +15,7 @@
   readonly settings: EntrySettings;
   readonly peerKey: string;
   readonly incarnation: string;
-  readonly views: EntryViewSource;
+  readonly views: ControlViewSource;
   readonly engines: HttpEngineConnector;
   readonly services: HttpServiceConnector;
   readonly clock: Clock;
--- a/src/programs/entry/wiring.ts
+++ b/src/programs/entry/wiring.ts
@@ -5,7 +5,6 @@
 import {RequestGate} from '../../features/callers/common/requestGate.js';
 import {CallerServer} from '../../features/callers/node/callerServer.js';
 import {ControlViewSource} from '../../features/membership/node/controlViewSource.js';
-import {EntryViewSource} from '../../features/membership/node/entryViewSource.js';
 import {NaiveClaimService} from '../../features/naive/common/naiveClaimService.js';
 import {NaiveBroker} from '../../features/naive/node/naiveBroker.js';
 import {NaivePipelineDriver} from '../../features/naive/node/naivePipelineDriver.js';
@@ -84,11 +83,8 @@
     const logger = BunyanLogger.create('redwing-entry', observation.logLevel, {
       instance: instance.id,
     });
-    const source = new ControlViewSource(
-      controlAddress,
-      peerKey,
-      clock,
-      announcement,
+    const views = this.register(
+      new ControlViewSource(controlAddress, peerKey, clock, announcement),
     );
     return {
       settings,
@@ -97,7 +93,7 @@
       clock,
       logger,
       metrics: this.createMetrics(),
-      views: this.register(new EntryViewSource(source, clock)),
+      views,
       engines: this.register(new HttpEngineConnector()),
       services: this.register(new HttpServiceConnector()),
     };
