--- a/test/control/configurationInForce.test.ts
+++ b/test/control/configurationInForce.test.ts
@@ -1,6 +1,7 @@
 import {afterAll, beforeAll, expect, it} from 'vitest';
 
 import {ConfigurationOperation} from '../../src/features/configuration/common/configuration.js';
+import {UpstreamMember} from '../../src/platform/membership/common/membershipList.js';
 import {InstanceHandle} from '../support/systemParts.js';
 import {LaunchedSystem} from '../support/launcher.js';
 
@@ -24,6 +25,7 @@
 
 interface ControlStatus {
   readonly revision: number;
+  readonly upstreams: readonly UpstreamMember[];
   readonly standing: {readonly kind: string};
 }
 
@@ -82,6 +84,29 @@
   console.log(JSON.stringify({what, secondsToLastInstance: seconds}));
 }
 
+function engineMember(id: string, state: 'live' | 'leaving'): UpstreamMember {
+  const place = {dataCentre: 'rionegro', region: 'antioquia'};
+  const address = '127.0.0.1:9';
+  return {role: 'engine', id, ...place, address, group: 'replica', state};
+}
+
+/** Waits until all show an upstream in its state, and prints how long that took. */
+async function shownEverywhere({id, state}: UpstreamMember): Promise<void> {
+  const begin = performance.now();
+  await Promise.all(
+    system.instances.map(instance =>
+      system.until(`${instance.id} shows ${id} ${state}`, async () => {
+        const upstreams = (await statusOf(instance))?.upstreams ?? [];
+        return upstreams.some(
+          other => other.id === id && other.state === state,
+        );
+      }),
+    ),
+  );
+  const secondsToLastInstance = (performance.now() - begin) / 1_000;
+  console.log(JSON.stringify({what: `member ${state}`, secondsToLastInstance}));
+}
+
 beforeAll(async () => {
   system = await LaunchedSystem.launch({
     instances: INSTANCES,
@@ -138,6 +163,19 @@
   await system.platform.setFault({...cut, fault: {kind: 'clear'}});
 });
 
+it('a leaving upstream is known everywhere, also where the list can not be read', async () => {
+  const cut = {part: 'membership', instance: 'instance-6'} as const;
+  await system.platform.setFault({...cut, fault: {kind: 'down'}});
+  for (let round = 0; round < 5; round++) {
+    for (const state of ['live', 'leaving'] as const) {
+      const upstream = engineMember(`engine-${round}`, state);
+      await system.platform.setMembers({set: [upstream]});
+      await shownEverywhere(upstream);
+    }
+  }
+  await system.platform.setFault({...cut, fault: {kind: 'clear'}});
+});
+
 it('an outage of the table refuses changes, and a new instance serves the old revision', async () => {
   const before = await statusOf(system.instances[0] as InstanceHandle);
   await system.platform.setFault({fault: {kind: 'down'}, part: 'table'});
