--- a/src/features/callers/node/serviceHandler.ts
+++ b/src/features/callers/node/serviceHandler.ts
@@ -3,12 +3,14 @@
 import {failure, Result, success} from '../../../base/common/result.js';
 import {PlainService} from '../../configuration/common/configuration.js';
 import {RequestFailure} from '../../requests/common/failure.js';
+import {mayRepeat} from '../../services/common/repeatability.js';
 import {missingKeyFinding} from '../common/callerHeaders.js';
 import {CallerAnswer} from '../common/claimAnswers.js';
 import {invalidRequest, notExecuted} from '../common/failureBody.js';
 import {WholeFormat} from '../common/replyFormat.js';
-import {isRepeatableCall, readServiceTarget} from '../common/serviceCalls.js';
+import {readServiceTarget} from '../common/serviceCalls.js';
 import {ServiceCallRequest} from '../common/serviceDispatcher.js';
+import {fingerprintOf} from './requestFingerprint.js';
 import {ExchangePlan} from './requestExchange.js';
 import {WorkHandler, WorkInput} from './workHandler.js';
 
@@ -43,7 +45,7 @@
     const {classOfWork, idempotencyKey} = input.headers;
     const repeatable =
       (classOfWork?.repeatable ?? true) &&
-      isRepeatableCall(service, input.method, path);
+      mayRepeat(service, input.method, path);
     const findings: Finding[] = [...input.headers.findings];
     if (!repeatable && !input.headers.hasKey) {
       findings.push(missingKeyFinding());
@@ -51,6 +53,14 @@
     if (classOfWork === undefined || findings.length > 0) {
       return failure(invalidRequest(findings));
     }
+    const fingerprint = () =>
+      fingerprintOf({
+        kind: 'service',
+        method: input.method,
+        path: `${service.name}${path}`,
+        body: input.body,
+        classOfWork: classOfWork.name,
+      });
     return success(
       this.planFor({
         requestId: input.requestId,
@@ -60,6 +70,7 @@
         contentType: input.headers.contentType,
         body: input.body,
         idempotencyKey,
+        fingerprint: idempotencyKey === undefined ? undefined : fingerprint(),
         clientAccount: input.account.name,
         classOfWork,
         repeatable,
@@ -70,7 +81,10 @@
 
   private planFor(request: ServiceCallRequest): ExchangePlan {
     return {
-      claimedKey: this.claimedKey(request),
+      claimedKey: this.claimedKey({
+        ...request,
+        fingerprint: () => request.fingerprint ?? '',
+      }),
       deadlineAt: request.deadlineAt,
       format: new WholeFormat(),
       work: (_sink, token) => this.run(request, token),
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {connect} from 'node:net';
 
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
@@ -406,7 +407,44 @@
     name: 'an expired grant',
     decision: {kind: 'refusedNotRun', detail: 'expired'},
     status: 400,
-    expected: {error: {kind: 'invalidRequest', executed: 'no'}},
+    expected: {
+      error: {
+        kind: 'invalidRequest',
+        executed: 'no',
+        findings: [
+          {
+            source: 'headers',
+            path: 'Idempotency-Key',
+            expected:
+              'a key with a grant that is in force (expired); ask for a new grant at GET /v1/entrypoints',
+          },
+        ],
+      },
+    },
+  },
+  {
+    name: 'no room to remember the key',
+    decision: {kind: 'noRoom', detail: 'full', retryAfterMilliseconds: 4000},
+    status: 503,
+    expected: {
+      error: {
+        kind: 'cannotMeetTarget',
+        executed: 'no',
+        retryAfterMilliseconds: 4000,
+      },
+    },
+  },
+  {
+    name: 'a key that stands for another request',
+    decision: {kind: 'keyReused', sameWork: false},
+    status: 422,
+    expected: {error: {kind: 'keyReused', executed: 'no'}},
+  },
+  {
+    name: 'a key that stands for the same work of another class',
+    decision: {kind: 'keyReused', sameWork: true},
+    status: 422,
+    expected: {error: {kind: 'keyReused', executed: 'unknown'}},
   },
   {
     name: 'undecided',
@@ -451,10 +489,29 @@
   expect(fixture.claims.completed).toMatchObject([{kind: 'completed', body}]);
 });
 
+const service = '/v1/services/stock/confirm';
+const longer = {...chatBody(), max_tokens: 9};
+
+test.each([
+  {name: 'asked as events', path: chatPath, body: chatBody(true), same: true},
+  {name: 'another prompt limit', path: chatPath, body: longer, same: false},
+  {name: 'another call', path: service, body: chatBody(), same: false},
+])('fingerprint: $name, same $same', async ({path, body, same}) => {
+  await fixture.send(chatPath, order, chatBody());
+  await fixture.send(path, order, body);
+  await fixture.send(service, order, 'x');
+  await fixture.send(`${service}?y`, order, 'x');
+  const [first, second, ...calls] = fixture.claims.fingerprints;
+  expect(second === first).toBe(same);
+  expect(calls[0]).toMatch(/^[\w-]{43}\.order$/);
+  expect(calls[1]).not.toBe(calls[0]);
+});
+
 describe('services', () => {
   test.each([
     ['/levels/7?site=2', query, 200],
     ['/confirm', query, 400],
+    ['/levels/reserve', query, 400],
     ['/confirm', {...query, 'Idempotency-Key': 'k'}, 200],
     ['/levels/%2e%2e/confirm', query, 400],
     ['/levels%2f..%2fconfirm', query, 400],
@@ -545,6 +602,21 @@
     expect(await drained).toBe(0);
   });
 
+  test('a request sent on a kept connection while the instance stops is answered', async () => {
+    const socket = connect(fixture.port, '127.0.0.1');
+    const texts: string[] = [];
+    socket.setEncoding('utf8').on('data', text => texts.push(String(text)));
+    const ask = () =>
+      socket.write('GET /v1/health HTTP/1.1\r\nHost: callers\r\n\r\n');
+    ask();
+    await expect.poll(() => texts.join('')).toContain('"serving":true');
+    const drained = fixture.server.drain(60_000);
+    ask();
+    await once(socket, 'close');
+    expect(texts.join('')).toContain('"leaving":true');
+    expect(await drained).toBe(0);
+  });
+
   test('a stop with nothing in progress leaves no timer that would hold the process', async () => {
     const clock = new CountingClock();
     const idle = await new CallerFixture(clock).start();
@@ -553,6 +625,40 @@
     expect(clock.waiting.size).toBe(0);
   });
 
+  test.each([
+    {headers: query, surelyNotRun: false, executed: 'no'},
+    {headers: order, surelyNotRun: false, executed: 'unknown'},
+    {headers: order, surelyNotRun: true, executed: 'no'},
+  ])(
+    'new work refused as a whole says no more of a key than is known: $executed',
+    async ({headers, surelyNotRun, executed}) => {
+      fixture.claims.surelyNotRun = surelyNotRun;
+      fixture.driver.script = () => new Promise(() => undefined);
+      const caller = new AbortController();
+      const held = [1, 2].map(() =>
+        fixture.send(chatPath, query, chatBody(), caller.signal),
+      );
+      await expect.poll(() => fixture.driver.requests.length).toBe(2);
+      const answers = [await fixture.send(chatPath, headers, chatBody())];
+      const serving = fixture.views.current!;
+      fixture.views.current = {
+        ...serving,
+        standing: {kind: 'cutOff', sinceMilliseconds: 0},
+      };
+      answers.push(await fixture.send(chatPath, headers, chatBody()));
+      fixture.views.current = {...serving, standing: {kind: 'leaving'}};
+      answers.push(await fixture.send(chatPath, headers, chatBody()));
+      const bodies = await Promise.all(answers.map(answer => answer.json()));
+      expect(bodies).toMatchObject(
+        ['cannotMeetTarget', 'cutOff', 'shuttingDown'].map(kind => ({
+          error: {kind, executed},
+        })),
+      );
+      caller.abort();
+      await Promise.allSettled(held);
+    },
+  );
+
   test('more requests than may be in progress are refused', async () => {
     fixture.driver.script = () => new Promise(() => undefined);
     const leaving = new AbortController();
--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -37,9 +37,15 @@
   worlds.splice(0).forEach(world => world.dispose());
 });
 
-async function claim(world: ClaimWorld, slot: number, key: string, wait = 500) {
+async function claim(
+  world: ClaimWorld,
+  slot: number,
+  key: string,
+  wait = 500,
+  fingerprint?: string,
+) {
   const {service} = world.slots[slot]!;
-  const decision = service.claim(ACCOUNT, key, neverCancelled);
+  const decision = service.claim(ACCOUNT, key, neverCancelled, fingerprint);
   await world.advance(wait);
   return decision;
 }
@@ -138,11 +144,27 @@
   test('beyond the limit are refused, and none is forgotten', async () => {
     const world = newWorld(1, {...testSettings, boundKeyLimit: 2});
     const grant = world.slots[0]!.service.issueGrant(ACCOUNT);
-    const kinds = [];
+    const decisions = [];
     for (const suffix of ['a', 'b', 'c', 'a']) {
-      kinds.push((await claim(world, 0, `${grant}.${suffix}`, 20)).kind);
+      decisions.push(await claim(world, 0, `${grant}.${suffix}`, 20));
+    }
+    expect(decisions.map(({kind}) => kind)).toEqual([
+      'granted',
+      'granted',
+      'noRoom',
+      'duplicate',
+    ]);
+    const [, , full] = decisions;
+    const wait = full?.kind === 'noRoom' ? full.retryAfterMilliseconds : 0;
+    // The time to come back is when room is due, also for a key with a new grant.
+    for (const [after, kind] of [
+      [wait - 100, 'noRoom'],
+      [200, 'granted'],
+    ] as const) {
+      await world.advance(after);
+      const later = `${world.slots[0]!.service.issueGrant(ACCOUNT)}.c`;
+      expect((await claim(world, 0, later, 0)).kind).toBe(kind);
     }
-    expect(kinds).toEqual(['granted', 'granted', 'refusedNotRun', 'duplicate']);
   });
 
   test('are not granted again when the wall clock goes back', async () => {
@@ -216,6 +238,20 @@
     expect((await claim(world, 0, 'order')).kind).toBe('duplicate');
   });
 
+  test('whose end without a run is still being recorded can be asked for again later', async () => {
+    const world = newWorld(2);
+    await claim(world, 0, 'order');
+    world.platform.addFault({kind: 'down'}, {part: 'table', instance: 'slot0'});
+    world.slots[0]!.service.complete(ACCOUNT, 'order', notRun);
+    expect(await claim(world, 1, 'order')).toEqual({
+      kind: 'duplicate',
+      outcome: {kind: 'running'},
+    });
+    world.platform.clearFaults();
+    await world.advance(500);
+    expect(await claim(world, 1, 'order')).toEqual({kind: 'granted'});
+  });
+
   test('a reply over the limit is recorded as run, not cut', async () => {
     const world = newWorld(2, {...testSettings, recordedBodyLimit: 3});
     await claim(world, 0, 'order');
@@ -228,6 +264,45 @@
   });
 });
 
+describe('a key that comes with another request', () => {
+  const other = {kind: 'keyReused', sameWork: false};
+  test.each([
+    {at: 'its holder, running', key: 'plain', slot: 0, end: undefined},
+    {at: 'its holder, ended', key: 'plain', slot: 0, end: completed},
+    {at: 'its holder, not run', key: 'plain', slot: 0, end: notRun},
+    {at: 'another, running', key: 'plain', slot: 1, end: undefined},
+    {at: 'another, ended', key: 'plain', slot: 1, end: completed},
+    {at: 'another, not run', key: 'plain', slot: 1, end: notRun},
+    {at: 'its holder, running', key: 'bound', slot: 0, end: undefined},
+    {at: 'its holder, ended', key: 'bound', slot: 0, end: completed},
+    {at: 'its holder, not run', key: 'bound', slot: 0, end: notRun},
+    {at: 'another, running', key: 'bound', slot: 1, end: undefined},
+    {at: 'another, ended', key: 'bound', slot: 1, end: completed},
+    {at: 'one after its holder died', key: 'bound', slot: 1, end: completed},
+    {at: 'its holder, forgotten', key: 'bound', slot: 0, end: completed},
+  ])('$key key at $at', async ({at, key: kind, slot, end}) => {
+    const world = newWorld(4);
+    const {service} = world.slots[0]!;
+    const key = kind === 'bound' ? `${service.issueGrant(ACCOUNT)}.a` : 'order';
+    expect(await claim(world, 0, key, 200, 'x.order')).toEqual({
+      kind: 'granted',
+    });
+    if (end !== undefined) {
+      service.complete(ACCOUNT, key, end);
+      await world.advance(at.includes('forgotten') ? 6000 : 200);
+    }
+    if (at.includes('died')) {
+      world.restart(world.slots[0]!);
+    }
+    const decide = (fingerprint?: string) =>
+      claim(world, slot, key, 200, fingerprint);
+    expect(await decide('y.order')).toEqual(other);
+    expect(await decide('x.query')).toEqual({...other, sameWork: true});
+    expect((await decide('x.order')).kind).not.toBe('keyReused');
+    expect((await decide()).kind).not.toBe('keyReused');
+  });
+});
+
 test.each([
   {key: 'plain', before: undefined, after: completed},
   {key: 'bound', before: undefined, after: completed},
@@ -367,6 +442,16 @@
         kind: 'notSeen',
         closed: false,
       });
+      const warnings: Error[] = [];
+      const keep = (warning: Error) => void warnings.push(warning);
+      process.on('warning', keep);
+      // Many calls at once share the token that is never cancelled.
+      const asks = Array.from({length: 20}, () =>
+        peers.ask(address, message, neverCancelled),
+      );
+      expect(await Promise.all(asks)).toHaveLength(20);
+      process.off('warning', keep);
+      expect(warnings).toEqual([]);
       const write = {
         key: claimRowKey('ab'),
         value: '{}',
