--- a/test/prove/faults.ts
+++ b/test/prove/faults.ts
@@ -48,93 +48,119 @@
 const LEAVING_MILLISECONDS = 5000;
 const LIST_LAG_MILLISECONDS = 700;
 
-/** All faults by name. */
-export const faultMakers: Readonly<Record<string, FaultMaker>> = {
-  stageKilled: (system, random) => {
-    const {id, process} = pick(system.engines, random);
-    return killed('stageKilled', id, process);
-  },
-  stagePaused: (system, random) => {
-    const {id, process} = pick(system.engines, random);
-    return paused('stagePaused', id, process);
-  },
-  stageDiesBegun: stageDies('begun'),
-  stageDiesComputed: stageDies('computed'),
-  stageDiesAnswered: stageDies('answered'),
-  stageFrozen: engineFault('stageFrozen', {kind: 'freeze'}),
-  stageSlow: engineFault('stageSlow', {kind: 'slow', factor: 40}),
-  stageRequestLost: engineFault('stageRequestLost', {kind: 'requestLost'}, 3),
-  stageAnswerLost: engineFault('stageAnswerLost', {kind: 'answerLost'}, 3),
-  stageLate: engineFault('stageLate', {kind: 'late', milliseconds: 900}, 3),
-  stageTwice: engineFault('stageTwice', {kind: 'twice'}, 5),
-  stageCrossed: engineFault('stageCrossed', {kind: 'crossed'}, 3),
-  stageRefuses: engineFault('stageRefuses', {kind: 'refuse'}, 5),
-  cachesLost: engineFault('cachesLost', {kind: 'loseCaches'}),
-  cutLink: engineFault('cutLink', {kind: 'link', from: '*', milliseconds: 80}),
-  importAbsent: stageKilledWithImport({kind: 'importAbsent'}),
-  importStale: stageKilledWithImport({kind: 'importStale'}),
-  entryKilled: (system, random) => {
-    const {id, entry} = pick(system.instances, random);
-    return killed('entryKilled', id, entry);
-  },
-  entryPaused: (system, random) => {
-    const {id, entry} = pick(system.instances, random);
-    return paused('entryPaused', id, entry);
+/** All faults by what they strike and by name; a round chooses what to strike first. */
+export const faultMakers: Readonly<
+  Record<string, Readonly<Record<string, FaultMaker>>>
+> = {
+  stages: {
+    stageKilled: (system, random) => {
+      const {id, process} = pick(system.engines, random);
+      return killed('stageKilled', id, process);
+    },
+    stagePaused: (system, random) => {
+      const {id, process} = pick(system.engines, random);
+      return paused('stagePaused', id, process);
+    },
+    stageDiesBegun: stageDies('begun'),
+    stageDiesComputed: stageDies('computed'),
+    stageDiesAnswered: stageDies('answered'),
+    stageFrozen: engineFault('stageFrozen', {kind: 'freeze'}),
+    stageSlow: engineFault('stageSlow', {kind: 'slow', factor: 40}),
+    stageRequestLost: engineFault('stageRequestLost', {kind: 'requestLost'}, 3),
+    stageAnswerLost: engineFault('stageAnswerLost', {kind: 'answerLost'}, 3),
+    stageLate: engineFault('stageLate', {kind: 'late', milliseconds: 900}, 3),
+    stageTwice: engineFault('stageTwice', {kind: 'twice'}, 5),
+    stageCrossed: engineFault('stageCrossed', {kind: 'crossed'}, 3),
+    stageRefuses: engineFault('stageRefuses', {kind: 'refuse'}, 5),
+    cachesLost: engineFault('cachesLost', {kind: 'loseCaches'}),
+    cutLink: engineFault('cutLink', {
+      kind: 'link',
+      from: '*',
+      milliseconds: 80,
+    }),
+    importAbsent: stageKilledWithImport({kind: 'importAbsent'}),
+    importStale: stageKilledWithImport({kind: 'importStale'}),
   },
-  entryStopped,
-  controlKilled: (system, random) => {
-    const {id, control} = pick(system.instances, random);
-    return killed('controlKilled', id, control);
+  instances: {
+    entryKilled: (system, random) => {
+      const {id, entry} = pick(system.instances, random);
+      return killed('entryKilled', id, entry);
+    },
+    entryPaused: (system, random) => {
+      const {id, entry} = pick(system.instances, random);
+      return paused('entryPaused', id, entry);
+    },
+    entryStopped,
+    controlKilled: (system, random) => {
+      const {id, control} = pick(system.instances, random);
+      return killed('controlKilled', id, control);
+    },
+    controlPaused: (system, random) => {
+      const {id, control} = pick(system.instances, random);
+      return paused('controlPaused', id, control);
+    },
+    instanceKilled: (system, random) => {
+      const {id, entry, control} = pick(system.instances, random);
+      return both(
+        killed('instanceKilled', id, entry),
+        killed('instanceKilled', id, control),
+      );
+    },
   },
-  controlPaused: (system, random) => {
-    const {id, control} = pick(system.instances, random);
-    return paused('controlPaused', id, control);
+  platform: {
+    tableDown: platformFault('tableDown', {kind: 'down'}, {part: 'table'}),
+    tableSilent: platformFault(
+      'tableSilent',
+      {kind: 'silent'},
+      {part: 'table'},
+    ),
+    tableSlow: platformFault(
+      'tableSlow',
+      {kind: 'slow', milliseconds: 400},
+      {part: 'table'},
+    ),
+    tableAnswerLost: platformFault(
+      'tableAnswerLost',
+      {kind: 'answerLost'},
+      {part: 'table', access: 'write', times: 4},
+    ),
+    tableRateLimited: platformFault(
+      'tableRateLimited',
+      {kind: 'rateLimited', retryAfterMilliseconds: 200},
+      {part: 'table', access: 'write'},
+    ),
+    tableDownForOne: tableFaultForOne('tableDownForOne', {kind: 'down'}),
+    tableAnswerLostForOne: tableFaultForOne('tableAnswerLostForOne', {
+      kind: 'answerLost',
+    }),
+    objectsDown: platformFault(
+      'objectsDown',
+      {kind: 'down'},
+      {part: 'objects'},
+    ),
+    listDown: platformFault('listDown', {kind: 'down'}, {part: 'membership'}),
   },
-  instanceKilled: (system, random) => {
-    const {id, entry, control} = pick(system.instances, random);
-    return both(
-      killed('instanceKilled', id, entry),
-      killed('instanceKilled', id, control),
-    );
+  operations: {
+    upstreamLeaving,
+    instanceLeaving,
+    racingOperators,
+    racingOperatorsAnswerLost,
   },
-  tableDown: platformFault('tableDown', {kind: 'down'}, {part: 'table'}),
-  tableSilent: platformFault('tableSilent', {kind: 'silent'}, {part: 'table'}),
-  tableSlow: platformFault(
-    'tableSlow',
-    {kind: 'slow', milliseconds: 400},
-    {part: 'table'},
-  ),
-  tableAnswerLost: platformFault(
-    'tableAnswerLost',
-    {kind: 'answerLost'},
-    {part: 'table', access: 'write', times: 4},
-  ),
-  tableRateLimited: platformFault(
-    'tableRateLimited',
-    {kind: 'rateLimited', retryAfterMilliseconds: 200},
-    {part: 'table', access: 'write'},
-  ),
-  tableDownForOne: tableFaultForOne('tableDownForOne', {kind: 'down'}),
-  tableAnswerLostForOne: tableFaultForOne('tableAnswerLostForOne', {
-    kind: 'answerLost',
-  }),
-  objectsDown: platformFault('objectsDown', {kind: 'down'}, {part: 'objects'}),
-  listDown: platformFault('listDown', {kind: 'down'}, {part: 'membership'}),
-  upstreamLeaving,
-  instanceLeaving,
-  racingOperators,
-  racingOperatorsAnswerLost,
-  serviceKilled: (system, random) => {
-    const {id, process} = pick(system.services, random);
-    return killed('serviceKilled', id, process);
+  services: {
+    serviceKilled: (system, random) => {
+      const {id, process} = pick(system.services, random);
+      return killed('serviceKilled', id, process);
+    },
+    serviceRequestLost: serviceFault('serviceRequestLost', {
+      kind: 'requestLost',
+    }),
+    serviceAnswerLost: serviceFault('serviceAnswerLost', {kind: 'answerLost'}),
+    serviceSilent: serviceFault('serviceSilent', {kind: 'silent'}),
+    serviceLate: serviceFault('serviceLate', {kind: 'late', milliseconds: 900}),
+    serviceSlow: serviceFault('serviceSlow', {kind: 'slow', milliseconds: 900}),
+    serviceCrossed: serviceFault('serviceCrossed', {kind: 'crossed'}),
+    serviceRefuses: serviceFault('serviceRefuses', {kind: 'refuse'}),
   },
-  serviceRequestLost: serviceFault('serviceRequestLost', {kind: 'requestLost'}),
-  serviceAnswerLost: serviceFault('serviceAnswerLost', {kind: 'answerLost'}),
-  serviceSilent: serviceFault('serviceSilent', {kind: 'silent'}),
-  serviceLate: serviceFault('serviceLate', {kind: 'late', milliseconds: 900}),
-  serviceSlow: serviceFault('serviceSlow', {kind: 'slow', milliseconds: 900}),
-  serviceCrossed: serviceFault('serviceCrossed', {kind: 'crossed'}),
-  serviceRefuses: serviceFault('serviceRefuses', {kind: 'refuse'}),
 };
 
 function pick<T>(items: readonly T[], random: RandomSource): T {
@@ -391,7 +417,11 @@
   random: RandomSource,
   records: FaultRecords,
 ): ChosenFault {
-  const lost = faultMakers['tableAnswerLost']!(system, random, records);
+  const lost = faultMakers['platform']!['tableAnswerLost']!(
+    system,
+    random,
+    records,
+  );
   const race = racingOperators(system, random, records);
   return {
     ...race,
--- a/test/prove/follower.ts
+++ b/test/prove/follower.ts
@@ -24,6 +24,8 @@
 interface Target {
   readonly address: string;
   readonly idempotencyKey: string | undefined;
+  /** The only address that can run a key bound to a grant. */
+  readonly holder: string | undefined;
 }
 
 const PAUSE_MILLISECONDS = 100;
@@ -59,7 +61,7 @@
       if (answer.end === 'whole') {
         return true;
       }
-      if (this.isHopeless(answer)) {
+      if (this.isHopeless(answer) && this.mayHaveRun(target)) {
         return false;
       }
       await sleep(pauseOf(answer));
@@ -72,7 +74,8 @@
   async lookUp(address: string): Promise<void> {
     const key = this.made.at(-1)?.idempotencyKey;
     if (key !== undefined) {
-      await this.observe('lookUp', {address, idempotencyKey: key}, () =>
+      const target = {address, idempotencyKey: key, holder: undefined};
+      await this.observe('lookUp', target, () =>
         this.caller.lookUp(address, this.work, key),
       );
     }
@@ -112,7 +115,9 @@
     const answer = await call();
     const endedAt = Date.now();
     const {work} = this;
-    this.made.push({...target, work, kind, startedAt, endedAt, answer});
+    const {address, idempotencyKey} = target;
+    const times = {startedAt, endedAt};
+    this.made.push({work, kind, idempotencyKey, address, ...times, answer});
     return answer;
   }
 
@@ -129,40 +134,39 @@
   private async nextTarget(target: Target, answer: Answer): Promise<Target> {
     await this.book.current();
     const address = answer.addresses[0] ?? this.anyAddress();
-    const mayChangeKey =
-      answer.executed === 'no' ||
-      (answer.end === 'unreachable' && !this.wasSent(target));
+    const mayChangeKey = answer.executed === 'no' || !this.mayHaveRun(target);
     if (this.work.repeatable || !mayChangeKey) {
-      return {address, idempotencyKey: target.idempotencyKey};
+      return {...target, address};
     }
     const entrypoints = await this.caller.entrypoints(address);
     return entrypoints === undefined
-      ? {address, idempotencyKey: this.plainKey()}
+      ? {address, idempotencyKey: this.plainKey(), holder: undefined}
       : this.firstTarget(entrypoints);
   }
 
-  /** Whether any call with this key got as far as a connection and was not answered `no`. */
-  private wasSent(target: Target): boolean {
+  /** Whether any call with this key reached an instance that could run it and was not answered `no`. */
+  private mayHaveRun({idempotencyKey, holder}: Target): boolean {
     return this.made.some(
-      ({idempotencyKey, answer}) =>
-        idempotencyKey === target.idempotencyKey &&
-        answer.end !== 'unreachable' &&
-        answer.executed !== 'no',
+      submission =>
+        submission.idempotencyKey === idempotencyKey &&
+        (holder === undefined || submission.address === holder) &&
+        submission.answer.end !== 'unreachable' &&
+        submission.answer.executed !== 'no',
     );
   }
 
   private firstTarget(entrypoints: Entrypoints | undefined): Target {
     const address = entrypoints?.addresses[0] ?? this.anyAddress();
     if (this.work.repeatable) {
-      return {address, idempotencyKey: undefined};
+      return {address, idempotencyKey: undefined, holder: undefined};
     }
     const {grant = null, grantAddress = null} = entrypoints ?? {};
     const isBound = this.random.next() < this.options.boundKeyShare;
     if (grant === null || grantAddress === null || !isBound) {
-      return {address, idempotencyKey: this.plainKey()};
+      return {address, idempotencyKey: this.plainKey(), holder: undefined};
     }
     const idempotencyKey = `${grant}.${this.plainKey()}`;
-    return {address: grantAddress, idempotencyKey};
+    return {address: grantAddress, idempotencyKey, holder: grantAddress};
   }
 
   private plainKey(): string {
--- a/test/prove/proofRounds.ts
+++ b/test/prove/proofRounds.ts
@@ -28,8 +28,8 @@
   readonly violations: readonly Violation[];
 }
 
-const FEWEST_WORKS = 8;
-const WORK_SPREAD = 8;
+const FEWEST_WORKS = 14;
+const WORK_SPREAD = 10;
 const PAIR_SHARE = 0.5;
 const SAMPLE_MILLISECONDS = 250;
 /** An accepted change is in force everywhere so long after all faults were cleared. */
@@ -121,11 +121,13 @@
     random: RandomSource,
     records: FaultRecords,
   ): readonly ChosenFault[] {
-    const names = Object.keys(faultMakers);
+    const groups = Object.values(faultMakers);
     const count = random.next() < PAIR_SHARE ? 2 : 1;
     return Array.from({length: count}, () => {
-      const name = names[random.nextInteger(names.length)]!;
-      return faultMakers[name]!(this.system, random, records);
+      const group = groups[random.nextInteger(groups.length)]!;
+      const makers = Object.values(group);
+      const maker = makers[random.nextInteger(makers.length)]!;
+      return maker(this.system, random, records);
     });
   }
 
--- a/test/prove/work.ts
+++ b/test/prove/work.ts
@@ -16,7 +16,7 @@
 const SERVICE_SHARE = 0.3;
 const REPEATABLE_SHARE = 0.35;
 const SHORTEST_REPLY = 4;
-const REPLY_SPREAD = 14;
+const REPLY_SPREAD = 32;
 const LONGEST_PROMPT_WORDS = 12;
 
 /** The call that does a piece of work; only `/checks` may be repeated. */
@@ -49,6 +49,6 @@
     content: isService
       ? JSON.stringify({key: businessKey, load: outputTokens})
       : prompt.join(' '),
-    maximumOutputTokens: 32,
+    maximumOutputTokens: 64,
   };
 }
