--- a/test/prove/main.ts
+++ b/test/prove/main.ts
@@ -15,6 +15,8 @@
   readonly seed: number;
   /** The only round to run, to repeat a finding. */
   readonly only: number | undefined;
+  /** The only fault to cause. */
+  readonly fault: string | undefined;
 }
 
 /** Counts violations, each subject once, and prints what was found. */
@@ -61,7 +63,7 @@
   options: ProofOptions,
   result: ProofResult,
 ): Promise<number> {
-  const rounds = new ProofRounds(system, options.seed);
+  const rounds = new ProofRounds(system, options.seed, options.fault);
   const first = options.only ?? 0;
   const end = options.only === undefined ? options.rounds : first + 1;
   for (let round = first; round < end; round++) {
@@ -80,12 +82,14 @@
       rounds: {type: 'string', default: DEFAULT_ROUNDS},
       seed: {type: 'string', default: DEFAULT_SEED},
       only: {type: 'string'},
+      fault: {type: 'string'},
     },
   });
   const options: ProofOptions = {
     rounds: Number(values.rounds),
     seed: Number(values.seed),
     only: values.only === undefined ? undefined : Number(values.only),
+    fault: values.fault,
   };
   const start = performance.now();
   const result = new ProofResult(options.seed);
--- a/test/prove/proofRounds.ts
+++ b/test/prove/proofRounds.ts
@@ -8,7 +8,7 @@
 import {checkLedgers} from './checks/checkLedgers.js';
 import {checkLeavingGetsNothing} from './checks/leavingGetsNothing.js';
 import {checkPlannedStopCutsNothing} from './checks/plannedStopCutsNothing.js';
-import {ChosenFault, faultMakers, FaultRecords} from './faults.js';
+import {ChosenFault, FaultMaker, faultMakers, FaultRecords} from './faults.js';
 import {Follower} from './follower.js';
 import {LedgerReader} from './ledgerReader.js';
 import {
@@ -49,6 +49,8 @@
   constructor(
     private readonly system: LaunchedSystem,
     private readonly seed: number,
+    /** The only fault to cause; any when undefined. */
+    private readonly faultName?: string,
   ) {
     this.ledgers = new LedgerReader(system);
     this.operators = new Operators(system);
@@ -121,7 +123,7 @@
     random: RandomSource,
     records: FaultRecords,
   ): readonly ChosenFault[] {
-    const groups = Object.values(faultMakers);
+    const groups = this.faultGroups();
     const count = random.next() < PAIR_SHARE ? 2 : 1;
     return Array.from({length: count}, () => {
       const group = groups[random.nextInteger(groups.length)]!;
@@ -131,6 +133,19 @@
     });
   }
 
+  private faultGroups(): ReadonlyArray<Readonly<Record<string, FaultMaker>>> {
+    const groups = Object.values(faultMakers);
+    const name = this.faultName;
+    if (name === undefined) {
+      return groups;
+    }
+    const maker = groups.flatMap(group => group[name] ?? [])[0];
+    if (maker === undefined) {
+      throw new Error(`no fault has the name ${name}`);
+    }
+    return [{[name]: maker}];
+  }
+
   private get addresses(): readonly string[] {
     return this.system.instances.map(({member}) => member.callerAddress);
   }
