Placement: an unreadable lease row is logged, not fatal

Cause: a row that isn't a lease's made the control program end by an unhandled rejection (the new test showed it first). Change: the error is caught and logged, placement stands still until the row is removed; observing a lease of others is a class of its own.

--- a/src/features/placement/common/placementController.ts
+++ b/src/features/placement/common/placementController.ts
@@ -105,7 +105,9 @@
   private advanceLease(token: CancellationToken): Promise<void> {
     const isServing = this.parts.view().standing.kind === 'serving';
     if (isServing && !this.isStopped) {
-      this.leaseCalls = this.leaseCalls.then(() => this.lease.advance(token));
+      this.leaseCalls = this.leaseCalls
+        .then(() => this.lease.advance(token))
+        .catch((error: unknown) => this.log.unreadableLease(error));
     }
     return this.leaseCalls;
   }
--- a/src/features/placement/common/placementLog.ts
+++ b/src/features/placement/common/placementLog.ts
@@ -21,6 +21,13 @@
     this.metrics.count('placement.lease', 1, {state});
   }
 
+  /** The row of the lease is not one that placement wrote: nothing is done until it is removed. */
+  unreadableLease(error: unknown): void {
+    const {dataCentre} = this;
+    const detail = String(error);
+    this.logger.error('placement lease unreadable', {dataCentre, detail});
+  }
+
   /** Orders of one change were sent, wholly or in part. */
   change(
     change: PlacementChange,
--- a/src/features/placement/common/tableLease.ts
+++ b/src/features/placement/common/tableLease.ts
@@ -9,6 +9,7 @@
   TableService,
 } from '../../../platform/table/common/tableService.js';
 import {LeaseAction, leaseChart, LeaseEvent, LeaseState} from './leaseChart.js';
+import {LeaseObserver} from './leaseObserver.js';
 import {isSameWrite, LeaseRecord, readLeaseRecord} from './leaseRecord.js';
 import {LeaseRow, meets} from './leaseRow.js';
 
@@ -35,13 +36,6 @@
   readonly startedAt: number;
 }
 
-interface Observed {
-  readonly version: number;
-  readonly record: LeaseRecord;
-  /** Monotonic milliseconds at which the version was first seen, after the answer. */
-  readonly since: number;
-}
-
 /**
  * A lease on a row of the table. Its holder counts the expiry from before its last confirmed write;
  * others take it only after they saw the row unchanged for a whole duration, each on its own
@@ -51,7 +45,7 @@
   private readonly life = new ChartInstance(leaseChart);
   private readonly changed = this.register(new Emitter<LeaseState>());
   private readonly row: LeaseRow;
-  private observed: Observed | undefined;
+  private readonly observer: LeaseObserver;
   private pending: PendingWrite | undefined;
   private held: LeaseRecord | undefined;
   private rowVersion = 0;
@@ -70,7 +64,9 @@
     private readonly settings: LeaseSettings = defaultLeaseSettings,
   ) {
     super();
-    this.row = new LeaseRow(key, table, clock, settings.callMilliseconds);
+    const {durationMilliseconds, callMilliseconds} = settings;
+    this.row = new LeaseRow(key, table, clock, callMilliseconds);
+    this.observer = new LeaseObserver(clock, durationMilliseconds);
   }
 
   get state(): LeaseState {
@@ -148,7 +144,7 @@
       case 'forget':
         this.pending = undefined;
         this.held = undefined;
-        this.observed = undefined;
+        this.observer.forget();
     }
   }
 
@@ -157,32 +153,14 @@
     if (!row.ok) {
       return;
     }
-    this.note(row.value);
-    if (this.isTakeable()) {
+    this.observer.note(row.value);
+    if (this.observer.isTakeable) {
       await this.send('takeable', token);
     }
   }
 
-  private note(row: TableRow | undefined): void {
-    const record = readLeaseRecord(row);
-    if (row === undefined || record === undefined) {
-      this.observed = undefined;
-    } else if (row.version !== this.observed?.version) {
-      this.observed = {version: row.version, record, since: this.now()};
-    }
-  }
-
-  private isTakeable(): boolean {
-    const {observed} = this;
-    if (observed === undefined || observed.record.released) {
-      return true;
-    }
-    const unchangedFor = this.now() - observed.since;
-    return unchangedFor >= this.settings.durationMilliseconds;
-  }
-
   private take(token: CancellationToken): Promise<void> {
-    const {observed} = this;
+    const {observed} = this.observer;
     const previous = observed?.record.fencing ?? 0;
     const fencing = Math.max(previous + 1, this.leastFencing);
     this.held = undefined;
@@ -267,7 +245,7 @@
       this.rowVersion = row.version;
       return this.send('confirmed', token);
     }
-    this.note(row);
+    this.observer.note(row);
     return this.send('superseded', token);
   }
 
--- a/src/features/placement/test/placementController.test.ts
+++ b/src/features/placement/test/placementController.test.ts
@@ -68,6 +68,23 @@
   expect(world.isRolledOut).toBe(true);
 });
 
+it('stands still while the row is not one of a lease', async () => {
+  const key = 'placement/lease/d';
+  const write = (value: string | undefined) =>
+    world.platform.rows.transact(
+      [{key, value, condition: {kind: 'any'}}],
+      'all',
+    );
+  write('{"holder": 1}');
+  world.start();
+  world.version = '2';
+  await world.pass(60_000);
+  expect(world.taken).toEqual([]);
+  write(undefined);
+  await world.passUntilRolledOut();
+  expect(world.isRolledOut).toBe(true);
+});
+
 const happening = fastCheck.record({
   milliseconds: fastCheck.constantFrom(1_000, 4_000, 15_000, 45_000),
   kind: fastCheck.constantFrom(
