Placement: capacity on its way counts; one move per plan

Cause: a new model got a second replica while its first was being emptied, as gains counted live replicas only (the new test showed it first); rounding passed for a gain. Change: gains count what changes in progress will give; moves are weighed one at a time; a gain under one sequence-second counts as none.

--- a/src/features/placement/common/modelNeeds.ts
+++ b/src/features/placement/common/modelNeeds.ts
@@ -11,6 +11,8 @@
   readonly needed: number;
   /** Sequences that live replicas hold at once. */
   readonly capacity: number;
+  /** Sequences that it holds at once when the changes in progress have ended. */
+  readonly planned: number;
   /** Sequences resident or queued now. */
   readonly occupied: number;
   /** Replicas that serve now. */
@@ -41,6 +43,7 @@
       model,
       needed: Math.max(targeted * share, observed),
       capacity: total(live, state => state.sequences),
+      planned: total(own, state => state.sequences),
       occupied: total(own, state => state.occupied),
       live: live.length,
       replicas: own.length,
--- a/src/features/placement/common/placementCandidates.ts
+++ b/src/features/placement/common/placementCandidates.ts
@@ -41,6 +41,9 @@
 /** Engines that can't be reached come back often: a replica is given other layers only after so long. */
 const INCOMPLETE_MILLISECONDS = 120_000;
 
+/** Sequence-seconds below which a gain is nothing but rounding. */
+const LEAST_GAIN = 1;
+
 /** The best change of a replica, or what stands against the one that is wanted. */
 export function candidateFor(
   state: ReplicaState,
@@ -146,7 +149,7 @@
       const gain = gainOfSequences(need, state.sequences) + loss;
       return {model, reason: 'load' as const, gain};
     })
-    .filter(({gain}) => gain > 0);
+    .filter(({gain}) => gain >= LEAST_GAIN);
 }
 
 /** What an emptied replica was emptied for; without that knowledge, what its model is stated to be. */
--- a/src/features/placement/common/placementWorth.ts
+++ b/src/features/placement/common/placementWorth.ts
@@ -43,8 +43,8 @@
  * raises the same sum, moves can't go round in a circle while the needs stay.
  */
 export function gainOfSequences(need: ModelNeed, sequences: number): number {
-  const before = worthOf(need.needed, need.capacity);
-  const after = worthOf(need.needed, Math.max(0, need.capacity + sequences));
+  const before = worthOf(need.needed, need.planned);
+  const after = worthOf(need.needed, Math.max(0, need.planned + sequences));
   return (after - before) * LOAD_HORIZON_SECONDS;
 }
 
--- a/src/features/placement/common/planPlacement.ts
+++ b/src/features/placement/common/planPlacement.ts
@@ -8,6 +8,7 @@
 } from './placementCandidates.js';
 import {belongsTo, ModelNeed, needsOf} from './modelNeeds.js';
 import {
+  ChangeReason,
   EngineTarget,
   HeldBack,
   PlacementChange,
@@ -121,7 +122,7 @@
 
   private drain(candidate: Candidate): void {
     const {state} = candidate;
-    const held = this.causeAgainstDraining(state);
+    const held = this.causeAgainstDraining(candidate);
     if (held !== undefined) {
       this.holdBack(candidate, held);
       return;
@@ -132,9 +133,16 @@
     this.changes.push(toChange('drain', candidate, targets));
   }
 
-  private causeAgainstDraining(
-    state: ReplicaState,
-  ): HeldBack['cause'] | undefined {
+  private causeAgainstDraining({
+    state,
+    reason,
+  }: Candidate): HeldBack['cause'] | undefined {
+    // A second move must be weighed with the first one counted.
+    if (
+      this.changes.some(change => change.reason === reason && isMove(reason))
+    ) {
+      return 'othersChange';
+    }
     const need = this.live.get(state.model ?? '');
     if (need !== undefined) {
       const left = need.capacity - state.sequences;
@@ -208,6 +216,10 @@
   }
 }
 
+function isMove(reason: ChangeReason): boolean {
+  return reason === 'load' || reason === 'notConfigured';
+}
+
 function drainTarget({
   member,
   report,
--- a/src/features/placement/test/placementController.test.ts
+++ b/src/features/placement/test/placementController.test.ts
@@ -32,6 +32,17 @@
   expect(world.fewestServing).toBe(2);
 });
 
+it('gives a new model one replica of another and leaves it there', async () => {
+  world.start();
+  await world.pass(20_000);
+  world.hasOther = true;
+  await world.pass(400_000);
+  const models = world.engines.map(engine => engine.holding.model);
+  expect([...models].sort().join('')).toBe('mmmmnn');
+  expect(world.engines.every(engine => engine.isServing)).toBe(true);
+  expect(world.taken.length).toBe(4);
+});
+
 /** What strikes the first order of a rollout. */
 const orderFaults: readonly OrderFault[] = [
   'answerLost',
--- a/src/features/placement/test/placementWorld.ts
+++ b/src/features/placement/test/placementWorld.ts
@@ -74,6 +74,15 @@
   }
 }
 
+const orderClass = {
+  name: 'order',
+  firstTokenMilliseconds: 500,
+  betweenTokensMilliseconds: 50,
+  deadlineMilliseconds: 8_000,
+  requestsPerSecond: 1,
+  repeatable: false,
+};
+
 /** What an engine took; the witness. */
 export interface TakenOrder extends EngineOrder {
   readonly upstream: string;
@@ -119,7 +128,8 @@
       return failure({kind: 'stale', highest: highest.fencing});
     }
     const now = this.clock.monotonicMilliseconds();
-    if (order.version !== this.holding.version) {
+    const {model, version} = this.holding;
+    if (order.model !== model || order.version !== version) {
       this.loadedAt = now + LOAD_MILLISECONDS;
     }
     this.taken.push({...order, upstream: this.member.id, at: now});
@@ -242,14 +252,19 @@
     name => new PlacementProcess(this, name),
   );
   version = '1';
+  /** A second model with one version. */
+  hasOther = false;
   /** Replicas that serve, each time one was counted. */
   fewestServing = Infinity;
 
   constructor() {
     for (const version of ['1', '2', '3']) {
       const size = {layerBytes: 1e6, bytesPerSecond: 1e8};
-      const manifest = {model: 'm', version, layerCount: LAYERS, ...size};
-      this.platform.manifests.push(manifest);
+      const manifest = {version, layerCount: LAYERS, ...size};
+      this.platform.manifests.push(
+        {model: 'm', ...manifest},
+        {model: 'n', ...manifest},
+      );
     }
   }
 
@@ -257,12 +272,16 @@
 
   get view() {
     const {version} = this;
-    const model = {name: 'm', version, layerCount: LAYERS, adapters: []};
+    const size = {layerCount: LAYERS, adapters: []};
+    const models = {
+      m: {name: 'm', version, ...size},
+      ...(this.hasOther ? {n: {name: 'n', version: '1', ...size}} : {}),
+    };
     const configuration: Configuration = {
       revision: Number(version),
-      classes: {},
+      classes: {order: orderClass},
       clientAccounts: {},
-      models: {m: model},
+      models,
       services: {},
     };
     const {upstreams} = this;
