Slots kept for others count by what comes free in time, over the pipelines that compete

Cause: an account over its share had to leave half the root of all slots idle, counted over the whole cell, though a small account's arrival can wait for a slot that ends soon, and though slow replicas can't serve the class that the slots are kept for. Slots count that come free within 0.3 of the shortest first-token target, over the pipelines that serve the tightest class which the candidate serves; per candidate. The former test of the kept slots held all ends at 100 ms, which now count as coming; its table is kept with ends at 200 ms and has more cases.

--- a/src/features/routing/common/laxityPolicy.ts
+++ b/src/features/routing/common/laxityPolicy.ts
@@ -2,6 +2,7 @@
 import {Pipeline} from './pipelineSearch.js';
 import {CellView, RoutingDecision, ShareView, WorkEstimate} from './routing.js';
 import {ShareStanding, shareStanding} from './shareStanding.js';
+import {mustLeaveSlots} from './slotReserve.js';
 
 /** How one of several pipelines that are in time is chosen. */
 export type PipelineChoice = (typeof pipelineChoices)[number];
@@ -25,12 +26,6 @@
 const SHORTEST_RETRY_MILLISECONDS = 20;
 /** Part of each target kept back for what the prediction doesn't see. */
 const SAFETY = 0.05;
-/**
- * Slots kept for accounts within their share, over the square root of all slots (arrivals in a while
- * vary by the root of their number), at full strictness.
- */
-const KEPT_SHARE = 0.5;
-
 /**
  * Milliseconds that the start could still be put off without missing a target; negative if late.
  * `waitFactor` stretches the predicted wait.
@@ -61,35 +56,6 @@
   return BOLD_WAIT + part * (CAREFUL_WAIT - BOLD_WAIT);
 }
 
-/** Free slots of the narrowest layer range: pipelines that could start at once. */
-function freePipelines(view: CellView): {free: number; total: number} {
-  const ranges = new Map<number, {free: number; total: number}>();
-  for (const stage of view.stages) {
-    if (stage.leaving || stage.health === 'quarantined') {
-      continue;
-    }
-    const range = ranges.get(stage.layers.from) ?? {free: 0, total: 0};
-    const limit = Math.max(1, Math.floor(stage.sequenceLimit));
-    range.free += Math.max(0, limit - stage.busyUntil.length);
-    range.total += limit;
-    ranges.set(stage.layers.from, range);
-  }
-  let narrowest = {free: Infinity, total: Infinity};
-  for (const range of ranges.values()) {
-    narrowest = range.free < narrowest.free ? range : narrowest;
-  }
-  return narrowest;
-}
-
-/** Slots kept for accounts within their share, when one over its share asks. */
-function slotsKept({excess, contention}: ShareStanding, total: number): number {
-  if (excess <= 0 || contention <= 0) {
-    return 0;
-  }
-  const strictness = Math.min(1, excess + contention);
-  return Math.ceil(KEPT_SHARE * strictness * Math.sqrt(total));
-}
-
 /**
  * Takes work only where it can still be on time (laxity of at least zero), else refuses at once
  * and says when a slot will be early enough. After the laxity test of Shin and Hou, made
@@ -122,10 +88,17 @@
       const after = comeBackAfter(pipelines, work, waitFactor);
       return refuse('cannotMeetTarget', after, candidates);
     }
-    if (isOverShare(view, standing, inTime)) {
+    const allowed = isOver(standing)
+      ? inTime.filter(
+          one =>
+            startsNow(one) &&
+            !mustLeaveSlots(one, pipelines, shares, standing, work, now),
+        )
+      : inTime;
+    if (allowed.length === 0) {
       return refuse('overShare', nextFinish(view, now), candidates);
     }
-    return admit(this.choose(inTime, work), candidates, this.name);
+    return admit(this.choose(allowed, work), candidates, this.name);
   }
 
   /**
@@ -181,6 +154,15 @@
   return work.betweenTokensTarget >= LOOSE_RATIO * step;
 }
 
+/** Whether an account has had more than its share while others are turned away. */
+function isOver({excess, contention}: ShareStanding): boolean {
+  return excess > 0 && contention > 0;
+}
+
+function startsNow(pipeline: Pipeline): boolean {
+  return pipeline.prediction.startsInMilliseconds <= 0;
+}
+
 /** Whether a pipeline has a stage that is being probed. */
 function isProbe(pipeline: Pipeline): boolean {
   return pipeline.stages.some(stage => stage.health === 'probing');
@@ -205,23 +187,6 @@
   return members.reduce((best, one) => (cost(one) < cost(best) ? one : best));
 }
 
-/** Whether the account is over its share and no slot beyond those kept for others is free. */
-function isOverShare(
-  view: CellView,
-  standing: ShareStanding,
-  inTime: readonly Pipeline[],
-): boolean {
-  const {free, total} = freePipelines(view);
-  const kept = slotsKept(standing, total);
-  if (kept === 0) {
-    return false;
-  }
-  const startsNow = inTime.some(
-    one => one.prediction.startsInMilliseconds <= 0,
-  );
-  return free <= kept || !startsNow;
-}
-
 /** When the same work, sent anew, would find a slot that is early enough. */
 function comeBackAfter(
   pipelines: readonly Pipeline[],
--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -196,6 +196,14 @@
   readonly targetByClass: ReadonlyMap<string, number>;
   /** Mean slot-milliseconds of one request by class; alike for all classes if absent. */
   readonly workByClass?: ReadonlyMap<string, number>;
+  /** Targets in milliseconds by class; only the work's own are known if absent. */
+  readonly timesByClass?: ReadonlyMap<string, ClassTimes>;
+}
+
+/** Targets of a class in milliseconds. */
+export interface ClassTimes {
+  readonly firstToken: number;
+  readonly betweenTokens: number;
 }
 
 /** Decides on one piece of work over one cell; pure. */
--- a/src/features/routing/node/cellOwner.ts
+++ b/src/features/routing/node/cellOwner.ts
@@ -306,7 +306,16 @@
     const workByClass = new Map(
       [...this.workByClass].map(([name, mean]) => [name, mean.value(0, now)]),
     );
-    return {...this.shares.view(targets, now), workByClass};
+    const timesByClass = new Map(
+      classes.map(one => [
+        one.name,
+        {
+          firstToken: one.firstTokenMilliseconds,
+          betweenTokens: one.betweenTokensMilliseconds,
+        },
+      ]),
+    );
+    return {...this.shares.view(targets, now), workByClass, timesByClass};
   }
 
   /** Forgets bookings whose release never came. */
--- a/src/features/routing/test/common/laxityPolicy.test.ts
+++ b/src/features/routing/test/common/laxityPolicy.test.ts
@@ -180,30 +180,51 @@
     expect(decide(shares)).toBe('cannotMeetTarget 20');
   });
 
-  it('refuses an account over its share unless more slots are free than are kept', () => {
-    const shares: ShareView = {
-      usedByAccount: new Map([
-        ['c/a', 900],
-        ['c/b', 100],
-      ]),
-      usedByClass: new Map([['c', 1000]]),
-      wantedByAccount: new Map([
-        ['c/a', 1500],
-        ['c/b', 500],
-      ]),
-      targetByClass: new Map([['c', 1]]),
-    };
-    const decide = (clientAccount: string, taken: number): string => {
-      const waits = Array<number>(taken).fill(100);
-      const view = cell(x({sequenceLimit: 16, ...busy(...waits)}));
-      return outcome(
-        new LaxityPolicy().decide(view, shares, {...work, clientAccount}, NOW),
-      );
-    };
-    expect(decide('a', 13)).toBe('x.0');
-    expect(decide('a', 14)).toBe('overShare 100');
-    expect(decide('b', 14)).toBe('x.0');
-    expect(decide('b', 16)).toBe('x.0');
+  const contended: ShareView = {
+    usedByAccount: new Map([
+      ['c/a', 900],
+      ['c/b', 100],
+    ]),
+    usedByClass: new Map([
+      ['c', 1000],
+      ['tight', 1],
+    ]),
+    wantedByAccount: new Map([
+      ['c/a', 1500],
+      ['c/b', 500],
+    ]),
+    targetByClass: new Map([['c', 1]]),
+    timesByClass: new Map([['tight', {firstToken: 500, betweenTokens: 15}]]),
+  };
+  const held = (count: number, wait: number): Partial<StageView> => ({
+    sequenceLimit: 16,
+    ...busy(...Array<number>(count).fill(wait)),
+  });
+  it.each([
+    ['more free than kept', 'a', [x(held(13, 200))], 'x.0'],
+    ['no more free than kept', 'a', [x(held(14, 200))], 'overShare 200'],
+    ['others soon free need not be kept', 'a', [x(held(15, 140))], 'x.0'],
+    ['overdue ones are not sure', 'a', [x(held(15, -1))], 'overShare 20'],
+    ['none free', 'a', [x(held(16, 140))], 'overShare 140'],
+    ['within its share', 'b', [x(held(14, 200))], 'x.0'],
+    ['within its share, all taken', 'b', [x(held(16, 100))], 'x.0'],
+    [
+      'too slow for a tighter class, so nothing is kept for it elsewhere',
+      'a',
+      [x(held(16, 200)), y({...held(9, 200), ...slow})],
+      'y.0',
+    ],
+    [
+      'its own slots only are free, and the others count not',
+      'a',
+      [x(held(15, 200)), y({...held(16, 200), ...slow})],
+      'overShare 200',
+    ],
+  ])('an account over its share: %s', (_, clientAccount, stages, expected) => {
+    const asked = {...work, clientAccount};
+    const policy = new LaxityPolicy();
+    const decision = policy.decide(cell(...stages), contended, asked, NOW);
+    expect(outcome(decision)).toBe(expected);
   });
 
   const stages = fc.array(
--- a/src/features/routing/test/common/queueModel.ts
+++ b/src/features/routing/test/common/queueModel.ts
@@ -9,6 +9,7 @@
 import {ShareAccounts} from '../../common/shareAccounts.js';
 import {
   Arrival,
+  betweenTargetOf,
   CLASSES,
   makeArrivals,
   PREFILL,
@@ -131,6 +132,15 @@
   const model = new QueueModel(one);
   const accounts = new ShareAccounts();
   const targets = new Map(CLASSES.map(kind => [kind.name, kind.part]));
+  const timesByClass = new Map(
+    CLASSES.map(({name, first}) => [
+      name,
+      {
+        firstToken: first,
+        betweenTokens: betweenTargetOf(name, one),
+      },
+    ]),
+  );
   const offered = new Map<string, number>();
   const onTime = new Map<string, number>();
   let taken = 0;
@@ -141,7 +151,7 @@
     const estimate = workOf(promptTokens, arrival.outputTokens);
     const counted = at >= warm ? work : 0;
     offered.set(account, (offered.get(account) ?? 0) + counted);
-    const shares = accounts.view(targets, at);
+    const shares = {...accounts.view(targets, at), timesByClass};
     const decision = policy.decide(model.view(at), shares, arrival, at);
     accounts.recordWant(classOfWork, account, estimate, at);
     if (decision.kind === 'refuse') {
--- a/src/features/routing/test/common/queueWorkload.ts
+++ b/src/features/routing/test/common/queueWorkload.ts
@@ -49,6 +49,10 @@
 export const workOf = (prompt: number, output: number): number =>
   prompt * PREFILL + (output - 1) * STEP;
 
+/** The between-token target of a class. */
+export const betweenTargetOf = (name: string, one: QueueCase): number =>
+  name === 'batch' ? 500 : one.betweenTarget;
+
 /** Poisson arrivals of two classes; the first account is the large one. */
 export function makeArrivals(one: QueueCase, capacity: number): Arrival[] {
   const random = new SeededRandomSource(one.seed);
@@ -76,7 +80,7 @@
       prefixKey: undefined,
       priority: 0,
       firstTokenWithin: kind.first,
-      betweenTokensTarget: kind.name === 'batch' ? 500 : one.betweenTarget,
+      betweenTokensTarget: betweenTargetOf(kind.name, one),
       deadlineWithin:
         kind.fixed + kind.own * workOf(promptTokens, actualOutput),
     });
