Names in lists of a peer message are front-coded

Cause: upstreams, addresses, cells and models of one message share most of their characters. Ruled out: deflate (CPU, and little to find in 300 bytes); sending stage numbers in place of upstreams in releases (a cell's owner that did not grant the reservation couldn't learn from them); leaving the addresses to the asker's list (the owner's may be newer); telling summaries only when they changed (18 bytes left in an answer, against a memory of every asker at every owner). Change: FrontCoding, used by the codec; the first name of an answer is coded after the call's.

--- a/src/features/routing/common/cellCodec.ts
+++ b/src/features/routing/common/cellCodec.ts
@@ -25,8 +25,12 @@
   summaryRow,
   workRow,
 } from './cellSchemas.js';
+import {FrontCoding} from './frontCoding.js';
 
-/** Turns messages about cells into positional rows and back; what a row leaves out, its reader knows. */
+/**
+ * Turns messages about cells into positional rows and back. What the reader knows is left out, and
+ * names in lists are front-coded.
+ */
 
 /** A reservation call as it travels. */
 export type ReserveRow = z.input<typeof reserveRow>;
@@ -41,6 +45,13 @@
 /** What is told of one model in one cell, as it travels. */
 export type SummaryRow = z.input<typeof summaryRow>;
 
+/** Names of a call from which those in its releases are coded. */
+type Names = Pick<ReserveCall, 'cell' | 'reservationId'>;
+/** Names of a call from which those in its answer are coded. */
+type Asked = Pick<ReserveCall, 'cell' | 'model'>;
+
+const nothing: Names & Asked = {cell: '', reservationId: '', model: ''};
+
 type ReservedRow = Extract<AnswerRow, readonly [0, ...unknown[]]>;
 type StageRow = ReservedRow[1][number];
 type PredictionRow = ReservedRow[2];
@@ -53,7 +64,7 @@
     call.reservationId,
     encodeWork(call.work),
     [...call.excluded],
-    call.releases.map(encodeRelease),
+    encodeReleases(call.releases, call),
   ];
 }
 
@@ -66,7 +77,7 @@
     reservationId,
     work: decodeWork(work),
     excluded,
-    releases: releases.map(decodeRelease),
+    releases: decodeReleases(releases, {cell, reservationId}),
   };
 }
 
@@ -81,61 +92,92 @@
   return {...decodeReserve(reserve), replaces};
 }
 
-/** The row of a returned reservation. */
-export function encodeRelease(note: ReleaseNote): ReleaseRow {
-  const {cell, reservationId, observations} = note;
-  return [cell, reservationId, observations.map(encodeObservation)];
+/** The rows of returned reservations, after the names of the call that takes them along. */
+export function encodeReleases(
+  notes: readonly ReleaseNote[],
+  before: Names = nothing,
+): ReleaseRow[] {
+  const cells = new FrontCoding(before.cell);
+  const ids = new FrontCoding(before.reservationId);
+  const upstreams = new FrontCoding();
+  return notes.map(({cell, reservationId, observations}) => [
+    cells.encode(cell),
+    ids.encode(reservationId),
+    observations.map(one => encodeObservation(one, upstreams)),
+  ]);
 }
 
-/** The release of a checked row. */
-export function decodeRelease(row: z.output<typeof releaseRow>): ReleaseNote {
-  const [cell, reservationId, observations] = row;
-  return {
-    cell,
-    reservationId,
-    observations: observations.map(decodeObservation),
-  };
+/** The releases of checked rows. */
+export function decodeReleases(
+  rows: ReadonlyArray<z.output<typeof releaseRow>>,
+  before: Names = nothing,
+): ReleaseNote[] {
+  const cells = new FrontCoding(before.cell);
+  const ids = new FrontCoding(before.reservationId);
+  const upstreams = new FrontCoding();
+  return rows.map(([cell, reservationId, observations]) => ({
+    cell: cells.decode(cell),
+    reservationId: ids.decode(reservationId),
+    observations: observations.map(one => decodeObservation(one, upstreams)),
+  }));
 }
 
 /** The row of a failed stage. */
 export function encodeFailure(note: FailureNote): FailureRow {
   const {cell, reservationId, observation} = note;
-  return [cell, reservationId, encodeObservation(observation)];
+  const upstreams = new FrontCoding();
+  return [cell, reservationId, encodeObservation(observation, upstreams)];
 }
 
 /** The note of a checked row. */
 export function decodeFailure(row: z.output<typeof failureRow>): FailureNote {
   const [cell, reservationId, observation] = row;
-  return {cell, reservationId, observation: decodeObservation(observation)};
+  const upstreams = new FrontCoding();
+  return {
+    cell,
+    reservationId,
+    observation: decodeObservation(observation, upstreams),
+  };
 }
 
-/** The row of a summary. */
-export function encodeSummary(note: SummaryNote): SummaryRow {
-  const {cell, model, freeSlots, earliestStartMilliseconds} = note;
-  return [
-    cell,
-    model,
-    freeSlots,
-    earliestStartMilliseconds,
+/** The rows of summaries, after the cell and model that the reader asked for. */
+export function encodeSummaries(
+  notes: readonly SummaryNote[],
+  before: Asked = nothing,
+): SummaryRow[] {
+  const cells = new FrontCoding(before.cell);
+  const models = new FrontCoding(before.model);
+  return notes.map(note => [
+    cells.encode(note.cell),
+    models.encode(note.model),
+    note.freeSlots,
+    note.earliestStartMilliseconds,
     note.ageMilliseconds,
-  ];
+  ]);
 }
 
-/** The summary of a checked row. */
-export function decodeSummary(row: z.output<typeof summaryRow>): SummaryNote {
-  const [cell, model, freeSlots, earliestStartMilliseconds, age] = row;
-  return {
-    cell,
-    model,
+/** The summaries of checked rows. */
+export function decodeSummaries(
+  rows: ReadonlyArray<z.output<typeof summaryRow>>,
+  before: Asked = nothing,
+): SummaryNote[] {
+  const cells = new FrontCoding(before.cell);
+  const models = new FrontCoding(before.model);
+  return rows.map(([cell, model, freeSlots, earliestStart, age]) => ({
+    cell: cells.decode(cell),
+    model: models.decode(model),
     freeSlots,
-    earliestStartMilliseconds,
+    earliestStartMilliseconds: earliestStart,
     ageMilliseconds: age,
-  };
+  }));
 }
 
 /** The row of an answer; the asker knows the cell and the reservation's id. */
-export function encodeAnswer(answer: ReserveAnswer): AnswerRow {
-  const summaries = answer.summaries.map(encodeSummary);
+export function encodeAnswer(
+  call: ReserveCall,
+  answer: ReserveAnswer,
+): AnswerRow {
+  const summaries = encodeSummaries(answer.summaries, call);
   if (answer.kind === 'refused') {
     const reason = refusalReasons.indexOf(answer.reason);
     return [1, reason, answer.retryAfterMilliseconds, summaries];
@@ -153,7 +195,7 @@
 
 /** The answer to a call, of a checked row. */
 export function decodeAnswer(
-  {cell, reservationId}: ReserveCall,
+  call: ReserveCall,
   row: z.output<typeof answerRow>,
 ): ReserveAnswer {
   if (row[0] === 1) {
@@ -162,21 +204,21 @@
       kind: 'refused',
       reason: refusalReasons[reason]!,
       retryAfterMilliseconds,
-      summaries: notes.map(decodeSummary),
+      summaries: decodeSummaries(notes, call),
     };
   }
   const [, stages, prediction, candidates, reason, notes] = row;
   return {
     kind: 'reserved',
     reservation: {
-      reservationId,
-      cell,
+      reservationId: call.reservationId,
+      cell: call.cell,
       stages: decodeStages(stages),
       prediction: decodePrediction(prediction),
       candidates: candidates ?? undefined,
       reason: reason ?? undefined,
     },
-    summaries: notes.map(decodeSummary),
+    summaries: decodeSummaries(notes, call),
   };
 }
 
@@ -240,9 +282,10 @@
 
 function encodeObservation(
   observation: StageObservation,
+  upstreams: FrontCoding,
 ): ReleaseRow[2][number] {
   return [
-    observation.upstream,
+    upstreams.encode(observation.upstream),
     outcomes.indexOf(observation.outcome),
     observation.steps,
     observation.decodeMilliseconds ?? null,
@@ -252,10 +295,11 @@
 
 function decodeObservation(
   row: z.output<typeof releaseRow>[2][number],
+  upstreams: FrontCoding,
 ): StageObservation {
   const [upstream, outcome, steps, decodeMilliseconds, linkMilliseconds] = row;
   return {
-    upstream,
+    upstream: upstreams.decode(upstream),
     outcome: outcomes[outcome]!,
     decodeMilliseconds: decodeMilliseconds ?? undefined,
     linkMilliseconds: linkMilliseconds ?? undefined,
@@ -263,35 +307,31 @@
   };
 }
 
-/** A stage of the version of the one before it doesn't repeat it. */
 function encodeStages(stages: readonly ChosenStage[]): StageRow[] {
-  return stages.map((stage, index) => {
-    const {upstream, address, layers, version} = stage;
-    const isRepeated = index > 0 && version === stages[index - 1]!.version;
-    return [
-      upstream,
-      address,
-      layers.from,
-      layers.to,
-      stage.checksFencing === undefined ? null : Number(stage.checksFencing),
-      isRepeated ? 0 : (version ?? null),
-    ];
-  });
+  const upstreams = new FrontCoding();
+  const addresses = new FrontCoding();
+  const versions = new FrontCoding();
+  return stages.map(({upstream, address, layers, checksFencing, version}) => [
+    upstreams.encode(upstream),
+    addresses.encode(address),
+    layers.from,
+    layers.to,
+    checksFencing === undefined ? null : Number(checksFencing),
+    version === undefined ? null : versions.encode(version),
+  ]);
 }
 
 function decodeStages(rows: readonly StageRow[]): ChosenStage[] {
-  let known: string | undefined;
-  return rows.map(row => {
-    const [upstream, address, from, to, checksFencing, version] = row;
-    known = version === 0 ? known : (version ?? undefined);
-    return {
-      upstream,
-      address,
-      layers: {from, to},
-      checksFencing: checksFencing === null ? undefined : checksFencing === 1,
-      version: known,
-    };
-  });
+  const upstreams = new FrontCoding();
+  const addresses = new FrontCoding();
+  const versions = new FrontCoding();
+  return rows.map(([upstream, address, from, to, checksFencing, version]) => ({
+    upstream: upstreams.decode(upstream),
+    address: addresses.decode(address),
+    layers: {from, to},
+    checksFencing: checksFencing === null ? undefined : checksFencing === 1,
+    version: version === null ? undefined : versions.decode(version),
+  }));
 }
 
 function encodePrediction(prediction: Prediction): PredictionRow {
--- a/src/features/routing/common/cellSchemas.ts
+++ b/src/features/routing/common/cellSchemas.ts
@@ -93,14 +93,14 @@
 /** A list of summaries. */
 export const summaryRows = z.array(summaryRow);
 
-/** Upstream, address, layers, whether it checks fencing, and the version or 0 for that of the stage before. */
+/** Upstream, address, layers, whether it checks fencing, and the version. */
 const stageRow = z.tuple([
   z.string(),
   z.string(),
   z.number(),
   z.number(),
   z.number().nullable(),
-  z.union([z.literal(0), z.string()]).nullable(),
+  z.string().nullable(),
 ]);
 
 /** Start, first token, between tokens, whole, and age of the figures. */
--- a/src/features/routing/node/cellRouter.ts
+++ b/src/features/routing/node/cellRouter.ts
@@ -4,11 +4,11 @@
 } from '../../../platform/rpc/node/rpc.js';
 import {
   decodeFailure,
-  decodeRelease,
+  decodeReleases,
   decodeReplan,
   decodeReserve,
   encodeAnswer,
-  encodeSummary,
+  encodeSummaries,
 } from '../common/cellCodec.js';
 import {CellAuthority} from '../common/cellMessages.js';
 import {
@@ -26,24 +26,24 @@
   const cells = createRpcRouter({
     reserve: peerProcedure.input(reserveRow).mutation(async call => {
       const signal = call.signal ?? neverAborted;
-      const answer = await authority.reserve(decodeReserve(call.input), signal);
-      return encodeAnswer(answer);
+      const asked = decodeReserve(call.input);
+      return encodeAnswer(asked, await authority.reserve(asked, signal));
     }),
     replan: peerProcedure.input(replanRow).mutation(async call => {
       const signal = call.signal ?? neverAborted;
-      const answer = await authority.replan(decodeReplan(call.input), signal);
-      return encodeAnswer(answer);
+      const asked = decodeReplan(call.input);
+      return encodeAnswer(asked, await authority.replan(asked, signal));
     }),
     release: peerProcedure
       .input(releaseRows)
-      .mutation(({input}) => authority.release(input.map(decodeRelease))),
+      .mutation(({input}) => authority.release(decodeReleases(input))),
     reportFailure: peerProcedure
       .input(failureRow)
       .mutation(({input}) => authority.reportFailure(decodeFailure(input))),
     summaries: peerProcedure.input(summariesCallSchema).mutation(async call => {
       const signal = call.signal ?? neverAborted;
       const notes = await authority.summaries(call.input.model, signal);
-      return notes.map(encodeSummary);
+      return encodeSummaries(notes);
     }),
   });
   return createRpcRouter({cells});
--- a/src/features/routing/node/peerCells.ts
+++ b/src/features/routing/node/peerCells.ts
@@ -4,9 +4,9 @@
 import {createRpcClient} from '../../../platform/rpc/node/rpc.js';
 import {
   decodeAnswer,
-  decodeSummary,
+  decodeSummaries,
   encodeFailure,
-  encodeRelease,
+  encodeReleases,
   encodeReplan,
   encodeReserve,
 } from '../common/cellCodec.js';
@@ -90,7 +90,7 @@
   ): Promise<readonly SummaryNote[]> {
     const {summaries} = this.client.call.cells;
     const rows = await summaries.mutate({model}, {signal});
-    return summaryRows.parse(rows).map(decodeSummary);
+    return decodeSummaries(summaryRows.parse(rows));
   }
 
   private withReleases<Call extends ReserveCall>(call: Call): Call {
@@ -101,7 +101,7 @@
     const releases = this.takeReleases();
     if (releases.length > 0) {
       this.notice(signal =>
-        this.client.call.cells.release.mutate(releases.map(encodeRelease), {
+        this.client.call.cells.release.mutate(encodeReleases(releases), {
           signal,
         }),
       );
--- a/src/features/routing/test/common/cellSchemas.test.ts
+++ b/src/features/routing/test/common/cellSchemas.test.ts
@@ -46,7 +46,7 @@
   reservationId: 'i',
   work,
   excluded: ['u9'],
-  releases: [release],
+  releases: [release, {...release, cell: 'twos', reservationId: 'ij'}],
 };
 
 it.each([
@@ -109,7 +109,7 @@
 ];
 
 it.each(answers)('an answer keeps every field: $kind', answer => {
-  const text = JSON.stringify(encodeAnswer(answer));
+  const text = JSON.stringify(encodeAnswer(call, answer));
   const row = answerRow.parse(JSON.parse(text));
   expect(decodeAnswer(call, row)).toEqual(answer);
 });
