Memory of claims and callers is bounded by text as well as by count, and given back with its keys

Cause: entries that count reply text stayed when their keys were forgotten or made room; the content type of a reply, which an upstream chooses, didn't count; rows that wait for the table or a gatherer were bounded by number only, though one may hold 100,000 characters; look-ups had no bound. Ruled out: fewer rows (claims are small, and would be refused for want of rows, not of memory); a place among the requests in progress for look-ups (they must be answered while those are full). Conclusion: what was found without a bound here has one.

--- a/src/features/callers/node/queryHandlers.ts
+++ b/src/features/callers/node/queryHandlers.ts
@@ -34,6 +34,9 @@
 
 /** The calls that only ask: entrypoints, the outcome of a key, health. */
 export class QueryHandlers {
+  /** Look-ups under way: one connection may send many before the first is answered. */
+  private lookUps = 0;
+
   constructor(
     private readonly services: CallerServices,
     private readonly authenticator: CallerAuthenticator,
@@ -61,6 +64,13 @@
       answer.sendFailure(account.error);
       return;
     }
+    const {concurrentRequestLimit} = this.services.settings;
+    if (this.lookUps >= concurrentRequestLimit) {
+      const detail = 'this instance has as many look-ups as it may';
+      const error = {kind: 'cannotMeetTarget', detail} as const;
+      answer.sendFailure(maybeExecuted(error, GATE_RETRY_MILLISECONDS));
+      return;
+    }
     const key = readKey(request.url ?? '');
     const outcome = await this.lookUp(account.value.name, key, response);
     if (outcome === undefined) {
@@ -118,6 +128,7 @@
     if (key === '' || key.length > IDEMPOTENCY_KEY_LIMIT) {
       return undefined;
     }
+    this.lookUps += 1;
     const source = new CancellationSource();
     source.cancelAfter(LOOK_UP_LIMIT_MILLISECONDS, 'look-up took too long');
     response.once('close', () => source.cancel('callerGone'));
@@ -128,6 +139,7 @@
         source.token,
       );
     } finally {
+      this.lookUps -= 1;
       source.dispose();
     }
   }
--- a/src/features/callers/test/callerFakes.ts
+++ b/src/features/callers/test/callerFakes.ts
@@ -125,6 +125,8 @@
   decision: ClaimDecision = {kind: 'granted'};
   outcome: RequestOutcome | undefined;
   surelyNotRun = false;
+  lookUps = 0;
+  answerLookUp: Promise<void> | undefined;
   readonly claimed: string[] = [];
   readonly fingerprints: Array<string | undefined> = [];
   readonly completed: RequestOutcome[] = [];
@@ -144,8 +146,10 @@
     this.completed.push(outcome);
   }
 
-  override lookUp(): Promise<RequestOutcome | undefined> {
-    return Promise.resolve(this.outcome);
+  override async lookUp(): Promise<RequestOutcome | undefined> {
+    this.lookUps += 1;
+    await this.answerLookUp;
+    return this.outcome;
   }
 
   override isSurelyNotRun(): boolean {
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -691,3 +691,22 @@
   expect(response.status).toBe(status);
   expect(await response.json()).toMatchObject(expected);
 });
+
+test('look-ups under way are bounded', async () => {
+  let answer = () => undefined as void;
+  fixture.claims.answerLookUp = new Promise(resolve => {
+    answer = resolve;
+  });
+  fixture.claims.outcome = {kind: 'running'};
+  const held = ['a', 'b'].map(key => fixture.send(`/v1/requests/${key}`));
+  await expect.poll(() => fixture.claims.lookUps).toBe(2);
+  const refused = await fixture.send('/v1/requests/c');
+  expect(refused.status).toBe(503);
+  expect(await refused.json()).toMatchObject({
+    error: {kind: 'cannotMeetTarget', executed: 'unknown'},
+  });
+  answer();
+  const statuses = (await Promise.all(held)).map(({status}) => status);
+  expect(statuses).toEqual([200, 200]);
+  expect((await fixture.send('/v1/requests/c')).status).toBe(200);
+});
--- a/src/features/claims/common/boundKeys.ts
+++ b/src/features/claims/common/boundKeys.ts
@@ -50,6 +50,11 @@
     return this.count;
   }
 
+  /** Replies whose text is counted. */
+  get heldReplies(): number {
+    return this.bodies.size;
+  }
+
   /**
    * Takes a key; granted at most once, and again only after an outcome that says that nothing ran.
    * A key stands for the request that it was first granted for, whatever came of it.
@@ -132,6 +137,9 @@
       if (now >= this.bucketForgottenAt(number)) {
         this.buckets.delete(number);
         this.count -= bucket.size;
+        for (const keyHash of bucket.keys()) {
+          this.bodies.release(keyHash);
+        }
       }
     }
   }
--- a/src/features/claims/common/claimRecord.ts
+++ b/src/features/claims/common/claimRecord.ts
@@ -100,9 +100,11 @@
   return bodyLength(outcome) > limit ? replyNotKept : outcome;
 }
 
-/** Characters of reply text. */
+/** Characters of reply text; the content type counts, since an upstream chooses it. */
 export function bodyLength(outcome: RequestOutcome): number {
-  return outcome.kind === 'completed' ? outcome.body.length : 0;
+  return outcome.kind === 'completed'
+    ? outcome.body.length + outcome.contentType.length
+    : 0;
 }
 
 function isOutcome(value: unknown): boolean {
--- a/src/features/claims/common/claimSettings.ts
+++ b/src/features/claims/common/claimSettings.ts
@@ -49,6 +49,8 @@
   /** Text in one transaction. */
   readonly transactionCharacters: number;
   readonly queueLimit: number;
+  /** Text of the rows that wait; the row that passes it is the last taken. */
+  readonly queueCharacters: number;
   /** Transactions under way at once. */
   readonly concurrency: number;
 }
@@ -63,6 +65,8 @@
   readonly timeoutMilliseconds: number;
   /** Rows that wait for gatherers; beyond it rows go to the table directly. */
   readonly queueLimit: number;
+  /** Text of the rows that wait; the row that passes it is the last taken. */
+  readonly queueCharacters: number;
 }
 
 /** How expired rows are deleted: one page of one hash slice a step. */
@@ -103,6 +107,7 @@
     transactionRowLimit: 100,
     transactionCharacters: 400_000,
     queueLimit: 5000,
+    queueCharacters: 32_000_000,
     concurrency: 4,
   },
   gather: {
@@ -112,6 +117,7 @@
     batchRowLimit: 100,
     timeoutMilliseconds: 500,
     queueLimit: 2000,
+    queueCharacters: 16_000_000,
   },
   ageing: {
     intervalMilliseconds: 5000,
--- a/src/features/claims/common/endedKeys.ts
+++ b/src/features/claims/common/endedKeys.ts
@@ -14,6 +14,11 @@
     this.bodies = new HeldBodies(bodyLimit);
   }
 
+  /** Replies whose text is counted. */
+  get heldReplies(): number {
+    return this.bodies.size;
+  }
+
   get(keyHash: string): KnownKey | undefined {
     return this.keys.get(keyHash);
   }
@@ -28,6 +33,7 @@
     if (this.keys.size > this.limit) {
       const [oldest] = this.keys.keys();
       this.keys.delete(oldest!);
+      this.bodies.release(oldest!);
     }
     this.bodies.hold(keyHash, bodyLength(outcome), left => {
       if (this.keys.has(keyHash)) {
--- a/src/features/claims/common/gatheringWriter.ts
+++ b/src/features/claims/common/gatheringWriter.ts
@@ -8,7 +8,7 @@
 import {ClaimPeers} from './claimPeers.js';
 import {GatherSettings} from './claimSettings.js';
 import {PeerDirectory, PeerInstance} from './peerDirectory.js';
-import {RowResult, RowWriter} from './rowWriter.js';
+import {RowResult, RowWriter, textLength} from './rowWriter.js';
 
 /** The name that all instances rank gatherers by, so that they agree without messages. */
 const GATHERER_LABEL = 'claim-gatherer';
@@ -45,6 +45,8 @@
 export class GatheringWriter extends RowWriter implements Disposable {
   private readonly batches = new Map<string, Batch>();
   private waiting = 0;
+  /** Text of the rows that wait. */
+  private characters = 0;
   private disposed = false;
 
   constructor(private readonly parts: GatheringWriterParts) {
@@ -71,7 +73,8 @@
   }
 
   private isFull(): boolean {
-    return this.waiting >= this.parts.settings.queueLimit;
+    const {queueLimit, queueCharacters} = this.parts.settings;
+    return this.waiting >= queueLimit || this.characters >= queueCharacters;
   }
 
   /** The gatherer of a key; undefined when this instance writes it itself. */
@@ -83,6 +86,7 @@
 
   private enqueue(address: string, row: PendingRow): void {
     this.waiting++;
+    this.characters += textLength(row.write);
     const batch = this.batches.get(address) ?? this.openBatch(address);
     batch.rows.push(row);
     if (batch.rows.length >= this.parts.settings.batchRowLimit) {
@@ -168,6 +172,7 @@
 
   private finish(row: PendingRow, result: RowResult): void {
     this.waiting--;
+    this.characters -= textLength(row.write);
     row.resolve(result);
   }
 }
--- a/src/features/claims/common/groupCommitter.ts
+++ b/src/features/claims/common/groupCommitter.ts
@@ -10,7 +10,7 @@
   WriteOutcome,
 } from '../../../platform/table/common/tableService.js';
 import {CommitSettings} from './claimSettings.js';
-import {RowResult, RowWriter} from './rowWriter.js';
+import {RowResult, RowWriter, textLength} from './rowWriter.js';
 
 /** Rows of one transaction are decided one by one, so strangers may share it. */
 
@@ -24,6 +24,8 @@
 /** Gathers rows for a few milliseconds into one transaction; transactions keep a spacing. */
 export class GroupCommitter extends RowWriter implements Disposable {
   private waiting: PendingRow[] = [];
+  /** Text of the rows that wait. */
+  private characters = 0;
   private inFlight = 0;
   private timer: Disposable | undefined;
   private disposed = false;
@@ -42,12 +44,13 @@
   }
 
   override write(write: RowWrite): Promise<RowResult> {
-    if (this.disposed || this.waiting.length >= this.settings.queueLimit) {
+    if (this.disposed || this.isFull()) {
       const detail = 'shutting down, or too many rows wait';
       return Promise.resolve(failure({kind: 'unavailable', detail}));
     }
     return new Promise(resolve => {
       this.waiting.push({write, resolve});
+      this.characters += textLength(write);
       this.schedule();
     });
   }
@@ -58,6 +61,14 @@
     const detail = 'shutting down';
     settleAll(this.waiting, failure({kind: 'unavailable', detail}));
     this.waiting = [];
+    this.characters = 0;
+  }
+
+  private isFull(): boolean {
+    const {queueLimit, queueCharacters} = this.settings;
+    return (
+      this.waiting.length >= queueLimit || this.characters >= queueCharacters
+    );
   }
 
   private schedule(): void {
@@ -91,7 +102,7 @@
     const keys = new Set<string>();
     let characters = 0;
     for (const row of this.waiting) {
-      const size = row.write.value?.length ?? 0;
+      const size = textLength(row.write);
       const fits =
         batch.length < this.settings.transactionRowLimit &&
         !keys.has(row.write.key) &&
@@ -106,6 +117,7 @@
       characters += size;
     }
     this.waiting = left;
+    this.characters -= characters;
     return batch;
   }
 
--- a/src/features/claims/common/heldBodies.ts
+++ b/src/features/claims/common/heldBodies.ts
@@ -13,6 +13,11 @@
 
   constructor(private readonly limit: number) {}
 
+  /** Replies that are counted. */
+  get size(): number {
+    return this.held.size;
+  }
+
   /** Counts a reply; `replace` is called when its text must go. */
   hold(
     keyHash: string,
@@ -28,6 +33,12 @@
     this.shrink();
   }
 
+  /** Stops counting the reply of a key that is no longer kept. */
+  release(keyHash: string): void {
+    this.characters -= this.held.get(keyHash)?.length ?? 0;
+    this.held.delete(keyHash);
+  }
+
   private shrink(): void {
     for (const [keyHash, body] of this.held) {
       if (this.characters <= this.limit) {
--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -9,9 +9,13 @@
 import {createRpcClient, serveRpc} from '../../../platform/rpc/node/rpc.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
+import {BoundKeys} from '../common/boundKeys.js';
 import {ClaimAgeing} from '../common/claimAgeing.js';
 import {claimRowKey, formatClaimRecord} from '../common/claimRecord.js';
 import {ClaimSettings, defaultClaimSettings} from '../common/claimSettings.js';
+import {EndedKeys} from '../common/endedKeys.js';
+import {GatheringWriter} from '../common/gatheringWriter.js';
+import {GroupCommitter} from '../common/groupCommitter.js';
 import {OutcomeRecorder} from '../common/outcomeRecorder.js';
 import {RowWriter} from '../common/rowWriter.js';
 import {ClaimRouter, createClaimRouter} from '../node/claimRouter.js';
@@ -23,6 +27,8 @@
   completed,
   notRun,
   testSettings,
+  WorldDirectory,
+  WorldPeers,
 } from './claimWorld.js';
 
 const worlds: ClaimWorld[] = [];
@@ -406,6 +412,57 @@
   ageing.dispose();
 });
 
+test('replies are no longer counted when their keys are gone', () => {
+  const ended = new EndedKeys(2, 1e6);
+  const bound = new BoundKeys({...testSettings, boundKeyLimit: 9});
+  for (const key of ['a', 'b', 'c', 'd']) {
+    ended.add(key, completed, undefined);
+    bound.take(key, 1, 0);
+    bound.end(key, 1, completed);
+  }
+  bound.take('late', 1e6, 1e5);
+  expect([ended.heldReplies, bound.heldReplies]).toEqual([2, 0]);
+});
+
+test.each(['committer', 'gatherer'])(
+  'rows that wait at a %s are bounded by their text too',
+  async kind => {
+    const world = newWorld(2);
+    const {worldClock: clock, platform} = world;
+    const metrics = new SilentMetrics();
+    const {table} = platform.portsOf();
+    const bounds = {queueCharacters: 10, aboveInstances: 1};
+    const commit = {...testSettings.commit, ...bounds};
+    const direct = new GroupCommitter(table, clock, metrics, commit, () => 1);
+    const writer =
+      kind === 'committer'
+        ? direct
+        : new GatheringWriter({
+            // Rows that find no room go there; it takes none.
+            direct: new GroupCommitter(
+              table,
+              clock,
+              metrics,
+              {...commit, queueLimit: 0},
+              () => 1,
+            ),
+            peers: new WorldPeers(world),
+            directory: new WorldDirectory(world),
+            clock,
+            metrics,
+            settings: {...testSettings.gather, ...bounds},
+            incarnation: 'inc1',
+          });
+    const writes = ['a', 'b', 'c'].map(key =>
+      writer.write({key, value: '123456', condition: {kind: 'any'}}),
+    );
+    await world.advance(200);
+    const results = await Promise.all(writes);
+    expect(results.map(({ok}) => ok)).toEqual([true, true, false]);
+    writer.dispose();
+  },
+);
+
 describe('between processes', () => {
   test('ask and gather over the network; a wrong peer key is refused', async () => {
     const world = newWorld(1);
--- a/src/features/claims/test/claimWorld.ts
+++ b/src/features/claims/test/claimWorld.ts
@@ -340,7 +340,7 @@
 }
 
 /** A list that lags: a dead incarnation still points at its slot. */
-class WorldDirectory extends PeerDirectory {
+export class WorldDirectory extends PeerDirectory {
   constructor(private readonly world: ClaimWorld) {
     super();
   }
@@ -365,10 +365,10 @@
 }
 
 /** Calls that a paused process answers only after it wakes; the caller may give up before. */
-class WorldPeers extends ClaimPeers {
+export class WorldPeers extends ClaimPeers {
   constructor(
     private readonly world: ClaimWorld,
-    private readonly mutation: Mutation,
+    private readonly mutation: Mutation = {},
   ) {
     super();
   }
