Requests behind one another on a connection are given up when it closes, and are few

Cause: Node answers the requests of a connection in order and tells of its closing only the answer that has the connection. A request behind it was never told that the caller had gone and waited for its close for ever: it kept its place among the requests in progress, so a caller that sent requests ahead and left could take up an instance for good; refused requests stayed in memory. Change: ConnectionWatch keeps the open answers of each connection, tells those behind when it closes, and closes a connection on which more than 16 wait. Conclusion: a place ends with its connection.

--- a/src/features/callers/node/callerServer.ts
+++ b/src/features/callers/node/callerServer.ts
@@ -8,6 +8,7 @@
 import {CallerResponse} from './callerResponse.js';
 import {CallerServices} from './callerServices.js';
 import {ChatHandler} from './chatHandler.js';
+import {ConnectionWatch} from './connectionWatch.js';
 import {QueryHandlers} from './queryHandlers.js';
 import {RequestExchange} from './requestExchange.js';
 import {ServiceHandler} from './serviceHandler.js';
@@ -40,6 +41,7 @@
     const {concurrentRequestLimit} = services.settings;
     this.server.maxConnections =
       concurrentRequestLimit * CONNECTIONS_PER_REQUEST;
+    new ConnectionWatch(this.server);
     this.addRoutes();
   }
 
--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -710,3 +710,30 @@
   expect(statuses).toEqual([200, 200]);
   expect((await fixture.send('/v1/requests/c')).status).toBe(200);
 });
+
+test.each([
+  {name: 'closes', requests: 2, closes: true},
+  {name: 'asks for more than may wait', requests: 40, closes: false},
+])(
+  'nothing is left of requests behind one another on a connection that $name',
+  async ({requests, closes}) => {
+    fixture.driver.script = (request, _sink, token) =>
+      new Promise(resolve =>
+        token.onDidCancel(() => resolve(success(replyOf(request, [])))),
+      );
+    const body = JSON.stringify(chatBody());
+    const socket = connect(fixture.port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    const closed = new Promise(resolve => socket.once('close', resolve));
+    const text =
+      `POST ${chatPath} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${bearer}\r\n` +
+      `Redwing-Class: query\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+    socket.write(text.repeat(requests));
+    if (closes) {
+      await expect.poll(() => fixture.driver.requests.length).toBe(2);
+      socket.destroy();
+    }
+    await closed;
+    await expect.poll(() => fixture.gate.count).toBe(0);
+  },
+);
