--- a/src/features/claims/common/plainClaims.ts
+++ b/src/features/claims/common/plainClaims.ts
@@ -108,6 +108,14 @@
     return true;
   }
 
+  /** What another instance is told of a key: one that is decided or closed soon is worth asking for again. */
+  answerOf(keyHash: string): KnownKey | undefined {
+    const known = this.outcomeOf(keyHash);
+    return known !== undefined && this.active.has(keyHash)
+      ? {...known, outcome: {kind: 'running'}}
+      : known;
+  }
+
   /** What is known here of a key; undefined when nothing is. */
   outcomeOf(keyHash: string): KnownKey | undefined {
     const active = this.active.get(keyHash);
--- a/src/features/claims/node/defaultClaimService.ts
+++ b/src/features/claims/node/defaultClaimService.ts
@@ -175,7 +175,7 @@
       return {kind: 'otherIncarnation'};
     }
     if (grantExpiresAt === undefined) {
-      const known = this.plain.outcomeOf(keyHash);
+      const known = this.plain.answerOf(keyHash);
       return known ? {kind: 'seen', ...known} : {kind: 'forgotten'};
     }
     return this.bound.answer(keyHash, grantExpiresAt);
--- a/test/prove/proofRounds.ts
+++ b/test/prove/proofRounds.ts
@@ -59,6 +59,32 @@
     return this.submissions.filter(({kind}) => kind === 'work').length;
   }
 
+  /** How much there was to check: answers by their end, keys, rebuilds, changes. */
+  witnesses(): Readonly<Record<string, number>> {
+    const ended = (end: string) =>
+      this.submissions.filter(({answer}) => answer.end === end).length;
+    const told = (executed: string) =>
+      this.submissions.filter(({answer}) => answer.executed === executed)
+        .length;
+    const {index} = this.ledgers;
+    const rebuilt = index.requestIds.filter(
+      id => new Set(index.steps(id).map(({epoch}) => epoch)).size > 1,
+    );
+    return {
+      whole: ended('whole'),
+      cut: ended('cut'),
+      unreachable: ended('unreachable'),
+      toldNotRun: told('no'),
+      toldUnknown: told('unknown'),
+      toldRun: told('yes'),
+      requestsInLedgers: index.requestIds.length,
+      requestsOfSeveralEpochs: rebuilt.length,
+      acceptedChanges: this.operators.evidence.accepted.length,
+      plannedStopsAlone: this.stops.length,
+      leavingUpstreams: this.windows.length,
+    };
+  }
+
   /** Runs one round; the faults are gone when it resolves. */
   async run(round: number): Promise<RoundReport> {
     const random = new SeededRandomSource(this.seed * ROUND_PRIME + round);
@@ -70,14 +96,9 @@
     };
     const faults = this.chooseFaults(random, records);
     const entrypoints = await this.askAll();
-    const followers = this.makeFollowers(random, round);
+    const followers = this.makeFollowers(random, round, entrypoints);
     const before = this.submissions.length;
-    const undone = await this.strikeUnderLoad(
-      random,
-      faults,
-      followers,
-      entrypoints,
-    );
+    const undone = await this.strikeUnderLoad(random, faults, followers);
     await this.lookUpUndone(random, undone);
     followers.forEach(({submissions}) => this.submissions.push(...submissions));
     this.noteStop(faults, records, undone);
@@ -121,13 +142,17 @@
   private makeFollowers(
     random: RandomSource,
     round: number,
+    entrypoints: ReadonlyArray<Entrypoints | undefined>,
   ): readonly Follower[] {
     const count = FEWEST_WORKS + random.nextInteger(WORK_SPREAD);
     return Array.from({length: count}, (_, number) => {
       const work = randomWork(random, round, number);
       const seed = this.seed * ROUND_PRIME + round * WORK_PRIME + number;
       const own = new SeededRandomSource(seed);
-      return new Follower(this.caller, work, this.addresses, own);
+      const kept = entrypoints[number % entrypoints.length];
+      const {addresses} = this;
+      const book = {addresses, current: () => Promise.resolve(kept)};
+      return new Follower(this.caller, work, book, own);
     });
   }
 
@@ -136,7 +161,6 @@
     random: RandomSource,
     faults: readonly ChosenFault[],
     followers: readonly Follower[],
-    entrypoints: ReadonlyArray<Entrypoints | undefined>,
   ): Promise<readonly Follower[]> {
     const duration = Math.max(...faults.map(({milliseconds}) => milliseconds));
     const sampling = this.sampleWhile(sleep(duration));
@@ -144,10 +168,9 @@
       await sleep(random.nextInteger(Math.min(duration, 500) / 2));
       await fault.strike();
     });
-    const running = followers.map(async (follower, index) => {
+    const running = followers.map(async follower => {
       await sleep(random.nextInteger(duration));
-      const kept = entrypoints[index % entrypoints.length];
-      return (await follower.run(kept)) ? undefined : follower;
+      return (await follower.run()) ? undefined : follower;
     });
     await Promise.all(striking);
     await sleep(duration);
