--- a/src/features/routing/common/cellSchemas.ts
+++ b/src/features/routing/common/cellSchemas.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 
-/** Checks of the rows in which peers send messages about cells. New fields go to the end of a row. */
+/** Checks of the rows in which peers send messages about cells. */
 
 /** Outcomes of a stage, by their number on the wire. */
 export const outcomes = [
