--- a/src/features/placement/test/planPlacement.test.ts
+++ b/src/features/placement/test/planPlacement.test.ts
@@ -111,165 +111,77 @@
   return [...changes, ...causes].join(', ');
 }
 
-const three = (holds: string, occupied = 0): readonly ReplicaView[] =>
-  ['a', 'b', 'c'].map(group => replica(group, holds, occupied));
-const two = (holds: string, occupied = 0): readonly ReplicaView[] =>
-  three(holds, occupied).slice(0, 2);
-const draining = {drainingSince: NOW - 4_000};
+/**
+ * Replicas from texts such as `a=m/1*2`: group, what it holds and its sequences; `~` marks one that
+ * takes no new work and was emptied for long enough, `!` one that loads.
+ */
+function parse(text: string): readonly ReplicaView[] {
+  return text.split(' ').map(word => {
+    const [group = '', state = ''] = word.replace(/[~!]/, '').split('=');
+    const [holds = '', occupied = '0'] = state.split('*');
+    const isEmptied = word.includes('~');
+    const loading = word.includes('!');
+    const role = isEmptied ? 'decode' : 'both';
+    const view = replica(group, holds, Number(occupied), {role, loading});
+    return isEmptied ? {...view, drainingSince: NOW - 4_000} : view;
+  });
+}
 
-const cases: ReadonlyArray<readonly [string, PlacementView, Demand, string]> = [
-  ['all is as stated', viewOf(three('m/1'), ['m/1']), demandOf({}), ''],
-  [
-    'one replica at a time changes its version',
-    viewOf(three('m/1', 2), ['m/2']),
-    demandOf({m: 6}),
-    'drain a>m/2, othersChange',
-  ],
-  [
-    'the only live replica stays',
-    viewOf([replica('a', 'm/1')], ['m/2']),
-    demandOf({}),
-    'tooFewLive',
-  ],
-  [
-    'the others could not carry the load',
-    viewOf(two('m/1', 5), ['m/2']),
-    demandOf({m: 10}),
-    'tooFewLive',
-  ],
-  [
-    'an adapter is missing',
-    viewOf(two('m/1'), ['m/1'], ['x']),
-    demandOf({}),
-    'drain a>m/1, tooFewLive',
-  ],
-  [
-    'an emptied replica loads',
-    viewOf(
-      [
-        {...replica('a', 'm/1', 0, {role: 'decode'}), ...draining},
-        replica('b', 'm/1', 3),
-      ],
-      ['m/2'],
-    ),
-    demandOf({m: 3}),
-    'load a>m/2, tooFewLive',
-  ],
-  [
-    'a replica with requests is waited for',
-    viewOf(
-      [
-        {...replica('a', 'm/1', 1, {role: 'decode'}), ...draining},
-        replica('b', 'm/1', 3),
-      ],
-      ['m/2'],
-    ),
-    demandOf({m: 4}),
-    'tooFewLive',
-  ],
-  [
-    'a change is taken back: the replica serves again',
-    viewOf(
-      [replica('a', 'm/1', 0, {role: 'decode'}), replica('b', 'm/1')],
-      ['m/1'],
-    ),
-    demandOf({}),
-    'restore a>m/1',
-  ],
-  [
-    'orders half done are done again at once',
-    viewOf(
-      [
-        {
-          group: 'a',
-          engines: [
-            replica('a', 'm/2').engines[0]!,
-            replica('a', 'm/1').engines[1]!,
-          ],
-        },
-        replica('b', 'm/2'),
-      ],
-      ['m/2'],
-    ),
-    demandOf({}),
-    'load a>m/2',
-  ],
-  [
-    'the weight store is busy with another',
-    viewOf(
-      [
-        replica('a', 'n/1', 0, {loading: true}),
-        {...replica('b', 'm/1', 0, {role: 'decode'}), ...draining},
-        replica('c', 'm/2'),
-        replica('d', 'n/1'),
-      ],
-      ['m/2', 'n/1'],
-    ),
-    demandOf({}),
-    'weightStoreBusy',
-  ],
-  [
-    'a model without replicas gets one',
-    viewOf(three('m/1'), ['m/1', 'n/1']),
-    demandOf({m: 2}),
-    'drain a>n/1, othersChange',
-  ],
-  [
-    'load that was not observed for long moves nothing',
-    viewOf(three('m/1'), ['m/1', 'n/1']),
-    demandOf({m: 2}, 1_000),
-    '',
-  ],
-  [
-    'a loaded model gets a replica of an idle one',
-    viewOf([...three('m/1'), replica('d', 'n/1', 8)], ['m/1', 'n/1']),
-    demandOf({n: 8}),
-    'drain a>n/1, othersChange',
-  ],
-  [
-    'a gain smaller than the cost moves nothing',
-    {
-      ...viewOf([...three('m/1'), replica('d', 'n/1', 8)], ['m/1', 'n/1']),
-      share: 1e-4,
-    },
-    demandOf({n: 8}),
-    'costsMoreThanGain',
-  ],
-  [
-    'a model that is no longer stated gives its replicas up',
-    viewOf([replica('a', 'old/1'), replica('b', 'm/1')], ['m/1']),
-    demandOf({}),
-    'drain a>m/1',
-  ],
-  [
-    'engines out of reach for long leave their layers to the others',
-    viewOf(
-      [
-        {
-          ...replica('a', 'm/1'),
-          engines: replica('a', 'm/1').engines.map((engine, stage) => ({
-            ...engine,
-            reachable: stage === 0,
-          })),
-          incompleteSince: NOW - 121_000,
-        },
-        replica('b', 'm/1'),
-      ],
-      ['m/1'],
-    ),
-    demandOf({}),
-    'load a>m/1',
-  ],
+const [whole] = parse('a=m/1');
+const [first, second] = whole!.engines;
+const outOfReach = {...second!, reachable: false};
+const lost = {
+  group: 'a',
+  engines: [first!, outOfReach],
+  incompleteSince: NOW - 121_000,
+};
+const otherVersion = parse('a=m/2')[0]!.engines[0]!;
+const halfDone = {group: 'a', engines: [otherVersion, second!]};
+
+interface PlanCase {
+  readonly name: string;
+  readonly has: string;
+  /** A replica beside those. */
+  readonly and?: ReplicaView;
+  readonly stated: string;
+  readonly plan: string;
+  readonly load?: Readonly<Record<string, number>>;
+  readonly observed?: number;
+  readonly adapters?: readonly string[];
+  readonly share?: number;
+}
+
+// prettier-ignore
+const cases: readonly PlanCase[] = [
+  {name: 'all is as stated', has: 'a=m/1 b=m/1 c=m/1', stated: 'm/1', plan: ''},
+  {name: 'one replica at a time changes its version', has: 'a=m/1*2 b=m/1*2 c=m/1*2', stated: 'm/2', load: {m: 6}, plan: 'drain a>m/2, othersChange'},
+  {name: 'the only live replica stays', has: 'a=m/1', stated: 'm/2', plan: 'tooFewLive'},
+  {name: 'the others could not carry the load', has: 'a=m/1*5 b=m/1*5', stated: 'm/2', load: {m: 10}, plan: 'tooFewLive'},
+  {name: 'an adapter is missing', has: 'a=m/1 b=m/1', stated: 'm/1', adapters: ['x'], plan: 'drain a>m/1, tooFewLive'},
+  {name: 'an emptied replica loads', has: 'a=m/1~ b=m/1*3', stated: 'm/2', load: {m: 3}, plan: 'load a>m/2, tooFewLive'},
+  {name: 'a replica with requests is waited for', has: 'a=m/1*1~ b=m/1*3', stated: 'm/2', load: {m: 4}, plan: 'tooFewLive'},
+  {name: 'a change is taken back: the replica serves again', has: 'a=m/1~ b=m/1', stated: 'm/1', plan: 'restore a>m/1'},
+  {name: 'orders half done are done again at once', has: 'b=m/2', and: halfDone, stated: 'm/2', plan: 'load a>m/2'},
+  {name: 'the weight store is busy with another', has: 'a=n/1! b=m/1~ c=m/2 d=n/1', stated: 'm/2 n/1', plan: 'weightStoreBusy'},
+  {name: 'a model without replicas gets one', has: 'a=m/1 b=m/1 c=m/1', stated: 'm/1 n/1', load: {m: 2}, plan: 'drain a>n/1, othersChange'},
+  {name: 'load that was not observed for long moves nothing', has: 'a=m/1 b=m/1 c=m/1', stated: 'm/1 n/1', load: {m: 2}, observed: 1_000, plan: ''},
+  {name: 'a loaded model gets a replica of an idle one', has: 'a=m/1 b=m/1 c=m/1 d=n/1*8', stated: 'm/1 n/1', load: {n: 8}, plan: 'drain a>n/1, othersChange'},
+  {name: 'a gain smaller than the cost moves nothing', has: 'a=m/1 b=m/1 c=m/1 d=n/1*8', stated: 'm/1 n/1', load: {n: 8}, share: 1e-4, plan: 'costsMoreThanGain'},
+  {name: 'a model no longer stated gives its replicas up', has: 'a=old/1 b=m/1', stated: 'm/1', plan: 'drain a>m/1'},
+  {name: 'engines out of reach for long leave their layers to the others', has: 'b=m/1', and: lost, stated: 'm/1', plan: 'load a>m/1'},
 ];
 
-it.each(cases)('%s', (_, view, demand, expected) => {
+it.each(cases)('$name', one => {
+  const replicas = [...(one.and ? [one.and] : []), ...parse(one.has)];
+  const stated = viewOf(replicas, one.stated.split(' '), one.adapters);
+  const view = {...stated, share: one.share ?? 1};
+  const demand = demandOf(one.load ?? {}, one.observed);
   const manifests = manifestsOf(view);
   const plan = planPlacement(view, demand, manifests, NOW);
-  expect(summary(plan)).toBe(expected);
+  expect(summary(plan)).toBe(one.plan);
   expect(planPlacement(view, demand, manifests, NOW)).toEqual(plan);
-  expect(summary(planPlacement(view, demand, new Map(), NOW))).not.toContain(
-    'load',
-  );
+  const without = planPlacement(view, demand, new Map(), NOW);
+  expect(without.changes.some(({kind}) => kind === 'load')).toBe(false);
 });
 
 const speeds = fastCheck.array(
