--- a/measure/common/controlFleet.ts
+++ b/measure/common/controlFleet.ts
@@ -1,6 +1,9 @@
-import {writeFileSync} from 'node:fs';
+import {randomUUID} from 'node:crypto';
+import {readFileSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 
+import {SystemClock} from '../../src/base/node/systemClock.js';
+import {ControlViewSource} from '../../src/features/membership/node/controlViewSource.js';
 import {
   InstanceMember,
   UpstreamMember,
@@ -16,7 +19,10 @@
 import {ProcessUse, ratesBetween, readUse} from './processUse.js';
 import {sleep} from '../../test/support/sleep.js';
 
-/** Many control programs without entry programs, over the platform stand-in of a launched system. */
+/**
+ * Many control programs over the platform stand-in of a launched system. Entry programs are left out;
+ * this process follows each control program's view in their place.
+ */
 
 /** Periods of the programs, in seconds. */
 export type ControlPeriods = Pick<
@@ -39,6 +45,7 @@
 interface FleetMember {
   readonly member: InstanceMember;
   readonly process: ManagedProcess;
+  readonly view: ControlViewSource;
 }
 
 const READY_MILLISECONDS = 20_000;
@@ -153,6 +160,7 @@
   }
 
   dispose(): Promise<void> {
+    this.members.forEach(one => one.view.dispose());
     return this.supervisor.dispose();
   }
 
@@ -195,7 +203,19 @@
     writeFileSync(file, JSON.stringify(this.settings(member)));
     const program = 'src/programs/control/main.js';
     const process = this.supervisor.start(id, program, file);
-    this.members.push({member, process});
+    this.members.push({member, process, view: this.follow(control)});
+  }
+
+  private follow(controlAddress: string): ControlViewSource {
+    const peerKey = readFileSync(join(this.system.directory, 'peer.key'));
+    const view = new ControlViewSource(
+      controlAddress,
+      peerKey.toString(),
+      new SystemClock(),
+      {incarnation: randomUUID(), leaving: false},
+    );
+    view.start();
+    return view;
   }
 
   private settings(member: InstanceMember): ControlSettings {
