--- /dev/null
+++ b/measure/common/claimLoad.ts
@@ -0,0 +1,133 @@
+import {request} from 'undici';
+
+import {SeededRandomSource} from '../../src/base/common/randomSource.js';
+import {hashKey} from '../../test/support/launcher.js';
+import {sleep} from '../../test/support/sleep.js';
+import {Caller} from './caller.js';
+import {runRound} from './closedLoop.js';
+import {MeasuredSystem} from './measuredSystem.js';
+
+/** Calls to the platform's table for work that may not be repeated. */
+
+/** Calls for one way of making keys at so many instances. */
+export interface ClaimReport {
+  readonly instances: number;
+  /** Whether keys began with a grant of the instance that was asked. */
+  readonly withGrants: boolean;
+  readonly requestsPerSecond: number;
+  readonly completed: number;
+  readonly failed: number;
+  /** Calls to the table; one call may carry many rows. */
+  readonly tableWritesPerRequest: number;
+  readonly tableReadsPerRequest: number;
+  /** Calls refused by the table's limit. */
+  readonly refused: number;
+}
+
+const CLASS_NAME = 'once';
+const MODEL = 'assistant';
+const OUTPUT_TOKENS = 2;
+const CONCURRENCY = 24;
+const KEEPING_MILLISECONDS = 600;
+const ACCOUNT = {name: 'claimer', bearerKey: 'key-claimer'};
+
+/** Runs the same requests at one, two and four instances, with plain keys and with grants. */
+export async function measureClaims(
+  measured: MeasuredSystem,
+  options: {readonly seed: number; readonly seconds: number},
+): Promise<readonly ClaimReport[]> {
+  await configure(measured);
+  const reports: ClaimReport[] = [];
+  for (const withGrants of [false, true]) {
+    for (const instances of [1, 2, 4]) {
+      reports.push(await measureOne(measured, instances, withGrants, options));
+    }
+  }
+  return reports;
+}
+
+async function configure({system}: MeasuredSystem): Promise<void> {
+  await system.administer([
+    {
+      kind: 'setClass',
+      value: {
+        name: CLASS_NAME,
+        firstTokenMilliseconds: 3000,
+        betweenTokensMilliseconds: 500,
+        deadlineMilliseconds: 20_000,
+        requestsPerSecond: 500,
+        repeatable: false,
+      },
+    },
+    {
+      kind: 'setClientAccount',
+      value: {name: ACCOUNT.name, keyHash: hashKey(ACCOUNT.bearerKey)},
+    },
+  ]);
+}
+
+async function measureOne(
+  measured: MeasuredSystem,
+  instances: number,
+  withGrants: boolean,
+  options: {readonly seed: number; readonly seconds: number},
+): Promise<ClaimReport> {
+  const {platform} = measured.system;
+  const callers = measured.callers.slice(0, instances);
+  const grants = await Promise.all(callers.map(grantOf));
+  const random = new SeededRandomSource(options.seed);
+  await platform.resetCounts();
+  const startedAt = performance.now();
+  let index = 0;
+  let failed = 0;
+  const {requests} = await runRound(
+    CONCURRENCY,
+    options.seconds * 1000,
+    random,
+    async () => {
+      const place = index++ % instances;
+      const key = `${withGrants ? `${grants[place]}.` : ''}${instances}-${withGrants}-${index}`;
+      const ended = await claimedRequest(callers[place], key);
+      failed += ended ? 0 : 1;
+      return 0;
+    },
+  );
+  const seconds = (performance.now() - startedAt) / 1000;
+  // Outcomes are recorded a little after the replies.
+  await sleep(KEEPING_MILLISECONDS);
+  const counts = await platform.counts();
+  return {
+    instances,
+    withGrants,
+    requestsPerSecond: Math.round(requests / seconds),
+    completed: requests - failed,
+    failed,
+    tableWritesPerRequest: share(counts['table write'].total, requests),
+    tableReadsPerRequest: share(counts['table read'].total, requests),
+    refused: counts['table write'].refused + counts['table read'].refused,
+  };
+}
+
+async function claimedRequest(caller: Caller, key: string): Promise<boolean> {
+  const outcome = await caller.stream({
+    classOfWork: CLASS_NAME,
+    bearerKey: ACCOUNT.bearerKey,
+    model: MODEL,
+    prompt: `[reply:${OUTPUT_TOKENS}] pour ${key.slice(-12)}`,
+    maximumOutputTokens: OUTPUT_TOKENS,
+    idempotencyKey: key,
+    deadlineMilliseconds: undefined,
+  });
+  return outcome.whole;
+}
+
+async function grantOf(caller: Caller): Promise<string | null> {
+  const answer = await request(`http://${caller.address}/v1/entrypoints`, {
+    headers: {authorization: `Bearer ${ACCOUNT.bearerKey}`},
+  });
+  return ((await answer.body.json()) as {grant: string | null}).grant;
+}
+
+function share(count: number, requests: number): number {
+  return Math.round((1000 * count) / Math.max(1, requests)) / 1000;
+}
--- a/measure/main.ts
+++ b/measure/main.ts
@@ -3,13 +3,14 @@
 import {measureControl} from './control.js';
 import {measureOverhead} from './overhead.js';
 import {measureRecovery} from './recovery.js';
+import {measureSlopes} from './slopes.js';
 import {measureThroughput} from './throughput.js';
 
 /** Runs one measure and prints its figures as one JSON line, the last line of its output. */
 
 const DEFAULT_SEED = 20261202;
 const USAGE =
-  'usage: npm run measure -- (throughput|overhead|recovery|control) [--seed N] [--seconds N] [--loads 0.8,1]';
+  'usage: npm run measure -- (throughput|overhead|recovery|control|slopes) [--seed N] [--seconds N] [--loads 0.8,1]';
 
 interface MeasureOptions {
   readonly seed: number;
@@ -28,6 +29,7 @@
   overhead: {run: measureOverhead, seconds: 1.5},
   recovery: {run: measureRecovery, seconds: 4},
   control: {run: measureControl, seconds: 5},
+  slopes: {run: measureSlopes, seconds: 1.2},
 };
 
 async function main(): Promise<number> {
