--- a/measure/common/controlFleet.ts
+++ b/measure/common/controlFleet.ts
@@ -228,7 +228,6 @@
       peerKeyFile: join(directory, 'peer.key'),
       operatorKeysFile: join(directory, 'operators.json'),
       observation: {logLevel: 'error'},
-      membershipReadBytesPerSecond: 500,
       placementEnabled: false,
       ...this.periods,
     };
