A process that starts or takes a cell over gives engines that ran before their whole limit at once

Cause: every engine that a process hears of for the first time ramped up from a quarter of its limit over 2 s, also when the process was the new one: after a start or a take-over three quarters of the slots were barred, and a burst was refused. And the link time of an engine not used yet was the mean round trip of load reports, the first of which holds the time to connect: one slow round trip put the time between tokens over the target and work was refused for 5,000 ms. Change: UpstreamJoins tells engines that joined the list from those that a process meets later; only the former ramp. The link time is the shortest of the last 8 round trips, and the second report is asked for at once after the first. Tests failed first: 64 requests on 64 idle slots right after the start (waits before, none after; an engine that joins still gets 4 of 16), and round trips 200, 2, 9 (70 before, 2 after).

--- a/src/features/routing/common/stageLedger.ts
+++ b/src/features/routing/common/stageLedger.ts
@@ -1,5 +1,6 @@
 import {EngineReport} from '../../../platform/engine/common/engineConnection.js';
 import {DecayedMean} from './decayedMean.js';
+import {RecentQuantile} from './recentQuantile.js';
 
 /** What is outstanding at one engine, from own reservations and from its load reports. */
 
@@ -28,6 +29,8 @@
 const UNKNOWN_WIDENING = 1.5;
 /** A reservation this old must show in the resident count if it is still running. */
 const RESIDENT_AFTER_MILLISECONDS = 2000;
+/** Round trips of reports kept. */
+const TRIPS_KEPT = 8;
 const RETURNED_KEPT = 512;
 const OUTSTANDING_KEPT = 2048;
 
@@ -39,7 +42,7 @@
   private readonly holds = new DecayedMean(HOLD_MEMORY_MILLISECONDS);
   private readonly decode = new DecayedMean(LEARNING_MILLISECONDS);
   private readonly link = new DecayedMean(LEARNING_MILLISECONDS);
-  private readonly polled = new DecayedMean(LEARNING_MILLISECONDS);
+  private readonly trips = new RecentQuantile(TRIPS_KEPT);
 
   get report(): DatedReport | undefined {
     return this.newest;
@@ -95,7 +98,7 @@
       this.clear();
     }
     this.newest = {report, takenAt};
-    this.polled.add(roundTripMilliseconds, 1, now);
+    this.trips.add(roundTripMilliseconds);
     this.returned = this.returned.filter(one => one.returnedAt > takenAt);
     return restarted;
   }
@@ -121,9 +124,12 @@
     return this.decode.value(this.newest?.report.decodeMilliseconds ?? 0, now);
   }
 
-  /** Milliseconds of a hop: measured by dispatchers, else the round trip of a load report. */
+  /**
+   * Milliseconds of a hop: measured by dispatchers, else the shortest of the last round trips of
+   * load reports; the others hold connecting and waiting that a step doesn't meet.
+   */
   linkMilliseconds(now: number): number {
-    return this.link.value(this.polled.value(0, now), now);
+    return this.link.value(this.trips.quantile(0) ?? 0, now);
   }
 
   /** Age of the load report in milliseconds; Infinity before the first. */
--- a/src/features/routing/common/upstreamHealthTracker.ts
+++ b/src/features/routing/common/upstreamHealthTracker.ts
@@ -13,6 +13,8 @@
   /** Upstreams of one kind (accelerator and size of layer range) are compared in speed. */
   readonly kind: string;
   readonly leaving: boolean;
+  /** Whether it ran before it came to be followed here, so that it is given its whole limit at once. */
+  readonly established?: boolean;
 }
 
 /** A change to an upstream's health, to be logged and acted on. */
@@ -72,7 +74,7 @@
     HealthAction
   >(chartDefinition);
 
-  /** Takes the list: adds, removes and marks upstreams. New ones ramp up from `now`. */
+  /** Takes the list: adds, removes and marks upstreams. New ones ramp up from `now` unless established. */
   list(
     upstreams: readonly ListedUpstream[],
     now: number,
@@ -179,7 +181,7 @@
       quarantineMilliseconds: FIRST_QUARANTINE_MILLISECONDS,
       quarantinedAt: now,
       probeAt: now,
-      rampFrom: now,
+      rampFrom: listed.established === true ? -Infinity : now,
       returnedAt: -Infinity,
       failedAt: -Infinity,
     };
--- a/src/features/routing/node/localCells.ts
+++ b/src/features/routing/node/localCells.ts
@@ -25,6 +25,7 @@
 import {CellOwner} from './cellOwner.js';
 import {ReportPoller} from './reportPoller.js';
 import {StageRegistry} from './stageRegistry.js';
+import {UpstreamJoins} from '../common/upstreamJoins.js';
 
 /** What the local cells work with. */
 export interface LocalCellsParts {
@@ -60,6 +61,7 @@
   private readonly held = new Map<string, HeldCell>();
   private readonly registry: StageRegistry;
   private readonly poller: ReportPoller;
+  private readonly joins = new UpstreamJoins();
   private cells = CellMap.empty;
   private configuration: Configuration = emptyConfiguration;
   private housekeeping: Disposable | undefined;
@@ -80,6 +82,7 @@
     this.configuration = view.configuration;
     this.cells = cells;
     const now = this.now();
+    this.joins.update(view.upstreams, now);
     for (const id of cells.ownedBy(this.parts.instanceId)) {
       this.hold(id, now);
     }
@@ -221,7 +224,7 @@
     const engines = [...this.held.keys()].flatMap(
       id => this.cells.get(id)?.engines ?? [],
     );
-    this.registry.follow(engines, now);
+    this.registry.follow(engines, now, id => this.joins.isNew(id, now));
   }
 
   private scheduleHousekeeping(): void {
--- a/src/features/routing/node/reportPoller.ts
+++ b/src/features/routing/node/reportPoller.ts
@@ -16,7 +16,10 @@
 /** A poll that took this many times its time-out shows that this process was paused. */
 const PAUSE_RATIO = 2;
 
-/** Asks each followed engine for its load report about once a second, a bounded number at once. */
+/**
+ * Asks each followed engine for its load report about once a second, a bounded number at once; a
+ * second time after the first report, whose round trip holds the time to connect.
+ */
 export class ReportPoller extends DisposableOwner {
   private readonly dueAt = new Map<string, number>();
   private readonly polling = new Map<string, Promise<void>>();
@@ -130,6 +133,9 @@
     }
     const now = this.clock.monotonicMilliseconds();
     if (answer.ok) {
+      if (stage.ledger.report === undefined) {
+        this.hurry(id);
+      }
       this.registry.reportCame(answer.value, now - startedAt, now);
       return;
     }
--- a/src/features/routing/node/stageRegistry.ts
+++ b/src/features/routing/node/stageRegistry.ts
@@ -34,8 +34,15 @@
     private readonly onHealthChange: (change: HealthChange) => void,
   ) {}
 
-  /** Follows exactly these engines; what is known of those that stay is kept. */
-  follow(members: readonly UpstreamMember[], now: number): void {
+  /**
+   * Follows exactly these engines; what is known of those that stay is kept. `joined` tells which
+   * engines are new to the system, not only to this process; all that weren't followed if absent.
+   */
+  follow(
+    members: readonly UpstreamMember[],
+    now: number,
+    joined: (upstream: string) => boolean = () => true,
+  ): void {
     const wanted = new Set(members.map(member => member.id));
     for (const id of [...this.stages.keys()]) {
       if (!wanted.has(id)) {
@@ -48,7 +55,7 @@
       const ledger = stays ? known.ledger : new StageLedger();
       this.stages.set(member.id, {member, ledger});
     }
-    this.tellTracker(now);
+    this.tellTracker(now, joined);
   }
 
   get(upstream: string): FollowedStage | undefined {
@@ -191,8 +198,14 @@
     this.reportFailures.delete(upstream);
   }
 
-  private tellTracker(now: number): void {
-    const listed = this.followed.map(listedUpstream);
+  private tellTracker(
+    now: number,
+    joined: (upstream: string) => boolean = () => true,
+  ): void {
+    const listed = this.followed.map(stage => ({
+      ...listedUpstream(stage),
+      established: !joined(stage.member.id),
+    }));
     this.apply(this.tracker.list(listed, now));
   }
 
--- a/src/features/routing/test/capacityBroker.test.ts
+++ b/src/features/routing/test/capacityBroker.test.ts
@@ -108,6 +108,30 @@
   });
 });
 
+test('a process that starts uses engines that ran before in full', async () => {
+  bench = new BrokerBench(instances, engines, 8);
+  await bench.clock.advanceAsync(100);
+  const starts = [];
+  for (let index = 0; index < 64; index++) {
+    const {prediction} = await reserved(ownerOf(), `r${index}`);
+    starts.push(prediction.startsInMilliseconds);
+  }
+  expect(Math.max(...starts)).toBe(0);
+  const joined = [...engines, engineMember('e5')];
+  bench.engines.set('e5');
+  bench.show(instances, joined);
+  await bench.clock.advanceAsync(100);
+  const taken = await Promise.all(
+    Array.from({length: 16}, (_, index) => reserve(ownerOf(), `n${index}`)),
+  );
+  const atOnce = taken.filter(
+    reply =>
+      reply.kind === 'reserved' &&
+      reply.reservation.prediction.startsInMilliseconds === 0,
+  );
+  expect(atOnce.length).toBe(4);
+});
+
 describe('upstreams that may get nothing new', () => {
   const leavingList = [
     engineMember('e1', {state: 'leaving'}),
--- a/src/features/routing/test/stageLedger.test.ts
+++ b/src/features/routing/test/stageLedger.test.ts
@@ -38,6 +38,12 @@
   return ledger;
 }
 
+test('the link time of an engine not used yet is its shortest round trip of late', () => {
+  const ledger = new StageLedger();
+  [200, 2, 9].forEach(trip => ledger.takeReport(engineReport('e1'), trip, 0));
+  expect(ledger.linkMilliseconds(0)).toBe(2);
+});
+
 describe('sequences counted at an engine', () => {
   const a = {at: 0, reserve: 'a'};
   const b = {at: 0, reserve: 'b'};
