The first token through a probing stage ends its probe, not the end of the reply

Cause: the owner learned of a probe's success only when the whole reply released its reservation, so a returned engine served one sequence for the length of a reply before its ramp began. Change: ChosenStage has `probing` (optional); the dispatcher tells the owner once of each reservation, by the message that carries failures, that its probing stages answered. No message without a probe.

--- a/src/features/pipeline/node/capacityClient.ts
+++ b/src/features/pipeline/node/capacityClient.ts
@@ -12,11 +12,19 @@
 import {PipelineDependencies} from './pipelineDependencies.js';
 import {RunState} from './runState.js';
 
+const ANSWERED = {
+  outcome: 'completed' as const,
+  decodeMilliseconds: undefined,
+  linkMilliseconds: undefined,
+  steps: 1,
+};
+
 /** Asks for capacity on behalf of one request; what comes after the request ended is given back. */
 export class CapacityClient {
   /** Tokens expected of the whole reply. */
   readonly expectedTokens: number;
   private readonly decisions: DecisionLog;
+  private answered: Reservation | undefined;
 
   constructor(
     private readonly dependencies: PipelineDependencies,
@@ -70,6 +78,20 @@
     }
   }
 
+  /** Tells once of each reservation that its probing stages answered, so that they get more work soon. */
+  reportAnswers(): void {
+    const {reservation} = this.state;
+    if (reservation === undefined || reservation === this.answered) {
+      return;
+    }
+    this.answered = reservation;
+    for (const {upstream, probing} of reservation.stages) {
+      if (probing === true) {
+        this.reportFailure({upstream, ...ANSWERED});
+      }
+    }
+  }
+
   logKept(cause: string, epoch: number, upstreams: readonly string[]): void {
     this.decisions.writeKept(cause, epoch, upstreams);
   }
--- a/src/features/pipeline/node/pipelineRun.ts
+++ b/src/features/pipeline/node/pipelineRun.ts
@@ -164,6 +164,7 @@
       this.failed = result.error;
       return state.token.isCancelled ? 'ended' : 'stageFailed';
     }
+    this.parts.capacity.reportAnswers();
     return state.token.isCancelled ? 'ended' : this.release(result.value);
   }
 
--- a/src/features/pipeline/test/pipelineBench.ts
+++ b/src/features/pipeline/test/pipelineBench.ts
@@ -56,6 +56,8 @@
   readonly brokerMilliseconds?: number;
   /** Whether new plans prefer other engines for all stages. */
   readonly movesAll?: boolean;
+  /** Whether the owner is probing all engines. */
+  readonly probing?: boolean;
 }
 
 /** One run as its caller saw it. */
@@ -132,6 +134,7 @@
       address: engine.address ?? engine.upstream,
       layers: engine.layers,
       checksFencing: engine.checksFencing,
+      ...(this.options.probing === true ? {probing: true} : {}),
     }));
     this.made += 1;
     const reservationId = `r${this.made}`;
--- a/src/features/pipeline/test/pipelineLifecycle.test.ts
+++ b/src/features/pipeline/test/pipelineLifecycle.test.ts
@@ -53,6 +53,19 @@
     await bench.finish();
   });
 
+  test('tells once that probing stages answered, with the first token', async () => {
+    const bench = new PipelineBench({probing: true});
+    const run = bench.start();
+    while (run.delivered.length === 0) {
+      await bench.clock.advanceAsync(1);
+    }
+    expect(bench.broker.failures.map(one => one.outcome)).toEqual(
+      Array(3).fill('completed'),
+    );
+    await bench.finish();
+    expect(bench.broker.failures).toHaveLength(3);
+  });
+
   test('learns the length of replies', async () => {
     const bench = new PipelineBench();
     for (let index = 0; index < 10; index++) {
--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -70,6 +70,8 @@
   readonly layers: LayerRange;
   /** Whether the engine refuses steps of older epochs; undefined counts as no. */
   readonly checksFencing?: boolean;
+  /** Whether the owner waits for its first answer before it gives it more; undefined counts as no. */
+  readonly probing?: boolean;
 }
 
 /** What the decision expects of the chosen pipeline. */
@@ -154,7 +156,7 @@
     observations: readonly StageObservation[],
   ): void;
 
-  /** Reports a failure at once, before the release. */
+  /** Reports a failure, or the first answer of a probing stage, at once, before the release. */
   abstract reportFailure(
     reservation: Reservation,
     observation: StageObservation,
--- a/src/features/routing/node/cellOwner.ts
+++ b/src/features/routing/node/cellOwner.ts
@@ -211,16 +211,21 @@
     return {
       reservationId: call.reservationId,
       cell: this.cell.id,
-      stages: decision.stages.map(stage => this.withFencing(stage)),
+      stages: decision.stages.map(stage => this.described(stage)),
       prediction: roundPrediction(prediction),
       candidates,
       reason,
     };
   }
 
-  private withFencing(stage: ChosenStage): ChosenStage {
-    const report = this.parts.registry.get(stage.upstream)?.ledger.report;
-    return {...stage, checksFencing: report?.report.checksFencing ?? false};
+  /** Adds what the dispatcher must know of a stage. */
+  private described(stage: ChosenStage): ChosenStage {
+    const {registry} = this.parts;
+    const report = registry.get(stage.upstream)?.ledger.report;
+    const checksFencing = report?.report.checksFencing ?? false;
+    return registry.isProbing(stage.upstream)
+      ? {...stage, checksFencing, probing: true}
+      : {...stage, checksFencing};
   }
 
   private enterInLedgers(id: string, booking: Booking): void {
--- a/src/features/routing/node/stageRegistry.ts
+++ b/src/features/routing/node/stageRegistry.ts
@@ -155,6 +155,11 @@
     };
   }
 
+  /** Whether one request is trying an engine after a quarantine. */
+  isProbing(upstream: string): boolean {
+    return this.tracker.health(upstream) === 'probing';
+  }
+
   private learnLimit(
     stage: FollowedStage,
     decodeMilliseconds: number | undefined,
--- a/src/features/routing/test/capacityBroker.test.ts
+++ b/src/features/routing/test/capacityBroker.test.ts
@@ -188,8 +188,14 @@
     const other = upstream === 'e1' ? 'e2' : 'e1';
     bench.engines.set(other, {leaving: true});
     await bench.clock.advanceAsync(1300);
-    const {stages} = await reserved(ownerOf(), 'later');
-    expect(stages[0]!.upstream).toBe(upstream);
+    const later = await reserved(ownerOf(), 'later');
+    expect(later.stages[0]).toMatchObject(
+      outcome === 'refused' ? {upstream} : {upstream, probing: true},
+    );
+    owner.reportFailure(later, observation(upstream, 'completed'));
+    const next = await reserved(ownerOf(), 'next');
+    expect(next.stages[0]!.probing).toBe(undefined);
+    expect(next.prediction.startsInMilliseconds).toBe(0);
   });
 });
 
