Small accounts aren't refused for being beyond their part of a class by chance

Change: an account within its share over all classes is allowed the work of the root of its number of requests beyond its part of one class. Test failed first: 'beyond its part of a class by chance, within its share in all'.

--- a/src/features/routing/common/shareStanding.ts
+++ b/src/features/routing/common/shareStanding.ts
@@ -3,7 +3,7 @@
 
 /** How a client account stands against its share at one owner. */
 export interface ShareStanding {
-  /** What was used beyond the fair share and one request's work, over the share; 0 or less if within. */
+  /** What was used beyond the fair share, one request's work and chance, over the share; 0 or less if within. */
   readonly excess: number;
   /** Share of the slot time wanted lately that was not granted, 0 to 1. */
   readonly contention: number;
@@ -68,6 +68,39 @@
   return Math.min(wanted.get(classOfWork) ?? 0, due);
 }
 
+/** Whether an account is within its fair share over all classes taken together. */
+function isWithinInAll(shares: ShareView, account: string): boolean {
+  const totals = new Map<string, {wanted: number; used: number}>();
+  for (const [key, wanted] of shares.wantedByAccount) {
+    const name = key.slice(key.lastIndexOf('/') + 1);
+    const used = shares.usedByAccount.get(key) ?? 0;
+    const before = totals.get(name) ?? {wanted: 0, used: 0};
+    totals.set(name, {
+      wanted: before.wanted + Math.max(wanted, used),
+      used: before.used + used,
+    });
+  }
+  const claimants = [...totals.values()].map(({wanted}) => ({
+    wanted,
+    weight: 1,
+  }));
+  const level = fairLevel(claimants, sum(shares.usedByClass.values()));
+  return (totals.get(account)?.used ?? 0) <= level;
+}
+
+/**
+ * What an account may be beyond its part of a class by chance: the work of the root of its number
+ * of requests, if it is within its share otherwise.
+ */
+function chance(
+  shares: ShareView,
+  account: string,
+  due: number,
+  grain: number,
+): number {
+  return isWithinInAll(shares, account) ? Math.sqrt(grain * due) : 0;
+}
+
 /**
  * Where the account of this work stands: capacity observed in use is divided over classes by
  * target, then max-min over the accounts of the class; nothing of it is configured.
@@ -88,7 +121,11 @@
   const level = fairLevel(claimants, dueToClass(shares, work.classOfWork));
   const due = Math.min(own.wanted, level);
   const grain = shares.workByClass?.get(work.classOfWork) ?? 0;
-  const over = own.used - due - grain;
+  const beyond = own.used - due - grain;
+  const over =
+    beyond <= 0
+      ? beyond
+      : beyond - chance(shares, work.clientAccount, due, grain);
   const excess = due <= 0 ? Math.sign(over) : over / due;
   return {excess, contention};
 }
--- a/src/features/routing/test/common/shares.test.ts
+++ b/src/features/routing/test/common/shares.test.ts
@@ -116,6 +116,24 @@
       0,
       0.5,
     ],
+    [
+      'beyond its part of a class by chance, within its share in all',
+      {'g/s': 30, 'g/l': 100, 'd/s': 5, 'd/l': 100},
+      {'g/s': 30, 'g/l': 30, 'd/s': 5, 'd/l': 35},
+      {g: 1, d: 1},
+      'g/s',
+      (30 - 25 - 1 - Math.sqrt(25)) / 25,
+      1 - 100 / 235,
+    ],
+    [
+      'no chance is allowed for beyond the share in all',
+      {'g/s': 30, 'g/l': 100, 'd/s': 5, 'd/l': 100},
+      {'g/s': 25, 'g/l': 35, 'd/s': 5, 'd/l': 35},
+      {g: 1, d: 1},
+      'g/l',
+      (35 - 25 - 1) / 25,
+      1 - 100 / 235,
+    ],
   ];
 
 describe('shareStanding', () => {
@@ -131,6 +149,7 @@
       usedByAccount: new Map(Object.entries(used)),
       usedByClass,
       targetByClass: new Map(Object.entries(targets)),
+      workByClass: new Map([['g', 1]]),
     };
     const work = {classOfWork, clientAccount} as WorkEstimate;
     const standing = shareStanding(shares, work);
