--- a/src/features/routing/common/cellSchemas.ts
+++ b/src/features/routing/common/cellSchemas.ts
@@ -93,13 +93,13 @@
 /** A list of summaries. */
 export const summaryRows = z.array(summaryRow);
 
-/** Upstream, address, layers, whether it checks fencing, and the version. */
+/** Upstream, address, layers, traits (see `StageTrait` of the codec), and the version. */
 const stageRow = z.tuple([
   z.string(),
   z.string(),
   z.number(),
   z.number(),
-  z.number().nullable(),
+  z.number(),
   z.string().nullable(),
 ]);
 
--- a/src/features/routing/test/common/cellSchemas.test.ts
+++ b/src/features/routing/test/common/cellSchemas.test.ts
@@ -86,7 +86,7 @@
         stage,
         {...stage, upstream: 'u2', address: '10.0.0.12:80'},
         {...stage, version: undefined, checksFencing: undefined},
-        {...stage, version: '3', checksFencing: false},
+        {...stage, version: '3', checksFencing: false, probing: true},
       ],
       prediction: {
         startsInMilliseconds: 1,
