--- a/src/features/callers/test/callerFakes.ts
+++ b/src/features/callers/test/callerFakes.ts
@@ -72,7 +72,10 @@
   services: {
     stock: {
       name: 'stock',
-      calls: [{method: 'GET', pathPrefix: '/levels', repeatable: true}],
+      calls: [
+        {method: 'GET', pathPrefix: '/levels', repeatable: true},
+        {method: 'GET', pathPrefix: '/levels/reserve', repeatable: false},
+      ],
     },
   },
 };
@@ -121,15 +124,19 @@
 export class FakeClaims extends ClaimService {
   decision: ClaimDecision = {kind: 'granted'};
   outcome: RequestOutcome | undefined;
+  surelyNotRun = false;
   readonly claimed: string[] = [];
+  readonly fingerprints: Array<string | undefined> = [];
   readonly completed: RequestOutcome[] = [];
 
   override claim(
     _account: string,
     key: string,
     _token: CancellationToken,
+    fingerprint?: string,
   ): Promise<ClaimDecision> {
     this.claimed.push(key);
+    this.fingerprints.push(fingerprint);
     return Promise.resolve(this.decision);
   }
 
@@ -141,6 +148,10 @@
     return Promise.resolve(this.outcome);
   }
 
+  override isSurelyNotRun(): boolean {
+    return this.surelyNotRun;
+  }
+
   override issueGrant(): string {
     return 'grant-a-1';
   }
--- a/src/features/claims/common/claims.ts
+++ b/src/features/claims/common/claims.ts
@@ -30,6 +30,17 @@
     }
   /** Surely never dispatched by anyone and not claimed here (bound key of this incarnation, expired grant). */
   | {readonly kind: 'refusedNotRun'; readonly detail: string}
+  /**
+   * The key stands for another request. Nothing of this one was or will be dispatched under it; with
+   * `sameWork` only the class of work differs, so that the work itself may have run.
+   */
+  | {readonly kind: 'keyReused'; readonly sameWork: boolean}
+  /** As `refusedNotRun`, for want of memory at present: there is room again after the time. */
+  | {
+      readonly kind: 'noRoom';
+      readonly detail: string;
+      readonly retryAfterMilliseconds: number;
+    }
   /** The claim could not be decided: another instance may have dispatched it. */
   | {
       readonly kind: 'undecided';
@@ -39,10 +50,12 @@
 
 /** Decides who may dispatch a keyed request and remembers what became of it. */
 export abstract class ClaimService {
+  /** `fingerprint` tells requests apart; without one a key is taken to stand for the same request. */
   abstract claim(
     clientAccount: string,
     key: string,
     token: CancellationToken,
+    fingerprint?: string,
   ): Promise<ClaimDecision>;
 
   /** Records the outcome of a key that was granted here. */
@@ -59,6 +72,12 @@
     token: CancellationToken,
   ): Promise<RequestOutcome | undefined>;
 
+  /**
+   * Whether this process knows, without asking anyone, that nothing was dispatched under the key and nothing
+   * is being dispatched: only of keys bound to this incarnation, and of keys that nobody can run.
+   */
+  abstract isSurelyNotRun(clientAccount: string, key: string): boolean;
+
   /** A grant for keys bound to this incarnation. */
   abstract issueGrant(clientAccount: string): string;
 }
