--- a/src/platform/rpc/node/poolLink.ts
+++ b/src/platform/rpc/node/poolLink.ts
@@ -16,7 +16,7 @@
   readonly error?: unknown;
 }
 
-/** Makes a link that sends every call as a POST of JSON; calls end when their signal fires. */
+/** Makes a link that sends every call as a POST of JSON; calls end when their signal fires. All is JSON, so no header says so. */
 export function createPoolLink<Router extends AnyTRPCRouter>(
   dispatcher: Dispatcher,
   origin: string,
