--- a/src/programs/control/test/memberReading.test.ts
+++ b/src/programs/control/test/memberReading.test.ts
@@ -153,6 +153,20 @@
     60_000,
   );
 
+  it('an instance that differs from all its peers reads', async () => {
+    const slow = {read: 5_000, exchange: 1_000, bytesPerSecond: 1};
+    const fleet = new MemberFleet(ids, engines, slow, 4);
+    await fleet.run(60 * SECOND);
+    const [e0] = engines;
+    const told = {id: 'e0', member: e0, ageMilliseconds: 0} as const;
+    // As if dated wrongly: what the others read next looks older here.
+    const later = now(fleet) + 15 * SECOND;
+    fleet.states.get('i0')?.book.takeChanges([told], later, now(fleet));
+    fleet.list(['e0'], 'leaving');
+    await fleet.run(30 * SECOND);
+    expect(fleet.fingerprints().size).toBe(1);
+  });
+
   function checkGroups(
     fleet: MemberFleet,
     splitAt: number,
