--- a/test/prove/ledgerIndex.ts
+++ b/test/prove/ledgerIndex.ts
@@ -2,6 +2,7 @@
 
 /** Steps and executions of all ledgers, by request and by business key. */
 export class LedgerIndex {
+  private touched = new Set<string>();
   private readonly stepsByRequest = new Map<string, EngineStep[]>();
   private readonly requestsByKey = new Map<string, Set<string>>();
   private readonly executionsByKey = new Map<string, ServiceExecution[]>();
@@ -19,6 +20,7 @@
     executions: readonly ServiceExecution[],
   ): void {
     for (const step of steps) {
+      this.touched.add(step.requestId);
       listOf(this.stepsByRequest, step.requestId).push(step);
       if (step.key !== undefined) {
         const requests = this.requestsByKey.get(step.key) ?? new Set();
@@ -35,6 +37,13 @@
     return [...this.stepsByRequest.keys()];
   }
 
+  /** Requests with steps since the last call. */
+  takeTouched(): readonly string[] {
+    const touched = [...this.touched];
+    this.touched = new Set();
+    return touched;
+  }
+
   steps(requestId: string): readonly EngineStep[] {
     return this.stepsByRequest.get(requestId) ?? [];
   }
