--- a/measure/recovery.ts
+++ b/measure/recovery.ts
@@ -68,8 +68,8 @@
 const POLL_MILLISECONDS = 100;
 /** A request that is on time has ended after this. */
 const REPLY_MILLISECONDS = 900;
-/** Good for so long, a version counts as recovered and the fault may end. */
-const QUIET_MILLISECONDS = 1500;
+/** A fault may end when both versions have been good for so long. */
+const QUIET_MILLISECONDS = 2000;
 const ACCOUNTS: readonly OfferedAccount[] = Array.from(
   {length: 12},
   (_, index) => ({
