Operator commands: list and remove stand once for all kinds of entries

Cause: the command files of accounts, classes, models and services repeated the same list and remove classes, and the set classes repeated the names of section and operation. Change: an entry kind names section, operations and words; createListCommand and createRemoveCommand build the commands from it, and each file exports its list of commands. Ruled out: static members on shared classes, since clipanion reads paths and usage from each class.

--- a/src/programs/redwing/commands/accountCommands.ts
+++ b/src/programs/redwing/commands/accountCommands.ts
@@ -5,29 +5,31 @@
 import {readSecretFile} from '../../../platform/settings/node/readSettings.js';
 import {
   EntryFields,
-  ListCommand,
-  RemoveCommand,
+  EntryKind,
   SetCommand,
+  createListCommand,
+  createRemoveCommand,
   describe,
 } from './entryCommands.js';
 
 /** `redwing account …`: client accounts. */
 
-/** `redwing account list`. */
-export class AccountListCommand extends ListCommand {
-  static override paths = [['account', 'list']];
-  static override usage = describe('List the client accounts.');
-  protected override readonly section = 'clientAccounts';
-}
+const ACCOUNTS: EntryKind = {
+  section: 'clientAccounts',
+  setOperation: 'setClientAccount',
+  removeOperation: 'removeClientAccount',
+  word: 'account',
+  one: 'client account',
+  all: 'client accounts',
+};
 
 /** `redwing account set`. */
-export class AccountSetCommand extends SetCommand {
+class AccountSetCommand extends SetCommand {
   static override paths = [['account', 'set']];
   static override usage = describe(
     'Create a client account or replace its key.',
   );
-  protected override readonly section = 'clientAccounts';
-  protected override readonly operation = 'setClientAccount';
+  protected override readonly kind = ACCOUNTS;
 
   keyFile = Option.String('--key-file', {
     description: 'file with the bearer key; only its hash is sent',
@@ -52,10 +54,9 @@
   }
 }
 
-/** `redwing account remove`. */
-export class AccountRemoveCommand extends RemoveCommand {
-  static override paths = [['account', 'remove']];
-  static override usage = describe('Remove a client account.');
-  protected override readonly section = 'clientAccounts';
-  protected override readonly operation = 'removeClientAccount';
-}
+/** The commands on client accounts. */
+export const accountCommands = [
+  createListCommand(ACCOUNTS),
+  AccountSetCommand,
+  createRemoveCommand(ACCOUNTS),
+] as const;
--- a/src/programs/redwing/commands/classCommands.ts
+++ b/src/programs/redwing/commands/classCommands.ts
@@ -2,30 +2,32 @@
 
 import {
   EntryFields,
-  ListCommand,
-  RemoveCommand,
+  EntryKind,
   SetCommand,
+  createListCommand,
+  createRemoveCommand,
   describe,
 } from './entryCommands.js';
 import {toNumber} from './optionValues.js';
 
 /** `redwing class …`: classes of work and their targets. */
 
-/** `redwing class list`. */
-export class ClassListCommand extends ListCommand {
-  static override paths = [['class', 'list']];
-  static override usage = describe('List the classes of work.');
-  protected override readonly section = 'classes';
-}
+const CLASSES: EntryKind = {
+  section: 'classes',
+  setOperation: 'setClass',
+  removeOperation: 'removeClass',
+  word: 'class',
+  one: 'class of work',
+  all: 'classes of work',
+};
 
 /** `redwing class set`. */
-export class ClassSetCommand extends SetCommand {
+class ClassSetCommand extends SetCommand {
   static override paths = [['class', 'set']];
   static override usage = describe(
     'Create a class of work or change its targets; targets not given stay.',
   );
-  protected override readonly section = 'classes';
-  protected override readonly operation = 'setClass';
+  protected override readonly kind = CLASSES;
 
   firstToken = Option.String('--first-token-milliseconds', {
     description: 'time to the first token, for 95 in 100',
@@ -54,10 +56,9 @@
   }
 }
 
-/** `redwing class remove`. */
-export class ClassRemoveCommand extends RemoveCommand {
-  static override paths = [['class', 'remove']];
-  static override usage = describe('Remove a class of work.');
-  protected override readonly section = 'classes';
-  protected override readonly operation = 'removeClass';
-}
+/** The commands on classes of work. */
+export const classCommands = [
+  createListCommand(CLASSES),
+  ClassSetCommand,
+  createRemoveCommand(CLASSES),
+] as const;
--- a/src/programs/redwing/commands/modelCommands.ts
+++ b/src/programs/redwing/commands/modelCommands.ts
@@ -2,28 +2,30 @@
 
 import {
   EntryFields,
-  ListCommand,
-  RemoveCommand,
+  EntryKind,
   SetCommand,
+  createListCommand,
+  createRemoveCommand,
   describe,
 } from './entryCommands.js';
 import {toNumber} from './optionValues.js';
 
 /** `redwing model …`: models in use. */
 
-/** `redwing model list`. */
-export class ModelListCommand extends ListCommand {
-  static override paths = [['model', 'list']];
-  static override usage = describe('List the models in use.');
-  protected override readonly section = 'models';
-}
+const MODELS: EntryKind = {
+  section: 'models',
+  setOperation: 'setModel',
+  removeOperation: 'removeModel',
+  word: 'model',
+  one: 'model',
+  all: 'models in use',
+};
 
 /** `redwing model set`. */
-export class ModelSetCommand extends SetCommand {
+class ModelSetCommand extends SetCommand {
   static override paths = [['model', 'set']];
   static override usage = describe('Add a model or change its version.');
-  protected override readonly section = 'models';
-  protected override readonly operation = 'setModel';
+  protected override readonly kind = MODELS;
 
   modelVersion = Option.String('--model-version', {
     description: 'version in use',
@@ -44,10 +46,9 @@
   }
 }
 
-/** `redwing model remove`. */
-export class ModelRemoveCommand extends RemoveCommand {
-  static override paths = [['model', 'remove']];
-  static override usage = describe('Remove a model.');
-  protected override readonly section = 'models';
-  protected override readonly operation = 'removeModel';
-}
+/** The commands on models in use. */
+export const modelCommands = [
+  createListCommand(MODELS),
+  ModelSetCommand,
+  createRemoveCommand(MODELS),
+] as const;
--- a/src/programs/redwing/commands/serviceCommands.ts
+++ b/src/programs/redwing/commands/serviceCommands.ts
@@ -2,39 +2,32 @@
 
 import {
   EntryFields,
-  ListCommand,
-  RemoveCommand,
+  EntryKind,
   SetCommand,
+  createListCommand,
+  createRemoveCommand,
   describe,
 } from './entryCommands.js';
 import {toServiceCall} from './optionValues.js';
 
 /** `redwing service …`: plain services. */
 
-/** `redwing service list`. */
-export class ServiceListCommand extends ListCommand {
-  static override paths = [['service', 'list']];
-  static override usage = describe('List the plain services.');
-  protected override readonly section = 'services';
-
-  protected override toRow(entry: EntryFields): EntryFields {
-    const calls = (entry.calls ?? []) as readonly EntryFields[];
-    const texts = calls.map(
-      call =>
-        `${call.method} ${call.pathPrefix}${call.repeatable ? ' (repeatable)' : ''}`,
-    );
-    return {name: entry.name, calls: texts};
-  }
-}
+const SERVICES: EntryKind = {
+  section: 'services',
+  setOperation: 'setService',
+  removeOperation: 'removeService',
+  word: 'service',
+  one: 'plain service',
+  all: 'plain services',
+};
 
 /** `redwing service set`. */
-export class ServiceSetCommand extends SetCommand {
+class ServiceSetCommand extends SetCommand {
   static override paths = [['service', 'set']];
   static override usage = describe(
     'Add a plain service or replace its list of calls.',
   );
-  protected override readonly section = 'services';
-  protected override readonly operation = 'setService';
+  protected override readonly kind = SERVICES;
 
   calls = Option.Array('--call', {
     description: "a call that must not be run twice, as 'METHOD /path'",
@@ -52,10 +45,18 @@
   }
 }
 
-/** `redwing service remove`. */
-export class ServiceRemoveCommand extends RemoveCommand {
-  static override paths = [['service', 'remove']];
-  static override usage = describe('Remove a plain service.');
-  protected override readonly section = 'services';
-  protected override readonly operation = 'removeService';
+/** The commands on plain services. */
+export const serviceCommands = [
+  createListCommand(SERVICES, toRow),
+  ServiceSetCommand,
+  createRemoveCommand(SERVICES),
+] as const;
+
+function toRow(entry: EntryFields): EntryFields {
+  const calls = (entry.calls ?? []) as readonly EntryFields[];
+  const texts = calls.map(
+    call =>
+      `${call.method} ${call.pathPrefix}${call.repeatable ? ' (repeatable)' : ''}`,
+  );
+  return {name: entry.name, calls: texts};
 }
--- a/src/programs/redwing/runRedwing.ts
+++ b/src/programs/redwing/runRedwing.ts
@@ -2,31 +2,15 @@
   runCommandLine,
   Streams,
 } from '../../platform/commandLine/node/runCommandLine.js';
-import {
-  AccountListCommand,
-  AccountRemoveCommand,
-  AccountSetCommand,
-} from './commands/accountCommands.js';
-import {
-  ClassListCommand,
-  ClassRemoveCommand,
-  ClassSetCommand,
-} from './commands/classCommands.js';
+import {accountCommands} from './commands/accountCommands.js';
+import {classCommands} from './commands/classCommands.js';
 import {
   ConfigApplyCommand,
   ConfigHistoryCommand,
   ConfigShowCommand,
 } from './commands/configCommands.js';
-import {
-  ModelListCommand,
-  ModelRemoveCommand,
-  ModelSetCommand,
-} from './commands/modelCommands.js';
-import {
-  ServiceListCommand,
-  ServiceRemoveCommand,
-  ServiceSetCommand,
-} from './commands/serviceCommands.js';
+import {modelCommands} from './commands/modelCommands.js';
+import {serviceCommands} from './commands/serviceCommands.js';
 import {
   CheckSettingsCommand,
   StatusCommand,
@@ -37,22 +21,14 @@
 /** The operators' command line, put together. */
 
 const COMMANDS = [
-  AccountListCommand,
-  AccountRemoveCommand,
-  AccountSetCommand,
+  ...accountCommands,
   CheckSettingsCommand,
-  ClassListCommand,
-  ClassRemoveCommand,
-  ClassSetCommand,
+  ...classCommands,
   ConfigApplyCommand,
   ConfigHistoryCommand,
   ConfigShowCommand,
-  ModelListCommand,
-  ModelRemoveCommand,
-  ModelSetCommand,
-  ServiceListCommand,
-  ServiceRemoveCommand,
-  ServiceSetCommand,
+  ...modelCommands,
+  ...serviceCommands,
   StatusCommand,
 ];
 
