Service calls: one try at one replica in a module of its own

Cause: serviceCallRun.ts had 275 lines and mixed the order of the tries with the sending of one. Change: ServiceAttempt sends to one replica, measures, and returns the slot; the run decides what follows. The run still hears of a failure in the same step as the note of the attempt changes: with a gap between them a deadline could answer 'not run' for a call that may have run.

--- a/src/features/services/common/serviceCallRun.ts
+++ b/src/features/services/common/serviceCallRun.ts
@@ -2,47 +2,34 @@
   CancellationSource,
   CancellationToken,
 } from '../../../base/common/cancellation.js';
-import {Clock} from '../../../base/common/clock.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {failure, Result, success} from '../../../base/common/result.js';
 import {
-  ServiceConnector,
   ServiceError,
   ServiceResponse,
 } from '../../../platform/service/common/serviceConnection.js';
 import {ServiceCallRequest} from '../../callers/common/serviceDispatcher.js';
 import {RequestError, RequestFailure} from '../../requests/common/failure.js';
-import {CapacityBroker, ServiceChoice} from '../../routing/common/routing.js';
-import {LatencyWindow} from './latencyWindow.js';
-import {RetryBudget} from './retryBudget.js';
-
-/** What a run works with. */
-export interface CallRunParts {
-  readonly broker: CapacityBroker;
-  readonly connector: ServiceConnector;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly budget: RetryBudget;
-  readonly latency: LatencyWindow;
-}
-
-/** One try at one replica, for the log line. */
-export interface AttemptNote {
-  readonly upstream: string;
-  readonly candidates: number;
-  readonly reason: 'first' | 'retry' | 'hedge';
-  outcome: 'sent' | 'completed' | ServiceError['kind'];
-  milliseconds: number;
-}
-
-type Chosen = Extract<ServiceChoice, {readonly kind: 'chosen'}>;
-type CallResult = Result<ServiceResponse, ServiceError>;
+import {
+  ANOTHER_ANSWERED,
+  AttemptNote,
+  AttemptReason,
+  AttemptResult,
+  ChosenReplica,
+  ServiceAttempt,
+  ServiceAttemptParts,
+} from './serviceAttempt.js';
 
 const MAXIMUM_ATTEMPTS = 4;
 const BACKOFF_MILLISECONDS = 20;
 const BACKOFF_LIMIT_MILLISECONDS = 500;
 const RETRY_AFTER_MILLISECONDS = 1000;
 
+/** What a run works with. */
+export interface CallRunParts extends ServiceAttemptParts {
+  readonly random: RandomSource;
+}
+
 /**
  * One call and its tries. A call that may not be repeated is tried again only after answers which
  * prove that it was not run.
@@ -104,7 +91,7 @@
     return this.token.isCancelled || now >= this.request.deadlineAt;
   }
 
-  private choose(): Chosen | undefined {
+  private choose(): ChosenReplica | undefined {
     const {service} = this.request;
     const choice = this.parts.broker.chooseService(service, this.tried);
     if (choice.kind === 'none') {
@@ -117,9 +104,9 @@
 
   /** Tries one replica, and a second one when a repeatable call takes longer than 95 in 100. */
   private async tryAt(
-    choice: Chosen,
-    reason: AttemptNote['reason'],
-  ): Promise<readonly CallResult[]> {
+    choice: ChosenReplica,
+    reason: AttemptReason,
+  ): Promise<readonly AttemptResult[]> {
     const source = new CancellationSource(this.token);
     try {
       const first = this.call(choice, reason, source.token);
@@ -133,12 +120,12 @@
       const second = this.call(other, 'hedge', source.token);
       return await firstSuccess([first, second]);
     } finally {
-      source.cancel('another try answered');
+      source.cancel(ANOTHER_ANSWERED);
       source.dispose();
     }
   }
 
-  private isSlow(call: Promise<CallResult>): Promise<boolean> {
+  private isSlow(call: Promise<AttemptResult>): Promise<boolean> {
     const after = this.repeatable ? this.parts.latency.percentile95 : undefined;
     if (after === undefined) {
       return Promise.resolve(false);
@@ -152,63 +139,26 @@
     });
   }
 
-  private chooseHedge(): Chosen | undefined {
+  private chooseHedge(): ChosenReplica | undefined {
     if (this.isOver() || !this.parts.budget.take()) {
       return undefined;
     }
     return this.choose();
   }
 
-  /** Sends to one replica and returns its slot; never rejects. */
-  private async call(
-    choice: Chosen,
-    reason: AttemptNote['reason'],
+  private call(
+    choice: ChosenReplica,
+    reason: AttemptReason,
     token: CancellationToken,
-  ): Promise<CallResult> {
-    const {broker, clock, latency, budget} = this.parts;
-    const startedAt = clock.monotonicMilliseconds();
-    const note: AttemptNote = {
-      upstream: choice.upstream,
-      candidates: choice.candidates,
+  ): Promise<AttemptResult> {
+    const attempt = new ServiceAttempt(
+      this.parts,
+      this.request,
+      choice,
       reason,
-      outcome: 'sent',
-      milliseconds: 0,
-    };
-    this.attempts.push(note);
-    const result = await this.send(choice, token);
-    note.milliseconds = clock.monotonicMilliseconds() - startedAt;
-    note.outcome = result.ok ? 'completed' : result.error.kind;
-    if (result.ok) {
-      latency.add(note.milliseconds);
-      budget.earn();
-    } else {
-      this.noteError(result.error);
-    }
-    broker.releaseService(
-      choice.upstream,
-      slotOutcome(result, token),
-      note.milliseconds,
     );
-    return result;
-  }
-
-  private async send(
-    choice: Chosen,
-    token: CancellationToken,
-  ): Promise<CallResult> {
-    const {requestId, method, path, contentType, body} = this.request;
-    try {
-      const connection = this.parts.connector.connect(
-        choice.upstream,
-        choice.address,
-      );
-      return await connection.call(
-        {requestId, method, path, contentType, body},
-        token,
-      );
-    } catch (error) {
-      return failure({kind: 'lost', detail: String(error)});
-    }
+    this.attempts.push(attempt.note);
+    return attempt.run(token, error => this.noteError(error));
   }
 
   private noteError(error: ServiceError): void {
@@ -230,7 +180,7 @@
   }
 
   /** A connection that was never made costs the service nothing, and so nothing of the budget. */
-  private mayTryAgain(result: CallResult): boolean {
+  private mayTryAgain(result: AttemptResult): boolean {
     if (result.ok || result.error.kind === 'unreachable') {
       return true;
     }
@@ -253,8 +203,8 @@
 
 /** The first success alone, or all failures. */
 function firstSuccess(
-  calls: ReadonlyArray<Promise<CallResult>>,
-): Promise<readonly CallResult[]> {
+  calls: ReadonlyArray<Promise<AttemptResult>>,
+): Promise<readonly AttemptResult[]> {
   return new Promise(resolve => {
     for (const call of calls) {
       void call.then(result => result.ok && resolve([result]));
@@ -262,14 +212,3 @@
     void Promise.all(calls).then(resolve);
   });
 }
-
-/** A call that was cancelled because another try answered says nothing against its replica. */
-function slotOutcome(
-  result: CallResult,
-  token: CancellationToken,
-): 'completed' | 'failed' | 'refused' {
-  if (result.ok || token.reason === 'another try answered') {
-    return 'completed';
-  }
-  return result.error.kind === 'refused' ? 'refused' : 'failed';
-}
