--- a/src/features/claims/node/defaultClaimService.ts
+++ b/src/features/claims/node/defaultClaimService.ts
@@ -13,8 +13,6 @@
 import {BoundClaims} from '../common/boundClaims.js';
 import {ClaimAgeing} from '../common/claimAgeing.js';
 import {AskAnswer, AskMessage, ClaimPeers} from '../common/claimPeers.js';
-import {claimRowKey, parseClaimRecord} from '../common/claimRecord.js';
-import {refuseReuse} from '../common/fingerprints.js';
 import {ClaimDecision, ClaimService} from '../common/claims.js';
 import {ClaimSettings, defaultClaimSettings} from '../common/claimSettings.js';
 import {countCommitters, GatheringWriter} from '../common/gatheringWriter.js';
@@ -23,6 +21,7 @@
 import {OutcomeFinder} from '../common/outcomeFinder.js';
 import {PeerDirectory} from '../common/peerDirectory.js';
 import {PlainClaims} from '../common/plainClaims.js';
+import {PlainKeyAnswers} from '../common/plainKeyAnswers.js';
 import {RowResult} from '../common/rowWriter.js';
 import {GrantSigner, hashKey} from './grantSigner.js';
 
@@ -44,9 +43,6 @@
   readonly createNonce?: () => string;
 }
 
-const UNKNOWN: RequestOutcome = {kind: 'unknown'};
-const RETRY_MILLISECONDS = 1000;
-
 /** Claims keys: bound ones in memory, plain ones in the table. */
 export class DefaultClaimService extends ClaimService implements Disposable {
   private readonly owned = new DisposableStore();
@@ -54,7 +50,7 @@
   private readonly signer: GrantSigner;
   private readonly bound: BoundClaims;
   private readonly plain: PlainClaims;
-  private readonly finder: OutcomeFinder;
+  private readonly plainAnswers: PlainKeyAnswers;
   private readonly committer: GroupCommitter;
   private readonly recorder: OutcomeRecorder;
   private readonly ageing: ClaimAgeing;
@@ -69,12 +65,12 @@
     this.recorder = this.owned.add(
       new OutcomeRecorder(writer, clock, logger, metrics, this.settings),
     );
-    this.finder = new OutcomeFinder({
+    const finder = new OutcomeFinder({
       ...parts,
       askMilliseconds: this.settings.askMilliseconds,
     });
     this.bound = new BoundClaims(
-      this.finder,
+      finder,
       this.recorder,
       clock,
       incarnation,
@@ -88,6 +84,7 @@
       parts.createNonce ?? randomUUID,
       this.settings,
     );
+    this.plainAnswers = new PlainKeyAnswers(this.plain, finder, table);
     this.ageing = this.owned.add(
       new ClaimAgeing(table, clock, metrics, this.settings.ageing, incarnation),
     );
@@ -150,7 +147,7 @@
       case 'invalid':
         return undefined;
       case 'plain':
-        return this.lookUpPlain(keyHash, token);
+        return this.plainAnswers.lookUp(keyHash, token);
       case 'bound':
         return this.bound.lookUp(keyHash, binding, token);
     }
@@ -223,71 +220,9 @@
       case 'invalid':
         return {kind: 'refusedNotRun', detail: 'the key holds no valid grant'};
       case 'plain':
-        return this.claimPlain(keyHash, token, fingerprint);
+        return this.plainAnswers.claim(keyHash, token, fingerprint);
       case 'bound':
         return this.bound.claim(keyHash, binding, token, fingerprint);
     }
   }
-
-  private async claimPlain(
-    keyHash: string,
-    token: CancellationToken,
-    fingerprint: string | undefined,
-  ): Promise<ClaimDecision> {
-    const decision = await this.plain.claim(keyHash, token, fingerprint);
-    switch (decision.kind) {
-      case 'granted':
-      case 'keyReused':
-        return decision;
-      case 'duplicate':
-        return {
-          kind: 'duplicate',
-          outcome: await this.finder.withKeptReply(
-            keyHash,
-            decision.outcome,
-            token,
-          ),
-        };
-      case 'claimedBy': {
-        const {incarnation} = decision;
-        const held = await this.finder.askPlain(keyHash, incarnation, token);
-        const {outcome} = held;
-        return (
-          refuseReuse(held.fingerprint, fingerprint) ?? {
-            kind: 'duplicate',
-            outcome,
-          }
-        );
-      }
-      case 'undecided':
-        return {...decision, retryAfterMilliseconds: RETRY_MILLISECONDS};
-    }
-  }
-
-  private async lookUpPlain(
-    keyHash: string,
-    token: CancellationToken,
-  ): Promise<RequestOutcome | undefined> {
-    const known = this.plain.outcomeOf(keyHash)?.outcome;
-    if (known !== undefined && known.kind !== 'unknown') {
-      return this.finder.withKeptReply(keyHash, known, token);
-    }
-    const rows = await this.parts.table.read([claimRowKey(keyHash)], token);
-    if (!rows.ok) {
-      return UNKNOWN;
-    }
-    const row = rows.value[0];
-    if (row === undefined) {
-      return known;
-    }
-    const record = parseClaimRecord(row);
-    if (record === undefined) {
-      return UNKNOWN;
-    }
-    if (record.outcome !== undefined) {
-      return record.outcome;
-    }
-    const {incarnation} = record;
-    return (await this.finder.askPlain(keyHash, incarnation, token)).outcome;
-  }
 }
