--- a/src/features/callers/node/requestExchange.ts
+++ b/src/features/callers/node/requestExchange.ts
@@ -18,6 +18,7 @@
 import {RequestEvent, RequestLifecycle} from '../common/requestLifecycle.js';
 import {CallerResponse} from './callerResponse.js';
 import {ClaimedKey, KeyClaim, KeyClaimServices} from './keyClaim.js';
+import {sendRecorded, sendReply} from './replySending.js';
 import {settledWork, WorkResult} from './settledWork.js';
 
 /** Milliseconds that given-up work has to say truthfully whether it ran, before the answer is sent without it. */
@@ -79,8 +80,10 @@
       startWork: () => void this.work(),
       cancelWork: () => this.cancelWork(),
       openStream: () => this.response.openEvents(this.plan!.format.opening()),
-      sendReply: () => this.sendReply(),
-      sendRecorded: () => this.sendRecorded(),
+      sendReply: () =>
+        sendReply(response, this.plan!.format, this.answer!, this.tokenCount),
+      sendRecorded: () =>
+        sendRecorded(response, this.plan!.format, this.answer!),
       sendFailure: () => this.response.sendFailure(this.failure!),
       sendErrorEvent: () =>
         this.response.finish(errorEvent(toFailureBody(this.failure!))),
@@ -233,29 +236,6 @@
     this.source.cancel(this.givenUpFor?.kind ?? 'callerGone');
   }
 
-  private sendReply(): void {
-    const {format} = this.plan!;
-    const answer = this.answer!;
-    if (!format.streams) {
-      this.response.sendWhole(answer);
-      return;
-    }
-    if (this.tokenCount === 0) {
-      this.response.openEvents(format.opening());
-    }
-    this.response.finish(format.closing(answer));
-  }
-
-  private sendRecorded(): void {
-    const answer = this.answer!;
-    if (!this.plan!.format.streams) {
-      this.response.sendWhole(answer);
-      return;
-    }
-    this.response.openEvents('');
-    this.response.finish(answer.body);
-  }
-
   private outcome(): RequestOutcome {
     if (this.answer !== undefined) {
       return {kind: 'completed', ...this.answer};
