Pipeline decisions: the request's fields are written in one place

Cause: DecisionLog repeated the same six lines in both of its methods. Change: writeLine adds the request's fields to each line; names and order of the fields are the same.

--- a/src/features/pipeline/node/decisionLog.ts
+++ b/src/features/pipeline/node/decisionLog.ts
@@ -16,27 +16,21 @@
     excluded: readonly string[],
     reply: ReservationReply,
   ): void {
-    this.logger.decision('pipeline', {
-      requestId: this.request.requestId,
-      classOfWork: this.request.classOfWork.name,
-      clientAccount: this.request.clientAccount,
-      cause,
-      epoch,
-      excluded,
-      ...outcomeFields(reply),
-    });
+    this.writeLine({cause, epoch, excluded, ...outcomeFields(reply)});
   }
 
   /** The stages stay and only the epoch changes. */
   writeKept(cause: string, epoch: number, upstreams: readonly string[]): void {
+    this.writeLine({cause, epoch, outcome: 'kept', upstreams});
+  }
+
+  private writeLine(fields: Readonly<Record<string, unknown>>): void {
+    const {requestId, classOfWork, clientAccount} = this.request;
     this.logger.decision('pipeline', {
-      requestId: this.request.requestId,
-      classOfWork: this.request.classOfWork.name,
-      clientAccount: this.request.clientAccount,
-      cause,
-      epoch,
-      outcome: 'kept',
-      upstreams,
+      requestId,
+      classOfWork: classOfWork.name,
+      clientAccount,
+      ...fields,
     });
   }
 }
