Names used in one module only are no longer exported

Cause: a search for each export's name over src, test, measure and demo found no other module for: DEFAULT_OUTPUT_TOKENS, OUTPUT_TOKEN_LIMIT, RUNNING_RETRY_MILLISECONDS, answerForOutcome, statusByErrorKind, failureMessage, VIEW_AGE_LIMIT_MILLISECONDS, STALL_LIMIT_MILLISECONDS, REQUEST_ID_HEADER, REQUESTS_PER_CONNECTION, GIVE_UP_GRACE_MILLISECONDS, SETTLE_LIMIT_MILLISECONDS, chooseGatherer, COMMAND_LINE, CommandEnd. All are used inside their module, so no code goes. Ruled out: types that stand in the signature of another export; they stay exported.

--- a/src/features/callers/common/chatRequest.ts
+++ b/src/features/callers/common/chatRequest.ts
@@ -9,10 +9,10 @@
 /** Reading of the body of `POST /v1/chat/completions`. */
 
 /** Tokens of a reply when the caller states no limit. */
-export const DEFAULT_OUTPUT_TOKENS = 256;
+const DEFAULT_OUTPUT_TOKENS = 256;
 
 /** Most tokens of a reply that a caller may ask for. */
-export const OUTPUT_TOKEN_LIMIT = 4096;
+const OUTPUT_TOKEN_LIMIT = 4096;
 
 const MESSAGE_LIMIT = 1000;
 const BODY_SOURCE = 'body';
--- a/src/features/callers/common/claimAnswers.ts
+++ b/src/features/callers/common/claimAnswers.ts
@@ -21,7 +21,7 @@
   | {readonly kind: 'refuse'; readonly failure: RequestFailure};
 
 /** Milliseconds after which a caller may ask again for a request that is running. */
-export const RUNNING_RETRY_MILLISECONDS = 1000;
+const RUNNING_RETRY_MILLISECONDS = 1000;
 
 /** Finds the caller address of an incarnation; undefined when no known instance runs it. */
 export type IncarnationAddress = (incarnation: string) => string | undefined;
@@ -63,7 +63,7 @@
 }
 
 /** Maps what became of an earlier request with the same key to an answer. */
-export function answerForOutcome(
+function answerForOutcome(
   outcome: RequestOutcome,
   addresses: readonly string[],
 ): ClaimAnswer {
--- a/src/features/callers/common/failureBody.ts
+++ b/src/features/callers/common/failureBody.ts
@@ -9,25 +9,24 @@
 /** How failures look to callers: HTTP status, headers and body. */
 
 /** HTTP status of each kind of failure. */
-export const statusByErrorKind: Readonly<Record<RequestError['kind'], number>> =
-  {
-    invalidRequest: 400,
-    unauthenticated: 401,
-    notFound: 404,
-    duplicate: 409,
-    tooLarge: 413,
-    heldElsewhere: 421,
-    keyReused: 422,
-    overShare: 429,
-    callerGone: 499,
-    upstreamFailed: 502,
-    cannotMeetTarget: 503,
-    noUpstream: 503,
-    shuttingDown: 503,
-    cutOff: 503,
-    claimUndecided: 503,
-    deadlineExceeded: 504,
-  };
+const statusByErrorKind: Readonly<Record<RequestError['kind'], number>> = {
+  invalidRequest: 400,
+  unauthenticated: 401,
+  notFound: 404,
+  duplicate: 409,
+  tooLarge: 413,
+  heldElsewhere: 421,
+  keyReused: 422,
+  overShare: 429,
+  callerGone: 499,
+  upstreamFailed: 502,
+  cannotMeetTarget: 503,
+  noUpstream: 503,
+  shuttingDown: 503,
+  cutOff: 503,
+  claimUndecided: 503,
+  deadlineExceeded: 504,
+};
 
 /** The body of every failed request. */
 export interface FailureBody {
@@ -100,7 +99,7 @@
 }
 
 /** One sentence for people; holds no key and no content of the request. */
-export function failureMessage(error: RequestError): string {
+function failureMessage(error: RequestError): string {
   switch (error.kind) {
     case 'invalidRequest':
       return 'The request is not valid; see findings.';
--- a/src/features/callers/common/requestGate.ts
+++ b/src/features/callers/common/requestGate.ts
@@ -15,7 +15,7 @@
 /** Whether this instance takes new work, and where callers should go when it doesn't. */
 
 /** Milliseconds without an answer of the control program after which no new work is taken. */
-export const VIEW_AGE_LIMIT_MILLISECONDS = 12000;
+const VIEW_AGE_LIMIT_MILLISECONDS = 12000;
 
 /** Milliseconds after which refused callers may come back to this instance. */
 export const GATE_RETRY_MILLISECONDS = 1000;
--- a/src/features/callers/node/callerResponse.ts
+++ b/src/features/callers/node/callerResponse.ts
@@ -10,7 +10,7 @@
 } from '../common/failureBody.js';
 
 /** Milliseconds for which a caller may leave a full buffer unread. */
-export const STALL_LIMIT_MILLISECONDS = 10000;
+const STALL_LIMIT_MILLISECONDS = 10000;
 
 /** Milliseconds for which a connection stays open after a refusal whose request was not read whole. */
 const LINGER_MILLISECONDS = 500;
@@ -19,7 +19,7 @@
 const EVENT_TYPE = 'text/event-stream; charset=utf-8';
 
 /** Header that names the request in answers and logs. */
-export const REQUEST_ID_HEADER = 'Redwing-Request-Id';
+const REQUEST_ID_HEADER = 'Redwing-Request-Id';
 
 /** One answer to a caller; buffers at most what the connection's high-water mark allows. */
 export class CallerResponse {
--- a/src/features/callers/node/connectionWatch.ts
+++ b/src/features/callers/node/connectionWatch.ts
@@ -2,7 +2,7 @@
 import {Socket} from 'node:net';
 
 /** Requests of one connection that may wait for their answers; one more closes the connection. */
-export const REQUESTS_PER_CONNECTION = 16;
+const REQUESTS_PER_CONNECTION = 16;
 
 /**
  * Watches connections whose callers send requests without waiting for answers. Node answers them in
--- a/src/features/callers/node/requestExchange.ts
+++ b/src/features/callers/node/requestExchange.ts
@@ -22,7 +22,7 @@
 import {settledWork, WorkResult} from './settledWork.js';
 
 /** Milliseconds that given-up work has to say truthfully whether it ran, before the answer is sent without it. */
-export const GIVE_UP_GRACE_MILLISECONDS = 50;
+const GIVE_UP_GRACE_MILLISECONDS = 50;
 
 /** What a valid request comes to. */
 export interface ExchangePlan {
--- a/src/features/callers/node/settledWork.ts
+++ b/src/features/callers/node/settledWork.ts
@@ -7,7 +7,7 @@
 import {maybeExecuted} from '../common/failureBody.js';
 
 /** Milliseconds that cancelled work has to end, before its outcome counts as not known. */
-export const SETTLE_LIMIT_MILLISECONDS = 5000;
+const SETTLE_LIMIT_MILLISECONDS = 5000;
 
 /** What work comes to. */
 export type WorkResult = Result<CallerAnswer, RequestFailure>;
--- a/src/features/claims/common/gatheringWriter.ts
+++ b/src/features/claims/common/gatheringWriter.ts
@@ -178,7 +178,7 @@
 }
 
 /** The gatherer of a key in the region of an instance; undefined when there are too few instances. */
-export function chooseGatherer(
+function chooseGatherer(
   directory: PeerDirectory,
   incarnation: string,
   key: string,
--- a/src/programs/redwing/changeReading.ts
+++ b/src/programs/redwing/changeReading.ts
@@ -9,7 +9,7 @@
 /** Changes as operators state them: on the command line or in a file. */
 
 /** The source given to findings about the command line. */
-export const COMMAND_LINE = 'command line';
+const COMMAND_LINE = 'command line';
 
 const VALUE_PATH = '$.operations[0].value.';
 
--- a/src/programs/redwing/operatorCommand.ts
+++ b/src/programs/redwing/operatorCommand.ts
@@ -22,7 +22,7 @@
 const UNAUTHORIZED = 401;
 
 /** Ends a command with an exit status after its message was written. */
-export class CommandEnd extends Error {
+class CommandEnd extends Error {
   constructor(readonly exitCode: ExitCode) {
     super(`exit ${exitCode}`);
   }
