Control tests: one network between instances

Cause: controlCluster.ts and memberFleet.ts held the same peer connection, groups and member. Change: peerNetwork.ts holds them once; the places are named west. Conclusion: what the tests assert is unchanged.

--- a/src/programs/control/test/controlCluster.ts
+++ b/src/programs/control/test/controlCluster.ts
@@ -3,20 +3,15 @@
   neverCancelled,
 } from '../../../base/common/cancellation.js';
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
-import {Result, failure, success} from '../../../base/common/result.js';
 import {ConfigurationOperation} from '../../../features/configuration/common/configuration.js';
-import {
-  PeerConnection,
-  PeerError,
-} from '../../../features/peers/common/peerConnection.js';
 import {PeerResponder} from '../../../features/peers/common/peerResponder.js';
 import {SilentLogger} from '../../../platform/logging/common/logger.js';
-import {InstanceMember} from '../../../platform/membership/common/membershipList.js';
 import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
 import {ProposalReport} from '../changeDesk.js';
 import {ControlCore, ControlTimes} from '../controlCore.js';
+import {instanceMember, PeerNetwork} from './peerNetwork.js';
 
 /** Several control cores over one in-memory platform and one fake clock. */
 
@@ -46,61 +41,11 @@
   };
 }
 
-class ClusterConnection extends PeerConnection {
-  constructor(
-    private readonly cluster: ControlCluster,
-    private readonly from: string,
-  ) {
-    super();
-  }
-
-  override exchange(
-    address: string,
-    request: Parameters<PeerResponder['exchange']>[0],
-  ) {
-    return this.call(address, peer => peer.exchange(request));
-  }
-
-  override notify(
-    address: string,
-    notice: Parameters<PeerResponder['notice']>[0],
-  ) {
-    return this.call(address, peer => peer.notice(notice));
-  }
-
-  override roster(address: string) {
-    return this.call(address, peer => peer.roster());
-  }
-
-  override records(address: string) {
-    return this.call(address, peer => peer.records());
-  }
-
-  override snapshot(address: string) {
-    return this.call(address, peer => peer.snapshot());
-  }
-
-  private async call<T>(
-    address: string,
-    run: (peer: PeerResponder) => T,
-  ): Promise<Result<T, PeerError>> {
-    await Promise.resolve();
-    const peer = this.cluster.reach(this.from, address);
-    if (peer === undefined) {
-      return failure({kind: 'unreachable', detail: `${address} is cut off`});
-    }
-    const answer = JSON.parse(JSON.stringify(run(peer.responder))) as T;
-    return success(answer);
-  }
-}
-
 /** The cores and the faults between them. */
-export class ControlCluster {
+export class ControlCluster extends PeerNetwork {
   readonly clock = new FakeClock();
   readonly platform = new InMemoryPlatform(this.clock);
   readonly cores = new Map<string, ControlCore>();
-  /** Instances reach each other only inside a group; all start in group 0. */
-  readonly groups = new Map<string, number>();
   private nonces = 0;
 
   constructor(
@@ -108,7 +53,8 @@
     private readonly seed = 1,
     private readonly clusterTimes = times,
   ) {
-    this.platform.members = ids.map(toMember);
+    super();
+    this.platform.members = ids.map(instanceMember);
   }
 
   /** Starts all instances and waits until they had time to meet. */
@@ -123,7 +69,7 @@
     const ports = this.platform.portsOf(id);
     const core = new ControlCore(id, this.clusterTimes, {
       ...ports,
-      peers: new ClusterConnection(this, id),
+      peers: this.connectionOf(id),
       clock: this.clock,
       random: new SeededRandomSource(this.seed * 1_000 + this.ids.indexOf(id)),
       nonce: () => `nonce-${++this.nonces}`,
@@ -181,10 +127,12 @@
     this.groups.set(id, 1 + this.ids.indexOf(id));
   }
 
-  reach(from: string, address: string): ControlCore | undefined {
-    const id = address.split(':')[0] ?? '';
-    const isCut = this.groupOf(from) !== this.groupOf(id);
-    return isCut ? undefined : this.cores.get(id);
+  override travel(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override responderOf(id: string): PeerResponder | undefined {
+    return this.cores.get(id)?.responder;
   }
 
   standing(id: string): string {
@@ -195,24 +143,7 @@
     return this.core(id).view().configuration.revision;
   }
 
-  private groupOf(id: string): number {
-    return this.groups.get(id) ?? 0;
-  }
-
   dispose(): void {
     this.cores.forEach(core => core.dispose());
   }
 }
-
-function toMember(id: string): InstanceMember {
-  return {
-    role: 'instance',
-    id,
-    dataCentre: 'rionegro',
-    region: 'antioquia',
-    callerAddress: `${id}:1`,
-    entryPeerAddress: `${id}:2`,
-    controlAddress: `${id}:3`,
-    state: 'live',
-  };
-}
--- a/src/programs/control/test/memberFleet.ts
+++ b/src/programs/control/test/memberFleet.ts
@@ -1,15 +1,12 @@
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
-import {failure, success} from '../../../base/common/result.js';
 import {ConfigurationReplica} from '../../../features/configuration/common/configurationReplica.js';
 import {RepeatingTask} from '../../../features/membership/common/repeatingTask.js';
 import {LocalState} from '../../../features/peers/common/localState.js';
-import {PeerConnection} from '../../../features/peers/common/peerConnection.js';
 import {PeerExchanger} from '../../../features/peers/common/peerExchanger.js';
 import {PeerResponder} from '../../../features/peers/common/peerResponder.js';
 import {MemberSpreader} from '../../../features/peers/common/memberSpreader.js';
 import {SilentLogger} from '../../../platform/logging/common/logger.js';
 import {
-  InstanceMember,
   Member,
   MemberState,
   UpstreamMember,
@@ -18,72 +15,24 @@
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
 import {MemberTracker} from '../memberTracker.js';
+import {instanceMember, PeerNetwork} from './peerNetwork.js';
 
 /** The reading of the list by many instances, without the rest of their control programs. */
 
 const BOUND_MILLISECONDS = 12_000;
 
 /** Periods of the instances, in milliseconds. */
-export interface FleetTimes {
+interface FleetTimes {
   readonly read: number;
   readonly exchange: number;
   readonly bytesPerSecond: number;
 }
 
-class FleetConnection extends PeerConnection {
-  constructor(
-    private readonly fleet: MemberFleet,
-    private readonly from: string,
-  ) {
-    super();
-  }
-
-  override exchange(
-    address: string,
-    request: Parameters<PeerResponder['exchange']>[0],
-  ) {
-    return this.call(address, peer => peer.exchange(request));
-  }
-
-  override notify(
-    address: string,
-    notice: Parameters<PeerResponder['notice']>[0],
-  ) {
-    return this.call(address, peer => peer.notice(notice));
-  }
-
-  override roster(address: string) {
-    return this.call(address, peer => peer.roster());
-  }
-
-  override records(address: string) {
-    return this.call(address, peer => peer.records());
-  }
-
-  override snapshot(address: string) {
-    return this.call(address, peer => peer.snapshot());
-  }
-
-  private async call<T>(address: string, run: (peer: PeerResponder) => T) {
-    await this.fleet.delay();
-    const responder = this.fleet.reach(this.from, address);
-    if (responder === undefined || this.fleet.loses()) {
-      const detail = `${address} is cut off`;
-      return failure({kind: 'unreachable' as const, detail});
-    }
-    const answer = JSON.parse(JSON.stringify(run(responder))) as T;
-    await this.fleet.delay();
-    return success(answer);
-  }
-}
-
 /** Instances `i0` and up; each call takes up to 200 ms each way. */
-export class MemberFleet {
+export class MemberFleet extends PeerNetwork {
   readonly clock = new FakeClock();
   readonly platform = new InMemoryPlatform(this.clock);
   readonly states = new Map<string, LocalState>();
-  /** Instances reach each other only inside a group; all start in group 0. */
-  readonly groups = new Map<string, number>();
   /** Share of calls that are lost. */
   lossShare = 0;
   private readonly responders = new Map<string, PeerResponder>();
@@ -95,6 +44,7 @@
     private readonly times: FleetTimes,
     private readonly seed: number,
   ) {
+    super();
     this.random = new SeededRandomSource(seed);
     this.platform.members = [...ids.map(instanceMember), ...upstreams];
     ids.forEach((id, index) => this.start(id, index));
@@ -129,21 +79,18 @@
     return new Set([...this.states.values()].map(({book}) => book.fingerprint));
   }
 
-  delay(): Promise<void> {
+  override travel(): Promise<void> {
     return new Promise(resolve => {
       this.clock.setTimer(200 * this.random.next(), resolve);
     });
   }
 
-  /** Whether a call is lost. */
-  loses(): boolean {
+  override loses(): boolean {
     return this.random.next() < this.lossShare;
   }
 
-  reach(from: string, address: string): PeerResponder | undefined {
-    const to = address.split(':')[0] ?? '';
-    const isCut = (this.groups.get(from) ?? 0) !== (this.groups.get(to) ?? 0);
-    return isCut ? undefined : this.responders.get(to);
+  override responderOf(id: string): PeerResponder | undefined {
+    return this.responders.get(id);
   }
 
   private start(id: string, index: number): void {
@@ -152,7 +99,7 @@
     const replica = new ConfigurationReplica();
     const state = new LocalState(id, replica, clock, BOUND_MILLISECONDS);
     const responder = new PeerResponder(state);
-    const connection = new FleetConnection(this, id);
+    const connection = this.connectionOf(id);
     const peers = new PeerExchanger(state, connection, responder, random);
     const spreader = new MemberSpreader(state, peers, responder);
     const logger = new SilentLogger();
@@ -186,26 +133,13 @@
   }
 }
 
-function instanceMember(id: string): InstanceMember {
-  return {
-    role: 'instance',
-    id,
-    dataCentre: 'rionegro-1',
-    region: 'antioquia',
-    callerAddress: `${id}:1`,
-    entryPeerAddress: `${id}:2`,
-    controlAddress: `${id}:3`,
-    state: 'live',
-  };
-}
-
 /** Engines `e0` and up. */
 export function engineMembers(count: number): readonly UpstreamMember[] {
   return Array.from({length: count}, (_, index) => ({
     role: 'engine' as const,
     id: `e${index}`,
-    dataCentre: 'rionegro-1',
-    region: 'antioquia',
+    dataCentre: 'west-1',
+    region: 'west',
     address: `10.0.${index >> 8}.${index & 255}:7000`,
     group: `replica-${index >> 2}`,
     state: 'live' as const,
