Tests: places are west, not towns

Cause: the place names of tests and of the launcher's default data centre needed explaining. Conclusion: no assertion but the spelled names changed.

--- a/test/control/configurationInForce.test.ts
+++ b/test/control/configurationInForce.test.ts
@@ -85,7 +85,7 @@
 }
 
 function engineMember(id: string, state: 'live' | 'leaving'): UpstreamMember {
-  const place = {dataCentre: 'rionegro', region: 'antioquia'};
+  const place = {dataCentre: 'west-1', region: 'west'};
   const address = '127.0.0.1:9';
   return {role: 'engine', id, ...place, address, group: 'replica', state};
 }
--- a/test/standins/platform.test.ts
+++ b/test/standins/platform.test.ts
@@ -38,8 +38,8 @@
 const MEMBER: Member = {
   role: 'engine',
   id: 'engine-1',
-  dataCentre: 'perth-1',
-  region: 'perth',
+  dataCentre: 'west-1',
+  region: 'west',
   address: '127.0.0.1:1',
   group: 'replica-1',
   state: 'live',
--- a/test/support/launcher.test.ts
+++ b/test/support/launcher.test.ts
@@ -24,8 +24,8 @@
   system = await LaunchedSystem.launch({
     instances: 0,
     dataCentres: [
-      {name: 'perth-1', region: 'perth'},
-      {name: 'perth-2', region: 'perth'},
+      {name: 'west-1', region: 'west'},
+      {name: 'west-2', region: 'west'},
     ],
     layerCount: 5,
     replicas: 3,
@@ -41,14 +41,14 @@
     ? snapshot.value.members.map(member => `${member.id} ${member.dataCentre}`)
     : [];
   expect(places).toEqual([
-    'engine-0-0 perth-1',
-    'engine-0-1 perth-1',
-    'engine-1-0 perth-2',
-    'engine-1-1 perth-2',
-    'engine-2-0 perth-1',
-    'engine-2-1 perth-1',
-    'dispatch-0 perth-1',
-    'dispatch-1 perth-2',
+    'engine-0-0 west-1',
+    'engine-0-1 west-1',
+    'engine-1-0 west-2',
+    'engine-1-1 west-2',
+    'engine-2-0 west-1',
+    'engine-2-1 west-1',
+    'dispatch-0 west-1',
+    'dispatch-1 west-2',
   ]);
   const settings = system.engines.map(engine => engine.settings);
   expect(settings.slice(0, 2).map(engine => engine.layers)).toEqual([
--- a/test/support/systemOptions.ts
+++ b/test/support/systemOptions.ts
@@ -63,7 +63,7 @@
 /** A small system: two instances, two replicas of two stages, one plain service. */
 export const defaultSystemOptions: SystemOptions = {
   instances: 2,
-  dataCentres: [{name: 'perth-1', region: 'perth'}],
+  dataCentres: [{name: 'west-1', region: 'west'}],
   model: 'assistant',
   version: '1',
   adapters: [],
