Stand-ins: unused abilities removed, one handler for fault addresses

Cause: nothing in src, test, demo or measure set the fault kinds staleReports and noReports, read the cache events, or set their lag and loss, the prefix limit, decode time per sequence, idle and adapter load times, queue limit, rate limits, concurrency limit, list lag at start, or asked isGone. Change: these are gone; defaults that took effect are constants of the same value. The three stand-ins' fault addresses share standInControl.ts.

--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -82,6 +82,11 @@
 const NO_EPOCH = -1;
 const OVERLOAD_RETRY_MILLISECONDS = 500;
 const HEX_DIGITS = 8;
+const PREFIX_LIMIT = 32;
+const PREFIX_REPORT_LAG_MILLISECONDS = 200;
+const ADAPTER_LOAD_MILLISECONDS = 100;
+/** A sequence without steps for so long gives up its slot. */
+const IDLE_MILLISECONDS = 30_000;
 const KEY_WORD = '[key:';
 
 /** One incarnation of a model engine; dies for good, a new one takes its place. */
@@ -89,7 +94,6 @@
   readonly incarnation = randomUUID();
   slowFactor = 1;
   isLeaving = false;
-  reportsRenewed = true;
   readonly links = new Map<string, number>();
   private readonly slots: SequenceSlots;
   private readonly prefixes: PrefixCache;
@@ -108,15 +112,15 @@
   ) {
     super();
     this.holding = settings;
-    this.slots = new SequenceSlots(settings.sequenceLimit, settings.queueLimit);
-    this.prefixes = new PrefixCache(settings.prefixCacheLimit, {
-      lagMilliseconds: settings.cacheEventLagMilliseconds,
-      lossEvery: settings.cacheEventLossEvery,
-    });
+    this.slots = new SequenceSlots(settings.sequenceLimit);
+    this.prefixes = new PrefixCache(
+      PREFIX_LIMIT,
+      PREFIX_REPORT_LAG_MILLISECONDS,
+    );
     this.renewReport();
     this.every(settings.reportLagMilliseconds, () => this.renewReport());
-    this.every(settings.idleMilliseconds / 4, () =>
-      this.slots.freeIdle(performance.now() - settings.idleMilliseconds),
+    this.every(IDLE_MILLISECONDS / 4, () =>
+      this.slots.freeIdle(performance.now() - IDLE_MILLISECONDS),
     );
   }
 
@@ -229,10 +233,6 @@
     return {...(this.snapshot ?? this.present()), ageMilliseconds};
   }
 
-  cacheEvents(after: number): unknown {
-    return this.prefixes.eventsAfter(after, performance.now());
-  }
-
   /** Takes a desired state; idempotent. */
   order(order: EngineOrder): Result<void, EngineRefusal> {
     if (this.settings.checksFencing && this.isOld(order)) {
@@ -424,9 +424,7 @@
   private computeMilliseconds(step: StepRequest): number {
     const {settings} = this;
     if (!isPrefill(step)) {
-      const others = this.slots.residentCount - 1;
-      const extra = settings.decodeMillisecondsPerSequence * others;
-      return (settings.decodeMilliseconds + extra) * this.slowFactor;
+      return settings.decodeMilliseconds * this.slowFactor;
     }
     const positions = step.positions.to - step.positions.from;
     const uncached = Math.max(1, positions - this.cachedPositions(step));
@@ -498,7 +496,7 @@
       this.loseCaches();
       this.loadedAt = performance.now() + settings.loadMilliseconds;
     } else if (!sameAdapters) {
-      this.loadedAt = performance.now() + settings.adapterLoadMilliseconds;
+      this.loadedAt = performance.now() + ADAPTER_LOAD_MILLISECONDS;
     }
   }
 
@@ -507,16 +505,12 @@
   }
 
   private renewReport(): void {
-    if (this.reportsRenewed) {
-      this.snapshot = this.present();
-      this.snapshotAt = performance.now();
-    }
+    this.snapshot = this.present();
+    this.snapshotAt = performance.now();
   }
 
   private present(): EngineReport {
     const {settings, holding, slots} = this;
-    const others = Math.max(0, slots.residentCount - 1);
-    const extra = settings.decodeMillisecondsPerSequence * others;
     return {
       upstream: settings.id,
       engineIncarnation: this.incarnation,
@@ -530,7 +524,7 @@
       sequenceLimit: settings.sequenceLimit,
       residentSequences: slots.residentCount,
       queuedSequences: slots.waitingCount,
-      decodeMilliseconds: settings.decodeMilliseconds + extra,
+      decodeMilliseconds: settings.decodeMilliseconds,
       prefillMillisecondsPerToken: settings.prefillMillisecondsPerToken,
       cachedPrefixes: this.prefixes.announcedPrefixes(performance.now()),
       ageMilliseconds: 0,
--- a/test/standins/engineSettings.ts
+++ b/test/standins/engineSettings.ts
@@ -16,14 +16,9 @@
   readonly checksFencing: boolean;
   /** Sequences resident at once; further ones wait. */
   readonly sequenceLimit: number;
-  /** Sequences that may wait; more are refused as overloaded. */
-  readonly queueLimit: number;
-  /** One decode step of a batch of one. */
+  /** One decode step. */
   readonly decodeMilliseconds: number;
-  /** Added for each further resident sequence. */
-  readonly decodeMillisecondsPerSequence: number;
   readonly prefillMillisecondsPerToken: number;
-  readonly prefixCacheLimit: number;
   /** One way from the caller. */
   readonly callerLinkMilliseconds: number;
   /** One way from other engines, by upstream id. */
@@ -32,16 +27,8 @@
   readonly defaultLinkMilliseconds: number;
   /** Time between load reports; 0 reports the present. */
   readonly reportLagMilliseconds: number;
-  /** Lag of cache events. */
-  readonly cacheEventLagMilliseconds: number;
-  /** Every n-th cache event is lost; 0 for none. */
-  readonly cacheEventLossEvery: number;
   /** Time to load other layers, another model or version. */
   readonly loadMilliseconds: number;
-  /** Time to load adapters. */
-  readonly adapterLoadMilliseconds: number;
-  /** A sequence without steps for so long gives up its slot. */
-  readonly idleMilliseconds: number;
   /** Where executions are written; the `{id}` in it is replaced. */
   readonly ledgerFile?: string;
 }
@@ -69,20 +56,13 @@
   role: 'both',
   checksFencing: true,
   sequenceLimit: 8,
-  queueLimit: 1000,
   decodeMilliseconds: 5,
-  decodeMillisecondsPerSequence: 0,
   prefillMillisecondsPerToken: 0.2,
-  prefixCacheLimit: 32,
   callerLinkMilliseconds: 0,
   linkMilliseconds: {},
   defaultLinkMilliseconds: 0,
   reportLagMilliseconds: 200,
-  cacheEventLagMilliseconds: 200,
-  cacheEventLossEvery: 0,
   loadMilliseconds: 500,
-  adapterLoadMilliseconds: 100,
-  idleMilliseconds: 30_000,
 };
 
 /** Where in a step an engine dies. */
@@ -112,10 +92,6 @@
   /** Loses all KV caches. */
   | {readonly kind: 'loseCaches'}
   | {readonly kind: 'leaving'; readonly leaving: boolean}
-  /** Reports are no longer renewed, until cleared. */
-  | {readonly kind: 'staleReports'}
-  /** Reports are refused by cutting the connection, until cleared. */
-  | {readonly kind: 'noReports'}
   | {readonly kind: 'clear'}
   | StepFault;
 
--- a/test/standins/engineStandIn.ts
+++ b/test/standins/engineStandIn.ts
@@ -17,6 +17,7 @@
 } from './engineSettings.js';
 import {CallSite, FaultList} from './faultList.js';
 import {Ledger} from './ledger.js';
+import {controlHandler, seenBy} from './standInControl.js';
 import {runAsProgram} from './standInMain.js';
 import {
   answerOk,
@@ -47,7 +48,6 @@
   private death: Death | undefined;
   private frozen: Promise<void> | undefined;
   private thaw: () => void = () => undefined;
-  private answersReports = true;
   private lastReceipt: StepReceipt | undefined;
 
   constructor(
@@ -144,8 +144,6 @@
     this.death = undefined;
     this.frozen = undefined;
     this.thaw();
-    this.answersReports = true;
-    this.engine.reportsRenewed = true;
     this.engine.slowFactor = 1;
     this.engine.links.clear();
   }
@@ -165,12 +163,6 @@
       case 'leaving':
         engine.isLeaving = fault.leaving;
         return true;
-      case 'staleReports':
-        engine.reportsRenewed = false;
-        return true;
-      case 'noReports':
-        this.answersReports = false;
-        return true;
       default:
         return false;
     }
@@ -195,13 +187,7 @@
         return toAnswer(result, () => ({fencing, order: number}));
       }
       case 'GET /v1/report':
-        return this.answersReports
-          ? answerOk(this.engine.report())
-          : {kind: 'cut'};
-      case 'GET /v1/cache-events': {
-        const after = Number(call.query.get('after') ?? 0);
-        return answerOk({events: this.engine.cacheEvents(after)});
-      }
+        return answerOk(this.engine.report());
       default:
         return this.content(call);
     }
@@ -312,7 +298,18 @@
       ),
     );
     this.faultServer = this.register(
-      new StandInServer(settings.faultAddress, call => this.control(call)),
+      new StandInServer(
+        settings.faultAddress,
+        controlHandler({
+          'POST /fault': call => this.setFault(JSON.parse(call.text)),
+          'GET /ledger': call => ({
+            entries: this.ledger(
+              call.query.get('engine') ?? undefined,
+              seenBy(call),
+            ),
+          }),
+        }),
+      ),
     );
   }
 
@@ -338,21 +335,6 @@
       engine => id === undefined || engine.settings.id === id,
     );
   }
-
-  private async control(call: StandInCall): Promise<StandInAnswer> {
-    switch (`${call.method} ${call.path}`) {
-      case 'POST /fault':
-        await this.setFault(JSON.parse(call.text) as EngineFaultCommand);
-        return answerOk({});
-      case 'GET /ledger': {
-        const engine = call.query.get('engine') ?? undefined;
-        const after = Number(call.query.get('after') ?? 0);
-        return answerOk({entries: this.ledger(engine, after)});
-      }
-      default:
-        return {kind: 'answer', status: 404, body: {}};
-    }
-  }
 }
 
 function toAnswer<T>(
--- a/test/standins/platformStandIn.ts
+++ b/test/standins/platformStandIn.ts
@@ -13,6 +13,7 @@
 import {CallCounter} from './callCounter.js';
 import {FaultList} from './faultList.js';
 import {Ledger} from './ledger.js';
+import {controlHandler, seenBy} from './standInControl.js';
 import {runAsProgram} from './standInMain.js';
 import {
   answerOk,
@@ -30,10 +31,6 @@
   readonly membershipAddress: string;
   /** Faults, members, counts and the ledger; never struck by faults. */
   readonly faultAddress: string;
-  readonly writesPerSecond?: number;
-  readonly readsPerSecond?: number;
-  /** How far the list of members lags behind changes. */
-  readonly membershipLagMilliseconds?: number;
   readonly members?: readonly Member[];
   readonly manifests?: readonly WeightManifest[];
   readonly ledgerFile?: string;
@@ -72,7 +69,7 @@
   /** Added, or replacing those of the same id. */
   readonly set?: readonly Member[];
   readonly remove?: readonly string[];
-  /** Lag from now on. */
+  /** How far the list lags behind changes, from now on. */
   readonly lagMilliseconds?: number;
 }
 
@@ -95,9 +92,8 @@
   'weights',
   'membership',
 ];
-const DEFAULT_WRITES_PER_SECOND = 400;
-const DEFAULT_READS_PER_SECOND = 2000;
-const DEFAULT_MEMBERSHIP_LAG_MILLISECONDS = 0;
+const WRITES_PER_SECOND = 400;
+const READS_PER_SECOND = 2000;
 const RATE_RETRY_MILLISECONDS = 250;
 
 /** The platform's table, object store, weight manifests and list of members in one process. */
@@ -110,12 +106,10 @@
   private readonly counters = new Map<string, CallCounter>();
   private readonly ledger: Ledger<PlatformLedgerEntry>;
   private readonly faultServer: StandInServer;
-  private lag: number;
+  private lagMilliseconds = 0;
 
   constructor(private readonly settings: PlatformStandInSettings) {
     super();
-    this.lag =
-      settings.membershipLagMilliseconds ?? DEFAULT_MEMBERSHIP_LAG_MILLISECONDS;
     this.ledger = this.register(new Ledger(settings.ledgerFile));
     for (const part of PARTS) {
       const address = settings[`${part}Address`];
@@ -124,7 +118,16 @@
       this.addCounters(part);
     }
     this.faultServer = this.register(
-      new StandInServer(settings.faultAddress, call => this.control(call)),
+      new StandInServer(
+        settings.faultAddress,
+        controlHandler({
+          'POST /fault': call => this.setFault(JSON.parse(call.text)),
+          'POST /members': call => this.setMembers(JSON.parse(call.text)),
+          'GET /counts': () => this.counts(),
+          'POST /counts/reset': () => this.resetCounts(),
+          'GET /ledger': call => ({entries: this.ledger.after(seenBy(call))}),
+        }),
+      ),
     );
     for (const member of settings.members ?? []) {
       this.visible.set(member.id, member);
@@ -158,12 +161,15 @@
 
   /** Changes the list; seen by readers after the lag. */
   setMembers(command: MembersCommand): void {
-    this.lag = command.lagMilliseconds ?? this.lag;
-    if (this.lag <= 0) {
+    this.lagMilliseconds = command.lagMilliseconds ?? this.lagMilliseconds;
+    if (this.lagMilliseconds <= 0) {
       this.showMembers(command);
       return;
     }
-    const timer = setTimeout(() => this.showMembers(command), this.lag);
+    const timer = setTimeout(
+      () => this.showMembers(command),
+      this.lagMilliseconds,
+    );
     this.register(toDisposable(() => clearTimeout(timer)));
   }
 
@@ -188,17 +194,11 @@
 
   private addCounters(part: PlatformPart): void {
     const isLimited = part === 'table' || part === 'objects';
-    const writes = this.settings.writesPerSecond ?? DEFAULT_WRITES_PER_SECOND;
-    const reads = this.settings.readsPerSecond ?? DEFAULT_READS_PER_SECOND;
-    const unlimited = Number.POSITIVE_INFINITY;
-    this.counters.set(
-      `${part} write`,
-      new CallCounter(isLimited ? writes : unlimited),
-    );
-    this.counters.set(
-      `${part} read`,
-      new CallCounter(isLimited ? reads : unlimited),
-    );
+    const limits = {write: WRITES_PER_SECOND, read: READS_PER_SECOND};
+    for (const [access, limit] of Object.entries(limits)) {
+      const counter = new CallCounter(isLimited ? limit : Infinity);
+      this.counters.set(`${part} ${access}`, counter);
+    }
   }
 
   private async serve(
@@ -375,26 +375,8 @@
     };
   }
 
-  private async control(call: StandInCall): Promise<StandInAnswer> {
-    switch (`${call.method} ${call.path}`) {
-      case 'POST /fault':
-        await this.setFault(JSON.parse(call.text) as PlatformFaultCommand);
-        return answerOk({});
-      case 'POST /members':
-        this.setMembers(JSON.parse(call.text) as MembersCommand);
-        return answerOk({});
-      case 'GET /counts':
-        return answerOk(this.counts());
-      case 'POST /counts/reset':
-        this.counters.forEach(counter => counter.reset());
-        return answerOk({});
-      case 'GET /ledger': {
-        const after = Number(call.query.get('after') ?? 0);
-        return answerOk({entries: this.ledger.after(after)});
-      }
-      default:
-        return refusal(404, 'notFound', 'no such path');
-    }
+  private resetCounts(): void {
+    this.counters.forEach(counter => counter.reset());
   }
 
   private counts(): unknown {
--- a/test/standins/prefixCache.ts
+++ b/test/standins/prefixCache.ts
@@ -1,37 +1,18 @@
-/** A change of the prefix cache. */
-export interface CacheEvent {
-  readonly sequence: number;
-  readonly kind: 'stored' | 'evicted';
-  readonly prefixKey: string;
-}
-
-interface PendingEvent {
+interface PendingChange {
   readonly dueAt: number;
-  readonly event: CacheEvent;
-}
-
-const PUBLISHED_LIMIT = 256;
-
-/** Lost evictions would let the announced prefixes grow without end. */
-const ANNOUNCED_PER_CACHED = 4;
-
-/** How late and with what gaps events come out. */
-export interface CacheEventSettings {
-  readonly lagMilliseconds: number;
-  readonly lossEvery: number;
+  readonly isStored: boolean;
+  readonly prefixKey: string;
 }
 
-/** The prefixes an engine remembers, and what it tells of them: late and with gaps. */
+/** The prefixes an engine remembers, and those that its reports name, which lag behind. */
 export class PrefixCache {
   private readonly inputs = new Map<string, string>();
   private readonly announced = new Set<string>();
-  private pending: PendingEvent[] = [];
-  private published: CacheEvent[] = [];
-  private sequence = 0;
+  private pending: PendingChange[] = [];
 
   constructor(
     private readonly limit: number,
-    private readonly settings: CacheEventSettings,
+    private readonly lagMilliseconds: number,
   ) {}
 
   /** Characters that an input shares with the one remembered under its prefix; remembers it. */
@@ -43,7 +24,7 @@
       return commonLength(known, input);
     }
     this.inputs.set(prefixKey, input);
-    this.record('stored', prefixKey);
+    this.note(prefixKey, true);
     this.evict();
     return 0;
   }
@@ -53,56 +34,33 @@
     this.announced.clear();
   }
 
-  /** Prefixes as its events so far tell. */
+  /** The prefixes that were remembered one lag ago. */
   announcedPrefixes(now: number): readonly string[] {
-    this.publish(now);
+    const due = this.pending.filter(pending => pending.dueAt <= now);
+    this.pending = this.pending.slice(due.length);
+    for (const {isStored, prefixKey} of due) {
+      if (isStored) {
+        this.announced.add(prefixKey);
+      } else {
+        this.announced.delete(prefixKey);
+      }
+    }
     return [...this.announced];
   }
 
-  /** Events after a sequence number, of those still kept. */
-  eventsAfter(sequence: number, now: number): readonly CacheEvent[] {
-    this.publish(now);
-    return this.published.filter(event => event.sequence > sequence);
-  }
-
   private evict(): void {
     for (const prefixKey of this.inputs.keys()) {
       if (this.inputs.size <= this.limit) {
         return;
       }
       this.inputs.delete(prefixKey);
-      this.record('evicted', prefixKey);
+      this.note(prefixKey, false);
     }
   }
 
-  private record(kind: CacheEvent['kind'], prefixKey: string): void {
-    this.sequence++;
-    const {lossEvery, lagMilliseconds} = this.settings;
-    if (lossEvery > 0 && this.sequence % lossEvery === 0) {
-      return;
-    }
-    const event = {sequence: this.sequence, kind, prefixKey};
-    this.pending.push({dueAt: performance.now() + lagMilliseconds, event});
-  }
-
-  private publish(now: number): void {
-    const due = this.pending.filter(pending => pending.dueAt <= now);
-    this.pending = this.pending.slice(due.length);
-    for (const {event} of due) {
-      this.published.push(event);
-      if (event.kind === 'stored') {
-        this.announced.add(event.prefixKey);
-      } else {
-        this.announced.delete(event.prefixKey);
-      }
-    }
-    this.published = this.published.slice(-PUBLISHED_LIMIT);
-    for (const prefixKey of this.announced) {
-      if (this.announced.size <= this.limit * ANNOUNCED_PER_CACHED) {
-        return;
-      }
-      this.announced.delete(prefixKey);
-    }
+  private note(prefixKey: string, isStored: boolean): void {
+    const dueAt = performance.now() + this.lagMilliseconds;
+    this.pending.push({dueAt, isStored, prefixKey});
   }
 }
 
--- a/test/standins/sequences.ts
+++ b/test/standins/sequences.ts
@@ -1,6 +1,9 @@
 import {LayerRange} from '../../src/platform/engine/common/engineConnection.js';
 import {LayerCache, ReplyPlan} from './referenceModel.js';
 
+/** Steps that may wait for a slot; more are refused as overloaded. */
+const WAITING_LIMIT = 1000;
+
 /** A request's KV cache, which holds one of the engine's slots. */
 export class Sequence {
   readonly caches = new Map<number, LayerCache>();
@@ -67,10 +70,7 @@
   private waiters: Waiter[] = [];
   private arrivals = 0;
 
-  constructor(
-    private readonly limit: number,
-    private readonly queueLimit: number,
-  ) {}
+  constructor(private readonly limit: number) {}
 
   get residentCount(): number {
     return this.resident.size;
@@ -81,7 +81,7 @@
   }
 
   get isFull(): boolean {
-    return this.waiters.length >= this.queueLimit;
+    return this.waiters.length >= WAITING_LIMIT;
   }
 
   get(requestId: string): Sequence | undefined {
--- a/test/standins/serviceStandIn.ts
+++ b/test/standins/serviceStandIn.ts
@@ -3,13 +3,9 @@
 import {DisposableOwner} from '../../src/base/common/lifecycle.js';
 import {FaultList} from './faultList.js';
 import {Ledger} from './ledger.js';
+import {controlHandler, seenBy} from './standInControl.js';
 import {runAsProgram} from './standInMain.js';
-import {
-  answerOk,
-  StandInAnswer,
-  StandInCall,
-  StandInServer,
-} from './standInServer.js';
+import {StandInAnswer, StandInCall, StandInServer} from './standInServer.js';
 import {sleep} from '../support/sleep.js';
 
 /** Settings of a plain service stand-in; addresses are `IP:port`. */
@@ -20,8 +16,6 @@
   readonly faultAddress: string;
   /** Time of one call. */
   readonly milliseconds?: number;
-  /** Calls at once; more are refused. */
-  readonly concurrencyLimit?: number;
   readonly ledgerFile?: string;
 }
 
@@ -63,7 +57,8 @@
 }
 
 const DEFAULT_MILLISECONDS = 2;
-const DEFAULT_CONCURRENCY_LIMIT = 64;
+/** Calls at once; more are refused. */
+const CONCURRENCY_LIMIT = 64;
 const REFUSAL_RETRY_MILLISECONDS = 200;
 
 /** One replica of a plain service: it executes every call that it takes and writes it down. */
@@ -81,7 +76,13 @@
       new StandInServer(settings.address, call => this.serve(call)),
     );
     this.faultServer = this.register(
-      new StandInServer(settings.faultAddress, call => this.control(call)),
+      new StandInServer(
+        settings.faultAddress,
+        controlHandler({
+          'POST /fault': call => this.setFault(JSON.parse(call.text)),
+          'GET /ledger': call => ({entries: this.executions(seenBy(call))}),
+        }),
+      ),
     );
   }
 
@@ -109,12 +110,11 @@
   }
 
   private async serve(call: StandInCall): Promise<StandInAnswer> {
-    const limit = this.settings.concurrencyLimit ?? DEFAULT_CONCURRENCY_LIMIT;
     const fault = this.faults.strike({});
     if (fault?.kind === 'requestLost') {
       return {kind: 'cut'};
     }
-    if (fault?.kind === 'refuse' || this.running >= limit) {
+    if (fault?.kind === 'refuse' || this.running >= CONCURRENCY_LIMIT) {
       return refused();
     }
     this.running++;
@@ -172,20 +172,6 @@
         return {kind: 'answer', status: 200, body, headers};
     }
   }
-
-  private async control(call: StandInCall): Promise<StandInAnswer> {
-    switch (`${call.method} ${call.path}`) {
-      case 'POST /fault':
-        await this.setFault(JSON.parse(call.text) as ServiceFaultCommand);
-        return answerOk({});
-      case 'GET /ledger': {
-        const after = Number(call.query.get('after') ?? 0);
-        return answerOk({entries: this.executions(after)});
-      }
-      default:
-        return {kind: 'answer', status: 404, body: {}};
-    }
-  }
 }
 
 /** The right answer of a plain service to a call. */
--- a/test/standins/standInServer.ts
+++ b/test/standins/standInServer.ts
@@ -15,8 +15,7 @@
   readonly headers: IncomingMessage['headers'];
   readonly text: string;
   readonly socket: Socket;
-  /** Whether the caller went away. */
-  isGone(): boolean;
+  /** Fires when the caller goes away. */
   onDidGo(listener: () => void): void;
 }
 
@@ -157,7 +156,6 @@
     headers: request.headers,
     text,
     socket: request.socket,
-    isGone: () => response.destroyed,
     onDidGo: listener => void response.once('close', listener),
   };
 }
