--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -85,8 +85,6 @@
 const PREFIX_LIMIT = 32;
 const PREFIX_REPORT_LAG_MILLISECONDS = 200;
 const ADAPTER_LOAD_MILLISECONDS = 100;
-/** A sequence without steps for so long gives up its slot. */
-const IDLE_MILLISECONDS = 30_000;
 const KEY_WORD = '[key:';
 
 /** One incarnation of a model engine; dies for good, a new one takes its place. */
@@ -119,8 +117,9 @@
     );
     this.renewReport();
     this.every(settings.reportLagMilliseconds, () => this.renewReport());
-    this.every(IDLE_MILLISECONDS / 4, () =>
-      this.slots.freeIdle(performance.now() - IDLE_MILLISECONDS),
+    const {idleMilliseconds} = settings;
+    this.every(idleMilliseconds / 4, () =>
+      this.slots.freeIdle(performance.now() - idleMilliseconds),
     );
   }
 
--- a/test/standins/engineSettings.ts
+++ b/test/standins/engineSettings.ts
@@ -29,6 +29,8 @@
   readonly reportLagMilliseconds: number;
   /** Time to load other layers, another model or version. */
   readonly loadMilliseconds: number;
+  /** A sequence without steps for so long gives up its slot. */
+  readonly idleMilliseconds: number;
   /** Where executions are written; the `{id}` in it is replaced. */
   readonly ledgerFile?: string;
 }
@@ -63,6 +65,7 @@
   defaultLinkMilliseconds: 0,
   reportLagMilliseconds: 200,
   loadMilliseconds: 500,
+  idleMilliseconds: 30_000,
 };
 
 /** Where in a step an engine dies. */
