--- a/measure/common/recoveryFaults.ts
+++ b/measure/common/recoveryFaults.ts
@@ -44,7 +44,6 @@
       inject: () => system.killInstance(instances[1]),
       mend: () => restart(system, [instances[1]]),
     },
-    loseDataCentre(system, 'upper'),
     {
       name: 'stage frozen and entry instance killed',
       inject: async () => {
@@ -58,6 +57,8 @@
         await restart(system, [instances[3]]);
       },
     },
+    // Last: its mending starts many processes.
+    loseDataCentre(system, 'upper'),
   ];
 }
 
