Tests of callers, claims, pipeline and services: cases as rows of tables

Cause: cases were objects of six to ten lines each; long names were cut in the runner's output. Change: each case is a row; titles are printed whole. Cases and assertions are the same.

--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -160,94 +160,76 @@
   });
 });
 
-interface BadCase {
-  readonly name: string;
-  readonly headers: Record<string, string>;
-  readonly body: unknown;
-  readonly status: number;
-  readonly paths: readonly string[];
-}
+type BadCase = readonly [
+  name: string,
+  headers: Record<string, string>,
+  body: unknown,
+  status: number,
+  paths: readonly string[],
+];
 
 const badCases: readonly BadCase[] = [
-  {
-    name: 'malformed JSON',
-    headers: query,
-    body: '{"model":',
-    status: 400,
-    paths: ['$'],
-  },
-  {
-    name: 'a class that does not exist',
-    headers: {'Redwing-Class': 'nothing'},
-    body: chatBody(),
-    status: 400,
-    paths: ['Redwing-Class'],
-  },
-  {
-    name: 'a class named like an object member',
-    headers: {'Redwing-Class': 'constructor'},
-    body: chatBody(),
-    status: 400,
-    paths: ['Redwing-Class'],
-  },
-  {
-    name: 'a negative deadline',
-    headers: {...query, 'Redwing-Deadline-Milliseconds': '-5'},
-    body: chatBody(),
-    status: 400,
-    paths: ['Redwing-Deadline-Milliseconds'],
-  },
-  {
-    name: 'no key on work that may not be repeated',
-    headers: {'Redwing-Class': 'order'},
-    body: chatBody(),
-    status: 400,
-    paths: ['Idempotency-Key'],
-  },
-  {
-    name: 'several faults at once',
-    headers: {'Redwing-Deadline-Milliseconds': 'soon'},
-    body: {model: 'none', messages: [{role: 7, content: 'x'}], max_tokens: 0},
-    status: 400,
-    paths: [
+  ['malformed JSON', query, '{"model":', 400, ['$']],
+  [
+    'a class that does not exist',
+    {'Redwing-Class': 'nothing'},
+    chatBody(),
+    400,
+    ['Redwing-Class'],
+  ],
+  [
+    'a class named like an object member',
+    {'Redwing-Class': 'constructor'},
+    chatBody(),
+    400,
+    ['Redwing-Class'],
+  ],
+  [
+    'a negative deadline',
+    {...query, 'Redwing-Deadline-Milliseconds': '-5'},
+    chatBody(),
+    400,
+    ['Redwing-Deadline-Milliseconds'],
+  ],
+  [
+    'no key on work that may not be repeated',
+    {'Redwing-Class': 'order'},
+    chatBody(),
+    400,
+    ['Idempotency-Key'],
+  ],
+  [
+    'several faults at once',
+    {'Redwing-Deadline-Milliseconds': 'soon'},
+    {model: 'none', messages: [{role: 7, content: 'x'}], max_tokens: 0},
+    400,
+    [
       'Redwing-Class',
       'Redwing-Deadline-Milliseconds',
       '$.messages[0].role',
       '$.max_tokens',
       '$.model',
     ],
-  },
-  {
-    name: 'an unknown adapter',
-    headers: query,
-    body: {...chatBody(), model: 'assistant:none'},
-    status: 400,
-    paths: ['$.model'],
-  },
-  {
-    name: 'a missing bearer key',
-    headers: {...query, Authorization: ''},
-    body: chatBody(),
-    status: 401,
-    paths: [],
-  },
-  {
-    name: 'a wrong bearer key',
-    headers: {...query, Authorization: 'Bearer wrong-key'},
-    body: chatBody(),
-    status: 401,
-    paths: [],
-  },
-  {
-    name: 'a body over the limit',
-    headers: query,
-    body: 'x'.repeat(3000),
-    status: 413,
-    paths: [],
-  },
+  ],
+  [
+    'an unknown adapter',
+    query,
+    {...chatBody(), model: 'assistant:none'},
+    400,
+    ['$.model'],
+  ],
+  ['a missing bearer key', {...query, Authorization: ''}, chatBody(), 401, []],
+  [
+    'a wrong bearer key',
+    {...query, Authorization: 'Bearer wrong-key'},
+    chatBody(),
+    401,
+    [],
+  ],
+  ['a body over the limit', query, 'x'.repeat(3000), 413, []],
 ];
 
-test.each(badCases)('$name', async ({headers, body, status, paths}) => {
+test.each(badCases)('%s', async (_name, headers, body, status, paths) => {
   const response = await fixture.send(chatPath, headers, body);
   expect(response.status).toBe(status);
   const text = await response.text();
@@ -340,74 +322,74 @@
   }),
 };
 
-interface ClaimCase {
-  readonly name: string;
-  readonly decision: ClaimDecision;
-  readonly status: number;
-  readonly expected: Record<string, unknown>;
-}
+type ClaimCase = readonly [
+  name: string,
+  decision: ClaimDecision,
+  status: number,
+  expected: Record<string, unknown>,
+];
 
 const claimCases: readonly ClaimCase[] = [
-  {
-    name: 'a completed duplicate repeats its reply',
-    decision: {kind: 'duplicate', outcome: completed},
-    status: 200,
-    expected: {id: 'chatcmpl-first'},
-  },
-  {
-    name: 'a running duplicate',
-    decision: {kind: 'duplicate', outcome: {kind: 'running'}},
-    status: 409,
-    expected: {
+  [
+    'a completed duplicate repeats its reply',
+    {kind: 'duplicate', outcome: completed},
+    200,
+    {id: 'chatcmpl-first'},
+  ],
+  [
+    'a running duplicate',
+    {kind: 'duplicate', outcome: {kind: 'running'}},
+    409,
+    {
       error: {
         kind: 'duplicate',
         executed: 'unknown',
         retryAfterMilliseconds: 1000,
       },
     },
-  },
-  {
-    name: 'a failed duplicate repeats its failure',
-    decision: {
+  ],
+  [
+    'a failed duplicate repeats its failure',
+    {
       kind: 'duplicate',
       outcome: {kind: 'failed', failure: notExecuted({kind: 'overShare'}, 10)},
     },
-    status: 429,
-    expected: {error: {kind: 'overShare', executed: 'no'}},
-  },
-  {
-    name: 'a duplicate of which nothing is known',
-    decision: {kind: 'duplicate', outcome: {kind: 'unknown'}},
-    status: 409,
-    expected: {error: {kind: 'duplicate', executed: 'unknown'}},
-  },
-  {
-    name: 'held by a known instance',
-    decision: {kind: 'heldElsewhere', incarnation: 'b-1', outcome: undefined},
-    status: 421,
-    expected: {
+    429,
+    {error: {kind: 'overShare', executed: 'no'}},
+  ],
+  [
+    'a duplicate of which nothing is known',
+    {kind: 'duplicate', outcome: {kind: 'unknown'}},
+    409,
+    {error: {kind: 'duplicate', executed: 'unknown'}},
+  ],
+  [
+    'held by a known instance',
+    {kind: 'heldElsewhere', incarnation: 'b-1', outcome: undefined},
+    421,
+    {
       error: {kind: 'heldElsewhere', executed: 'unknown', addresses: ['b:80']},
     },
-  },
-  {
-    name: 'held by an instance that is not known',
-    decision: {kind: 'heldElsewhere', incarnation: 'z-1', outcome: undefined},
-    status: 503,
-    expected: {
+  ],
+  [
+    'held by an instance that is not known',
+    {kind: 'heldElsewhere', incarnation: 'z-1', outcome: undefined},
+    503,
+    {
       error: {kind: 'heldElsewhere', executed: 'unknown', addresses: []},
     },
-  },
-  {
-    name: 'held elsewhere with its outcome',
-    decision: {kind: 'heldElsewhere', incarnation: 'b-1', outcome: completed},
-    status: 200,
-    expected: {id: 'chatcmpl-first'},
-  },
-  {
-    name: 'an expired grant',
-    decision: {kind: 'refusedNotRun', detail: 'expired'},
-    status: 400,
-    expected: {
+  ],
+  [
+    'held elsewhere with its outcome',
+    {kind: 'heldElsewhere', incarnation: 'b-1', outcome: completed},
+    200,
+    {id: 'chatcmpl-first'},
+  ],
+  [
+    'an expired grant',
+    {kind: 'refusedNotRun', detail: 'expired'},
+    400,
+    {
       error: {
         kind: 'invalidRequest',
         executed: 'no',
@@ -421,57 +403,60 @@
         ],
       },
     },
-  },
-  {
-    name: 'no room to remember the key',
-    decision: {kind: 'noRoom', detail: 'full', retryAfterMilliseconds: 4000},
-    status: 503,
-    expected: {
+  ],
+  [
+    'no room to remember the key',
+    {kind: 'noRoom', detail: 'full', retryAfterMilliseconds: 4000},
+    503,
+    {
       error: {
         kind: 'cannotMeetTarget',
         executed: 'no',
         retryAfterMilliseconds: 4000,
       },
     },
-  },
-  {
-    name: 'a key that stands for another request',
-    decision: {kind: 'keyReused', sameWork: false},
-    status: 422,
-    expected: {error: {kind: 'keyReused', executed: 'no'}},
-  },
-  {
-    name: 'a key that stands for the same work of another class',
-    decision: {kind: 'keyReused', sameWork: true},
-    status: 422,
-    expected: {error: {kind: 'keyReused', executed: 'unknown'}},
-  },
-  {
-    name: 'undecided',
-    decision: {
+  ],
+  [
+    'a key that stands for another request',
+    {kind: 'keyReused', sameWork: false},
+    422,
+    {error: {kind: 'keyReused', executed: 'no'}},
+  ],
+  [
+    'a key that stands for the same work of another class',
+    {kind: 'keyReused', sameWork: true},
+    422,
+    {error: {kind: 'keyReused', executed: 'unknown'}},
+  ],
+  [
+    'undecided',
+    {
       kind: 'undecided',
       detail: 'table unavailable',
       retryAfterMilliseconds: 700,
     },
-    status: 503,
-    expected: {
+    503,
+    {
       error: {
         kind: 'claimUndecided',
         executed: 'unknown',
         retryAfterMilliseconds: 700,
       },
     },
-  },
+  ],
 ];
 
-test.each(claimCases)('claim: $name', async ({decision, status, expected}) => {
-  fixture.claims.decision = decision;
-  const response = await fixture.send(chatPath, order, chatBody());
-  expect(response.status).toBe(status);
-  expect(await response.json()).toMatchObject(expected);
-  expect(fixture.driver.requests).toHaveLength(0);
-  expect(fixture.claims.completed).toHaveLength(0);
-});
+test.each(claimCases)(
+  'claim: %s',
+  async (_name, decision, status, expected) => {
+    fixture.claims.decision = decision;
+    const response = await fixture.send(chatPath, order, chatBody());
+    expect(response.status).toBe(status);
+    expect(await response.json()).toMatchObject(expected);
+    expect(fixture.driver.requests).toHaveLength(0);
+    expect(fixture.claims.completed).toHaveLength(0);
+  },
+);
 
 test('a recorded reply is repeated as events when these are asked for', async () => {
   fixture.claims.decision = {kind: 'duplicate', outcome: completed};
--- a/src/features/callers/test/requestExchange.test.ts
+++ b/src/features/callers/test/requestExchange.test.ts
@@ -17,12 +17,12 @@
 
 type Script = CallerFixture['driver']['script'];
 
-interface OutcomeCase {
-  readonly name: string;
-  readonly script: Script;
-  readonly status: number;
-  readonly recorded: Record<string, unknown>;
-}
+type OutcomeCase = readonly [
+  name: string,
+  script: Script,
+  status: number,
+  recorded: Record<string, unknown>,
+];
 
 /** Runs on until it is cancelled, then ends as given. */
 function untilCancelled(end: Script): Script {
@@ -35,49 +35,44 @@
 const whole: Script = async request => success(replyOf(request, ['x']));
 
 const outcomeCases: readonly OutcomeCase[] = [
-  {
-    name: 'a whole reply',
-    script: whole,
-    status: 200,
-    recorded: {kind: 'completed', status: 200},
-  },
-  {
-    name: 'a failure',
-    script: async () => failure(lost),
-    status: 502,
-    recorded: {kind: 'failed', failure: lost},
-  },
-  {
-    name: 'a fault of our own',
-    script: () => Promise.reject(new Error('fault')),
-    status: 502,
-    recorded: {kind: 'failed', failure: {executed: 'unknown'}},
-  },
-  {
-    name: 'past the deadline, with what the work says of itself',
-    script: untilCancelled(async () =>
+  ['a whole reply', whole, 200, {kind: 'completed', status: 200}],
+  [
+    'a failure',
+    async () => failure(lost),
+    502,
+    {kind: 'failed', failure: lost},
+  ],
+  [
+    'a fault of our own',
+    () => Promise.reject(new Error('fault')),
+    502,
+    {kind: 'failed', failure: {executed: 'unknown'}},
+  ],
+  [
+    'past the deadline, with what the work says of itself',
+    untilCancelled(async () =>
       failure({...lost, error: {kind: 'callerGone'}, executed: 'no'}),
     ),
-    status: 504,
-    recorded: {
+    504,
+    {
       kind: 'failed',
       failure: {error: {kind: 'deadlineExceeded'}, executed: 'no'},
     },
-  },
-  {
-    name: 'past the deadline, work that never ends',
-    script: () => new Promise(() => undefined),
-    status: 504,
-    recorded: {
+  ],
+  [
+    'past the deadline, work that never ends',
+    () => new Promise(() => undefined),
+    504,
+    {
       kind: 'failed',
       failure: {error: {kind: 'deadlineExceeded'}, executed: 'unknown'},
     },
-  },
+  ],
 ];
 
 test.each(outcomeCases)(
-  'recorded once: $name',
-  async ({script, status, recorded}) => {
+  'recorded once: %s',
+  async (_name, script, status, recorded) => {
     const fixture = await new CallerFixture(new QuickClock()).start();
     fixture.driver.script = script;
     const response = await fixture.send(chatPath, order, chatBody());
--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -9,6 +9,7 @@
 import {createRpcClient, serveRpc} from '../../../platform/rpc/node/rpc.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
+import {RequestOutcome} from '../../requests/common/request.js';
 import {BoundKeys} from '../common/boundKeys.js';
 import {ClaimAgeing} from '../common/claimAgeing.js';
 import {claimRowKey, formatClaimRecord} from '../common/claimRecord.js';
@@ -58,49 +59,27 @@
 
 describe('grants', () => {
   const signer = new GrantSigner('new', ['old']);
-  const grant = signer.sign('inc', 5000, 'desk');
+  const grantOf = (by: GrantSigner) => by.sign('inc', 5000, 'desk');
+  const grant = grantOf(signer);
+  const former = grantOf(new GrantSigner('old'));
+  const unknown = grantOf(new GrantSigner('bad'));
 
   test.each([
-    {name: 'own', account: 'desk', key: `${grant}.a`, kind: 'bound'},
-    {
-      name: 'suffix with dots',
-      account: 'desk',
-      key: `${grant}.a.b`,
-      kind: 'bound',
-    },
-    {
-      name: 'other account',
-      account: 'yard',
-      key: `${grant}.a`,
-      kind: 'invalid',
-    },
-    {name: 'no suffix', account: 'desk', key: `${grant}.`, kind: 'invalid'},
-    {
-      name: 'other incarnation',
-      account: 'desk',
-      key: `${grant.replace('inc', 'inx')}.a`,
-      kind: 'invalid',
-    },
-    {
-      name: 'other expiry',
-      account: 'desk',
-      key: `${grant.replace('.3uw.', '.3uz.')}.a`,
-      kind: 'invalid',
-    },
-    {
-      name: 'former peer key',
-      account: 'desk',
-      key: `${new GrantSigner('old').sign('inc', 5000, 'desk')}.a`,
-      kind: 'bound',
-    },
-    {
-      name: 'unknown peer key',
-      account: 'desk',
-      key: `${new GrantSigner('bad').sign('inc', 5000, 'desk')}.a`,
-      kind: 'invalid',
-    },
-    {name: 'no grant', account: 'desk', key: 'order-7', kind: 'plain'},
-  ])('$name: $kind', ({account, key, kind}) => {
+    ['own', 'bound', 'desk', `${grant}.a`],
+    ['suffix with dots', 'bound', 'desk', `${grant}.a.b`],
+    ['other account', 'invalid', 'yard', `${grant}.a`],
+    ['no suffix', 'invalid', 'desk', `${grant}.`],
+    [
+      'other incarnation',
+      'invalid',
+      'desk',
+      `${grant.replace('inc', 'inx')}.a`,
+    ],
+    ['other expiry', 'invalid', 'desk', `${grant.replace('.3uw.', '.3uz.')}.a`],
+    ['former peer key', 'bound', 'desk', `${former}.a`],
+    ['unknown peer key', 'invalid', 'desk', `${unknown}.a`],
+    ['no grant', 'plain', 'desk', 'order-7'],
+  ])('%s: %s', (_name, kind, account, key) => {
     expect(signer.read(account, key).kind).toBe(kind);
   });
 
@@ -187,49 +166,30 @@
 });
 
 describe('plain keys', () => {
+  const rateLimited = {
+    kind: 'rateLimited',
+    retryAfterMilliseconds: 50,
+  } as const;
+  const slow = {kind: 'slow', milliseconds: 700} as const;
   test.each([
-    {
-      name: 'answer lost',
-      fault: {kind: 'answerLost'},
-      times: 1,
-      expected: 'granted',
-    },
-    {
-      name: 'request lost',
-      fault: {kind: 'requestLost'},
-      times: 1,
-      expected: 'granted',
-    },
-    {
-      name: 'rate limited once',
-      fault: {kind: 'rateLimited', retryAfterMilliseconds: 50},
-      times: 1,
-      expected: 'granted',
+    ['answer lost', 'granted', 1, {kind: 'answerLost'}],
+    ['request lost', 'granted', 1, {kind: 'requestLost'}],
+    ['rate limited once', 'granted', 1, rateLimited],
+    ['down', 'undecided', 99, {kind: 'down'}],
+    ['all answers lost', 'undecided', 99, {kind: 'answerLost'}],
+    ['slower than the wait', 'undecided', 99, slow],
+  ] as const)(
+    '%s: %s, decided afterwards',
+    async (_name, expected, times, fault) => {
+      const world = newWorld(2);
+      world.fault(fault, times);
+      expect((await claim(world, 0, 'order')).kind).toBe(expected);
+      world.platform.clearFaults();
+      await world.advance(1500);
+      const again = await claim(world, 1, 'order');
+      expect(again.kind).toBe(expected === 'granted' ? 'duplicate' : 'granted');
     },
-    {name: 'down', fault: {kind: 'down'}, times: 99, expected: 'undecided'},
-    {
-      name: 'all answers lost',
-      fault: {kind: 'answerLost'},
-      times: 99,
-      expected: 'undecided',
-    },
-    {
-      name: 'slower than the wait',
-      fault: {kind: 'slow', milliseconds: 700},
-      times: 99,
-      expected: 'undecided',
-    },
-  ] as const)('$name: $expected, decided afterwards', async each => {
-    const world = newWorld(2);
-    world.fault(each.fault, each.times);
-    expect((await claim(world, 0, 'order')).kind).toBe(each.expected);
-    world.platform.clearFaults();
-    await world.advance(1500);
-    const again = await claim(world, 1, 'order');
-    expect(again.kind).toBe(
-      each.expected === 'granted' ? 'duplicate' : 'granted',
-    );
-  });
+  );
 
   test('can be claimed again after an outcome that says not run, and only then', async () => {
     const world = newWorld(2);
@@ -272,21 +232,21 @@
 
 describe('a key that comes with another request', () => {
   const other = {kind: 'keyReused', sameWork: false};
-  test.each([
-    {at: 'its holder, running', key: 'plain', slot: 0, end: undefined},
-    {at: 'its holder, ended', key: 'plain', slot: 0, end: completed},
-    {at: 'its holder, not run', key: 'plain', slot: 0, end: notRun},
-    {at: 'another, running', key: 'plain', slot: 1, end: undefined},
-    {at: 'another, ended', key: 'plain', slot: 1, end: completed},
-    {at: 'another, not run', key: 'plain', slot: 1, end: notRun},
-    {at: 'its holder, running', key: 'bound', slot: 0, end: undefined},
-    {at: 'its holder, ended', key: 'bound', slot: 0, end: completed},
-    {at: 'its holder, not run', key: 'bound', slot: 0, end: notRun},
-    {at: 'another, running', key: 'bound', slot: 1, end: undefined},
-    {at: 'another, ended', key: 'bound', slot: 1, end: completed},
-    {at: 'one after its holder died', key: 'bound', slot: 1, end: completed},
-    {at: 'its holder, forgotten', key: 'bound', slot: 0, end: completed},
-  ])('$key key at $at', async ({at, key: kind, slot, end}) => {
+  test.each<[string, string, number, RequestOutcome | undefined]>([
+    ['plain', 'its holder, running', 0, undefined],
+    ['plain', 'its holder, ended', 0, completed],
+    ['plain', 'its holder, not run', 0, notRun],
+    ['plain', 'another, running', 1, undefined],
+    ['plain', 'another, ended', 1, completed],
+    ['plain', 'another, not run', 1, notRun],
+    ['bound', 'its holder, running', 0, undefined],
+    ['bound', 'its holder, ended', 0, completed],
+    ['bound', 'its holder, not run', 0, notRun],
+    ['bound', 'another, running', 1, undefined],
+    ['bound', 'another, ended', 1, completed],
+    ['bound', 'one after its holder died', 1, completed],
+    ['bound', 'its holder, forgotten', 0, completed],
+  ])('%s key at %s', async (kind, at, slot, end) => {
     const world = newWorld(4);
     const {service} = world.slots[0]!;
     const key = kind === 'bound' ? `${service.issueGrant(ACCOUNT)}.a` : 'order';
--- a/src/features/pipeline/test/pipelineFaults.test.ts
+++ b/src/features/pipeline/test/pipelineFaults.test.ts
@@ -80,83 +80,48 @@
 });
 
 describe('when nothing can replace the stage', () => {
-  const cases: ReadonlyArray<{
-    name: string;
-    fault: Fault;
-    unfenced: boolean;
-    executed: Executed | 'whole';
-  }> = [
-    {
-      name: 'dead first stage, never reached',
-      fault: faultAt(0, 'unreachable', PREFILL),
-      unfenced: true,
-      executed: 'no',
-    },
-    {
-      name: 'first stage refuses',
-      fault: faultAt(0, 'refused', PREFILL),
-      unfenced: true,
-      executed: 'no',
-    },
-    {
-      name: 'first stage has no room',
-      fault: faultAt(0, 'overloaded', PREFILL),
-      unfenced: true,
-      executed: 'no',
-    },
-    {
-      name: 'first stage dies before it ran',
-      fault: faultAt(0, 'killBefore', PREFILL),
-      unfenced: true,
-      executed: 'unknown',
-    },
-    {
-      name: 'second stage dies at prefill',
-      fault: faultAt(1, 'killBefore', PREFILL),
-      unfenced: true,
-      executed: 'unknown',
-    },
-    {
-      name: 'stage dies after tokens',
-      fault: faultAt(1, 'killAfter', DECODE),
-      unfenced: true,
-      executed: 'unknown',
-    },
-    {
-      name: 'connection cut, engine up, fenced',
-      fault: faultAt(1, 'cutAfter', DECODE),
-      unfenced: false,
-      executed: 'whole',
-    },
-    {
-      name: 'connection cut, engine up, unfenced',
-      fault: faultAt(1, 'cutAfter', DECODE),
-      unfenced: true,
-      executed: 'whole',
-    },
-    {
-      name: 'frozen, fenced',
-      fault: faultAt(1, 'freezeBefore', DECODE),
-      unfenced: false,
-      executed: 'whole',
-    },
-    {
-      name: 'frozen, unfenced',
-      fault: faultAt(1, 'freezeBefore', DECODE),
-      unfenced: true,
-      executed: 'whole',
-    },
-    {
-      name: 'slow, unfenced',
-      fault: faultAt(1, 'slow', DECODE),
-      unfenced: true,
-      executed: 'whole',
-    },
+  /** The last column says whether the engines ignore epochs. */
+  const cases: ReadonlyArray<
+    readonly [string, Executed | 'whole', number, FaultKind, number, boolean]
+  > = [
+    ['dead first stage, never reached', 'no', 0, 'unreachable', PREFILL, true],
+    ['first stage refuses', 'no', 0, 'refused', PREFILL, true],
+    ['first stage has no room', 'no', 0, 'overloaded', PREFILL, true],
+    [
+      'first stage dies before it ran',
+      'unknown',
+      0,
+      'killBefore',
+      PREFILL,
+      true,
+    ],
+    ['second stage dies at prefill', 'unknown', 1, 'killBefore', PREFILL, true],
+    ['stage dies after tokens', 'unknown', 1, 'killAfter', DECODE, true],
+    [
+      'connection cut, engine up, fenced',
+      'whole',
+      1,
+      'cutAfter',
+      DECODE,
+      false,
+    ],
+    [
+      'connection cut, engine up, unfenced',
+      'whole',
+      1,
+      'cutAfter',
+      DECODE,
+      true,
+    ],
+    ['frozen, fenced', 'whole', 1, 'freezeBefore', DECODE, false],
+    ['frozen, unfenced', 'whole', 1, 'freezeBefore', DECODE, true],
+    ['slow, unfenced', 'whole', 1, 'slow', DECODE, true],
   ];
-  test.each(cases)('$name: $executed', async ({fault, unfenced, executed}) => {
+  test.each(cases)('%s: %s', async (...row) => {
+    const [, executed, stage, kind, atStep, unfenced] = row;
     const bench = new PipelineBench({
       replicas: 1,
-      faults: [fault],
+      faults: [faultAt(stage, kind, atStep)],
       unfenced: unfenced ? 'all' : [],
       settings: {recoveryLimit: 40},
     });
--- a/src/features/services/test/serviceDispatcher.test.ts
+++ b/src/features/services/test/serviceDispatcher.test.ts
@@ -54,149 +54,110 @@
   });
 });
 
-interface Case {
-  readonly name: string;
-  readonly request: ServiceCallRequest;
-  readonly replies: readonly Behaviour[];
-  readonly replicas: number;
-  readonly expected: string;
-  readonly sent: number;
-}
+type Case = readonly [
+  name: string,
+  request: ServiceCallRequest,
+  replies: readonly Behaviour[],
+  replicas: number,
+  expected: string,
+  sent: number,
+];
 
 const order = callOf();
 const misread = callOf({method: 'GET', path: '/reserve/7', repeatable: true});
 
 const cases: readonly Case[] = [
-  {
-    name: 'served',
-    request: order,
-    replies: ['ok'],
-    replicas: 2,
-    expected: 'answered',
-    sent: 1,
-  },
-  {
-    name: 'unreachable, then served',
-    request: order,
-    replies: ['unreachable', 'ok'],
-    replicas: 2,
-    expected: 'answered',
-    sent: 2,
-  },
-  {
-    name: 'refused, then served',
-    request: order,
-    replies: ['refused', 'ok'],
-    replicas: 2,
-    expected: 'answered',
-    sent: 2,
-  },
-  {
-    name: 'all unreachable',
-    request: order,
-    replies: ['unreachable', 'unreachable'],
-    replicas: 2,
-    expected: 'upstreamFailed no',
-    sent: 2,
-  },
-  {
-    name: 'no replica',
-    request: order,
-    replies: [],
-    replicas: 0,
-    expected: 'noUpstream no',
-    sent: 0,
-  },
-  {
-    name: 'lost before it ran',
-    request: order,
-    replies: ['lostBefore'],
-    replicas: 2,
-    expected: 'upstreamFailed unknown',
-    sent: 1,
-  },
-  {
-    name: 'lost after it ran',
-    request: order,
-    replies: ['lostAfter'],
-    replicas: 2,
-    expected: 'upstreamFailed unknown',
-    sent: 1,
-  },
-  {
-    name: 'answer to another request',
-    request: order,
-    replies: ['mismatch'],
-    replicas: 2,
-    expected: 'upstreamFailed unknown',
-    sent: 1,
-  },
-  {
-    name: 'refused, then lost',
-    request: order,
-    replies: ['refused', 'lostAfter'],
-    replicas: 3,
-    expected: 'upstreamFailed unknown',
-    sent: 2,
-  },
-  {
-    name: 'silent until the deadline',
-    request: order,
-    replies: ['silent'],
-    replicas: 2,
-    expected: 'deadlineExceeded unknown',
-    sent: 1,
-  },
-  {
-    name: 'due before it was sent',
-    request: callOf({deadlineAt: 0}),
-    replies: [],
-    replicas: 2,
-    expected: 'deadlineExceeded no',
-    sent: 0,
-  },
-  {
-    name: 'without a key',
-    request: callOf({idempotencyKey: undefined}),
-    replies: [],
-    replicas: 2,
-    expected: 'invalidRequest no',
-    sent: 0,
-  },
-  {
-    name: 'longest prefix says not repeatable',
-    request: misread,
-    replies: ['lostBefore'],
-    replicas: 2,
-    expected: 'upstreamFailed unknown',
-    sent: 1,
-  },
-  {
-    name: 'repeatable, lost, then served',
-    request: repeatableCall,
-    replies: ['lostAfter', 'ok'],
-    replicas: 2,
-    expected: 'answered',
-    sent: 2,
-  },
-  {
-    name: 'repeatable, lost everywhere',
-    request: repeatableCall,
-    replies: ['lostAfter', 'lostAfter'],
-    replicas: 2,
-    expected: 'upstreamFailed unknown',
-    sent: 2,
-  },
+  ['served', order, ['ok'], 2, 'answered', 1],
+  ['unreachable, then served', order, ['unreachable', 'ok'], 2, 'answered', 2],
+  ['refused, then served', order, ['refused', 'ok'], 2, 'answered', 2],
+  [
+    'all unreachable',
+    order,
+    ['unreachable', 'unreachable'],
+    2,
+    'upstreamFailed no',
+    2,
+  ],
+  ['no replica', order, [], 0, 'noUpstream no', 0],
+  ['lost before it ran', order, ['lostBefore'], 2, 'upstreamFailed unknown', 1],
+  ['lost after it ran', order, ['lostAfter'], 2, 'upstreamFailed unknown', 1],
+  [
+    'answer to another request',
+    order,
+    ['mismatch'],
+    2,
+    'upstreamFailed unknown',
+    1,
+  ],
+  [
+    'refused, then lost',
+    order,
+    ['refused', 'lostAfter'],
+    3,
+    'upstreamFailed unknown',
+    2,
+  ],
+  [
+    'silent until the deadline',
+    order,
+    ['silent'],
+    2,
+    'deadlineExceeded unknown',
+    1,
+  ],
+  [
+    'due before it was sent',
+    callOf({deadlineAt: 0}),
+    [],
+    2,
+    'deadlineExceeded no',
+    0,
+  ],
+  [
+    'without a key',
+    callOf({idempotencyKey: undefined}),
+    [],
+    2,
+    'invalidRequest no',
+    0,
+  ],
+  [
+    'longest prefix says not repeatable',
+    misread,
+    ['lostBefore'],
+    2,
+    'upstreamFailed unknown',
+    1,
+  ],
+  [
+    'repeatable, lost, then served',
+    repeatableCall,
+    ['lostAfter', 'ok'],
+    2,
+    'answered',
+    2,
+  ],
+  [
+    'repeatable, lost everywhere',
+    repeatableCall,
+    ['lostAfter', 'lostAfter'],
+    2,
+    'upstreamFailed unknown',
+    2,
+  ],
 ];
 
-test.each(cases)('$name', async each => {
-  const world = new ServiceWorld(each.replies, each.replicas);
-  const result = await dispatch(world, each.request);
-  expect(summary(result)).toBe(each.expected);
-  expect(world.sent).toBe(each.sent);
-  expect(world.released).toHaveLength(each.sent);
-  expect(world.clock.pendingTimers).toBe(0);
-});
+test.each(cases)(
+  '%s',
+  async (...[, request, replies, replicas, expected, sent]) => {
+    const world = new ServiceWorld(replies, replicas);
+    const result = await dispatch(world, request);
+    expect(summary(result)).toBe(expected);
+    expect(world.sent).toBe(sent);
+    expect(world.released).toHaveLength(sent);
+    expect(world.clock.pendingTimers).toBe(0);
+  },
+);
 
 test('a resubmission gets the recorded answer and is not sent', async () => {
   const world = new ServiceWorld([], 2);
