--- a/src/features/configuration/common/configurationStore.ts
+++ b/src/features/configuration/common/configurationStore.ts
@@ -1,29 +1,22 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
-import {Result, failure, success} from '../../../base/common/result.js';
+import {Result, success} from '../../../base/common/result.js';
 import {ObjectStore} from '../../../platform/objects/common/objectStore.js';
 import {
+  RowWrite,
   StorageError,
   TableRow,
   TableService,
 } from '../../../platform/table/common/tableService.js';
-import {
-  Configuration,
-  ConfigurationRevision,
-  emptyConfiguration,
-} from './configuration.js';
-
-/** Reads and writes the log of revisions in the table and its snapshots in the object store. */
+import {Configuration, ConfigurationRevision} from './configuration.js';
+import {ConfigurationSnapshots} from './configurationSnapshots.js';
+import {padRevision} from './revisionNames.js';
 
 /** Row that holds the number of the newest revision. */
-export const HEAD_KEY = 'configuration/head';
+const HEAD_KEY = 'configuration/head';
 const REVISION_PREFIX = 'configuration/revision/';
-const SNAPSHOT_PREFIX = 'configuration/snapshot/';
-const NUMBER_WIDTH = 12;
 
 /** A snapshot is written each time the revision is a multiple of this. */
 export const SNAPSHOT_EVERY = 64;
-/** Snapshots kept; rows older than the oldest one kept are deleted. */
-const SNAPSHOTS_KEPT = 3;
 const ROWS_PER_SCAN = 100;
 const TRIM_LIMIT = 90;
 
@@ -45,12 +38,16 @@
 export type CommitOutcome =
   {readonly kind: 'committed'} | {readonly kind: 'conflict'};
 
-/** The log of revisions. */
+/** The log of revisions in the table, and its snapshots; rows older than the oldest snapshot kept are deleted. */
 export class ConfigurationStore {
+  private readonly snapshots: ConfigurationSnapshots;
+
   constructor(
     private readonly table: TableService,
-    private readonly objects: ObjectStore,
-  ) {}
+    objects: ObjectStore,
+  ) {
+    this.snapshots = new ConfigurationSnapshots(objects);
+  }
 
   async readHead(
     token: CancellationToken,
@@ -88,7 +85,7 @@
   }
 
   /** Writes a revision and moves the head, both or neither. */
-  async commit(
+  commit(
     head: ConfigurationHead,
     revision: ConfigurationRevision,
     token: CancellationToken,
@@ -97,65 +94,28 @@
       revision: revision.revision,
       firstRevision: head.firstRevision,
     };
-    const outcome = await this.table.transact(
-      [
-        headWrite(head, value),
-        {
-          key: revisionKey(revision.revision),
-          value: JSON.stringify(revision),
-          condition: {kind: 'absent'},
-        },
-      ],
-      'all',
-      token,
-    );
-    if (!outcome.ok) {
-      return outcome;
-    }
-    const conflict = outcome.value.some(row => row.kind === 'conflict');
-    return success({kind: conflict ? 'conflict' : 'committed'});
+    const row: RowWrite = {
+      key: revisionKey(revision.revision),
+      value: JSON.stringify(revision),
+      condition: {kind: 'absent'},
+    };
+    return this.writeWithHead(head, value, [row], token);
   }
 
   /** Gives the head row a new version without moving it, so that no commit under way on the old one can succeed. */
-  async rewriteHead(
+  rewriteHead(
     head: ConfigurationHead,
     token: CancellationToken,
   ): Promise<Result<CommitOutcome, StorageError>> {
     const {revision, firstRevision} = head;
-    const outcome = await this.table.transact(
-      [headWrite(head, {revision, firstRevision})],
-      'all',
-      token,
-    );
-    if (!outcome.ok) {
-      return outcome;
-    }
-    const kind =
-      outcome.value[0]?.kind === 'written' ? 'committed' : 'conflict';
-    return success({kind});
+    return this.writeWithHead(head, {revision, firstRevision}, [], token);
   }
 
-  /** Reads the newest snapshot that can be read; the empty configuration when there is none. */
-  async readSnapshot(
+  /** Reads the newest snapshot; the empty configuration when there is none. */
+  readSnapshot(
     token: CancellationToken,
   ): Promise<Result<Configuration, StorageError>> {
-    const names = await this.objects.list(SNAPSHOT_PREFIX, token);
-    if (!names.ok) {
-      return names;
-    }
-    const newest = names.value.at(-1);
-    if (newest === undefined) {
-      return success(emptyConfiguration);
-    }
-    const body = await this.objects.get(newest, token);
-    if (!body.ok) {
-      return body;
-    }
-    return success(
-      body.value === undefined
-        ? emptyConfiguration
-        : (JSON.parse(body.value) as Configuration),
-    );
+    return this.snapshots.read(token);
   }
 
   /** Writes a snapshot, then deletes rows and snapshots that no starting instance needs. */
@@ -163,24 +123,13 @@
     configuration: Configuration,
     token: CancellationToken,
   ): Promise<Result<void, StorageError>> {
-    const name = snapshotName(configuration.revision);
-    const body = JSON.stringify(configuration);
-    const written = await this.objects.put(name, body, token);
-    if (!written.ok) {
-      return written;
-    }
-    const names = await this.objects.list(SNAPSHOT_PREFIX, token);
-    if (!names.ok) {
-      return names;
+    const oldest = await this.snapshots.write(configuration, token);
+    if (!oldest.ok) {
+      return oldest;
     }
-    const kept = names.value.slice(-SNAPSHOTS_KEPT);
-    for (const old of names.value.slice(0, -SNAPSHOTS_KEPT)) {
-      await this.objects.delete(old, token);
-    }
-    const oldest = kept[0];
-    return oldest === undefined
+    return oldest.value === undefined
       ? success(undefined)
-      : this.trimRows(snapshotRevision(oldest), token);
+      : this.trimRows(oldest.value, token);
   }
 
   private async trimRows(
@@ -196,32 +145,53 @@
     if (end < firstRevision) {
       return success(undefined);
     }
-    const deletions = [];
+    const deletions: RowWrite[] = [];
     for (let number = firstRevision; number <= end; number++) {
       deletions.push({
         key: revisionKey(number),
         value: undefined,
-        condition: {kind: 'any' as const},
+        condition: {kind: 'any'},
       });
     }
     const value: HeadValue = {revision, firstRevision: end + 1};
-    const trimmed = await this.table.transact(
-      [headWrite(head.value, value), ...deletions],
+    // A conflict means that the head moved on: the next snapshot trims instead.
+    const trimmed = await this.writeWithHead(
+      head.value,
+      value,
+      deletions,
+      token,
+    );
+    return trimmed.ok ? success(undefined) : trimmed;
+  }
+
+  /** Writes the head, as it was read, together with other rows: all or nothing. */
+  private async writeWithHead(
+    head: ConfigurationHead,
+    value: HeadValue,
+    rows: readonly RowWrite[],
+    token: CancellationToken,
+  ): Promise<Result<CommitOutcome, StorageError>> {
+    const outcome = await this.table.transact(
+      [headWrite(head, value), ...rows],
       'all',
       token,
     );
-    return trimmed.ok ? success(undefined) : failure(trimmed.error);
+    if (!outcome.ok) {
+      return outcome;
+    }
+    const conflict = outcome.value.some(row => row.kind === 'conflict');
+    return success({kind: conflict ? 'conflict' : 'committed'});
   }
 }
 
-function headWrite(head: ConfigurationHead, value: HeadValue) {
+function headWrite(head: ConfigurationHead, value: HeadValue): RowWrite {
   return {
     key: HEAD_KEY,
     value: JSON.stringify(value),
     condition:
       head.rowVersion === undefined
-        ? {kind: 'absent' as const}
-        : {kind: 'version' as const, version: head.rowVersion},
+        ? {kind: 'absent'}
+        : {kind: 'version', version: head.rowVersion},
   };
 }
 
@@ -237,18 +207,6 @@
   return JSON.parse(row.value) as ConfigurationRevision;
 }
 
-function padded(revision: number): string {
-  return String(revision).padStart(NUMBER_WIDTH, '0');
-}
-
 function revisionKey(revision: number): string {
-  return REVISION_PREFIX + padded(revision);
-}
-
-function snapshotName(revision: number): string {
-  return SNAPSHOT_PREFIX + padded(revision);
-}
-
-function snapshotRevision(name: string): number {
-  return Number(name.slice(SNAPSHOT_PREFIX.length));
+  return REVISION_PREFIX + padRevision(revision);
 }
