--- a/src/features/configuration/test/configurationProposer.test.ts
+++ b/src/features/configuration/test/configurationProposer.test.ts
@@ -81,78 +81,25 @@
 });
 
 describe('a proposal', () => {
-  const faults: ReadonlyArray<{
+  interface FaultCase {
     readonly name: string;
     readonly fault: PlatformFault;
     readonly access: 'read' | 'write';
     readonly times: number;
     readonly outcome: string;
     readonly rows: number;
-  }> = [
-    {
-      name: 'the table down before',
-      fault: {kind: 'down'},
-      access: 'read',
-      times: 1,
-      outcome: 'unavailable',
-      rows: 0,
-    },
-    {
-      name: 'the table down at the commit',
-      fault: {kind: 'down'},
-      access: 'write',
-      times: 1,
-      outcome: 'unavailable',
-      rows: 0,
-    },
-    {
-      name: 'the commit rate-limited',
-      fault: {kind: 'rateLimited', retryAfterMilliseconds: 5},
-      access: 'write',
-      times: 1,
-      outcome: 'unavailable',
-      rows: 0,
-    },
-    {
-      name: 'the answer lost after the effect',
-      fault: {kind: 'answerLost'},
-      access: 'write',
-      times: 1,
-      outcome: 'accepted',
-      rows: 1,
-    },
-    {
-      name: 'the request lost',
-      fault: {kind: 'requestLost'},
-      access: 'write',
-      times: 1,
-      outcome: 'unavailable',
-      rows: 0,
-    },
-    {
-      name: 'the request late by seconds',
-      fault: {kind: 'slow', milliseconds: 5_000},
-      access: 'write',
-      times: 1,
-      outcome: 'unavailable',
-      rows: 0,
-    },
-    {
-      name: 'the request and its fencing lost',
-      fault: {kind: 'requestLost'},
-      access: 'write',
-      times: 3,
-      outcome: 'unavailable',
-      rows: 0,
-    },
-    {
-      name: 'all writes lost',
-      fault: {kind: 'requestLost'},
-      access: 'write',
-      times: 100,
-      outcome: 'outcomeUnknown',
-      rows: 0,
-    },
+  }
+
+  // prettier-ignore
+  const faults: readonly FaultCase[] = [
+    {name: 'the table down before', fault: {kind: 'down'}, access: 'read', times: 1, outcome: 'unavailable', rows: 0},
+    {name: 'the table down at the commit', fault: {kind: 'down'}, access: 'write', times: 1, outcome: 'unavailable', rows: 0},
+    {name: 'the commit rate-limited', fault: {kind: 'rateLimited', retryAfterMilliseconds: 5}, access: 'write', times: 1, outcome: 'unavailable', rows: 0},
+    {name: 'the answer lost after the effect', fault: {kind: 'answerLost'}, access: 'write', times: 1, outcome: 'accepted', rows: 1},
+    {name: 'the request lost', fault: {kind: 'requestLost'}, access: 'write', times: 1, outcome: 'unavailable', rows: 0},
+    {name: 'the request late by seconds', fault: {kind: 'slow', milliseconds: 5_000}, access: 'write', times: 1, outcome: 'unavailable', rows: 0},
+    {name: 'the request and its fencing lost', fault: {kind: 'requestLost'}, access: 'write', times: 3, outcome: 'unavailable', rows: 0},
+    {name: 'all writes lost', fault: {kind: 'requestLost'}, access: 'write', times: 100, outcome: 'outcomeUnknown', rows: 0},
   ];
 
   it.each(faults)('with $name', async row => {
