Exports that nothing imports are no longer exported

All are used in their own files only. Ruled out: types that an exported signature names stay exported. Conclusion: behaviour unchanged.

--- a/src/features/administration/common/sections.ts
+++ b/src/features/administration/common/sections.ts
@@ -4,7 +4,7 @@
 /** The parts of the configuration that have addresses of their own in the administration API. */
 
 /** A part of the configuration. */
-export type SectionName = 'classes' | 'clientAccounts' | 'models' | 'services';
+type SectionName = 'classes' | 'clientAccounts' | 'models' | 'services';
 
 /** Operations on one entry of a section. */
 export interface Section {
--- a/src/features/administration/node/jsonBody.ts
+++ b/src/features/administration/node/jsonBody.ts
@@ -5,7 +5,7 @@
 const BODY_LIMIT_BYTES = 1_048_576;
 
 /** Why a body could not be read. */
-export interface BodyError {
+interface BodyError {
   readonly status: 400 | 413;
   readonly expected: string;
 }
--- a/src/features/configuration/common/configurationRules.ts
+++ b/src/features/configuration/common/configurationRules.ts
@@ -8,7 +8,7 @@
 /** Pure rules of the configuration: what may be proposed and what a revision changes. */
 
 /** Largest number of entries of one kind; bounds memory and snapshots. */
-export const ENTRY_LIMIT = 20_000;
+const ENTRY_LIMIT = 20_000;
 
 type Section = 'classes' | 'clientAccounts' | 'models' | 'services';
 
--- a/src/features/configuration/common/operationSchemas.ts
+++ b/src/features/configuration/common/operationSchemas.ts
@@ -31,7 +31,7 @@
   .max(DAY_MILLISECONDS, 'at most one day in milliseconds');
 
 /** The schema of a class of work. */
-export const classSchema = zod.strictObject({
+const classSchema = zod.strictObject({
   name,
   firstTokenMilliseconds: milliseconds,
   betweenTokensMilliseconds: milliseconds,
@@ -44,7 +44,7 @@
 });
 
 /** The schema of a client account. */
-export const clientAccountSchema = zod.strictObject({
+const clientAccountSchema = zod.strictObject({
   name,
   keyHash: zod
     .string()
@@ -52,7 +52,7 @@
 });
 
 /** The schema of a model. */
-export const modelSchema = zod.strictObject({
+const modelSchema = zod.strictObject({
   name,
   version: name,
   layerCount: zod.int().min(1, 'at least one layer').max(LAYER_LIMIT),
@@ -60,7 +60,7 @@
 });
 
 /** The schema of a plain service. */
-export const serviceSchema = zod.strictObject({
+const serviceSchema = zod.strictObject({
   name,
   calls: zod
     .array(
--- a/src/features/membership/common/memberBook.ts
+++ b/src/features/membership/common/memberBook.ts
@@ -6,7 +6,7 @@
 /** Changes younger than this go to peers whose lists differ; older ones are never taken. */
 export const CARRY_MILLISECONDS = 600_000;
 /** How much too old an observation may look after it went from peer to peer. */
-export const DATING_ERROR_MILLISECONDS = 2_000;
+const DATING_ERROR_MILLISECONDS = 2_000;
 const TOMBSTONE_MILLISECONDS = 2 * CARRY_MILLISECONDS;
 const TOMBSTONE_LIMIT = 4_096;
 const CARRY_LIMIT = 2_048;
--- a/src/features/membership/node/viewRouter.ts
+++ b/src/features/membership/node/viewRouter.ts
@@ -13,7 +13,7 @@
 } from '../common/viewPublisher.js';
 
 /** Longest time that a watch stays open. */
-export const WATCH_MILLISECONDS = 5_000;
+const WATCH_MILLISECONDS = 5_000;
 const TEXT_LIMIT = 256;
 
 /** What the router asks of the rest of the program. */
--- a/src/features/placement/common/placementWorth.ts
+++ b/src/features/placement/common/placementWorth.ts
@@ -68,10 +68,7 @@
 }
 
 /** Seconds for the whole model at this data centre's share of the weight store's rate. */
-export function loadSeconds(
-  manifest: WeightManifest,
-  view: PlacementView,
-): number {
+function loadSeconds(manifest: WeightManifest, view: PlacementView): number {
   const bytes = manifest.layerBytes * manifest.layerCount;
   return bytes / (manifest.bytesPerSecond * Math.max(view.share, 0.001));
 }
--- a/src/features/placement/test/placementWorld.ts
+++ b/src/features/placement/test/placementWorld.ts
@@ -28,7 +28,7 @@
 const SEQUENCE_LIMIT = 8;
 
 /** The clock of one process: while it is paused, its timers and answers wait. */
-export class ProcessClock extends Clock {
+class ProcessClock extends Clock {
   private waiting: Array<() => void> | undefined;
 
   constructor(private readonly clock: Clock) {
@@ -90,7 +90,7 @@
 }
 
 /** An engine that takes orders and reports; it runs no steps. */
-export class FakeEngine {
+class FakeEngine {
   readonly member: UpstreamMember;
   readonly taken: TakenOrder[] = [];
   occupied = 0;
@@ -201,7 +201,7 @@
 }
 
 /** One control program's placement. */
-export class PlacementProcess {
+class PlacementProcess {
   readonly clock: ProcessClock;
   readonly orderFaults: OrderFault[] = [];
   readonly controller: PlacementController;
--- a/src/platform/engine/node/httpEngineConnector.ts
+++ b/src/platform/engine/node/httpEngineConnector.ts
@@ -69,7 +69,7 @@
 }
 
 /** One engine over HTTP; the protocol stands in docs/PROTOCOLS.md. */
-export class HttpEngineConnection
+class HttpEngineConnection
   extends EngineConnection
   implements CachedConnection
 {
--- a/src/platform/http/node/httpClient.ts
+++ b/src/platform/http/node/httpClient.ts
@@ -18,7 +18,7 @@
 }
 
 /** Bounds that fit small control calls. */
-export const defaultHttpClientOptions: HttpClientOptions = {
+const defaultHttpClientOptions: HttpClientOptions = {
   connections: 8,
   waitingLimit: 512,
   connectMilliseconds: 1000,
--- a/src/platform/http/node/storageClient.ts
+++ b/src/platform/http/node/storageClient.ts
@@ -13,13 +13,13 @@
 } from './httpExchange.js';
 
 /** Names the calling instance to the platform. */
-export const INSTANCE_HEADER = 'redwing-instance';
+const INSTANCE_HEADER = 'redwing-instance';
 
 /** A server sets it to `no` on a refusal that surely had no effect. */
-export const EXECUTED_HEADER = 'redwing-executed';
+const EXECUTED_HEADER = 'redwing-executed';
 
 /** Milliseconds to wait after a refusal; finer than `retry-after`. */
-export const RETRY_HEADER = 'retry-after-milliseconds';
+const RETRY_HEADER = 'retry-after-milliseconds';
 
 const DEFAULT_RETRY_MILLISECONDS = 1000;
 
@@ -87,7 +87,7 @@
 }
 
 /** The error that an outcome stands for; undefined for answers with status 200 and 404. */
-export function storageError(outcome: HttpOutcome): StorageError | undefined {
+function storageError(outcome: HttpOutcome): StorageError | undefined {
   switch (outcome.kind) {
     case 'notSent':
       return {kind: 'unavailable', detail: outcome.detail};
--- a/src/platform/service/node/httpServiceConnector.ts
+++ b/src/platform/service/node/httpServiceConnector.ts
@@ -20,7 +20,7 @@
 } from '../common/serviceConnection.js';
 
 /** Names the request in calls and, from services that know it, in answers. */
-export const REQUEST_HEADER = 'redwing-request-id';
+const REQUEST_HEADER = 'redwing-request-id';
 
 /** Connects to plain services; owns their connections. */
 export class HttpServiceConnector
@@ -46,7 +46,7 @@
 }
 
 /** One replica of a plain service over HTTP. */
-export class HttpServiceConnection
+class HttpServiceConnection
   extends ServiceConnection
   implements CachedConnection
 {
--- a/src/platform/settings/common/schemaFindings.ts
+++ b/src/platform/settings/common/schemaFindings.ts
@@ -11,7 +11,7 @@
 const UNKNOWN_FIELD = 'no such field';
 
 /** A JSON path such as `$.classes[0].name`. */
-export function formatJsonPath(path: readonly PropertyKey[]): string {
+function formatJsonPath(path: readonly PropertyKey[]): string {
   const steps = path.map(step =>
     typeof step === 'number' ? `[${step}]` : `.${String(step)}`,
   );
--- a/src/platform/table/common/transactionRules.ts
+++ b/src/platform/table/common/transactionRules.ts
@@ -1,7 +1,7 @@
 import {RowWrite} from './tableService.js';
 
 /** Rows that a transaction may hold. */
-export const TRANSACTION_ROW_LIMIT = 100;
+const TRANSACTION_ROW_LIMIT = 100;
 
 /** Throws when a transaction breaks the table's limits: a mistake of the program, not a fault. */
 export function checkTransaction(writes: readonly RowWrite[]): void {
--- a/test/standins/engineStandIn.ts
+++ b/test/standins/engineStandIn.ts
@@ -40,7 +40,7 @@
 } as const;
 
 /** One engine at its address, through its deaths and returns, with its faults. */
-export class HostedEngine implements Disposable {
+class HostedEngine implements Disposable {
   private readonly ledger: Ledger<EngineLedgerEntry>;
   private readonly server: StandInServer;
   private readonly faults = new FaultList<StepFault>();
--- a/test/standins/faultList.ts
+++ b/test/standins/faultList.ts
@@ -2,7 +2,7 @@
 export type CallSite = Readonly<Record<string, string>>;
 
 /** A fault in force. */
-export interface ActiveFault<F> {
+interface ActiveFault<F> {
   readonly fault: F;
   /** Strikes calls whose site has these values; all calls when empty. */
   readonly scope: CallSite;
--- a/test/standins/referenceModel.ts
+++ b/test/standins/referenceModel.ts
@@ -20,7 +20,7 @@
 }
 
 /** An activation between stages. */
-export interface Activation {
+interface Activation {
   /** Tokens of the reply still to come, the next one included. */
   readonly remaining: number;
   /** One hash for each position. */
--- a/test/support/inMemoryPlatform.ts
+++ b/test/support/inMemoryPlatform.ts
@@ -161,7 +161,7 @@
 }
 
 /** The table port of one instance. */
-export class InMemoryTable extends TableService {
+class InMemoryTable extends TableService {
   constructor(
     private readonly platform: InMemoryPlatform,
     private readonly instance: string,
@@ -206,7 +206,7 @@
 }
 
 /** The object store port of one instance. */
-export class InMemoryObjects extends ObjectStore {
+class InMemoryObjects extends ObjectStore {
   constructor(
     private readonly platform: InMemoryPlatform,
     private readonly instance: string,
@@ -259,7 +259,7 @@
 }
 
 /** The membership port of one instance. */
-export class InMemoryMembership extends MembershipList {
+class InMemoryMembership extends MembershipList {
   constructor(
     private readonly platform: InMemoryPlatform,
     private readonly instance: string,
@@ -282,7 +282,7 @@
 }
 
 /** The weight store port of one instance. */
-export class InMemoryWeights extends WeightStore {
+class InMemoryWeights extends WeightStore {
   constructor(
     private readonly platform: InMemoryPlatform,
     private readonly instance: string,
