--- a/src/features/callers/test/callerServer.test.ts
+++ b/src/features/callers/test/callerServer.test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {connect, Socket} from 'node:net';
 
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 
@@ -29,6 +29,54 @@
 
 afterEach(() => fixture.server.close());
 
+/** Brings in as many requests as may be in progress; they end when the answer is called. */
+async function holdTwo(): Promise<() => Promise<unknown>> {
+  fixture.driver.script = () => new Promise(() => undefined);
+  const caller = new AbortController();
+  const held = [1, 2].map(() =>
+    fixture.send(chatPath, query, chatBody(), caller.signal),
+  );
+  await expect.poll(() => fixture.driver.requests.length).toBe(2);
+  return () => {
+    caller.abort();
+    return Promise.allSettled(held);
+  };
+}
+
+/** Sends bytes on a connection of their own that the server may break; nothing is read yet. */
+function sendBytes(bytes: string): Socket {
+  const socket = connect(fixture.port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  socket.write(bytes);
+  return socket;
+}
+
+function closeOf(socket: Socket): Promise<unknown> {
+  return new Promise(resolve => socket.once('close', resolve));
+}
+
+/** What comes until the connection closes. */
+async function textOf(socket: Socket): Promise<string> {
+  const received: Buffer[] = [];
+  socket.on('data', chunk => received.push(chunk));
+  await closeOf(socket);
+  return Buffer.concat(received).toString();
+}
+
+/** The head of a chat request, up to and with the given lines, and its body. */
+function chatBytes(lines: string, body = ''): string {
+  return (
+    `POST ${chatPath} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${bearer}\r\n` +
+    `Redwing-Class: query\r\n${lines}\r\n\r\n${body}`
+  );
+}
+
+/** A whole chat request. */
+function chatRequestBytes(stream = false): string {
+  const body = JSON.stringify(chatBody(stream));
+  return chatBytes(`Content-Length: ${body.length}`, body);
+}
+
 /** The JSON of each `data:` line that is JSON. */
 function eventsOf(text: string): any[] {
   return text
@@ -145,13 +193,7 @@
       stopped = token.isCancelled;
       return success(replyOf(request, []));
     };
-    const body = JSON.stringify(chatBody(true));
-    const socket = connect(fixture.port, '127.0.0.1');
-    socket.on('error', () => undefined);
-    socket.write(
-      `POST ${chatPath} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${bearer}\r\n` +
-        `Redwing-Class: query\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
-    );
+    const socket = sendBytes(chatRequestBytes(true));
     socket.pause();
     await expect.poll(() => taken).toBeGreaterThan(0);
     await expect.poll(() => stopped, {timeout: 20_000}).toBe(true);
@@ -162,74 +204,50 @@
 
 type BadCase = readonly [
   name: string,
-  headers: Record<string, string>,
-  body: unknown,
   status: number,
   paths: readonly string[],
+  headers: Record<string, string>,
+  body: unknown,
+];
+
+const classHeader = 'Redwing-Class';
+const deadlineHeader = 'Redwing-Deadline-Milliseconds';
+const keyHeader = 'Idempotency-Key';
+const chat = chatBody();
+const nothing = {[classHeader]: 'nothing'};
+const member = {[classHeader]: 'constructor'};
+const negative = {...query, [deadlineHeader]: '-5'};
+const keyless = {[classHeader]: 'order'};
+const soon = {[deadlineHeader]: 'soon'};
+const wrongKey = {...query, Authorization: 'Bearer wrong-key'};
+const unknownAdapter = {...chat, model: 'assistant:none'};
+const manyFaults = {
+  model: 'none',
+  messages: [{role: 7, content: 'x'}],
+  max_tokens: 0,
+};
+const manyPaths = [
+  classHeader,
+  deadlineHeader,
+  '$.messages[0].role',
+  '$.max_tokens',
+  '$.model',
 ];
 
 const badCases: readonly BadCase[] = [
-  ['malformed JSON', query, '{"model":', 400, ['$']],
-  [
-    'a class that does not exist',
-    {'Redwing-Class': 'nothing'},
-    chatBody(),
-    400,
-    ['Redwing-Class'],
-  ],
-  [
-    'a class named like an object member',
-    {'Redwing-Class': 'constructor'},
-    chatBody(),
-    400,
-    ['Redwing-Class'],
-  ],
-  [
-    'a negative deadline',
-    {...query, 'Redwing-Deadline-Milliseconds': '-5'},
-    chatBody(),
-    400,
-    ['Redwing-Deadline-Milliseconds'],
-  ],
-  [
-    'no key on work that may not be repeated',
-    {'Redwing-Class': 'order'},
-    chatBody(),
-    400,
-    ['Idempotency-Key'],
-  ],
-  [
-    'several faults at once',
-    {'Redwing-Deadline-Milliseconds': 'soon'},
-    {model: 'none', messages: [{role: 7, content: 'x'}], max_tokens: 0},
-    400,
-    [
-      'Redwing-Class',
-      'Redwing-Deadline-Milliseconds',
-      '$.messages[0].role',
-      '$.max_tokens',
-      '$.model',
-    ],
-  ],
-  [
-    'an unknown adapter',
-    query,
-    {...chatBody(), model: 'assistant:none'},
-    400,
-    ['$.model'],
-  ],
-  ['a missing bearer key', {...query, Authorization: ''}, chatBody(), 401, []],
-  [
-    'a wrong bearer key',
-    {...query, Authorization: 'Bearer wrong-key'},
-    chatBody(),
-    401,
-    [],
-  ],
-  ['a body over the limit', query, 'x'.repeat(3000), 413, []],
+  ['malformed JSON', 400, ['$'], query, '{"model":'],
+  ['a class that does not exist', 400, [classHeader], nothing, chat],
+  ['a class named like an object member', 400, [classHeader], member, chat],
+  ['a negative deadline', 400, [deadlineHeader], negative, chat],
+  ['no key on work that may not be repeated', 400, [keyHeader], keyless, chat],
+  ['several faults at once', 400, manyPaths, soon, manyFaults],
+  ['an unknown adapter', 400, ['$.model'], query, unknownAdapter],
+  ['a missing bearer key', 401, [], {...query, Authorization: ''}, chat],
+  ['a wrong bearer key', 401, [], wrongKey, chat],
+  ['a body over the limit', 413, [], query, 'x'.repeat(3000)],
 ];
 
-test.each(badCases)('%s', async (_name, headers, body, status, paths) => {
+test.each(badCases)('%s', async (_name, status, paths, headers, body) => {
   const response = await fixture.send(chatPath, headers, body);
   expect(response.status).toBe(status);
   const text = await response.text();
@@ -255,13 +273,7 @@
     '400',
   ],
 ])('%s', async (_name, bytes, status) => {
-  const socket = connect(fixture.port, '127.0.0.1');
-  const received: Buffer[] = [];
-  socket.on('error', () => undefined);
-  socket.on('data', chunk => received.push(chunk));
-  socket.write(bytes);
-  await new Promise(resolve => socket.once('close', resolve));
-  const text = Buffer.concat(received).toString();
+  const text = await textOf(sendBytes(bytes));
   expect(text.startsWith(`HTTP/1.1 ${status}`)).toBe(true);
   expect((await fixture.send('/v1/health')).status).toBe(200);
 });
@@ -270,34 +282,20 @@
   'a header sent twice (%s)',
   async line => {
     const socket = connect(fixture.port, '127.0.0.1');
-    const received: Buffer[] = [];
-    socket.on('data', chunk => received.push(chunk));
-    socket.end(
-      `POST ${chatPath} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${bearer}\r\n` +
-        `Redwing-Class: query\r\n${line}\r\nContent-Length: 0\r\n\r\n`,
-    );
-    await new Promise(resolve => socket.once('close', resolve));
-    const text = Buffer.concat(received).toString();
+    socket.end(chatBytes(`${line}\r\nContent-Length: 0`));
+    const text = await textOf(socket);
     expect(text).toContain('400 Bad Request');
     expect(text).toContain(`"path":"${line.split(':', 1)[0]}"`);
   },
 );
 
 test('a body without end is not read past the limit', async () => {
-  const socket = connect(fixture.port, '127.0.0.1');
-  const received: Buffer[] = [];
-  socket.on('error', () => undefined);
-  socket.on('data', chunk => received.push(chunk));
-  socket.write(
-    `POST ${chatPath} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${bearer}\r\n` +
-      'Redwing-Class: query\r\nTransfer-Encoding: chunked\r\n\r\n',
-  );
+  const socket = sendBytes(chatBytes('Transfer-Encoding: chunked'));
   const chunk = `400\r\n${'x'.repeat(1024)}\r\n`;
   for (let index = 0; index < 4; index += 1) {
     socket.write(chunk);
   }
-  await new Promise(resolve => socket.once('close', resolve));
-  const text = Buffer.concat(received).toString();
+  const text = await textOf(socket);
   expect(text).toContain('413 Payload Too Large');
   expect(text).toContain('"kind":"tooLarge"');
 });
@@ -324,131 +322,113 @@
 
 type ClaimCase = readonly [
   name: string,
-  decision: ClaimDecision,
   status: number,
+  decision: ClaimDecision,
   expected: Record<string, unknown>,
 ];
 
+const duplicateOf = (outcome: RequestOutcome): ClaimDecision => ({
+  kind: 'duplicate',
+  outcome,
+});
+
+const heldAt = (
+  incarnation: string,
+  outcome?: RequestOutcome,
+): ClaimDecision => ({
+  kind: 'heldElsewhere',
+  incarnation,
+  outcome,
+});
+
+/** A body that says so of a failure. */
+function failed(kind: string, executed: string, more: object = {}) {
+  return {error: {kind, executed, ...more}};
+}
+
+const overShare = notExecuted({kind: 'overShare'}, 10);
+const first = {id: 'chatcmpl-first'};
+const expiredGrant = {
+  source: 'headers',
+  path: 'Idempotency-Key',
+  expected:
+    'a key with a grant that is in force (expired); ask for a new grant at GET /v1/entrypoints',
+};
+const wait = (retryAfterMilliseconds: number) => ({retryAfterMilliseconds});
+
 const claimCases: readonly ClaimCase[] = [
   [
     'a completed duplicate repeats its reply',
-    {kind: 'duplicate', outcome: completed},
     200,
-    {id: 'chatcmpl-first'},
+    duplicateOf(completed),
+    first,
   ],
   [
     'a running duplicate',
-    {kind: 'duplicate', outcome: {kind: 'running'}},
     409,
-    {
-      error: {
-        kind: 'duplicate',
-        executed: 'unknown',
-        retryAfterMilliseconds: 1000,
-      },
-    },
+    duplicateOf({kind: 'running'}),
+    failed('duplicate', 'unknown', wait(1000)),
   ],
   [
     'a failed duplicate repeats its failure',
-    {
-      kind: 'duplicate',
-      outcome: {kind: 'failed', failure: notExecuted({kind: 'overShare'}, 10)},
-    },
     429,
-    {error: {kind: 'overShare', executed: 'no'}},
+    duplicateOf({kind: 'failed', failure: overShare}),
+    failed('overShare', 'no'),
   ],
   [
     'a duplicate of which nothing is known',
-    {kind: 'duplicate', outcome: {kind: 'unknown'}},
     409,
-    {error: {kind: 'duplicate', executed: 'unknown'}},
+    duplicateOf({kind: 'unknown'}),
+    failed('duplicate', 'unknown'),
   ],
   [
     'held by a known instance',
-    {kind: 'heldElsewhere', incarnation: 'b-1', outcome: undefined},
     421,
-    {
-      error: {kind: 'heldElsewhere', executed: 'unknown', addresses: ['b:80']},
-    },
+    heldAt('b-1'),
+    failed('heldElsewhere', 'unknown', {addresses: ['b:80']}),
   ],
   [
     'held by an instance that is not known',
-    {kind: 'heldElsewhere', incarnation: 'z-1', outcome: undefined},
     503,
-    {
-      error: {kind: 'heldElsewhere', executed: 'unknown', addresses: []},
-    },
-  ],
-  [
-    'held elsewhere with its outcome',
-    {kind: 'heldElsewhere', incarnation: 'b-1', outcome: completed},
-    200,
-    {id: 'chatcmpl-first'},
+    heldAt('z-1'),
+    failed('heldElsewhere', 'unknown', {addresses: []}),
   ],
+  ['held elsewhere with its outcome', 200, heldAt('b-1', completed), first],
   [
     'an expired grant',
-    {kind: 'refusedNotRun', detail: 'expired'},
     400,
-    {
-      error: {
-        kind: 'invalidRequest',
-        executed: 'no',
-        findings: [
-          {
-            source: 'headers',
-            path: 'Idempotency-Key',
-            expected:
-              'a key with a grant that is in force (expired); ask for a new grant at GET /v1/entrypoints',
-          },
-        ],
-      },
-    },
+    {kind: 'refusedNotRun', detail: 'expired'},
+    failed('invalidRequest', 'no', {findings: [expiredGrant]}),
   ],
   [
     'no room to remember the key',
-    {kind: 'noRoom', detail: 'full', retryAfterMilliseconds: 4000},
     503,
-    {
-      error: {
-        kind: 'cannotMeetTarget',
-        executed: 'no',
-        retryAfterMilliseconds: 4000,
-      },
-    },
+    {kind: 'noRoom', detail: 'full', ...wait(4000)},
+    failed('cannotMeetTarget', 'no', wait(4000)),
   ],
   [
     'a key that stands for another request',
-    {kind: 'keyReused', sameWork: false},
     422,
-    {error: {kind: 'keyReused', executed: 'no'}},
+    {kind: 'keyReused', sameWork: false},
+    failed('keyReused', 'no'),
   ],
   [
     'a key that stands for the same work of another class',
-    {kind: 'keyReused', sameWork: true},
     422,
-    {error: {kind: 'keyReused', executed: 'unknown'}},
+    {kind: 'keyReused', sameWork: true},
+    failed('keyReused', 'unknown'),
   ],
   [
     'undecided',
-    {
-      kind: 'undecided',
-      detail: 'table unavailable',
-      retryAfterMilliseconds: 700,
-    },
     503,
-    {
-      error: {
-        kind: 'claimUndecided',
-        executed: 'unknown',
-        retryAfterMilliseconds: 700,
-      },
-    },
+    {kind: 'undecided', detail: 'table unavailable', ...wait(700)},
+    failed('claimUndecided', 'unknown', wait(700)),
   ],
 ];
 
 test.each(claimCases)(
   'claim: %s',
-  async (_name, decision, status, expected) => {
+  async (_name, status, decision, expected) => {
     fixture.claims.decision = decision;
     const response = await fixture.send(chatPath, order, chatBody());
     expect(response.status).toBe(status);
@@ -618,12 +598,7 @@
     'new work refused as a whole says no more of a key than is known: $executed',
     async ({headers, surelyNotRun, executed}) => {
       fixture.claims.surelyNotRun = surelyNotRun;
-      fixture.driver.script = () => new Promise(() => undefined);
-      const caller = new AbortController();
-      const held = [1, 2].map(() =>
-        fixture.send(chatPath, query, chatBody(), caller.signal),
-      );
-      await expect.poll(() => fixture.driver.requests.length).toBe(2);
+      const leave = await holdTwo();
       const answers = [await fixture.send(chatPath, headers, chatBody())];
       const serving = fixture.views.current!;
       fixture.views.current = {
@@ -639,22 +614,15 @@
           error: {kind, executed},
         })),
       );
-      caller.abort();
-      await Promise.allSettled(held);
+      await leave();
     },
   );
 
   test('more requests than may be in progress are refused', async () => {
-    fixture.driver.script = () => new Promise(() => undefined);
-    const leaving = new AbortController();
-    const held = [1, 2].map(() =>
-      fixture.send(chatPath, query, chatBody(), leaving.signal),
-    );
-    await expect.poll(() => fixture.driver.requests.length).toBe(2);
+    const leave = await holdTwo();
     const response = await fixture.send(chatPath, query, chatBody());
     expect(response.status).toBe(503);
-    leaving.abort();
-    await Promise.allSettled(held);
+    await leave();
   });
 });
 
@@ -722,14 +690,8 @@
       new Promise(resolve =>
         token.onDidCancel(() => resolve(success(replyOf(request, [])))),
       );
-    const body = JSON.stringify(chatBody());
-    const socket = connect(fixture.port, '127.0.0.1');
-    socket.on('error', () => undefined);
-    const closed = new Promise(resolve => socket.once('close', resolve));
-    const text =
-      `POST ${chatPath} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${bearer}\r\n` +
-      `Redwing-Class: query\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
-    socket.write(text.repeat(requests));
+    const socket = sendBytes(chatRequestBytes().repeat(requests));
+    const closed = closeOf(socket);
     if (closes) {
       await expect.poll(() => fixture.driver.requests.length).toBe(2);
       socket.destroy();
--- a/src/features/services/test/serviceDispatcher.test.ts
+++ b/src/features/services/test/serviceDispatcher.test.ts
@@ -66,85 +66,45 @@
 const order = callOf();
 const misread = callOf({method: 'GET', path: '/reserve/7', repeatable: true});
 
+const due = callOf({deadlineAt: 0});
+const keyless = callOf({idempotencyKey: undefined});
+const again = repeatableCall;
+const lostTwice = ['lostAfter', 'lostAfter'] as const;
+
+const late = 'deadlineExceeded unknown';
+const failedUnknown = 'upstreamFailed unknown';
+const failedNo = 'upstreamFailed no';
+
 const cases: readonly Case[] = [
   ['served', order, ['ok'], 2, 'answered', 1],
   ['unreachable, then served', order, ['unreachable', 'ok'], 2, 'answered', 2],
   ['refused, then served', order, ['refused', 'ok'], 2, 'answered', 2],
-  [
-    'all unreachable',
-    order,
-    ['unreachable', 'unreachable'],
-    2,
-    'upstreamFailed no',
-    2,
-  ],
+  ['all unreachable', order, ['unreachable', 'unreachable'], 2, failedNo, 2],
   ['no replica', order, [], 0, 'noUpstream no', 0],
-  ['lost before it ran', order, ['lostBefore'], 2, 'upstreamFailed unknown', 1],
-  ['lost after it ran', order, ['lostAfter'], 2, 'upstreamFailed unknown', 1],
-  [
-    'answer to another request',
-    order,
-    ['mismatch'],
-    2,
-    'upstreamFailed unknown',
-    1,
-  ],
-  [
-    'refused, then lost',
-    order,
-    ['refused', 'lostAfter'],
-    3,
-    'upstreamFailed unknown',
-    2,
-  ],
-  [
-    'silent until the deadline',
-    order,
-    ['silent'],
-    2,
-    'deadlineExceeded unknown',
-    1,
-  ],
-  [
-    'due before it was sent',
-    callOf({deadlineAt: 0}),
-    [],
-    2,
-    'deadlineExceeded no',
-    0,
-  ],
-  [
-    'without a key',
-    callOf({idempotencyKey: undefined}),
-    [],
-    2,
-    'invalidRequest no',
-    0,
-  ],
+  ['lost before it ran', order, ['lostBefore'], 2, failedUnknown, 1],
+  ['lost after it ran', order, ['lostAfter'], 2, failedUnknown, 1],
+  ['answer to another request', order, ['mismatch'], 2, failedUnknown, 1],
+  ['refused, then lost', order, ['refused', 'lostAfter'], 3, failedUnknown, 2],
+  ['silent until the deadline', order, ['silent'], 2, late, 1],
+  ['due before it was sent', due, [], 2, 'deadlineExceeded no', 0],
+  ['without a key', keyless, [], 2, 'invalidRequest no', 0],
   [
     'longest prefix says not repeatable',
     misread,
     ['lostBefore'],
     2,
-    'upstreamFailed unknown',
+    failedUnknown,
     1,
   ],
   [
     'repeatable, lost, then served',
-    repeatableCall,
+    again,
     ['lostAfter', 'ok'],
     2,
     'answered',
     2,
   ],
-  [
-    'repeatable, lost everywhere',
-    repeatableCall,
-    ['lostAfter', 'lostAfter'],
-    2,
-    'upstreamFailed unknown',
-    2,
-  ],
+  ['repeatable, lost everywhere', again, lostTwice, 2, failedUnknown, 2],
 ];
 
 test.each(cases)(
