Tests of the operators' command line: cases as rows of a table

Cause: 20 cases of up to 20 lines each, with repeated scripts of answers. Change: words are one text; answers to a change are built by changing() and listing(). That a change is sent once exactly where the script answers one held for every case, and is now derived from it.

--- a/src/programs/redwing/test/redwing.test.ts
+++ b/src/programs/redwing/test/redwing.test.ts
@@ -60,207 +60,167 @@
   };
 }
 
-interface Case {
-  readonly name: string;
-  readonly words: readonly string[];
-  readonly script: Script;
-  readonly exitCode: number;
-  readonly stdout?: string;
-  readonly stderr?: string;
-  /** Times that a change may have been sent; 0 when not given. */
-  readonly submissions?: number;
+type Case = readonly [
+  name: string,
+  words: string,
+  script: Script,
+  exitCode: number,
+  output: {readonly stdout?: string; readonly stderr?: string},
+];
+
+type Answers = Script[string];
+
+/** Answers one change, and what is then asked for the revisions after 7. */
+function changing(answer: Answers[number], ...after: Answers): Script {
+  const changes = {...readable, [REVISIONS]: [answer]};
+  return after.length === 0 ? changes : {...changes, [AFTER_7]: after};
 }
 
-const setDeadline = [
-  'class',
-  'set',
-  'dispatch',
-  '--deadline-milliseconds',
-  '4000',
-];
+function listing(...revisions: readonly unknown[]): Answers[number] {
+  return {status: 200, body: {revisions}};
+}
+
+const setDeadline = 'class set dispatch --deadline-milliseconds 4000';
+const badClass = 'class set quotes --deadline-milliseconds=-4';
+const {done, conflict, invalid, usage} = exitCodes;
+const accepting = changing({status: 201, body: accepted});
+const lost = {accepted: 'no', kind: 'conflict', winningRevision: 8};
+const losing = changing({status: 409, body: {...lost, operator: 'luz'}});
+const tableDown = {accepted: 'no', kind: 'unavailable', detail: 'table down'};
+const outage = changing({status: 503, body: tableDown});
+const undecided = {status: 202, body: {accepted: 'unknown', nonce: 'n'}};
+const busy = {status: 503, body: {}};
+const own = listing(revision(changed));
+const anothers = listing(revision([], 'luz'));
+const refusedKey: Script = {
+  'GET /v1/status': [{status: 401, body: {kind: 'unauthenticated'}}],
+};
+const statusBody = {
+  standing: {kind: 'serving'},
+  instances: [{member: {id: 'a', region: 'north'}, ready: true}],
+};
+const serving: Script = {'GET /v1/status': [{status: 200, body: statusBody}]};
+const servingText =
+  'field     value\nstanding  kind=serving\n\ninstances\nid  region  ready\na   north   true\n';
+const informed = 'accepted as revision 8 (3 of 3 instances have it)';
+const notKnown = 'not known whether the change was accepted';
 
 const cases: readonly Case[] = [
-  {
-    name: 'lists classes as a table',
-    words: ['class', 'list'],
-    script: readable,
-    exitCode: exitCodes.done,
-    stdout: 'dispatch  500 ',
-  },
-  {
-    name: 'lists classes as JSON',
-    words: ['class', 'list', '--json'],
-    script: readable,
-    exitCode: exitCodes.done,
-    stdout: '"firstTokenMilliseconds": 500',
-  },
-  {
-    name: 'changes one target and keeps the others',
-    words: setDeadline,
-    script: {...readable, [REVISIONS]: [{status: 201, body: accepted}]},
-    exitCode: exitCodes.done,
-    stdout: 'accepted as revision 8 (3 of 3 instances have it)',
-    submissions: 1,
-  },
-  {
-    name: 'names every missing target of a new class',
-    words: ['class', 'set', 'quotes', '--deadline-milliseconds=-4'],
-    script: readable,
-    exitCode: exitCodes.invalid,
-    stderr: '--requests-per-second',
-  },
-  ...['--weight=3', '--weights', '--address', '--upstream'].map(option => ({
-    name: `refuses ${option}`,
-    words: ['class', 'set', 'dispatch', option],
-    script: {},
-    exitCode: exitCodes.usage,
-    stderr: TARGETS_ONLY,
-  })),
-  {
-    name: 'refuses an unknown option',
-    words: ['class', 'set', 'dispatch', '--deadlne', '3'],
-    script: {},
-    exitCode: exitCodes.usage,
-    stderr: '--deadlne',
-  },
-  {
-    name: 'reports a conflict with the winner',
-    words: setDeadline,
-    script: {
-      ...readable,
-      [REVISIONS]: [
-        {
-          status: 409,
-          body: {
-            accepted: 'no',
-            kind: 'conflict',
-            winningRevision: 8,
-            operator: 'luz',
-          },
-        },
-      ],
-    },
-    exitCode: exitCodes.conflict,
-    stderr: 'revision 8 by luz came first',
-    submissions: 1,
-  },
-  {
-    name: 'reports a refused key',
-    words: ['status'],
-    script: {
-      'GET /v1/status': [{status: 401, body: {kind: 'unauthenticated'}}],
-    },
-    exitCode: exitCodes.unauthenticated,
-    stderr: 'refused',
-  },
-  {
-    name: 'reports an outage as not accepted',
-    words: setDeadline,
-    script: {
-      ...readable,
-      [REVISIONS]: [
-        {
-          status: 503,
-          body: {accepted: 'no', kind: 'unavailable', detail: 'table down'},
-        },
-      ],
-    },
-    exitCode: exitCodes.unavailable,
-    stderr: 'nothing was changed: table down',
-    submissions: 1,
-  },
-  {
-    name: 'reads back a lost answer: accepted',
-    words: setDeadline,
-    script: {
-      ...readable,
-      [REVISIONS]: ['cut'],
-      [AFTER_7]: [{status: 200, body: {revisions: [revision(changed)]}}],
-    },
-    exitCode: exitCodes.done,
-    stdout: 'accepted as revision 8',
-    submissions: 1,
-  },
-  {
-    name: 'reads back a lost answer: another change won',
-    words: setDeadline,
-    script: {
-      ...readable,
-      [REVISIONS]: ['cut'],
-      [AFTER_7]: [{status: 200, body: {revisions: [revision([], 'luz')]}}],
-    },
-    exitCode: exitCodes.conflict,
-    stderr: 'by luz',
-    submissions: 1,
-  },
-  {
-    name: 'reads back a lost answer: still unknown',
-    words: setDeadline,
-    script: {
-      ...readable,
-      [REVISIONS]: ['cut'],
-      [AFTER_7]: [{status: 200, body: {revisions: []}}],
-    },
-    exitCode: exitCodes.outcomeUnknown,
-    stderr: 'not known whether the change was accepted',
-    submissions: 1,
-  },
-  {
-    name: 'reads back when the control program does not know',
-    words: setDeadline,
-    script: {
-      ...readable,
-      [REVISIONS]: [{status: 202, body: {accepted: 'unknown', nonce: 'n'}}],
-      [AFTER_7]: [
-        {status: 503, body: {}},
-        {status: 200, body: {revisions: [revision(changed)]}},
-      ],
-    },
-    exitCode: exitCodes.done,
-    stdout: 'accepted as revision 8',
-    submissions: 1,
-  },
-  {
-    name: 'removes nothing that is not there',
-    words: ['class', 'remove', 'quotes'],
-    script: readable,
-    exitCode: exitCodes.notFound,
-    stderr: 'there is no quotes',
-  },
-  {
-    name: 'shows history',
-    words: ['config', 'history', '--after', '7'],
-    script: {
-      [AFTER_7]: [{status: 200, body: {revisions: [revision(changed)]}}],
-    },
-    exitCode: exitCodes.done,
-    stdout: 'setClass dispatch',
-  },
-  {
-    name: 'shows the status with one column for each field of a member',
-    words: ['status'],
-    script: {
-      'GET /v1/status': [
-        {
-          status: 200,
-          body: {
-            standing: {kind: 'serving'},
-            instances: [{member: {id: 'a', region: 'north'}, ready: true}],
-          },
-        },
-      ],
-    },
-    exitCode: exitCodes.done,
-    stdout:
-      'field     value\nstanding  kind=serving\n\ninstances\nid  region  ready\na   north   true\n',
-  },
-  {
-    name: 'checks its settings',
-    words: ['check-settings'],
-    script: {},
-    exitCode: exitCodes.done,
-    stdout: 'in order',
-  },
+  [
+    'lists classes as a table',
+    'class list',
+    readable,
+    done,
+    {stdout: 'dispatch  500 '},
+  ],
+  [
+    'lists classes as JSON',
+    'class list --json',
+    readable,
+    done,
+    {stdout: '"firstTokenMilliseconds": 500'},
+  ],
+  [
+    'changes one target and keeps the others',
+    setDeadline,
+    accepting,
+    done,
+    {stdout: informed},
+  ],
+  [
+    'names every missing target of a new class',
+    badClass,
+    readable,
+    invalid,
+    {stderr: '--requests-per-second'},
+  ],
+  ...['--weight=3', '--weights', '--address', '--upstream'].map(
+    (option): Case => [
+      `refuses ${option}`,
+      `class set dispatch ${option}`,
+      {},
+      usage,
+      {stderr: TARGETS_ONLY},
+    ],
+  ),
+  [
+    'refuses an unknown option',
+    'class set dispatch --deadlne 3',
+    {},
+    usage,
+    {stderr: '--deadlne'},
+  ],
+  [
+    'reports a conflict with the winner',
+    setDeadline,
+    losing,
+    conflict,
+    {stderr: 'revision 8 by luz came first'},
+  ],
+  [
+    'reports a refused key',
+    'status',
+    refusedKey,
+    exitCodes.unauthenticated,
+    {stderr: 'refused'},
+  ],
+  [
+    'reports an outage as not accepted',
+    setDeadline,
+    outage,
+    exitCodes.unavailable,
+    {stderr: 'nothing was changed: table down'},
+  ],
+  [
+    'reads back a lost answer: accepted',
+    setDeadline,
+    changing('cut', own),
+    done,
+    {stdout: 'accepted as revision 8'},
+  ],
+  [
+    'reads back a lost answer: another change won',
+    setDeadline,
+    changing('cut', anothers),
+    conflict,
+    {stderr: 'by luz'},
+  ],
+  [
+    'reads back a lost answer: still unknown',
+    setDeadline,
+    changing('cut', listing()),
+    exitCodes.outcomeUnknown,
+    {stderr: notKnown},
+  ],
+  [
+    'reads back when the control program does not know',
+    setDeadline,
+    changing(undecided, busy, own),
+    done,
+    {stdout: 'accepted as revision 8'},
+  ],
+  [
+    'removes nothing that is not there',
+    'class remove quotes',
+    readable,
+    exitCodes.notFound,
+    {stderr: 'there is no quotes'},
+  ],
+  [
+    'shows history',
+    'config history --after 7',
+    {[AFTER_7]: [own]},
+    done,
+    {stdout: 'setClass dispatch'},
+  ],
+  [
+    'shows the status with one column for each field of a member',
+    'status',
+    serving,
+    done,
+    {stdout: servingText},
+  ],
+  ['checks its settings', 'check-settings', {}, done, {stdout: 'in order'}],
 ];
 
 interface Run {
@@ -305,16 +265,17 @@
     };
   }
 
-  it.each(cases)('$name', async one => {
-    const api = new ScriptedApi(one.script);
+  it.each(cases)('%s', async (_name, words, script, exitCode, output) => {
+    const api = new ScriptedApi(script);
     const address = await api.listen();
-    const result = await run(one.words, [address]);
+    const result = await run(words.split(' '), [address]);
     api.close();
-    expect(result.stderr).toContain(one.stderr ?? '');
-    expect(result.stdout).toContain(one.stdout ?? '');
-    expect(result.exitCode).toBe(one.exitCode);
+    expect(result.stderr).toContain(output.stderr ?? '');
+    expect(result.stdout).toContain(output.stdout ?? '');
+    expect(result.exitCode).toBe(exitCode);
     const sent = api.received.filter(call => call.call === REVISIONS);
-    expect(sent.length).toBe(one.submissions ?? 0);
+    // Where the script answers a change, it is sent once.
+    expect(sent.length).toBe(REVISIONS in script ? 1 : 0);
     for (const {body} of sent) {
       expect(body).toEqual({operations: changed, expectedRevision: 7});
     }
