--- a/src/features/pipeline/test/pipelineFaults.test.ts
+++ b/src/features/pipeline/test/pipelineFaults.test.ts
@@ -3,7 +3,7 @@
 import {Executed} from '../../requests/common/failure.js';
 import {ExportMode, Fault, FaultKind, faultKinds} from './faultyEngine.js';
 import {makeRequest, PipelineBench, upstreamName} from './pipelineBench.js';
-import {violationsOf} from './verdict.js';
+import {finishCleanly, violationsOf} from './verdict.js';
 
 const stages = [0, 1, 2];
 const PREFILL = 0;
@@ -43,8 +43,7 @@
         unfenced: unfenced ? 'all' : [],
       });
       const run = bench.start();
-      await bench.finish();
-      expect(violationsOf(bench)).toEqual([]);
+      await finishCleanly(bench);
       expect(run.result?.ok).toBe(true);
       expect(run.endedAt).toBeLessThan(5000);
     },
@@ -67,8 +66,7 @@
         settings: {exports: eagerExports},
       });
       const run = bench.start();
-      await bench.finish();
-      expect(violationsOf(bench)).toEqual([]);
+      await finishCleanly(bench);
       expect(run.result?.ok).toBe(true);
       const first = bench.ledger.find(
         entry => entry.upstream === upstreamName(1, 1),
@@ -126,8 +124,7 @@
       settings: {recoveryLimit: 40},
     });
     const run = bench.start();
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     const {result} = run;
     expect(result?.ok ? 'whole' : result?.error.executed).toBe(executed);
     if (result?.ok === false) {
@@ -161,8 +158,7 @@
         await bench.finish();
       }
       const run = bench.start();
-      await bench.finish();
-      expect(violationsOf(bench)).toEqual([]);
+      await finishCleanly(bench);
       expect(run.result).toMatchObject({ok: false, error: {executed}});
     },
   );
@@ -180,8 +176,7 @@
     const {classOfWork} = makeRequest('q0', 0);
     const {repeatable} = row;
     const run = bench.start({classOfWork: {...classOfWork, repeatable}});
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     const {result} = run;
     expect(result?.ok ? 'whole' : result?.error.executed).toBe(row.outcome);
   });
@@ -198,8 +193,7 @@
       ],
     });
     const runs = [bench.start(), bench.start(), bench.start()];
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(runs.map(run => run.result?.ok)).toEqual([true, true, true]);
     expect(bench.metrics.counts.get('pipeline.droppedAnswers')).toBe(2);
   });
@@ -216,8 +210,7 @@
         held.push(...left.flatMap(engine => engine.resident));
       }
     });
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(run.result?.ok).toBe(true);
     expect(held).toEqual([]);
   });
@@ -240,8 +233,7 @@
   test('a late answer is counted and dropped', async () => {
     const bench = new PipelineBench({faults: [faultAt(1, 'late', DECODE)]});
     bench.start();
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(bench.metrics.counts.get('pipeline.droppedAnswers')).toBe(1);
   });
 
@@ -251,8 +243,7 @@
     );
     const bench = new PipelineBench({replicas: 1, faults});
     const run = bench.start();
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(run.result).toMatchObject({
       ok: false,
       error: {error: {kind: 'upstreamFailed'}, executed: 'unknown'},
--- a/src/features/pipeline/test/pipelineLifecycle.test.ts
+++ b/src/features/pipeline/test/pipelineLifecycle.test.ts
@@ -2,7 +2,7 @@
 
 import {STEP_MILLISECONDS} from './faultyEngine.js';
 import {PipelineBench, upstreamName} from './pipelineBench.js';
-import {violationsOf} from './verdict.js';
+import {finishCleanly} from './verdict.js';
 
 describe('whole replies', () => {
   const cases = [
@@ -17,8 +17,7 @@
   test.each(cases)('$name', async ({maximumOutputTokens, finishReason}) => {
     const bench = new PipelineBench();
     const run = bench.start({maximumOutputTokens});
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(run.result).toMatchObject({ok: true, value: {finishReason}});
     expect(bench.broker.observations).toHaveLength(3);
     expect(bench.logger.decisions).toHaveLength(1);
@@ -38,8 +37,7 @@
     expect(run.delivered).toHaveLength(3);
     expect(bench.ledger).toHaveLength(9);
     release();
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(run.result?.ok).toBe(true);
   });
 
@@ -86,8 +84,7 @@
         source.cancel('caller gone');
       }
     });
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(run.result).toMatchObject({
       ok: false,
       error: {error: {kind: 'callerGone'}, executed: 'yes'},
@@ -95,55 +92,52 @@
     expect(run.delivered).toHaveLength(4);
   });
 
-  test('caller gone while capacity is asked for', async () => {
-    const bench = new PipelineBench({brokerMilliseconds: 300});
-    const run = bench.start();
-    await bench.clock.advanceAsync(100);
-    run.source.cancel('caller gone');
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
-    expect(run.result).toMatchObject({ok: false, error: {executed: 'no'}});
-  });
+  const frozen = {
+    atStep: 0,
+    kind: 'freezeBefore',
+    milliseconds: 9000,
+  } as const;
+  const frozenSecond = {...frozen, upstream: upstreamName(1, 0)};
 
-  test('caller gone while waiting for the start', async () => {
-    const bench = new PipelineBench({startsInMilliseconds: 4000});
-    const run = bench.start();
-    await bench.clock.advanceAsync(100);
-    run.source.cancel('caller gone');
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
-    expect(run.result).toMatchObject({ok: false, error: {executed: 'no'}});
-    expect(run.endedAt).toBe(100);
-  });
-
-  test('caller gone while a frozen stage holds the step', async () => {
-    const fault = {
-      upstream: upstreamName(1, 0),
-      atStep: 0,
-      kind: 'freezeBefore',
-      milliseconds: 9000,
-    } as const;
-    const bench = new PipelineBench({faults: [fault]});
+  test.each([
+    {
+      name: 'capacity is asked for',
+      options: {brokerMilliseconds: 300},
+      leavesAt: 100,
+      executed: 'no',
+      ended: {least: 0, most: Number.POSITIVE_INFINITY},
+    },
+    {
+      name: 'waiting for the start',
+      options: {startsInMilliseconds: 4000},
+      leavesAt: 100,
+      executed: 'no',
+      ended: {least: 100, most: 100},
+    },
+    {
+      name: 'a frozen stage holds the step',
+      options: {faults: [frozenSecond]},
+      leavesAt: 50,
+      executed: 'unknown',
+      ended: {least: 0, most: 150},
+    },
+  ])('caller gone while $name', async row => {
+    const bench = new PipelineBench(row.options);
     const run = bench.start();
-    await bench.clock.advanceAsync(50);
+    await bench.clock.advanceAsync(row.leavesAt);
     run.source.cancel('caller gone');
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
-    expect(run.result).toMatchObject({ok: false, error: {executed: 'unknown'}});
-    expect(run.endedAt).toBeLessThanOrEqual(150);
+    await finishCleanly(bench);
+    const {executed} = row;
+    expect(run.result).toMatchObject({ok: false, error: {executed}});
+    expect(run.endedAt).toBeGreaterThanOrEqual(row.ended.least);
+    expect(run.endedAt).toBeLessThanOrEqual(row.ended.most);
   });
 
   test('the deadline passes in the middle', async () => {
-    const fault = {
-      upstream: upstreamName(2, 0),
-      atStep: 3,
-      kind: 'freezeBefore',
-      milliseconds: 9000,
-    } as const;
+    const fault = {...frozen, upstream: upstreamName(2, 0), atStep: 3};
     const bench = new PipelineBench({faults: [fault], unfenced: 'all'});
     const run = bench.start({deadlineAt: 300});
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(run.result).toMatchObject({
       ok: false,
       error: {
--- a/src/features/pipeline/test/pipelineProperties.test.ts
+++ b/src/features/pipeline/test/pipelineProperties.test.ts
@@ -5,7 +5,7 @@
 import {StrictSafeguards} from '../common/safeguards.js';
 import {Fault, faultKinds} from './faultyEngine.js';
 import {BenchOptions, PipelineBench, upstreamName} from './pipelineBench.js';
-import {violationsOf} from './verdict.js';
+import {finishCleanly, violationsOf} from './verdict.js';
 
 const upstreams = [0, 1, 2].flatMap(stage =>
   [0, 1].map(replica => upstreamName(stage, replica)),
@@ -47,8 +47,7 @@
             }
           });
           bench.start({maximumOutputTokens: 9});
-          await bench.finish();
-          expect(violationsOf(bench)).toEqual([]);
+          await finishCleanly(bench);
         },
       ),
       {numRuns: 300, seed: 20261202},
--- a/src/features/pipeline/test/verdict.ts
+++ b/src/features/pipeline/test/verdict.ts
@@ -1,3 +1,5 @@
+import {expect} from 'vitest';
+
 import {expectedReply} from '../../../../test/standins/referenceModel.js';
 import {LedgerEntry} from './faultyEngine.js';
 import {BenchRun, layerCount, PipelineBench} from './pipelineBench.js';
@@ -128,3 +130,9 @@
     (executed === 'yes' && (later.length > 0 || run.delivered.length === 0));
   return isFalse ? [`executed: ${executed} is not true`] : [];
 }
+
+/** Lets all runs of a bench end and expects that none broke a rule. */
+export async function finishCleanly(bench: PipelineBench): Promise<void> {
+  await bench.finish();
+  expect(violationsOf(bench)).toEqual([]);
+}
