--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -57,6 +57,21 @@
   return decision;
 }
 
+function duplicateOf(outcome: RequestOutcome) {
+  return {kind: 'duplicate', outcome};
+}
+
+function heldWith(outcome: RequestOutcome) {
+  return {kind: 'heldElsewhere', outcome};
+}
+
+/** A table without instances around it. */
+function newTable() {
+  const clock = new FakeClock();
+  const platform = new InMemoryPlatform(clock);
+  return {clock, platform, table: platform.portsOf().table};
+}
+
 describe('grants', () => {
   const signer = new GrantSigner('new', ['old']);
   const grantOf = (by: GrantSigner) => by.sign('inc', 5000, 'desk');
@@ -95,14 +110,8 @@
     const key = `${world.slots[0]!.service.issueGrant(ACCOUNT)}.a`;
     expect(await claim(world, 0, key)).toEqual({kind: 'granted'});
     world.slots[0]!.service.complete(ACCOUNT, key, completed);
-    expect(await claim(world, 0, key)).toEqual({
-      kind: 'duplicate',
-      outcome: completed,
-    });
-    expect(await claim(world, 1, key)).toMatchObject({
-      kind: 'heldElsewhere',
-      outcome: completed,
-    });
+    expect(await claim(world, 0, key)).toEqual(duplicateOf(completed));
+    expect(await claim(world, 1, key)).toMatchObject(heldWith(completed));
   });
 
   test('of a dead incarnation: the recorded outcome, else unknown', async () => {
@@ -116,14 +125,10 @@
     service.complete(ACCOUNT, ran!, completed);
     await world.advance(200);
     world.restart(world.slots[0]!);
-    expect(await claim(world, 1, ran!)).toMatchObject({
-      kind: 'heldElsewhere',
-      outcome: completed,
-    });
-    expect(await claim(world, 1, lost!)).toMatchObject({
-      kind: 'heldElsewhere',
-      outcome: {kind: 'unknown'},
-    });
+    expect(await claim(world, 1, ran!)).toMatchObject(heldWith(completed));
+    expect(await claim(world, 1, lost!)).toMatchObject(
+      heldWith({kind: 'unknown'}),
+    );
   });
 
   test('beyond the limit are refused, and none is forgotten', async () => {
@@ -158,10 +163,7 @@
     await claim(world, 0, key);
     await world.advance(6000);
     world.slots[0]!.clock.shiftWall(-6000);
-    expect(await claim(world, 0, key)).toEqual({
-      kind: 'duplicate',
-      outcome: {kind: 'unknown'},
-    });
+    expect(await claim(world, 0, key)).toEqual(duplicateOf({kind: 'unknown'}));
   });
 });
 
@@ -194,10 +196,9 @@
   test('can be claimed again after an outcome that says not run, and only then', async () => {
     const world = newWorld(2);
     await claim(world, 0, 'order');
-    expect(await claim(world, 1, 'order')).toEqual({
-      kind: 'duplicate',
-      outcome: {kind: 'running'},
-    });
+    expect(await claim(world, 1, 'order')).toEqual(
+      duplicateOf({kind: 'running'}),
+    );
     world.slots[0]!.service.complete(ACCOUNT, 'order', notRun);
     await world.advance(200);
     expect(await claim(world, 1, 'order')).toEqual({kind: 'granted'});
@@ -209,10 +210,9 @@
     await claim(world, 0, 'order');
     world.platform.addFault({kind: 'down'}, {part: 'table', instance: 'slot0'});
     world.slots[0]!.service.complete(ACCOUNT, 'order', notRun);
-    expect(await claim(world, 1, 'order')).toEqual({
-      kind: 'duplicate',
-      outcome: {kind: 'running'},
-    });
+    expect(await claim(world, 1, 'order')).toEqual(
+      duplicateOf({kind: 'running'}),
+    );
     world.platform.clearFaults();
     await world.advance(500);
     expect(await claim(world, 1, 'order')).toEqual({kind: 'granted'});
@@ -295,9 +295,7 @@
 });
 
 test('outcomes outlast an outage; beyond the buffer the oldest are dropped and counted', async () => {
-  const clock = new FakeClock();
-  const platform = new InMemoryPlatform(clock);
-  const {table} = platform.portsOf();
+  const {clock, platform, table} = newTable();
   platform.addFault({kind: 'down'});
   const writer = new (class extends RowWriter {
     override async write(write: Parameters<RowWriter['write']>[0]) {
@@ -343,9 +341,7 @@
 });
 
 test('ageing deletes what has expired, a page of one slice a step', async () => {
-  const clock = new FakeClock();
-  const platform = new InMemoryPlatform(clock);
-  const {table} = platform.portsOf();
+  const {clock, platform, table} = newTable();
   const now = clock.wallMilliseconds();
   for (let index = 0; index < 512; index++) {
     const keyHash = (index % 256).toString(16).padStart(2, '0') + index;
