Service decisions: the dispatcher's line has all fields of the broker's

Cause: each call is logged by the broker, once a choice, and by the dispatcher, once a call; the dispatcher's line lacked the chosen address and the time to come back. The test asserts the address as well. Ruled out: removing the broker's line here, since it stands in routing/node.

--- a/src/features/services/common/defaultServiceDispatcher.ts
+++ b/src/features/services/common/defaultServiceDispatcher.ts
@@ -189,6 +189,9 @@
       status: result.ok ? result.value.status : undefined,
       error: result.ok ? undefined : result.error.error.kind,
       executed: result.ok ? 'yes' : result.error.executed,
+      retryAfterMilliseconds: result.ok
+        ? undefined
+        : result.error.retryAfterMilliseconds,
     });
     metrics.count('services.calls', 1, {
       service,
--- a/src/features/services/common/serviceAttempt.ts
+++ b/src/features/services/common/serviceAttempt.ts
@@ -26,6 +26,7 @@
 /** One attempt, for the log line. */
 export interface AttemptNote {
   readonly upstream: string;
+  readonly address: string;
   readonly candidates: number;
   readonly reason: AttemptReason;
   outcome: 'sent' | 'completed' | ServiceError['kind'];
@@ -51,9 +52,10 @@
     private readonly choice: ChosenReplica,
     reason: AttemptReason,
   ) {
-    const {upstream, candidates} = choice;
+    const {upstream, address, candidates} = choice;
     this.note = {
       upstream,
+      address,
       candidates,
       reason,
       outcome: 'sent',
--- a/src/features/services/test/serviceDispatcher.test.ts
+++ b/src/features/services/test/serviceDispatcher.test.ts
@@ -192,6 +192,10 @@
 
 test('one decision line for each call', async () => {
   const world = new ServiceWorld(['unreachable', 'ok'], 2);
+  const [first, second] = ['r0', 'r1'].map(upstream => ({
+    upstream,
+    address: upstream,
+  }));
   await dispatch(world, order);
   expect(world.decisions).toMatchObject([
     {
@@ -199,13 +203,8 @@
       clientAccount: 'desk',
       executed: 'yes',
       attempts: [
-        {
-          upstream: 'r0',
-          reason: 'first',
-          outcome: 'unreachable',
-          candidates: 2,
-        },
-        {upstream: 'r1', reason: 'retry', outcome: 'completed', candidates: 1},
+        {...first, reason: 'first', outcome: 'unreachable', candidates: 2},
+        {...second, reason: 'retry', outcome: 'completed', candidates: 1},
       ],
     },
   ]);
