--- a/src/features/callers/node/serviceHandler.ts
+++ b/src/features/callers/node/serviceHandler.ts
@@ -1,7 +1,10 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Finding} from '../../../base/common/finding.js';
 import {failure, Result, success} from '../../../base/common/result.js';
-import {PlainService} from '../../configuration/common/configuration.js';
+import {
+  ClassOfWork,
+  PlainService,
+} from '../../configuration/common/configuration.js';
 import {RequestFailure} from '../../requests/common/failure.js';
 import {mayRepeat} from '../../services/common/repeatability.js';
 import {missingKeyFinding} from '../common/callerHeaders.js';
@@ -53,14 +56,6 @@
     if (classOfWork === undefined || findings.length > 0) {
       return failure(invalidRequest(findings));
     }
-    const fingerprint = () =>
-      fingerprintOf({
-        kind: 'service',
-        method: input.method,
-        path: `${service.name}${path}`,
-        body: input.body,
-        classOfWork: classOfWork.name,
-      });
     return success(
       this.planFor({
         requestId: input.requestId,
@@ -70,7 +65,10 @@
         contentType: input.headers.contentType,
         body: input.body,
         idempotencyKey,
-        fingerprint: idempotencyKey === undefined ? undefined : fingerprint(),
+        fingerprint:
+          idempotencyKey === undefined
+            ? undefined
+            : callFingerprint(input, service, path, classOfWork),
         clientAccount: input.account.name,
         classOfWork,
         repeatable,
@@ -107,3 +105,18 @@
     });
   }
 }
+
+function callFingerprint(
+  input: WorkInput,
+  service: PlainService,
+  path: string,
+  classOfWork: ClassOfWork,
+): string {
+  return fingerprintOf({
+    kind: 'service',
+    method: input.method,
+    path: `${service.name}${path}`,
+    body: input.body,
+    classOfWork: classOfWork.name,
+  });
+}
--- a/src/features/pipeline/test/faultyEngine.ts
+++ b/src/features/pipeline/test/faultyEngine.ts
@@ -25,6 +25,7 @@
 } from '../../../../test/standins/referenceModel.js';
 
 const FOREIGN_EPOCH = 50;
+const lost = failure({kind: 'lost', detail: 'connection broke'} as const);
 
 /** How long every step takes. */
 export const STEP_MILLISECONDS = 5;
@@ -138,7 +139,6 @@
     request: StepRequest,
     fault: Fault | undefined,
   ): Promise<Result<StepReceipt, EngineError>> {
-    const lost = failure({kind: 'lost', detail: 'connection broke'} as const);
     switch (fault?.kind) {
       case 'killBefore':
         this.dead = true;
@@ -180,12 +180,12 @@
     switch (fault.kind) {
       case 'killAfter':
         this.dead = true;
-        return failure({kind: 'lost', detail: 'connection broke'});
+        return lost;
       case 'cutAfter':
-        return failure({kind: 'lost', detail: 'connection broke'});
+        return lost;
       case 'restartAfter':
         this.restart();
-        return failure({kind: 'lost', detail: 'connection broke'});
+        return lost;
       case 'freezeAfter':
         this.frozenUntil = this.now() + fault.milliseconds;
         await this.whenAwake();
@@ -195,25 +195,15 @@
         await this.wait(fault.milliseconds);
         return success(receipt);
       case 'crossed':
-        return success({
-          ...former,
-          requestId: 'another',
-          output: garbled(receipt.output),
-        });
+        return success(garbled({...former, requestId: 'another'}, receipt));
       case 'twice':
         return success(former);
       case 'oldEpoch':
-        return success({
-          ...receipt,
-          epoch: receipt.epoch - 1,
-          output: garbled(receipt.output),
-        });
-      case 'skipped':
-        return success({
-          ...receipt,
-          layers: {from: receipt.layers.from, to: receipt.layers.to - 1},
-          output: garbled(receipt.output),
-        });
+        return success(garbled({...receipt, epoch: receipt.epoch - 1}));
+      case 'skipped': {
+        const {from, to} = receipt.layers;
+        return success(garbled({...receipt, layers: {from, to: to - 1}}));
+      }
       default:
         return success(receipt);
     }
@@ -300,26 +290,19 @@
     }
     await this.whenAwake();
     const begun = this.begun.has(requestId);
+    const {incarnation: engineIncarnation} = this;
     const isRunning = [...this.running].some(
       step => step.requestId === requestId && step.epoch <= epoch,
     );
     if (isRunning) {
-      return success({
-        state: 'running',
-        begun,
-        engineIncarnation: this.incarnation,
-      });
+      return success({state: 'running', begun, engineIncarnation});
     }
     const former = this.cancelled.get(requestId) ?? 0;
     this.cancelled.set(requestId, Math.max(former, epoch));
     if ((this.highest.get(requestId) ?? 0) <= epoch) {
       this.sequences.delete(requestId);
     }
-    return success({
-      state: 'idle',
-      begun,
-      engineIncarnation: this.incarnation,
-    });
+    return success({state: 'idle', begun, engineIncarnation});
   }
 
   override async exportCache(
@@ -402,8 +385,12 @@
   }
 }
 
-function garbled(output: StepOutput): StepOutput {
-  return output.kind === 'token'
-    ? {...output, token: `${output.token}-x`}
-    : {...output, data: output.data.replace(/[0-9a-f]$/, 'z')};
+/** A receipt whose output differs from that of `source`. */
+function garbled(receipt: StepReceipt, source = receipt): StepReceipt {
+  const {output} = source;
+  if (output.kind === 'token') {
+    return {...receipt, output: {...output, token: `${output.token}-x`}};
+  }
+  const data = output.data.replace(/[0-9a-f]$/, 'z');
+  return {...receipt, output: {...output, data}};
 }
