Pipeline: the parts of a run are wired in shorter steps

Change: createStepper stands by itself; parts that nothing else needs are built where they are returned. Conclusion: no change of behaviour; the tests of pipeline pass (335).

--- a/src/features/pipeline/node/runParts.ts
+++ b/src/features/pipeline/node/runParts.ts
@@ -49,53 +49,53 @@
 ): RunParts {
   const {clock} = dependencies;
   const {requestId} = request;
-  const {watch} = shared;
+  const {watch, estimator} = shared;
   const dropped = new DroppedAnswers(dependencies, requestId);
   const state = new RunState(request, clock, token, (step, result) =>
     dropped.late(step, result),
   );
   const stages = new StageSet(dependencies, watch);
-  const capacity = new CapacityClient(
-    dependencies,
-    request,
-    state,
-    shared.estimator,
-  );
+  const capacity = new CapacityClient(dependencies, request, state, estimator);
   const canceller = new EngineCanceller(dependencies, requestId, stages);
   const caches = new CacheKeeper(dependencies, requestId, state, stages);
-  const recovery = new PipelineRecovery(
-    dependencies,
-    request,
+  return {
     state,
     stages,
     capacity,
-    canceller,
     caches,
-  );
-  const stepper = new TokenStepper(
+    recovery: new PipelineRecovery(
+      dependencies,
+      request,
+      state,
+      stages,
+      capacity,
+      canceller,
+      caches,
+    ),
+    stepper: createStepper(dependencies, watch, request, dropped),
+    planner: new PassPlanner(request, state, stages, watch, clock),
+    conclusion: new RunConclusion(
+      dependencies,
+      request,
+      state,
+      stages,
+      canceller,
+    ),
+  };
+}
+
+function createStepper(
+  {clock, safeguards}: PipelineDependencies,
+  watch: ProgressWatch,
+  request: ModelRequest,
+  dropped: DroppedAnswers,
+): TokenStepper {
+  return new TokenStepper(
     request,
     prefixKeyOf(request.model.name, request.adapter, request.promptTokens),
     clock,
     watch,
-    dependencies.safeguards,
+    safeguards,
     (step, fault) => dropped.faulty(step, fault),
   );
-  const planner = new PassPlanner(request, state, stages, watch, clock);
-  const conclusion = new RunConclusion(
-    dependencies,
-    request,
-    state,
-    stages,
-    canceller,
-  );
-  return {
-    state,
-    stages,
-    capacity,
-    caches,
-    recovery,
-    stepper,
-    planner,
-    conclusion,
-  };
 }
