Entry program: both commands read their settings in one place

Cause: run and check-settings repeated the reading of the file and the printing of findings. Change: SettingsCommand reads; the commands do the rest. Conclusion: help texts, findings and exit codes of six command lines compared: no difference.

--- a/src/programs/entry/main.ts
+++ b/src/programs/entry/main.ts
@@ -39,8 +39,24 @@
   return findings.map(finding => `${formatFinding(finding)}\n`).join('');
 }
 
+/** A command on a settings file. */
+abstract class SettingsCommand extends Command {
+  readonly settingsFile = Option.String({name: 'settings'});
+
+  override async execute(): Promise<number> {
+    const loaded = load(this.settingsFile);
+    if (!loaded.ok) {
+      this.context.stderr.write(formatFindings(loaded.error));
+      return USAGE_EXIT_CODE;
+    }
+    return this.executeWith(loaded.value);
+  }
+
+  protected abstract executeWith(loaded: Loaded): Promise<number>;
+}
+
 /** Runs the program until SIGTERM or SIGINT. */
-class RunCommand extends Command {
+class RunCommand extends SettingsCommand {
   static override paths = [Command.Default, ['run']];
   static override usage = Command.Usage({
     description: 'Run the entry program of one instance.',
@@ -49,15 +65,10 @@
     examples: [['Run with a settings file', '$0 entry.json']],
   });
 
-  readonly settingsFile = Option.String({name: 'settings'});
-
-  override async execute(): Promise<number> {
-    const loaded = load(this.settingsFile);
-    if (!loaded.ok) {
-      this.context.stderr.write(formatFindings(loaded.error));
-      return USAGE_EXIT_CODE;
-    }
-    const {settings, peerKey} = loaded.value;
+  protected override async executeWith({
+    settings,
+    peerKey,
+  }: Loaded): Promise<number> {
     const program = new EntryProgram(settings, peerKey);
     const stopped = stopSignal();
     try {
@@ -74,20 +85,13 @@
 }
 
 /** Checks a settings file and the file that it names. */
-class CheckSettingsCommand extends Command {
+class CheckSettingsCommand extends SettingsCommand {
   static override paths = [['check-settings']];
   static override usage = Command.Usage({
     description: 'Check a settings file; all findings are printed.',
   });
 
-  readonly settingsFile = Option.String({name: 'settings'});
-
-  override async execute(): Promise<number> {
-    const loaded = load(this.settingsFile);
-    if (!loaded.ok) {
-      this.context.stderr.write(formatFindings(loaded.error));
-      return USAGE_EXIT_CODE;
-    }
+  protected override async executeWith(): Promise<number> {
     this.context.stdout.write('settings are valid\n');
     return 0;
   }
