--- a/src/features/pipeline/test/pipelineRules.test.ts
+++ b/src/features/pipeline/test/pipelineRules.test.ts
@@ -31,27 +31,15 @@
   });
 
   test.each([
-    {before: 'a', after: 'a', begun: false, epoch: 1, expected: 'no'},
-    {before: 'a', after: 'a', begun: true, epoch: 1, expected: 'unknown'},
-    {before: 'a', after: 'b', begun: false, epoch: 1, expected: 'unknown'},
-    {
-      before: undefined,
-      after: 'a',
-      begun: false,
-      epoch: 1,
-      expected: 'unknown',
-    },
-    {
-      before: undefined,
-      after: undefined,
-      begun: false,
-      epoch: 1,
-      expected: 'unknown',
-    },
-    {before: 'a', after: 'a', begun: false, epoch: 0, expected: 'unknown'},
+    ['a', 'a', false, 1, 'no'],
+    ['a', 'a', true, 1, 'unknown'],
+    ['a', 'b', false, 1, 'unknown'],
+    [undefined, 'a', false, 1, 'unknown'],
+    [undefined, undefined, false, 1, 'unknown'],
+    ['a', 'a', false, 0, 'unknown'],
   ])(
-    'lost at process $before, idle up to $epoch by $after, begun $begun: $expected',
-    ({before, after, begun: hasBegun, epoch, expected}) => {
+    'lost at process %s, idle by %s, begun %s, up to %s: %s',
+    (before, after, hasBegun, epoch, expected) => {
       const record = new EngineRecord('one');
       record.handOver(1, before);
       record.lost();
@@ -144,42 +132,17 @@
 });
 
 test.each([
-  {
-    ranges: [
-      [0, 2],
-      [2, 4],
-    ],
-    covers: true,
-  },
-  {ranges: [[0, 2]], covers: false},
-  {
-    ranges: [
-      [0, 2],
-      [3, 4],
-    ],
-    covers: false,
-  },
-  {
-    ranges: [
-      [0, 3],
-      [2, 4],
-    ],
-    covers: false,
-  },
-  {
-    ranges: [
-      [0, 0],
-      [0, 4],
-    ],
-    covers: false,
-  },
+  {ranges: ['0-2', '2-4'], covers: true},
+  {ranges: ['0-2'], covers: false},
+  {ranges: ['0-2', '3-4'], covers: false},
+  {ranges: ['0-3', '2-4'], covers: false},
+  {ranges: ['0-0', '0-4'], covers: false},
   {ranges: [], covers: false},
 ])('plan of $ranges covers four layers: $covers', ({ranges, covers}) => {
-  const stages = ranges.map(([from, to], index) => ({
-    upstream: `u${index}`,
-    address: '',
-    layers: {from: from ?? 0, to: to ?? 0},
-  }));
+  const stages = ranges.map((range, index) => {
+    const [from, to] = range.split('-').map(Number);
+    return {upstream: `u${index}`, address: '', layers: {from: from!, to: to!}};
+  });
   expect(coversAllLayers(stages, 4)).toBe(covers);
 });
 
