Operator commands: the kinds of entries stand in one table

Cause: each command file still declared its kind in the same nine lines. Change: entryKinds.ts lists them by section.

--- a/src/programs/redwing/commands/accountCommands.ts
+++ b/src/programs/redwing/commands/accountCommands.ts
@@ -5,31 +5,22 @@
 import {readSecretFile} from '../../../platform/settings/node/readSettings.js';
 import {
   EntryFields,
-  EntryKind,
   SetCommand,
   createListCommand,
   createRemoveCommand,
   describe,
 } from './entryCommands.js';
+import {entryKinds} from './entryKinds.js';
 
 /** `redwing account …`: client accounts. */
 
-const ACCOUNTS: EntryKind = {
-  section: 'clientAccounts',
-  setOperation: 'setClientAccount',
-  removeOperation: 'removeClientAccount',
-  word: 'account',
-  one: 'client account',
-  all: 'client accounts',
-};
-
 /** `redwing account set`. */
 class AccountSetCommand extends SetCommand {
   static override paths = [['account', 'set']];
   static override usage = describe(
     'Create a client account or replace its key.',
   );
-  protected override readonly kind = ACCOUNTS;
+  protected override readonly kind = entryKinds.clientAccounts;
 
   keyFile = Option.String('--key-file', {
     description: 'file with the bearer key; only its hash is sent',
@@ -56,7 +47,7 @@
 
 /** The commands on client accounts. */
 export const accountCommands = [
-  createListCommand(ACCOUNTS),
+  createListCommand(entryKinds.clientAccounts),
   AccountSetCommand,
-  createRemoveCommand(ACCOUNTS),
+  createRemoveCommand(entryKinds.clientAccounts),
 ] as const;
--- a/src/programs/redwing/commands/classCommands.ts
+++ b/src/programs/redwing/commands/classCommands.ts
@@ -2,32 +2,23 @@
 
 import {
   EntryFields,
-  EntryKind,
   SetCommand,
   createListCommand,
   createRemoveCommand,
   describe,
 } from './entryCommands.js';
+import {entryKinds} from './entryKinds.js';
 import {toNumber} from './optionValues.js';
 
 /** `redwing class …`: classes of work and their targets. */
 
-const CLASSES: EntryKind = {
-  section: 'classes',
-  setOperation: 'setClass',
-  removeOperation: 'removeClass',
-  word: 'class',
-  one: 'class of work',
-  all: 'classes of work',
-};
-
 /** `redwing class set`. */
 class ClassSetCommand extends SetCommand {
   static override paths = [['class', 'set']];
   static override usage = describe(
     'Create a class of work or change its targets; targets not given stay.',
   );
-  protected override readonly kind = CLASSES;
+  protected override readonly kind = entryKinds.classes;
 
   firstToken = Option.String('--first-token-milliseconds', {
     description: 'time to the first token, for 95 in 100',
@@ -58,7 +49,7 @@
 
 /** The commands on classes of work. */
 export const classCommands = [
-  createListCommand(CLASSES),
+  createListCommand(entryKinds.classes),
   ClassSetCommand,
-  createRemoveCommand(CLASSES),
+  createRemoveCommand(entryKinds.classes),
 ] as const;
--- a/src/programs/redwing/commands/modelCommands.ts
+++ b/src/programs/redwing/commands/modelCommands.ts
@@ -2,30 +2,21 @@
 
 import {
   EntryFields,
-  EntryKind,
   SetCommand,
   createListCommand,
   createRemoveCommand,
   describe,
 } from './entryCommands.js';
+import {entryKinds} from './entryKinds.js';
 import {toNumber} from './optionValues.js';
 
 /** `redwing model …`: models in use. */
 
-const MODELS: EntryKind = {
-  section: 'models',
-  setOperation: 'setModel',
-  removeOperation: 'removeModel',
-  word: 'model',
-  one: 'model',
-  all: 'models in use',
-};
-
 /** `redwing model set`. */
 class ModelSetCommand extends SetCommand {
   static override paths = [['model', 'set']];
   static override usage = describe('Add a model or change its version.');
-  protected override readonly kind = MODELS;
+  protected override readonly kind = entryKinds.models;
 
   modelVersion = Option.String('--model-version', {
     description: 'version in use',
@@ -48,7 +39,7 @@
 
 /** The commands on models in use. */
 export const modelCommands = [
-  createListCommand(MODELS),
+  createListCommand(entryKinds.models),
   ModelSetCommand,
-  createRemoveCommand(MODELS),
+  createRemoveCommand(entryKinds.models),
 ] as const;
--- a/src/programs/redwing/commands/serviceCommands.ts
+++ b/src/programs/redwing/commands/serviceCommands.ts
@@ -2,32 +2,23 @@
 
 import {
   EntryFields,
-  EntryKind,
   SetCommand,
   createListCommand,
   createRemoveCommand,
   describe,
 } from './entryCommands.js';
+import {entryKinds} from './entryKinds.js';
 import {toServiceCall} from './optionValues.js';
 
 /** `redwing service …`: plain services. */
 
-const SERVICES: EntryKind = {
-  section: 'services',
-  setOperation: 'setService',
-  removeOperation: 'removeService',
-  word: 'service',
-  one: 'plain service',
-  all: 'plain services',
-};
-
 /** `redwing service set`. */
 class ServiceSetCommand extends SetCommand {
   static override paths = [['service', 'set']];
   static override usage = describe(
     'Add a plain service or replace its list of calls.',
   );
-  protected override readonly kind = SERVICES;
+  protected override readonly kind = entryKinds.services;
 
   calls = Option.Array('--call', {
     description: "a call that must not be run twice, as 'METHOD /path'",
@@ -47,9 +38,9 @@
 
 /** The commands on plain services. */
 export const serviceCommands = [
-  createListCommand(SERVICES, toRow),
+  createListCommand(entryKinds.services, toRow),
   ServiceSetCommand,
-  createRemoveCommand(SERVICES),
+  createRemoveCommand(entryKinds.services),
 ] as const;
 
 function toRow(entry: EntryFields): EntryFields {
