Engine stand-in: computation, exports and the held model in modules of their own

Cause: engine.ts had 682 lines and four jobs. Change: stepComputation.ts computes steps, cacheExports.ts keeps and fetches exports, heldModel.ts knows what is held and takes orders; engine.ts keeps the steps' course. Conclusion: behaviour as before.

--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -1,7 +1,5 @@
 import {randomUUID} from 'node:crypto';
 
-import {request as httpRequest} from 'undici';
-
 import {
   DisposableOwner,
   toDisposable,
@@ -13,31 +11,33 @@
   EngineError,
   EngineOrder,
   EngineReport,
-  LayerRange,
   PositionRange,
   StepOutput,
   StepReceipt,
   StepRequest,
 } from '../../src/platform/engine/common/engineConnection.js';
+import {
+  CacheExport,
+  CacheExports,
+  fetchExport,
+  takeOverExport,
+} from './cacheExports.js';
 import {
   DeathPoint,
   EngineLedgerEntry,
   EngineSettings,
 } from './engineSettings.js';
+import {HeldModel} from './heldModel.js';
 import {Ledger} from './ledger.js';
+import {trim} from './trim.js';
 import {PrefixCache} from './prefixCache.js';
-import {
-  applyLayer,
-  decodeActivation,
-  embed,
-  encodeActivation,
-  isReplyToken,
-  LayerCache,
-  planReply,
-  remainingTokens,
-  tokenOf,
-} from './referenceModel.js';
 import {Sequence, SequenceSlots} from './sequences.js';
+import {
+  compute,
+  inputHashes,
+  isPrefill,
+  ledgerFields,
+} from './stepComputation.js';
 import {sleep} from '../support/sleep.js';
 
 /** Errors that the engine itself states. */
@@ -61,33 +61,16 @@
   cancelledEpoch: number;
 }
 
-/** An exported KV cache. */
-interface CacheExport {
-  readonly requestId: string;
-  readonly layers: LayerRange;
-  readonly caches: ReadonlyArray<readonly [number, LayerCache]>;
-  readonly tokens: readonly string[];
-}
-
-/** What an engine holds at present. */
-type Holding = Pick<
-  EngineSettings,
-  'model' | 'version' | 'adapters' | 'layers' | 'role'
->;
-
 type StepResult = Result<StepReceipt, EngineRefusal>;
 
 const RECORD_LIMIT = 50_000;
-const EXPORT_LIMIT = 64;
 const NO_EPOCH = -1;
 const OVERLOAD_RETRY_MILLISECONDS = 500;
 const HEX_DIGITS = 8;
 const PREFIX_LIMIT = 32;
 const PREFIX_REPORT_LAG_MILLISECONDS = 200;
-const ADAPTER_LOAD_MILLISECONDS = 100;
 /** A sequence without steps for so long gives up its slot. */
 const IDLE_MILLISECONDS = 30_000;
-const KEY_WORD = '[key:';
 
 /** One incarnation of a model engine; dies for good, a new one takes its place. */
 export class Engine extends DisposableOwner {
@@ -98,10 +81,8 @@
   private readonly slots: SequenceSlots;
   private readonly prefixes: PrefixCache;
   private readonly records = new Map<string, RequestRecord>();
-  private readonly exports = new Map<string, CacheExport>();
-  private holding: Holding;
-  private loadedAt = 0;
-  private highest = {fencing: NO_EPOCH, order: NO_EPOCH};
+  private readonly exports = new CacheExports();
+  private readonly held: HeldModel;
   private snapshot: EngineReport | undefined;
   private snapshotAt = 0;
 
@@ -111,7 +92,7 @@
     private readonly surroundings: EngineSurroundings,
   ) {
     super();
-    this.holding = settings;
+    this.held = new HeldModel(settings);
     this.slots = new SequenceSlots(settings.sequenceLimit);
     this.prefixes = new PrefixCache(
       PREFIX_LIMIT,
@@ -177,28 +158,18 @@
 
   exportCache(requestId: string): Result<CacheReference, EngineRefusal> {
     const sequence = this.slots.get(requestId);
-    const {layers} = this.holding;
+    const {layers} = this.held.holding;
     if (sequence === undefined) {
       return refused('no KV cache of the request');
     }
     const positions = {from: 0, to: sequence.coveredTo(layers)};
-    const id = randomUUID();
-    this.exports.set(id, {
-      requestId,
-      layers,
-      caches: [...sequence.caches].map(([layer, cache]) => [
-        layer,
-        cache.slice(0, positions.to),
-      ]),
-      tokens: sequence.tokens.slice(0, positions.to),
-    });
-    trim(this.exports, EXPORT_LIMIT);
+    const id = this.exports.add(sequence, layers);
     const reference = `${this.settings.address}/v1/caches/${id}`;
     return success({reference, layers, positions});
   }
 
   /** The content of an export, for other engines. */
-  exported(id: string): unknown {
+  exported(id: string): CacheExport | undefined {
     return this.exports.get(id);
   }
 
@@ -212,7 +183,7 @@
     if (content === undefined || content.requestId !== requestId) {
       return refused('the exported KV cache is absent');
     }
-    const {layers} = this.holding;
+    const {layers} = this.held.holding;
     const hasAll =
       content.layers.from <= layers.from && content.layers.to >= layers.to;
     if (!hasAll) {
@@ -235,12 +206,14 @@
 
   /** Takes a desired state; idempotent. */
   order(order: EngineOrder): Result<void, EngineRefusal> {
-    if (this.settings.checksFencing && this.isOld(order)) {
-      return failure({kind: 'stale', highest: this.highest.fencing});
+    const {held} = this;
+    if (this.settings.checksFencing && held.isOld(order)) {
+      return failure({kind: 'stale', highest: held.highest.fencing});
+    }
+    if (held.take(order)) {
+      this.loseCaches();
     }
     const {fencing, order: number, model, version, layers, role} = order;
-    this.highest = {fencing, order: number};
-    this.load(order);
     this.write({
       kind: 'ordered',
       fencing,
@@ -304,30 +277,16 @@
     step: StepRequest,
     isResident: boolean,
   ): string | undefined {
-    const {holding} = this;
-    if (this.isLoading()) {
+    if (this.held.isLoading) {
       return 'loading';
     }
     if (this.isLeaving && !isResident) {
       return 'leaving';
     }
-    if (step.model !== holding.model || step.version !== holding.version) {
-      return 'holds another model or version';
-    }
-    if (
-      step.adapter !== undefined &&
-      !holding.adapters.includes(step.adapter)
-    ) {
-      return 'does not hold the adapter';
-    }
-    const {from, to} = step.layers;
-    if (from < holding.layers.from || to > holding.layers.to || from >= to) {
-      return 'does not hold these layers';
-    }
-    if (!roleFits(holding.role, step)) {
-      return `has the role ${holding.role}`;
-    }
-    return inputHashes(step) === undefined ? 'malformed input' : undefined;
+    return (
+      this.held.unfitness(step) ??
+      (inputHashes(step) === undefined ? 'malformed input' : undefined)
+    );
   }
 
   private staleness(
@@ -462,46 +421,9 @@
     if (sequence === undefined) {
       return failure(overloaded());
     }
-    sequence.caches.clear();
-    for (const [layer, cache] of content.caches) {
-      sequence.caches.set(layer, [...cache]);
-    }
-    sequence.tokens.splice(0, sequence.tokens.length, ...content.tokens);
-    sequence.plan = undefined;
+    takeOverExport(sequence, content);
     this.write({kind: 'imported', requestId, epoch});
-    return success({from: 0, to: sequence.coveredTo(this.holding.layers)});
-  }
-
-  private isOld(order: EngineOrder): boolean {
-    const {fencing, order: number} = this.highest;
-    return (
-      order.fencing < fencing ||
-      (order.fencing === fencing && order.order < number)
-    );
-  }
-
-  private load(order: EngineOrder): void {
-    const {holding, settings} = this;
-    const {model, version, adapters, layers, role} = order;
-    const sameWeights =
-      model === holding.model &&
-      version === holding.version &&
-      layers.from === holding.layers.from &&
-      layers.to === holding.layers.to;
-    const sameAdapters = adapters.every(name =>
-      holding.adapters.includes(name),
-    );
-    this.holding = {model, version, adapters, layers, role};
-    if (!sameWeights) {
-      this.loseCaches();
-      this.loadedAt = performance.now() + settings.loadMilliseconds;
-    } else if (!sameAdapters) {
-      this.loadedAt = performance.now() + ADAPTER_LOAD_MILLISECONDS;
-    }
-  }
-
-  private isLoading(): boolean {
-    return performance.now() < this.loadedAt;
+    return success({from: 0, to: sequence.coveredTo(this.held.holding.layers)});
   }
 
   private renewReport(): void {
@@ -510,7 +432,8 @@
   }
 
   private present(): EngineReport {
-    const {settings, holding, slots} = this;
+    const {settings, held, slots} = this;
+    const {holding} = held;
     return {
       upstream: settings.id,
       engineIncarnation: this.incarnation,
@@ -529,8 +452,8 @@
       cachedPrefixes: this.prefixes.announcedPrefixes(performance.now()),
       ageMilliseconds: 0,
       leaving: this.isLeaving,
-      appliedOrder: Math.max(0, this.highest.order),
-      loading: this.isLoading(),
+      appliedOrder: Math.max(0, held.highest.order),
+      loading: held.isLoading,
     };
   }
 
@@ -560,78 +483,6 @@
   ? Omit<T, 'upstream' | 'incarnation'>
   : never;
 
-function compute(step: StepRequest, sequence: Sequence): StepOutput {
-  const {layers, positions} = step;
-  let hashes: readonly number[] = inputHashes(step) ?? [];
-  for (let layer = layers.from; layer < layers.to; layer++) {
-    const cache = sequence.cacheOf(layer);
-    hashes = applyLayer(layer, cache, positions.from, hashes);
-  }
-  const remaining = remainingAfter(step, sequence);
-  if (layers.to < step.layerCount) {
-    const data = encodeActivation({remaining, hashes});
-    return {kind: 'activation', data};
-  }
-  const token = tokenOf(hashes.at(-1) ?? 0);
-  return {kind: 'token', token, endOfText: remaining <= 1};
-}
-
-function remainingAfter(step: StepRequest, sequence: Sequence): number {
-  const {input, positions} = step;
-  if (input.kind === 'activation') {
-    const count = positions.to - positions.from;
-    return decodeActivation(input.data, count)?.remaining ?? 0;
-  }
-  const {tokens, plan} = sequence;
-  tokens.splice(positions.from, tokens.length, ...input.tokens);
-  const planHolds =
-    plan !== undefined &&
-    positions.from >= plan.promptLength &&
-    input.tokens.every(isReplyToken);
-  sequence.plan = planHolds ? plan : planReply(tokens);
-  return remainingTokens(sequence.plan, positions.to);
-}
-
-/** Undefined when the input does not fit the step. */
-function inputHashes(step: StepRequest): readonly number[] | undefined {
-  const {input, positions} = step;
-  const count = positions.to - positions.from;
-  const isFirst = step.layers.from === 0;
-  if (count < 1 || isFirst !== (input.kind === 'tokens')) {
-    return undefined;
-  }
-  if (input.kind === 'activation') {
-    return decodeActivation(input.data, count)?.hashes;
-  }
-  return input.tokens.length === count ? input.tokens.map(embed) : undefined;
-}
-
-function isPrefill(step: StepRequest): boolean {
-  const {from, to} = step.positions;
-  return from === 0 || to - from > 1;
-}
-
-function roleFits(role: EngineSettings['role'], step: StepRequest): boolean {
-  if (role === 'both' || step.rebuild) {
-    return true;
-  }
-  return (role === 'prefill') === isPrefill(step);
-}
-
-function ledgerFields(step: StepRequest) {
-  const {requestId, epoch, layers, positions, rebuild, version} = step;
-  const key = businessKey(step);
-  return {requestId, epoch, layers, positions, rebuild, version, key};
-}
-
-function businessKey(step: StepRequest): string | undefined {
-  if (step.input.kind !== 'tokens') {
-    return undefined;
-  }
-  const word = step.input.tokens.find(token => token.startsWith(KEY_WORD));
-  return word?.slice(KEY_WORD.length, -1);
-}
-
 /** Waits for the compute time; what a timer overshoots is taken off the sequence's next one. */
 async function pass(sequence: Sequence, milliseconds: number): Promise<void> {
   const wanted = milliseconds - sequence.overshoot;
@@ -643,23 +494,6 @@
   sequence.overshoot = Math.min(passed - wanted, milliseconds);
 }
 
-async function fetchExport(
-  reference: string,
-): Promise<CacheExport | undefined> {
-  try {
-    const answer = await httpRequest(`http://${reference}`, {
-      headersTimeout: 1000,
-      bodyTimeout: 1000,
-    });
-    const body = await answer.body.text();
-    return answer.statusCode === 200
-      ? (JSON.parse(body) as CacheExport)
-      : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 function refused(detail: string): Result<never, EngineRefusal> {
   return failure({kind: 'refused', detail});
 }
@@ -670,13 +504,3 @@
     retryAfterMilliseconds: OVERLOAD_RETRY_MILLISECONDS,
   };
 }
-
-/** Drops the oldest entries beyond a limit. */
-function trim(map: Map<string, unknown>, limit: number): void {
-  for (const key of map.keys()) {
-    if (map.size <= limit) {
-      return;
-    }
-    map.delete(key);
-  }
-}
--- /dev/null
+++ b/test/standins/stepComputation.ts
@@ -0,0 +1,99 @@
+import {
+  StepOutput,
+  StepRequest,
+} from '../../src/platform/engine/common/engineConnection.js';
+import {EngineSettings} from './engineSettings.js';
+import {
+  applyLayer,
+  decodeActivation,
+  embed,
+  encodeActivation,
+  isReplyToken,
+  planReply,
+  remainingTokens,
+  tokenOf,
+} from './referenceModel.js';
+import {Sequence} from './sequences.js';
+
+/** What steps compute, apart from when and where. */
+
+const KEY_WORD = '[key:';
+
+/** Carries out a step on its sequence's caches. */
+export function compute(step: StepRequest, sequence: Sequence): StepOutput {
+  const {layers, positions} = step;
+  let hashes: readonly number[] = inputHashes(step) ?? [];
+  for (let layer = layers.from; layer < layers.to; layer++) {
+    const cache = sequence.cacheOf(layer);
+    hashes = applyLayer(layer, cache, positions.from, hashes);
+  }
+  const remaining = remainingAfter(step, sequence);
+  if (layers.to < step.layerCount) {
+    const data = encodeActivation({remaining, hashes});
+    return {kind: 'activation', data};
+  }
+  const token = tokenOf(hashes.at(-1) ?? 0);
+  return {kind: 'token', token, endOfText: remaining <= 1};
+}
+
+function remainingAfter(step: StepRequest, sequence: Sequence): number {
+  const {input, positions} = step;
+  if (input.kind === 'activation') {
+    const count = positions.to - positions.from;
+    return decodeActivation(input.data, count)?.remaining ?? 0;
+  }
+  const {tokens, plan} = sequence;
+  tokens.splice(positions.from, tokens.length, ...input.tokens);
+  const planHolds =
+    plan !== undefined &&
+    positions.from >= plan.promptLength &&
+    input.tokens.every(isReplyToken);
+  sequence.plan = planHolds ? plan : planReply(tokens);
+  return remainingTokens(sequence.plan, positions.to);
+}
+
+/** The hashes that a step starts from; undefined when its input doesn't fit it. */
+export function inputHashes(step: StepRequest): readonly number[] | undefined {
+  const {input, positions} = step;
+  const count = positions.to - positions.from;
+  const isFirst = step.layers.from === 0;
+  if (count < 1 || isFirst !== (input.kind === 'tokens')) {
+    return undefined;
+  }
+  if (input.kind === 'activation') {
+    return decodeActivation(input.data, count)?.hashes;
+  }
+  return input.tokens.length === count ? input.tokens.map(embed) : undefined;
+}
+
+/** Whether a step reads a prompt rather than making the next token. */
+export function isPrefill(step: StepRequest): boolean {
+  const {from, to} = step.positions;
+  return from === 0 || to - from > 1;
+}
+
+/** Whether an engine of a role takes a step; rebuilding is open to all. */
+export function roleFits(
+  role: EngineSettings['role'],
+  step: StepRequest,
+): boolean {
+  if (role === 'both' || step.rebuild) {
+    return true;
+  }
+  return (role === 'prefill') === isPrefill(step);
+}
+
+/** What the ledger says of a step. */
+export function ledgerFields(step: StepRequest) {
+  const {requestId, epoch, layers, positions, rebuild, version} = step;
+  const key = businessKey(step);
+  return {requestId, epoch, layers, positions, rebuild, version, key};
+}
+
+function businessKey(step: StepRequest): string | undefined {
+  if (step.input.kind !== 'tokens') {
+    return undefined;
+  }
+  const word = step.input.tokens.find(token => token.startsWith(KEY_WORD));
+  return word?.slice(KEY_WORD.length, -1);
+}
