Placement: lease settings, changes and the test for a held row in modules of their own

Cause: tableLease.ts and planPlacement.ts held declarations beside their one class. Change: leaseSettings.ts, placementChanges.ts; isHeldStill stands beside isSameWrite in leaseRecord.ts. Conclusion: behaviour unchanged.

--- a/src/features/placement/common/leaseRecord.ts
+++ b/src/features/placement/common/leaseRecord.ts
@@ -40,3 +40,16 @@
     left.nonce === right.nonce
   );
 }
+
+/** Whether the row still names the taking that is held, whatever its nonce. */
+export function isHeldStill(
+  record: LeaseRecord | undefined,
+  held: LeaseRecord | undefined,
+): boolean {
+  return (
+    held !== undefined &&
+    record?.holder === held.holder &&
+    record.fencing === held.fencing &&
+    !record.released
+  );
+}
--- /dev/null
+++ b/src/features/placement/common/leaseSettings.ts
@@ -0,0 +1,15 @@
+/** Times of a lease in milliseconds. */
+export interface LeaseSettings {
+  readonly durationMilliseconds: number;
+  /** Kept free before the expiry, for clocks that run at different speeds. */
+  readonly marginMilliseconds: number;
+  /** Longest time of one call to the table. */
+  readonly callMilliseconds: number;
+}
+
+/** One call every 8 s per instance keeps 370 instances under 50 reads a second. */
+export const defaultLeaseSettings: LeaseSettings = {
+  durationMilliseconds: 30_000,
+  marginMilliseconds: 3_000,
+  callMilliseconds: 2_000,
+};
--- a/src/features/placement/common/placementController.ts
+++ b/src/features/placement/common/placementController.ts
@@ -16,7 +16,8 @@
 import {PlacementLog} from './placementLog.js';
 import {PlacementChange} from './placementPlan.js';
 import {PlacementSurvey} from './placementSurvey.js';
-import {defaultLeaseSettings, TableLease} from './tableLease.js';
+import {defaultLeaseSettings} from './leaseSettings.js';
+import {TableLease} from './tableLease.js';
 
 /** What placement of one data centre works with. */
 export interface PlacementParts {
--- a/src/features/placement/common/planPlacement.ts
+++ b/src/features/placement/common/planPlacement.ts
@@ -7,9 +7,9 @@
   servingTargets,
 } from './placementCandidates.js';
 import {belongsTo, ModelNeed, needsOf} from './modelNeeds.js';
+import {drainTarget, toChange} from './placementChanges.js';
 import {
   ChangeReason,
-  EngineTarget,
   HeldBack,
   PlacementChange,
   PlacementPlan,
@@ -219,35 +219,3 @@
 function isMove(reason: ChangeReason): boolean {
   return reason === 'load' || reason === 'notConfigured';
 }
-
-function drainTarget({
-  member,
-  report,
-}: ReplicaState['engines'][number]): EngineTarget {
-  const {model, version, adapters, layers} = report!;
-  // An engine of this role goes on with requests that it holds and takes no prompts.
-  const desired = {model, version, adapters, layers, role: 'decode'} as const;
-  return {member, desired};
-}
-
-function toChange(
-  kind: PlacementChange['kind'],
-  candidate: Candidate,
-  targets: readonly EngineTarget[],
-): PlacementChange {
-  const {state, model, reason, gain, cost} = candidate;
-  const {model: from, version} = state;
-  return {
-    kind,
-    group: state.view.group,
-    reason,
-    from:
-      from === undefined || version === undefined
-        ? undefined
-        : {model: from, version},
-    to: {model: model.name, version: model.version},
-    targets,
-    gain,
-    cost,
-  };
-}
--- a/src/features/placement/common/tableLease.ts
+++ b/src/features/placement/common/tableLease.ts
@@ -10,24 +10,14 @@
 } from '../../../platform/table/common/tableService.js';
 import {LeaseAction, leaseChart, LeaseEvent, LeaseState} from './leaseChart.js';
 import {LeaseObserver} from './leaseObserver.js';
-import {isSameWrite, LeaseRecord, readLeaseRecord} from './leaseRecord.js';
+import {
+  isHeldStill,
+  isSameWrite,
+  LeaseRecord,
+  readLeaseRecord,
+} from './leaseRecord.js';
 import {LeaseRow, meets} from './leaseRow.js';
-
-/** Times of a lease in milliseconds. */
-export interface LeaseSettings {
-  readonly durationMilliseconds: number;
-  /** Kept free before the expiry, for clocks that run at different speeds. */
-  readonly marginMilliseconds: number;
-  /** Longest time of one call to the table. */
-  readonly callMilliseconds: number;
-}
-
-/** One call every 8 s per instance keeps 370 instances under 50 reads a second. */
-export const defaultLeaseSettings: LeaseSettings = {
-  durationMilliseconds: 30_000,
-  marginMilliseconds: 3_000,
-  callMilliseconds: 2_000,
-};
+import {defaultLeaseSettings, LeaseSettings} from './leaseSettings.js';
 
 interface PendingWrite {
   readonly record: LeaseRecord;
@@ -263,16 +253,3 @@
     return this.clock.monotonicMilliseconds();
   }
 }
-
-/** Whether the row still names the taking that is held, whatever its nonce. */
-function isHeldStill(
-  record: LeaseRecord | undefined,
-  held: LeaseRecord | undefined,
-): boolean {
-  return (
-    held !== undefined &&
-    record?.holder === held.holder &&
-    record.fencing === held.fencing &&
-    !record.released
-  );
-}
--- a/src/features/placement/test/tableLease.test.ts
+++ b/src/features/placement/test/tableLease.test.ts
@@ -8,7 +8,8 @@
 } from '../../../../test/support/inMemoryPlatform.js';
 import {neverCancelled} from '../../../base/common/cancellation.js';
 import {LeaseRecord} from '../common/leaseRecord.js';
-import {defaultLeaseSettings, TableLease} from '../common/tableLease.js';
+import {defaultLeaseSettings} from '../common/leaseSettings.js';
+import {TableLease} from '../common/tableLease.js';
 
 const KEY = 'lease';
 const {durationMilliseconds: DURATION} = defaultLeaseSettings;
