Launcher: the settings of the parts in a module of their own

Change: SystemSettings derives the settings; the names of the key files are constants. Conclusion: what is launched is unchanged.

--- a/test/support/launcher.ts
+++ b/test/support/launcher.ts
@@ -10,13 +10,8 @@
   MemberState,
   UpstreamMember,
 } from '../../src/platform/membership/common/membershipList.js';
+import {PlatformSettings} from '../../src/platform/settings/common/programSettings.js';
 import {
-  ControlSettings,
-  EntrySettings,
-  PlatformSettings,
-} from '../../src/platform/settings/common/programSettings.js';
-import {
-  defaultEngineSettings,
   EngineSettings,
   EngineStandInSettings,
 } from '../standins/engineSettings.js';
@@ -42,6 +37,11 @@
   PlatformHandle,
   ServiceHandle,
 } from './systemParts.js';
+import {
+  OPERATORS_FILE,
+  PEER_KEY_FILE,
+  SystemSettings,
+} from './systemSettings.js';
 import {sleep} from './sleep.js';
 
 const READY_MILLISECONDS = 20_000;
@@ -61,6 +61,7 @@
   readonly operatorKey = randomBytes(16).toString('hex');
   private readonly peerKey = randomBytes(16).toString('hex');
   private readonly supervisor = new ProcessSupervisor(this.directory);
+  private readonly settings: SystemSettings;
   private readonly engineList: EngineHandle[] = [];
   private readonly serviceList: ServiceHandle[] = [];
   private instanceList: readonly InstanceHandle[] = [];
@@ -70,6 +71,7 @@
 
   private constructor(options: Partial<SystemOptions>) {
     this.options = {...defaultSystemOptions, ...options};
+    this.settings = new SystemSettings(this.options, this.directory);
   }
 
   /**
@@ -125,7 +127,7 @@
   async startInstance(dataCentre?: DataCentreOptions): Promise<InstanceHandle> {
     const number = this.instanceNumber;
     this.instanceNumber++;
-    const place = dataCentre ?? this.dataCentreOf(number);
+    const place = dataCentre ?? this.settings.dataCentreOf(number);
     const [callerAddress, entryPeerAddress, controlAddress] =
       await freeAddresses(3);
     const member: InstanceMember = {
@@ -141,12 +143,12 @@
     const control = this.startProgram(
       `${member.id}-control`,
       'src/programs/control/main.js',
-      this.controlSettings(member),
+      this.settings.control(member, this.platformSettings),
     );
     const entry = this.startProgram(
       `${member.id}-entry`,
       'src/programs/entry/main.js',
-      this.entrySettings(member),
+      this.settings.entry(member, this.platformSettings),
     );
     const instance = new InstanceHandle(member, entry, control);
     this.instanceList = [...this.instanceList, instance];
@@ -235,9 +237,9 @@
   private async start(
     operations: readonly ConfigurationOperation[],
   ): Promise<void> {
-    this.writeFile('peer.key', this.peerKey);
+    this.writeFile(PEER_KEY_FILE, this.peerKey);
     const hashes = {[OPERATOR]: hashKey(this.operatorKey)};
-    this.writeFile('operators.json', JSON.stringify(hashes));
+    this.writeFile(OPERATORS_FILE, JSON.stringify(hashes));
     await this.startPlatform();
     await this.startEngines();
     for (const service of this.options.services) {
@@ -279,7 +281,7 @@
     const settings: PlatformStandInSettings = {
       ...this.platformAddresses,
       faultAddress,
-      ledgerFile: this.ledgerFile('platform'),
+      ledgerFile: this.settings.ledgerFile('platform'),
       manifests: [
         {
           model: options.model,
@@ -310,7 +312,7 @@
     const processes = Math.ceil(count / enginesPerProcess);
     const addresses = await freeAddresses(count + processes);
     const engines = Array.from({length: count}, (_, index) =>
-      this.engineSettings(index, addresses[index] ?? ''),
+      this.settings.engine(index, addresses[index] ?? ''),
     );
     for (let process = 0; process < processes; process++) {
       const faultAddress = addresses[count + process] ?? '';
@@ -334,86 +336,24 @@
     const program = 'test/standins/engineStandIn.js';
     const started = this.startProgram(name, program, settings);
     for (const engine of engines) {
-      const member = this.engineMember(engine);
+      const member = this.settings.engineMember(engine);
       this.engineList.push(
         new EngineHandle(engine, member, started, faultAddress),
       );
     }
   }
 
-  private engineSettings(index: number, address: string): EngineSettings {
-    const {options} = this;
-    const {stagesPerReplica, layerCount, accelerators} = options;
-    const replica = Math.floor(index / stagesPerReplica);
-    const stage = index % stagesPerReplica;
-    const boundary = (number: number): number =>
-      Math.round((number * layerCount) / stagesPerReplica);
-    const accelerator = accelerators[replica % accelerators.length];
-    return {
-      ...defaultEngineSettings,
-      id: engineId(replica, stage),
-      address,
-      acceleratorKind: accelerator?.kind ?? 'standard',
-      model: options.model,
-      version: options.version,
-      adapters: options.adapters,
-      layers: {from: boundary(stage), to: boundary(stage + 1)},
-      checksFencing: !(options.mixedFencing && replica % 2 === 1),
-      sequenceLimit: options.sequenceLimit,
-      decodeMilliseconds: accelerator?.decodeMilliseconds ?? 5,
-      prefillMillisecondsPerToken:
-        accelerator?.prefillMillisecondsPerToken ?? 0.2,
-      callerLinkMilliseconds: options.linkMilliseconds,
-      linkMilliseconds: this.linksOf(replica),
-      defaultLinkMilliseconds: options.linkMilliseconds,
-      ledgerFile: this.ledgerFile('{id}'),
-      ...options.engineSettings,
-    };
-  }
-
-  /** Links from engines of other data centres, where they differ from the default. */
-  private linksOf(replica: number): Readonly<Record<string, number>> {
-    const {options} = this;
-    const links: Record<string, number> = {};
-    if (options.farLinkMilliseconds === options.linkMilliseconds) {
-      return links;
-    }
-    const place = this.dataCentreOf(replica);
-    for (let other = 0; other < options.replicas; other++) {
-      if (this.dataCentreOf(other) !== place) {
-        for (let stage = 0; stage < options.stagesPerReplica; stage++) {
-          links[engineId(other, stage)] = options.farLinkMilliseconds;
-        }
-      }
-    }
-    return links;
-  }
-
-  private engineMember(engine: EngineSettings): UpstreamMember {
-    const replica = Number(engine.id.split('-')[1]);
-    const place = this.dataCentreOf(replica);
-    return {
-      role: 'engine',
-      id: engine.id,
-      dataCentre: place.name,
-      region: place.region,
-      address: engine.address,
-      group: `replica-${replica}`,
-      state: 'live',
-    };
-  }
-
   private async startService(service: ServiceOptions): Promise<void> {
     for (let replica = 0; replica < service.replicas; replica++) {
       const [address, fault] = await freeAddresses(2);
       const id = `${service.name}-${replica}`;
-      const place = this.dataCentreOf(replica);
+      const place = this.settings.dataCentreOf(replica);
       const settings: ServiceStandInSettings = {
         id,
         service: service.name,
         address: address ?? '',
         faultAddress: fault ?? '',
-        ledgerFile: this.ledgerFile(id),
+        ledgerFile: this.settings.ledgerFile(id),
         ...service.settings,
       };
       const program = 'test/standins/serviceStandIn.js';
@@ -439,54 +379,6 @@
     }
   }
 
-  private entrySettings(member: InstanceMember): EntrySettings {
-    const {id, region, dataCentre} = member;
-    return {
-      instance: {id, region, dataCentre},
-      callerAddress: member.callerAddress,
-      peerAddress: member.entryPeerAddress,
-      controlAddress: member.controlAddress,
-      platform: this.platformSettings,
-      peerKeyFile: join(this.directory, 'peer.key'),
-      observation: {logLevel: 'info'},
-      bodyLimitBytes: 1_000_000,
-      concurrentRequestLimit: 1000,
-      entrypointsSeconds: 5,
-      drainSeconds: 30,
-      cellSize: this.options.cellSize,
-      policy: this.options.policy,
-      ...this.options.entrySettings,
-    };
-  }
-
-  private controlSettings(member: InstanceMember): ControlSettings {
-    const {id, region, dataCentre} = member;
-    return {
-      instance: {id, region, dataCentre},
-      controlAddress: member.controlAddress,
-      platform: this.platformSettings,
-      peerKeyFile: join(this.directory, 'peer.key'),
-      operatorKeysFile: join(this.directory, 'operators.json'),
-      observation: {logLevel: 'info'},
-      headReadSeconds: 1,
-      membershipReadSeconds: 1,
-      membershipReadBytesPerSecond: 400,
-      peerExchangeSeconds: 1,
-      confirmationBoundSeconds: 10,
-      placementEnabled: false,
-      ...this.options.controlSettings,
-    };
-  }
-
-  private dataCentreOf(index: number): DataCentreOptions {
-    const {dataCentres} = this.options;
-    const found = dataCentres[index % dataCentres.length];
-    if (found === undefined) {
-      throw new Error('options.dataCentres is empty');
-    }
-    return found;
-  }
-
   private startProgram(
     name: string,
     program: string,
@@ -505,12 +397,6 @@
     });
   }
 
-  private ledgerFile(name: string): string | undefined {
-    return this.options.ledgerFiles
-      ? join(this.directory, `${name}.ledger`)
-      : undefined;
-  }
-
   private writeFile(name: string, text: string): void {
     writeFileSync(join(this.directory, name), text, {mode: 0o600});
   }
@@ -520,10 +406,6 @@
   }
 }
 
-function engineId(replica: number, stage: number): string {
-  return `engine-${replica}-${stage}`;
-}
-
 /** Undefined while the connection is refused. */
 async function get(url: string): Promise<JsonAnswer | undefined> {
   return callJson('GET', url).catch(ignoreRefused);
