Platform stand-in: what calls do stands apart from faults; engine tests share orders and restarts

Cause: platformStandIn.ts held services, faults, ports and counts; engine.test.ts wrote out orders and restarts several times. Change: platformOperations.ts holds the table, objects, manifests and members; orderOf and restart in engine.test.ts. Conclusion: no case or assertion changed.

--- a/test/standins/engine.test.ts
+++ b/test/standins/engine.test.ts
@@ -6,6 +6,7 @@
 } from '../../src/base/common/cancellation.js';
 import {
   EngineConnection,
+  EngineOrder,
   LayerRange,
   StepInput,
   StepRequest,
@@ -44,12 +45,19 @@
   stages = engines.map(engine => connector.connect(engine.id, engine.address));
 }
 
-beforeEach(() => start());
-
-afterEach(() => {
+function stop(): void {
   connector.dispose();
   standIn.dispose();
-});
+}
+
+async function restart(extra: Partial<EngineSettings>): Promise<void> {
+  stop();
+  await start(extra);
+}
+
+beforeEach(() => start());
+
+afterEach(stop);
 
 function stepOf(
   requestId: string,
@@ -116,6 +124,19 @@
   }
 }
 
+/** An order to the first stage for the layers that it has. */
+function orderOf(fencing: number, order: number, version: string): EngineOrder {
+  return {
+    fencing,
+    order,
+    model: 'assistant',
+    version,
+    adapters: [],
+    layers: LAYERS[0]!,
+    role: 'both',
+  };
+}
+
 const firstStep = (id = 'r', epoch = 0) =>
   stepOf(id, 0, 0, {kind: 'tokens', tokens: PROMPT}, PROMPT.length, epoch);
 
@@ -198,20 +219,10 @@
     [true, 'stale'],
     [false, 'token'],
   ])('fencing %s answers an old epoch with %s', async (checksFencing, kind) => {
-    standIn.dispose();
-    connector.dispose();
-    await start({checksFencing});
+    await restart({checksFencing});
     await pass('r', 0, PROMPT, 2);
     expect((await pass('r', 0, PROMPT, 1)).kind).toBe(kind);
-    const order = {
-      fencing: 5,
-      order: 1,
-      model: 'assistant',
-      version: '1',
-      adapters: [],
-      layers: LAYERS[0]!,
-      role: 'both',
-    } as const;
+    const order = orderOf(5, 1, '1');
     const [first] = stages;
     expect((await first!.order(order, neverCancelled)).ok).toBe(true);
     expect((await first!.order(order, neverCancelled)).ok).toBe(true);
@@ -221,9 +232,7 @@
   });
 
   it('further sequences wait by priority; a cancelled one frees its slot', async () => {
-    standIn.dispose();
-    connector.dispose();
-    await start({sequenceLimit: 1});
+    await restart({sequenceLimit: 1});
     const [first] = stages;
     await first!.step(firstStep('resident'), neverCancelled);
     const finished: string[] = [];
@@ -275,20 +284,9 @@
   });
 
   it('an order for other layers loads and forgets caches', async () => {
-    standIn.dispose();
-    connector.dispose();
-    await start({loadMilliseconds: 40});
+    await restart({loadMilliseconds: 40});
     await pass('r', 0, PROMPT);
-    const order = {
-      fencing: 1,
-      order: 7,
-      model: 'assistant',
-      version: '2',
-      adapters: [],
-      layers: LAYERS[0]!,
-      role: 'both',
-    } as const;
-    await stages[0]!.order(order, neverCancelled);
+    await stages[0]!.order(orderOf(1, 7, '2'), neverCancelled);
     const report = async () => {
       const answer = await stages[0]!.report(neverCancelled);
       return answer.ok && answer.value;
--- a/test/standins/platformStandIn.ts
+++ b/test/standins/platformStandIn.ts
@@ -3,24 +3,20 @@
   toDisposable,
 } from '../../src/base/common/lifecycle.js';
 import {Member} from '../../src/platform/membership/common/membershipList.js';
-import {
-  RowWrite,
-  TransactionMode,
-} from '../../src/platform/table/common/tableService.js';
-import {checkTransaction} from '../../src/platform/table/common/transactionRules.js';
 import {WeightManifest} from '../../src/platform/weights/common/weightStore.js';
-import {TableRows} from '../support/tableRows.js';
 import {CallCounter} from './callCounter.js';
 import {FaultList} from './faultList.js';
 import {Ledger} from './ledger.js';
+import {
+  Operation,
+  PlatformLedgerEntry,
+  PlatformOperations,
+  PlatformPart,
+  refusal,
+} from './platformOperations.js';
 import {controlHandler, seenBy} from './standInControl.js';
 import {runAsProgram} from './standInMain.js';
-import {
-  answerOk,
-  StandInAnswer,
-  StandInCall,
-  StandInServer,
-} from './standInServer.js';
+import {StandInAnswer, StandInCall, StandInServer} from './standInServer.js';
 import {sleep} from '../support/sleep.js';
 
 /** Settings of the platform stand-in; addresses are `IP:port`. */
@@ -36,9 +32,6 @@
   readonly ledgerFile?: string;
 }
 
-/** The services that fail apart. */
-export type PlatformPart = 'table' | 'objects' | 'weights' | 'membership';
-
 /** What goes wrong with calls. */
 export type PlatformFault =
   /** The port is closed; for one instance or access only, the connection is cut without effect. */
@@ -73,19 +66,6 @@
   readonly lagMilliseconds?: number;
 }
 
-/** An executed write. */
-export interface PlatformLedgerEntry {
-  readonly instance: string;
-  readonly part: PlatformPart;
-  readonly keys: readonly string[];
-  readonly outcomes: readonly string[];
-}
-
-interface Operation {
-  readonly access: 'read' | 'write';
-  run(instance: string): StandInAnswer;
-}
-
 const PARTS: readonly PlatformPart[] = [
   'table',
   'objects',
@@ -98,19 +78,23 @@
 
 /** The platform's table, object store, weight manifests and list of members in one process. */
 export class PlatformStandIn extends DisposableOwner {
-  private readonly rows = new TableRows();
-  private readonly objects = new Map<string, string>();
   private readonly visible = new Map<string, Member>();
   private readonly faults = new FaultList<PlatformFault>();
   private readonly servers = new Map<PlatformPart, StandInServer>();
   private readonly counters = new Map<string, CallCounter>();
   private readonly ledger: Ledger<PlatformLedgerEntry>;
+  private readonly operations: PlatformOperations;
   private readonly faultServer: StandInServer;
   private lagMilliseconds = 0;
 
-  constructor(private readonly settings: PlatformStandInSettings) {
+  constructor(settings: PlatformStandInSettings) {
     super();
     this.ledger = this.register(new Ledger(settings.ledgerFile));
+    this.operations = new PlatformOperations(
+      settings.manifests ?? [],
+      this.visible,
+      this.ledger,
+    );
     for (const part of PARTS) {
       const address = settings[`${part}Address`];
       const server = new StandInServer(address, call => this.serve(part, call));
@@ -205,7 +189,7 @@
     part: PlatformPart,
     call: StandInCall,
   ): Promise<StandInAnswer> {
-    const operation = this.operationOf(part, call);
+    const operation = this.operations.operationOf(part, call);
     if (operation === undefined) {
       return refusal(404, 'notFound', 'no such path');
     }
@@ -245,136 +229,6 @@
     return operation.run(instance);
   }
 
-  private operationOf(
-    part: PlatformPart,
-    call: StandInCall,
-  ): Operation | undefined {
-    switch (part) {
-      case 'table':
-        return this.tableOperation(call);
-      case 'objects':
-        return this.objectOperation(call);
-      case 'weights':
-        return this.weightOperation(call);
-      case 'membership':
-        return call.path === '/v1/members'
-          ? read(() => ({members: [...this.visible.values()]}))
-          : undefined;
-    }
-  }
-
-  private tableOperation(call: StandInCall): Operation | undefined {
-    const body = JSON.parse(call.text === '' ? '{}' : call.text);
-    switch (call.path) {
-      case '/v1/table/read':
-        return read(() => ({
-          rows: this.rows.read(body.keys).map(row => row ?? null),
-        }));
-      case '/v1/table/scan':
-        return read(() => ({
-          rows: this.rows.scan(body.prefix, body.after, body.limit),
-        }));
-      case '/v1/table/transact':
-        return {
-          access: 'write',
-          run: instance => this.transact(instance, body.writes, body.mode),
-        };
-      default:
-        return undefined;
-    }
-  }
-
-  private transact(
-    instance: string,
-    wire: ReadonlyArray<Omit<RowWrite, 'value'> & {value: string | null}>,
-    mode: TransactionMode,
-  ): StandInAnswer {
-    const writes = wire.map(write => ({
-      ...write,
-      value: write.value ?? undefined,
-    }));
-    try {
-      checkTransaction(writes);
-    } catch (error) {
-      return refusal(400, 'invalid', String(error));
-    }
-    const outcomes = this.rows.transact(writes, mode);
-    this.ledger.add({
-      instance,
-      part: 'table',
-      keys: writes.map(write => write.key),
-      outcomes: outcomes.map(outcome => outcome.kind),
-    });
-    return answerOk({
-      outcomes: outcomes.map(outcome =>
-        outcome.kind === 'conflict'
-          ? {...outcome, current: outcome.current ?? null}
-          : outcome,
-      ),
-    });
-  }
-
-  private objectOperation(call: StandInCall): Operation | undefined {
-    if (call.path === '/v1/objects') {
-      const prefix = call.query.get('prefix') ?? '';
-      return read(() => ({
-        names: [...this.objects.keys()]
-          .filter(name => name.startsWith(prefix))
-          .sort(),
-      }));
-    }
-    const name = decodeURIComponent(call.path.slice('/v1/objects/'.length));
-    switch (call.method) {
-      case 'GET':
-        return {access: 'read', run: () => this.getObject(name)};
-      case 'PUT':
-        return this.objectWrite(name, JSON.parse(call.text).body as string);
-      case 'DELETE':
-        return this.objectWrite(name, undefined);
-      default:
-        return undefined;
-    }
-  }
-
-  private getObject(name: string): StandInAnswer {
-    const body = this.objects.get(name);
-    return body === undefined
-      ? refusal(404, 'notFound', 'no such object')
-      : answerOk({body});
-  }
-
-  private objectWrite(name: string, body: string | undefined): Operation {
-    return {
-      access: 'write',
-      run: instance => {
-        if (body === undefined) {
-          this.objects.delete(name);
-        } else {
-          this.objects.set(name, body);
-        }
-        const outcomes = [body === undefined ? 'deleted' : 'written'];
-        this.ledger.add({instance, part: 'objects', keys: [name], outcomes});
-        return answerOk({});
-      },
-    };
-  }
-
-  private weightOperation(call: StandInCall): Operation {
-    const [, , , model, version] = call.path.split('/').map(decodeURIComponent);
-    return {
-      access: 'read',
-      run: () => {
-        const manifest = this.settings.manifests?.find(
-          candidate =>
-            candidate.model === model && candidate.version === version,
-        );
-        return manifest === undefined
-          ? refusal(404, 'notFound', 'no such manifest')
-          : answerOk(manifest);
-      },
-    };
-  }
-
   private resetCounts(): void {
     this.counters.forEach(counter => counter.reset());
   }
@@ -388,19 +242,6 @@
   }
 }
 
-function read(run: () => unknown): Operation {
-  return {access: 'read', run: () => answerOk(run())};
-}
-
-function refusal(status: number, kind: string, detail: string): StandInAnswer {
-  return {
-    kind: 'answer',
-    status,
-    body: {error: {kind, detail}},
-    headers: {'redwing-executed': 'no'},
-  };
-}
-
 function rateLimited(milliseconds: number): StandInAnswer {
   return {
     kind: 'answer',
--- a/test/support/systemParts.ts
+++ b/test/support/systemParts.ts
@@ -13,10 +13,10 @@
   EngineSettings,
 } from '../standins/engineSettings.js';
 import {LedgerStamp} from '../standins/ledger.js';
+import {PlatformLedgerEntry} from '../standins/platformOperations.js';
 import {
   MembersCommand,
   PlatformFaultCommand,
-  PlatformLedgerEntry,
 } from '../standins/platformStandIn.js';
 import {
   ServiceFaultCommand,
