Tests: one builder for an instance of the list

Cause: the control tests and membership.test.ts each built it. Change: test/support/members.ts. Conclusion: no assertion changed.

--- a/src/features/membership/test/membership.test.ts
+++ b/src/features/membership/test/membership.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, it} from 'vitest';
 
 import {FakeClock} from '../../../../test/support/fakeClock.js';
-import {InstanceMember} from '../../../platform/membership/common/membershipList.js';
+import {instanceMember} from '../../../../test/support/members.js';
 import {emptyConfiguration} from '../../configuration/common/configuration.js';
 import {
   ConfirmationInput,
@@ -30,22 +30,6 @@
   outage: {listed: 5, failed: 0},
 };
 
-function member(
-  id: string,
-  state: 'live' | 'leaving' = 'live',
-): InstanceMember {
-  return {
-    role: 'instance',
-    id,
-    dataCentre: 'd',
-    region: 'r',
-    callerAddress: `${id}:1`,
-    entryPeerAddress: `${id}:2`,
-    controlAddress: `${id}:3`,
-    state,
-  };
-}
-
 describe('decideConfirmation', () => {
   const cases: ReadonlyArray<
     readonly [string, Partial<ConfirmationInput>, string]
@@ -212,7 +196,7 @@
     },
   ])('$name', ({state, record, heard, ready}) => {
     const directory = new InstanceDirectory();
-    directory.applyList([member('a', state)]);
+    directory.applyList([instanceMember('a', state)]);
     directory.note(record, 10);
     expect(directory.views(() => heard)[0]).toMatchObject({
       ready,
@@ -222,14 +206,16 @@
 
   it('keeps the newest record and is bounded for unlisted instances', () => {
     const directory = new InstanceDirectory();
-    directory.applyList([member('a')]);
+    directory.applyList([instanceMember('a')]);
     expect(directory.note(said, 10)).toBe(true);
     expect(directory.note({...said, ready: false}, 9)).toBe(false);
     const taken = Array.from({length: 500}, (_, index) =>
       directory.note({...said, id: `x${index}`}, 10),
     );
     expect(taken.filter(Boolean).length).toBeLessThan(100);
-    expect(directory.applyList([member('a')]).instancesChanged).toBe(false);
+    expect(directory.applyList([instanceMember('a')]).instancesChanged).toBe(
+      false,
+    );
   });
 });
 
--- a/src/programs/control/test/controlCluster.ts
+++ b/src/programs/control/test/controlCluster.ts
@@ -9,9 +9,10 @@
 import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
+import {instanceMember} from '../../../../test/support/members.js';
 import {ProposalReport} from '../changeDesk.js';
 import {ControlCore, ControlTimes} from '../controlCore.js';
-import {instanceMember, PeerNetwork} from './peerNetwork.js';
+import {PeerNetwork} from './peerNetwork.js';
 
 /** Several control cores over one in-memory platform and one fake clock. */
 
@@ -54,7 +55,7 @@
     private readonly clusterTimes = times,
   ) {
     super();
-    this.platform.members = ids.map(instanceMember);
+    this.platform.members = ids.map(id => instanceMember(id));
   }
 
   /** Starts all instances and waits until they had time to meet. */
--- a/src/programs/control/test/memberFleet.ts
+++ b/src/programs/control/test/memberFleet.ts
@@ -14,8 +14,9 @@
 import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
+import {instanceMember} from '../../../../test/support/members.js';
 import {MemberTracker} from '../memberTracker.js';
-import {instanceMember, PeerNetwork} from './peerNetwork.js';
+import {PeerNetwork} from './peerNetwork.js';
 
 /** The reading of the list by many instances, without the rest of their control programs. */
 
@@ -46,7 +47,10 @@
   ) {
     super();
     this.random = new SeededRandomSource(seed);
-    this.platform.members = [...ids.map(instanceMember), ...upstreams];
+    this.platform.members = [
+      ...ids.map(id => instanceMember(id)),
+      ...upstreams,
+    ];
     ids.forEach((id, index) => this.start(id, index));
   }
 
--- a/src/programs/control/test/peerNetwork.ts
+++ b/src/programs/control/test/peerNetwork.ts
@@ -4,7 +4,6 @@
   PeerError,
 } from '../../../features/peers/common/peerConnection.js';
 import {PeerResponder} from '../../../features/peers/common/peerResponder.js';
-import {InstanceMember} from '../../../platform/membership/common/membershipList.js';
 
 /** The network between instances of one test; an instance `a` has the control address `a:3`. */
 export abstract class PeerNetwork {
@@ -86,17 +85,3 @@
     return success(answer);
   }
 }
-
-/** A live instance as the platform's list shows it. */
-export function instanceMember(id: string): InstanceMember {
-  return {
-    role: 'instance',
-    id,
-    dataCentre: 'west-1',
-    region: 'west',
-    callerAddress: `${id}:1`,
-    entryPeerAddress: `${id}:2`,
-    controlAddress: `${id}:3`,
-    state: 'live',
-  };
-}
