Control core: ports and times in a module of their own, a shorter constructor

Cause: the constructor had over 70 lines and the file held contracts beside its class. Change: controlPorts.ts; createChangeDesk and createTasks; tasks are made in the same order. Conclusion: behaviour unchanged.

--- a/src/programs/control/controlCore.ts
+++ b/src/programs/control/controlCore.ts
@@ -1,12 +1,7 @@
 import {CancellationToken} from '../../base/common/cancellation.js';
-import {Clock} from '../../base/common/clock.js';
 import {DisposableOwner} from '../../base/common/lifecycle.js';
-import {RandomSource} from '../../base/common/randomSource.js';
 import {withDeadline} from '../../features/configuration/common/callDeadline.js';
-import {
-  ConfigurationProposer,
-  NonceSource,
-} from '../../features/configuration/common/configurationProposer.js';
+import {ConfigurationProposer} from '../../features/configuration/common/configurationProposer.js';
 import {ConfigurationReader} from '../../features/configuration/common/configurationReader.js';
 import {ConfigurationReplica} from '../../features/configuration/common/configurationReplica.js';
 import {ConfigurationStore} from '../../features/configuration/common/configurationStore.js';
@@ -21,15 +16,10 @@
 import {ViewPublisher} from '../../features/membership/common/viewPublisher.js';
 import {LocalState} from '../../features/peers/common/localState.js';
 import {MemberSpreader} from '../../features/peers/common/memberSpreader.js';
-import {PeerConnection} from '../../features/peers/common/peerConnection.js';
 import {PeerExchanger} from '../../features/peers/common/peerExchanger.js';
 import {PeerResponder} from '../../features/peers/common/peerResponder.js';
-import {Logger} from '../../platform/logging/common/logger.js';
-import {MembershipList} from '../../platform/membership/common/membershipList.js';
-import {Metrics} from '../../platform/metrics/common/metrics.js';
-import {ObjectStore} from '../../platform/objects/common/objectStore.js';
-import {TableService} from '../../platform/table/common/tableService.js';
 import {ChangeDesk} from './changeDesk.js';
+import {ControlPorts, ControlTimes} from './controlPorts.js';
 import {MemberTracker} from './memberTracker.js';
 
 const SECOND = 1_000;
@@ -41,30 +31,6 @@
 /** An instance that no peer answered for so many periods reads the list by itself. */
 const SILENT_EXCHANGES = 4;
 
-/** Periods and bounds, in seconds. */
-export interface ControlTimes {
-  readonly headReadSeconds: number;
-  /** Between reads of the list by an instance alone, and between any two reads by all instances. */
-  readonly membershipReadSeconds: number;
-  /** Spent on reading the list by each instance, as long as all together read often enough. */
-  readonly membershipReadBytesPerSecond: number;
-  readonly peerExchangeSeconds: number;
-  readonly confirmationBoundSeconds: number;
-}
-
-/** The outside of the core. */
-export interface ControlPorts {
-  readonly table: TableService;
-  readonly objects: ObjectStore;
-  readonly membership: MembershipList;
-  readonly peers: PeerConnection;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly nonce: NonceSource;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-}
-
 /** Everything the control program does apart from its servers. */
 export class ControlCore extends DisposableOwner {
   readonly replica: ConfigurationReplica;
@@ -110,41 +76,12 @@
       new MemberSpreader(this.state, this.exchanger, this.responder),
     );
     const members = this.register(this.createTracker());
-    this.changes = this.register(
-      new ChangeDesk(
-        log,
-        new ConfigurationProposer(
-          log,
-          this.reader,
-          this.replica,
-          clock,
-          ports.nonce,
-          logger,
-        ),
-        this.exchanger,
-        clock,
-        logger,
-      ),
-    );
+    this.changes = this.register(this.createChangeDesk(log));
     this.headTask = this.task(
       () => times.headReadSeconds * SECOND,
       token => this.readHead(token),
     );
-    this.tasks = [
-      this.task(
-        () => times.membershipReadSeconds * SECOND,
-        token => members.readIfDue(token),
-      ),
-      this.headTask,
-      this.task(
-        () => this.exchangeMilliseconds(),
-        token => this.exchange(token),
-      ),
-      this.task(
-        () => EVALUATION_MILLISECONDS,
-        () => Promise.resolve(this.evaluate()),
-      ),
-    ];
+    this.tasks = this.createTasks(members);
     this.register(this.replica.onDidChange(() => this.evaluate()));
     this.register(this.responder.onDidLearn(() => this.learned()));
     this.register(members.onDidChange(() => this.evaluate()));
@@ -189,6 +126,38 @@
     this.evaluate();
   }
 
+  private createChangeDesk(log: ConfigurationStore): ChangeDesk {
+    const {reader, replica, exchanger} = this;
+    const {clock, nonce, logger} = this.ports;
+    const proposer = new ConfigurationProposer(
+      log,
+      reader,
+      replica,
+      clock,
+      nonce,
+      logger,
+    );
+    return new ChangeDesk(log, proposer, exchanger, clock, logger);
+  }
+
+  private createTasks(members: MemberTracker): readonly RepeatingTask[] {
+    return [
+      this.task(
+        () => this.times.membershipReadSeconds * SECOND,
+        token => members.readIfDue(token),
+      ),
+      this.headTask,
+      this.task(
+        () => this.exchangeMilliseconds(),
+        token => this.exchange(token),
+      ),
+      this.task(
+        () => EVALUATION_MILLISECONDS,
+        () => Promise.resolve(this.evaluate()),
+      ),
+    ];
+  }
+
   private createTracker(): MemberTracker {
     const {times, state, spreader} = this;
     const {membership: list, clock, random, logger, metrics} = this.ports;
--- a/src/programs/control/test/controlCluster.ts
+++ b/src/programs/control/test/controlCluster.ts
@@ -11,7 +11,8 @@
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
 import {instanceMember} from '../../../../test/support/members.js';
 import {ProposalReport} from '../changeDesk.js';
-import {ControlCore, ControlTimes} from '../controlCore.js';
+import {ControlCore} from '../controlCore.js';
+import {ControlTimes} from '../controlPorts.js';
 import {PeerNetwork} from './peerNetwork.js';
 
 /** Several control cores over one in-memory platform and one fake clock. */
