Claims: the decision on a key known before is made in one place

Cause: PlainClaims and PlainKeyAnswers both compared fingerprints and else answered with a duplicate. Change: duplicateOf in fingerprints.ts. Conclusion: no change of behaviour; 55 tests of claims pass.

--- a/src/features/claims/common/fingerprints.ts
+++ b/src/features/claims/common/fingerprints.ts
@@ -1,3 +1,6 @@
+import {KnownKey} from './claimRecord.js';
+import {ClaimDecision} from './claims.js';
+
 /** Comparison of what keys stand for. A fingerprint is a digest of the work, a dot and the class of work. */
 
 /** How two requests with one key compare: `otherClass` when the work is the same. */
@@ -38,3 +41,14 @@
 function digestOf(fingerprint: string): string {
   return fingerprint.split(SEPARATOR, 1)[0]!;
 }
+
+/** The decision on a key that was claimed before, by what is known of it. */
+export function duplicateOf(
+  known: KnownKey,
+  fingerprint: string | undefined,
+): Extract<ClaimDecision, {readonly kind: 'duplicate' | 'keyReused'}> {
+  const {outcome} = known;
+  return (
+    refuseReuse(known.fingerprint, fingerprint) ?? {kind: 'duplicate', outcome}
+  );
+}
--- a/src/features/claims/common/plainClaims.ts
+++ b/src/features/claims/common/plainClaims.ts
@@ -15,7 +15,7 @@
 } from './claimRecord.js';
 import {ABSENT, Attempt, ClaimInserter} from './claimInserter.js';
 import {ClaimSettings} from './claimSettings.js';
-import {refuseReuse} from './fingerprints.js';
+import {duplicateOf, refuseReuse} from './fingerprints.js';
 import {EndedKeys} from './endedKeys.js';
 import {OutcomeRecorder} from './outcomeRecorder.js';
 import {RowWriter} from './rowWriter.js';
@@ -257,15 +257,3 @@
       })
     : duplicateOf({outcome, fingerprint: record.fingerprint}, fingerprint);
 }
-
-function duplicateOf(
-  known: KnownKey,
-  fingerprint: string | undefined,
-): PlainDecision {
-  return (
-    refuseReuse(known.fingerprint, fingerprint) ?? {
-      kind: 'duplicate',
-      outcome: known.outcome,
-    }
-  );
-}
--- a/src/features/claims/common/plainKeyAnswers.ts
+++ b/src/features/claims/common/plainKeyAnswers.ts
@@ -3,7 +3,7 @@
 import {RequestOutcome} from '../../requests/common/request.js';
 import {claimRowKey, parseClaimRecord} from './claimRecord.js';
 import {ClaimDecision} from './claims.js';
-import {refuseReuse} from './fingerprints.js';
+import {duplicateOf} from './fingerprints.js';
 import {OutcomeFinder} from './outcomeFinder.js';
 import {PlainClaims} from './plainClaims.js';
 
@@ -41,13 +41,7 @@
       case 'claimedBy': {
         const {incarnation} = decision;
         const held = await this.finder.askPlain(keyHash, incarnation, token);
-        const {outcome} = held;
-        return (
-          refuseReuse(held.fingerprint, fingerprint) ?? {
-            kind: 'duplicate',
-            outcome,
-          }
-        );
+        return duplicateOf(held, fingerprint);
       }
       case 'undecided':
         return {...decision, retryAfterMilliseconds: RETRY_MILLISECONDS};
