--- a/measure/common/recoveryFaults.ts
+++ b/measure/common/recoveryFaults.ts
@@ -19,6 +19,8 @@
   const engine = (replica: number, stage: number): EngineHandle =>
     engines[replica * system.options.stagesPerReplica + stage];
   return [
+    // First, so that it meets nothing that other faults left behind.
+    loseDataCentre(system, 'upper'),
     {
       name: 'stage killed',
       inject: () => engine(0, 1).setFault({kind: 'die'}),
@@ -57,8 +59,6 @@
         await restart(system, [instances[3]]);
       },
     },
-    // Last: its mending starts many processes.
-    loseDataCentre(system, 'upper'),
   ];
 }
 
