--- a/src/features/routing/node/defaultCapacityBroker.ts
+++ b/src/features/routing/node/defaultCapacityBroker.ts
@@ -157,9 +157,7 @@
     service: string,
     excluded: readonly string[],
   ): ServiceChoice {
-    const choice = this.services.choose(service, excluded);
-    this.parts.logger.decision('service', {service, excluded, ...choice});
-    return choice;
+    return this.services.choose(service, excluded);
   }
 
   override releaseService(
--- a/src/features/routing/test/capacityBroker.test.ts
+++ b/src/features/routing/test/capacityBroker.test.ts
@@ -33,7 +33,7 @@
 
 function ownerOf(): string {
   const view = systemView(instances, engines);
-  return CellMap.of(view, 8).ownersOf('perth-1/0', 1)[0]!.id;
+  return CellMap.of(view, 8).ownersOf('north-1/0', 1)[0]!.id;
 }
 
 function others(): string[] {
--- a/src/features/routing/test/cellRouter.test.ts
+++ b/src/features/routing/test/cellRouter.test.ts
@@ -66,7 +66,7 @@
     const router = createCellRouter(brokers[index]!.cells);
     owned.add(await serveRpc(router, member.entryPeerAddress, 'key'));
   }
-  const owner = CellMap.of(view, 8).ownersOf('perth-1/0', 1)[0]!.id;
+  const owner = CellMap.of(view, 8).ownersOf('north-1/0', 1)[0]!.id;
   const asker = brokers[members.findIndex(one => one.id !== owner)]!;
   const {signal} = neverCancelled;
   const work = workEstimate('r1');
--- a/src/features/routing/test/cells.test.ts
+++ b/src/features/routing/test/cells.test.ts
@@ -107,7 +107,7 @@
   });
 
   const near = instanceMember('near');
-  const region = instanceMember('region', {dataCentre: 'perth-2'});
+  const region = instanceMember('region', {dataCentre: 'north-2'});
   const far = instanceMember('far', {dataCentre: 'x', region: 'y'});
   test.each([
     {name: 'in the data centre', among: [far, region, near], owner: 'near'},
--- a/src/features/routing/test/routingFakes.ts
+++ b/src/features/routing/test/routingFakes.ts
@@ -30,7 +30,7 @@
   return {
     role: 'engine',
     id,
-    dataCentre: 'perth-1',
+    dataCentre: 'north-1',
     region: 'west',
     address: `10.0.0.1:${id.length}`,
     group: `replica-${id}`,
@@ -47,7 +47,7 @@
   return {
     role: 'instance',
     id,
-    dataCentre: 'perth-1',
+    dataCentre: 'north-1',
     region: 'west',
     callerAddress: `${id}:1`,
     entryPeerAddress: `${id}:2`,
--- a/src/features/routing/test/serviceChooser.test.ts
+++ b/src/features/routing/test/serviceChooser.test.ts
@@ -12,7 +12,7 @@
 
 function chooser(members: readonly UpstreamMember[]) {
   const clock = new FakeClock();
-  const place = {dataCentre: 'perth-1', region: 'west'};
+  const place = {dataCentre: 'north-1', region: 'west'};
   const made = new ServiceChooser(place, clock, new SeededRandomSource(1));
   made.update(members);
   clock.advance(5000);
@@ -20,7 +20,7 @@
 }
 
 const near = replica('near');
-const region = replica('region', {dataCentre: 'perth-2'});
+const region = replica('region', {dataCentre: 'north-2'});
 const far = replica('far', {dataCentre: 'x', region: 'y'});
 const leaving = replica('leaving', {state: 'leaving'});
 
--- a/test/prove/provedSystem.ts
+++ b/test/prove/provedSystem.ts
@@ -16,8 +16,8 @@
 export const provedOptions: Partial<SystemOptions> = {
   instances: 3,
   dataCentres: [
-    {name: 'perth-1', region: 'perth'},
-    {name: 'perth-2', region: 'perth'},
+    {name: 'north-1', region: 'north'},
+    {name: 'north-2', region: 'north'},
   ],
   layerCount: LAYER_COUNT,
   replicas: 4,
