--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -9,6 +9,7 @@
 import {createRpcClient, serveRpc} from '../../../platform/rpc/node/rpc.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
+import {RequestOutcome} from '../../requests/common/request.js';
 import {BoundKeys} from '../common/boundKeys.js';
 import {ClaimAgeing} from '../common/claimAgeing.js';
 import {claimRowKey, formatClaimRecord} from '../common/claimRecord.js';
@@ -56,51 +57,44 @@
   return decision;
 }
 
+function duplicateOf(outcome: RequestOutcome) {
+  return {kind: 'duplicate', outcome};
+}
+
+function heldWith(outcome: RequestOutcome) {
+  return {kind: 'heldElsewhere', outcome};
+}
+
+/** A table without instances around it. */
+function newTable() {
+  const clock = new FakeClock();
+  const platform = new InMemoryPlatform(clock);
+  return {clock, platform, table: platform.portsOf().table};
+}
+
 describe('grants', () => {
   const signer = new GrantSigner('new', ['old']);
-  const grant = signer.sign('inc', 5000, 'desk');
+  const grantOf = (by: GrantSigner) => by.sign('inc', 5000, 'desk');
+  const grant = grantOf(signer);
+  const former = grantOf(new GrantSigner('old'));
+  const unknown = grantOf(new GrantSigner('bad'));
 
   test.each([
-    {name: 'own', account: 'desk', key: `${grant}.a`, kind: 'bound'},
-    {
-      name: 'suffix with dots',
-      account: 'desk',
-      key: `${grant}.a.b`,
-      kind: 'bound',
-    },
-    {
-      name: 'other account',
-      account: 'yard',
-      key: `${grant}.a`,
-      kind: 'invalid',
-    },
-    {name: 'no suffix', account: 'desk', key: `${grant}.`, kind: 'invalid'},
-    {
-      name: 'other incarnation',
-      account: 'desk',
-      key: `${grant.replace('inc', 'inx')}.a`,
-      kind: 'invalid',
-    },
-    {
-      name: 'other expiry',
-      account: 'desk',
-      key: `${grant.replace('.3uw.', '.3uz.')}.a`,
-      kind: 'invalid',
-    },
-    {
-      name: 'former peer key',
-      account: 'desk',
-      key: `${new GrantSigner('old').sign('inc', 5000, 'desk')}.a`,
-      kind: 'bound',
-    },
-    {
-      name: 'unknown peer key',
-      account: 'desk',
-      key: `${new GrantSigner('bad').sign('inc', 5000, 'desk')}.a`,
-      kind: 'invalid',
-    },
-    {name: 'no grant', account: 'desk', key: 'order-7', kind: 'plain'},
-  ])('$name: $kind', ({account, key, kind}) => {
+    ['own', 'bound', 'desk', `${grant}.a`],
+    ['suffix with dots', 'bound', 'desk', `${grant}.a.b`],
+    ['other account', 'invalid', 'yard', `${grant}.a`],
+    ['no suffix', 'invalid', 'desk', `${grant}.`],
+    [
+      'other incarnation',
+      'invalid',
+      'desk',
+      `${grant.replace('inc', 'inx')}.a`,
+    ],
+    ['other expiry', 'invalid', 'desk', `${grant.replace('.3uw.', '.3uz.')}.a`],
+    ['former peer key', 'bound', 'desk', `${former}.a`],
+    ['unknown peer key', 'invalid', 'desk', `${unknown}.a`],
+    ['no grant', 'plain', 'desk', 'order-7'],
+  ])('%s: %s', (_name, kind, account, key) => {
     expect(signer.read(account, key).kind).toBe(kind);
   });
 
@@ -116,14 +110,8 @@
     const key = `${world.slots[0]!.service.issueGrant(ACCOUNT)}.a`;
     expect(await claim(world, 0, key)).toEqual({kind: 'granted'});
     world.slots[0]!.service.complete(ACCOUNT, key, completed);
-    expect(await claim(world, 0, key)).toEqual({
-      kind: 'duplicate',
-      outcome: completed,
-    });
-    expect(await claim(world, 1, key)).toMatchObject({
-      kind: 'heldElsewhere',
-      outcome: completed,
-    });
+    expect(await claim(world, 0, key)).toEqual(duplicateOf(completed));
+    expect(await claim(world, 1, key)).toMatchObject(heldWith(completed));
   });
 
   test('of a dead incarnation: the recorded outcome, else unknown', async () => {
@@ -137,14 +125,10 @@
     service.complete(ACCOUNT, ran!, completed);
     await world.advance(200);
     world.restart(world.slots[0]!);
-    expect(await claim(world, 1, ran!)).toMatchObject({
-      kind: 'heldElsewhere',
-      outcome: completed,
-    });
-    expect(await claim(world, 1, lost!)).toMatchObject({
-      kind: 'heldElsewhere',
-      outcome: {kind: 'unknown'},
-    });
+    expect(await claim(world, 1, ran!)).toMatchObject(heldWith(completed));
+    expect(await claim(world, 1, lost!)).toMatchObject(
+      heldWith({kind: 'unknown'}),
+    );
   });
 
   test('beyond the limit are refused, and none is forgotten', async () => {
@@ -179,65 +163,42 @@
     await claim(world, 0, key);
     await world.advance(6000);
     world.slots[0]!.clock.shiftWall(-6000);
-    expect(await claim(world, 0, key)).toEqual({
-      kind: 'duplicate',
-      outcome: {kind: 'unknown'},
-    });
+    expect(await claim(world, 0, key)).toEqual(duplicateOf({kind: 'unknown'}));
   });
 });
 
 describe('plain keys', () => {
+  const rateLimited = {
+    kind: 'rateLimited',
+    retryAfterMilliseconds: 50,
+  } as const;
+  const slow = {kind: 'slow', milliseconds: 700} as const;
   test.each([
-    {
-      name: 'answer lost',
-      fault: {kind: 'answerLost'},
-      times: 1,
-      expected: 'granted',
-    },
-    {
-      name: 'request lost',
-      fault: {kind: 'requestLost'},
-      times: 1,
-      expected: 'granted',
-    },
-    {
-      name: 'rate limited once',
-      fault: {kind: 'rateLimited', retryAfterMilliseconds: 50},
-      times: 1,
-      expected: 'granted',
+    ['answer lost', 'granted', 1, {kind: 'answerLost'}],
+    ['request lost', 'granted', 1, {kind: 'requestLost'}],
+    ['rate limited once', 'granted', 1, rateLimited],
+    ['down', 'undecided', 99, {kind: 'down'}],
+    ['all answers lost', 'undecided', 99, {kind: 'answerLost'}],
+    ['slower than the wait', 'undecided', 99, slow],
+  ] as const)(
+    '%s: %s, decided afterwards',
+    async (_name, expected, times, fault) => {
+      const world = newWorld(2);
+      world.fault(fault, times);
+      expect((await claim(world, 0, 'order')).kind).toBe(expected);
+      world.platform.clearFaults();
+      await world.advance(1500);
+      const again = await claim(world, 1, 'order');
+      expect(again.kind).toBe(expected === 'granted' ? 'duplicate' : 'granted');
     },
-    {name: 'down', fault: {kind: 'down'}, times: 99, expected: 'undecided'},
-    {
-      name: 'all answers lost',
-      fault: {kind: 'answerLost'},
-      times: 99,
-      expected: 'undecided',
-    },
-    {
-      name: 'slower than the wait',
-      fault: {kind: 'slow', milliseconds: 700},
-      times: 99,
-      expected: 'undecided',
-    },
-  ] as const)('$name: $expected, decided afterwards', async each => {
-    const world = newWorld(2);
-    world.fault(each.fault, each.times);
-    expect((await claim(world, 0, 'order')).kind).toBe(each.expected);
-    world.platform.clearFaults();
-    await world.advance(1500);
-    const again = await claim(world, 1, 'order');
-    expect(again.kind).toBe(
-      each.expected === 'granted' ? 'duplicate' : 'granted',
-    );
-  });
+  );
 
   test('can be claimed again after an outcome that says not run, and only then', async () => {
     const world = newWorld(2);
     await claim(world, 0, 'order');
-    expect(await claim(world, 1, 'order')).toEqual({
-      kind: 'duplicate',
-      outcome: {kind: 'running'},
-    });
+    expect(await claim(world, 1, 'order')).toEqual(
+      duplicateOf({kind: 'running'}),
+    );
     world.slots[0]!.service.complete(ACCOUNT, 'order', notRun);
     await world.advance(200);
     expect(await claim(world, 1, 'order')).toEqual({kind: 'granted'});
@@ -249,10 +210,9 @@
     await claim(world, 0, 'order');
     world.platform.addFault({kind: 'down'}, {part: 'table', instance: 'slot0'});
     world.slots[0]!.service.complete(ACCOUNT, 'order', notRun);
-    expect(await claim(world, 1, 'order')).toEqual({
-      kind: 'duplicate',
-      outcome: {kind: 'running'},
-    });
+    expect(await claim(world, 1, 'order')).toEqual(
+      duplicateOf({kind: 'running'}),
+    );
     world.platform.clearFaults();
     await world.advance(500);
     expect(await claim(world, 1, 'order')).toEqual({kind: 'granted'});
@@ -272,21 +232,21 @@
 
 describe('a key that comes with another request', () => {
   const other = {kind: 'keyReused', sameWork: false};
-  test.each([
-    {at: 'its holder, running', key: 'plain', slot: 0, end: undefined},
-    {at: 'its holder, ended', key: 'plain', slot: 0, end: completed},
-    {at: 'its holder, not run', key: 'plain', slot: 0, end: notRun},
-    {at: 'another, running', key: 'plain', slot: 1, end: undefined},
-    {at: 'another, ended', key: 'plain', slot: 1, end: completed},
-    {at: 'another, not run', key: 'plain', slot: 1, end: notRun},
-    {at: 'its holder, running', key: 'bound', slot: 0, end: undefined},
-    {at: 'its holder, ended', key: 'bound', slot: 0, end: completed},
-    {at: 'its holder, not run', key: 'bound', slot: 0, end: notRun},
-    {at: 'another, running', key: 'bound', slot: 1, end: undefined},
-    {at: 'another, ended', key: 'bound', slot: 1, end: completed},
-    {at: 'one after its holder died', key: 'bound', slot: 1, end: completed},
-    {at: 'its holder, forgotten', key: 'bound', slot: 0, end: completed},
-  ])('$key key at $at', async ({at, key: kind, slot, end}) => {
+  test.each<[string, string, number, RequestOutcome | undefined]>([
+    ['plain', 'its holder, running', 0, undefined],
+    ['plain', 'its holder, ended', 0, completed],
+    ['plain', 'its holder, not run', 0, notRun],
+    ['plain', 'another, running', 1, undefined],
+    ['plain', 'another, ended', 1, completed],
+    ['plain', 'another, not run', 1, notRun],
+    ['bound', 'its holder, running', 0, undefined],
+    ['bound', 'its holder, ended', 0, completed],
+    ['bound', 'its holder, not run', 0, notRun],
+    ['bound', 'another, running', 1, undefined],
+    ['bound', 'another, ended', 1, completed],
+    ['bound', 'one after its holder died', 1, completed],
+    ['bound', 'its holder, forgotten', 0, completed],
+  ])('%s key at %s', async (kind, at, slot, end) => {
     const world = newWorld(4);
     const {service} = world.slots[0]!;
     const key = kind === 'bound' ? `${service.issueGrant(ACCOUNT)}.a` : 'order';
@@ -335,9 +295,7 @@
 });
 
 test('outcomes outlast an outage; beyond the buffer the oldest are dropped and counted', async () => {
-  const clock = new FakeClock();
-  const platform = new InMemoryPlatform(clock);
-  const {table} = platform.portsOf();
+  const {clock, platform, table} = newTable();
   platform.addFault({kind: 'down'});
   const writer = new (class extends RowWriter {
     override async write(write: Parameters<RowWriter['write']>[0]) {
@@ -383,9 +341,7 @@
 });
 
 test('ageing deletes what has expired, a page of one slice a step', async () => {
-  const clock = new FakeClock();
-  const platform = new InMemoryPlatform(clock);
-  const {table} = platform.portsOf();
+  const {clock, platform, table} = newTable();
   const now = clock.wallMilliseconds();
   for (let index = 0; index < 512; index++) {
     const keyHash = (index % 256).toString(16).padStart(2, '0') + index;
--- a/src/features/pipeline/test/pipelineFaults.test.ts
+++ b/src/features/pipeline/test/pipelineFaults.test.ts
@@ -3,7 +3,7 @@
 import {Executed} from '../../requests/common/failure.js';
 import {ExportMode, Fault, FaultKind, faultKinds} from './faultyEngine.js';
 import {makeRequest, PipelineBench, upstreamName} from './pipelineBench.js';
-import {violationsOf} from './verdict.js';
+import {finishCleanly, violationsOf} from './verdict.js';
 
 const stages = [0, 1, 2];
 const PREFILL = 0;
@@ -43,8 +43,7 @@
         unfenced: unfenced ? 'all' : [],
       });
       const run = bench.start();
-      await bench.finish();
-      expect(violationsOf(bench)).toEqual([]);
+      await finishCleanly(bench);
       expect(run.result?.ok).toBe(true);
       expect(run.endedAt).toBeLessThan(5000);
     },
@@ -67,8 +66,7 @@
         settings: {exports: eagerExports},
       });
       const run = bench.start();
-      await bench.finish();
-      expect(violationsOf(bench)).toEqual([]);
+      await finishCleanly(bench);
       expect(run.result?.ok).toBe(true);
       const first = bench.ledger.find(
         entry => entry.upstream === upstreamName(1, 1),
@@ -80,89 +78,53 @@
 });
 
 describe('when nothing can replace the stage', () => {
-  const cases: ReadonlyArray<{
-    name: string;
-    fault: Fault;
-    unfenced: boolean;
-    executed: Executed | 'whole';
-  }> = [
-    {
-      name: 'dead first stage, never reached',
-      fault: faultAt(0, 'unreachable', PREFILL),
-      unfenced: true,
-      executed: 'no',
-    },
-    {
-      name: 'first stage refuses',
-      fault: faultAt(0, 'refused', PREFILL),
-      unfenced: true,
-      executed: 'no',
-    },
-    {
-      name: 'first stage has no room',
-      fault: faultAt(0, 'overloaded', PREFILL),
-      unfenced: true,
-      executed: 'no',
-    },
-    {
-      name: 'first stage dies before it ran',
-      fault: faultAt(0, 'killBefore', PREFILL),
-      unfenced: true,
-      executed: 'unknown',
-    },
-    {
-      name: 'second stage dies at prefill',
-      fault: faultAt(1, 'killBefore', PREFILL),
-      unfenced: true,
-      executed: 'unknown',
-    },
-    {
-      name: 'stage dies after tokens',
-      fault: faultAt(1, 'killAfter', DECODE),
-      unfenced: true,
-      executed: 'unknown',
-    },
-    {
-      name: 'connection cut, engine up, fenced',
-      fault: faultAt(1, 'cutAfter', DECODE),
-      unfenced: false,
-      executed: 'whole',
-    },
-    {
-      name: 'connection cut, engine up, unfenced',
-      fault: faultAt(1, 'cutAfter', DECODE),
-      unfenced: true,
-      executed: 'whole',
-    },
-    {
-      name: 'frozen, fenced',
-      fault: faultAt(1, 'freezeBefore', DECODE),
-      unfenced: false,
-      executed: 'whole',
-    },
-    {
-      name: 'frozen, unfenced',
-      fault: faultAt(1, 'freezeBefore', DECODE),
-      unfenced: true,
-      executed: 'whole',
-    },
-    {
-      name: 'slow, unfenced',
-      fault: faultAt(1, 'slow', DECODE),
-      unfenced: true,
-      executed: 'whole',
-    },
+  /** The last column says whether the engines ignore epochs. */
+  const cases: ReadonlyArray<
+    readonly [string, Executed | 'whole', number, FaultKind, number, boolean]
+  > = [
+    ['dead first stage, never reached', 'no', 0, 'unreachable', PREFILL, true],
+    ['first stage refuses', 'no', 0, 'refused', PREFILL, true],
+    ['first stage has no room', 'no', 0, 'overloaded', PREFILL, true],
+    [
+      'first stage dies before it ran',
+      'unknown',
+      0,
+      'killBefore',
+      PREFILL,
+      true,
+    ],
+    ['second stage dies at prefill', 'unknown', 1, 'killBefore', PREFILL, true],
+    ['stage dies after tokens', 'unknown', 1, 'killAfter', DECODE, true],
+    [
+      'connection cut, engine up, fenced',
+      'whole',
+      1,
+      'cutAfter',
+      DECODE,
+      false,
+    ],
+    [
+      'connection cut, engine up, unfenced',
+      'whole',
+      1,
+      'cutAfter',
+      DECODE,
+      true,
+    ],
+    ['frozen, fenced', 'whole', 1, 'freezeBefore', DECODE, false],
+    ['frozen, unfenced', 'whole', 1, 'freezeBefore', DECODE, true],
+    ['slow, unfenced', 'whole', 1, 'slow', DECODE, true],
   ];
-  test.each(cases)('$name: $executed', async ({fault, unfenced, executed}) => {
+  test.each(cases)('%s: %s', async (...row) => {
+    const [, executed, stage, kind, atStep, unfenced] = row;
     const bench = new PipelineBench({
       replicas: 1,
-      faults: [fault],
+      faults: [faultAt(stage, kind, atStep)],
       unfenced: unfenced ? 'all' : [],
       settings: {recoveryLimit: 40},
     });
     const run = bench.start();
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     const {result} = run;
     expect(result?.ok ? 'whole' : result?.error.executed).toBe(executed);
     if (result?.ok === false) {
@@ -196,8 +158,7 @@
         await bench.finish();
       }
       const run = bench.start();
-      await bench.finish();
-      expect(violationsOf(bench)).toEqual([]);
+      await finishCleanly(bench);
       expect(run.result).toMatchObject({ok: false, error: {executed}});
     },
   );
@@ -215,8 +176,7 @@
     const {classOfWork} = makeRequest('q0', 0);
     const {repeatable} = row;
     const run = bench.start({classOfWork: {...classOfWork, repeatable}});
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     const {result} = run;
     expect(result?.ok ? 'whole' : result?.error.executed).toBe(row.outcome);
   });
@@ -233,8 +193,7 @@
       ],
     });
     const runs = [bench.start(), bench.start(), bench.start()];
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(runs.map(run => run.result?.ok)).toEqual([true, true, true]);
     expect(bench.metrics.counts.get('pipeline.droppedAnswers')).toBe(2);
   });
@@ -251,8 +210,7 @@
         held.push(...left.flatMap(engine => engine.resident));
       }
     });
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(run.result?.ok).toBe(true);
     expect(held).toEqual([]);
   });
@@ -275,8 +233,7 @@
   test('a late answer is counted and dropped', async () => {
     const bench = new PipelineBench({faults: [faultAt(1, 'late', DECODE)]});
     bench.start();
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(bench.metrics.counts.get('pipeline.droppedAnswers')).toBe(1);
   });
 
@@ -286,8 +243,7 @@
     );
     const bench = new PipelineBench({replicas: 1, faults});
     const run = bench.start();
-    await bench.finish();
-    expect(violationsOf(bench)).toEqual([]);
+    await finishCleanly(bench);
     expect(run.result).toMatchObject({
       ok: false,
       error: {error: {kind: 'upstreamFailed'}, executed: 'unknown'},
--- a/src/features/routing/common/cellCodec.ts
+++ b/src/features/routing/common/cellCodec.ts
@@ -27,6 +27,13 @@
 } from './cellSchemas.js';
 import {FrontCoding} from './frontCoding.js';
 
+/** Bits of what a dispatcher must know of a stage. */
+enum StageTrait {
+  checksFencing = 1,
+  fencingKnown = 2,
+  probing = 4,
+}
+
 /**
  * Turns messages about cells into positional rows and back. What the reader knows is left out, and
  * names in lists are front-coded.
@@ -311,13 +318,13 @@
   const upstreams = new FrontCoding();
   const addresses = new FrontCoding();
   const versions = new FrontCoding();
-  return stages.map(({upstream, address, layers, checksFencing, version}) => [
-    upstreams.encode(upstream),
-    addresses.encode(address),
-    layers.from,
-    layers.to,
-    checksFencing === undefined ? null : Number(checksFencing),
-    version === undefined ? null : versions.encode(version),
+  return stages.map(stage => [
+    upstreams.encode(stage.upstream),
+    addresses.encode(stage.address),
+    stage.layers.from,
+    stage.layers.to,
+    encodeTraits(stage),
+    stage.version === undefined ? null : versions.encode(stage.version),
   ]);
 }
 
@@ -325,15 +332,33 @@
   const upstreams = new FrontCoding();
   const addresses = new FrontCoding();
   const versions = new FrontCoding();
-  return rows.map(([upstream, address, from, to, checksFencing, version]) => ({
+  return rows.map(([upstream, address, from, to, traits, version]) => ({
     upstream: upstreams.decode(upstream),
     address: addresses.decode(address),
     layers: {from, to},
-    checksFencing: checksFencing === null ? undefined : checksFencing === 1,
+    ...decodeTraits(traits),
     version: version === null ? undefined : versions.decode(version),
   }));
 }
 
+function encodeTraits({checksFencing, probing}: ChosenStage): number {
+  const fencing =
+    checksFencing === undefined
+      ? 0
+      : StageTrait.fencingKnown +
+        (checksFencing ? StageTrait.checksFencing : 0);
+  return fencing + (probing === true ? StageTrait.probing : 0);
+}
+
+function decodeTraits(
+  traits: number,
+): Pick<ChosenStage, 'checksFencing' | 'probing'> {
+  const isKnown = (traits & StageTrait.fencingKnown) !== 0;
+  const checks = (traits & StageTrait.checksFencing) !== 0;
+  const probing = (traits & StageTrait.probing) !== 0 ? true : undefined;
+  return {checksFencing: isKnown ? checks : undefined, probing};
+}
+
 function encodePrediction(prediction: Prediction): PredictionRow {
   return [
     prediction.startsInMilliseconds,
--- a/src/features/routing/common/cellSchemas.ts
+++ b/src/features/routing/common/cellSchemas.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 
-/** Checks of the rows in which peers send messages about cells. New fields go to the end of a row. */
+/** Checks of the rows in which peers send messages about cells. */
 
 /** Outcomes of a stage, by their number on the wire. */
 export const outcomes = [
@@ -93,13 +93,13 @@
 /** A list of summaries. */
 export const summaryRows = z.array(summaryRow);
 
-/** Upstream, address, layers, whether it checks fencing, and the version. */
+/** Upstream, address, layers, traits (see `StageTrait` of the codec), and the version. */
 const stageRow = z.tuple([
   z.string(),
   z.string(),
   z.number(),
   z.number(),
-  z.number().nullable(),
+  z.number(),
   z.string().nullable(),
 ]);
 
--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -74,6 +74,8 @@
   readonly checksFencing?: boolean;
   /** The version of the model that the engine holds; undefined counts as the configured one. */
   readonly version?: string;
+  /** Whether the owner waits for its first answer before it gives it more; undefined counts as no. */
+  readonly probing?: boolean;
 }
 
 /** What the decision expects of the chosen pipeline. */
@@ -158,7 +160,7 @@
     observations: readonly StageObservation[],
   ): void;
 
-  /** Reports a failure at once, before the release. */
+  /** Reports a failure, or the first answer of a probing stage, at once, before the release. */
   abstract reportFailure(
     reservation: Reservation,
     observation: StageObservation,
--- a/src/features/routing/node/cellOwner.ts
+++ b/src/features/routing/node/cellOwner.ts
@@ -262,10 +262,15 @@
     };
   }
 
+  /** Adds what the dispatcher must know of a stage. */
   private describe(stage: ChosenStage, version: string): ChosenStage {
-    const report = this.parts.registry.get(stage.upstream)?.ledger.report;
+    const {registry} = this.parts;
+    const report = registry.get(stage.upstream)?.ledger.report;
     const checksFencing = report?.report.checksFencing ?? false;
-    return {...stage, version, checksFencing};
+    const described = {...stage, version, checksFencing};
+    return registry.isProbing(stage.upstream)
+      ? {...described, probing: true}
+      : described;
   }
 
   private enterInLedgers(id: string, booking: Booking): void {
--- a/src/features/routing/test/capacityBroker.test.ts
+++ b/src/features/routing/test/capacityBroker.test.ts
@@ -108,6 +108,30 @@
   });
 });
 
+test('a process that starts uses engines that ran before in full', async () => {
+  bench = new BrokerBench(instances, engines, 8);
+  await bench.clock.advanceAsync(100);
+  const starts = [];
+  for (let index = 0; index < 64; index++) {
+    const {prediction} = await reserved(ownerOf(), `r${index}`);
+    starts.push(prediction.startsInMilliseconds);
+  }
+  expect(Math.max(...starts)).toBe(0);
+  const joined = [...engines, engineMember('e5')];
+  bench.engines.set('e5');
+  bench.show(instances, joined);
+  await bench.clock.advanceAsync(100);
+  const taken = await Promise.all(
+    Array.from({length: 16}, (_, index) => reserve(ownerOf(), `n${index}`)),
+  );
+  const atOnce = taken.filter(
+    reply =>
+      reply.kind === 'reserved' &&
+      reply.reservation.prediction.startsInMilliseconds === 0,
+  );
+  expect(atOnce.length).toBe(4);
+});
+
 describe('upstreams that may get nothing new', () => {
   const leavingList = [
     engineMember('e1', {state: 'leaving'}),
@@ -164,8 +188,14 @@
     const other = upstream === 'e1' ? 'e2' : 'e1';
     bench.engines.set(other, {leaving: true});
     await bench.clock.advanceAsync(1300);
-    const {stages} = await reserved(ownerOf(), 'later');
-    expect(stages[0]!.upstream).toBe(upstream);
+    const later = await reserved(ownerOf(), 'later');
+    expect(later.stages[0]).toMatchObject(
+      outcome === 'refused' ? {upstream} : {upstream, probing: true},
+    );
+    owner.reportFailure(later, observation(upstream, 'completed'));
+    const next = await reserved(ownerOf(), 'next');
+    expect(next.stages[0]!.probing).toBe(undefined);
+    expect(next.prediction.startsInMilliseconds).toBe(0);
   });
 });
 
--- a/src/programs/redwing/commands/classCommands.ts
+++ b/src/programs/redwing/commands/classCommands.ts
@@ -2,30 +2,23 @@
 
 import {
   EntryFields,
-  ListCommand,
-  RemoveCommand,
   SetCommand,
+  createListCommand,
+  createRemoveCommand,
   describe,
 } from './entryCommands.js';
+import {entryKinds} from './entryKinds.js';
 import {toNumber} from './optionValues.js';
 
 /** `redwing class …`: classes of work and their targets. */
 
-/** `redwing class list`. */
-export class ClassListCommand extends ListCommand {
-  static override paths = [['class', 'list']];
-  static override usage = describe('List the classes of work.');
-  protected override readonly section = 'classes';
-}
-
 /** `redwing class set`. */
-export class ClassSetCommand extends SetCommand {
+class ClassSetCommand extends SetCommand {
   static override paths = [['class', 'set']];
   static override usage = describe(
     'Create a class of work or change its targets; targets not given stay.',
   );
-  protected override readonly section = 'classes';
-  protected override readonly operation = 'setClass';
+  protected override readonly kind = entryKinds.classes;
 
   firstToken = Option.String('--first-token-milliseconds', {
     description: 'time to the first token, for 95 in 100',
@@ -54,10 +47,9 @@
   }
 }
 
-/** `redwing class remove`. */
-export class ClassRemoveCommand extends RemoveCommand {
-  static override paths = [['class', 'remove']];
-  static override usage = describe('Remove a class of work.');
-  protected override readonly section = 'classes';
-  protected override readonly operation = 'removeClass';
-}
+/** The commands on classes of work. */
+export const classCommands = [
+  createListCommand(entryKinds.classes),
+  ClassSetCommand,
+  createRemoveCommand(entryKinds.classes),
+] as const;
