--- a/measure/common/controlFleet.ts
+++ b/measure/common/controlFleet.ts
@@ -23,6 +23,7 @@
   ControlSettings,
   | 'headReadSeconds'
   | 'membershipReadSeconds'
+  | 'membershipReadBytesPerSecond'
   | 'peerExchangeSeconds'
   | 'confirmationBoundSeconds'
 >;
--- a/measure/control.ts
+++ b/measure/control.ts
@@ -1,9 +1,11 @@
 import {createHash} from 'node:crypto';
 
 import {LaunchedSystem} from '../test/support/launcher.js';
+import {SystemOptions} from '../test/support/systemOptions.js';
+import {callJson} from '../test/support/systemParts.js';
 import {sleep} from '../test/support/sleep.js';
 import {ControlFleet, ControlPeriods, FleetUse} from './common/controlFleet.js';
-import {fitCoefficients} from './common/linearFit.js';
+import {fitCoefficients, fitLine, lineAt} from './common/linearFit.js';
 import {median, round} from './common/statistics.js';
 
 /**
@@ -19,18 +21,23 @@
   readonly seconds: number;
 }
 
-/** A figure's dependence: `base`, and what each unit adds. */
-export interface ControlSlopes {
+/** How the share of a core depends on the size. */
+export interface ControlCpu {
   readonly base: number;
-  /** For each instance, beyond its line in the list. */
   readonly perInstance: number;
-  /** For each listed member, instance or upstream, and each reading of the list a second. */
-  readonly perMemberReadPerSecond: number;
-  readonly perAccount: number;
-  /** At the expected size and the periods of this run. */
+  /** Of one reading of the list, for each member in it. */
+  readonly millisecondsPerMemberRead: number;
+  /** At the expected size, with the list read as often as the byte budget allows. */
   readonly expected: number;
-  /** The same without the readings of the list. */
+}
+
+/** How the bytes a second depend on the size; those of list readings are counted apart. */
+export interface ControlBytes {
+  readonly base: number;
+  readonly perInstance: number;
   readonly expectedWithoutList: number;
+  /** Readings of the whole list at the expected size, by the rule of the program. */
+  readonly expectedForList: number;
 }
 
 /** Resident memory hardly depends on the size beside what a process keeps free, so the highest reading is stated. */
@@ -55,16 +62,21 @@
 export interface ControlReport {
   readonly seed: number;
   readonly periods: ControlPeriods;
-  readonly readings: ReadonlyArray<FleetUse & Regressors>;
-  readonly cpuShare: ControlSlopes;
+  readonly readings: readonly Reading[];
+  readonly cpuShare: ControlCpu;
   readonly residentBytes: ControlMemory;
-  readonly bytesPerSecond: ControlSlopes;
+  readonly bytesPerSecond: ControlBytes;
   readonly changes: readonly ChangeReport[];
 }
 
-interface Regressors {
+/** What a fleet used and what it may depend on. */
+export interface Reading extends FleetUse {
   readonly upstreams: number;
   readonly accounts: number;
+  /** Readings of the list by one instance, as the platform counted them. */
+  readonly listReadsPerSecond: number;
+  /** Of one reading. */
+  readonly listBytes: number;
 }
 
 /** The size that the users expect within two years. */
@@ -76,97 +88,147 @@
 
 const PERIODS: ControlPeriods = {
   headReadSeconds: 3,
-  membershipReadSeconds: 2,
+  membershipReadSeconds: 5,
+  membershipReadBytesPerSecond: 500,
   peerExchangeSeconds: 2,
   confirmationBoundSeconds: 12,
 };
 
-const INSTANCES = [3, 7, 14, 28];
-const UPSTREAMS = [50, 500, 3000];
-const ACCOUNTS = [1000, 5800];
+/** Fleets side by side, so that all can settle: instances, and listed upstreams. */
+const FLEETS: ReadonlyArray<readonly [number, number]> = [
+  [28, 0],
+  [14, 50],
+  [7, 500],
+  [3, 3000],
+];
+const ACCOUNTS = 5800;
 const ACCOUNTS_PER_PROPOSAL = 1000;
-const SETTLE_MILLISECONDS = 1000;
-const TIMED_CHANGES = 5;
+/** Records that changed are told for 20 s. */
+const SETTLE_MILLISECONDS = 21_000;
+const PAUSE_MILLISECONDS = 1000;
+const TIMED_CHANGES = 4;
 const COUNTED_CHANGES = 4;
 const CHANGE_SPACING_MILLISECONDS = 250;
+const STAND_INS: Partial<SystemOptions> = {
+  instances: 0,
+  replicas: 1,
+  stagesPerReplica: 1,
+  services: [],
+  ledgerFiles: false,
+};
 const PROBE_CLASS = 'probe';
 
-/** Grows a fleet of control programs and reads what they use. */
+/** Runs fleets of control programs and reads what they use. */
 export async function measureControl(
   options: ControlOptions,
 ): Promise<ControlReport> {
-  const system = await LaunchedSystem.launch({
-    instances: 0,
-    replicas: 1,
-    stagesPerReplica: 1,
-    services: [],
-    ledgerFiles: false,
-  });
-  const fleet = new ControlFleet(system, PERIODS);
+  const launched = await Promise.allSettled(
+    FLEETS.map(([instances, upstreams]) =>
+      FleetBench.launch(instances, upstreams),
+    ),
+  );
   try {
-    return await new ControlBench(fleet, options).run();
+    const benches = launched.map(one => {
+      if (one.status === 'rejected') {
+        throw one.reason;
+      }
+      return one.value;
+    });
+    return await runFleets(benches, options);
   } finally {
-    await fleet.dispose();
-    await system.dispose();
+    for (const one of launched) {
+      if (one.status === 'fulfilled') {
+        await one.value.dispose();
+      }
+    }
   }
 }
 
-class ControlBench {
-  private readonly readings: Array<FleetUse & Regressors> = [];
-  private upstreams = 1;
+async function runFleets(
+  benches: readonly FleetBench[],
+  options: ControlOptions,
+): Promise<ControlReport> {
+  await sleep(SETTLE_MILLISECONDS);
+  const readings = await Promise.all(
+    benches.map(one => one.read(options.seconds)),
+  );
+  const [largest] = benches;
+  const before = readings[0];
+  const changes = [await largest.readChanges(before)];
+  await largest.setAccounts(ACCOUNTS);
+  await sleep(PAUSE_MILLISECONDS);
+  const after = await largest.read(options.seconds / 2);
+  changes.push(await largest.readChanges(after));
+  const resident = [...readings, after].map(one => one.residentBytes);
+  return {
+    seed: options.seed,
+    periods: PERIODS,
+    readings: [...readings, after],
+    cpuShare: cpuSlopes(readings),
+    residentBytes: {
+      highestBytes: Math.round(Math.max(...resident)),
+      perAccount: Math.round(
+        (after.residentBytes - before.residentBytes) / ACCOUNTS,
+      ),
+    },
+    bytesPerSecond: byteSlopes(readings),
+    changes,
+  };
+}
+
+/** One fleet over a platform of its own. */
+class FleetBench {
   private accounts = 0;
   private changes = 0;
 
-  constructor(
+  private constructor(
+    private readonly system: LaunchedSystem,
     private readonly fleet: ControlFleet,
-    private readonly options: ControlOptions,
+    private readonly upstreams: number,
   ) {}
 
-  async run(): Promise<ControlReport> {
-    await this.fleet.growTo(INSTANCES[0]);
-    await this.changeClass();
-    await this.fleet.awaitServing();
-    await this.read();
-    for (const count of UPSTREAMS) {
-      await this.setUpstreams(count);
-      await this.read();
+  static async launch(
+    instances: number,
+    upstreams: number,
+  ): Promise<FleetBench> {
+    const system = await LaunchedSystem.launch(STAND_INS);
+    const fleet = new ControlFleet(system, PERIODS);
+    const bench = new FleetBench(system, fleet, upstreams);
+    try {
+      await fleet.listUpstreams(upstreams, 0);
+      await fleet.growTo(instances);
+      await bench.changeClass();
+      await fleet.awaitServing();
+      return bench;
+    } catch (error) {
+      await bench.dispose();
+      throw error;
     }
-    await this.setUpstreams(0);
-    for (const size of INSTANCES.slice(1)) {
-      await this.fleet.growTo(size);
-      await this.fleet.awaitServing();
-      await this.read();
-    }
-    const changes = [await this.readChanges()];
-    for (const count of ACCOUNTS) {
-      await this.setAccounts(count);
-      await this.read();
-    }
-    changes.push(await this.readChanges());
-    return {
-      seed: this.options.seed,
-      periods: PERIODS,
-      readings: this.readings,
-      cpuShare: this.slopes(one => one.cpuShare),
-      residentBytes: this.memory(),
-      bytesPerSecond: this.slopes(one => one.bytesPerSecond),
-      changes,
-    };
   }
 
-  private async read(): Promise<void> {
-    await sleep(SETTLE_MILLISECONDS);
-    const use = await this.fleet.use(this.options.seconds * 1000);
+  async dispose(): Promise<void> {
+    await this.fleet.dispose();
+    await this.system.dispose();
+  }
+
+  async read(seconds: number): Promise<Reading> {
+    const {platform} = this.system;
+    await platform.resetCounts();
+    const use = await this.fleet.use(seconds * 1000);
+    const reads = (await platform.counts())['membership read'].total;
+    const listReadsPerSecond = reads / seconds / this.fleet.size;
+    const listBytes = await this.listBytes();
     const {upstreams, accounts} = this;
-    this.readings.push({...use, upstreams, accounts});
+    return {...use, upstreams, accounts, listReadsPerSecond, listBytes};
   }
 
-  private async setUpstreams(count: number): Promise<void> {
-    await this.fleet.listUpstreams(count, this.upstreams - 1);
-    this.upstreams = count + 1;
+  private async listBytes(): Promise<number> {
+    const {membershipAddress} = this.system.platformSettings;
+    const url = `http://${membershipAddress}/v1/members`;
+    return JSON.stringify((await callJson('GET', url)).body).length;
   }
 
-  private async setAccounts(count: number): Promise<void> {
+  async setAccounts(count: number): Promise<void> {
     while (this.accounts < count) {
       const until = Math.min(count, this.accounts + ACCOUNTS_PER_PROPOSAL);
       const operations = Array.from(
@@ -179,7 +241,7 @@
   }
 
   /** The time until a change is in force everywhere, then the cost of changes without anybody asking. */
-  private async readChanges(): Promise<ChangeReport> {
+  async readChanges(quiet: Reading): Promise<ChangeReport> {
     const seconds: number[] = [];
     for (let count = 0; count < TIMED_CHANGES; count++) {
       const from = performance.now();
@@ -187,13 +249,12 @@
       await this.fleet.awaitClass(PROBE_CLASS, value);
       seconds.push((performance.now() - from) / 1000);
     }
-    const quiet = this.readings[this.readings.length - 1];
     const before = this.fleet.readings();
     for (let count = 0; count < COUNTED_CHANGES; count++) {
       await this.changeClass();
       await sleep(CHANGE_SPACING_MILLISECONDS);
     }
-    await sleep(SETTLE_MILLISECONDS);
+    await sleep(PAUSE_MILLISECONDS);
     const use = this.fleet.useSince(before);
     const passed = (performance.now() - before[0].at) / 1000;
     const perChange = (passed * this.fleet.size) / COUNTED_CHANGES;
@@ -217,50 +278,61 @@
     await this.fleet.putClass(PROBE_CLASS, this.changes);
     return this.changes;
   }
+}
 
-  private slopes(figureOf: (use: FleetUse) => number): ControlSlopes {
-    const readsPerSecond = 1 / PERIODS.membershipReadSeconds;
-    const [base, perInstance, perMemberReadPerSecond, perAccount] =
-      fitCoefficients(
-        this.readings.map(one => ({
-          figure: figureOf(one),
-          regressors: [
-            1,
-            one.instances,
-            (one.instances + one.upstreams) * readsPerSecond,
-            one.accounts,
-          ],
-        })),
-      );
-    const expectedWithoutList =
-      base + perInstance * EXPECTED.instances + perAccount * EXPECTED.accounts;
-    const members = EXPECTED.instances + EXPECTED.upstreams;
-    const list = perMemberReadPerSecond * members * readsPerSecond;
-    const expected = expectedWithoutList + list;
-    return {
-      base,
-      perInstance,
-      perMemberReadPerSecond,
-      perAccount,
-      expected,
-      expectedWithoutList,
-    };
-  }
+function cpuSlopes(readings: readonly Reading[]): ControlCpu {
+  const [base, perInstance, perMemberRead] = fitCoefficients(
+    readings.map(one => ({
+      figure: one.cpuShare,
+      regressors: [1, one.instances, membersOf(one) * one.listReadsPerSecond],
+    })),
+  );
+  const {membersPerSecond} = expectedList(readings);
+  return {
+    base,
+    perInstance,
+    millisecondsPerMemberRead: perMemberRead * 1000,
+    expected:
+      base +
+      perInstance * EXPECTED.instances +
+      perMemberRead * membersPerSecond,
+  };
+}
 
-  private memory(): ControlMemory {
-    const resident = this.readings.map(one => one.residentBytes);
-    const last = this.readings[this.readings.length - 1];
-    const withoutAccounts = this.readings.filter(
-      one => one.instances === last.instances && one.accounts === 0,
-    );
-    const [before] = withoutAccounts;
-    return {
-      highestBytes: Math.round(Math.max(...resident)),
-      perAccount: Math.round(
-        (last.residentBytes - before.residentBytes) / last.accounts,
-      ),
-    };
-  }
+/** Bytes of list readings are known from their count and size, so that a rare reading doesn't hide the rest. */
+function byteSlopes(readings: readonly Reading[]): ControlBytes {
+  const line = fitLine(
+    readings.map(one => ({
+      at: one.instances,
+      figure: one.bytesPerSecond - one.listReadsPerSecond * one.listBytes,
+    })),
+  );
+  return {
+    base: line.intercept,
+    perInstance: line.slope,
+    expectedWithoutList: lineAt(line, EXPECTED.instances),
+    expectedForList: expectedList(readings).bytesPerSecond,
+  };
+}
+
+/** An instance reads as often as its budget allows, yet all together not more often than needed. */
+function expectedList(readings: readonly Reading[]): {
+  readonly bytesPerSecond: number;
+  readonly membersPerSecond: number;
+} {
+  const longest = readings.reduce((best, one) =>
+    one.listBytes > best.listBytes ? one : best,
+  );
+  const members = EXPECTED.instances + EXPECTED.upstreams;
+  const bytes = (members * longest.listBytes) / membersOf(longest);
+  const affordable = bytes / PERIODS.membershipReadBytesPerSecond;
+  const shared = EXPECTED.instances * PERIODS.membershipReadSeconds;
+  const seconds = Math.min(affordable, shared);
+  return {bytesPerSecond: bytes / seconds, membersPerSecond: members / seconds};
+}
+
+function membersOf(reading: Reading): number {
+  return reading.instances + reading.upstreams;
 }
 
 function accountOperation(index: number): object {
--- a/measure/overhead.ts
+++ b/measure/overhead.ts
@@ -7,6 +7,7 @@
 import {sleep} from '../test/support/sleep.js';
 import {SystemOptions} from '../test/support/systemOptions.js';
 import {OfferedClass} from './common/bound.js';
+import {RoundWork, runRound} from './common/closedLoop.js';
 import {DirectPipeline} from './common/directPipeline.js';
 import {fitCoefficients, Observation} from './common/linearFit.js';
 import {
@@ -71,8 +72,6 @@
 const OUTPUT_TOKENS = [12, 32, 12];
 const PROMPT_TOKENS = 16;
 const IDLE_MILLISECONDS = 1500;
-/** Longest pause before a request; without it all requests of a round would start together. */
-const PAUSE_MILLISECONDS = 100;
 
 const SYSTEM: Partial<SystemOptions> = {
   instances: 1,
@@ -185,10 +184,10 @@
   private async warmUp(): Promise<void> {
     const milliseconds = this.roundMilliseconds;
     const top = Math.max(...CONCURRENCIES);
-    await this.runRound(top, milliseconds, () =>
+    await this.round(top, milliseconds, () =>
       this.direct(new SideTimes(), CLASS.outputTokens),
     );
-    await this.runRound(top, milliseconds, () =>
+    await this.round(top, milliseconds, () =>
       this.routed(new SideTimes(), CLASS.outputTokens),
     );
   }
@@ -208,11 +207,11 @@
     let cpu = 0;
     let milliseconds = 0;
     for (const outputTokens of OUTPUT_TOKENS) {
-      await this.runRound(concurrency, this.roundMilliseconds, () =>
+      await this.round(concurrency, this.roundMilliseconds, () =>
         this.direct(direct, outputTokens),
       );
       const observation = await this.observed(() =>
-        this.runRound(concurrency, this.roundMilliseconds, () =>
+        this.round(concurrency, this.roundMilliseconds, () =>
           this.routed(routed, outputTokens),
         ),
       );
@@ -237,30 +236,15 @@
     return this.options.seconds * 1000;
   }
 
-  /** Runs so many requests at a time, one after the other, until the time is over. */
-  private async runRound(
+  private round(
     concurrency: number,
     milliseconds: number,
     request: () => Promise<number>,
-  ): Promise<{readonly requests: number; readonly tokens: number}> {
-    const until = performance.now() + milliseconds;
-    let requests = 0;
-    let tokens = 0;
-    const worker = async (): Promise<void> => {
-      while (performance.now() < until) {
-        await sleep(this.random.next() * PAUSE_MILLISECONDS);
-        const released = await request();
-        tokens += released;
-        requests++;
-      }
-    };
-    await Promise.all(Array.from({length: concurrency}, worker));
-    return {requests, tokens};
+  ): Promise<RoundWork> {
+    return runRound(concurrency, milliseconds, this.random, request);
   }
 
-  private async observed(
-    run: () => Promise<{readonly requests: number; readonly tokens: number}>,
-  ): Promise<Observation> {
+  private async observed(run: () => Promise<RoundWork>): Promise<Observation> {
     const {pid} = this.measured.system.instances[0].entry;
     const before = readUse(pid);
     const {requests, tokens} = await run();
