--- a/lint/layerRule.js
+++ b/lint/layerRule.js
@@ -2,7 +2,7 @@
 
 /** An ESLint rule: which folder may import from which. */
 
-const LAYERS = ['base', 'platform', 'features', 'programs'];
+const LAYERS = ['base', 'infrastructure', 'features', 'programs'];
 
 /** Packages that run without Node and so may be used in `common` folders. */
 const PORTABLE_PACKAGES = new Set([
--- a/measure/common/controlFleet.ts
+++ b/measure/common/controlFleet.ts
@@ -7,8 +7,8 @@
 import {
   InstanceMember,
   UpstreamMember,
-} from '../../src/platform/membership/common/membershipList.js';
-import {ControlSettings} from '../../src/platform/settings/common/programSettings.js';
+} from '../../src/infrastructure/membership/common/membershipList.js';
+import {ControlSettings} from '../../src/infrastructure/settings/common/programSettings.js';
 import {LaunchedSystem} from '../../test/support/launcher.js';
 import {
   ManagedProcess,
--- a/measure/common/directPipeline.ts
+++ b/measure/common/directPipeline.ts
@@ -1,8 +1,8 @@
 import {randomUUID} from 'node:crypto';
 
 import {CancellationSource} from '../../src/base/common/cancellation.js';
-import {StepInput} from '../../src/platform/engine/common/engineConnection.js';
-import {HttpEngineConnector} from '../../src/platform/engine/node/httpEngineConnector.js';
+import {StepInput} from '../../src/infrastructure/engine/common/engineConnection.js';
+import {HttpEngineConnector} from '../../src/infrastructure/engine/node/httpEngineConnector.js';
 import {EngineHandle} from '../../test/support/systemParts.js';
 
 /** Drives a pipeline of engines with nothing between: what the router's own time is measured against. */
--- a/measure/overhead.ts
+++ b/measure/overhead.ts
@@ -3,7 +3,7 @@
   SeededRandomSource,
 } from '../src/base/common/randomSource.js';
 import {promptTokens} from '../src/features/callers/common/tokenText.js';
-import {HttpEngineConnector} from '../src/platform/engine/node/httpEngineConnector.js';
+import {HttpEngineConnector} from '../src/infrastructure/engine/node/httpEngineConnector.js';
 import {sleep} from '../test/support/sleep.js';
 import {SystemOptions} from '../test/support/systemOptions.js';
 import {OfferedClass} from './common/bound.js';
--- a/src/features/administration/node/administrationApi.ts
+++ b/src/features/administration/node/administrationApi.ts
@@ -8,7 +8,7 @@
 import restana from 'restana';
 
 import {CancellationToken} from '../../../base/common/cancellation.js';
-import {Logger} from '../../../platform/logging/common/logger.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {
   Configuration,
   ConfigurationRevision,
--- a/src/features/administration/test/administrationApi.test.ts
+++ b/src/features/administration/test/administrationApi.test.ts
@@ -9,7 +9,7 @@
 import {
   LogFields,
   SilentLogger,
-} from '../../../platform/logging/common/logger.js';
+} from '../../../infrastructure/logging/common/logger.js';
 import {
   emptyConfiguration,
   ProposalError,
--- a/src/features/callers/common/chatRequest.ts
+++ b/src/features/callers/common/chatRequest.ts
@@ -2,7 +2,7 @@
 
 import {Finding} from '../../../base/common/finding.js';
 import {failure, Result, success} from '../../../base/common/result.js';
-import {toFindings} from '../../../platform/settings/common/schemaFindings.js';
+import {toFindings} from '../../../infrastructure/settings/common/schemaFindings.js';
 import {Model} from '../../configuration/common/configuration.js';
 import {ChatMessage} from '../../requests/common/request.js';
 
--- a/src/features/callers/common/requestLifecycle.ts
+++ b/src/features/callers/common/requestLifecycle.ts
@@ -1,7 +1,7 @@
 import {
   ChartInstance,
   StateChart,
-} from '../../../platform/stateChart/common/stateChart.js';
+} from '../../../infrastructure/stateChart/common/stateChart.js';
 import chartDefinition from './requestLifecycle.chart.json' with {type: 'json'};
 
 /** The life of one request, as the chart in requestLifecycle.chart.json states it. */
--- a/src/features/callers/common/serviceDispatcher.ts
+++ b/src/features/callers/common/serviceDispatcher.ts
@@ -1,6 +1,6 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Result} from '../../../base/common/result.js';
-import {ServiceResponse} from '../../../platform/service/common/serviceConnection.js';
+import {ServiceResponse} from '../../../infrastructure/service/common/serviceConnection.js';
 import {ClassOfWork} from '../../configuration/common/configuration.js';
 import {RequestFailure} from '../../requests/common/failure.js';
 
--- a/src/features/callers/node/requestLog.ts
+++ b/src/features/callers/node/requestLog.ts
@@ -1,6 +1,6 @@
 import {Clock} from '../../../base/common/clock.js';
-import {Logger} from '../../../platform/logging/common/logger.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {ExchangeSummary} from './requestExchange.js';
 
 /** The log line and the measurements of one request, written at its end. */
--- a/src/features/callers/test/callerFakes.ts
+++ b/src/features/callers/test/callerFakes.ts
@@ -10,9 +10,9 @@
   LogFields,
   Logger,
   SilentLogger,
-} from '../../../platform/logging/common/logger.js';
-import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
-import {ServiceResponse} from '../../../platform/service/common/serviceConnection.js';
+} from '../../../infrastructure/logging/common/logger.js';
+import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
+import {ServiceResponse} from '../../../infrastructure/service/common/serviceConnection.js';
 import {ClaimDecision, ClaimService} from '../../claims/common/claims.js';
 import {Configuration} from '../../configuration/common/configuration.js';
 import {
--- a/src/features/claims/common/claimAgeing.ts
+++ b/src/features/claims/common/claimAgeing.ts
@@ -5,12 +5,12 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
 import {rendezvousScore} from '../../../base/common/rendezvous.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {
   RowWrite,
   TableRow,
   TableService,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 import {CLAIM_PREFIX, parseClaimRecord} from './claimRecord.js';
 import {AgeingSettings} from './claimSettings.js';
 
--- a/src/features/claims/common/claimInserter.ts
+++ b/src/features/claims/common/claimInserter.ts
@@ -2,7 +2,7 @@
 import {
   RowCondition,
   TableRow,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 import {
   ClaimRecord,
   claimRowKey,
--- a/src/features/claims/common/claimPeers.ts
+++ b/src/features/claims/common/claimPeers.ts
@@ -1,5 +1,5 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
-import {RowWrite} from '../../../platform/table/common/tableService.js';
+import {RowWrite} from '../../../infrastructure/table/common/tableService.js';
 import {RequestOutcome} from '../../requests/common/request.js';
 import {RowResult} from './rowWriter.js';
 
--- a/src/features/claims/common/claimRecord.ts
+++ b/src/features/claims/common/claimRecord.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 
-import {TableRow} from '../../../platform/table/common/tableService.js';
+import {TableRow} from '../../../infrastructure/table/common/tableService.js';
 import {RequestOutcome} from '../../requests/common/request.js';
 
 /** The row that a claim and its outcome share. */
--- a/src/features/claims/common/groupCommitter.ts
+++ b/src/features/claims/common/groupCommitter.ts
@@ -2,13 +2,13 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
 import {failure, Result, success} from '../../../base/common/result.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {
   RowWrite,
   StorageError,
   TableService,
   WriteOutcome,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 import {CommitSettings} from './claimSettings.js';
 import {RowResult, RowWriter, textLength} from './rowWriter.js';
 
--- a/src/features/claims/common/outcomeFinder.ts
+++ b/src/features/claims/common/outcomeFinder.ts
@@ -3,8 +3,8 @@
   CancellationToken,
 } from '../../../base/common/cancellation.js';
 import {Clock} from '../../../base/common/clock.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
-import {TableService} from '../../../platform/table/common/tableService.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
+import {TableService} from '../../../infrastructure/table/common/tableService.js';
 import {RequestOutcome} from '../../requests/common/request.js';
 import {AskAnswer, AskMessage, ClaimPeers} from './claimPeers.js';
 import {
--- a/src/features/claims/common/outcomeRecorder.ts
+++ b/src/features/claims/common/outcomeRecorder.ts
@@ -1,8 +1,8 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
-import {Logger} from '../../../platform/logging/common/logger.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
-import {RowCondition} from '../../../platform/table/common/tableService.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
+import {RowCondition} from '../../../infrastructure/table/common/tableService.js';
 import {
   bodyLength,
   ClaimRecord,
--- a/src/features/claims/common/plainClaims.ts
+++ b/src/features/claims/common/plainClaims.ts
@@ -3,7 +3,7 @@
 import {
   RowCondition,
   TableRow,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 import {RequestOutcome} from '../../requests/common/request.js';
 import {
   abandonedOutcome,
--- a/src/features/claims/common/plainKeyAnswers.ts
+++ b/src/features/claims/common/plainKeyAnswers.ts
@@ -1,5 +1,5 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
-import {TableService} from '../../../platform/table/common/tableService.js';
+import {TableService} from '../../../infrastructure/table/common/tableService.js';
 import {RequestOutcome} from '../../requests/common/request.js';
 import {claimRowKey, parseClaimRecord} from './claimRecord.js';
 import {ClaimDecision} from './claims.js';
--- a/src/features/claims/common/rowWriter.ts
+++ b/src/features/claims/common/rowWriter.ts
@@ -3,7 +3,7 @@
   RowWrite,
   StorageError,
   WriteOutcome,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 
 /** What became of one row: its outcome, or why the transaction that held it failed. */
 export type RowResult = Result<WriteOutcome, StorageError>;
--- a/src/features/claims/node/claimRouter.ts
+++ b/src/features/claims/node/claimRouter.ts
@@ -3,8 +3,8 @@
 import {
   createRpcRouter,
   peerProcedure,
-} from '../../../platform/rpc/node/rpc.js';
-import {RowWrite} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/rpc/node/rpc.js';
+import {RowWrite} from '../../../infrastructure/table/common/tableService.js';
 import {AskAnswer} from '../common/claimPeers.js';
 import {CLAIM_PREFIX} from '../common/claimRecord.js';
 import {RowResult} from '../common/rowWriter.js';
--- a/src/features/claims/node/defaultClaimService.ts
+++ b/src/features/claims/node/defaultClaimService.ts
@@ -3,12 +3,12 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Clock} from '../../../base/common/clock.js';
 import {Disposable, DisposableStore} from '../../../base/common/lifecycle.js';
-import {Logger} from '../../../platform/logging/common/logger.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {
   RowWrite,
   TableService,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 import {RequestOutcome} from '../../requests/common/request.js';
 import {BoundClaims} from '../common/boundClaims.js';
 import {ClaimAgeing} from '../common/claimAgeing.js';
--- a/src/features/claims/test/claimProperties.test.ts
+++ b/src/features/claims/test/claimProperties.test.ts
@@ -7,7 +7,7 @@
   RowWrite,
   StorageError,
   TableService,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 import {
   ACCOUNT,
   ClaimWorld,
--- a/src/features/claims/test/claimWorld.ts
+++ b/src/features/claims/test/claimWorld.ts
@@ -7,12 +7,12 @@
   CancellationSource,
   CancellationToken,
 } from '../../../base/common/cancellation.js';
-import {SilentLogger} from '../../../platform/logging/common/logger.js';
-import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
+import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
+import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {
   RowWrite,
   TableService,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 import {Executed} from '../../requests/common/failure.js';
 import {RequestOutcome} from '../../requests/common/request.js';
 import {AskAnswer, AskMessage, ClaimPeers} from '../common/claimPeers.js';
--- a/src/features/configuration/common/configurationProposer.ts
+++ b/src/features/configuration/common/configurationProposer.ts
@@ -1,8 +1,8 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Clock} from '../../../base/common/clock.js';
 import {Result, failure, success} from '../../../base/common/result.js';
-import {Logger} from '../../../platform/logging/common/logger.js';
-import {StorageError} from '../../../platform/table/common/tableService.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {StorageError} from '../../../infrastructure/table/common/tableService.js';
 import {withDeadline} from './callDeadline.js';
 import {
   ConfigurationRevision,
--- a/src/features/configuration/common/configurationReader.ts
+++ b/src/features/configuration/common/configurationReader.ts
@@ -1,7 +1,7 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Clock} from '../../../base/common/clock.js';
 import {Result, success} from '../../../base/common/result.js';
-import {StorageError} from '../../../platform/table/common/tableService.js';
+import {StorageError} from '../../../infrastructure/table/common/tableService.js';
 import {ConfigurationReplica} from './configurationReplica.js';
 import {ConfigurationHead, ConfigurationStore} from './configurationStore.js';
 
--- a/src/features/configuration/common/configurationSnapshots.ts
+++ b/src/features/configuration/common/configurationSnapshots.ts
@@ -1,7 +1,7 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Result, success} from '../../../base/common/result.js';
-import {ObjectStore} from '../../../platform/objects/common/objectStore.js';
-import {StorageError} from '../../../platform/table/common/tableService.js';
+import {ObjectStore} from '../../../infrastructure/objects/common/objectStore.js';
+import {StorageError} from '../../../infrastructure/table/common/tableService.js';
 import {Configuration, emptyConfiguration} from './configuration.js';
 import {padRevision} from './revisionNames.js';
 
--- a/src/features/configuration/common/configurationStore.ts
+++ b/src/features/configuration/common/configurationStore.ts
@@ -1,12 +1,12 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Result, success} from '../../../base/common/result.js';
-import {ObjectStore} from '../../../platform/objects/common/objectStore.js';
+import {ObjectStore} from '../../../infrastructure/objects/common/objectStore.js';
 import {
   RowWrite,
   StorageError,
   TableRow,
   TableService,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 import {Configuration, ConfigurationRevision} from './configuration.js';
 import {ConfigurationSnapshots} from './configurationSnapshots.js';
 import {padRevision} from './revisionNames.js';
--- a/src/features/configuration/common/operationSchemas.ts
+++ b/src/features/configuration/common/operationSchemas.ts
@@ -2,7 +2,7 @@
 
 import {Finding} from '../../../base/common/finding.js';
 import {Result, failure, success} from '../../../base/common/result.js';
-import {toFindings} from '../../../platform/settings/common/schemaFindings.js';
+import {toFindings} from '../../../infrastructure/settings/common/schemaFindings.js';
 import {ConfigurationOperation} from './configuration.js';
 
 /** What an operation in a proposal must look like. Unknown fields are refused. */
--- a/src/features/configuration/test/configurationProposer.test.ts
+++ b/src/features/configuration/test/configurationProposer.test.ts
@@ -6,7 +6,7 @@
   PlatformFault,
 } from '../../../../test/support/inMemoryPlatform.js';
 import {neverCancelled} from '../../../base/common/cancellation.js';
-import {SilentLogger} from '../../../platform/logging/common/logger.js';
+import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
 import {ProposalResult} from '../common/configuration.js';
 import {ConfigurationProposer} from '../common/configurationProposer.js';
 import {ConfigurationReader} from '../common/configurationReader.js';
--- a/src/features/membership/common/instanceDirectory.ts
+++ b/src/features/membership/common/instanceDirectory.ts
@@ -2,7 +2,7 @@
   InstanceMember,
   Member,
   UpstreamMember,
-} from '../../../platform/membership/common/membershipList.js';
+} from '../../../infrastructure/membership/common/membershipList.js';
 import {InstanceView} from './systemView.js';
 
 /** The platform's list corrected by what instances say of themselves. */
--- a/src/features/membership/common/listReader.ts
+++ b/src/features/membership/common/listReader.ts
@@ -1,12 +1,12 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Clock} from '../../../base/common/clock.js';
 import {Result, success} from '../../../base/common/result.js';
-import {Logger} from '../../../platform/logging/common/logger.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {
   Member,
   MembershipList,
-} from '../../../platform/membership/common/membershipList.js';
-import {StorageError} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/membership/common/membershipList.js';
+import {StorageError} from '../../../infrastructure/table/common/tableService.js';
 import {ListReadPlan} from './listReadPlan.js';
 import {MemberBook} from './memberBook.js';
 
--- a/src/features/membership/common/memberBook.ts
+++ b/src/features/membership/common/memberBook.ts
@@ -1,5 +1,5 @@
 import {textHash} from '../../../base/common/textHash.js';
-import {Member} from '../../../platform/membership/common/membershipList.js';
+import {Member} from '../../../infrastructure/membership/common/membershipList.js';
 
 /** What reads of the platform's list by any instance showed of each member, the newest read deciding. */
 
--- a/src/features/membership/common/standingKeeper.ts
+++ b/src/features/membership/common/standingKeeper.ts
@@ -5,7 +5,7 @@
   ChartDefinition,
   ChartInstance,
   StateChart,
-} from '../../../platform/stateChart/common/stateChart.js';
+} from '../../../infrastructure/stateChart/common/stateChart.js';
 import {
   Confirmation,
   ConfirmationInput,
--- a/src/features/membership/common/systemView.ts
+++ b/src/features/membership/common/systemView.ts
@@ -1,7 +1,7 @@
 import {
   InstanceMember,
   UpstreamMember,
-} from '../../../platform/membership/common/membershipList.js';
+} from '../../../infrastructure/membership/common/membershipList.js';
 import {Configuration} from '../../configuration/common/configuration.js';
 
 /** What the control program knows of the system and hands to the entry program of its instance. */
--- a/src/features/membership/common/viewPublisher.ts
+++ b/src/features/membership/common/viewPublisher.ts
@@ -3,7 +3,7 @@
 import {
   InstanceMember,
   UpstreamMember,
-} from '../../../platform/membership/common/membershipList.js';
+} from '../../../infrastructure/membership/common/membershipList.js';
 import {
   Configuration,
   emptyConfiguration,
--- a/src/features/membership/node/viewRouter.ts
+++ b/src/features/membership/node/viewRouter.ts
@@ -3,7 +3,7 @@
 import {
   createRpcRouter,
   peerProcedure,
-} from '../../../platform/rpc/node/rpc.js';
+} from '../../../infrastructure/rpc/node/rpc.js';
 import {EntryAnnouncement, SystemView} from '../common/systemView.js';
 import {ViewHistory} from '../common/viewHistory.js';
 import {
--- a/src/features/naive/node/naivePipelineDriver.ts
+++ b/src/features/naive/node/naivePipelineDriver.ts
@@ -9,7 +9,7 @@
   PositionRange,
   StepInput,
   StepOutput,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {
   PipelineDriver,
   TokenSink,
--- a/src/features/naive/node/naiveServiceDispatcher.ts
+++ b/src/features/naive/node/naiveServiceDispatcher.ts
@@ -3,7 +3,7 @@
 import {
   ServiceConnector,
   ServiceResponse,
-} from '../../../platform/service/common/serviceConnection.js';
+} from '../../../infrastructure/service/common/serviceConnection.js';
 import {
   ServiceCallRequest,
   ServiceDispatcher,
--- a/src/features/naive/test/naivePolicy.test.ts
+++ b/src/features/naive/test/naivePolicy.test.ts
@@ -11,9 +11,9 @@
   neverCancelled,
 } from '../../../base/common/cancellation.js';
 import {SystemClock} from '../../../base/node/systemClock.js';
-import {LayerRange} from '../../../platform/engine/common/engineConnection.js';
-import {HttpEngineConnector} from '../../../platform/engine/node/httpEngineConnector.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {LayerRange} from '../../../infrastructure/engine/common/engineConnection.js';
+import {HttpEngineConnector} from '../../../infrastructure/engine/node/httpEngineConnector.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {configuration, FakeViews} from '../../callers/test/callerFakes.js';
 import {ModelRequest} from '../../requests/common/request.js';
 import {NaiveBroker} from '../node/naiveBroker.js';
--- a/src/features/peers/common/peerExchanger.ts
+++ b/src/features/peers/common/peerExchanger.ts
@@ -1,6 +1,6 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
-import {InstanceMember} from '../../../platform/membership/common/membershipList.js';
+import {InstanceMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {withDeadline} from '../../configuration/common/callDeadline.js';
 import {ConfigurationRevision} from '../../configuration/common/configuration.js';
 import {LocalState} from './localState.js';
--- a/src/features/peers/node/peerRouter.ts
+++ b/src/features/peers/node/peerRouter.ts
@@ -3,7 +3,7 @@
 import {
   createRpcRouter,
   peerProcedure,
-} from '../../../platform/rpc/node/rpc.js';
+} from '../../../infrastructure/rpc/node/rpc.js';
 import {ConfigurationRevision} from '../../configuration/common/configuration.js';
 import {
   AgedRecord,
--- a/src/features/peers/node/rpcPeerConnection.ts
+++ b/src/features/peers/node/rpcPeerConnection.ts
@@ -1,7 +1,7 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
 import {Result, failure, success} from '../../../base/common/result.js';
-import {RpcConnections} from '../../../platform/rpc/node/rpc.js';
+import {RpcConnections} from '../../../infrastructure/rpc/node/rpc.js';
 import {PeerConnection, PeerError} from '../common/peerConnection.js';
 import {
   AgedRecord,
--- a/src/features/peers/test/peerCalls.test.ts
+++ b/src/features/peers/test/peerCalls.test.ts
@@ -9,7 +9,7 @@
 import {
   createRpcHandler,
   mergeRpcRouters,
-} from '../../../platform/rpc/node/rpc.js';
+} from '../../../infrastructure/rpc/node/rpc.js';
 import {ConfigurationReplica} from '../../configuration/common/configurationReplica.js';
 import {
   EntryAnnouncement,
--- a/src/features/pipeline/common/attemptLedger.ts
+++ b/src/features/pipeline/common/attemptLedger.ts
@@ -1,4 +1,4 @@
-import {CancelReport} from '../../../platform/engine/common/engineConnection.js';
+import {CancelReport} from '../../../infrastructure/engine/common/engineConnection.js';
 import {Executed} from '../../requests/common/failure.js';
 
 /** What is known of one request's work at one engine. */
--- a/src/features/pipeline/common/exportPolicy.ts
+++ b/src/features/pipeline/common/exportPolicy.ts
@@ -1,7 +1,7 @@
 import {
   CacheReference,
   LayerRange,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {ExportSettings} from './pipelineSettings.js';
 
 /** How far a reply is. */
--- a/src/features/pipeline/common/lineageChecker.ts
+++ b/src/features/pipeline/common/lineageChecker.ts
@@ -1,7 +1,7 @@
 import {
   StepReceipt,
   StepRequest,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 
 /** Why an answer is not the one that was asked for. */
 export type LineageFault =
--- a/src/features/pipeline/common/pipelineAttempt.ts
+++ b/src/features/pipeline/common/pipelineAttempt.ts
@@ -1,4 +1,4 @@
-import {StateChart} from '../../../platform/stateChart/common/stateChart.js';
+import {StateChart} from '../../../infrastructure/stateChart/common/stateChart.js';
 import definition from './pipelineAttempt.chart.json' with {type: 'json'};
 
 /** The states of one request's way through its pipeline. */
--- a/src/features/pipeline/common/safeguards.ts
+++ b/src/features/pipeline/common/safeguards.ts
@@ -1,7 +1,7 @@
 import {
   StepReceipt,
   StepRequest,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {EngineRecord} from './attemptLedger.js';
 import {LineageChecker, LineageFault} from './lineageChecker.js';
 
--- a/src/features/pipeline/common/stageFailure.ts
+++ b/src/features/pipeline/common/stageFailure.ts
@@ -1,4 +1,4 @@
-import {EngineError} from '../../../platform/engine/common/engineConnection.js';
+import {EngineError} from '../../../infrastructure/engine/common/engineConnection.js';
 import {StageObservation} from '../../routing/common/routing.js';
 import {EngineRecord} from './attemptLedger.js';
 
--- a/src/features/pipeline/node/cacheKeeper.ts
+++ b/src/features/pipeline/node/cacheKeeper.ts
@@ -1,5 +1,5 @@
 import {failure, Result, success} from '../../../base/common/result.js';
-import {CacheReference} from '../../../platform/engine/common/engineConnection.js';
+import {CacheReference} from '../../../infrastructure/engine/common/engineConnection.js';
 import {isExportDue, ReplyProgress} from '../common/exportPolicy.js';
 import {StepError} from '../common/stageFailure.js';
 import {callWithin} from './boundedCall.js';
--- a/src/features/pipeline/node/decisionLog.ts
+++ b/src/features/pipeline/node/decisionLog.ts
@@ -1,4 +1,4 @@
-import {Logger} from '../../../platform/logging/common/logger.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {ModelRequest} from '../../requests/common/request.js';
 import {ReservationReply} from '../../routing/common/routing.js';
 
--- a/src/features/pipeline/node/droppedAnswers.ts
+++ b/src/features/pipeline/node/droppedAnswers.ts
@@ -3,7 +3,7 @@
   EngineError,
   StepReceipt,
   StepRequest,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {PipelineDependencies} from './pipelineDependencies.js';
 
 /** Counts and logs answers that are not used. */
--- a/src/features/pipeline/node/epochAttempt.ts
+++ b/src/features/pipeline/node/epochAttempt.ts
@@ -10,7 +10,7 @@
   EngineError,
   StepReceipt,
   StepRequest,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {StepError} from '../common/stageFailure.js';
 
 /** What a step came to. */
--- a/src/features/pipeline/node/pipelineRun.ts
+++ b/src/features/pipeline/node/pipelineRun.ts
@@ -3,7 +3,7 @@
   CancellationToken,
 } from '../../../base/common/cancellation.js';
 import {Result} from '../../../base/common/result.js';
-import {ChartInstance} from '../../../platform/stateChart/common/stateChart.js';
+import {ChartInstance} from '../../../infrastructure/stateChart/common/stateChart.js';
 import {RequestFailure} from '../../requests/common/failure.js';
 import {
   FinishReason,
--- a/src/features/pipeline/node/runParts.ts
+++ b/src/features/pipeline/node/runParts.ts
@@ -1,5 +1,5 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
-import {StateChart} from '../../../platform/stateChart/common/stateChart.js';
+import {StateChart} from '../../../infrastructure/stateChart/common/stateChart.js';
 import {ModelRequest} from '../../requests/common/request.js';
 import {OutputEstimator} from '../common/outputEstimator.js';
 import {
--- a/src/features/pipeline/node/stageSession.ts
+++ b/src/features/pipeline/node/stageSession.ts
@@ -1,4 +1,4 @@
-import {EngineConnection} from '../../../platform/engine/common/engineConnection.js';
+import {EngineConnection} from '../../../infrastructure/engine/common/engineConnection.js';
 import {ChosenStage, StageObservation} from '../../routing/common/routing.js';
 import {EngineRecord} from '../common/attemptLedger.js';
 import {UpstreamKnowledge} from '../common/progressWatch.js';
--- a/src/features/pipeline/node/stageSet.ts
+++ b/src/features/pipeline/node/stageSet.ts
@@ -2,7 +2,7 @@
   CacheReference,
   EngineConnection,
   LayerRange,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {ChosenStage, StageObservation} from '../../routing/common/routing.js';
 import {AttemptLedger} from '../common/attemptLedger.js';
 import {isExportUsable} from '../common/exportPolicy.js';
--- a/src/features/pipeline/node/tokenStepper.ts
+++ b/src/features/pipeline/node/tokenStepper.ts
@@ -5,7 +5,7 @@
   StepOutput,
   StepReceipt,
   StepRequest,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {ModelRequest} from '../../requests/common/request.js';
 import {LineageChecker, LineageFault} from '../common/lineageChecker.js';
 import {ProgressWatch} from '../common/progressWatch.js';
--- a/src/features/pipeline/test/faultyEngine.ts
+++ b/src/features/pipeline/test/faultyEngine.ts
@@ -11,7 +11,7 @@
   StepOutput,
   StepReceipt,
   StepRequest,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {
   applyLayer,
   decodeActivation,
--- a/src/features/pipeline/test/pipelineBench.ts
+++ b/src/features/pipeline/test/pipelineBench.ts
@@ -5,9 +5,9 @@
   EngineConnection,
   EngineConnector,
   LayerRange,
-} from '../../../platform/engine/common/engineConnection.js';
-import {Logger, LogFields} from '../../../platform/logging/common/logger.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
+import {Logger, LogFields} from '../../../infrastructure/logging/common/logger.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {RequestFailure} from '../../requests/common/failure.js';
 import {ModelReply, ModelRequest} from '../../requests/common/request.js';
 import {
--- a/src/features/pipeline/test/pipelineOverHttp.test.ts
+++ b/src/features/pipeline/test/pipelineOverHttp.test.ts
@@ -2,9 +2,9 @@
 
 import {neverCancelled} from '../../../base/common/cancellation.js';
 import {SystemClock} from '../../../base/node/systemClock.js';
-import {HttpEngineConnector} from '../../../platform/engine/node/httpEngineConnector.js';
-import {SilentLogger} from '../../../platform/logging/common/logger.js';
-import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
+import {HttpEngineConnector} from '../../../infrastructure/engine/node/httpEngineConnector.js';
+import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
+import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {freeAddresses} from '../../../../test/support/ports.js';
 import {EngineFault} from '../../../../test/standins/engineSettings.js';
 import {
--- a/src/features/pipeline/test/pipelineRules.test.ts
+++ b/src/features/pipeline/test/pipelineRules.test.ts
@@ -1,10 +1,10 @@
 import {describe, expect, test} from 'vitest';
 
-import {ChartInstance} from '../../../platform/stateChart/common/stateChart.js';
+import {ChartInstance} from '../../../infrastructure/stateChart/common/stateChart.js';
 import {
   StepReceipt,
   StepRequest,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {EngineRecord, decideExecuted} from '../common/attemptLedger.js';
 import {isExportDue} from '../common/exportPolicy.js';
 import {LineageChecker} from '../common/lineageChecker.js';
--- a/src/features/placement/common/dataCentreReplicas.ts
+++ b/src/features/placement/common/dataCentreReplicas.ts
@@ -1,4 +1,4 @@
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {divideIntoCells} from '../../routing/common/cells.js';
 
 /**
--- a/src/features/placement/common/engineWatch.ts
+++ b/src/features/placement/common/engineWatch.ts
@@ -3,8 +3,8 @@
 import {
   EngineConnector,
   EngineReport,
-} from '../../../platform/engine/common/engineConnection.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {withDeadline} from '../../configuration/common/callDeadline.js';
 import {EngineView} from './placementView.js';
 
--- a/src/features/placement/common/layerSplit.ts
+++ b/src/features/placement/common/layerSplit.ts
@@ -1,7 +1,7 @@
 import {
   EngineReport,
   LayerRange,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 
 /** Divides a model's layers over the engines of one replica. */
 
--- a/src/features/placement/common/leaseChart.ts
+++ b/src/features/placement/common/leaseChart.ts
@@ -1,7 +1,7 @@
 import {
   ChartDefinition,
   StateChart,
-} from '../../../platform/stateChart/common/stateChart.js';
+} from '../../../infrastructure/stateChart/common/stateChart.js';
 import chartDefinition from './lease.chart.json' with {type: 'json'};
 
 /** The life cycle of a lease, from its file. */
--- a/src/features/placement/common/leaseObserver.ts
+++ b/src/features/placement/common/leaseObserver.ts
@@ -1,5 +1,5 @@
 import {Clock} from '../../../base/common/clock.js';
-import {TableRow} from '../../../platform/table/common/tableService.js';
+import {TableRow} from '../../../infrastructure/table/common/tableService.js';
 import {LeaseRecord, readLeaseRecord} from './leaseRecord.js';
 
 /** A row as it was seen. */
--- a/src/features/placement/common/leaseRecord.ts
+++ b/src/features/placement/common/leaseRecord.ts
@@ -1,6 +1,6 @@
 import * as zod from 'zod';
 
-import {TableRow} from '../../../platform/table/common/tableService.js';
+import {TableRow} from '../../../infrastructure/table/common/tableService.js';
 
 /** The row of a lease. */
 
--- a/src/features/placement/common/leaseRow.ts
+++ b/src/features/placement/common/leaseRow.ts
@@ -6,7 +6,7 @@
   StorageError,
   TableRow,
   TableService,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 import {withDeadline} from '../../configuration/common/callDeadline.js';
 import {LeaseRecord} from './leaseRecord.js';
 
--- a/src/features/placement/common/manifestCache.ts
+++ b/src/features/placement/common/manifestCache.ts
@@ -3,7 +3,7 @@
 import {
   WeightManifest,
   WeightStore,
-} from '../../../platform/weights/common/weightStore.js';
+} from '../../../infrastructure/weights/common/weightStore.js';
 import {withDeadline} from '../../configuration/common/callDeadline.js';
 import {Model} from '../../configuration/common/configuration.js';
 import {manifestKey, Manifests} from './placementView.js';
--- a/src/features/placement/common/orderSender.ts
+++ b/src/features/placement/common/orderSender.ts
@@ -3,7 +3,7 @@
 import {
   EngineConnector,
   EngineError,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {withDeadline} from '../../configuration/common/callDeadline.js';
 import {EngineWatch} from './engineWatch.js';
 import {EngineTarget} from './placementPlan.js';
--- a/src/features/placement/common/placementController.ts
+++ b/src/features/placement/common/placementController.ts
@@ -5,11 +5,11 @@
 import {Clock} from '../../../base/common/clock.js';
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
-import {EngineConnector} from '../../../platform/engine/common/engineConnection.js';
-import {Logger} from '../../../platform/logging/common/logger.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
-import {TableService} from '../../../platform/table/common/tableService.js';
-import {WeightStore} from '../../../platform/weights/common/weightStore.js';
+import {EngineConnector} from '../../../infrastructure/engine/common/engineConnection.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
+import {TableService} from '../../../infrastructure/table/common/tableService.js';
+import {WeightStore} from '../../../infrastructure/weights/common/weightStore.js';
 import {RepeatingTask} from '../../membership/common/repeatingTask.js';
 import {SystemView} from '../../membership/common/systemView.js';
 import {ORDER_MILLISECONDS, OrderSender, SendOutcome} from './orderSender.js';
--- a/src/features/placement/common/placementLog.ts
+++ b/src/features/placement/common/placementLog.ts
@@ -1,5 +1,5 @@
-import {Logger} from '../../../platform/logging/common/logger.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {SendOutcome} from './orderSender.js';
 import {HeldBack, PlacementChange} from './placementPlan.js';
 import {LeaseState} from './leaseChart.js';
--- a/src/features/placement/common/placementPlan.ts
+++ b/src/features/placement/common/placementPlan.ts
@@ -1,5 +1,5 @@
-import {EngineOrder} from '../../../platform/engine/common/engineConnection.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {EngineOrder} from '../../../infrastructure/engine/common/engineConnection.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {Intent} from './placementView.js';
 import {Worth} from './placementWorth.js';
 
--- a/src/features/placement/common/placementView.ts
+++ b/src/features/placement/common/placementView.ts
@@ -1,6 +1,6 @@
-import {EngineReport} from '../../../platform/engine/common/engineConnection.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
-import {WeightManifest} from '../../../platform/weights/common/weightStore.js';
+import {EngineReport} from '../../../infrastructure/engine/common/engineConnection.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
+import {WeightManifest} from '../../../infrastructure/weights/common/weightStore.js';
 import {ClassOfWork, Model} from '../../configuration/common/configuration.js';
 
 /** What a placement decision is made from: one data centre's replicas, targets and observed load. */
--- a/src/features/placement/common/placementWorth.ts
+++ b/src/features/placement/common/placementWorth.ts
@@ -1,4 +1,4 @@
-import {WeightManifest} from '../../../platform/weights/common/weightStore.js';
+import {WeightManifest} from '../../../infrastructure/weights/common/weightStore.js';
 import {ModelNeed} from './modelNeeds.js';
 import {PlacementView} from './placementView.js';
 import {ReplicaState} from './replicaState.js';
--- a/src/features/placement/common/replicaMemory.ts
+++ b/src/features/placement/common/replicaMemory.ts
@@ -1,4 +1,4 @@
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {Model} from '../../configuration/common/configuration.js';
 import {EngineWatch} from './engineWatch.js';
 import {Intent, ReplicaView} from './placementView.js';
--- a/src/features/placement/common/replicaState.ts
+++ b/src/features/placement/common/replicaState.ts
@@ -1,4 +1,4 @@
-import {EngineReport} from '../../../platform/engine/common/engineConnection.js';
+import {EngineReport} from '../../../infrastructure/engine/common/engineConnection.js';
 import {Model} from '../../configuration/common/configuration.js';
 import {coversOnce, hasChain} from './layerSplit.js';
 import {EngineView, ReplicaView} from './placementView.js';
--- a/src/features/placement/common/tableLease.ts
+++ b/src/features/placement/common/tableLease.ts
@@ -2,12 +2,12 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Emitter} from '../../../base/common/event.js';
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
-import {ChartInstance} from '../../../platform/stateChart/common/stateChart.js';
+import {ChartInstance} from '../../../infrastructure/stateChart/common/stateChart.js';
 import {
   RowCondition,
   TableRow,
   TableService,
-} from '../../../platform/table/common/tableService.js';
+} from '../../../infrastructure/table/common/tableService.js';
 import {LeaseAction, leaseChart, LeaseEvent, LeaseState} from './leaseChart.js';
 import {LeaseObserver} from './leaseObserver.js';
 import {
--- a/src/features/placement/test/placementWorld.ts
+++ b/src/features/placement/test/placementWorld.ts
@@ -12,10 +12,10 @@
   EngineError,
   EngineOrder,
   EngineReport,
-} from '../../../platform/engine/common/engineConnection.js';
-import {SilentLogger} from '../../../platform/logging/common/logger.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
-import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
+import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
+import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {FakeClock, settle} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
 import {Configuration} from '../../configuration/common/configuration.js';
--- a/src/features/placement/test/planPlacement.test.ts
+++ b/src/features/placement/test/planPlacement.test.ts
@@ -1,9 +1,9 @@
 import * as fastCheck from 'fast-check';
 import {expect, it} from 'vitest';
 
-import {EngineReport} from '../../../platform/engine/common/engineConnection.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
-import {WeightManifest} from '../../../platform/weights/common/weightStore.js';
+import {EngineReport} from '../../../infrastructure/engine/common/engineConnection.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
+import {WeightManifest} from '../../../infrastructure/weights/common/weightStore.js';
 import {Model} from '../../configuration/common/configuration.js';
 import {coversOnce, splitLayers} from '../common/layerSplit.js';
 import {PlacementPlan} from '../common/placementPlan.js';
--- a/src/features/routing/common/cellMap.ts
+++ b/src/features/routing/common/cellMap.ts
@@ -1,4 +1,4 @@
-import {InstanceMember} from '../../../platform/membership/common/membershipList.js';
+import {InstanceMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {SystemView} from '../../membership/common/systemView.js';
 import {CellOwnership} from './cellOwnership.js';
 import {Cell, divideIntoCells} from './cells.js';
--- a/src/features/routing/common/cellOwnership.ts
+++ b/src/features/routing/common/cellOwnership.ts
@@ -1,4 +1,4 @@
-import {InstanceMember} from '../../../platform/membership/common/membershipList.js';
+import {InstanceMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {InstanceView} from '../../membership/common/systemView.js';
 import {Cell} from './cells.js';
 import {hashText, rendezvousWeight} from './rendezvous.js';
--- a/src/features/routing/common/cells.ts
+++ b/src/features/routing/common/cells.ts
@@ -1,4 +1,4 @@
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {hashText, rendezvousWeight} from './rendezvous.js';
 
 /** Divides the engines of the platform's list into cells; every instance comes to the same result from the same list. */
--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -1,4 +1,4 @@
-import {LayerRange} from '../../../platform/engine/common/engineConnection.js';
+import {LayerRange} from '../../../infrastructure/engine/common/engineConnection.js';
 
 /**
  * Routing over cells. A cell is a bounded group of replicas of one model in one data centre. One
--- a/src/features/routing/common/serviceChooser.ts
+++ b/src/features/routing/common/serviceChooser.ts
@@ -1,6 +1,6 @@
 import {Clock} from '../../../base/common/clock.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {ServiceChoice} from './routing.js';
 import {UpstreamHealthTracker} from './upstreamHealthTracker.js';
 
--- a/src/features/routing/common/stageLedger.ts
+++ b/src/features/routing/common/stageLedger.ts
@@ -1,4 +1,4 @@
-import {EngineReport} from '../../../platform/engine/common/engineConnection.js';
+import {EngineReport} from '../../../infrastructure/engine/common/engineConnection.js';
 import {DecayedMean} from './decayedMean.js';
 import {RecentQuantile} from './recentQuantile.js';
 
--- a/src/features/routing/common/upstreamHealthTracker.ts
+++ b/src/features/routing/common/upstreamHealthTracker.ts
@@ -1,7 +1,7 @@
 import {
   ChartInstance,
   StateChart,
-} from '../../../platform/stateChart/common/stateChart.js';
+} from '../../../infrastructure/stateChart/common/stateChart.js';
 import {StageObservation, UpstreamHealth} from './routing.js';
 import {SlownessDetector} from './slownessDetector.js';
 import chartDefinition from './upstreamHealth.chart.json' with {type: 'json'};
--- a/src/features/routing/common/upstreamJoins.ts
+++ b/src/features/routing/common/upstreamJoins.ts
@@ -1,4 +1,4 @@
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 
 /** Milliseconds for which an upstream that joined the list counts as new. */
 const NEW_MILLISECONDS = 2000;
--- a/src/features/routing/node/cellCaller.ts
+++ b/src/features/routing/node/cellCaller.ts
@@ -1,7 +1,7 @@
 import {Clock} from '../../../base/common/clock.js';
 import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
-import {InstanceMember} from '../../../platform/membership/common/membershipList.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {InstanceMember} from '../../../infrastructure/membership/common/membershipList.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {CellAuthority} from '../common/cellMessages.js';
 import {CellMap} from '../common/cellMap.js';
 import {CellDirectory} from './cellDirectory.js';
--- a/src/features/routing/node/cellRouter.ts
+++ b/src/features/routing/node/cellRouter.ts
@@ -1,7 +1,7 @@
 import {
   createRpcRouter,
   peerProcedure,
-} from '../../../platform/rpc/node/rpc.js';
+} from '../../../infrastructure/rpc/node/rpc.js';
 import {
   decodeFailure,
   decodeReleases,
--- a/src/features/routing/node/cellSearch.ts
+++ b/src/features/routing/node/cellSearch.ts
@@ -3,8 +3,8 @@
 import {
   DecisionFields,
   Logger,
-} from '../../../platform/logging/common/logger.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+} from '../../../infrastructure/logging/common/logger.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {ReserveAnswer, ReserveCall} from '../common/cellMessages.js';
 import {CellMap} from '../common/cellMap.js';
 import {chooseCells} from '../common/chooseCells.js';
--- a/src/features/routing/node/localCells.ts
+++ b/src/features/routing/node/localCells.ts
@@ -1,9 +1,9 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
-import {EngineConnector} from '../../../platform/engine/common/engineConnection.js';
-import {Logger} from '../../../platform/logging/common/logger.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {EngineConnector} from '../../../infrastructure/engine/common/engineConnection.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {
   emptyConfiguration,
   Configuration,
--- a/src/features/routing/node/peerCells.ts
+++ b/src/features/routing/node/peerCells.ts
@@ -1,7 +1,7 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
-import {createRpcClient} from '../../../platform/rpc/node/rpc.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
+import {createRpcClient} from '../../../infrastructure/rpc/node/rpc.js';
 import {
   decodeAnswer,
   decodeSummaries,
--- a/src/features/routing/node/reportPoller.ts
+++ b/src/features/routing/node/reportPoller.ts
@@ -2,8 +2,8 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Disposable, DisposableOwner} from '../../../base/common/lifecycle.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
-import {EngineConnector} from '../../../platform/engine/common/engineConnection.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {EngineConnector} from '../../../infrastructure/engine/common/engineConnection.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {FollowedStage, StageRegistry} from './stageRegistry.js';
 
 const INTERVAL_MILLISECONDS = 1000;
--- a/src/features/routing/node/stageRegistry.ts
+++ b/src/features/routing/node/stageRegistry.ts
@@ -1,5 +1,5 @@
-import {EngineReport} from '../../../platform/engine/common/engineConnection.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {EngineReport} from '../../../infrastructure/engine/common/engineConnection.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {ConcurrencyLimit} from '../common/concurrencyLimit.js';
 import {StageObservation, StageView} from '../common/routing.js';
 import {StageLedger} from '../common/stageLedger.js';
--- a/src/features/routing/test/brokerBench.ts
+++ b/src/features/routing/test/brokerBench.ts
@@ -1,9 +1,9 @@
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
-import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
+import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {
   InstanceMember,
   UpstreamMember,
-} from '../../../platform/membership/common/membershipList.js';
+} from '../../../infrastructure/membership/common/membershipList.js';
 import {FakeClock, settle} from '../../../../test/support/fakeClock.js';
 import {
   CellAuthority,
--- a/src/features/routing/test/capacityBroker.test.ts
+++ b/src/features/routing/test/capacityBroker.test.ts
@@ -1,7 +1,7 @@
 import {afterEach, describe, expect, test} from 'vitest';
 
 import {neverCancelled} from '../../../base/common/cancellation.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {CellMap} from '../common/cellMap.js';
 import {
   Reservation,
--- a/src/features/routing/test/routingFakes.ts
+++ b/src/features/routing/test/routingFakes.ts
@@ -6,15 +6,15 @@
   EngineConnector,
   EngineError,
   EngineReport,
-} from '../../../platform/engine/common/engineConnection.js';
+} from '../../../infrastructure/engine/common/engineConnection.js';
 import {
   InstanceMember,
   UpstreamMember,
-} from '../../../platform/membership/common/membershipList.js';
+} from '../../../infrastructure/membership/common/membershipList.js';
 import {
   LogFields,
   SilentLogger,
-} from '../../../platform/logging/common/logger.js';
+} from '../../../infrastructure/logging/common/logger.js';
 import {emptyConfiguration} from '../../configuration/common/configuration.js';
 import {SystemView} from '../../membership/common/systemView.js';
 import {SystemViewSource} from '../../membership/common/systemViewSource.js';
--- a/src/features/routing/test/serviceChooser.test.ts
+++ b/src/features/routing/test/serviceChooser.test.ts
@@ -2,7 +2,7 @@
 
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
-import {UpstreamMember} from '../../../platform/membership/common/membershipList.js';
+import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {ServiceChooser} from '../common/serviceChooser.js';
 import {engineMember} from './routingFakes.js';
 
--- a/src/features/routing/test/stageRegistry.test.ts
+++ b/src/features/routing/test/stageRegistry.test.ts
@@ -1,7 +1,7 @@
 import {afterEach, describe, expect, test} from 'vitest';
 
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
-import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
+import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {HealthChange} from '../common/upstreamHealthTracker.js';
 import {ReportPoller} from '../node/reportPoller.js';
--- a/src/features/services/common/defaultServiceDispatcher.ts
+++ b/src/features/services/common/defaultServiceDispatcher.ts
@@ -5,12 +5,12 @@
 import {Clock} from '../../../base/common/clock.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {failure, Result, success} from '../../../base/common/result.js';
-import {Logger} from '../../../platform/logging/common/logger.js';
-import {Metrics} from '../../../platform/metrics/common/metrics.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {
   ServiceConnector,
   ServiceResponse,
-} from '../../../platform/service/common/serviceConnection.js';
+} from '../../../infrastructure/service/common/serviceConnection.js';
 import {
   answerForClaim,
   IncarnationAddress,
--- a/src/features/services/common/serviceAttempt.ts
+++ b/src/features/services/common/serviceAttempt.ts
@@ -5,7 +5,7 @@
   ServiceConnector,
   ServiceError,
   ServiceResponse,
-} from '../../../platform/service/common/serviceConnection.js';
+} from '../../../infrastructure/service/common/serviceConnection.js';
 import {ServiceCallRequest} from '../../callers/common/serviceDispatcher.js';
 import {CapacityBroker, ServiceChoice} from '../../routing/common/routing.js';
 import {LatencyWindow} from './latencyWindow.js';
--- a/src/features/services/common/serviceCallRun.ts
+++ b/src/features/services/common/serviceCallRun.ts
@@ -7,7 +7,7 @@
 import {
   ServiceError,
   ServiceResponse,
-} from '../../../platform/service/common/serviceConnection.js';
+} from '../../../infrastructure/service/common/serviceConnection.js';
 import {ServiceCallRequest} from '../../callers/common/serviceDispatcher.js';
 import {RequestError, RequestFailure} from '../../requests/common/failure.js';
 import {
--- a/src/features/services/test/serviceDispatcher.test.ts
+++ b/src/features/services/test/serviceDispatcher.test.ts
@@ -9,7 +9,7 @@
 import {
   ServiceError,
   ServiceResponse,
-} from '../../../platform/service/common/serviceConnection.js';
+} from '../../../infrastructure/service/common/serviceConnection.js';
 import {ServiceCallRequest} from '../../callers/common/serviceDispatcher.js';
 import {RequestFailure} from '../../requests/common/failure.js';
 import {LatencyWindow} from '../common/latencyWindow.js';
--- a/src/features/services/test/serviceWorld.ts
+++ b/src/features/services/test/serviceWorld.ts
@@ -2,15 +2,15 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
 import {failure, Result, success} from '../../../base/common/result.js';
-import {Logger, SilentLogger} from '../../../platform/logging/common/logger.js';
-import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
+import {Logger, SilentLogger} from '../../../infrastructure/logging/common/logger.js';
+import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {
   ServiceConnection,
   ServiceConnector,
   ServiceError,
   ServiceRequest,
   ServiceResponse,
-} from '../../../platform/service/common/serviceConnection.js';
+} from '../../../infrastructure/service/common/serviceConnection.js';
 import {ServiceCallRequest} from '../../callers/common/serviceDispatcher.js';
 import {ClaimDecision, ClaimService} from '../../claims/common/claims.js';
 import {
--- a/src/programs/control/changeDesk.ts
+++ b/src/programs/control/changeDesk.ts
@@ -17,7 +17,7 @@
   Handover,
   PeerExchanger,
 } from '../../features/peers/common/peerExchanger.js';
-import {Logger} from '../../platform/logging/common/logger.js';
+import {Logger} from '../../infrastructure/logging/common/logger.js';
 
 const HANDOVER_MILLISECONDS = 2_000;
 const SNAPSHOT_MILLISECONDS = 5_000;
--- a/src/programs/control/controlPorts.ts
+++ b/src/programs/control/controlPorts.ts
@@ -2,11 +2,11 @@
 import {RandomSource} from '../../base/common/randomSource.js';
 import {NonceSource} from '../../features/configuration/common/configurationProposer.js';
 import {PeerConnection} from '../../features/peers/common/peerConnection.js';
-import {Logger} from '../../platform/logging/common/logger.js';
-import {MembershipList} from '../../platform/membership/common/membershipList.js';
-import {Metrics} from '../../platform/metrics/common/metrics.js';
-import {ObjectStore} from '../../platform/objects/common/objectStore.js';
-import {TableService} from '../../platform/table/common/tableService.js';
+import {Logger} from '../../infrastructure/logging/common/logger.js';
+import {MembershipList} from '../../infrastructure/membership/common/membershipList.js';
+import {Metrics} from '../../infrastructure/metrics/common/metrics.js';
+import {ObjectStore} from '../../infrastructure/objects/common/objectStore.js';
+import {TableService} from '../../infrastructure/table/common/tableService.js';
 
 /** Periods and bounds, in seconds. */
 export interface ControlTimes {
--- a/src/programs/control/main.ts
+++ b/src/programs/control/main.ts
@@ -7,13 +7,13 @@
 import {
   runCommandLine,
   USAGE_EXIT_CODE,
-} from '../../platform/commandLine/node/runCommandLine.js';
-import {ControlSettings} from '../../platform/settings/common/programSettings.js';
-import {controlSettingsSchema} from '../../platform/settings/common/settingsSchemas.js';
+} from '../../infrastructure/commandLine/node/runCommandLine.js';
+import {ControlSettings} from '../../infrastructure/settings/common/programSettings.js';
+import {controlSettingsSchema} from '../../infrastructure/settings/common/settingsSchemas.js';
 import {
   readSecretFile,
   readSettings,
-} from '../../platform/settings/node/readSettings.js';
+} from '../../infrastructure/settings/node/readSettings.js';
 import {ControlProgram, ControlSecrets} from './wiring.js';
 
 /** The program `redwing-control`. */
--- a/src/programs/control/memberTracker.ts
+++ b/src/programs/control/memberTracker.ts
@@ -11,9 +11,9 @@
 } from '../../features/membership/common/listReadPlan.js';
 import {LocalState} from '../../features/peers/common/localState.js';
 import {MemberSpreader} from '../../features/peers/common/memberSpreader.js';
-import {Logger} from '../../platform/logging/common/logger.js';
-import {MembershipList} from '../../platform/membership/common/membershipList.js';
-import {Metrics} from '../../platform/metrics/common/metrics.js';
+import {Logger} from '../../infrastructure/logging/common/logger.js';
+import {MembershipList} from '../../infrastructure/membership/common/membershipList.js';
+import {Metrics} from '../../infrastructure/metrics/common/metrics.js';
 
 const CALL_MILLISECONDS = 2_000;
 
--- a/src/programs/control/test/controlCluster.ts
+++ b/src/programs/control/test/controlCluster.ts
@@ -5,8 +5,8 @@
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
 import {ConfigurationOperation} from '../../../features/configuration/common/configuration.js';
 import {PeerResponder} from '../../../features/peers/common/peerResponder.js';
-import {SilentLogger} from '../../../platform/logging/common/logger.js';
-import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
+import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
+import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
 import {instanceMember} from '../../../../test/support/members.js';
--- a/src/programs/control/test/memberFleet.ts
+++ b/src/programs/control/test/memberFleet.ts
@@ -5,13 +5,13 @@
 import {PeerExchanger} from '../../../features/peers/common/peerExchanger.js';
 import {PeerResponder} from '../../../features/peers/common/peerResponder.js';
 import {MemberSpreader} from '../../../features/peers/common/memberSpreader.js';
-import {SilentLogger} from '../../../platform/logging/common/logger.js';
+import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
 import {
   Member,
   MemberState,
   UpstreamMember,
-} from '../../../platform/membership/common/membershipList.js';
-import {SilentMetrics} from '../../../platform/metrics/common/metrics.js';
+} from '../../../infrastructure/membership/common/membershipList.js';
+import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
 import {instanceMember} from '../../../../test/support/members.js';
--- a/src/programs/control/wiring.ts
+++ b/src/programs/control/wiring.ts
@@ -17,21 +17,21 @@
 import {createPeerRouter} from '../../features/peers/node/peerRouter.js';
 import {RpcPeerConnection} from '../../features/peers/node/rpcPeerConnection.js';
 import {PlacementController} from '../../features/placement/common/placementController.js';
-import {HttpEngineConnector} from '../../platform/engine/node/httpEngineConnector.js';
-import {Logger} from '../../platform/logging/common/logger.js';
-import {BunyanLogger} from '../../platform/logging/node/bunyanLogger.js';
-import {HttpMembershipList} from '../../platform/membership/node/httpMembershipList.js';
-import {Metrics, SilentMetrics} from '../../platform/metrics/common/metrics.js';
-import {StatsdMetrics} from '../../platform/metrics/node/statsdMetrics.js';
-import {HttpObjectStore} from '../../platform/objects/node/httpObjectStore.js';
+import {HttpEngineConnector} from '../../infrastructure/engine/node/httpEngineConnector.js';
+import {Logger} from '../../infrastructure/logging/common/logger.js';
+import {BunyanLogger} from '../../infrastructure/logging/node/bunyanLogger.js';
+import {HttpMembershipList} from '../../infrastructure/membership/node/httpMembershipList.js';
+import {Metrics, SilentMetrics} from '../../infrastructure/metrics/common/metrics.js';
+import {StatsdMetrics} from '../../infrastructure/metrics/node/statsdMetrics.js';
+import {HttpObjectStore} from '../../infrastructure/objects/node/httpObjectStore.js';
 import {
   createRpcHandler,
   mergeRpcRouters,
   parseAddress,
-} from '../../platform/rpc/node/rpc.js';
-import {ControlSettings} from '../../platform/settings/common/programSettings.js';
-import {HttpTableService} from '../../platform/table/node/httpTableService.js';
-import {HttpWeightStore} from '../../platform/weights/node/httpWeightStore.js';
+} from '../../infrastructure/rpc/node/rpc.js';
+import {ControlSettings} from '../../infrastructure/settings/common/programSettings.js';
+import {HttpTableService} from '../../infrastructure/table/node/httpTableService.js';
+import {HttpWeightStore} from '../../infrastructure/weights/node/httpWeightStore.js';
 import {ControlCore} from './controlCore.js';
 import {describeStatus} from './statusReport.js';
 
--- a/src/programs/entry/entryParts.ts
+++ b/src/programs/entry/entryParts.ts
@@ -4,11 +4,11 @@
 import {ClaimService} from '../../features/claims/common/claims.js';
 import {ControlViewSource} from '../../features/membership/node/controlViewSource.js';
 import {PipelineDriver} from '../../features/pipeline/common/pipelineDriver.js';
-import {HttpEngineConnector} from '../../platform/engine/node/httpEngineConnector.js';
-import {Logger} from '../../platform/logging/common/logger.js';
-import {Metrics} from '../../platform/metrics/common/metrics.js';
-import {HttpServiceConnector} from '../../platform/service/node/httpServiceConnector.js';
-import {EntrySettings} from '../../platform/settings/common/programSettings.js';
+import {HttpEngineConnector} from '../../infrastructure/engine/node/httpEngineConnector.js';
+import {Logger} from '../../infrastructure/logging/common/logger.js';
+import {Metrics} from '../../infrastructure/metrics/common/metrics.js';
+import {HttpServiceConnector} from '../../infrastructure/service/node/httpServiceConnector.js';
+import {EntrySettings} from '../../infrastructure/settings/common/programSettings.js';
 
 /** What the parts of either policy are built from. */
 export interface EntryBase {
--- a/src/programs/entry/main.ts
+++ b/src/programs/entry/main.ts
@@ -6,13 +6,13 @@
 import {
   runCommandLine,
   USAGE_EXIT_CODE,
-} from '../../platform/commandLine/node/runCommandLine.js';
-import {EntrySettings} from '../../platform/settings/common/programSettings.js';
-import {entrySettingsSchema} from '../../platform/settings/common/settingsSchemas.js';
+} from '../../infrastructure/commandLine/node/runCommandLine.js';
+import {EntrySettings} from '../../infrastructure/settings/common/programSettings.js';
+import {entrySettingsSchema} from '../../infrastructure/settings/common/settingsSchemas.js';
 import {
   readSecretFile,
   readSettings,
-} from '../../platform/settings/node/readSettings.js';
+} from '../../infrastructure/settings/node/readSettings.js';
 import {EntryProgram} from './wiring.js';
 
 /** The program `redwing-entry`. Exit codes: 0 ok, 1 failure, 2 wrong settings or usage. */
--- a/src/programs/entry/redwingParts.ts
+++ b/src/programs/entry/redwingParts.ts
@@ -17,8 +17,8 @@
 import {createCellRouter} from '../../features/routing/node/cellRouter.js';
 import {DefaultCapacityBroker} from '../../features/routing/node/defaultCapacityBroker.js';
 import {DefaultServiceDispatcher} from '../../features/services/common/defaultServiceDispatcher.js';
-import {mergeRpcRouters, serveRpc} from '../../platform/rpc/node/rpc.js';
-import {HttpTableService} from '../../platform/table/node/httpTableService.js';
+import {mergeRpcRouters, serveRpc} from '../../infrastructure/rpc/node/rpc.js';
+import {HttpTableService} from '../../infrastructure/table/node/httpTableService.js';
 import {EntryBase, PolicyParts} from './entryParts.js';
 
 const SEED_BYTES = 4;
--- a/src/programs/entry/test/entryProgram.test.ts
+++ b/src/programs/entry/test/entryProgram.test.ts
@@ -6,8 +6,8 @@
   parseAddress,
   peerProcedure,
   serveRpc,
-} from '../../../platform/rpc/node/rpc.js';
-import {EntrySettings} from '../../../platform/settings/common/programSettings.js';
+} from '../../../infrastructure/rpc/node/rpc.js';
+import {EntrySettings} from '../../../infrastructure/settings/common/programSettings.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
 import {
   configuration,
--- a/src/programs/entry/wiring.ts
+++ b/src/programs/entry/wiring.ts
@@ -9,13 +9,13 @@
 import {NaiveBroker} from '../../features/naive/node/naiveBroker.js';
 import {NaivePipelineDriver} from '../../features/naive/node/naivePipelineDriver.js';
 import {NaiveServiceDispatcher} from '../../features/naive/node/naiveServiceDispatcher.js';
-import {HttpEngineConnector} from '../../platform/engine/node/httpEngineConnector.js';
-import {BunyanLogger} from '../../platform/logging/node/bunyanLogger.js';
-import {Metrics, SilentMetrics} from '../../platform/metrics/common/metrics.js';
-import {StatsdMetrics} from '../../platform/metrics/node/statsdMetrics.js';
-import {parseAddress} from '../../platform/rpc/node/rpc.js';
-import {HttpServiceConnector} from '../../platform/service/node/httpServiceConnector.js';
-import {EntrySettings} from '../../platform/settings/common/programSettings.js';
+import {HttpEngineConnector} from '../../infrastructure/engine/node/httpEngineConnector.js';
+import {BunyanLogger} from '../../infrastructure/logging/node/bunyanLogger.js';
+import {Metrics, SilentMetrics} from '../../infrastructure/metrics/common/metrics.js';
+import {StatsdMetrics} from '../../infrastructure/metrics/node/statsdMetrics.js';
+import {parseAddress} from '../../infrastructure/rpc/node/rpc.js';
+import {HttpServiceConnector} from '../../infrastructure/service/node/httpServiceConnector.js';
+import {EntrySettings} from '../../infrastructure/settings/common/programSettings.js';
 import {EntryBase, PolicyParts} from './entryParts.js';
 import {RedwingParts} from './redwingParts.js';
 
--- a/src/programs/redwing/changeReading.ts
+++ b/src/programs/redwing/changeReading.ts
@@ -4,7 +4,7 @@
   Proposal,
   parseProposal,
 } from '../../features/configuration/common/operationSchemas.js';
-import {readJsonFile} from '../../platform/settings/node/readSettings.js';
+import {readJsonFile} from '../../infrastructure/settings/node/readSettings.js';
 
 /** Changes as operators state them: on the command line or in a file. */
 
--- a/src/programs/redwing/commands/accountCommands.ts
+++ b/src/programs/redwing/commands/accountCommands.ts
@@ -2,7 +2,7 @@
 
 import {Option} from 'clipanion';
 
-import {readSecretFile} from '../../../platform/settings/node/readSettings.js';
+import {readSecretFile} from '../../../infrastructure/settings/node/readSettings.js';
 import {
   EntryFields,
   SetCommand,
--- a/src/programs/redwing/operatorCommand.ts
+++ b/src/programs/redwing/operatorCommand.ts
@@ -3,11 +3,11 @@
 import {Finding, formatFinding} from '../../base/common/finding.js';
 import {assertNever} from '../../base/common/result.js';
 import {SystemClock} from '../../base/node/systemClock.js';
-import {operatorSettingsSchema} from '../../platform/settings/common/settingsSchemas.js';
+import {operatorSettingsSchema} from '../../infrastructure/settings/common/settingsSchemas.js';
 import {
   readSecretFile,
   readSettings,
-} from '../../platform/settings/node/readSettings.js';
+} from '../../infrastructure/settings/node/readSettings.js';
 import {
   ConfigurationAnswer,
   configurationAnswer,
--- a/src/programs/redwing/runRedwing.ts
+++ b/src/programs/redwing/runRedwing.ts
@@ -1,7 +1,7 @@
 import {
   runCommandLine,
   Streams,
-} from '../../platform/commandLine/node/runCommandLine.js';
+} from '../../infrastructure/commandLine/node/runCommandLine.js';
 import {accountCommands} from './commands/accountCommands.js';
 import {classCommands} from './commands/classCommands.js';
 import {
--- a/test/control/configurationInForce.test.ts
+++ b/test/control/configurationInForce.test.ts
@@ -1,7 +1,7 @@
 import {afterAll, beforeAll, expect, it} from 'vitest';
 
 import {ConfigurationOperation} from '../../src/features/configuration/common/configuration.js';
-import {UpstreamMember} from '../../src/platform/membership/common/membershipList.js';
+import {UpstreamMember} from '../../src/infrastructure/membership/common/membershipList.js';
 import {InstanceHandle} from '../support/systemParts.js';
 import {LaunchedSystem} from '../support/launcher.js';
 
--- a/test/lint/layerRule.test.ts
+++ b/test/lint/layerRule.test.ts
@@ -21,14 +21,14 @@
     rule: undefined,
   },
   {
-    name: 'base must not import platform',
+    name: 'base must not import infrastructure',
     file: 'src/base/common/a.ts',
-    code: "export * from '../../platform/table/common/tableService.js';",
+    code: "export * from '../../infrastructure/table/common/tableService.js';",
     rule: LAYERS_RULE,
   },
   {
-    name: 'platform must not import features',
-    file: 'src/platform/table/node/a.ts',
+    name: 'infrastructure must not import features',
+    file: 'src/infrastructure/table/node/a.ts',
     code: "import {x} from '../../../features/claims/common/claims.js';\nx();",
     rule: LAYERS_RULE,
   },
@@ -39,9 +39,9 @@
     rule: LAYERS_RULE,
   },
   {
-    name: 'features may import platform',
+    name: 'features may import infrastructure',
     file: 'src/features/claims/common/a.ts',
-    code: "export * from '../../../platform/table/common/tableService.js';",
+    code: "export * from '../../../infrastructure/table/common/tableService.js';",
     rule: undefined,
   },
   {
@@ -53,7 +53,7 @@
   {
     name: 'a type import counts',
     file: 'src/base/common/a.ts',
-    code: "export type T = import('../../platform/logging/common/logger.js').Logger;",
+    code: "export type T = import('../../infrastructure/logging/common/logger.js').Logger;",
     rule: LAYERS_RULE,
   },
   {
@@ -64,13 +64,13 @@
   },
   {
     name: 'common must not import a package that needs Node',
-    file: 'src/platform/http/common/a.ts',
+    file: 'src/infrastructure/http/common/a.ts',
     code: "export {request} from 'undici';",
     rule: LAYERS_RULE,
   },
   {
     name: 'common may import a portable package',
-    file: 'src/platform/http/common/a.ts',
+    file: 'src/infrastructure/http/common/a.ts',
     code: "export {z} from 'zod';",
     rule: undefined,
   },
--- a/test/standins/cacheExports.ts
+++ b/test/standins/cacheExports.ts
@@ -2,7 +2,7 @@
 
 import {request as httpRequest} from 'undici';
 
-import {LayerRange} from '../../src/platform/engine/common/engineConnection.js';
+import {LayerRange} from '../../src/infrastructure/engine/common/engineConnection.js';
 import {LayerCache} from './referenceModel.js';
 import {Sequence} from './sequences.js';
 import {trim} from './trim.js';
--- a/test/standins/engine.test.ts
+++ b/test/standins/engine.test.ts
@@ -10,8 +10,8 @@
   LayerRange,
   StepInput,
   StepRequest,
-} from '../../src/platform/engine/common/engineConnection.js';
-import {HttpEngineConnector} from '../../src/platform/engine/node/httpEngineConnector.js';
+} from '../../src/infrastructure/engine/common/engineConnection.js';
+import {HttpEngineConnector} from '../../src/infrastructure/engine/node/httpEngineConnector.js';
 import {freeAddresses} from '../support/ports.js';
 import {EngineFault, EngineSettings} from './engineSettings.js';
 import {EngineStandIn, startEngines} from './engineStandIn.js';
--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -15,7 +15,7 @@
   StepOutput,
   StepReceipt,
   StepRequest,
-} from '../../src/platform/engine/common/engineConnection.js';
+} from '../../src/infrastructure/engine/common/engineConnection.js';
 import {
   CacheExport,
   CacheExports,
--- a/test/standins/engineSettings.ts
+++ b/test/standins/engineSettings.ts
@@ -1,7 +1,7 @@
 import {
   LayerRange,
   PositionRange,
-} from '../../src/platform/engine/common/engineConnection.js';
+} from '../../src/infrastructure/engine/common/engineConnection.js';
 
 /** Settings of one engine; times in milliseconds, addresses are `IP:port`. */
 export interface EngineSettings {
--- a/test/standins/engineStandIn.ts
+++ b/test/standins/engineStandIn.ts
@@ -3,7 +3,7 @@
 import {
   StepReceipt,
   StepRequest,
-} from '../../src/platform/engine/common/engineConnection.js';
+} from '../../src/infrastructure/engine/common/engineConnection.js';
 import {Engine, EngineRefusal} from './engine.js';
 import {
   DeathPoint,
--- a/test/standins/heldModel.ts
+++ b/test/standins/heldModel.ts
@@ -1,7 +1,7 @@
 import {
   EngineOrder,
   StepRequest,
-} from '../../src/platform/engine/common/engineConnection.js';
+} from '../../src/infrastructure/engine/common/engineConnection.js';
 import {EngineSettings} from './engineSettings.js';
 import {roleFits} from './stepComputation.js';
 
--- a/test/standins/platform.test.ts
+++ b/test/standins/platform.test.ts
@@ -4,16 +4,16 @@
   CancellationSource,
   neverCancelled,
 } from '../../src/base/common/cancellation.js';
-import {Member} from '../../src/platform/membership/common/membershipList.js';
-import {HttpMembershipList} from '../../src/platform/membership/node/httpMembershipList.js';
-import {HttpObjectStore} from '../../src/platform/objects/node/httpObjectStore.js';
+import {Member} from '../../src/infrastructure/membership/common/membershipList.js';
+import {HttpMembershipList} from '../../src/infrastructure/membership/node/httpMembershipList.js';
+import {HttpObjectStore} from '../../src/infrastructure/objects/node/httpObjectStore.js';
 import {
   RowCondition,
   RowWrite,
   TableService,
-} from '../../src/platform/table/common/tableService.js';
-import {HttpTableService} from '../../src/platform/table/node/httpTableService.js';
-import {HttpWeightStore} from '../../src/platform/weights/node/httpWeightStore.js';
+} from '../../src/infrastructure/table/common/tableService.js';
+import {HttpTableService} from '../../src/infrastructure/table/node/httpTableService.js';
+import {HttpWeightStore} from '../../src/infrastructure/weights/node/httpWeightStore.js';
 import {
   InMemoryPlatform,
   PlatformFault as MemoryFault,
--- a/test/standins/platformOperations.ts
+++ b/test/standins/platformOperations.ts
@@ -1,10 +1,10 @@
-import {Member} from '../../src/platform/membership/common/membershipList.js';
+import {Member} from '../../src/infrastructure/membership/common/membershipList.js';
 import {
   RowWrite,
   TransactionMode,
-} from '../../src/platform/table/common/tableService.js';
-import {checkTransaction} from '../../src/platform/table/common/transactionRules.js';
-import {WeightManifest} from '../../src/platform/weights/common/weightStore.js';
+} from '../../src/infrastructure/table/common/tableService.js';
+import {checkTransaction} from '../../src/infrastructure/table/common/transactionRules.js';
+import {WeightManifest} from '../../src/infrastructure/weights/common/weightStore.js';
 import {TableRows} from '../support/tableRows.js';
 import {Ledger} from './ledger.js';
 import {answerOk, StandInAnswer, StandInCall} from './standInServer.js';
--- a/test/standins/platformStandIn.ts
+++ b/test/standins/platformStandIn.ts
@@ -2,8 +2,8 @@
   DisposableOwner,
   toDisposable,
 } from '../../src/base/common/lifecycle.js';
-import {Member} from '../../src/platform/membership/common/membershipList.js';
-import {WeightManifest} from '../../src/platform/weights/common/weightStore.js';
+import {Member} from '../../src/infrastructure/membership/common/membershipList.js';
+import {WeightManifest} from '../../src/infrastructure/weights/common/weightStore.js';
 import {CallCounter} from './callCounter.js';
 import {FaultList} from './faultList.js';
 import {Ledger} from './ledger.js';
--- a/test/standins/sequences.ts
+++ b/test/standins/sequences.ts
@@ -1,4 +1,4 @@
-import {LayerRange} from '../../src/platform/engine/common/engineConnection.js';
+import {LayerRange} from '../../src/infrastructure/engine/common/engineConnection.js';
 import {LayerCache, ReplyPlan} from './referenceModel.js';
 
 /** Steps that may wait for a slot; more are refused as overloaded. */
--- a/test/standins/service.test.ts
+++ b/test/standins/service.test.ts
@@ -1,7 +1,7 @@
 import {afterEach, beforeEach, expect, it} from 'vitest';
 
 import {neverCancelled} from '../../src/base/common/cancellation.js';
-import {HttpServiceConnector} from '../../src/platform/service/node/httpServiceConnector.js';
+import {HttpServiceConnector} from '../../src/infrastructure/service/node/httpServiceConnector.js';
 import {freeAddresses} from '../support/ports.js';
 import {
   ServiceFault,
--- a/test/standins/standInServer.ts
+++ b/test/standins/standInServer.ts
@@ -2,7 +2,7 @@
 import {Socket} from 'node:net';
 
 import {Disposable} from '../../src/base/common/lifecycle.js';
-import {parseAddress} from '../../src/platform/rpc/node/rpc.js';
+import {parseAddress} from '../../src/infrastructure/rpc/node/rpc.js';
 
 const BODY_LIMIT_BYTES = 16 * 1024 * 1024;
 const KEEP_ALIVE_MILLISECONDS = 60_000;
--- a/test/support/inMemoryPlatform.ts
+++ b/test/support/inMemoryPlatform.ts
@@ -9,8 +9,8 @@
   Member,
   MembershipList,
   MembershipSnapshot,
-} from '../../src/platform/membership/common/membershipList.js';
-import {ObjectStore} from '../../src/platform/objects/common/objectStore.js';
+} from '../../src/infrastructure/membership/common/membershipList.js';
+import {ObjectStore} from '../../src/infrastructure/objects/common/objectStore.js';
 import {
   RowWrite,
   StorageError,
@@ -18,12 +18,12 @@
   TableService,
   TransactionMode,
   WriteOutcome,
-} from '../../src/platform/table/common/tableService.js';
-import {checkTransaction} from '../../src/platform/table/common/transactionRules.js';
+} from '../../src/infrastructure/table/common/tableService.js';
+import {checkTransaction} from '../../src/infrastructure/table/common/transactionRules.js';
 import {
   WeightManifest,
   WeightStore,
-} from '../../src/platform/weights/common/weightStore.js';
+} from '../../src/infrastructure/weights/common/weightStore.js';
 import {FaultList} from '../standins/faultList.js';
 import {TableRows} from './tableRows.js';
 
--- a/test/support/launcher.test.ts
+++ b/test/support/launcher.test.ts
@@ -7,8 +7,8 @@
 
 import {neverCancelled} from '../../src/base/common/cancellation.js';
 import {ConfigurationOperation} from '../../src/features/configuration/common/configuration.js';
-import {HttpEngineConnector} from '../../src/platform/engine/node/httpEngineConnector.js';
-import {HttpMembershipList} from '../../src/platform/membership/node/httpMembershipList.js';
+import {HttpEngineConnector} from '../../src/infrastructure/engine/node/httpEngineConnector.js';
+import {HttpMembershipList} from '../../src/infrastructure/membership/node/httpMembershipList.js';
 import {hashKey, LaunchedSystem} from './launcher.js';
 import {repositoryRoot} from './managedProcess.js';
 import {callJson} from './systemParts.js';
--- a/test/support/launcher.ts
+++ b/test/support/launcher.ts
@@ -9,8 +9,8 @@
   Member,
   MemberState,
   UpstreamMember,
-} from '../../src/platform/membership/common/membershipList.js';
-import {PlatformSettings} from '../../src/platform/settings/common/programSettings.js';
+} from '../../src/infrastructure/membership/common/membershipList.js';
+import {PlatformSettings} from '../../src/infrastructure/settings/common/programSettings.js';
 import {
   EngineSettings,
   EngineStandInSettings,
--- a/test/support/members.ts
+++ b/test/support/members.ts
@@ -1,7 +1,7 @@
 import {
   InstanceMember,
   MemberState,
-} from '../../src/platform/membership/common/membershipList.js';
+} from '../../src/infrastructure/membership/common/membershipList.js';
 
 /** An instance as the platform's list shows it; its addresses are its id with the ports 1 to 3. */
 export function instanceMember(
--- a/test/support/systemOptions.ts
+++ b/test/support/systemOptions.ts
@@ -1,7 +1,7 @@
 import {
   ControlSettings,
   EntrySettings,
-} from '../../src/platform/settings/common/programSettings.js';
+} from '../../src/infrastructure/settings/common/programSettings.js';
 import {EngineSettings} from '../standins/engineSettings.js';
 import {PlatformStandInSettings} from '../standins/platformStandIn.js';
 import {ServiceStandInSettings} from '../standins/serviceStandIn.js';
--- a/test/support/systemParts.ts
+++ b/test/support/systemParts.ts
@@ -5,7 +5,7 @@
 import {
   InstanceMember,
   UpstreamMember,
-} from '../../src/platform/membership/common/membershipList.js';
+} from '../../src/infrastructure/membership/common/membershipList.js';
 import {CallCounts} from '../standins/callCounter.js';
 import {
   EngineFaultCommand,
--- a/test/support/systemSettings.ts
+++ b/test/support/systemSettings.ts
@@ -3,12 +3,12 @@
 import {
   InstanceMember,
   UpstreamMember,
-} from '../../src/platform/membership/common/membershipList.js';
+} from '../../src/infrastructure/membership/common/membershipList.js';
 import {
   ControlSettings,
   EntrySettings,
   PlatformSettings,
-} from '../../src/platform/settings/common/programSettings.js';
+} from '../../src/infrastructure/settings/common/programSettings.js';
 import {
   defaultEngineSettings,
   EngineSettings,
--- a/test/support/tableRows.ts
+++ b/test/support/tableRows.ts
@@ -4,7 +4,7 @@
   TableRow,
   TransactionMode,
   WriteOutcome,
-} from '../../src/platform/table/common/tableService.js';
+} from '../../src/infrastructure/table/common/tableService.js';
 
 /** The rules of the transactional table, shared by the in-memory fake and the stand-in. */
 export class TableRows {
