--- a/eslint.config.js
+++ b/eslint.config.js
@@ -24,7 +24,7 @@
 };
 
 const config = [
-  {ignores: ['dist/**', 'node_modules/**']},
+  {ignores: ['dist/**', 'target/**', 'node_modules/**']},
   ...gts,
   {
     files: ['**/*.js'],
--- a/src/features/claims/node/rpcClaimPeers.ts
+++ b/src/features/claims/node/rpcClaimPeers.ts
@@ -1,6 +1,9 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
-import {createRpcClient, RpcClient} from '../../../infrastructure/rpc/node/rpc.js';
+import {
+  createRpcClient,
+  RpcClient,
+} from '../../../infrastructure/rpc/node/rpc.js';
 import {RowWrite} from '../../../infrastructure/table/common/tableService.js';
 import {AskAnswer, AskMessage, ClaimPeers} from '../common/claimPeers.js';
 import {RowResult} from '../common/rowWriter.js';
--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -4,9 +4,15 @@
 import {afterEach, describe, expect, test} from 'vitest';
 
 import {neverCancelled} from '../../../base/common/cancellation.js';
-import {Logger, SilentLogger} from '../../../infrastructure/logging/common/logger.js';
+import {
+  Logger,
+  SilentLogger,
+} from '../../../infrastructure/logging/common/logger.js';
 import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
-import {createRpcClient, serveRpc} from '../../../infrastructure/rpc/node/rpc.js';
+import {
+  createRpcClient,
+  serveRpc,
+} from '../../../infrastructure/rpc/node/rpc.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
 import {RequestOutcome} from '../../requests/common/request.js';
--- /dev/null
+++ b/src/features/fleet/common/upstreamDirectory.ts
@@ -0,0 +1,128 @@
+import {Clock} from '../../../base/common/clock.js';
+import {Emitter} from '../../../base/common/event.js';
+import {DisposableOwner} from '../../../base/common/lifecycle.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {Upstream} from './upstream.js';
+
+/** Reads that are further apart than this had an outage of the list between them. */
+const OUTAGE_MILLISECONDS = 2_500;
+
+/** The list is complete again this long after an outage: two seconds by the platform's word, and some. */
+const RETURN_MILLISECONDS = 2_300;
+
+/** The upstreams that are listed, by service. */
+export class UpstreamDirectory extends DisposableOwner {
+  private readonly changed = this.register(new Emitter<void>());
+  private upstreams = new Map<string, Upstream>();
+  private byService = new Map<string, readonly Upstream[]>();
+  private byAddress = new Map<string, Upstream>();
+  private lastRead = -Infinity;
+  private completeFrom = -Infinity;
+
+  /** Fires when an upstream came, left or changed. */
+  readonly onDidChange = this.changed.event;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    super();
+  }
+
+  /** All upstreams of a service, leaving ones included. */
+  ofService(service: string): readonly Upstream[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /** The listed upstream with an identifier. */
+  find(id: string): Upstream | undefined {
+    return this.upstreams.get(id);
+  }
+
+  /** The listed upstream at an address. */
+  findByAddress(address: string): Upstream | undefined {
+    return this.byAddress.get(address);
+  }
+
+  /** How many upstreams are listed. */
+  get size(): number {
+    return this.upstreams.size;
+  }
+
+  /** Milliseconds since the list was read. */
+  get age(): number {
+    return this.clock.monotonicMilliseconds() - this.lastRead;
+  }
+
+  /** Takes a whole list that was read just now. */
+  replace(list: readonly Upstream[]): void {
+    const now = this.clock.monotonicMilliseconds();
+    if (now - this.lastRead > OUTAGE_MILLISECONDS) {
+      this.completeFrom = now + RETURN_MILLISECONDS;
+    }
+    this.lastRead = now;
+    const next = new Map(list.map(upstream => [upstream.id, upstream]));
+    if (now < this.completeFrom) {
+      this.keepMissing(next);
+    }
+    if (this.report(next)) {
+      this.set(next);
+      this.changed.fire();
+    }
+  }
+
+  /** Entries lapse while the platform is away and come back a little later: until then, missing is not gone. */
+  private keepMissing(next: Map<string, Upstream>): void {
+    const addresses = new Set([...next.values()].map(({address}) => address));
+    for (const [id, upstream] of this.upstreams) {
+      if (!next.has(id) && !addresses.has(upstream.address)) {
+        next.set(id, upstream);
+      }
+    }
+  }
+
+  private set(next: Map<string, Upstream>): void {
+    this.upstreams = next;
+    this.byAddress = new Map();
+    const byService = new Map<string, Upstream[]>();
+    for (const upstream of next.values()) {
+      const group = byService.get(upstream.service) ?? [];
+      group.push(upstream);
+      byService.set(upstream.service, group);
+      this.byAddress.set(upstream.address, upstream);
+    }
+    this.byService = byService;
+  }
+
+  /** Writes a line for each change; answers whether there was any. */
+  private report(next: ReadonlyMap<string, Upstream>): boolean {
+    let isChanged = false;
+    for (const upstream of next.values()) {
+      const before = this.upstreams.get(upstream.id);
+      if (before === undefined || describe(before) !== describe(upstream)) {
+        isChanged = true;
+        this.logger.decision('upstreamChanged', {
+          upstream: upstream.id,
+          address: upstream.address,
+          before: before && describe(before),
+          now: describe(upstream),
+        });
+      }
+    }
+    for (const id of this.upstreams.keys()) {
+      if (!next.has(id)) {
+        isChanged = true;
+        this.logger.decision('upstreamGone', {upstream: id});
+      }
+    }
+    return isChanged;
+  }
+}
+
+function describe(upstream: Upstream): string {
+  const {layers} = upstream;
+  const range = layers === undefined ? '-' : `${layers.from}-${layers.to}`;
+  const state = upstream.isLeaving ? 'leaving' : 'ready';
+  const models = upstream.models.join(',');
+  return `${state} ${range} ${models} ${upstream.address} ${upstream.slots}`;
+}
--- /dev/null
+++ b/src/features/forwarding/common/forwardingSettings.ts
@@ -0,0 +1,31 @@
+/** Times and limits of forwarding; each says where its figure comes from. */
+export interface ForwardingSettings {
+  /** Time to reach an upstream: data centres are under a millisecond apart, so a sound one takes a few. */
+  readonly connectMilliseconds: number;
+  /** Time in which an upstream that is asked for a report answers; reports need no slot. */
+  readonly trialMilliseconds: number;
+  /** Time of an order to move a running stream; after it another stream is begun instead. */
+  readonly repathMilliseconds: number;
+  /** Silence after which a stream is begun again elsewhere although all upstreams answer. */
+  readonly giveUpSilenceMilliseconds: number;
+  /** How often silent streams are looked for. */
+  readonly watchPeriodMilliseconds: number;
+  /** Time left below which no further attempt is made: nothing could end in it. */
+  readonly leastTimeLeftMilliseconds: number;
+  /** Longest wait for a confirmation of the configuration by a request that needs one. */
+  readonly confirmationWaitMilliseconds: number;
+  /** Bytes of an answer that are held until it is whole. */
+  readonly heldAnswerBytes: number;
+}
+
+/** What serves targets of 200 ms between events and 500 ms to the first. */
+export const defaultForwardingSettings: ForwardingSettings = {
+  connectMilliseconds: 250,
+  trialMilliseconds: 50,
+  repathMilliseconds: 100,
+  giveUpSilenceMilliseconds: 600,
+  watchPeriodMilliseconds: 15,
+  leastTimeLeftMilliseconds: 20,
+  confirmationWaitMilliseconds: 250,
+  heldAnswerBytes: 1024 * 1024,
+};
--- /dev/null
+++ b/src/features/forwarding/node/httpUpstreamExchange.ts
@@ -0,0 +1,158 @@
+import {Dispatcher} from 'undici';
+
+import {
+  AnswerListener,
+  ExchangeFailure,
+  UpstreamExchange,
+  UpstreamRequest,
+} from '../common/upstreamExchange.js';
+import {ResetWatch} from './resetWatch.js';
+
+/** One exchange; used once. */
+export class HttpUpstreamExchange
+  extends UpstreamExchange
+  implements Dispatcher.DispatchHandler
+{
+  private controller: Dispatcher.DispatchController | undefined;
+  private connectTimer: NodeJS.Timeout | undefined;
+  private wasSent = false;
+  private isFramed = false;
+  private isDone = false;
+
+  constructor(
+    private readonly listener: AnswerListener,
+    private readonly resets: ResetWatch,
+    /** Belongs to this exchange alone and ends with it. */
+    private readonly ownDispatcher: Dispatcher | undefined,
+  ) {
+    super();
+  }
+
+  /** Sends the request. */
+  start(dispatcher: Dispatcher, request: UpstreamRequest): void {
+    this.connectTimer = setTimeout(
+      () => this.fail('no connection in time'),
+      request.connectMilliseconds,
+    );
+    const hasBody = request.body.length > 0;
+    try {
+      dispatcher.dispatch(
+        {
+          method: request.method as Dispatcher.HttpMethod,
+          path: request.target,
+          headers: [...request.headers],
+          body: hasBody ? request.body : null,
+          // Undici would close the connection after some methods without a body.
+          reset: request.isAlone,
+        },
+        this,
+      );
+    } catch (error) {
+      this.fail(describeError(error));
+    }
+  }
+
+  override pause(): void {
+    this.controller?.pause();
+  }
+
+  override resume(): void {
+    this.controller?.resume();
+  }
+
+  override dispose(): void {
+    if (!this.isDone) {
+      this.finish();
+      this.abort();
+    }
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.isDone) {
+      controller.abort(new Error('given up before sending'));
+      return;
+    }
+    clearTimeout(this.connectTimer);
+    this.wasSent = true;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Readonly<Record<string, unknown>>,
+    reason = '',
+  ): void {
+    // Informational answers come before the one that counts.
+    if (this.isDone || status < 200) {
+      return;
+    }
+    this.isFramed =
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined ||
+      status === 204 ||
+      status === 304;
+    this.listener.onHead(status, reason, toRawHeaders(controller));
+  }
+
+  onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.isDone) {
+      this.listener.onBody(chunk);
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.isDone) {
+      return;
+    }
+    if (!this.isFramed && this.resets.isResetting) {
+      this.fail('reset before the end of an answer without length');
+      return;
+    }
+    this.finish();
+    this.listener.onEnd();
+  }
+
+  onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    this.fail(describeError(error));
+  }
+
+  private fail(detail: string): void {
+    if (this.isDone) {
+      return;
+    }
+    const failure: ExchangeFailure = {wasSent: this.wasSent, detail};
+    this.finish();
+    this.abort();
+    this.listener.onFailure(failure);
+  }
+
+  private abort(): void {
+    this.controller?.abort(new Error('given up'));
+  }
+
+  private finish(): void {
+    this.isDone = true;
+    clearTimeout(this.connectTimer);
+    const {ownDispatcher} = this;
+    if (ownDispatcher !== undefined) {
+      // After the client has left its own callback; what is left to do is to close one connection.
+      setImmediate(() => void ownDispatcher.destroy().catch(() => undefined));
+    }
+  }
+}
+
+function toRawHeaders(
+  controller: Dispatcher.DispatchController,
+): readonly string[] {
+  const raw = controller.rawHeaders;
+  return Array.isArray(raw) ? raw.map(value => value.toString('latin1')) : [];
+}
+
+function describeError(error: unknown): string {
+  if (!(error instanceof Error)) {
+    return 'unknown error';
+  }
+  const {code} = error as NodeJS.ErrnoException;
+  return code === undefined ? error.message : `${code}: ${error.message}`;
+}
--- /dev/null
+++ b/src/features/forwarding/node/pathChooser.ts
@@ -0,0 +1,82 @@
+import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
+import {Path, WorkSize} from '../../paths/common/path.js';
+import {
+  findPath,
+  PathAnswer,
+  PathQuestion,
+} from '../../paths/common/pathSearch.js';
+import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
+import {ForwardingServices} from './forwardingServices.js';
+
+/** Layers of an engine that holds the whole model. */
+const WHOLE_MODEL: LayerRange = {from: 0, to: 1};
+
+/** Finds paths among the listed upstreams, as they are loaded now. */
+export class PathChooser {
+  constructor(
+    private readonly services: ForwardingServices,
+    private readonly service: string,
+    private readonly engine: EngineSettings,
+    private readonly size: WorkSize,
+  ) {}
+
+  /** A path over all layers. */
+  whole(isAllowed: (upstream: Upstream) => boolean): PathAnswer {
+    const {layers} = this.engine;
+    const span =
+      layers === undefined ? WHOLE_MODEL : {from: 0, to: layers.layerCount};
+    return findPath(this.question(span, isAllowed));
+  }
+
+  /** The path with the parts on some upstreams replaced; the first part must not be among them. */
+  without(path: Path, lost: ReadonlySet<string>): PathAnswer {
+    const first = path.findIndex(part => lost.has(part.upstream.id));
+    const last = path.findLastIndex(part => lost.has(part.upstream.id));
+    const before = path[first - 1];
+    const after = path[last + 1];
+    if (before === undefined) {
+      return {kind: 'noLayers', layer: 0};
+    }
+    const kept = [...path.slice(0, first), ...path.slice(last + 1)];
+    const keptIds = new Set(kept.map(part => part.upstream.id));
+    const span = {
+      from: path[first]!.range.from,
+      to: path[last]!.range.to,
+    };
+    const answer = findPath({
+      ...this.question(span, upstream => !keptIds.has(upstream.id)),
+      enteringFrom: before.upstream.dataCentre,
+      leavingTo: after?.upstream.dataCentre,
+    });
+    if (answer.kind !== 'found') {
+      return answer;
+    }
+    const joined = [
+      ...path.slice(0, first),
+      ...answer.path,
+      ...path.slice(last + 1),
+    ];
+    return {...answer, path: joined};
+  }
+
+  private question(
+    span: LayerRange,
+    isAllowed: (upstream: Upstream) => boolean,
+  ): PathQuestion {
+    const {directory, load, slowness, suspicions} = this.services;
+    return {
+      engine: this.engine,
+      upstreams: directory.ofService(this.service),
+      size: this.size,
+      span,
+      enteringFrom: undefined,
+      leavingTo: undefined,
+      loadOf: id => load.of(id),
+      slownessOf: id => slowness.of(id),
+      isUsable: upstream =>
+        !upstream.isLeaving &&
+        !suspicions.has(upstream.id) &&
+        isAllowed(upstream),
+    };
+  }
+}
--- /dev/null
+++ b/src/features/forwarding/node/requestMetrics.ts
@@ -0,0 +1,80 @@
+import {Counter, Histogram, Registry} from 'prom-client';
+
+/** Upper bounds of the latency histograms in milliseconds, closest around common targets. */
+const MILLISECOND_BUCKETS = [
+  5, 10, 20, 35, 50, 75, 100, 150, 200, 300, 500, 800, 1200, 2000, 5000, 20000,
+];
+
+/** Counters and latency histograms of requests, served as text on the metrics address. */
+export class RequestMetrics {
+  private readonly ended: Counter<'kind' | 'outcome'>;
+  private readonly repeats: Counter<'cause'>;
+  private readonly first: Histogram<'kind'>;
+  private readonly pause: Histogram;
+  private readonly whole: Histogram<'kind'>;
+
+  constructor(readonly registry: Registry) {
+    const registers = [registry];
+    this.ended = new Counter({
+      name: 'redwing_requests_total',
+      help: 'Requests by kind of route and outcome.',
+      labelNames: ['kind', 'outcome'],
+      registers,
+    });
+    this.repeats = new Counter({
+      name: 'redwing_repeats_total',
+      help: 'Requests that were sent once more or moved, by cause.',
+      labelNames: ['cause'],
+      registers,
+    });
+    this.first = histogram(
+      registers,
+      'redwing_first_milliseconds',
+      'Time to the first event of a stream or to a whole answer.',
+      ['kind'],
+    );
+    this.pause = histogram(
+      registers,
+      'redwing_pause_milliseconds',
+      'Longest pause between two events of a stream.',
+      [],
+    );
+    this.whole = histogram(
+      registers,
+      'redwing_whole_milliseconds',
+      'Time to the end of an answer.',
+      ['kind'],
+    );
+  }
+
+  /** A request has ended. */
+  noteEnd(kind: string, outcome: string, milliseconds: number): void {
+    this.ended.inc({kind, outcome});
+    this.whole.observe({kind}, milliseconds);
+  }
+
+  /** The first event or the whole answer came. */
+  noteFirst(kind: string, milliseconds: number): void {
+    this.first.observe({kind}, milliseconds);
+  }
+
+  /** A stream has ended whose longest pause is known. */
+  notePause(milliseconds: number): void {
+    this.pause.observe(milliseconds);
+  }
+
+  /** A request was sent once more. */
+  noteRepeat(cause: string): void {
+    this.repeats.inc({cause});
+  }
+}
+
+function histogram<Label extends string>(
+  registers: Registry[],
+  name: string,
+  help: string,
+  labelNames: Label[],
+): Histogram<Label> {
+  const buckets = MILLISECOND_BUCKETS;
+  return new Histogram({name, help, labelNames, buckets, registers});
+}
--- /dev/null
+++ b/src/features/forwarding/node/streamRun.ts
@@ -0,0 +1,430 @@
+import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
+import {Upstream} from '../../fleet/common/upstream.js';
+import {
+  formatPath,
+  Path,
+  tokensOf,
+  upstreamIdsOf,
+  WorkSize,
+} from '../../paths/common/path.js';
+import {PathAnswer} from '../../paths/common/pathSearch.js';
+import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
+import {AnswerHead, CallerExchange} from '../common/callerExchange.js';
+import {EventSequence} from '../common/eventSequence.js';
+import {NotRunReason} from '../common/retryAfter.js';
+import {StreamProgress} from '../common/silence.js';
+import {AnswerFacts} from '../common/wire.js';
+import {ForwardingServices} from './forwardingServices.js';
+import {PathChooser} from './pathChooser.js';
+import {AdmittedRequest, RequestRun} from './requestRun.js';
+import {StreamAttempt, StreamAttemptEvents} from './streamAttempt.js';
+import {StreamWatch, WatchedStream} from './streamWatch.js';
+
+/** Usual time between two events before any was seen. */
+const FIRST_GAP_MILLISECONDS = 35;
+
+/** Weight of the newest gap in the running mean. */
+const GAP_WEIGHT = 0.15;
+
+/** Attempts beyond this are not made whatever the budget says: a stream that broke so often is unlucky or harmful. */
+const ATTEMPT_LIMIT = 6;
+
+/** Forwards a stream along a path of upstreams, and carries it on elsewhere when the path breaks. */
+export class StreamRun
+  extends RequestRun
+  implements WatchedStream, StreamAttemptEvents
+{
+  private readonly sequence: EventSequence;
+  private readonly chooser: PathChooser;
+  private readonly size: WorkSize;
+  private attempt: StreamAttempt | undefined;
+  private path: Path = [];
+  private loadOfPath: Disposable = toDisposable(() => undefined);
+  private readonly firstParts = new Set<string>();
+  private head: AnswerHead | undefined;
+  private attempts = 0;
+  private moves = 0;
+  private mayHaveRun = false;
+  private isMoving = false;
+  private progressAt = 0;
+  private usualGap = FIRST_GAP_MILLISECONDS;
+  private longestPause = 0;
+  private events = 0;
+
+  constructor(
+    services: ForwardingServices,
+    exchange: CallerExchange,
+    admitted: AdmittedRequest,
+    private readonly engine: EngineSettings,
+    private readonly watch: StreamWatch,
+  ) {
+    super(services, exchange, admitted);
+    const {facts} = admitted;
+    this.sequence = new EventSequence(facts.lastEvent);
+    this.size = {
+      promptTokens: facts.promptTokens,
+      answerTokens: expectedAnswer(admitted, engine),
+    };
+    this.chooser = new PathChooser(
+      services,
+      admitted.service,
+      engine,
+      this.size,
+    );
+  }
+
+  protected override begin(): void {
+    this.owned.add(this.watch.add(this));
+    this.owned.add(toDisposable(() => this.drop()));
+    this.start('first');
+  }
+
+  protected override onTimeOver(): void {
+    if (this.mayHaveRun || this.attempt !== undefined) {
+      this.fail(504, 'no whole answer in time');
+    } else {
+      this.refuse('timeOver');
+    }
+  }
+
+  protected override describe(): Readonly<Record<string, unknown>> {
+    return {
+      attempts: this.attempts,
+      moves: this.moves,
+      events: this.events,
+      longestPause: Math.round(this.longestPause),
+      path: formatPath(this.path),
+    };
+  }
+
+  get progress(): StreamProgress | undefined {
+    if (this.attempt === undefined || this.isMoving) {
+      return undefined;
+    }
+    return {
+      requestId: this.admitted.id,
+      upstreams: upstreamIdsOf(this.path),
+      lastProgressAt: this.progressAt,
+      hasBegun: this.attempt.hasEvents,
+      usualGapMilliseconds: this.usualGap,
+    };
+  }
+
+  leave(upstream: string): void {
+    if (this.isDone || this.isMoving || this.attempt === undefined) {
+      return;
+    }
+    const isFirst = this.path[0]?.upstream.id === upstream;
+    if (!isFirst && this.attempt.hasEvents) {
+      void this.move();
+    } else {
+      this.restart('upstreamLost');
+    }
+  }
+
+  onSilence(milliseconds: number): void {
+    const {giveUpSilenceMilliseconds} = this.services.settings;
+    if (milliseconds > giveUpSilenceMilliseconds && this.canRepeat) {
+      this.restart('silence');
+    }
+  }
+
+  /** Whether the request may be sent again although it was sent before. */
+  private get canRepeat(): boolean {
+    const {route} = this.admitted;
+    return route.isResumable && this.sequence.canResume;
+  }
+
+  private start(cause: string): void {
+    const answer = this.findWhole();
+    if (answer.kind !== 'found') {
+      this.giveUp(answer.kind === 'noRoom' ? 'noRoom' : this.missingReason());
+      return;
+    }
+    this.attempts++;
+    this.take(answer.path);
+    this.note('pathChosen', {
+      cause,
+      path: formatPath(answer.path),
+      predicted: Math.round(answer.predicted),
+      listAge: Math.round(this.services.directory.age),
+      lastEvent: this.sequence.lastEvent,
+    });
+    this.send();
+  }
+
+  /** A first part that was used already is preferred once no further one may be used. */
+  private findWhole(): PathAnswer {
+    const {attemptLimit} = this.admitted.route;
+    const listed = [...this.firstParts].filter(
+      id => !this.services.suspicions.has(id),
+    );
+    if (listed.length < attemptLimit) {
+      return this.chooser.whole(() => true);
+    }
+    const unused = (upstream: Upstream): boolean =>
+      this.firstParts.has(upstream.id) || (upstream.layers?.from ?? 0) > 0;
+    return this.chooser.whole(unused);
+  }
+
+  private missingReason(): NotRunReason {
+    const {directory} = this.services;
+    const listed = directory.ofService(this.admitted.service);
+    return listed.length === 0 ? 'noUpstream' : 'noLayers';
+  }
+
+  private take(path: Path): void {
+    const {load} = this.services;
+    const tokens = tokensOf(this.size);
+    this.loadOfPath.dispose();
+    this.path = path;
+    const ids = upstreamIdsOf(path);
+    ids.forEach(id => load.add(id, tokens));
+    this.loadOfPath = toDisposable(() =>
+      ids.forEach(id => load.remove(id, tokens)),
+    );
+  }
+
+  private send(): void {
+    const [first] = this.path;
+    if (first === undefined) {
+      this.giveUp('noLayers');
+      return;
+    }
+    this.firstParts.add(first.upstream.id);
+    this.sequence.beginRun();
+    this.progressAt = this.now;
+    this.attempt = new StreamAttempt(
+      this.services,
+      this.admitted.id,
+      this.sequence,
+      this,
+    );
+    this.attempt.open(first.upstream, this.toRequest(first.upstream));
+  }
+
+  private toRequest(upstream: Upstream) {
+    const {admitted, exchange, services} = this;
+    const {method, target, headers} = exchange.request;
+    const hasPath = this.engine.layers !== undefined;
+    return {
+      method,
+      target,
+      headers: services.wire.upstreamHeaders(headers, {
+        deadlineMilliseconds: Math.max(1, Math.floor(this.timeLeft)),
+        upstream,
+        account: admitted.account,
+        priority: admitted.priority,
+        path: hasPath ? this.path : undefined,
+        lastEvent: this.sequence.lastEvent,
+      }),
+      body: admitted.body,
+      connectMilliseconds: services.settings.connectMilliseconds,
+      isAlone: false,
+    };
+  }
+
+  onStreamHead(head: AnswerHead): void {
+    // An answer keeps the head of the run that its first event came from.
+    if (!this.exchange.hasBegun) {
+      this.head = head;
+    }
+  }
+
+  onEvents(bytes: Uint8Array, count: number): void {
+    if (this.isDone || this.head === undefined) {
+      return;
+    }
+    const {now} = this;
+    if (!this.exchange.hasBegun) {
+      this.exchange.begin(this.head);
+      this.services.metrics.noteFirst('stream', this.elapsed);
+    } else {
+      const gap = now - this.progressAt;
+      this.longestPause = Math.max(this.longestPause, gap);
+      this.usualGap += GAP_WEIGHT * (gap - this.usualGap);
+    }
+    this.progressAt = now;
+    this.events += count;
+    this.mayHaveRun = true;
+    if (!this.exchange.write(bytes)) {
+      const {attempt} = this;
+      attempt?.pause();
+      this.exchange.whenDrained(() => attempt?.resume());
+    }
+  }
+
+  onStreamEnd(): void {
+    if (this.isDone) {
+      return;
+    }
+    if (this.head !== undefined && !this.exchange.hasBegun) {
+      this.exchange.begin(this.head);
+    }
+    this.exchange.end();
+    this.services.metrics.notePause(this.longestPause);
+    this.finish('answered', {status: this.head?.status});
+  }
+
+  onOtherAnswer(head: AnswerHead, facts: AnswerFacts, body: Uint8Array): void {
+    this.attempt = undefined;
+    if (this.isDone) {
+      return;
+    }
+    if (facts.isNotRun) {
+      this.onNotRun(facts);
+      return;
+    }
+    this.mayHaveRun = true;
+    this.note('upstreamFailed', {status: head.status});
+    if (this.canRepeat && this.mayRepeat()) {
+      this.repeat('upstreamFailed');
+    } else if (this.exchange.hasBegun) {
+      this.fail(502, 'the upstream failed midway');
+    } else {
+      this.sendWhole(head, body);
+    }
+  }
+
+  onLost(detail: string, wasSent: boolean): void {
+    this.attempt = undefined;
+    if (this.isDone) {
+      return;
+    }
+    const upstream = this.path[0]?.upstream;
+    this.note('answerLost', {upstream: upstream?.id, detail, wasSent});
+    if (!wasSent && upstream !== undefined) {
+      this.services.suspicions.suspect(upstream.id, 'unreachable', {detail});
+      this.start('unreachable');
+      return;
+    }
+    if (upstream !== undefined) {
+      void this.services.trials.try(upstream, 'reset', {detail});
+    }
+    this.mayHaveRun = true;
+    this.repeatOr('answerLost', 502);
+  }
+
+  private onNotRun(facts: AnswerFacts): void {
+    const faulty =
+      facts.faultyAddress === undefined
+        ? this.path[0]?.upstream
+        : this.services.directory.findByAddress(facts.faultyAddress);
+    this.note('refusedByUpstream', {
+      faulty: faulty?.id,
+      misdirected: facts.isMisdirected,
+    });
+    if (faulty !== undefined) {
+      const reason = facts.isMisdirected ? 'misdirected' : 'namedByUpstream';
+      this.services.suspicions.suspect(faulty.id, reason, {
+        request: this.admitted.id,
+      });
+    }
+    if (this.mayRepeat()) {
+      this.repeat('notRun');
+    } else {
+      this.giveUp('refused');
+    }
+  }
+
+  /** Moves the running stream off lost upstreams, so that the others keep what they have read. */
+  private async move(): Promise<void> {
+    const {control, settings, suspicions} = this.services;
+    const lost = new Set(
+      upstreamIdsOf(this.path).filter(id => suspicions.has(id)),
+    );
+    const [first] = this.path;
+    const answer = this.chooser.without(this.path, lost);
+    if (answer.kind !== 'found' || first === undefined) {
+      this.restart('upstreamLost');
+      return;
+    }
+    this.isMoving = true;
+    this.moves++;
+    const {path} = answer;
+    const eventsBefore = this.events;
+    const moved = await control.repath(
+      first.upstream,
+      this.admitted.id,
+      path,
+      settings.repathMilliseconds,
+    );
+    this.isMoving = false;
+    this.note('streamMoved', {
+      lost: [...lost],
+      path: formatPath(path),
+      ok: moved.ok,
+      error: moved.ok ? undefined : moved.error.kind,
+    });
+    if (this.isDone || this.attempt === undefined) {
+      return;
+    }
+    if (moved.ok) {
+      this.services.metrics.noteRepeat('moved');
+      this.take(path);
+    } else if (this.events === eventsBefore) {
+      this.restart('notMoved');
+    }
+  }
+
+  /** Gives the running attempt up and begins another where that is allowed. */
+  private restart(cause: string): void {
+    if (!this.canRepeat) {
+      return;
+    }
+    if (!this.mayRepeat()) {
+      this.note('notRestarted', {cause, attempts: this.attempts});
+      return;
+    }
+    this.attempt?.dispose();
+    this.attempt = undefined;
+    this.mayHaveRun = true;
+    this.repeat(cause);
+  }
+
+  private repeatOr(cause: string, status: 502 | 504): void {
+    if (this.canRepeat && this.mayRepeat()) {
+      this.repeat(cause);
+    } else {
+      this.fail(status, cause);
+    }
+  }
+
+  private mayRepeat(): boolean {
+    const {service} = this.admitted;
+    return (
+      this.hasTime &&
+      this.attempts < ATTEMPT_LIMIT &&
+      this.services.budget.take(service)
+    );
+  }
+
+  private repeat(cause: string): void {
+    this.services.metrics.noteRepeat(cause);
+    this.start(cause);
+  }
+
+  private giveUp(reason: NotRunReason): void {
+    if (this.mayHaveRun || this.exchange.hasBegun) {
+      this.fail(502, reason);
+    } else {
+      this.refuse(reason);
+    }
+  }
+
+  private drop(): void {
+    this.attempt?.dispose();
+    this.attempt = undefined;
+    this.loadOfPath.dispose();
+  }
+}
+
+/** Tokens that the answer will probably have: what the caller expects, else the usual length, never more than the most. */
+function expectedAnswer(
+  {facts}: AdmittedRequest,
+  engine: EngineSettings,
+): number {
+  const expected = facts.expectedAnswerTokens ?? engine.usualAnswerTokens;
+  const most = facts.answerTokens > 0 ? facts.answerTokens : expected;
+  return Math.min(expected, most);
+}
--- /dev/null
+++ b/src/features/forwarding/node/streamWatch.ts
@@ -0,0 +1,134 @@
+import {
+  Disposable,
+  DisposableOwner,
+  toDisposable,
+} from '../../../base/common/lifecycle.js';
+import {Suspicion, Suspicions} from '../../fleet/common/suspicions.js';
+import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
+import {
+  findSilentStreams,
+  SilentStream,
+  StreamProgress,
+} from '../common/silence.js';
+import {UpstreamTrials} from './upstreamTrials.js';
+import {Clock} from '../../../base/common/clock.js';
+
+/** Streams that fell silent together and share a single suspect prove it without a trial call. */
+const STREAMS_FOR_PROOF = 3;
+
+/** A stream that can be moved off upstreams that are lost. */
+export abstract class WatchedStream {
+  /** What is seen of it; undefined while nothing is awaited. */
+  abstract get progress(): StreamProgress | undefined;
+  /** An upstream on its path is held to be lost. */
+  abstract leave(upstream: string): void;
+  /** It is silent although all upstreams on its path answer. */
+  abstract onSilence(milliseconds: number): void;
+}
+
+/** Watches the running streams for silence, and tells those on a path through a lost upstream. */
+export class StreamWatch extends DisposableOwner {
+  private readonly streams = new Set<WatchedStream>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly directory: UpstreamDirectory,
+    private readonly suspicions: Suspicions,
+    private readonly trials: UpstreamTrials,
+    private readonly periodMilliseconds: number,
+  ) {
+    super();
+    this.register(toDisposable(() => clearInterval(this.timer)));
+    this.register(suspicions.onDidSuspect(suspicion => this.tell(suspicion)));
+  }
+
+  /** Watches a stream until disposed. */
+  add(stream: WatchedStream): Disposable {
+    this.streams.add(stream);
+    this.timer ??= setInterval(() => this.look(), this.periodMilliseconds);
+    return toDisposable(() => this.remove(stream));
+  }
+
+  private remove(stream: WatchedStream): void {
+    this.streams.delete(stream);
+    if (this.streams.size === 0) {
+      clearInterval(this.timer);
+      this.timer = undefined;
+    }
+  }
+
+  private tell({upstream}: Suspicion): void {
+    for (const stream of [...this.streams]) {
+      if (stream.progress?.upstreams.includes(upstream)) {
+        stream.leave(upstream);
+      }
+    }
+  }
+
+  private look(): void {
+    const byRequest = new Map<string, WatchedStream>();
+    const progress: StreamProgress[] = [];
+    for (const stream of this.streams) {
+      const seen = stream.progress;
+      if (seen !== undefined) {
+        progress.push(seen);
+        byRequest.set(seen.requestId, stream);
+      }
+    }
+    const silent = findSilentStreams(
+      progress,
+      this.clock.monotonicMilliseconds(),
+    );
+    const proven = this.findProven(silent);
+    for (const stream of silent) {
+      this.lookInto(stream, proven);
+      byRequest.get(stream.requestId)?.onSilence(stream.silentMilliseconds);
+    }
+  }
+
+  /** The only suspect of several streams that fell silent. */
+  private findProven(silent: readonly SilentStream[]): string | undefined {
+    const [first] = silent;
+    const [suspect] = first?.suspects ?? [];
+    const isProven =
+      silent.length >= STREAMS_FOR_PROOF &&
+      suspect !== undefined &&
+      silent.every(
+        ({suspects}) => suspects.length === 1 && suspects[0] === suspect,
+      );
+    return isProven ? suspect : undefined;
+  }
+
+  private lookInto(stream: SilentStream, proven: string | undefined): void {
+    const silence = Math.round(stream.silentMilliseconds);
+    const evidence = {
+      request: stream.requestId,
+      silence,
+      suspects: stream.suspects.length,
+    };
+    if (proven !== undefined && !this.trials.hasJustAnswered(proven)) {
+      this.suspicions.suspect(proven, 'silent', {...evidence, proven: true});
+      return;
+    }
+    for (const id of stream.suspects) {
+      const upstream = this.directory.find(id);
+      if (upstream !== undefined && !this.trials.hasJustAnswered(id)) {
+        const trial = this.trials.try(upstream, 'silent', evidence);
+        void trial.then(report => {
+          for (const {requestId, address} of report?.stalled ?? []) {
+            this.suspectStalled(address, requestId);
+          }
+        });
+      }
+    }
+  }
+
+  private suspectStalled(address: string, request: string): void {
+    const upstream = this.directory.findByAddress(address);
+    if (upstream !== undefined && !this.trials.hasJustAnswered(upstream.id)) {
+      const evidence = {request};
+      this.suspicions.suspect(upstream.id, 'namedByUpstream', evidence);
+    }
+  }
+}
--- /dev/null
+++ b/src/features/forwarding/node/upstreamTrials.ts
@@ -0,0 +1,124 @@
+import {Clock} from '../../../base/common/clock.js';
+import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
+import {
+  SuspicionReason,
+  Suspicions,
+  TRIAL_PERIOD_MILLISECONDS,
+} from '../../fleet/common/suspicions.js';
+import {Upstream} from '../../fleet/common/upstream.js';
+import {
+  UpstreamControl,
+  UpstreamReport,
+} from '../../fleet/common/upstreamControl.js';
+import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
+
+/** An upstream that answered is not tried again for this long: its streams have another cause. */
+const ANSWER_VALID_MILLISECONDS = 250;
+
+/** Time in which a suspected upstream answers a trial call; it is no longer in a hurry. */
+const RETURN_TRIAL_MILLISECONDS = 250;
+
+/** Tries upstreams that may be lost, and those that are suspected until they answer. */
+export class UpstreamTrials extends DisposableOwner {
+  private readonly running = new Map<
+    string,
+    Promise<UpstreamReport | undefined>
+  >();
+  private readonly answeredAt = new Map<string, number>();
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly control: UpstreamControl,
+    private readonly directory: UpstreamDirectory,
+    private readonly suspicions: Suspicions,
+    private readonly trialMilliseconds: number,
+  ) {
+    super();
+    this.timer = setInterval(
+      () => this.trySuspected(),
+      TRIAL_PERIOD_MILLISECONDS,
+    );
+    this.register(toDisposable(() => clearInterval(this.timer)));
+    this.register(directory.onDidChange(() => this.forgetGone()));
+  }
+
+  /** Whether an upstream answered a trial just now. */
+  hasJustAnswered(id: string): boolean {
+    const at = this.answeredAt.get(id) ?? -Infinity;
+    return this.clock.monotonicMilliseconds() - at < ANSWER_VALID_MILLISECONDS;
+  }
+
+  /** Asks for a report; an upstream that does not answer is suspected. Trials of one upstream are joined. */
+  try(
+    upstream: Upstream,
+    reason: SuspicionReason,
+    evidence: Readonly<Record<string, unknown>>,
+  ): Promise<UpstreamReport | undefined> {
+    const running = this.running.get(upstream.id);
+    if (running !== undefined) {
+      return running;
+    }
+    const trial = this.ask(upstream, this.trialMilliseconds).then(report => {
+      if (report === undefined) {
+        this.suspicions.suspect(upstream.id, reason, evidence);
+      }
+      return report;
+    });
+    this.running.set(upstream.id, trial);
+    void trial.finally(() => this.running.delete(upstream.id));
+    return trial;
+  }
+
+  private async ask(
+    upstream: Upstream,
+    milliseconds: number,
+  ): Promise<UpstreamReport | undefined> {
+    const report = await this.control.report(upstream, milliseconds);
+    if (report.ok) {
+      this.answeredAt.set(upstream.id, this.clock.monotonicMilliseconds());
+      return report.value;
+    }
+    // Plain services refuse reports; an answer is an answer.
+    return report.error.kind === 'refused' ? NO_REPORT : undefined;
+  }
+
+  private trySuspected(): void {
+    for (const {upstream: id} of this.suspicions.all) {
+      const upstream = this.directory.find(id);
+      if (upstream === undefined) {
+        this.suspicions.clear(id, 'gone');
+      } else if (!this.running.has(id)) {
+        const trial = this.ask(upstream, RETURN_TRIAL_MILLISECONDS);
+        this.running.set(id, trial);
+        void trial.then(report => {
+          this.running.delete(id);
+          if (report !== undefined) {
+            this.suspicions.clear(id, 'answered');
+          }
+        });
+      }
+    }
+  }
+
+  private forgetGone(): void {
+    for (const id of this.answeredAt.keys()) {
+      if (this.directory.find(id) === undefined) {
+        this.answeredAt.delete(id);
+      }
+    }
+    for (const {upstream} of this.suspicions.all) {
+      if (this.directory.find(upstream) === undefined) {
+        this.suspicions.clear(upstream, 'gone');
+      }
+    }
+  }
+}
+
+const NO_REPORT: UpstreamReport = {
+  orderCount: 0,
+  isBusy: false,
+  slowness: 1,
+  layers: undefined,
+  stalled: [],
+};
--- /dev/null
+++ b/src/features/instances/node/peerTalk.ts
@@ -0,0 +1,188 @@
+import {CancellationToken} from '../../../base/common/cancellation.js';
+import {Clock} from '../../../base/common/clock.js';
+import {DisposableOwner} from '../../../base/common/lifecycle.js';
+import {RandomSource} from '../../../base/common/randomSource.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {RpcConnections} from '../../../infrastructure/rpc/node/rpc.js';
+import {Slowness} from '../../fleet/common/slowness.js';
+import {Suspicions} from '../../fleet/common/suspicions.js';
+import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
+import {UpstreamLoad} from '../../fleet/common/upstreamLoad.js';
+import {UpstreamTrials} from '../../forwarding/node/upstreamTrials.js';
+import {RepeatingTask} from '../../membership/common/repeatingTask.js';
+import {InstanceRecord} from '../common/instance.js';
+import {InstanceRegistry} from '../common/instanceRegistry.js';
+import {InstanceTable} from '../common/instanceTable.js';
+import {PEER_LIST_LIMIT, PeerNews} from '../common/peerNews.js';
+import {NewsRouter} from './newsRouter.js';
+
+/** Time between two rounds of exchanges. */
+const PERIOD_MILLISECONDS = 400;
+
+/** Peers that are talked to in one round; with more instances news takes more rounds. */
+const PEERS_PER_ROUND = 4;
+
+/** Time of one exchange: data centres are a millisecond or so apart. */
+const EXCHANGE_MILLISECONDS = 300;
+
+/** Rounds between two readings of the list of instances; peers tell each other sooner. */
+const ROUNDS_PER_LISTING = 40;
+
+/** What the talk is about. */
+export interface TalkParts {
+  readonly instances: InstanceTable;
+  readonly registry: InstanceRegistry;
+  readonly directory: UpstreamDirectory;
+  readonly load: UpstreamLoad;
+  readonly slowness: Slowness;
+  readonly suspicions: Suspicions;
+  readonly trials: UpstreamTrials;
+}
+
+/** Tells peers what this instance knows and takes what they know. */
+export class PeerTalk extends DisposableOwner {
+  private readonly task: RepeatingTask;
+  private readonly connections: RpcConnections;
+  private round = 0;
+  private isAnnounced = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly logger: Logger,
+    private readonly own: InstanceRecord,
+    peerKey: string,
+    private readonly parts: TalkParts,
+  ) {
+    super();
+    this.connections = this.register(new RpcConnections(peerKey));
+    this.task = this.register(
+      new RepeatingTask(
+        clock,
+        random,
+        () => PERIOD_MILLISECONDS,
+        token => this.talk(token),
+      ),
+    );
+    this.register(
+      parts.suspicions.onDidSuspect(({reason}) => {
+        if (reason !== 'toldByPeer') {
+          this.task.runNow();
+        }
+      }),
+    );
+  }
+
+  /** Begins to talk. */
+  start(): void {
+    this.task.runNow();
+  }
+
+  /** Tells all peers at once, for news that can't wait. */
+  async tellAll(token: CancellationToken): Promise<void> {
+    const peers = this.parts.instances.peers;
+    await Promise.all(peers.map(peer => this.exchangeWith(peer, token)));
+  }
+
+  /** Answers a peer. */
+  answer(news: PeerNews): PeerNews {
+    this.take(news);
+    return this.compose();
+  }
+
+  private async talk(token: CancellationToken): Promise<void> {
+    const isListing = this.round % ROUNDS_PER_LISTING === 0;
+    this.round++;
+    if (isListing || !this.isAnnounced) {
+      await this.list(token);
+    }
+    const peers = this.pick(this.parts.instances.peers);
+    await Promise.all(peers.map(peer => this.exchangeWith(peer, token)));
+  }
+
+  private async list(token: CancellationToken): Promise<void> {
+    const {registry, instances} = this.parts;
+    this.isAnnounced ||= await registry.announce(this.own, token);
+    const records = await registry.list(token);
+    records?.forEach(record => instances.learn(record));
+  }
+
+  private pick(peers: readonly InstanceRecord[]): readonly InstanceRecord[] {
+    const left = [...peers];
+    const picked: InstanceRecord[] = [];
+    while (left.length > 0 && picked.length < PEERS_PER_ROUND) {
+      picked.push(...left.splice(this.random.nextInteger(left.length), 1));
+    }
+    return picked;
+  }
+
+  private async exchangeWith(
+    peer: InstanceRecord,
+    token: CancellationToken,
+  ): Promise<void> {
+    const limit = new AbortController();
+    const timer = this.clock.setTimer(EXCHANGE_MILLISECONDS, () =>
+      limit.abort(),
+    );
+    const cancelled = token.onDidCancel(() => limit.abort());
+    try {
+      const client = this.connections.client<NewsRouter>(peer.peerAddress);
+      const answer = await client.news.exchange.mutate(this.compose(), {
+        signal: limit.signal,
+      });
+      this.take(answer as PeerNews);
+    } catch {
+      // The table writes the line: silent peers are news only once.
+      this.parts.instances.noteUnreachable(peer.name);
+    } finally {
+      timer.dispose();
+      cancelled.dispose();
+    }
+  }
+
+  private compose(): PeerNews {
+    const {instances, load, slowness, suspicions} = this.parts;
+    const loads = [...load.ownFigures].map(([upstream, figure]) => ({
+      upstream,
+      requests: figure.requests,
+      tokens: Math.round(figure.tokens),
+    }));
+    const slow = [...slowness.all].map(([upstream, factor]) => ({
+      upstream,
+      factor,
+    }));
+    return {
+      from: this.own.name,
+      instances: instances.allNews.slice(0, PEER_LIST_LIMIT),
+      loads: loads.slice(0, PEER_LIST_LIMIT),
+      slow: slow.slice(0, PEER_LIST_LIMIT),
+      lost: suspicions.all.map(({upstream}) => upstream),
+    };
+  }
+
+  private take(news: PeerNews): void {
+    const {instances, load, slowness} = this.parts;
+    news.instances.forEach(entry => instances.hear(entry));
+    const figures = new Map(
+      news.loads.map(({upstream, ...figure}) => [upstream, figure]),
+    );
+    load.setPeer(news.from, this.clock.monotonicMilliseconds(), figures);
+    news.slow.forEach(({upstream, factor}) => slowness.note(upstream, factor));
+    news.lost.forEach(upstream => this.verify(upstream, news.from));
+  }
+
+  /** A peer may be cut off itself, so its word is tried before it counts. */
+  private verify(id: string, peer: string): void {
+    const {directory, suspicions, trials} = this.parts;
+    const upstream = directory.find(id);
+    const isKnown = suspicions.has(id) || trials.hasJustAnswered(id);
+    if (upstream !== undefined && !isKnown) {
+      void trials.try(upstream, 'toldByPeer', {peer});
+    }
+  }
+
+  override dispose(): void {
+    this.logger.info('talk with peers ended');
+    super.dispose();
+  }
+}
--- /dev/null
+++ b/src/features/layers/common/layerController.ts
@@ -0,0 +1,294 @@
+import {CancellationToken} from '../../../base/common/cancellation.js';
+import {Clock} from '../../../base/common/clock.js';
+import {DisposableOwner} from '../../../base/common/lifecycle.js';
+import {RandomSource} from '../../../base/common/randomSource.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {Suspicions} from '../../fleet/common/suspicions.js';
+import {
+  LayerRange,
+  layerCountOf,
+  Upstream,
+} from '../../fleet/common/upstream.js';
+import {
+  UpstreamCallError,
+  UpstreamControl,
+} from '../../fleet/common/upstreamControl.js';
+import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
+import {RepeatingTask} from '../../membership/common/repeatingTask.js';
+import {TableLease} from '../../placement/common/tableLease.js';
+import {ConfigurationKeeper} from '../../traffic/common/configurationKeeper.js';
+import {
+  EngineSettings,
+  LayerModel,
+  Service,
+} from '../../traffic/common/trafficConfiguration.js';
+import {chooseLayerSizes} from './layerSize.js';
+import {LayerAssignment, planLayers} from './planLayers.js';
+
+/** Time between two looks at what is held. */
+const PERIOD_MILLISECONDS = 350;
+
+/**
+ * How much each upstream gets depends on all of them, so the first plan waits until no further one
+ * has come for a little more than a heartbeat, and begins after this time in any case.
+ */
+const SETTLE_MILLISECONDS = 1_500;
+const SETTLE_LIMIT_MILLISECONDS = 4_000;
+
+/** Time of one order; sound upstreams answer in a few milliseconds. */
+const ORDER_MILLISECONDS = 400;
+
+/** Steps of the lease are this far apart; it lasts four of them. */
+export const LEASE_STEP_MILLISECONDS = 1_000;
+
+/**
+ * An order whose layers are not reported counts as lost after the time of loading times this and
+ * the time in which reports come round. Many loads at once take longer, and an order may be carried
+ * out late.
+ */
+const LOAD_TIME_FACTOR = 3;
+const REPORT_MILLISECONDS = 4_000;
+
+/** What was ordered of one upstream. */
+interface Ordered {
+  readonly range: LayerRange;
+  readonly giveUpAt: number;
+}
+
+/** A service whose engines hold layers. */
+interface LayeredService {
+  readonly name: string;
+  readonly engine: EngineSettings;
+  readonly layers: LayerModel;
+}
+
+/** Notices when the upstreams of a service that holds no layers yet have all come. */
+class Arrivals {
+  private readonly seen = new Map<
+    string,
+    {readonly count: number; readonly firstAt: number; readonly lastAt: number}
+  >();
+
+  areSettled(
+    service: string,
+    upstreams: readonly Upstream[],
+    now: number,
+  ): boolean {
+    if (upstreams.some(({layers}) => layers !== undefined)) {
+      return true;
+    }
+    const count = upstreams.length;
+    const before = this.seen.get(service);
+    const isNew = before === undefined || count > before.count;
+    const firstAt = before?.firstAt ?? now;
+    const lastAt = isNew ? now : before.lastAt;
+    this.seen.set(service, {count, firstAt, lastAt});
+    return (
+      now - lastAt >= SETTLE_MILLISECONDS ||
+      now - firstAt >= SETTLE_LIMIT_MILLISECONDS
+    );
+  }
+}
+
+/** While it holds the lease, gives upstreams their layers and replaces those that were lost. */
+export class LayerController extends DisposableOwner {
+  private readonly task: RepeatingTask;
+  private readonly leaseTask: RepeatingTask;
+  private readonly ordered = new Map<string, Ordered>();
+  private readonly orderCounts = new Map<string, number>();
+  private readonly arrivals = new Arrivals();
+
+  constructor(
+    private readonly clock: Clock,
+    random: RandomSource,
+    private readonly logger: Logger,
+    private readonly lease: TableLease,
+    private readonly control: UpstreamControl,
+    private readonly configuration: ConfigurationKeeper,
+    private readonly directory: UpstreamDirectory,
+    private readonly suspicions: Suspicions,
+  ) {
+    super();
+    this.register(lease);
+    this.leaseTask = this.register(
+      new RepeatingTask(
+        clock,
+        random,
+        () => LEASE_STEP_MILLISECONDS,
+        token => this.lease.advance(token),
+      ),
+    );
+    this.task = this.register(
+      new RepeatingTask(
+        clock,
+        random,
+        () => PERIOD_MILLISECONDS,
+        token => this.look(token),
+      ),
+    );
+    this.register(lease.onDidChange(state => this.onLease(state)));
+  }
+
+  /** Begins to compete for the lease. */
+  start(): void {
+    this.leaseTask.runNow();
+    this.task.runNow();
+  }
+
+  private onLease(state: string): void {
+    this.logger.decision('layerLease', {state, fencing: this.lease.fencing});
+    this.ordered.clear();
+    this.orderCounts.clear();
+    this.task.runNow();
+  }
+
+  private async look(token: CancellationToken): Promise<void> {
+    const {table} = this.configuration;
+    if (this.lease.fencing === undefined || table === undefined) {
+      return;
+    }
+    this.forgetDone();
+    const now = this.clock.monotonicMilliseconds();
+    const assignments = table.configuration.services
+      .flatMap(toLayered)
+      .filter(({name}) =>
+        this.arrivals.areSettled(name, this.directory.ofService(name), now),
+      )
+      .flatMap(service => this.plan(service));
+    await Promise.all(
+      assignments.map(({assignment, service}) =>
+        this.order(assignment, service, token),
+      ),
+    );
+  }
+
+  private plan(service: LayeredService) {
+    const upstreams = this.directory
+      .ofService(service.name)
+      .filter(({id, isLeaving}) => !isLeaving && !this.suspicions.has(id));
+    const sizes = chooseLayerSizes(
+      service.engine,
+      service.layers,
+      countKinds(upstreams),
+    );
+    const ordered = new Map(
+      [...this.ordered].map(([id, {range}]) => [id, range]),
+    );
+    const {layers} = service;
+    return planLayers({layers, sizes, upstreams, ordered}).map(assignment => ({
+      assignment,
+      service,
+    }));
+  }
+
+  private async order(
+    {upstream, range, reason}: LayerAssignment,
+    service: LayeredService,
+    token: CancellationToken,
+  ): Promise<void> {
+    const {fencing} = this.lease;
+    const expectedOrders = await this.orderCountOf(upstream);
+    if (
+      fencing === undefined ||
+      expectedOrders === undefined ||
+      !this.lease.permits(ORDER_MILLISECONDS)
+    ) {
+      return;
+    }
+    this.ordered.set(upstream.id, {
+      range,
+      giveUpAt: this.clock.monotonicMilliseconds() + loadTime(service, range),
+    });
+    const result = await this.control.place(
+      upstream,
+      {range, fencing, expectedOrders},
+      ORDER_MILLISECONDS,
+    );
+    this.logger.decision('layersOrdered', {
+      upstream: upstream.id,
+      kind: upstream.acceleratorKind,
+      from: range.from,
+      to: range.to,
+      reason,
+      fencing,
+      expectedOrders,
+      listAge: Math.round(this.directory.age),
+      outcome: result.ok ? 'accepted' : result.error.kind,
+    });
+    if (result.ok) {
+      const begun = result.value.hasBegun ? 1 : 0;
+      this.orderCounts.set(upstream.id, expectedOrders + begun);
+    } else {
+      await this.onRefused(upstream.id, result.error, fencing, token);
+    }
+  }
+
+  private async onRefused(
+    id: string,
+    error: UpstreamCallError,
+    fencing: number,
+    token: CancellationToken,
+  ): Promise<void> {
+    this.orderCounts.delete(id);
+    if (error.kind === 'superseded') {
+      await this.lease.supersededBy(fencing, token);
+    }
+    // An order without an answer may be carried out yet; it is read back before the next one.
+    if (error.kind !== 'noAnswer') {
+      this.ordered.delete(id);
+    }
+  }
+
+  /** Orders that an upstream has accepted: a new one has accepted none; else it is asked. */
+  private async orderCountOf(upstream: Upstream): Promise<number | undefined> {
+    const known = this.orderCounts.get(upstream.id);
+    if (known !== undefined) {
+      return known;
+    }
+    const report = await this.control.report(upstream, ORDER_MILLISECONDS);
+    if (!report.ok || report.value.isBusy) {
+      return undefined;
+    }
+    this.orderCounts.set(upstream.id, report.value.orderCount);
+    return report.value.orderCount;
+  }
+
+  /** Takes off what is reported, gone or overdue. */
+  private forgetDone(): void {
+    const now = this.clock.monotonicMilliseconds();
+    for (const [id, {range, giveUpAt}] of this.ordered) {
+      const upstream = this.directory.find(id);
+      const {layers} = upstream ?? {};
+      const isHeld = layers?.from === range.from && layers.to === range.to;
+      if (upstream === undefined || isHeld || now > giveUpAt) {
+        this.ordered.delete(id);
+        if (!isHeld) {
+          this.orderCounts.delete(id);
+        }
+      }
+    }
+  }
+}
+
+function toLayered({name, engine}: Service): readonly LayeredService[] {
+  return engine?.layers === undefined
+    ? []
+    : [{name, engine, layers: engine.layers}];
+}
+
+function countKinds(
+  upstreams: readonly Upstream[],
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const {acceleratorKind = ''} of upstreams) {
+    counts.set(acceleratorKind, (counts.get(acceleratorKind) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function loadTime(service: LayeredService, range: LayerRange): number {
+  const [model] = service.engine.models;
+  const share = layerCountOf(range) / service.layers.layerCount;
+  const load = (model?.loadSeconds ?? 0) * 1000 * share;
+  return load * LOAD_TIME_FACTOR + REPORT_MILLISECONDS;
+}
--- /dev/null
+++ b/src/features/layers/common/planLayers.ts
@@ -0,0 +1,175 @@
+import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
+import {LayerModel} from '../../traffic/common/trafficConfiguration.js';
+import {LayerSizes} from './layerSize.js';
+
+/** Decides which layers upstreams get that hold none, and which move when a layer is held by nobody. */
+
+/** What one upstream is to hold. */
+export interface LayerAssignment {
+  readonly upstream: Upstream;
+  readonly range: LayerRange;
+  readonly reason: 'empty' | 'layerUnheld';
+}
+
+/** What the plan starts from. */
+export interface LayerSituation {
+  readonly layers: LayerModel;
+  readonly sizes: LayerSizes;
+  /** Upstreams that are neither leaving nor held to be lost. */
+  readonly upstreams: readonly Upstream[];
+  /** Ranges that were ordered and are not yet reported, by upstream. */
+  readonly ordered: ReadonlyMap<string, LayerRange>;
+}
+
+/**
+ * Weight of the holders in all data centres beside those of the upstream's own. Paths inside one data
+ * centre are preferred, so a layer that is missing there costs most.
+ */
+const GLOBAL_WEIGHT = 0.2;
+
+/** Holders that a layer must keep, beside the one that moves, for its holder to be moved elsewhere. */
+const HOLDERS_KEPT = 2;
+
+/** How often each layer is held, in one data centre and in all. */
+class Coverage {
+  private readonly inAll: number[];
+  private readonly byDataCentre = new Map<string, number[]>();
+
+  constructor(private readonly layerCount: number) {
+    this.inAll = new Array<number>(layerCount).fill(0);
+  }
+
+  add(dataCentre: string, range: LayerRange, amount = 1): void {
+    const local = this.inDataCentre(dataCentre);
+    for (let layer = range.from; layer < range.to; layer++) {
+      local[layer]! += amount;
+      this.inAll[layer]! += amount;
+    }
+  }
+
+  /** What holding a range in a data centre is worth: layers with few holders count most. */
+  worth(dataCentre: string, range: LayerRange): number {
+    const local = this.inDataCentre(dataCentre);
+    let worth = 0;
+    for (let layer = range.from; layer < range.to; layer++) {
+      worth += scarcity(local[layer]!);
+      worth += GLOBAL_WEIGHT * scarcity(this.inAll[layer]!);
+    }
+    return worth;
+  }
+
+  /** The fewest holders of any layer in a range, over all data centres. */
+  leastIn(range: LayerRange): number {
+    return Math.min(...this.inAll.slice(range.from, range.to));
+  }
+
+  /** The layers that nobody holds. */
+  get firstUnheld(): number | undefined {
+    const layer = this.inAll.indexOf(0);
+    return layer === -1 ? undefined : layer;
+  }
+
+  private inDataCentre(dataCentre: string): number[] {
+    let local = this.byDataCentre.get(dataCentre);
+    if (local === undefined) {
+      local = new Array<number>(this.layerCount).fill(0);
+      this.byDataCentre.set(dataCentre, local);
+    }
+    return local;
+  }
+}
+
+/** The first holder of a layer is worth far more than the second. */
+function scarcity(holders: number): number {
+  return 1 / ((holders + 0.1) * (holders + 0.1));
+}
+
+/** The assignments that are missing; none when all is as it should be. */
+export function planLayers(
+  situation: LayerSituation,
+): readonly LayerAssignment[] {
+  const coverage = new Coverage(situation.layers.layerCount);
+  const empty: Upstream[] = [];
+  for (const upstream of situation.upstreams) {
+    const range = situation.ordered.get(upstream.id) ?? upstream.layers;
+    if (range === undefined) {
+      empty.push(upstream);
+    } else {
+      coverage.add(upstream.dataCentre, range);
+    }
+  }
+  const filled = fillEmpty(situation, coverage, empty);
+  const moved = empty.length > 0 ? [] : coverUnheld(situation, coverage);
+  return [...filled, ...moved];
+}
+
+function fillEmpty(
+  situation: LayerSituation,
+  coverage: Coverage,
+  empty: readonly Upstream[],
+): readonly LayerAssignment[] {
+  const size = (upstream: Upstream) => sizeOf(situation, upstream);
+  // Large ones first: the small ones then fit into what is left.
+  const ordered = [...empty].sort(
+    (left, right) => size(right) - size(left) || (left.id < right.id ? -1 : 1),
+  );
+  const assignments: LayerAssignment[] = [];
+  for (const upstream of ordered) {
+    const range = bestRange(situation, coverage, upstream);
+    if (range !== undefined) {
+      coverage.add(upstream.dataCentre, range);
+      assignments.push({upstream, range, reason: 'empty'});
+    }
+  }
+  return assignments;
+}
+
+/** Moves the upstream whose layers are held best to the layers that nobody holds. */
+function coverUnheld(
+  situation: LayerSituation,
+  coverage: Coverage,
+): readonly LayerAssignment[] {
+  const layer = coverage.firstUnheld;
+  if (layer === undefined) {
+    return [];
+  }
+  let best: {upstream: Upstream; spare: number} | undefined;
+  for (const upstream of situation.upstreams) {
+    if (upstream.layers === undefined || situation.ordered.has(upstream.id)) {
+      continue;
+    }
+    const spare = coverage.leastIn(upstream.layers);
+    if (spare > HOLDERS_KEPT && spare > (best?.spare ?? 0)) {
+      best = {upstream, spare};
+    }
+  }
+  if (best === undefined) {
+    return [];
+  }
+  const {upstream} = best;
+  const size = sizeOf(situation, upstream);
+  const from = Math.min(layer, situation.layers.layerCount - size);
+  const range = {from, to: from + size};
+  return [{upstream, range, reason: 'layerUnheld'}];
+}
+
+function bestRange(
+  situation: LayerSituation,
+  coverage: Coverage,
+  upstream: Upstream,
+): LayerRange | undefined {
+  const size = sizeOf(situation, upstream);
+  let best: {range: LayerRange; worth: number} | undefined;
+  for (let from = 0; from + size <= situation.layers.layerCount; from++) {
+    const range = {from, to: from + size};
+    const worth = coverage.worth(upstream.dataCentre, range);
+    if (size > 0 && worth > (best?.worth ?? 0)) {
+      best = {range, worth};
+    }
+  }
+  return best?.range;
+}
+
+function sizeOf(situation: LayerSituation, upstream: Upstream): number {
+  return situation.sizes.get(upstream.acceleratorKind ?? '') ?? 0;
+}
--- a/src/features/membership/node/controlViewSource.ts
+++ b/src/features/membership/node/controlViewSource.ts
@@ -4,7 +4,10 @@
 } from '../../../base/common/cancellation.js';
 import {Clock} from '../../../base/common/clock.js';
 import {Emitter} from '../../../base/common/event.js';
-import {createRpcClient, RpcClient} from '../../../infrastructure/rpc/node/rpc.js';
+import {
+  createRpcClient,
+  RpcClient,
+} from '../../../infrastructure/rpc/node/rpc.js';
 import {EntryAnnouncement, SystemView} from '../common/systemView.js';
 import {SystemViewSource} from '../common/systemViewSource.js';
 import {ViewMerger} from '../common/viewMerger.js';
--- /dev/null
+++ b/src/features/paths/common/pathCost.ts
@@ -0,0 +1,134 @@
+import {LoadFigure} from '../../fleet/common/upstreamLoad.js';
+import {Upstream} from '../../fleet/common/upstream.js';
+import {
+  AcceleratorKind,
+  EngineSettings,
+  LayerModel,
+} from '../../traffic/common/trafficConfiguration.js';
+import {tokensOf, WorkSize} from './path.js';
+
+/**
+ * Milliseconds that a token waits at each further upstream: part of a pass that is under way, and the
+ * network inside a data centre. A guess between the 0.1 ms of the network and passes of 1 to 2 ms.
+ */
+const HOP_MILLISECONDS = 0.3;
+
+/**
+ * Weight of the time for which a transfer occupies the link between data centres. All transfers share
+ * it one after another, so what one request takes there is taken from every other that crosses.
+ */
+const CROSSING_WEIGHT = 4;
+
+/** At full memory an upstream counts as three times as slow, so that load spreads before one is full. */
+const PRESSURE_WEIGHT = 2;
+
+/** Share of an upstream's room that may be planned: figures of peers are up to a second old. */
+const PLANNED_ROOM_SHARE = 0.95;
+
+/** A kind that the configuration does not describe counts like the engine's own figures. */
+const UNKNOWN_KIND: AcceleratorKind = {
+  name: 'unknown',
+  memoryMegabytes: 0,
+  stepFactor: 1,
+  readFactor: 1,
+};
+
+const BYTES_PER_MEGABYTE = 1_000_000;
+const BITS_PER_BYTE = 8;
+
+/** The accelerator of an upstream. */
+export function kindOf(
+  layers: LayerModel | undefined,
+  upstream: Upstream,
+): AcceleratorKind {
+  const kind = layers?.kinds.find(
+    candidate => candidate.name === upstream.acceleratorKind,
+  );
+  return kind ?? UNKNOWN_KIND;
+}
+
+/** Tokens for which an accelerator has room beside a number of layers. */
+export function roomTokens(
+  engine: EngineSettings,
+  layers: LayerModel,
+  memoryMegabytes: number,
+  layerCount: number,
+): number {
+  const free = memoryMegabytes - layerCount * layers.layerMegabytes;
+  const bytesPerToken = (engine.kvTokenBytes / layers.layerCount) * layerCount;
+  return Math.max(0, (free * BYTES_PER_MEGABYTE) / bytesPerToken);
+}
+
+/** Room of an upstream as it stands. */
+export function roomOf(engine: EngineSettings, upstream: Upstream): number {
+  const {layers} = engine;
+  if (layers === undefined || upstream.layers === undefined) {
+    return engine.kvTokens;
+  }
+  const {memoryMegabytes} = kindOf(layers, upstream);
+  const count = upstream.layers.to - upstream.layers.from;
+  return memoryMegabytes === 0
+    ? engine.kvTokens
+    : roomTokens(engine, layers, memoryMegabytes, count);
+}
+
+/** The share of an upstream's room that is taken once a request has been added; above 1 it is full. */
+export function pressureWith(
+  engine: EngineSettings,
+  upstream: Upstream,
+  load: LoadFigure,
+  size: WorkSize,
+): number {
+  const room = roomOf(engine, upstream) * PLANNED_ROOM_SHARE;
+  return (load.tokens + tokensOf(size)) / Math.max(room, 1);
+}
+
+/** Predicted milliseconds that a request spends in a number of layers on one upstream. */
+export function partMilliseconds(
+  engine: EngineSettings,
+  upstream: Upstream,
+  layerCount: number,
+  size: WorkSize,
+  pressure: number,
+  slowness: number,
+): number {
+  const kind = kindOf(engine.layers, upstream);
+  const share = layerCount / (engine.layers?.layerCount ?? layerCount);
+  const step = size.answerTokens * engine.stepMilliseconds * kind.stepFactor;
+  const rate = engine.promptTokensPerSecond / 1000;
+  const read = (size.promptTokens / rate) * kind.readFactor;
+  const crowding = 1 + PRESSURE_WEIGHT * pressure * pressure;
+  const hop = HOP_MILLISECONDS * size.answerTokens;
+  return (step + read) * share * crowding * slowness + hop;
+}
+
+/** Predicted milliseconds for passing on all tokens of a request from one data centre to another. */
+export function crossingMilliseconds(
+  engine: EngineSettings,
+  from: string,
+  to: string,
+  size: WorkSize,
+): number {
+  const {layers} = engine;
+  if (from === to || layers === undefined) {
+    return 0;
+  }
+  const bytes = tokensOf(size) * layers.activationBytes;
+  const bitsPerMillisecond = layers.pipeMegabits * 1000;
+  const transfer = (bytes * BITS_PER_BYTE) / Math.max(bitsPerMillisecond, 1);
+  const delay = delayBetween(engine, from, to) * size.answerTokens;
+  return transfer * CROSSING_WEIGHT + delay;
+}
+
+function delayBetween(
+  engine: EngineSettings,
+  from: string,
+  to: string,
+): number {
+  const delay = engine.delays.find(
+    entry =>
+      (entry.from === from && entry.to === to) ||
+      (entry.from === to && entry.to === from),
+  );
+  return delay?.milliseconds ?? 0;
+}
--- /dev/null
+++ b/src/features/paths/common/pathSearch.ts
@@ -0,0 +1,253 @@
+import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
+import {LoadFigure} from '../../fleet/common/upstreamLoad.js';
+import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
+import {Path, PathPart, WorkSize} from './path.js';
+import {
+  crossingMilliseconds,
+  partMilliseconds,
+  pressureWith,
+} from './pathCost.js';
+
+/** Chooses a path: a shortest path over layers, by predicted time, load, room and crossings. */
+
+/** The most parts that engines take in one path. */
+const PART_LIMIT = 32;
+
+/** What a search may use and must connect. */
+export interface PathQuestion {
+  readonly engine: EngineSettings;
+  readonly upstreams: readonly Upstream[];
+  readonly size: WorkSize;
+  /** The layers to cover. */
+  readonly span: LayerRange;
+  /** Where the tokens come from; undefined at the start of a path. */
+  readonly enteringFrom: string | undefined;
+  /** Where the tokens go to; undefined at the end of a path. */
+  readonly leavingTo: string | undefined;
+  readonly loadOf: (upstream: string) => LoadFigure;
+  /** Factor by which an upstream is slower than its kind; 1 for a sound one. */
+  readonly slownessOf: (upstream: string) => number;
+  /** Whether an upstream may be used at all. */
+  readonly isUsable: (upstream: Upstream) => boolean;
+}
+
+/** The outcome of a search. */
+export type PathAnswer =
+  | {readonly kind: 'found'; readonly path: Path; readonly predicted: number}
+  /** All layers are held, but not with room for the request. */
+  | {readonly kind: 'noRoom'}
+  /** Some layer is held by no usable upstream. */
+  | {readonly kind: 'noLayers'; readonly layer: number};
+
+/** A place in the search: a layer boundary reached in a data centre. */
+interface Place {
+  readonly layer: number;
+  readonly dataCentre: string | undefined;
+  readonly cost: number;
+  readonly part: PathPart | undefined;
+  readonly before: Place | undefined;
+}
+
+/** An upstream with what does not change during a search. */
+interface Candidate {
+  readonly upstream: Upstream;
+  readonly range: LayerRange;
+  readonly pressure: number;
+  readonly slowness: number;
+}
+
+/** Finds the path with the least predicted time that has room. */
+export function findPath(question: PathQuestion): PathAnswer {
+  const usable = candidatesOf(question);
+  const roomy = usable.filter(candidate => candidate.pressure <= 1);
+  const found = search(question, roomy);
+  if (found !== undefined) {
+    return found;
+  }
+  const layer = firstMissingLayer(question.span, usable);
+  return layer === undefined ? {kind: 'noRoom'} : {kind: 'noLayers', layer};
+}
+
+function candidatesOf(question: PathQuestion): readonly Candidate[] {
+  const {engine, size, span} = question;
+  const candidates: Candidate[] = [];
+  for (const upstream of question.upstreams) {
+    const range = engine.layers === undefined ? span : upstream.layers;
+    if (range === undefined || !question.isUsable(upstream)) {
+      continue;
+    }
+    if (range.to <= span.from || range.from >= span.to) {
+      continue;
+    }
+    const load = question.loadOf(upstream.id);
+    const pressure = pressureWith(engine, upstream, load, size);
+    const slowness = question.slownessOf(upstream.id);
+    candidates.push({upstream, range, pressure, slowness});
+  }
+  return candidates;
+}
+
+function firstMissingLayer(
+  span: LayerRange,
+  candidates: readonly Candidate[],
+): number | undefined {
+  for (let layer = span.from; layer < span.to; layer++) {
+    const isHeld = candidates.some(
+      ({range}) => range.from <= layer && layer < range.to,
+    );
+    if (!isHeld) {
+      return layer;
+    }
+  }
+  return undefined;
+}
+
+function search(
+  question: PathQuestion,
+  candidates: readonly Candidate[],
+): PathAnswer | undefined {
+  const boundaries = boundariesOf(question.span, candidates);
+  const end = bestEnd(question, candidates, boundaries);
+  if (end !== undefined && isUsablePath(end)) {
+    return found(end);
+  }
+  // With hand-overs only at the end of each range no upstream can come twice.
+  const plain = bestEnd(question, candidates, new Set([question.span.to]));
+  return plain !== undefined && isUsablePath(plain) ? found(plain) : undefined;
+}
+
+function boundariesOf(
+  span: LayerRange,
+  candidates: readonly Candidate[],
+): ReadonlySet<number> {
+  const starts = candidates.map(({range}) => range.from);
+  const inside = starts.filter(layer => layer > span.from && layer < span.to);
+  return new Set([...inside, span.to]);
+}
+
+/** Works forwards over the layers; every place is settled before the places behind it. */
+function bestEnd(
+  question: PathQuestion,
+  candidates: readonly Candidate[],
+  boundaries: ReadonlySet<number>,
+): Place | undefined {
+  const {span} = question;
+  const places = new Map<number, Map<string, Place>>();
+  keep(places, {
+    layer: span.from,
+    dataCentre: question.enteringFrom,
+    cost: 0,
+    part: undefined,
+    before: undefined,
+  });
+  for (let layer = span.from; layer < span.to; layer++) {
+    for (const place of places.get(layer)?.values() ?? []) {
+      extend(question, candidates, boundaries, place, places);
+    }
+  }
+  return cheapest(question, places.get(span.to));
+}
+
+function extend(
+  question: PathQuestion,
+  candidates: readonly Candidate[],
+  boundaries: ReadonlySet<number>,
+  place: Place,
+  places: Map<number, Map<string, Place>>,
+): void {
+  for (const candidate of candidates) {
+    const {range} = candidate;
+    const last = Math.min(range.to, question.span.to);
+    if (range.from > place.layer || last <= place.layer) {
+      continue;
+    }
+    for (let to = place.layer + 1; to <= last; to++) {
+      if (to === last || boundaries.has(to)) {
+        keep(places, step(question, candidate, place, to));
+      }
+    }
+  }
+}
+
+function step(
+  question: PathQuestion,
+  candidate: Candidate,
+  place: Place,
+  to: number,
+): Place {
+  const {engine, size} = question;
+  const {upstream, pressure, slowness} = candidate;
+  const count = to - place.layer;
+  const {dataCentre} = upstream;
+  const time = partMilliseconds(
+    engine,
+    upstream,
+    count,
+    size,
+    pressure,
+    slowness,
+  );
+  const from = place.dataCentre ?? dataCentre;
+  const crossing = crossingMilliseconds(engine, from, dataCentre, size);
+  return {
+    layer: to,
+    dataCentre,
+    cost: place.cost + time + crossing,
+    part: {upstream, range: {from: place.layer, to}},
+    before: place,
+  };
+}
+
+function keep(places: Map<number, Map<string, Place>>, place: Place): void {
+  const here = places.get(place.layer) ?? new Map<string, Place>();
+  const name = place.dataCentre ?? '';
+  const known = here.get(name);
+  if (known === undefined || place.cost < known.cost) {
+    here.set(name, place);
+  }
+  places.set(place.layer, here);
+}
+
+function cheapest(
+  question: PathQuestion,
+  ends: ReadonlyMap<string, Place> | undefined,
+): Place | undefined {
+  const {engine, size, leavingTo} = question;
+  let best: Place | undefined;
+  for (const place of ends?.values() ?? []) {
+    const from = place.dataCentre ?? '';
+    const crossing = crossingMilliseconds(
+      engine,
+      from,
+      leavingTo ?? from,
+      size,
+    );
+    const cost = place.cost + crossing;
+    if (best === undefined || cost < best.cost) {
+      best = {...place, cost};
+    }
+  }
+  return best;
+}
+
+function isUsablePath(end: Place): boolean {
+  const path = partsOf(end);
+  const distinct = new Set(path.map(part => part.upstream.id));
+  return distinct.size === path.length && path.length <= PART_LIMIT;
+}
+
+function found(end: Place): PathAnswer {
+  return {kind: 'found', path: partsOf(end), predicted: end.cost};
+}
+
+function partsOf(end: Place): Path {
+  const parts: PathPart[] = [];
+  let place: Place | undefined = end;
+  while (place !== undefined) {
+    if (place.part !== undefined) {
+      parts.push(place.part);
+    }
+    place = place.before;
+  }
+  return parts.reverse();
+}
--- a/src/features/pipeline/test/pipelineBench.ts
+++ b/src/features/pipeline/test/pipelineBench.ts
@@ -6,7 +6,10 @@
   EngineConnector,
   LayerRange,
 } from '../../../infrastructure/engine/common/engineConnection.js';
-import {Logger, LogFields} from '../../../infrastructure/logging/common/logger.js';
+import {
+  Logger,
+  LogFields,
+} from '../../../infrastructure/logging/common/logger.js';
 import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {RequestFailure} from '../../requests/common/failure.js';
 import {ModelReply, ModelRequest} from '../../requests/common/request.js';
--- a/src/features/services/test/serviceWorld.ts
+++ b/src/features/services/test/serviceWorld.ts
@@ -2,7 +2,10 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
 import {failure, Result, success} from '../../../base/common/result.js';
-import {Logger, SilentLogger} from '../../../infrastructure/logging/common/logger.js';
+import {
+  Logger,
+  SilentLogger,
+} from '../../../infrastructure/logging/common/logger.js';
 import {SilentMetrics} from '../../../infrastructure/metrics/common/metrics.js';
 import {
   ServiceConnection,
--- a/src/programs/control/wiring.ts
+++ b/src/programs/control/wiring.ts
@@ -21,7 +21,10 @@
 import {Logger} from '../../infrastructure/logging/common/logger.js';
 import {BunyanLogger} from '../../infrastructure/logging/node/bunyanLogger.js';
 import {HttpMembershipList} from '../../infrastructure/membership/node/httpMembershipList.js';
-import {Metrics, SilentMetrics} from '../../infrastructure/metrics/common/metrics.js';
+import {
+  Metrics,
+  SilentMetrics,
+} from '../../infrastructure/metrics/common/metrics.js';
 import {StatsdMetrics} from '../../infrastructure/metrics/node/statsdMetrics.js';
 import {HttpObjectStore} from '../../infrastructure/objects/node/httpObjectStore.js';
 import {
--- a/src/programs/entry/wiring.ts
+++ b/src/programs/entry/wiring.ts
@@ -11,7 +11,10 @@
 import {NaiveServiceDispatcher} from '../../features/naive/node/naiveServiceDispatcher.js';
 import {HttpEngineConnector} from '../../infrastructure/engine/node/httpEngineConnector.js';
 import {BunyanLogger} from '../../infrastructure/logging/node/bunyanLogger.js';
-import {Metrics, SilentMetrics} from '../../infrastructure/metrics/common/metrics.js';
+import {
+  Metrics,
+  SilentMetrics,
+} from '../../infrastructure/metrics/common/metrics.js';
 import {StatsdMetrics} from '../../infrastructure/metrics/node/statsdMetrics.js';
 import {parseAddress} from '../../infrastructure/rpc/node/rpc.js';
 import {HttpServiceConnector} from '../../infrastructure/service/node/httpServiceConnector.js';
--- /dev/null
+++ b/src/programs/router/routerParts.ts
@@ -0,0 +1,202 @@
+import {randomUUID} from 'node:crypto';
+
+import {Registry} from 'prom-client';
+
+import {Clock} from '../../base/common/clock.js';
+import {DisposableStore} from '../../base/common/lifecycle.js';
+import {RandomSource} from '../../base/common/randomSource.js';
+import {Suspicions} from '../../features/fleet/common/suspicions.js';
+import {Slowness} from '../../features/fleet/common/slowness.js';
+import {UpstreamDirectory} from '../../features/fleet/common/upstreamDirectory.js';
+import {UpstreamLister} from '../../features/fleet/common/upstreamLister.js';
+import {UpstreamLoad} from '../../features/fleet/common/upstreamLoad.js';
+import {defaultForwardingSettings} from '../../features/forwarding/common/forwardingSettings.js';
+import {OutcomeHistory} from '../../features/forwarding/common/outcomeHistory.js';
+import {RetryBudget} from '../../features/forwarding/common/retryBudget.js';
+import {ForwardingServices} from '../../features/forwarding/node/forwardingServices.js';
+import {HttpUpstreamConnector} from '../../features/forwarding/node/httpUpstreamConnector.js';
+import {RequestHandler} from '../../features/forwarding/node/requestHandler.js';
+import {RequestMetrics} from '../../features/forwarding/node/requestMetrics.js';
+import {StreamWatch} from '../../features/forwarding/node/streamWatch.js';
+import {UpstreamTrials} from '../../features/forwarding/node/upstreamTrials.js';
+import {InstanceRecord} from '../../features/instances/common/instance.js';
+import {InstanceRegistry} from '../../features/instances/common/instanceRegistry.js';
+import {InstanceTable} from '../../features/instances/common/instanceTable.js';
+import {PeerTalk} from '../../features/instances/node/peerTalk.js';
+import {
+  LayerController,
+  LEASE_STEP_MILLISECONDS,
+} from '../../features/layers/common/layerController.js';
+import {TableLease} from '../../features/placement/common/tableLease.js';
+import {ConfigurationFollower} from '../../features/traffic/common/configurationFollower.js';
+import {ConfigurationKeeper} from '../../features/traffic/common/configurationKeeper.js';
+import {Logger} from '../../infrastructure/logging/common/logger.js';
+import {RouterPorts} from './routerPorts.js';
+import {RouterSettings} from './routerSettings.js';
+
+/** Constructs the parts of the router. */
+
+/** Name of the lease for giving orders about layers. */
+const LEASE_KEY = 'leases/layers';
+
+/** Four steps of the lease, so that two lost answers do not lose it. */
+const LEASE_MILLISECONDS = 4 * LEASE_STEP_MILLISECONDS;
+
+/** The lease is not used at its very end: clocks may run at slightly different speeds. */
+const LEASE_MARGIN_MILLISECONDS = 400;
+
+/** Longest call for the lease. */
+const LEASE_CALL_MILLISECONDS = 800;
+
+/** Part of the bound for revoked keys that is left for a request to reach its upstream. */
+const REVOCATION_MARGIN_MILLISECONDS = 700;
+
+/** A configuration that nobody confirms is used for this long where revoked keys have no bound. */
+const UNBOUNDED_CONFIRMATION_MILLISECONDS = 60_000;
+
+/** The parts that the program starts and stops. */
+export interface RouterParts {
+  readonly keeper: ConfigurationKeeper;
+  readonly follower: ConfigurationFollower;
+  readonly directory: UpstreamDirectory;
+  readonly lister: UpstreamLister;
+  readonly instances: InstanceTable;
+  readonly registry: InstanceRegistry;
+  readonly talk: PeerTalk;
+  readonly lease: TableLease;
+  readonly layers: LayerController;
+  readonly handler: RequestHandler;
+  readonly metrics: Registry;
+}
+
+/** Builds all parts; they are released with the store. */
+export function createRouterParts(
+  settings: RouterSettings,
+  ports: RouterPorts,
+  clock: Clock,
+  random: RandomSource,
+  logger: Logger,
+  owned: DisposableStore,
+): RouterParts {
+  const own: InstanceRecord = {
+    ...settings.instance,
+    startedAt: clock.wallMilliseconds(),
+    callerAddress: settings.listen.callers,
+    peerAddress: settings.listen.peers,
+  };
+  const keeper = owned.add(
+    new ConfigurationKeeper(clock, logger, confirmationLimit(settings)),
+  );
+  const directory = owned.add(new UpstreamDirectory(clock, logger));
+  const suspicions = owned.add(new Suspicions(clock, logger));
+  const instances = new InstanceTable(clock, logger, own);
+  const registry = new InstanceRegistry(ports.table, logger);
+  const load = new UpstreamLoad();
+  const slowness = new Slowness(clock);
+  const trials = owned.add(
+    new UpstreamTrials(
+      clock,
+      ports.control,
+      directory,
+      suspicions,
+      defaultForwardingSettings.trialMilliseconds,
+    ),
+  );
+  const connector = owned.add(new HttpUpstreamConnector());
+  const outcomes = new OutcomeHistory(clock);
+  owned.add(
+    directory.onDidChange(() => {
+      const isListed = (id: string): boolean =>
+        directory.find(id) !== undefined;
+      connector.retain(isListed);
+      outcomes.retain(isListed);
+    }),
+  );
+  const metrics = new Registry();
+  const services: ForwardingServices = {
+    settings: defaultForwardingSettings,
+    clock,
+    random,
+    logger,
+    metrics: new RequestMetrics(metrics),
+    wire: ports.wire,
+    connector,
+    control: ports.control,
+    configuration: keeper,
+    directory,
+    suspicions,
+    trials,
+    load,
+    slowness,
+    budget: new RetryBudget(clock, settings.retries, () => instances.size),
+    outcomes,
+  };
+  const watch = owned.add(
+    new StreamWatch(
+      clock,
+      directory,
+      suspicions,
+      trials,
+      defaultForwardingSettings.watchPeriodMilliseconds,
+    ),
+  );
+  const lease = new TableLease(
+    LEASE_KEY,
+    `${own.name} ${own.startedAt}`,
+    ports.table,
+    clock,
+    randomUUID,
+    {
+      durationMilliseconds: LEASE_MILLISECONDS,
+      marginMilliseconds: LEASE_MARGIN_MILLISECONDS,
+      callMilliseconds: LEASE_CALL_MILLISECONDS,
+    },
+  );
+  return {
+    keeper,
+    directory,
+    instances,
+    registry,
+    lease,
+    metrics,
+    follower: owned.add(
+      new ConfigurationFollower(clock, logger, ports.configurations, keeper),
+    ),
+    lister: owned.add(
+      new UpstreamLister(clock, random, logger, ports.upstreams, directory),
+    ),
+    talk: owned.add(
+      new PeerTalk(clock, random, logger, own, settings.peerKey, {
+        instances,
+        registry,
+        directory,
+        load,
+        slowness,
+        suspicions,
+        trials,
+      }),
+    ),
+    layers: owned.add(
+      new LayerController(
+        clock,
+        random,
+        logger,
+        lease,
+        ports.control,
+        keeper,
+        directory,
+        suspicions,
+      ),
+    ),
+    handler: new RequestHandler(services, watch),
+  };
+}
+
+function confirmationLimit({revocationMilliseconds}: RouterSettings): number {
+  return revocationMilliseconds === undefined
+    ? UNBOUNDED_CONFIRMATION_MILLISECONDS
+    : Math.max(
+        revocationMilliseconds / 2,
+        revocationMilliseconds - REVOCATION_MARGIN_MILLISECONDS,
+      );
+}
--- /dev/null
+++ b/src/programs/router/routerPorts.ts
@@ -0,0 +1,16 @@
+import {UpstreamControl} from '../../features/fleet/common/upstreamControl.js';
+import {UpstreamSource} from '../../features/fleet/common/upstreamSource.js';
+import {Wire} from '../../features/forwarding/common/wire.js';
+import {DirectoryProtocol} from '../../features/instances/common/directoryProtocol.js';
+import {ConfigurationSource} from '../../features/traffic/common/configurationSource.js';
+import {TableService} from '../../infrastructure/table/common/tableService.js';
+
+/** What the router needs of the platform that it runs on. */
+export interface RouterPorts {
+  readonly table: TableService;
+  readonly configurations: ConfigurationSource;
+  readonly upstreams: UpstreamSource;
+  readonly control: UpstreamControl;
+  readonly wire: Wire;
+  readonly directory: DirectoryProtocol;
+}
