Upstreams that refuse are left out for longer each time; tests of traffic, fleet, paths, layers, forwarding

Change: a refusal holds an upstream out for 0.3 s and twice as long each time; faults are looked up in the request's path. Callers keep lists of addresses for 1 s.

--- a/src/features/fleet/common/suspicions.ts
+++ b/src/features/fleet/common/suspicions.ts
@@ -9,14 +9,34 @@
   | 'reset'
   | 'silent'
   | 'namedByUpstream'
+  /** It answers, but refused work or was named as the one that can't take it. */
+  | 'refusing'
   | 'misdirected'
   | 'toldByPeer';
 
+/**
+ * An upstream that refuses work answers trial calls all the same: it is left out for this long, and
+ * twice as long each time that it refuses again soon after.
+ */
+const REFUSAL_MILLISECONDS = 300;
+const REFUSAL_LIMIT_MILLISECONDS = 5_000;
+
+/** A refusal this long after the last one counts as the first. */
+const REFUSAL_MEMORY_MILLISECONDS = 8_000;
+
 /** A suspicion that began. */
 export interface Suspicion {
   readonly upstream: string;
   readonly reason: SuspicionReason;
   readonly since: number;
+  /** Monotonic milliseconds before which no answer clears it. */
+  readonly until: number;
+}
+
+/** The refusals of an upstream in a row. */
+interface Refusals {
+  readonly count: number;
+  readonly at: number;
 }
 
 /** An upstream that is suspected and not cleared gets a trial at most this often. */
@@ -26,6 +46,7 @@
 export class Suspicions extends DisposableOwner {
   private readonly begun = this.register(new Emitter<Suspicion>());
   private readonly suspected = new Map<string, Suspicion>();
+  private readonly refusals = new Map<string, Refusals>();
 
   /** Fires when an upstream becomes suspected. */
   readonly onDidSuspect = this.begun.event;
@@ -47,7 +68,8 @@
       return;
     }
     const since = this.clock.monotonicMilliseconds();
-    const suspicion = {upstream, reason, since};
+    const hold = reason === 'refusing' ? this.holdOf(upstream, since) : 0;
+    const suspicion = {upstream, reason, since, until: since + hold};
     this.suspected.set(upstream, suspicion);
     this.logger.decision('upstreamSuspected', {upstream, reason, ...evidence});
     this.begun.fire(suspicion);
@@ -56,14 +78,32 @@
   /** A trial was answered, or the upstream is gone from the list. */
   clear(upstream: string, cause: 'answered' | 'gone'): void {
     const suspicion = this.suspected.get(upstream);
-    if (suspicion === undefined) {
+    const now = this.clock.monotonicMilliseconds();
+    if (cause === 'gone') {
+      this.refusals.delete(upstream);
+    }
+    if (
+      suspicion === undefined ||
+      (cause === 'answered' && now < suspicion.until)
+    ) {
       return;
     }
     this.suspected.delete(upstream);
-    const lasted = this.clock.monotonicMilliseconds() - suspicion.since;
+    const lasted = Math.round(now - suspicion.since);
     this.logger.decision('upstreamCleared', {upstream, cause, lasted});
   }
 
+  /** How long a refusal counts, longer with each one in a row. */
+  private holdOf(upstream: string, now: number): number {
+    const last = this.refusals.get(upstream);
+    const isInRow =
+      last !== undefined && now - last.at < REFUSAL_MEMORY_MILLISECONDS;
+    const count = isInRow ? last.count + 1 : 1;
+    this.refusals.set(upstream, {count, at: now});
+    const hold = REFUSAL_MILLISECONDS * 2 ** (count - 1);
+    return Math.min(hold, REFUSAL_LIMIT_MILLISECONDS);
+  }
+
   /** Whether an upstream is held to be lost. */
   has(upstream: string): boolean {
     return this.suspected.has(upstream);
--- /dev/null
+++ b/src/features/fleet/test/fleet.test.ts
@@ -0,0 +1,144 @@
+import {describe, expect, it} from 'vitest';
+
+import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
+import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {Slowness} from '../common/slowness.js';
+import {Suspicions} from '../common/suspicions.js';
+import {UpstreamDirectory} from '../common/upstreamDirectory.js';
+import {UpstreamLoad} from '../common/upstreamLoad.js';
+import {makeUpstream} from './upstreams.js';
+
+const one = makeUpstream({id: 'one', address: '10.0.0.1:1'});
+const two = makeUpstream({id: 'two', address: '10.0.0.2:1'});
+const heir = makeUpstream({id: 'heir', address: '10.0.0.1:1'});
+
+describe('the directory of upstreams', () => {
+  const cases = [
+    {
+      name: 'drops one that is missing while the list is read regularly',
+      gaps: [900],
+      lists: [[one, two], [two]],
+      expected: ['two'],
+    },
+    {
+      name: 'keeps one that is missing right after an outage',
+      gaps: [8000],
+      lists: [[one, two], [two]],
+      expected: ['one', 'two'],
+    },
+    {
+      name: 'drops one that is still missing two seconds after an outage',
+      gaps: [8000, 900, 900, 900],
+      lists: [[one, two], [two], [two], [two], [two]],
+      expected: ['two'],
+    },
+    {
+      name: 'does not keep one whose address another has',
+      gaps: [8000],
+      lists: [
+        [one, two],
+        [heir, two],
+      ],
+      expected: ['heir', 'two'],
+    },
+  ];
+
+  it.each(cases)('$name', ({gaps, lists, expected}) => {
+    const clock = new FakeClock();
+    const directory = new UpstreamDirectory(clock, new SilentLogger());
+    // The first reading counts as one after an outage, too.
+    directory.replace(lists[0]!);
+    clock.advance(1000);
+    directory.replace(lists[0]!);
+    clock.advance(1000);
+    directory.replace(lists[0]!);
+    clock.advance(1000);
+    directory.replace(lists[0]!);
+    lists.slice(1).forEach((list, index) => {
+      clock.advance(gaps[index]!);
+      directory.replace(list);
+    });
+    const ids = directory.ofService('s').map(({id}) => id);
+    expect([...ids].sort()).toEqual(expected);
+  });
+
+  it('tells a leaving upstream from a ready one', () => {
+    const clock = new FakeClock();
+    const directory = new UpstreamDirectory(clock, new SilentLogger());
+    directory.replace([one]);
+    directory.replace([{...one, isLeaving: true}]);
+    expect(directory.find('one')?.isLeaving).toBe(true);
+  });
+});
+
+describe('suspicions', () => {
+  it('end with an answered trial call', () => {
+    const suspicions = new Suspicions(new FakeClock(), new SilentLogger());
+    suspicions.suspect('one', 'silent', {});
+    expect(suspicions.has('one')).toBe(true);
+    suspicions.clear('one', 'answered');
+    expect(suspicions.has('one')).toBe(false);
+  });
+
+  it.each([
+    {refusals: 1, holds: 299, ends: 300},
+    {refusals: 2, holds: 599, ends: 600},
+    {refusals: 3, holds: 1199, ends: 1200},
+    {refusals: 9, holds: 4999, ends: 5000},
+  ])(
+    'hold an upstream that refused $refusals times for $ends ms whatever it answers',
+    ({refusals, holds, ends}) => {
+      const clock = new FakeClock();
+      const suspicions = new Suspicions(clock, new SilentLogger());
+      for (let count = 1; count < refusals; count++) {
+        suspicions.suspect('one', 'refusing', {});
+        clock.advance(5000);
+        suspicions.clear('one', 'answered');
+      }
+      suspicions.suspect('one', 'refusing', {});
+      clock.advance(holds);
+      suspicions.clear('one', 'answered');
+      expect(suspicions.has('one')).toBe(true);
+      clock.advance(ends - holds);
+      suspicions.clear('one', 'answered');
+      expect(suspicions.has('one')).toBe(false);
+    },
+  );
+
+  it('end at once when the upstream is gone', () => {
+    const suspicions = new Suspicions(new FakeClock(), new SilentLogger());
+    suspicions.suspect('one', 'refusing', {});
+    suspicions.clear('one', 'gone');
+    expect(suspicions.has('one')).toBe(false);
+  });
+});
+
+describe('the load of an upstream', () => {
+  it('is the sum of what this instance and its peers have on it', () => {
+    const load = new UpstreamLoad();
+    load.add('one', 100);
+    load.add('one', 50);
+    load.remove('one', 100);
+    load.setPeer('a', 0, new Map([['one', {requests: 2, tokens: 20}]]));
+    load.setPeer('b', 0, new Map([['one', {requests: 1, tokens: 5}]]));
+    load.setPeer('a', 500, new Map([['one', {requests: 1, tokens: 10}]]));
+    expect(load.of('one')).toEqual({requests: 3, tokens: 65});
+  });
+
+  it('leaves out peers that were not heard of', () => {
+    const load = new UpstreamLoad();
+    load.setPeer('a', 0, new Map([['one', {requests: 2, tokens: 20}]]));
+    load.setPeer('b', 4000, new Map());
+    expect(load.of('one')).toEqual({requests: 0, tokens: 0});
+  });
+});
+
+it('a reported slowness fades', () => {
+  const clock = new FakeClock();
+  const slowness = new Slowness(clock);
+  slowness.note('one', 5);
+  slowness.note('two', 1.05);
+  expect([slowness.of('one'), slowness.of('two')]).toEqual([5, 1]);
+  clock.advance(5001);
+  expect(slowness.of('one')).toBe(1);
+});
--- /dev/null
+++ b/src/features/fleet/test/upstreams.ts
@@ -0,0 +1,18 @@
+import {Upstream} from '../common/upstream.js';
+
+/** A ready upstream of service `s`, with fields that a test leaves out filled in. */
+export function makeUpstream(fields: Partial<Upstream> = {}): Upstream {
+  return {
+    id: 'upstream',
+    service: 's',
+    address: '10.0.0.1:8080',
+    dataCentre: 'north',
+    slots: 4,
+    isLeaving: false,
+    coldMilliseconds: 0,
+    acceleratorKind: undefined,
+    layers: undefined,
+    models: [],
+    ...fields,
+  };
+}
--- a/src/features/forwarding/node/streamRun.ts
+++ b/src/features/forwarding/node/streamRun.ts
@@ -50,6 +50,7 @@
   private hasNotedNoRestart = false;
   private progressAt = 0;
   private usualGap = FIRST_GAP_MILLISECONDS;
+  private firstAfter = 0;
   private longestPause = 0;
   private events = 0;
 
@@ -94,6 +95,7 @@
       attempts: this.attempts,
       moves: this.moves,
       events: this.events,
+      first: Math.round(this.firstAfter),
       longestPause: Math.round(this.longestPause),
       path: formatPath(this.path),
     };
@@ -240,7 +242,8 @@
     const {now} = this;
     if (!this.exchange.hasBegun) {
       this.exchange.begin(this.head);
-      this.services.metrics.noteFirst('stream', this.elapsed);
+      this.firstAfter = this.elapsed;
+      this.services.metrics.noteFirst('stream', this.firstAfter);
     } else {
       const gap = now - this.progressAt;
       this.longestPause = Math.max(this.longestPause, gap);
@@ -308,16 +311,13 @@
   }
 
   private onNotRun(facts: AnswerFacts): void {
-    const faulty =
-      facts.faultyAddress === undefined
-        ? this.path[0]?.upstream
-        : this.services.directory.findByAddress(facts.faultyAddress);
+    const faulty = this.findFaulty(facts.faultyAddress);
     this.note('refusedByUpstream', {
       faulty: faulty?.id,
       misdirected: facts.isMisdirected,
     });
     if (faulty !== undefined) {
-      const reason = facts.isMisdirected ? 'misdirected' : 'namedByUpstream';
+      const reason = facts.isMisdirected ? 'misdirected' : 'refusing';
       this.services.suspicions.suspect(faulty.id, reason, {
         request: this.admitted.id,
       });
@@ -329,6 +329,18 @@
     }
   }
 
+  /**
+   * The upstream of the path that a refusal is due to. Looked up in the path and not in the list: the
+   * address may belong to another one by now.
+   */
+  private findFaulty(address: string | undefined): Upstream | undefined {
+    const part =
+      address === undefined
+        ? this.path[0]
+        : this.path.find(({upstream}) => upstream.address === address);
+    return part?.upstream;
+  }
+
   /** Moves the running stream off lost upstreams, so that the others keep what they have read. */
   private async move(): Promise<void> {
     const {control, settings, suspicions} = this.services;
--- /dev/null
+++ b/src/features/layers/test/layers.test.ts
@@ -0,0 +1,167 @@
+import {describe, expect, it} from 'vitest';
+
+import {makeUpstream} from '../../fleet/test/upstreams.js';
+import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
+import {layeredEngine} from '../../paths/test/engines.js';
+import {chooseLayerSizes} from '../common/layerSize.js';
+import {LayerAssignment, planLayers} from '../common/planLayers.js';
+
+const LAYERS = 20;
+const engine = layeredEngine(LAYERS);
+const layers = engine.layers!;
+
+/** Accelerators by data centre and kind. */
+type Fleet = Readonly<Record<string, Readonly<Record<string, number>>>>;
+
+function counts(entries: Fleet) {
+  return new Map(
+    Object.entries(entries).map(([dataCentre, kinds]) => [
+      dataCentre,
+      new Map(Object.entries(kinds)),
+    ]),
+  );
+}
+
+describe('layers for each kind', () => {
+  it.each<{name: string; fleet: Fleet; small: number; fast: number}>([
+    {
+      name: 'leave room for all slots where the fleet is large',
+      fleet: {north: {small: 40, fast: 10}},
+      small: 5,
+      fast: 11,
+    },
+    {
+      name: 'give room up until each able data centre holds the model',
+      fleet: {north: {small: 2, fast: 1}, south: {small: 40}},
+      small: 5,
+      fast: 11,
+    },
+    {
+      name: 'give up more where a data centre is small',
+      fleet: {north: {small: 1, fast: 1}, south: {small: 40}},
+      small: 6,
+      fast: 14,
+    },
+    {
+      name: 'hold the model twice over all where no data centre is able',
+      fleet: {north: {small: 2}, south: {small: 2}, east: {small: 2}},
+      small: 7,
+      fast: 15,
+    },
+  ])('$name', ({fleet, small, fast}) => {
+    const sizes = chooseLayerSizes(engine, layers, counts(fleet));
+    expect([sizes.get('small'), sizes.get('fast')]).toEqual([small, fast]);
+  });
+
+  it('never exceed the memory of an accelerator', () => {
+    const sizes = chooseLayerSizes(engine, layers, counts({north: {small: 1}}));
+    for (const kind of layers.kinds) {
+      const megabytes = sizes.get(kind.name)! * layers.layerMegabytes;
+      expect(megabytes).toBeLessThanOrEqual(kind.memoryMegabytes);
+    }
+  });
+});
+
+const sizes = new Map([
+  ['small', 5],
+  ['fast', 10],
+]);
+
+function card(
+  id: string,
+  kind: string,
+  held?: LayerRange,
+  dataCentre = 'north',
+): Upstream {
+  return makeUpstream({id, acceleratorKind: kind, layers: held, dataCentre});
+}
+
+function plan(
+  upstreams: readonly Upstream[],
+  ordered: ReadonlyMap<string, LayerRange> = new Map(),
+): Readonly<Record<string, string>> {
+  const assignments = planLayers({layers, sizes, upstreams, ordered});
+  return Object.fromEntries(
+    assignments.map(({upstream, range}) => [
+      upstream.id,
+      `${range.from}-${range.to}`,
+    ]),
+  );
+}
+
+/** How many different layers the assignments in a data centre cover. */
+function coveredBy(
+  dataCentre: string,
+  assignments: readonly LayerAssignment[],
+): number {
+  const covered = new Set<number>();
+  for (const {upstream, range} of assignments) {
+    for (let layer = range.from; layer < range.to; layer++) {
+      if (upstream.dataCentre === dataCentre) {
+        covered.add(layer);
+      }
+    }
+  }
+  return covered.size;
+}
+
+describe('the plan of layers', () => {
+  it('covers the model in each data centre before it doubles anything', () => {
+    const fleet = ['north', 'south'].flatMap(dataCentre => [
+      card(`${dataCentre}-f`, 'fast', undefined, dataCentre),
+      card(`${dataCentre}-1`, 'small', undefined, dataCentre),
+      card(`${dataCentre}-2`, 'small', undefined, dataCentre),
+    ]);
+    const assignments = planLayers({
+      layers,
+      sizes,
+      upstreams: fleet,
+      ordered: new Map(),
+    });
+    for (const dataCentre of ['north', 'south']) {
+      expect(coveredBy(dataCentre, assignments)).toBe(LAYERS);
+    }
+  });
+
+  it('gives a new upstream the layers that were lost', () => {
+    const fleet = [
+      card('f', 'fast', {from: 0, to: 10}),
+      card('a', 'small', {from: 15, to: 20}),
+      card('new', 'small'),
+    ];
+    expect(plan(fleet)).toEqual({new: '10-15'});
+  });
+
+  it('counts what was ordered as held', () => {
+    const fleet = [card('a', 'fast'), card('b', 'fast')];
+    const ordered = new Map([['a', {from: 0, to: 10}]]);
+    expect(plan(fleet, ordered)).toEqual({b: '10-20'});
+  });
+
+  it('changes nothing while all layers are held', () => {
+    const fleet = [
+      card('a', 'fast', {from: 0, to: 10}),
+      card('b', 'fast', {from: 10, to: 20}),
+    ];
+    expect(plan(fleet)).toEqual({});
+  });
+
+  it('moves an upstream whose layers are held three times to those that nobody holds', () => {
+    const fleet = [
+      card('a', 'fast', {from: 0, to: 10}),
+      card('b', 'fast', {from: 0, to: 10}),
+      card('c', 'fast', {from: 0, to: 10}),
+      card('d', 'small', {from: 15, to: 20}),
+    ];
+    expect(plan(fleet)).toEqual({a: '10-20'});
+  });
+
+  it('moves nothing where that would take a needed holder away', () => {
+    const fleet = [
+      card('a', 'fast', {from: 0, to: 10}),
+      card('b', 'fast', {from: 0, to: 10}),
+      card('d', 'small', {from: 15, to: 20}),
+    ];
+    expect(plan(fleet)).toEqual({});
+  });
+});
--- /dev/null
+++ b/src/features/paths/test/pathSearch.test.ts
@@ -0,0 +1,185 @@
+import * as fastCheck from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {makeUpstream} from '../../fleet/test/upstreams.js';
+import {Upstream} from '../../fleet/common/upstream.js';
+import {LoadFigure} from '../../fleet/common/upstreamLoad.js';
+import {crossingsOf, formatPath} from '../common/path.js';
+import {findPath, PathQuestion} from '../common/pathSearch.js';
+import {layeredEngine} from './engines.js';
+
+const LAYERS = 8;
+
+function holder(
+  id: string,
+  from: number,
+  to: number,
+  fields: Partial<Upstream> = {},
+): Upstream {
+  return makeUpstream({
+    id,
+    acceleratorKind: 'small',
+    layers: {from, to},
+    ...fields,
+  });
+}
+
+function ask(
+  upstreams: readonly Upstream[],
+  fields: Partial<PathQuestion> = {},
+) {
+  return findPath({
+    engine: layeredEngine(LAYERS),
+    upstreams,
+    size: {promptTokens: 700, answerTokens: 50},
+    span: {from: 0, to: LAYERS},
+    enteringFrom: undefined,
+    leavingTo: undefined,
+    loadOf: () => ({requests: 0, tokens: 0}),
+    slownessOf: () => 1,
+    isUsable: upstream => !upstream.isLeaving,
+    ...fields,
+  });
+}
+
+const south = {dataCentre: 'south'};
+
+describe('a path', () => {
+  const cases: ReadonlyArray<{
+    name: string;
+    upstreams: readonly Upstream[];
+    fields?: Partial<PathQuestion>;
+    path: string;
+  }> = [
+    {
+      name: 'joins ranges in order',
+      upstreams: [holder('b', 4, 8), holder('a', 0, 4)],
+      path: 'a=0-4,b=4-8',
+    },
+    {
+      name: 'uses a part of an overlapping range',
+      upstreams: [holder('a', 0, 5), holder('b', 3, 8)],
+      fields: {slownessOf: id => (id === 'b' ? 1.5 : 1)},
+      path: 'a=0-5,b=5-8',
+    },
+    {
+      name: 'prefers the faster kind where ranges overlap',
+      upstreams: [
+        holder('a', 0, 5),
+        holder('b', 3, 8, {acceleratorKind: 'fast'}),
+      ],
+      path: 'a=0-3,b=3-8',
+    },
+    {
+      name: 'stays in one data centre although a faster kind is elsewhere',
+      upstreams: [
+        holder('a', 0, 4),
+        holder('b', 4, 8),
+        holder('fast', 4, 8, {...south, acceleratorKind: 'fast'}),
+      ],
+      path: 'a=0-4,b=4-8',
+    },
+    {
+      name: 'crosses where its data centre lacks layers',
+      upstreams: [holder('a', 0, 4), holder('b', 4, 8, south)],
+      path: 'a=0-4,b=4-8',
+    },
+    {
+      name: 'leaves out upstreams that may not be used',
+      upstreams: [holder('a', 0, 8, {isLeaving: true}), holder('b', 0, 8)],
+      path: 'b=0-8',
+    },
+    {
+      name: 'avoids a full upstream',
+      upstreams: [holder('a', 0, 8), holder('b', 0, 8, south)],
+      fields: {
+        loadOf: (id): LoadFigure => ({
+          requests: 1,
+          tokens: id === 'a' ? 1_000_000 : 0,
+        }),
+      },
+      path: 'b=0-8',
+    },
+    {
+      name: 'avoids a slow upstream',
+      upstreams: [holder('a', 0, 8), holder('b', 0, 8)],
+      fields: {slownessOf: id => (id === 'a' ? 5 : 1)},
+      path: 'b=0-8',
+    },
+    {
+      name: 'comes back to where it goes on',
+      upstreams: [holder('a', 2, 4, south), holder('b', 2, 4)],
+      fields: {
+        span: {from: 2, to: 4},
+        enteringFrom: 'north',
+        leavingTo: 'north',
+      },
+      path: 'b=2-4',
+    },
+  ];
+
+  it.each(cases)('$name', ({upstreams, fields, path}) => {
+    const answer = ask(upstreams, fields);
+    expect(answer.kind === 'found' && formatPath(answer.path)).toBe(path);
+  });
+
+  it.each([
+    {name: 'no upstream', upstreams: [], answer: {kind: 'noLayers', layer: 0}},
+    {
+      name: 'a gap',
+      upstreams: [holder('a', 0, 3), holder('b', 4, 8)],
+      answer: {kind: 'noLayers', layer: 3},
+    },
+    {
+      name: 'no room',
+      upstreams: [holder('a', 0, 8)],
+      fields: {loadOf: () => ({requests: 1, tokens: 1_000_000})},
+      answer: {kind: 'noRoom'},
+    },
+  ])('is not found with $name', ({upstreams, fields, answer}) => {
+    expect(ask(upstreams, fields)).toEqual(answer);
+  });
+
+  it('runs every layer once and in order, on upstreams that hold it', () => {
+    const range = fastCheck
+      .tuple(fastCheck.nat(LAYERS - 1), fastCheck.integer({min: 1, max: 5}))
+      .map(([from, count]) => ({from, to: Math.min(LAYERS, from + count)}));
+    const fleet = fastCheck.array(
+      fastCheck.tuple(range, fastCheck.constantFrom('north', 'south')),
+      {maxLength: 14},
+    );
+    fastCheck.assert(
+      fastCheck.property(fleet, entries => {
+        const upstreams = entries.map(([{from, to}, dataCentre], index) =>
+          holder(`u${index}`, from, to, {dataCentre}),
+        );
+        const answer = ask(upstreams);
+        if (answer.kind !== 'found') {
+          return;
+        }
+        let layer = 0;
+        const ids = new Set<string>();
+        for (const {upstream, range: part} of answer.path) {
+          expect(part.from).toBe(layer);
+          expect(upstream.layers!.from).toBeLessThanOrEqual(part.from);
+          expect(upstream.layers!.to).toBeGreaterThanOrEqual(part.to);
+          expect(ids.has(upstream.id)).toBe(false);
+          ids.add(upstream.id);
+          layer = part.to;
+        }
+        expect(layer).toBe(LAYERS);
+        expect(crossingsOf(answer.path)).toBeLessThan(answer.path.length);
+      }),
+    );
+  });
+});
+
+it('a service without layers is one upstream, the least loaded', () => {
+  const engine = {...layeredEngine(LAYERS), layers: undefined};
+  const answer = ask([makeUpstream({id: 'a'}), makeUpstream({id: 'b'})], {
+    engine,
+    span: {from: 0, to: 1},
+    loadOf: id => ({requests: 1, tokens: id === 'a' ? 5000 : 0}),
+  });
+  expect(answer.kind === 'found' && formatPath(answer.path)).toBe('b=0-1');
+});
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -19,8 +19,8 @@
 /** Addresses in one answer at most; callers read no more. */
 const ADDRESS_LIMIT = 64;
 
-/** Seconds for which callers keep an answer: short, since instances come and go, within what the platform allows. */
-const ADDRESS_SECONDS = 2;
+/** Seconds for which callers keep an answer: for so long they may try an instance that was lost; asking costs little. */
+const ADDRESS_SECONDS = 1;
 
 /** How often the own state is looked at. */
 const STATE_MILLISECONDS = 150;
