Streams wait for a path, finish on refusing upstreams, and leave those that go; answers without length are verified

Upstreams that refused new work were taken for lost, so their running streams were begun again elsewhere, found no room and were broken off. Change: a refusal moves no stream; a stream that has begun looks for a path for 1.8 s, others for an eighth of their target; streams leave upstreams 0.6 s after the notice; an unframed answer counts only if its upstream still answers.

--- a/src/features/fleet/common/upstreamLister.ts
+++ b/src/features/fleet/common/upstreamLister.ts
@@ -12,7 +12,7 @@
  * so, and one reading may fail. Reading it is cheaper than following it, since every heartbeat is a
  * change.
  */
-const PERIOD_MILLISECONDS = 900;
+const PERIOD_MILLISECONDS = 750;
 
 /** After a failed reading the next one comes sooner. */
 const RETRY_MILLISECONDS = 250;
--- a/src/features/forwarding/common/upstreamExchange.ts
+++ b/src/features/forwarding/common/upstreamExchange.ts
@@ -28,7 +28,8 @@
 export abstract class AnswerListener {
   abstract onHead(status: number, reason: string, headers: RawHeaders): void;
   abstract onBody(chunk: Uint8Array): void;
-  abstract onEnd(): void;
+  /** @param isFramed whether the answer said where it ends; else it ended with its connection. */
+  abstract onEnd(isFramed: boolean): void;
   abstract onFailure(failure: ExchangeFailure): void;
 }
 
--- a/src/features/forwarding/node/heldAnswer.ts
+++ b/src/features/forwarding/node/heldAnswer.ts
@@ -10,6 +10,8 @@
       readonly head: AnswerHead;
       readonly facts: AnswerFacts;
       readonly body: Uint8Array;
+      /** Whether it said where it ends. */
+      readonly isFramed: boolean;
     }
   /** Nothing was sent: the request has surely not run there. */
   | {readonly kind: 'notSent'; readonly detail: string}
@@ -46,7 +48,7 @@
     this.chunks.push(chunk);
   }
 
-  override onEnd(): void {
+  override onEnd(isFramed: boolean): void {
     const {head} = this;
     if (head === undefined) {
       this.done({kind: 'lost', detail: 'no head'});
@@ -60,7 +62,13 @@
     }
     const headers = this.wire.callerHeaders(head.headers);
     const body = Buffer.concat(this.chunks);
-    this.done({kind: 'answered', head: {...head, headers}, facts, body});
+    this.done({
+      kind: 'answered',
+      head: {...head, headers},
+      facts,
+      body,
+      isFramed,
+    });
   }
 
   override onFailure(failure: ExchangeFailure): void {
--- a/src/features/forwarding/node/httpUpstreamExchange.ts
+++ b/src/features/forwarding/node/httpUpstreamExchange.ts
@@ -110,7 +110,7 @@
       return;
     }
     this.finish();
-    this.listener.onEnd();
+    this.listener.onEnd(this.isFramed);
   }
 
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
--- a/src/features/forwarding/node/plainRun.ts
+++ b/src/features/forwarding/node/plainRun.ts
@@ -135,7 +135,25 @@
       case 'lost':
         return this.onLost(upstream, outcome.detail);
       case 'answered':
-        return this.onAnswered(upstream, outcome);
+        return outcome.isFramed
+          ? this.onAnswered(upstream, outcome)
+          : void this.verify(upstream, outcome);
+    }
+  }
+
+  /** Takes an answer that ended with its connection only if the upstream did not end, too. */
+  private async verify(
+    upstream: Upstream,
+    outcome: Extract<AttemptOutcome, {kind: 'answered'}>,
+  ): Promise<void> {
+    const isAlive = await this.services.trials.isAlive(upstream);
+    if (this.isDone) {
+      return;
+    }
+    if (isAlive) {
+      this.onAnswered(upstream, outcome);
+    } else {
+      this.onLost(upstream, 'it ended with an answer without length');
     }
   }
 
--- a/src/features/forwarding/node/streamAttempt.ts
+++ b/src/features/forwarding/node/streamAttempt.ts
@@ -29,6 +29,7 @@
 /** One sending of a stream request. */
 export class StreamAttempt extends AnswerListener implements Disposable {
   private exchange: UpstreamExchange | undefined;
+  private upstream: Upstream | undefined;
   private head: AnswerHead | undefined;
   private facts: AnswerFacts | undefined;
   private readonly otherBody: Uint8Array[] = [];
@@ -53,6 +54,7 @@
 
   /** Sends the request; used once. */
   open(upstream: Upstream, request: UpstreamRequest): void {
+    this.upstream = upstream;
     this.exchange = this.services.connector.open(upstream, request, this);
     if (this.isDone) {
       this.exchange.dispose();
@@ -106,10 +108,33 @@
     }
   }
 
-  override onEnd(): void {
+  override onEnd(isFramed: boolean): void {
     if (this.isDone) {
       return;
     }
+    if (!isFramed && this.isStream) {
+      void this.verifyEnd();
+      return;
+    }
+    this.finish();
+  }
+
+  /** A stream that ended with its connection is complete only if its upstream did not end, too. */
+  private async verifyEnd(): Promise<void> {
+    const {upstream} = this;
+    const isAlive =
+      upstream !== undefined && (await this.services.trials.isAlive(upstream));
+    if (this.isDone) {
+      return;
+    }
+    if (isAlive) {
+      this.finish();
+    } else {
+      this.lose('the upstream ended with a stream without length');
+    }
+  }
+
+  private finish(): void {
     if (this.isStream && this.sequence.isInsideEvent) {
       this.lose('the stream ended inside an event');
       return;
--- a/src/features/forwarding/node/streamRun.ts
+++ b/src/features/forwarding/node/streamRun.ts
@@ -1,34 +1,32 @@
-import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
+import {toDisposable} from '../../../base/common/lifecycle.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {
   crossingsOf,
   formatPath,
   Path,
-  tokensOf,
   upstreamIdsOf,
-  WorkSize,
 } from '../../paths/common/path.js';
 import {PathAnswer} from '../../paths/common/pathSearch.js';
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {AnswerHead, CallerExchange} from '../common/callerExchange.js';
 import {EventSequence} from '../common/eventSequence.js';
+import {PauseMeter} from '../common/pauseMeter.js';
 import {NotRunReason} from '../common/retryAfter.js';
+import {roomPatience} from '../common/roomPatience.js';
 import {StreamProgress} from '../common/silence.js';
 import {AnswerFacts} from '../common/wire.js';
 import {ForwardingServices} from './forwardingServices.js';
+import {HeldPath} from './heldPath.js';
 import {PathChooser} from './pathChooser.js';
 import {AdmittedRequest, RequestRun} from './requestRun.js';
 import {StreamAttempt, StreamAttemptEvents} from './streamAttempt.js';
 import {StreamWatch, WatchedStream} from './streamWatch.js';
 
-/** Usual time between two events before any was seen. */
-const FIRST_GAP_MILLISECONDS = 35;
-
-/** Weight of the newest gap in the running mean. */
-const GAP_WEIGHT = 0.15;
-
 /** Attempts beyond this are not made whatever the budget says: a stream that broke so often is unlucky or harmful. */
-const ATTEMPT_LIMIT = 6;
+const ATTEMPT_LIMIT = 10;
+
+/** How often a stream that waits for a path looks again. */
+const LOOK_AGAIN_MILLISECONDS = 20;
 
 /** Forwards a stream along a path of upstreams, and carries it on elsewhere when the path breaks. */
 export class StreamRun
@@ -37,22 +35,18 @@
 {
   private readonly sequence: EventSequence;
   private readonly chooser: PathChooser;
-  private readonly size: WorkSize;
-  private attempt: StreamAttempt | undefined;
-  private path: Path = [];
-  private loadOfPath: Disposable = toDisposable(() => undefined);
+  private readonly held: HeldPath;
+  private readonly pauses: PauseMeter;
   private readonly firstParts = new Set<string>();
+  private attempt: StreamAttempt | undefined;
   private head: AnswerHead | undefined;
+  private sentAt = 0;
+  private firstAfter = 0;
   private attempts = 0;
   private moves = 0;
   private mayHaveRun = false;
   private isMoving = false;
-  private hasNotedNoRestart = false;
-  private progressAt = 0;
-  private usualGap = FIRST_GAP_MILLISECONDS;
-  private firstAfter = 0;
-  private longestPause = 0;
-  private events = 0;
+  private hasNotedWait = false;
 
   constructor(
     services: ForwardingServices,
@@ -62,18 +56,15 @@
     private readonly watch: StreamWatch,
   ) {
     super(services, exchange, admitted);
-    const {facts} = admitted;
-    this.sequence = new EventSequence(facts.lastEvent);
-    this.size = {
+    const {facts, service} = admitted;
+    const size = {
       promptTokens: facts.promptTokens,
       answerTokens: expectedAnswer(admitted, engine),
     };
-    this.chooser = new PathChooser(
-      services,
-      admitted.service,
-      engine,
-      this.size,
-    );
+    this.sequence = new EventSequence(facts.lastEvent);
+    this.pauses = new PauseMeter(exchange.request.receivedAt);
+    this.held = new HeldPath(services.load, size);
+    this.chooser = new PathChooser(services, service, engine, size);
   }
 
   protected override begin(): void {
@@ -94,9 +85,9 @@
     return {
       attempts: this.attempts,
       moves: this.moves,
-      events: this.events,
+      events: this.pauses.events,
       first: Math.round(this.firstAfter),
-      longestPause: Math.round(this.longestPause),
+      longestPause: Math.round(this.pauses.longestPause),
       path: formatPath(this.path),
     };
   }
@@ -108,9 +99,9 @@
     return {
       requestId: this.admitted.id,
       upstreams: upstreamIdsOf(this.path),
-      lastProgressAt: this.progressAt,
+      lastProgressAt: Math.max(this.sentAt, this.pauses.lastProgressAt),
       hasBegun: this.attempt.hasEvents,
-      usualGapMilliseconds: this.usualGap,
+      usualGapMilliseconds: this.pauses.usualGap,
     };
   }
 
@@ -120,19 +111,31 @@
     }
     const isFirst = this.path[0]?.upstream.id === upstream;
     if (!isFirst && this.attempt.hasEvents) {
-      void this.move();
+      void this.move(upstream);
     } else {
       this.restart('upstreamLost');
     }
   }
 
+  leaveInTime(upstream: string): void {
+    const isFirst = this.path[0]?.upstream.id === upstream;
+    // The end of its first upstream shows at once on the connection; moving off it would not be faster.
+    if (!isFirst && this.attempt?.hasEvents) {
+      this.leave(upstream);
+    }
+  }
+
   onSilence(milliseconds: number): void {
     const {giveUpSilenceMilliseconds} = this.services.settings;
-    if (milliseconds > giveUpSilenceMilliseconds && this.canRepeat) {
+    if (milliseconds > giveUpSilenceMilliseconds) {
       this.restart('silence');
     }
   }
 
+  private get path(): Path {
+    return this.held.path;
+  }
+
   /** Whether the request may be sent again although it was sent before. */
   private get canRepeat(): boolean {
     const {route} = this.admitted;
@@ -142,11 +145,12 @@
   private start(cause: string): void {
     const answer = this.findWhole();
     if (answer.kind !== 'found') {
-      this.giveUp(answer.kind === 'noRoom' ? 'noRoom' : this.missingReason());
+      const reason = answer.kind === 'noRoom' ? 'noRoom' : this.missingReason();
+      this.waitOrGiveUp(cause, reason);
       return;
     }
     this.attempts++;
-    this.take(answer.path);
+    this.held.take(answer.path);
     this.note('pathChosen', {
       cause,
       path: formatPath(answer.path),
@@ -157,18 +161,41 @@
     this.send();
   }
 
-  /** A first part that was used already is preferred once no further one may be used. */
+  /** Looks for a path again a little later, as long as that may still serve the caller. */
+  private waitOrGiveUp(cause: string, reason: NotRunReason): void {
+    const patience = roomPatience({
+      hasBegun: this.exchange.hasBegun,
+      mayHaveRun: this.mayHaveRun,
+      silentMilliseconds: this.pauses.silence(this.now),
+      latencyTargetMilliseconds: this.admitted.route.latencyTargetMilliseconds,
+    });
+    if (patience === 0 || !this.hasTime) {
+      this.giveUp(reason);
+      return;
+    }
+    if (!this.hasNotedWait) {
+      this.hasNotedWait = true;
+      this.note('waitingForPath', {cause, reason, patience});
+    }
+    const timer = this.services.clock.setTimer(LOOK_AGAIN_MILLISECONDS, () => {
+      this.owned.delete(timer);
+      this.start(cause);
+    });
+    this.owned.add(timer);
+  }
+
+  /** Once no further first upstream may be used, one that was used already is taken again. */
   private findWhole(): PathAnswer {
     const {attemptLimit} = this.admitted.route;
-    const listed = [...this.firstParts].filter(
+    const usable = [...this.firstParts].filter(
       id => !this.services.suspicions.has(id),
     );
-    if (listed.length < attemptLimit) {
+    if (usable.length < attemptLimit) {
       return this.chooser.whole(() => true);
     }
-    const unused = (upstream: Upstream): boolean =>
-      this.firstParts.has(upstream.id) || (upstream.layers?.from ?? 0) > 0;
-    return this.chooser.whole(unused);
+    return this.chooser.whole(
+      ({id, layers}) => this.firstParts.has(id) || (layers?.from ?? 0) > 0,
+    );
   }
 
   private missingReason(): NotRunReason {
@@ -177,18 +204,6 @@
     return listed.length === 0 ? 'noUpstream' : 'noLayers';
   }
 
-  private take(path: Path): void {
-    const {load} = this.services;
-    const tokens = tokensOf(this.size);
-    this.loadOfPath.dispose();
-    this.path = path;
-    const ids = upstreamIdsOf(path);
-    ids.forEach(id => load.add(id, tokens));
-    this.loadOfPath = toDisposable(() =>
-      ids.forEach(id => load.remove(id, tokens)),
-    );
-  }
-
   private send(): void {
     const [first] = this.path;
     if (first === undefined) {
@@ -197,13 +212,9 @@
     }
     this.firstParts.add(first.upstream.id);
     this.sequence.beginRun();
-    this.progressAt = this.now;
-    this.attempt = new StreamAttempt(
-      this.services,
-      this.admitted.id,
-      this.sequence,
-      this,
-    );
+    this.sentAt = this.now;
+    const {id} = this.admitted;
+    this.attempt = new StreamAttempt(this.services, id, this.sequence, this);
     this.attempt.open(first.upstream, this.toRequest(first.upstream));
   }
 
@@ -239,18 +250,12 @@
     if (this.isDone || this.head === undefined) {
       return;
     }
-    const {now} = this;
     if (!this.exchange.hasBegun) {
       this.exchange.begin(this.head);
       this.firstAfter = this.elapsed;
       this.services.metrics.noteFirst('stream', this.firstAfter);
-    } else {
-      const gap = now - this.progressAt;
-      this.longestPause = Math.max(this.longestPause, gap);
-      this.usualGap += GAP_WEIGHT * (gap - this.usualGap);
     }
-    this.progressAt = now;
-    this.events += count;
+    this.pauses.noteEvents(this.now, count);
     this.mayHaveRun = true;
     if (!this.exchange.write(bytes)) {
       const {attempt} = this;
@@ -267,7 +272,7 @@
       this.exchange.begin(this.head);
     }
     this.exchange.end();
-    this.services.metrics.notePause(this.longestPause);
+    this.services.metrics.notePause(this.pauses.longestPause);
     this.finish('answered', {status: this.head?.status});
   }
 
@@ -307,7 +312,11 @@
       void this.services.trials.try(upstream, 'reset', {detail});
     }
     this.mayHaveRun = true;
-    this.repeatOr('answerLost', 502);
+    if (this.canRepeat && this.mayRepeat()) {
+      this.repeat('answerLost');
+    } else {
+      this.fail(502, 'answerLost');
+    }
   }
 
   private onNotRun(facts: AnswerFacts): void {
@@ -342,26 +351,24 @@
   }
 
   /** Moves the running stream off lost upstreams, so that the others keep what they have read. */
-  private async move(): Promise<void> {
-    const {control, settings, suspicions} = this.services;
-    const lost = new Set(
-      upstreamIdsOf(this.path).filter(id => suspicions.has(id)),
-    );
+  private async move(left: string): Promise<void> {
+    const {control, settings} = this.services;
+    const lost = this.lostOnPath(left);
     const [first] = this.path;
     const answer = this.chooser.without(this.path, lost);
-    if (answer.kind !== 'found' || first === undefined) {
-      this.restart('upstreamLost');
-      return;
-    }
-    // All tokens so far would cross again: reading them anew in one data centre takes less time.
-    if (crossingsOf(answer.path) > crossingsOf(this.path) && this.canRepeat) {
+    // A path that crosses more often would carry all tokens so far across again: reading them anew in
+    // one data centre takes less time.
+    const isWorthIt =
+      answer.kind === 'found' &&
+      (!this.canRepeat || crossingsOf(answer.path) <= crossingsOf(this.path));
+    if (!isWorthIt || first === undefined) {
       this.restart('upstreamLost');
       return;
     }
     this.isMoving = true;
     this.moves++;
     const {path} = answer;
-    const eventsBefore = this.events;
+    const {events} = this.pauses;
     const moved = await control.repath(
       first.upstream,
       this.admitted.id,
@@ -380,19 +387,22 @@
     }
     if (moved.ok) {
       this.services.metrics.noteRepeat('moved');
-      this.take(path);
-    } else if (this.events === eventsBefore) {
+      this.held.take(path);
+    } else if (this.pauses.events === events) {
       this.restart('notMoved');
     }
   }
 
+  private lostOnPath(left: string): ReadonlySet<string> {
+    const {directory, suspicions} = this.services;
+    const isLost = (id: string): boolean =>
+      id === left || suspicions.has(id) || directory.find(id) === undefined;
+    return new Set(upstreamIdsOf(this.path).filter(isLost));
+  }
+
   /** Gives the running attempt up and begins another where that is allowed. */
   private restart(cause: string): void {
-    if (!this.canRepeat) {
-      return;
-    }
-    if (!this.mayRepeat()) {
-      this.noteNotRestarted(cause);
+    if (!this.canRepeat || !this.mayRepeat()) {
       return;
     }
     this.attempt?.dispose();
@@ -401,22 +411,6 @@
     this.repeat(cause);
   }
 
-  /** Said once: a silent stream asks again and again. */
-  private noteNotRestarted(cause: string): void {
-    if (!this.hasNotedNoRestart) {
-      this.hasNotedNoRestart = true;
-      this.note('notRestarted', {cause, attempts: this.attempts});
-    }
-  }
-
-  private repeatOr(cause: string, status: 502 | 504): void {
-    if (this.canRepeat && this.mayRepeat()) {
-      this.repeat(cause);
-    } else {
-      this.fail(status, cause);
-    }
-  }
-
   private mayRepeat(): boolean {
     const {service} = this.admitted;
     return (
@@ -442,7 +436,7 @@
   private drop(): void {
     this.attempt?.dispose();
     this.attempt = undefined;
-    this.loadOfPath.dispose();
+    this.held.take([]);
   }
 }
 
--- a/src/features/forwarding/node/streamWatch.ts
+++ b/src/features/forwarding/node/streamWatch.ts
@@ -16,12 +16,17 @@
 /** Streams that fell silent together and share a single suspect prove it without a trial call. */
 const STREAMS_FOR_PROOF = 3;
 
+/** Time from the notice that an upstream leaves until streams are moved off it. */
+const LEAVING_MILLISECONDS = 600;
+
 /** A stream that can be moved off upstreams that are lost. */
 export abstract class WatchedStream {
   /** What is seen of it; undefined while nothing is awaited. */
   abstract get progress(): StreamProgress | undefined;
   /** An upstream on its path is held to be lost. */
   abstract leave(upstream: string): void;
+  /** An upstream on its path is leaving, and will end within seconds. */
+  abstract leaveInTime(upstream: string): void;
   /** It is silent although other streams flow through each upstream on its path. */
   abstract onSilence(milliseconds: number): void;
 }
@@ -29,6 +34,8 @@
 /** Watches the running streams for silence, and tells those on a path through a lost upstream. */
 export class StreamWatch extends DisposableOwner {
   private readonly streams = new Set<WatchedStream>();
+  /** Leaving upstreams whose streams will be told. */
+  private readonly leaving = new Set<string>();
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -41,6 +48,7 @@
     super();
     this.register(toDisposable(() => clearInterval(this.timer)));
     this.register(suspicions.onDidSuspect(suspicion => this.tell(suspicion)));
+    this.register(directory.onDidChange(() => this.tellLeaving()));
   }
 
   /** Watches a stream until disposed. */
@@ -58,7 +66,11 @@
     }
   }
 
-  private tell({upstream}: Suspicion): void {
+  private tell({upstream, reason}: Suspicion): void {
+    // One that refuses new work may well finish what it has.
+    if (reason === 'refusing') {
+      return;
+    }
     for (const stream of [...this.streams]) {
       if (stream.progress?.upstreams.includes(upstream)) {
         stream.leave(upstream);
@@ -66,6 +78,39 @@
     }
   }
 
+  /**
+   * Leaving upstreams go on for two seconds or more, and streams of usual length end in that time. After
+   * a part of it the others are moved, one by one instead of all when the upstream ends.
+   */
+  private tellLeaving(): void {
+    const leaving = new Set<string>();
+    for (const stream of this.streams) {
+      for (const id of stream.progress?.upstreams ?? []) {
+        if (this.directory.find(id)?.isLeaving) {
+          leaving.add(id);
+        }
+      }
+    }
+    for (const id of leaving) {
+      if (!this.leaving.has(id)) {
+        this.leaving.add(id);
+        const timer = this.clock.setTimer(LEAVING_MILLISECONDS, () => {
+          this.leaving.delete(id);
+          this.tellStreamsOn(id);
+        });
+        this.register(timer);
+      }
+    }
+  }
+
+  private tellStreamsOn(upstream: string): void {
+    for (const stream of [...this.streams]) {
+      if (stream.progress?.upstreams.includes(upstream)) {
+        stream.leaveInTime(upstream);
+      }
+    }
+  }
+
   private look(): void {
     const byRequest = new Map<string, WatchedStream>();
     const progress: StreamProgress[] = [];
--- a/src/features/forwarding/node/upstreamTrials.ts
+++ b/src/features/forwarding/node/upstreamTrials.ts
@@ -70,6 +70,15 @@
     return trial;
   }
 
+  /**
+   * Whether an upstream is still there. An answer that ends with its connection is whole only then: the
+   * connections of one that crashed end, too.
+   */
+  async isAlive(upstream: Upstream): Promise<boolean> {
+    const report = await this.ask(upstream, RETURN_TRIAL_MILLISECONDS);
+    return report !== undefined;
+  }
+
   private async ask(
     upstream: Upstream,
     milliseconds: number,
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -283,6 +283,30 @@
   });
 });
 
+describe('an answer that ends with its connection', () => {
+  it.each([
+    {target: '/unsafe/', isAlive: true, outcome: 'whole 200'},
+    {target: '/unsafe/', isAlive: false, outcome: 'own 502'},
+    {target: '/once/', isAlive: true, outcome: 'stream'},
+    {target: '/once/', isAlive: false, outcome: 'broken'},
+  ])(
+    'on $target is whole only if its upstream is there still: $isAlive',
+    async ({target, isAlive, outcome}) => {
+      const forwarding = bench();
+      const caller = await forwarding.send(target);
+      const {last} = forwarding.connector;
+      if (!isAlive) {
+        forwarding.control.dead.add(last.upstream.id);
+      }
+      last.head();
+      last.eventsOf(1, 2);
+      last.end(false);
+      await forwarding.settle();
+      expect(caller.outcome).toBe(outcome);
+    },
+  );
+});
+
 describe('any interleaving of faults', () => {
   const steps = fastCheck.array(
     fastCheck.constantFrom(
@@ -314,6 +338,11 @@
             break;
           }
           const sending = forwarding.connector.last;
+          if (sending.isOver) {
+            // It waits for a path.
+            await forwarding.pass(100);
+            continue;
+          }
           if (fault !== refuse && fault !== neverSend) {
             ran.push(sending.upstream.id);
           }
@@ -454,12 +483,52 @@
     expect(forwarding.suspicions.has(first!)).toBe(true);
   });
 
+  it('that has begun waits for a path instead of breaking off', async () => {
+    const forwarding = bench();
+    const caller = await forwarding.send('/stream/');
+    const first = forwarding.connector.last;
+    first.head();
+    first.eventsOf(1, 2);
+    for (const {id} of engines) {
+      forwarding.services.load.add(id, 10_000_000);
+    }
+    first.fail(true);
+    await forwarding.pass(500);
+    expect(caller.outcome).toBe('open');
+    for (const {id} of engines) {
+      forwarding.services.load.remove(id, 10_000_000);
+    }
+    await forwarding.pass(50);
+    const second = forwarding.connector.last;
+    second.head();
+    second.eventsOf(3, 3);
+    second.end();
+    expect(caller.outcome).toBe('stream');
+  });
+
+  it('is not taken off an upstream that only refuses new work', async () => {
+    const forwarding = bench();
+    await forwarding.send('/stream/');
+    const sending = forwarding.connector.last;
+    sending.head();
+    sending.eventsOf(1, 2);
+    for (const id of sending.added['hops'] as readonly string[]) {
+      forwarding.suspicions.suspect(id, 'refusing', {});
+    }
+    await forwarding.settle();
+    expect(sending.isClosed).toBe(false);
+    expect(forwarding.control.moves).toEqual([]);
+  });
+
   it('is refused with a time to come back when no path has room', async () => {
     const forwarding = bench();
     for (const {id} of engines) {
       forwarding.services.load.add(id, 10_000_000);
     }
     const caller = await forwarding.send('/stream/');
+    expect(caller.outcome).toBe('open');
+    // An eighth of its target.
+    await forwarding.pass(200 / 8 + 20);
     expect(caller.own).toMatchObject({kind: 'notRun', reason: 'noRoom'});
   });
 });
--- a/src/features/forwarding/test/forwardingBench.ts
+++ b/src/features/forwarding/test/forwardingBench.ts
@@ -109,6 +109,8 @@
 /** One sending that a test answers. */
 export class FakeSending extends UpstreamExchange {
   isClosed = false;
+  /** Whether the answer is over. */
+  isOver = false;
 
   constructor(
     readonly upstream: Upstream,
@@ -154,11 +156,13 @@
     }
   }
 
-  end(): void {
-    this.listener.onEnd();
+  end(isFramed = true): void {
+    this.isOver = true;
+    this.listener.onEnd(isFramed);
   }
 
   fail(wasSent: boolean): void {
+    this.isOver = true;
     this.listener.onFailure({wasSent, detail: 'reset'});
   }
 
