--- a/src/features/fleet/common/upstreamDirectory.ts
+++ b/src/features/fleet/common/upstreamDirectory.ts
@@ -1,14 +1,17 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Emitter} from '../../../base/common/event.js';
-import {DisposableOwner} from '../../../base/common/lifecycle.js';
+import {Disposable, DisposableOwner} from '../../../base/common/lifecycle.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {Upstream} from './upstream.js';
 
 /** Reads that are further apart than this had an outage of the list between them. */
 const OUTAGE_MILLISECONDS = 2_500;
 
-/** The list is complete again this long after an outage: two seconds by the platform's word, and some. */
-const RETURN_MILLISECONDS = 2_300;
+/**
+ * The list is complete again this long after an outage, by the platform's word. No longer: an upstream
+ * that left while only this instance could not read must get nothing new some seconds later.
+ */
+const RETURN_MILLISECONDS = 2_000;
 
 /** The upstreams that are listed, by service. */
 export class UpstreamDirectory extends DisposableOwner {
@@ -18,6 +21,8 @@
   private byAddress = new Map<string, Upstream>();
   private lastRead = -Infinity;
   private completeFrom = -Infinity;
+  private lastList: readonly Upstream[] = [];
+  private dropTimer: Disposable | undefined;
 
   /** Fires when an upstream came, left or changed. */
   readonly onDidChange = this.changed.event;
@@ -61,9 +66,17 @@
       this.completeFrom = now + RETURN_MILLISECONDS;
     }
     this.lastRead = now;
-    const next = new Map(list.map(upstream => [upstream.id, upstream]));
+    this.lastList = list;
+    this.apply(now);
+  }
+
+  private apply(now: number): void {
+    const next = new Map(
+      this.lastList.map(upstream => [upstream.id, upstream]),
+    );
     if (now < this.completeFrom) {
       this.keepMissing(next);
+      this.dropLater(this.completeFrom - now);
     }
     if (this.report(next)) {
       this.set(next);
@@ -81,6 +94,15 @@
     }
   }
 
+  /** Not left to the next reading, which may be a second away. */
+  private dropLater(milliseconds: number): void {
+    this.dropTimer?.dispose();
+    const timer = this.clock.setTimer(milliseconds, () =>
+      this.apply(this.clock.monotonicMilliseconds()),
+    );
+    this.dropTimer = this.register(timer);
+  }
+
   private set(next: Map<string, Upstream>): void {
     this.upstreams = next;
     this.byAddress = new Map();
--- a/src/features/fleet/test/fleet.test.ts
+++ b/src/features/fleet/test/fleet.test.ts
@@ -62,6 +62,18 @@
     expect([...ids].sort()).toEqual(expected);
   });
 
+  it('drops what an outage hid two seconds after it, without another reading', () => {
+    const clock = new FakeClock();
+    const directory = new UpstreamDirectory(clock, new SilentLogger());
+    directory.replace([one, two]);
+    clock.advance(8000);
+    directory.replace([two]);
+    clock.advance(1999);
+    expect(directory.find('one')).toBeDefined();
+    clock.advance(2);
+    expect(directory.find('one')).toBeUndefined();
+  });
+
   it('tells a leaving upstream from a ready one', () => {
     const clock = new FakeClock();
     const directory = new UpstreamDirectory(clock, new SilentLogger());
--- a/src/features/forwarding/node/resetWatch.ts
+++ b/src/features/forwarding/node/resetWatch.ts
@@ -28,10 +28,18 @@
   }
 
   private watchSocket(socket: Socket): void {
-    socket.on('error', () => {
-      // Listeners run in order and in one go: the client's own comes next.
-      this.resetting = true;
-      setImmediate(() => (this.resetting = false));
+    // Listeners run in order and in one go: the client's own comes next.
+    socket.on('error', () => this.noteReset());
+    socket.on('end', () => {
+      // A reset right behind data is told as a plain end, but then the connection has no peer any more.
+      if (socket.remoteAddress === undefined) {
+        this.noteReset();
+      }
     });
   }
+
+  private noteReset(): void {
+    this.resetting = true;
+    setImmediate(() => (this.resetting = false));
+  }
 }
--- a/src/features/forwarding/test/httpUpstreamExchange.test.ts
+++ b/src/features/forwarding/test/httpUpstreamExchange.test.ts
@@ -125,6 +125,15 @@
     outcome: 'lost',
     body: 'o',
   },
+  {
+    name: 'a reset at once behind an answer without length',
+    answer: socket => {
+      socket.write(`${HEAD}\r\no`);
+      socket.resetAndDestroy();
+    },
+    outcome: 'lost',
+    body: '',
+  },
   {
     name: 'an answer that is too short',
     answer: socket => socket.end(`${HEAD}Content-Length: 9\r\n\r\nok`),
