Confirmations keep pace with their limit; stand-ins of the platform, tests over real processes; wire names are linted

Cause: with a bound of 3 s for revoked keys an instance was unready between two calls for changes, which waited 2 s each (first run of the new process test). A call now waits for 0.4 of the limit at most.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,7 @@
 import gts from 'gts';
 
 import {layerRule} from './lint/layerRule.js';
+import {wireNamesRule} from './lint/wireNames.js';
 
 /** Google's rules by gts, then this repository's own: layers, no default exports. */
 
@@ -35,11 +36,14 @@
   },
   {
     files: ALL_FILES,
-    plugins: {layers: {rules: {order: layerRule}}},
+    plugins: {
+      layers: {rules: {order: layerRule, wireNames: wireNamesRule}},
+    },
     rules: {
       // `prettier --check` covers formatting of all files, these included.
       'prettier/prettier': 'off',
       'layers/order': 'error',
+      'layers/wireNames': 'error',
       'no-restricted-syntax': ['error', noInterfacePrefix, ...noDefaultExports],
       curly: 'error',
     },
--- /dev/null
+++ b/lint/wireNames.js
@@ -0,0 +1,93 @@
+/** An ESLint rule: the platform's names stand in `platform/` only. */
+
+/** Names that mean nothing else; plain words such as `Name` or `Service` are left aside. */
+const WIRE_NAMES = new Set([
+  'ActBytes',
+  'Addrs',
+  'ApiKeys',
+  'At-Server',
+  'BeatMs',
+  'ColdLeftMs',
+  'Deadline-Ms',
+  'Expect-Instance',
+  'GapTargetMs',
+  'GraceS',
+  'Hop-Count',
+  'KvCapacity',
+  'KvTokenBytes',
+  'LatencyTargetMs',
+  'LayerMb',
+  'Length-Hint',
+  'LoadS',
+  'MaxConns',
+  'Not-Run',
+  'PipeMbps',
+  'PortRange',
+  'Prefix-Hash',
+  'REDWINGROAD_BOOT',
+  'ReadX',
+  'Replica-Id',
+  'Request-Id',
+  'Request-Priority',
+  'RetrySlack',
+  'RevokeMs',
+  'Route-Stamp',
+  'TimeoutMs',
+  'Token-Count',
+  'TtlS',
+  'WaitMs',
+  'Weight-Versions',
+  'rows-feed',
+  'rows-get',
+  'rows-tx',
+  'step_ms',
+  'ttl_max_s',
+]);
+
+/** Headers and calls are found in any case. */
+const HYPHENATED_NAMES = new Set(
+  [...WIRE_NAMES]
+    .filter(name => name.includes('-'))
+    .map(name => name.toLowerCase()),
+);
+
+/** The listed name that a text is or holds, with a path's slashes and query left aside. */
+function findWireName(text) {
+  return text
+    .split(/[/?=&\s:,]+/)
+    .find(
+      word => WIRE_NAMES.has(word) || HYPHENATED_NAMES.has(word.toLowerCase()),
+    );
+}
+
+/** Checks texts and names of properties in files under `src`, tests included. */
+export const wireNamesRule = {
+  meta: {
+    type: 'problem',
+    messages: {
+      wireName: '{{name}} is a name of the platform: decode it in platform/.',
+    },
+    schema: [],
+  },
+  create(context) {
+    const file = context.filename.slice(context.cwd.length + 1);
+    if (!file.startsWith('src')) {
+      return {};
+    }
+    const check = (node, text) => {
+      const name = findWireName(text);
+      if (name !== undefined) {
+        context.report({node, messageId: 'wireName', data: {name}});
+      }
+    };
+    return {
+      Literal: node => {
+        if (typeof node.value === 'string') {
+          check(node, node.value);
+        }
+      },
+      TemplateElement: node => check(node, node.value.raw),
+      Identifier: node => check(node, node.name),
+    };
+  },
+};
--- a/src/features/traffic/common/configurationFollower.ts
+++ b/src/features/traffic/common/configurationFollower.ts
@@ -14,10 +14,16 @@
 } from './configurationSource.js';
 
 /**
- * How long one call waits for a change. Each answer confirms the configuration, so it is well under the
- * bound for revoked keys, so that one call may fail; longer calls would be cheaper.
+ * How long one call waits for a change at most: a connection that is dead without a sign shows only
+ * when the answer is overdue. Longer calls would be cheaper.
  */
-const WAIT_MILLISECONDS = 2_000;
+const WAIT_LIMIT_MILLISECONDS = 2_000;
+
+/**
+ * Part of the time for which a confirmation counts that one call waits. Each answer confirms the
+ * configuration as of its question, so two calls in a row must fit in.
+ */
+const WAIT_SHARE = 0.4;
 
 /** Pause after a failed call, and the longest after many; a lost source is found again within it. */
 const RETRY_MILLISECONDS = 100;
@@ -59,6 +65,11 @@
     }
   }
 
+  private get waitMilliseconds(): number {
+    const share = this.keeper.confirmationLimitMilliseconds * WAIT_SHARE;
+    return Math.min(WAIT_LIMIT_MILLISECONDS, Math.round(share));
+  }
+
   private next(
     token: CancellationToken,
   ): Promise<Result<ConfigurationReading, SourceError>> {
@@ -66,7 +77,7 @@
       ? this.configurations.read(token)
       : this.configurations.awaitChange(
           this.position,
-          WAIT_MILLISECONDS,
+          this.waitMilliseconds,
           token,
         );
   }
--- a/src/features/traffic/common/configurationKeeper.ts
+++ b/src/features/traffic/common/configurationKeeper.ts
@@ -33,7 +33,7 @@
     private readonly clock: Clock,
     private readonly logger: Logger,
     /** After this time without confirmation keys may have been revoked unnoticed. */
-    private readonly confirmationLimitMilliseconds: number,
+    readonly confirmationLimitMilliseconds: number,
   ) {
     super();
   }
--- a/test/lint/layerRule.test.ts
+++ b/test/lint/layerRule.test.ts
@@ -12,6 +12,7 @@
 }
 
 const LAYERS_RULE = 'layers/order';
+const NAMES_RULE = 'layers/wireNames';
 
 const cases: readonly Case[] = [
   {
@@ -20,6 +21,42 @@
     code: "export * from './result.js';",
     rule: undefined,
   },
+  {
+    name: 'the product must not import the adapter',
+    file: 'src/programs/router/a.ts',
+    code: "export * from '../../../platform/store.js';",
+    rule: LAYERS_RULE,
+  },
+  {
+    name: 'the adapter may import the product',
+    file: 'platform/a.ts',
+    code: "export * from '../src/programs/router/routerSettings.js';",
+    rule: undefined,
+  },
+  {
+    name: 'a header of the platform outside the adapter',
+    file: 'src/features/paths/common/a.ts',
+    code: "export const header = 'hop-count';",
+    rule: NAMES_RULE,
+  },
+  {
+    name: 'a field of the platform outside the adapter',
+    file: 'src/features/paths/common/a.ts',
+    code: 'export const settings = {RevokeMs: 5};',
+    rule: NAMES_RULE,
+  },
+  {
+    name: 'a call of the platform outside the adapter',
+    file: 'src/features/paths/common/a.ts',
+    code: 'export const path = (table: string) => `/rows-get?Table=${table}`;',
+    rule: NAMES_RULE,
+  },
+  {
+    name: 'a name of the platform in the adapter',
+    file: 'platform/a.ts',
+    code: "export const header = 'Hop-Count';",
+    rule: undefined,
+  },
   {
     name: 'base must not import infrastructure',
     file: 'src/base/common/a.ts',
--- /dev/null
+++ b/test/standins/fleet/layeredEngine.ts
@@ -0,0 +1,293 @@
+import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+
+import {Disposable} from '../../../src/base/common/lifecycle.js';
+import {parseAddress} from '../../../src/infrastructure/rpc/node/rpc.js';
+import {RowStore} from './rowStore.js';
+
+/** A small engine that holds a range of layers and speaks the users' published protocol. */
+
+/** Tokens go through a path in this time; an event holds one. */
+const EVENT_MILLISECONDS = 10;
+
+/** Time to load layers. */
+const LOAD_MILLISECONDS = 50;
+
+interface Range {
+  readonly From: number;
+  readonly To: number;
+}
+
+interface RunningStream {
+  path: readonly Hop[];
+}
+
+interface Hop extends Range {
+  readonly address: string;
+}
+
+/** What one engine did, for the verdicts of tests. */
+export interface EngineRun {
+  readonly requestId: string;
+  readonly firstEvent: number;
+  readonly account: string | undefined;
+}
+
+/** All engines of a model, so that a path through them can be followed. */
+export class EngineFleet implements Disposable {
+  readonly engines: LayeredEngine[] = [];
+
+  constructor(
+    readonly service: string,
+    readonly layerCount: number,
+    readonly events: number,
+    readonly store: RowStore,
+  ) {}
+
+  /** Starts an engine and lists it. */
+  async add(
+    id: string,
+    address: string,
+    zone: string,
+    kind: string,
+  ): Promise<LayeredEngine> {
+    const engine = new LayeredEngine(this, id, address, zone, kind);
+    this.engines.push(engine);
+    await engine.start();
+    return engine;
+  }
+
+  at(address: string): LayeredEngine | undefined {
+    return this.engines.find(
+      engine => engine.address === address && engine.isRunning,
+    );
+  }
+
+  dispose(): void {
+    this.engines.forEach(engine => engine.crash());
+  }
+}
+
+/** One engine. */
+export class LayeredEngine {
+  readonly runs: EngineRun[] = [];
+  private readonly running = new Map<string, RunningStream>();
+  private readonly server: Server;
+  private layers: Range | undefined;
+  private orders = 0;
+  private highestFence = 0;
+  isRunning = true;
+  /** Accepts connections and answers nothing. */
+  isDark = false;
+  isLeaving = false;
+
+  constructor(
+    private readonly fleet: EngineFleet,
+    readonly id: string,
+    readonly address: string,
+    private readonly zone: string,
+    private readonly kind: string,
+  ) {
+    this.server = createServer((request, response) => {
+      void this.serve(request, response);
+    });
+  }
+
+  async start(): Promise<void> {
+    const {host, port} = parseAddress(this.address);
+    await new Promise<void>(resolve =>
+      this.server.listen(port, host, () => resolve()),
+    );
+    this.list();
+  }
+
+  /** Ends at once, without a word. */
+  crash(): void {
+    this.isRunning = false;
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Says that it leaves. */
+  leave(): void {
+    this.isLeaving = true;
+    this.list();
+  }
+
+  /** Whether it can run its part of a path. */
+  holds({From, To}: Range): boolean {
+    const {layers} = this;
+    return layers !== undefined && layers.From <= From && To <= layers.To;
+  }
+
+  private list(): void {
+    this.fleet.store.put('servers', this.id, {
+      Service: this.fleet.service,
+      Addr: this.address,
+      Zone: this.zone,
+      Version: 'v1',
+      Slots: 100,
+      State: this.isLeaving ? 'draining' : 'ready',
+      ColdLeftMs: 0,
+      Kind: this.kind,
+      Layers: this.layers ?? null,
+      Models: [],
+      Seq: 1,
+    });
+  }
+
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await readBody(request);
+    if (this.isDark) {
+      return;
+    }
+    const expected = request.headers['expect-instance'];
+    if (expected !== undefined && expected !== this.id) {
+      send(response, 421, {'not-run': '1'}, {});
+      return;
+    }
+    if (request.url === '/report') {
+      const {orders: Seq, layers} = this;
+      send(
+        response,
+        200,
+        {},
+        {Seq, Busy: false, pace: 1, Layers: layers ?? null, Stalled: []},
+      );
+    } else if (request.url === '/order') {
+      this.order(
+        JSON.parse(body) as Readonly<Record<string, unknown>>,
+        response,
+      );
+    } else {
+      this.stream(request, response);
+    }
+  }
+
+  private order(
+    order: Readonly<Record<string, unknown>>,
+    response: ServerResponse,
+  ): void {
+    if (order['Op'] === 'repath') {
+      const stream = this.running.get(String(order['Id']));
+      if (stream !== undefined) {
+        stream.path = parsePath(String(order['Path']));
+      }
+      send(response, stream === undefined ? 404 : 200, {}, {});
+      return;
+    }
+    const fence = Number(order['Fence'] ?? 0);
+    if (fence < this.highestFence) {
+      send(response, 412, {}, {});
+      return;
+    }
+    this.highestFence = fence;
+    if (order['Expected'] !== undefined && order['Expected'] !== this.orders) {
+      send(response, 409, {}, {});
+      return;
+    }
+    this.orders++;
+    send(response, 202, {}, {});
+    setTimeout(() => {
+      this.layers = {From: Number(order['From']), To: Number(order['To'])};
+      this.list();
+    }, LOAD_MILLISECONDS);
+  }
+
+  private stream(request: IncomingMessage, response: ServerResponse): void {
+    const id = String(request.headers['request-id']);
+    const path = parsePath(String(request.headers['hop-count'] ?? ''));
+    const faulty = this.findFaulty(path);
+    if (faulty !== undefined) {
+      const headers = {'not-run': '1', 'at-server': faulty, 'request-id': id};
+      send(response, 503, headers, {});
+      return;
+    }
+    const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+    const account = request.headers['tenant'];
+    this.runs.push({
+      requestId: id,
+      firstEvent: first,
+      account: account?.toString(),
+    });
+    response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'request-id': id,
+      'route-stamp': `${this.id}.${id}`,
+    });
+    const stream: RunningStream = {path};
+    this.running.set(id, stream);
+    this.produce(stream, response, first);
+    response.on('close', () => this.running.delete(id));
+  }
+
+  /** Makes an event each few milliseconds while the whole path is sound. */
+  private produce(
+    stream: RunningStream,
+    response: ServerResponse,
+    first: number,
+  ): void {
+    let event = first;
+    const timer = setInterval(() => {
+      if (!this.isRunning || response.destroyed) {
+        clearInterval(timer);
+        return;
+      }
+      if (this.isDark || this.findFaulty(stream.path) !== undefined) {
+        return;
+      }
+      response.write(`id: ${event}\ndata: piece ${event}\n\n`);
+      if (event === this.fleet.events) {
+        clearInterval(timer);
+        response.end();
+      }
+      event++;
+    }, EVENT_MILLISECONDS);
+  }
+
+  /** The address of the first upstream of a path that can't run its part, or of this one when the path is not whole. */
+  private findFaulty(path: readonly Hop[]): string | undefined {
+    let layer = 0;
+    for (const hop of path) {
+      const engine = this.fleet.at(hop.address);
+      if (
+        hop.From !== layer ||
+        engine === undefined ||
+        engine.isDark ||
+        !engine.holds(hop)
+      ) {
+        return hop.address;
+      }
+      layer = hop.To;
+    }
+    return layer === this.fleet.layerCount ? undefined : this.address;
+  }
+}
+
+function parsePath(text: string): readonly Hop[] {
+  return text.split(',').map(entry => {
+    const [address = '', range = ''] = entry.split('=');
+    const [from, to] = range.split('-').map(Number);
+    return {address, From: from ?? 0, To: to ?? 0};
+  });
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+function send(
+  response: ServerResponse,
+  status: number,
+  headers: Readonly<Record<string, string>>,
+  body: unknown,
+): void {
+  response.writeHead(status, {'content-type': 'application/json', ...headers});
+  response.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/test/standins/fleet/plainReplica.ts
@@ -0,0 +1,78 @@
+import {createServer, Server} from 'node:http';
+
+import {Disposable} from '../../../src/base/common/lifecycle.js';
+import {parseAddress} from '../../../src/infrastructure/rpc/node/rpc.js';
+import {RowStore} from './rowStore.js';
+
+/** A request as a replica of a plain service saw it. */
+export interface PlainRun {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: readonly string[];
+  readonly body: string;
+}
+
+/** A replica of a plain service. */
+export class PlainReplica implements Disposable {
+  readonly runs: PlainRun[] = [];
+  private readonly server: Server;
+  /** What it does with the next requests. */
+  behaviour: 'answer' | 'fail' | 'refuse' | 'mute' = 'answer';
+
+  constructor(
+    private readonly store: RowStore,
+    private readonly service: string,
+    readonly id: string,
+    readonly address: string,
+    private readonly zone: string,
+  ) {
+    this.server = createServer((request, response) => {
+      const chunks: Buffer[] = [];
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.on('end', () => {
+        const id = String(request.headers['request-id']);
+        if (this.behaviour === 'refuse') {
+          response.writeHead(503, {'not-run': '1', 'request-id': id}).end();
+          return;
+        }
+        this.runs.push({
+          method: request.method ?? '',
+          target: request.url ?? '',
+          headers: request.rawHeaders,
+          body: Buffer.concat(chunks).toString('utf8'),
+        });
+        if (this.behaviour === 'mute') {
+          return;
+        }
+        const status = this.behaviour === 'fail' ? 500 : 200;
+        const headers = {'request-id': id, 'route-stamp': `${this.id}.${id}`};
+        response.writeHead(status, headers).end(`${this.id} did ${id}`);
+      });
+    });
+  }
+
+  async start(): Promise<void> {
+    const {host, port} = parseAddress(this.address);
+    await new Promise<void>(resolve =>
+      this.server.listen(port, host, () => resolve()),
+    );
+    this.list('ready');
+  }
+
+  /** Says what it is. */
+  list(state: 'ready' | 'draining'): void {
+    this.store.put('servers', this.id, {
+      Service: this.service,
+      Addr: this.address,
+      Zone: this.zone,
+      Slots: 6,
+      State: state,
+      Seq: 1,
+    });
+  }
+
+  dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/test/standins/fleet/system.ts
@@ -0,0 +1,301 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {
+  Disposable,
+  DisposableStore,
+  toDisposable,
+} from '../../../src/base/common/lifecycle.js';
+import {
+  ManagedProcess,
+  ProcessSupervisor,
+} from '../../support/managedProcess.js';
+import {freeAddresses} from '../../support/ports.js';
+import {sleep} from '../../support/sleep.js';
+import {EngineFleet} from './layeredEngine.js';
+import {PlainReplica} from './plainReplica.js';
+import {RowStore} from './rowStore.js';
+
+/** Router instances as separate processes before stand-ins of everything that they speak to. */
+
+const LAYERS = 12;
+const EVENTS = 30;
+const START_MILLISECONDS = 20_000;
+const STOP_SECONDS = 4;
+
+/** One router instance. */
+export interface RouterInstance {
+  readonly name: string;
+  readonly callers: string;
+  readonly readiness: string;
+  readonly directory: string;
+  readonly process: ManagedProcess;
+}
+
+/** The key of the account that may call. */
+export const KEY = 'good-key';
+
+/** The operators' configuration. */
+export function makeManifest(
+  version: number,
+  fields: Readonly<Record<string, unknown>> = {},
+) {
+  const route = {
+    Host: 'host.example',
+    Attempts: 2,
+    Priority: 1,
+    Public: false,
+    TimeoutMs: 3000,
+    LatencyTargetMs: 500,
+  };
+  return {
+    Version: version,
+    Routes: [
+      {
+        ...route,
+        Name: 'chat',
+        Prefix: '/chat/',
+        Kind: 'stream',
+        Service: 'model',
+        Resumable: true,
+        GapTargetMs: 200,
+        TimeoutMs: 10_000,
+      },
+      {
+        ...route,
+        Name: 'book',
+        Prefix: '/book/',
+        Kind: 'unsafe',
+        Service: 'plain',
+        Attempts: 1,
+      },
+      {
+        ...route,
+        Name: 'look',
+        Prefix: '/look/',
+        Kind: 'safe',
+        Service: 'plain',
+      },
+      {
+        ...route,
+        Name: 'open',
+        Prefix: '/open/',
+        Kind: 'safe',
+        Service: 'plain',
+        Public: true,
+      },
+    ],
+    Services: [
+      {
+        Name: 'model',
+        MaxConns: 1000,
+        Engine: {
+          Slots: 100,
+          KvCapacity: 60_000,
+          KvTokenBytes: 600_000,
+          step_ms: 1,
+          read_per_s: 250_000,
+          report_lag_ms: 200,
+          usual: {prompt: 700, answer: 150},
+          Models: [{Name: 'm', LoadS: 1}],
+          delays: [],
+          Layers: LAYERS,
+          LayerMb: 1000,
+          ActBytes: 30_000,
+          PipeMbps: 9000,
+          Kinds: [
+            {Name: 'big', Mb: 12_000, pace: 3, ReadX: 3},
+            {Name: 'small', Mb: 6_000, pace: 15, ReadX: 10},
+          ],
+        },
+      },
+      {Name: 'plain', MaxConns: 100},
+    ],
+    Limits: {
+      MaxHeaderBytes: 16_384,
+      MaxBodyBytes: 100_000,
+      HeaderTimeoutMs: 3000,
+      IdleTimeoutMs: 15_000,
+    },
+    Tenants: [{Name: 'account-1', ApiKeys: [KEY]}],
+    ...fields,
+  };
+}
+
+/** A store, a model on six engines in two data centres, a plain service and some router instances. */
+export class StandInSystem implements Disposable {
+  private readonly owned = new DisposableStore();
+  private readonly directory = mkdtempSync(join(tmpdir(), 'redwing-router-'));
+  private readonly supervisor = new ProcessSupervisor(this.directory);
+  readonly instances: RouterInstance[] = [];
+  readonly plain: PlainReplica[] = [];
+  readonly store: RowStore;
+  readonly engines: EngineFleet;
+
+  private constructor(private readonly addresses: string[]) {
+    this.store = this.owned.add(new RowStore(this.take()));
+    this.engines = this.owned.add(
+      new EngineFleet('model', LAYERS, EVENTS, this.store),
+    );
+  }
+
+  /** Starts everything; resolves when all layers are held and every instance is ready. */
+  static async start(instanceCount: number): Promise<StandInSystem> {
+    const addresses = await freeAddresses(60);
+    const system = new StandInSystem([...addresses]);
+    await system.startAll(instanceCount);
+    return system;
+  }
+
+  async stop(): Promise<void> {
+    await this.supervisor.dispose();
+    this.dispose();
+  }
+
+  dispose(): void {
+    this.owned.dispose();
+    rmSync(this.directory, {recursive: true, force: true});
+  }
+
+  /** Starts one more instance. */
+  startInstance(zone: string): RouterInstance {
+    const index = this.instances.length + 1;
+    const name = `instance-${index}`;
+    // Each has an address of its own, since all use the same port for metrics.
+    const ip = `127.0.7.${index}`;
+    const port = (): number => Number(this.take().split(':')[1]);
+    const listen = {
+      Front: `${ip}:${port()}`,
+      Ready: `${ip}:${port()}`,
+      Directory: `${ip}:${port()}`,
+    };
+    const file = join(this.directory, `${name}.json`);
+    const peers = port();
+    const settings = {
+      Node: name,
+      Ip: ip,
+      Zone: zone,
+      Region: 'region',
+      PortRange: [peers, peers],
+      Listen: listen,
+      Limits: {MaxFds: 4000},
+      Platform: {Addr: this.store.address},
+      Bounds: {
+        StrictRevoke: true,
+        RevokeMs: 3000,
+        GraceS: STOP_SECONDS,
+        RetryRatio: 0.2,
+        RetrySlack: 200,
+        BudgetWindowS: 10,
+        ttl_max_s: 5,
+        unknown: 1,
+      },
+      Unknown: {field: true},
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    const started = this.supervisor.start(name, 'platform/main.js', file);
+    const instance = {
+      name,
+      callers: listen.Front,
+      readiness: listen.Ready,
+      directory: listen.Directory,
+      process: started,
+    };
+    this.instances.push(instance);
+    return instance;
+  }
+
+  /** Asks an instance's directory. */
+  async resolve(
+    instance: RouterInstance,
+    zone: string,
+  ): Promise<readonly string[]> {
+    const answer = await fetch(
+      `http://${instance.directory}/resolve?Name=host.example&Region=region&Zone=${zone}`,
+    );
+    const body = (await answer.json()) as {Addrs?: readonly string[]};
+    return body.Addrs ?? [];
+  }
+
+  async isReady(instance: RouterInstance): Promise<boolean> {
+    try {
+      return (
+        (await fetch(`http://${instance.readiness}/readyz`)).status === 200
+      );
+    } catch {
+      return false;
+    }
+  }
+
+  private async startAll(instanceCount: number): Promise<void> {
+    await this.store.start();
+    this.store.put('op', 'config', makeManifest(1));
+    for (const zone of ['north', 'south']) {
+      for (const [index, kind] of [
+        'big',
+        'small',
+        'small',
+        'small',
+      ].entries()) {
+        await this.engines.add(`${zone}-${index}`, this.take(), zone, kind);
+      }
+      const replica = new PlainReplica(
+        this.store,
+        'plain',
+        `plain-${zone}`,
+        this.take(),
+        zone,
+      );
+      this.plain.push(this.owned.add(replica));
+      await replica.start();
+    }
+    for (let index = 0; index < instanceCount; index++) {
+      this.startInstance(index % 2 === 0 ? 'north' : 'south');
+    }
+    await waitFor(
+      () => this.isWhole(),
+      START_MILLISECONDS,
+      () => this.supervisor.tails(),
+    );
+    this.owned.add(toDisposable(() => undefined));
+  }
+
+  private async isWhole(): Promise<boolean> {
+    const ready = await Promise.all(
+      this.instances.map(instance => this.isReady(instance)),
+    );
+    if (!ready.every(Boolean)) {
+      return false;
+    }
+    const layers = [...Array(LAYERS).keys()];
+    return layers.every(layer =>
+      this.engines.engines.some(engine =>
+        engine.holds({From: layer, To: layer + 1}),
+      ),
+    );
+  }
+
+  private take(): string {
+    const address = this.addresses.shift();
+    if (address === undefined) {
+      throw new Error('no address is left');
+    }
+    return address;
+  }
+}
+
+/** Waits until something holds; fails with a text after a time. */
+export async function waitFor(
+  condition: () => boolean | Promise<boolean>,
+  milliseconds: number,
+  describe: () => string = () => 'it did not come about',
+): Promise<void> {
+  const end = performance.now() + milliseconds;
+  while (!(await condition())) {
+    if (performance.now() > end) {
+      throw new Error(describe());
+    }
+    await sleep(50);
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -15,7 +15,7 @@
         extends: true,
         test: {
           name: 'parts',
-          include: ['src/**/test/**/*.test.ts'],
+          include: ['src/**/test/**/*.test.ts', 'platform/test/**/*.test.ts'],
           maxWorkers: 4,
           sequence: {groupOrder: 1},
         },
