Streams that could not leave a lost upstream try again; an even spread; slow upstreams are noticed and left

Upstreams that were twelve times slow for 9 s went unnoticed: nobody asked. Change: silent streams on lost upstreams try at every look; a move that crosses is made when no repeat is left; repeats are kept for streams that have begun; load counts five times at full memory; every report tells how slow an upstream is, and is asked for when a stream is slower than its path explains; the lease's row is not read while a peer says that it holds it.

--- a/src/features/fleet/common/suspicions.ts
+++ b/src/features/fleet/common/suspicions.ts
@@ -109,6 +109,12 @@
     return this.suspected.has(upstream);
   }
 
+  /** Whether an upstream is held to be lost for what it runs, too; one that refuses may well finish that. */
+  isLost(upstream: string): boolean {
+    const suspicion = this.suspected.get(upstream);
+    return suspicion !== undefined && suspicion.reason !== 'refusing';
+  }
+
   /** All suspicions. */
   get all(): readonly Suspicion[] {
     return [...this.suspected.values()];
--- a/src/features/fleet/common/upstreamDirectory.ts
+++ b/src/features/fleet/common/upstreamDirectory.ts
@@ -34,6 +34,11 @@
     super();
   }
 
+  override dispose(): void {
+    this.dropTimer?.dispose();
+    super.dispose();
+  }
+
   /** All upstreams of a service, leaving ones included. */
   ofService(service: string): readonly Upstream[] {
     return this.byService.get(service) ?? [];
@@ -97,10 +102,9 @@
   /** Not left to the next reading, which may be a second away. */
   private dropLater(milliseconds: number): void {
     this.dropTimer?.dispose();
-    const timer = this.clock.setTimer(milliseconds, () =>
+    this.dropTimer = this.clock.setTimer(milliseconds, () =>
       this.apply(this.clock.monotonicMilliseconds()),
     );
-    this.dropTimer = this.register(timer);
   }
 
   private set(next: Map<string, Upstream>): void {
--- a/src/features/forwarding/common/retryBudget.ts
+++ b/src/features/forwarding/common/retryBudget.ts
@@ -15,7 +15,17 @@
  * Part of an instance's share that is used: windows of the instances do not begin together, and an
  * instance that was restarted does not know what it sent before.
  */
-const USED_SHARE = 0.7;
+const USED_SHARE = 0.85;
+
+/** What a repeat is for. */
+export type RepeatNeed =
+  /** A stream whose caller has events already: all of them are lost without it. */
+  | 'begun'
+  /** A request that was refused, failed or is only slow: its caller can come back. */
+  | 'first';
+
+/** Part of the allowance that is kept for streams that have begun. */
+const KEPT_SHARE = 0.3;
 
 /** Events of one window. */
 class SlidingCount {
@@ -65,26 +75,29 @@
   }
 
   /** Takes one repeat from the budget; false when there is none left. */
-  take(service: string): boolean {
+  take(service: string, need: RepeatNeed): boolean {
     const counts = this.countsOf(service);
-    if (this.leftFor(counts) < 1) {
+    const allowance = this.allowanceFor(counts);
+    const kept = need === 'begun' ? 0 : allowance * KEPT_SHARE;
+    if (allowance - kept - this.usedOf(counts) < 1) {
       return false;
     }
     counts.repeats.add(this.now());
     return true;
   }
 
-  /** Repeats that are left to this instance for a service. */
-  left(service: string): number {
-    return this.leftFor(this.countsOf(service));
+  private allowanceFor({requests}: ServiceCounts): number {
+    const {ratio, slack} = this.settings;
+    const share = slack / Math.max(1, this.instanceCount());
+    return (ratio * requests.since(this.windowStart) + share) * USED_SHARE;
+  }
+
+  private usedOf({repeats}: ServiceCounts): number {
+    return repeats.since(this.windowStart);
   }
 
-  private leftFor({requests, repeats}: ServiceCounts): number {
-    const {ratio, slack, windowMilliseconds} = this.settings;
-    const from = this.now() - windowMilliseconds;
-    const share = slack / Math.max(1, this.instanceCount());
-    const allowance = (ratio * requests.since(from) + share) * USED_SHARE;
-    return allowance - repeats.since(from);
+  private get windowStart(): number {
+    return this.now() - this.settings.windowMilliseconds;
   }
 
   private countsOf(service: string): ServiceCounts {
--- a/src/features/forwarding/common/silence.ts
+++ b/src/features/forwarding/common/silence.ts
@@ -10,6 +10,8 @@
   readonly hasBegun: boolean;
   /** Usual milliseconds between two events. */
   readonly usualGapMilliseconds: number;
+  /** What its path should need between two events. */
+  readonly expectedGapMilliseconds: number;
 }
 
 /** A stream that is silent, and the upstreams that may be the cause. */
@@ -32,6 +34,18 @@
 /** Streams that have not begun wait for room and for the prompt to be read; only a long wait says something. */
 const BEGIN_SILENCE_MILLISECONDS = 350;
 
+/** A stream whose gaps are this much longer than its path should need runs on a slow upstream, or a crowded one. */
+const SLOW_FACTOR = 2;
+
+/** Whether a stream is slower than its path explains. */
+export function isSlow(stream: StreamProgress): boolean {
+  const {usualGapMilliseconds, expectedGapMilliseconds} = stream;
+  return (
+    stream.hasBegun &&
+    usualGapMilliseconds > SLOW_FACTOR * expectedGapMilliseconds
+  );
+}
+
 /** How long a stream may be silent before it is looked into. */
 export function silenceLimit(stream: StreamProgress): number {
   return stream.hasBegun
--- a/src/features/forwarding/node/pathChooser.ts
+++ b/src/features/forwarding/node/pathChooser.ts
@@ -44,7 +44,10 @@
       to: path[last]!.range.to,
     };
     const answer = findPath({
-      ...this.question(span, upstream => !keptIds.has(upstream.id)),
+      ...this.question(
+        span,
+        upstream => !keptIds.has(upstream.id) && !lost.has(upstream.id),
+      ),
       enteringFrom: before.upstream.dataCentre,
       leavingTo: after?.upstream.dataCentre,
     });
--- a/src/features/forwarding/node/plainRun.ts
+++ b/src/features/forwarding/node/plainRun.ts
@@ -209,7 +209,7 @@
       this.running.size === 1 &&
       this.attempts < this.admitted.route.attemptLimit &&
       this.choose() !== undefined &&
-      this.services.budget.take(this.admitted.service);
+      this.services.budget.take(this.admitted.service, 'first');
     if (mayRepeat) {
       this.attempt('slow');
     }
@@ -232,7 +232,7 @@
       this.hasTime &&
       this.attempts < Math.max(route.attemptLimit, 1) &&
       this.choose() !== undefined &&
-      (isFree || this.services.budget.take(service));
+      (isFree || this.services.budget.take(service, 'first'));
     if (mayRepeat) {
       this.attempt(cause);
     } else {
--- a/src/features/forwarding/node/streamRun.ts
+++ b/src/features/forwarding/node/streamRun.ts
@@ -6,6 +6,7 @@
   Path,
   upstreamIdsOf,
 } from '../../paths/common/path.js';
+import {tokenMilliseconds} from '../../paths/common/pathCost.js';
 import {PathAnswer} from '../../paths/common/pathSearch.js';
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {AnswerHead, CallerExchange} from '../common/callerExchange.js';
@@ -25,6 +26,9 @@
 /** Attempts beyond this are not made whatever the budget says: a stream that broke so often is unlucky or harmful. */
 const ATTEMPT_LIMIT = 10;
 
+/** Events usually hold up to two tokens; with fewer the expected gap is too long, which only delays a look. */
+const TOKENS_PER_EVENT = 2;
+
 /** How often a stream that waits for a path looks again. */
 const LOOK_AGAIN_MILLISECONDS = 20;
 
@@ -47,6 +51,8 @@
   private mayHaveRun = false;
   private isMoving = false;
   private hasNotedWait = false;
+  private hasNotedNoRestart = false;
+  private expectedGap = 0;
 
   constructor(
     services: ForwardingServices,
@@ -102,6 +108,7 @@
       lastProgressAt: Math.max(this.sentAt, this.pauses.lastProgressAt),
       hasBegun: this.attempt.hasEvents,
       usualGapMilliseconds: this.pauses.usualGap,
+      expectedGapMilliseconds: this.expectedGap,
     };
   }
 
@@ -110,18 +117,19 @@
       return;
     }
     const isFirst = this.path[0]?.upstream.id === upstream;
-    if (!isFirst && this.attempt.hasEvents) {
-      void this.move(upstream);
-    } else {
+    if (isFirst || !this.attempt.hasEvents) {
       this.restart('upstreamLost');
+    } else {
+      void this.move(upstream, true);
     }
   }
 
   leaveInTime(upstream: string): void {
     const isFirst = this.path[0]?.upstream.id === upstream;
     // The end of its first upstream shows at once on the connection; moving off it would not be faster.
-    if (!isFirst && this.attempt?.hasEvents) {
-      this.leave(upstream);
+    const canMove = !isFirst && !this.isMoving && this.attempt?.hasEvents;
+    if (canMove && !this.isDone) {
+      void this.move(upstream, false);
     }
   }
 
@@ -150,7 +158,7 @@
       return;
     }
     this.attempts++;
-    this.held.take(answer.path);
+    this.take(answer.path);
     this.note('pathChosen', {
       cause,
       path: formatPath(answer.path),
@@ -198,6 +206,11 @@
     );
   }
 
+  private take(path: Path): void {
+    this.held.take(path);
+    this.expectedGap = TOKENS_PER_EVENT * tokenMilliseconds(this.engine, path);
+  }
+
   private missingReason(): NotRunReason {
     const {directory} = this.services;
     const listed = directory.ofService(this.admitted.service);
@@ -350,19 +363,27 @@
     return part?.upstream;
   }
 
-  /** Moves the running stream off lost upstreams, so that the others keep what they have read. */
-  private async move(left: string): Promise<void> {
+  /**
+   * Moves the running stream off upstreams, so that the others keep what they have read.
+   * @param isUrgent whether the stream can't go on where it is
+   */
+  private async move(left: string, isUrgent: boolean): Promise<void> {
     const {control, settings} = this.services;
     const lost = this.lostOnPath(left);
     const [first] = this.path;
     const answer = this.chooser.without(this.path, lost);
-    // A path that crosses more often would carry all tokens so far across again: reading them anew in
-    // one data centre takes less time.
-    const isWorthIt =
+    // A path that crosses more often carries all tokens so far across again: reading them anew in one
+    // data centre takes less time, if the budget allows it.
+    const crossesMore =
       answer.kind === 'found' &&
-      (!this.canRepeat || crossingsOf(answer.path) <= crossingsOf(this.path));
-    if (!isWorthIt || first === undefined) {
-      this.restart('upstreamLost');
+      crossingsOf(answer.path) > crossingsOf(this.path);
+    if (answer.kind !== 'found' || crossesMore) {
+      const isGone = isUrgent && this.restart('upstreamLost');
+      if (isGone || !isUrgent || answer.kind !== 'found') {
+        return;
+      }
+    }
+    if (first === undefined) {
       return;
     }
     this.isMoving = true;
@@ -387,7 +408,7 @@
     }
     if (moved.ok) {
       this.services.metrics.noteRepeat('moved');
-      this.held.take(path);
+      this.take(path);
     } else if (this.pauses.events === events) {
       this.restart('notMoved');
     }
@@ -396,19 +417,32 @@
   private lostOnPath(left: string): ReadonlySet<string> {
     const {directory, suspicions} = this.services;
     const isLost = (id: string): boolean =>
-      id === left || suspicions.has(id) || directory.find(id) === undefined;
+      id === left || suspicions.isLost(id) || directory.find(id) === undefined;
     return new Set(upstreamIdsOf(this.path).filter(isLost));
   }
 
-  /** Gives the running attempt up and begins another where that is allowed. */
-  private restart(cause: string): void {
-    if (!this.canRepeat || !this.mayRepeat()) {
-      return;
+  /** Gives the running attempt up and begins another where that is allowed; answers whether it did. */
+  private restart(cause: string): boolean {
+    if (!this.canRepeat) {
+      return false;
+    }
+    if (!this.mayRepeat()) {
+      this.noteNotRestarted(cause);
+      return false;
     }
     this.attempt?.dispose();
     this.attempt = undefined;
     this.mayHaveRun = true;
     this.repeat(cause);
+    return true;
+  }
+
+  /** Said once: a silent stream asks again and again. */
+  private noteNotRestarted(cause: string): void {
+    if (!this.hasNotedNoRestart) {
+      this.hasNotedNoRestart = true;
+      this.note('notRestarted', {cause, attempts: this.attempts});
+    }
   }
 
   private mayRepeat(): boolean {
@@ -416,7 +450,10 @@
     return (
       this.hasTime &&
       this.attempts < ATTEMPT_LIMIT &&
-      this.services.budget.take(service)
+      this.services.budget.take(
+        service,
+        this.exchange.hasBegun ? 'begun' : 'first',
+      )
     );
   }
 
--- a/src/features/forwarding/node/streamWatch.ts
+++ b/src/features/forwarding/node/streamWatch.ts
@@ -4,9 +4,11 @@
   toDisposable,
 } from '../../../base/common/lifecycle.js';
 import {Suspicion, Suspicions} from '../../fleet/common/suspicions.js';
+import {Slowness} from '../../fleet/common/slowness.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {
   findSilentStreams,
+  isSlow,
   SilentStream,
   StreamProgress,
 } from '../common/silence.js';
@@ -19,13 +21,16 @@
 /** Time from the notice that an upstream leaves until streams are moved off it. */
 const LEAVING_MILLISECONDS = 600;
 
+/** A report says how slow an upstream is for this long. */
+const SLOW_MILLISECONDS = 1_500;
+
 /** A stream that can be moved off upstreams that are lost. */
 export abstract class WatchedStream {
   /** What is seen of it; undefined while nothing is awaited. */
   abstract get progress(): StreamProgress | undefined;
   /** An upstream on its path is held to be lost. */
   abstract leave(upstream: string): void;
-  /** An upstream on its path is leaving, and will end within seconds. */
+  /** An upstream on its path is leaving, or slow: to be left where another can take its part. */
   abstract leaveInTime(upstream: string): void;
   /** It is silent although other streams flow through each upstream on its path. */
   abstract onSilence(milliseconds: number): void;
@@ -36,36 +41,45 @@
   private readonly streams = new Set<WatchedStream>();
   /** Leaving upstreams whose streams will be told. */
   private readonly leaving = new Set<string>();
-  private timer: NodeJS.Timeout | undefined;
+  private timer: Disposable | undefined;
 
   constructor(
     private readonly clock: Clock,
     private readonly directory: UpstreamDirectory,
     private readonly suspicions: Suspicions,
+    slowness: Slowness,
     private readonly trials: UpstreamTrials,
     private readonly periodMilliseconds: number,
   ) {
     super();
-    this.register(toDisposable(() => clearInterval(this.timer)));
+    this.register(toDisposable(() => this.timer?.dispose()));
     this.register(suspicions.onDidSuspect(suspicion => this.tell(suspicion)));
     this.register(directory.onDidChange(() => this.tellLeaving()));
+    this.register(slowness.onDidSlow(id => this.tellStreamsOn(id)));
   }
 
   /** Watches a stream until disposed. */
   add(stream: WatchedStream): Disposable {
     this.streams.add(stream);
-    this.timer ??= setInterval(() => this.look(), this.periodMilliseconds);
+    this.timer ??= this.schedule();
     return toDisposable(() => this.remove(stream));
   }
 
   private remove(stream: WatchedStream): void {
     this.streams.delete(stream);
     if (this.streams.size === 0) {
-      clearInterval(this.timer);
+      this.timer?.dispose();
       this.timer = undefined;
     }
   }
 
+  private schedule(): Disposable {
+    return this.clock.setTimer(this.periodMilliseconds, () => {
+      this.timer = this.schedule();
+      this.look();
+    });
+  }
+
   private tell({upstream, reason}: Suspicion): void {
     // One that refuses new work may well finish what it has.
     if (reason === 'refusing') {
@@ -94,11 +108,10 @@
     for (const id of leaving) {
       if (!this.leaving.has(id)) {
         this.leaving.add(id);
-        const timer = this.clock.setTimer(LEAVING_MILLISECONDS, () => {
+        this.clock.setTimer(LEAVING_MILLISECONDS, () => {
           this.leaving.delete(id);
           this.tellStreamsOn(id);
         });
-        this.register(timer);
       }
     }
   }
@@ -121,6 +134,7 @@
         byRequest.set(seen.requestId, stream);
       }
     }
+    this.lookIntoSlow(progress);
     const silent = findSilentStreams(
       progress,
       this.clock.monotonicMilliseconds(),
@@ -128,12 +142,37 @@
     const proven = this.findProven(silent);
     for (const stream of silent) {
       this.lookInto(stream, proven);
+      this.leaveLost(byRequest.get(stream.requestId));
       if (stream.suspects.length === 0) {
         byRequest.get(stream.requestId)?.onSilence(stream.silentMilliseconds);
       }
     }
   }
 
+  /** Asks what slow streams run on; a report says how slow an upstream is. */
+  private lookIntoSlow(streams: readonly StreamProgress[]): void {
+    for (const stream of streams.filter(isSlow)) {
+      for (const id of stream.upstreams) {
+        const upstream = this.directory.find(id);
+        const isKnown = this.trials.hasAnsweredWithin(id, SLOW_MILLISECONDS);
+        if (upstream !== undefined && !isKnown) {
+          const {requestId: request, usualGapMilliseconds: gap} = stream;
+          void this.trials.try(upstream, 'silent', {request, gap});
+        }
+      }
+    }
+  }
+
+  /** A stream that could not leave a lost upstream at once, for want of budget or room, tries again. */
+  private leaveLost(stream: WatchedStream | undefined): void {
+    const lost = stream?.progress?.upstreams.find(id =>
+      this.suspicions.isLost(id),
+    );
+    if (lost !== undefined) {
+      stream?.leave(lost);
+    }
+  }
+
   /** The only suspect of several streams that fell silent. */
   private findProven(silent: readonly SilentStream[]): string | undefined {
     const [first] = silent;
--- a/src/features/forwarding/node/upstreamTrials.ts
+++ b/src/features/forwarding/node/upstreamTrials.ts
@@ -5,6 +5,7 @@
   Suspicions,
   TRIAL_PERIOD_MILLISECONDS,
 } from '../../fleet/common/suspicions.js';
+import {Slowness} from '../../fleet/common/slowness.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {
   UpstreamControl,
@@ -32,6 +33,7 @@
     private readonly control: UpstreamControl,
     private readonly directory: UpstreamDirectory,
     private readonly suspicions: Suspicions,
+    private readonly slowness: Slowness,
     private readonly trialMilliseconds: number,
   ) {
     super();
@@ -45,8 +47,13 @@
 
   /** Whether an upstream answered a trial just now. */
   hasJustAnswered(id: string): boolean {
+    return this.hasAnsweredWithin(id, ANSWER_VALID_MILLISECONDS);
+  }
+
+  /** Whether an upstream answered a report within a time. */
+  hasAnsweredWithin(id: string, milliseconds: number): boolean {
     const at = this.answeredAt.get(id) ?? -Infinity;
-    return this.clock.monotonicMilliseconds() - at < ANSWER_VALID_MILLISECONDS;
+    return this.clock.monotonicMilliseconds() - at < milliseconds;
   }
 
   /** Asks for a report; an upstream that does not answer is suspected. Trials of one upstream are joined. */
@@ -86,6 +93,7 @@
     const report = await this.control.report(upstream, milliseconds);
     if (report.ok) {
       this.answeredAt.set(upstream.id, this.clock.monotonicMilliseconds());
+      this.slowness.note(upstream.id, report.value.slowness);
       return report.value;
     }
     // Plain services refuse reports; an answer is an answer.
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -506,6 +506,49 @@
     expect(caller.outcome).toBe('stream');
   });
 
+  it('that could not leave a lost upstream for want of budget leaves once there is some', async () => {
+    const forwarding = bench();
+    const {budget} = forwarding.services;
+    const caller = await forwarding.send('/stream/');
+    const sending = forwarding.connector.last;
+    const [first] = sending.added['hops'] as readonly string[];
+    sending.head();
+    sending.eventsOf(1, 2);
+    while (budget.take('model', 'begun')) {
+      // Takes all there is.
+    }
+    forwarding.control.dead.add(first!);
+    forwarding.suspicions.suspect(first!, 'silent', {});
+    await forwarding.pass(100);
+    expect(forwarding.connector.sendings).toHaveLength(1);
+    for (let count = 0; count < 20; count++) {
+      budget.noteRequest('model');
+    }
+    await forwarding.pass(100);
+    expect(forwarding.connector.sendings.length).toBeGreaterThan(1);
+    expect(forwarding.connector.last.added).toMatchObject({lastEvent: 2});
+    expect(caller.outcome).toBe('open');
+  });
+
+  it('leaves an upstream that reports to be slow', async () => {
+    const forwarding = bench();
+    await forwarding.send('/stream/');
+    const sending = forwarding.connector.last;
+    const [first, second] = sending.added['hops'] as readonly string[];
+    sending.head();
+    sending.eventsOf(1, 2);
+    forwarding.services.slowness.note(second!, 6);
+    await forwarding.settle();
+    const others: Readonly<Record<string, readonly string[]>> = {
+      b1: ['a1,c1'],
+      c1: ['a1,b1'],
+      // No other upstream of its data centre holds the layers.
+      b2: [],
+    };
+    expect(forwarding.control.moves).toEqual(others[second!]);
+    expect(first).toBeDefined();
+  });
+
   it('is not taken off an upstream that only refuses new work', async () => {
     const forwarding = bench();
     await forwarding.send('/stream/');
--- a/src/features/instances/common/peerNews.ts
+++ b/src/features/instances/common/peerNews.ts
@@ -23,6 +23,8 @@
   readonly instances: readonly InstanceNews[];
   readonly loads: readonly UpstreamLoadNews[];
   readonly slow: readonly SlownessNews[];
+  /** Whether the sender holds the lease for orders about layers. */
+  readonly holdsLease: boolean;
   /** Upstreams that the sender holds to be lost. */
   readonly lost: readonly string[];
 }
@@ -63,6 +65,7 @@
   slow: zod
     .array(zod.object({upstream: text, factor: zod.number()}))
     .max(PEER_LIST_LIMIT),
+  holdsLease: zod.boolean(),
   lost: zod.array(text).max(PEER_LIST_LIMIT),
 });
 
--- a/src/features/instances/node/peerTalk.ts
+++ b/src/features/instances/node/peerTalk.ts
@@ -10,6 +10,7 @@
 import {UpstreamLoad} from '../../fleet/common/upstreamLoad.js';
 import {UpstreamTrials} from '../../forwarding/node/upstreamTrials.js';
 import {RepeatingTask} from '../../membership/common/repeatingTask.js';
+import {TableLease} from '../../placement/common/tableLease.js';
 import {InstanceRecord} from '../common/instance.js';
 import {InstanceRegistry} from '../common/instanceRegistry.js';
 import {InstanceTable} from '../common/instanceTable.js';
@@ -28,6 +29,9 @@
 /** Rounds between two readings of the list of instances; peers tell each other sooner. */
 const ROUNDS_PER_LISTING = 40;
 
+/** The holder of the lease talks to each peer about once a second; after this time its row is read again. */
+const HOLDER_MILLISECONDS = 1_500;
+
 /** What the talk is about. */
 export interface TalkParts {
   readonly instances: InstanceTable;
@@ -37,6 +41,7 @@
   readonly slowness: Slowness;
   readonly suspicions: Suspicions;
   readonly trials: UpstreamTrials;
+  readonly lease: TableLease;
 }
 
 /** Tells peers what this instance knows and takes what they know. */
@@ -44,6 +49,7 @@
   private readonly task: RepeatingTask;
   private readonly connections: RpcConnections;
   private round = 0;
+  private holderHeardAt = -Infinity;
   private isAnnounced = false;
 
   constructor(
@@ -84,6 +90,12 @@
     await Promise.all(peers.map(peer => this.exchangeWith(peer, token)));
   }
 
+  /** Whether a peer that holds the lease for layers was heard of just now. */
+  get isHolderHeard(): boolean {
+    const now = this.clock.monotonicMilliseconds();
+    return now - this.holderHeardAt < HOLDER_MILLISECONDS;
+  }
+
   /** Answers a peer. */
   answer(news: PeerNews): PeerNews {
     this.take(news);
@@ -156,12 +168,16 @@
       instances: instances.allNews.slice(0, PEER_LIST_LIMIT),
       loads: loads.slice(0, PEER_LIST_LIMIT),
       slow: slow.slice(0, PEER_LIST_LIMIT),
+      holdsLease: this.parts.lease.fencing !== undefined,
       lost: suspicions.all.map(({upstream}) => upstream),
     };
   }
 
   private take(news: PeerNews): void {
     const {instances, load, slowness} = this.parts;
+    if (news.holdsLease) {
+      this.holderHeardAt = this.clock.monotonicMilliseconds();
+    }
     news.instances.forEach(entry => instances.hear(entry));
     const figures = new Map(
       news.loads.map(({upstream, ...figure}) => [upstream, figure]),
--- a/src/features/layers/common/layerController.ts
+++ b/src/features/layers/common/layerController.ts
@@ -107,6 +107,8 @@
     private readonly configuration: ConfigurationKeeper,
     private readonly directory: UpstreamDirectory,
     private readonly suspicions: Suspicions,
+    /** Whether a peer says that it holds the lease: then the row need not be read. */
+    private readonly isHolderHeard: () => boolean,
   ) {
     super();
     this.register(lease);
@@ -115,7 +117,7 @@
         clock,
         random,
         () => LEASE_STEP_MILLISECONDS,
-        token => this.lease.advance(token),
+        token => this.stepLease(token),
       ),
     );
     this.task = this.register(
@@ -135,6 +137,13 @@
     this.task.runNow();
   }
 
+  private async stepLease(token: CancellationToken): Promise<void> {
+    if (this.lease.state === 'idle' && this.isHolderHeard()) {
+      return;
+    }
+    await this.lease.advance(token);
+  }
+
   private onLease(state: string): void {
     this.logger.decision('layerLease', {state, fencing: this.lease.fencing});
     this.ordered.clear();
--- a/src/features/paths/common/pathCost.ts
+++ b/src/features/paths/common/pathCost.ts
@@ -5,7 +5,7 @@
   EngineSettings,
   LayerModel,
 } from '../../traffic/common/trafficConfiguration.js';
-import {tokensOf, WorkSize} from './path.js';
+import {Path, tokensOf, WorkSize} from './path.js';
 
 /**
  * Milliseconds that a token waits at each further upstream: part of a pass that is under way, and the
@@ -21,8 +21,12 @@
  */
 const CROSSING_WEIGHT = 30;
 
-/** At full memory an upstream counts as three times as slow, so that load spreads before one is full. */
-const PRESSURE_WEIGHT = 2;
+/**
+ * At full memory an upstream counts as five times as slow. Speed matters little as long as targets are
+ * kept, an even spread much: what is lost with one upstream is what ran through it, and all of that
+ * needs room elsewhere.
+ */
+const PRESSURE_WEIGHT = 4;
 
 /** Share of an upstream's room that may be planned: figures of peers are up to a second old. */
 const PLANNED_ROOM_SHARE = 0.95;
@@ -99,11 +103,20 @@
   const step = size.answerTokens * engine.stepMilliseconds * kind.stepFactor;
   const rate = engine.promptTokensPerSecond / 1000;
   const read = (size.promptTokens / rate) * kind.readFactor;
-  const crowding = 1 + PRESSURE_WEIGHT * pressure * pressure;
+  const crowding = 1 + PRESSURE_WEIGHT * pressure;
   const hop = HOP_MILLISECONDS * size.answerTokens;
   return (step + read) * share * crowding * slowness + hop;
 }
 
+/** Milliseconds that one token needs on a path whose upstreams are idle, waits between them included. */
+export function tokenMilliseconds(engine: EngineSettings, path: Path): number {
+  const one = {promptTokens: 0, answerTokens: 1};
+  return path.reduce((sum, {upstream, range}) => {
+    const count = range.to - range.from;
+    return sum + partMilliseconds(engine, upstream, count, one, 0, 1);
+  }, 0);
+}
+
 /** Predicted milliseconds for passing on all tokens of a request from one data centre to another. */
 export function crossingMilliseconds(
   engine: EngineSettings,
--- a/src/features/traffic/common/configurationFollower.ts
+++ b/src/features/traffic/common/configurationFollower.ts
@@ -112,7 +112,7 @@
       RETRY_LIMIT_MILLISECONDS,
     );
     return new Promise(resolve => {
-      this.register(this.clock.setTimer(wait, resolve));
+      this.clock.setTimer(wait, resolve);
     });
   }
 }
--- a/src/programs/router/routerParts.ts
+++ b/src/programs/router/routerParts.ts
@@ -92,13 +92,14 @@
   const instances = new InstanceTable(clock, logger, own);
   const registry = new InstanceRegistry(ports.table, logger);
   const load = new UpstreamLoad();
-  const slowness = new Slowness(clock);
+  const slowness = owned.add(new Slowness(clock, logger));
   const trials = owned.add(
     new UpstreamTrials(
       clock,
       ports.control,
       directory,
       suspicions,
+      slowness,
       defaultForwardingSettings.trialMilliseconds,
     ),
   );
@@ -136,6 +137,7 @@
       clock,
       directory,
       suspicions,
+      slowness,
       trials,
       defaultForwardingSettings.watchPeriodMilliseconds,
     ),
@@ -152,6 +154,18 @@
       callMilliseconds: LEASE_CALL_MILLISECONDS,
     },
   );
+  const talk = owned.add(
+    new PeerTalk(clock, random, logger, own, settings.peerKey, {
+      instances,
+      registry,
+      directory,
+      load,
+      slowness,
+      suspicions,
+      trials,
+      lease,
+    }),
+  );
   return {
     keeper,
     directory,
@@ -165,17 +179,7 @@
     lister: owned.add(
       new UpstreamLister(clock, random, logger, ports.upstreams, directory),
     ),
-    talk: owned.add(
-      new PeerTalk(clock, random, logger, own, settings.peerKey, {
-        instances,
-        registry,
-        directory,
-        load,
-        slowness,
-        suspicions,
-        trials,
-      }),
-    ),
+    talk,
     layers: owned.add(
       new LayerController(
         clock,
@@ -186,6 +190,7 @@
         keeper,
         directory,
         suspicions,
+        () => talk.isHolderHeard,
       ),
     ),
     handler: new RequestHandler(services, watch),
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -12,6 +12,7 @@
 import {Logger} from '../../infrastructure/logging/common/logger.js';
 import {serveRpc} from '../../infrastructure/rpc/node/rpc.js';
 import {CallerListener} from './callerListener.js';
+import {watchLoop} from './loopWatch.js';
 import {createRouterParts, RouterParts} from './routerParts.js';
 import {RouterPorts} from './routerPorts.js';
 import {RouterSettings} from './routerSettings.js';
@@ -89,6 +90,7 @@
     layers.start();
     const timer = setInterval(() => this.updateState(), STATE_MILLISECONDS);
     this.owned.add(toDisposable(() => clearInterval(timer)));
+    this.owned.add(watchLoop(this.clock, this.logger));
     this.owned.add(keeper.onDidConfirm(() => this.updateState()));
     const {instance, listen} = this.settings;
     this.logger.info('started', {
