--- a/src/features/fleet/common/suspicions.ts
+++ b/src/features/fleet/common/suspicions.ts
@@ -115,6 +115,13 @@
     return suspicion !== undefined && suspicion.reason !== 'refusing';
   }
 
+  /** Whether an upstream has been lost for so long that it did not answer further trial calls either. */
+  isLongLost(upstream: string): boolean {
+    const suspicion = this.suspected.get(upstream);
+    const age = this.clock.monotonicMilliseconds() - (suspicion?.since ?? 0);
+    return this.isLost(upstream) && age > 1.5 * TRIAL_PERIOD_MILLISECONDS;
+  }
+
   /** All suspicions. */
   get all(): readonly Suspicion[] {
     return [...this.suspected.values()];
--- a/src/features/forwarding/node/forwardingServices.ts
+++ b/src/features/forwarding/node/forwardingServices.ts
@@ -6,6 +6,7 @@
 import {UpstreamControl} from '../../fleet/common/upstreamControl.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {UpstreamLoad} from '../../fleet/common/upstreamLoad.js';
+import {LinkLoad} from '../../paths/common/linkLoad.js';
 import {ConfigurationKeeper} from '../../traffic/common/configurationKeeper.js';
 import {ForwardingSettings} from '../common/forwardingSettings.js';
 import {OutcomeHistory} from '../common/outcomeHistory.js';
@@ -30,6 +31,7 @@
   readonly suspicions: Suspicions;
   readonly trials: UpstreamTrials;
   readonly load: UpstreamLoad;
+  readonly linkLoad: LinkLoad;
   readonly slowness: Slowness;
   readonly budget: RetryBudget;
   readonly outcomes: OutcomeHistory;
--- a/src/features/forwarding/node/heldPath.ts
+++ b/src/features/forwarding/node/heldPath.ts
@@ -12,7 +12,7 @@
 
   constructor(
     private readonly load: UpstreamLoad,
-    private readonly size: WorkSize,
+    readonly size: WorkSize,
   ) {}
 
   get path(): Path {
--- a/src/features/forwarding/node/streamRun.ts
+++ b/src/features/forwarding/node/streamRun.ts
@@ -3,6 +3,7 @@
 import {
   crossingsOf,
   formatPath,
+  tokensOf,
   Path,
   upstreamIdsOf,
 } from '../../paths/common/path.js';
@@ -192,13 +193,17 @@
     this.owned.add(timer);
   }
 
-  /** Once no further first upstream may be used, one that was used already is taken again. */
+  /**
+   * Once no further first upstream may be used, one that was used already is taken again. Those that
+   * have ended do not count, but that must be sure: a suspicion may be wrong.
+   */
   private findWhole(): PathAnswer {
     const {attemptLimit} = this.admitted.route;
-    const usable = [...this.firstParts].filter(
-      id => !this.services.suspicions.has(id),
+    const {directory, suspicions} = this.services;
+    const counted = [...this.firstParts].filter(
+      id => directory.find(id) !== undefined && !suspicions.isLongLost(id),
     );
-    if (usable.length < attemptLimit) {
+    if (counted.length < attemptLimit) {
       return this.chooser.whole(() => true);
     }
     return this.chooser.whole(
@@ -208,6 +213,9 @@
 
   private take(path: Path): void {
     this.held.take(path);
+    const activations = this.engine.layers?.activationBytes ?? 0;
+    const tokens = tokensOf(this.held.size);
+    this.services.linkLoad.note(crossingsOf(path) * tokens * activations);
     this.expectedGap = TOKENS_PER_EVENT * tokenMilliseconds(this.engine, path);
   }
 
--- a/src/features/forwarding/node/streamWatch.ts
+++ b/src/features/forwarding/node/streamWatch.ts
@@ -21,6 +21,13 @@
 /** Time from the notice that an upstream leaves until streams are moved off it. */
 const LEAVING_MILLISECONDS = 600;
 
+/**
+ * When more streams than these are silent though everything answers, there is too much load and not a
+ * dead connection: beginning them again would only add to it.
+ */
+const FEW_STREAMS = 2;
+const CROWDED_SHARE = 0.1;
+
 /** A report says how slow an upstream is for this long. */
 const SLOW_MILLISECONDS = 1_500;
 
@@ -140,10 +147,12 @@
       this.clock.monotonicMilliseconds(),
     );
     const proven = this.findProven(silent);
+    const isCrowded =
+      silent.length > FEW_STREAMS + CROWDED_SHARE * progress.length;
     for (const stream of silent) {
       this.lookInto(stream, proven);
       this.leaveLost(byRequest.get(stream.requestId));
-      if (stream.suspects.length === 0) {
+      if (stream.suspects.length === 0 && !isCrowded) {
         byRequest.get(stream.requestId)?.onSilence(stream.silentMilliseconds);
       }
     }
--- a/src/features/forwarding/node/upstreamTrials.ts
+++ b/src/features/forwarding/node/upstreamTrials.ts
@@ -16,6 +16,10 @@
 /** An upstream that answered is not tried again for this long: its streams have another cause. */
 const ANSWER_VALID_MILLISECONDS = 250;
 
+/** Trials of upstreams on silent or slow paths: enough for all members of a few paths at once, few in the mean. */
+const TRIAL_BURST = 30;
+const TRIALS_PER_SECOND = 6;
+
 /** Time in which a suspected upstream answers a trial call; it is no longer in a hurry. */
 const RETURN_TRIAL_MILLISECONDS = 250;
 
@@ -25,6 +29,8 @@
     string,
     Promise<UpstreamReport | undefined>
   >();
+  private trialsLeft = TRIAL_BURST;
+  private filledAt = 0;
   private readonly answeredAt = new Map<string, number>();
   private readonly timer: NodeJS.Timeout;
 
@@ -56,6 +62,19 @@
     return this.clock.monotonicMilliseconds() - at < milliseconds;
   }
 
+  /** Whether another trial may be made; they are charged, and when everything is slow they tell nothing. */
+  private takeTrial(): boolean {
+    const now = this.clock.monotonicMilliseconds();
+    const gained = ((now - this.filledAt) * TRIALS_PER_SECOND) / 1000;
+    this.trialsLeft = Math.min(TRIAL_BURST, this.trialsLeft + gained);
+    this.filledAt = now;
+    if (this.trialsLeft < 1) {
+      return false;
+    }
+    this.trialsLeft--;
+    return true;
+  }
+
   /** Asks for a report; an upstream that does not answer is suspected. Trials of one upstream are joined. */
   try(
     upstream: Upstream,
@@ -66,6 +85,9 @@
     if (running !== undefined) {
       return running;
     }
+    if (!this.takeTrial()) {
+      return Promise.resolve(undefined);
+    }
     const trial = this.ask(upstream, this.trialMilliseconds).then(report => {
       if (report === undefined) {
         this.suspicions.suspect(upstream.id, reason, evidence);
--- a/src/features/forwarding/test/forwardingBench.ts
+++ b/src/features/forwarding/test/forwardingBench.ts
@@ -15,6 +15,7 @@
 } from '../../fleet/common/upstreamControl.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {UpstreamLoad} from '../../fleet/common/upstreamLoad.js';
+import {LinkLoad} from '../../paths/common/linkLoad.js';
 import {Path} from '../../paths/common/path.js';
 import {ConfigurationKeeper} from '../../traffic/common/configurationKeeper.js';
 import {TrafficConfiguration} from '../../traffic/common/trafficConfiguration.js';
@@ -371,6 +372,7 @@
       suspicions,
       trials,
       load: new UpstreamLoad(),
+      linkLoad: new LinkLoad(clock, () => 1),
       slowness,
       budget: new RetryBudget(
         clock,
--- a/src/features/layers/common/layerController.ts
+++ b/src/features/layers/common/layerController.ts
@@ -174,7 +174,9 @@
   private plan(service: LayeredService) {
     const upstreams = this.directory
       .ofService(service.name)
-      .filter(({id, isLeaving}) => !isLeaving && !this.suspicions.has(id));
+      .filter(
+        ({id, isLeaving}) => !isLeaving && !this.suspicions.isLongLost(id),
+      );
     const sizes = chooseLayerSizes(
       service.engine,
       service.layers,
--- a/src/features/layers/common/planLayers.ts
+++ b/src/features/layers/common/planLayers.ts
@@ -8,7 +8,7 @@
 export interface LayerAssignment {
   readonly upstream: Upstream;
   readonly range: LayerRange;
-  readonly reason: 'empty' | 'layerUnheld';
+  readonly reason: 'empty' | 'layerUnheld' | 'dataCentreIncomplete';
 }
 
 /** What the plan starts from. */
@@ -58,6 +58,19 @@
     return worth;
   }
 
+  /** Layers of a range, or of all, that nobody in a data centre holds. */
+  lackingIn(
+    dataCentre: string,
+    range: LayerRange = {from: 0, to: this.layerCount},
+  ): number {
+    const local = this.inDataCentre(dataCentre);
+    let lacking = 0;
+    for (let layer = range.from; layer < range.to; layer++) {
+      lacking += local[layer] === 0 ? 1 : 0;
+    }
+    return lacking;
+  }
+
   /** The fewest holders of any layer in a range, over all data centres. */
   leastIn(range: LayerRange): number {
     return Math.min(...this.inAll.slice(range.from, range.to));
@@ -99,8 +112,10 @@
     }
   }
   const filled = fillEmpty(situation, coverage, empty);
-  const moved = empty.length > 0 ? [] : coverUnheld(situation, coverage);
-  return [...filled, ...moved];
+  const completed = completeDataCentres(situation, coverage, filled);
+  const isSettled = empty.length === 0 && completed.length === 0;
+  const moved = isSettled ? coverUnheld(situation, coverage) : [];
+  return [...filled, ...completed, ...moved];
 }
 
 function fillEmpty(
@@ -124,6 +139,73 @@
   return assignments;
 }
 
+/**
+ * Moves one upstream in each data centre that lacks layers and could hold them all, if fewer are lacking
+ * afterwards. Paths then need not cross; the link between data centres carries only part of the load.
+ */
+function completeDataCentres(
+  situation: LayerSituation,
+  coverage: Coverage,
+  filled: readonly LayerAssignment[],
+): readonly LayerAssignment[] {
+  const busy = new Set(filled.map(({upstream}) => upstream.id));
+  const assignments: LayerAssignment[] = [];
+  for (const [dataCentre, upstreams] of byDataCentre(situation.upstreams)) {
+    const total = upstreams.reduce(
+      (sum, upstream) => sum + sizeOf(situation, upstream),
+      0,
+    );
+    const isLacking = coverage.lackingIn(dataCentre) > 0;
+    if (isLacking && total >= situation.layers.layerCount) {
+      const movable = upstreams.filter(
+        ({id}) => !situation.ordered.has(id) && !busy.has(id),
+      );
+      assignments.push(...bestMove(situation, coverage, movable));
+    }
+  }
+  return assignments;
+}
+
+/** The move that leaves the fewest layers lacking; none where no move helps. */
+function bestMove(
+  situation: LayerSituation,
+  coverage: Coverage,
+  upstreams: readonly Upstream[],
+): readonly LayerAssignment[] {
+  let best: {assignment: LayerAssignment; lacking: number} | undefined;
+  for (const upstream of upstreams) {
+    const {dataCentre, layers: held} = upstream;
+    const size = sizeOf(situation, upstream);
+    if (held === undefined || size === 0) {
+      continue;
+    }
+    const before = coverage.lackingIn(dataCentre);
+    coverage.add(dataCentre, held, -1);
+    for (let from = 0; from + size <= situation.layers.layerCount; from++) {
+      const range = {from, to: from + size};
+      const lacking =
+        coverage.lackingIn(dataCentre) - coverage.lackingIn(dataCentre, range);
+      if (lacking < Math.min(before, best?.lacking ?? Infinity)) {
+        const reason = 'dataCentreIncomplete';
+        best = {assignment: {upstream, range, reason}, lacking};
+      }
+    }
+    coverage.add(dataCentre, held);
+  }
+  return best === undefined ? [] : [best.assignment];
+}
+
+function byDataCentre(
+  upstreams: readonly Upstream[],
+): ReadonlyMap<string, readonly Upstream[]> {
+  const groups = new Map<string, Upstream[]>();
+  for (const upstream of upstreams) {
+    const group = groups.get(upstream.dataCentre) ?? [];
+    groups.set(upstream.dataCentre, [...group, upstream]);
+  }
+  return groups;
+}
+
 /** Moves the upstream whose layers are held best to the layers that nobody holds. */
 function coverUnheld(
   situation: LayerSituation,
--- a/src/features/layers/test/layers.test.ts
+++ b/src/features/layers/test/layers.test.ts
@@ -146,6 +146,37 @@
     expect(plan(fleet)).toEqual({});
   });
 
+  it('moves a spare holder to layers that its data centre lacks', () => {
+    const fleet = [
+      card('a', 'fast', {from: 0, to: 10}),
+      card('b', 'small', {from: 10, to: 15}),
+      card('spare', 'small', {from: 4, to: 9}),
+      card('c', 'fast', {from: 10, to: 20}, 'south'),
+    ];
+    expect(plan(fleet)).toEqual({spare: '15-20'});
+  });
+
+  it('leaves a data centre that can not hold the model alone', () => {
+    const fleet = [
+      card('a', 'fast', {from: 0, to: 10}),
+      card('spare', 'small', {from: 4, to: 9}),
+      card('c', 'fast', {from: 10, to: 20}, 'south'),
+    ];
+    expect(plan(fleet)).toEqual({});
+  });
+
+  it('moves nothing that lacks as much afterwards', () => {
+    const fleet = [
+      card('a', 'fast', {from: 0, to: 10}),
+      card('b', 'small', {from: 10, to: 15}),
+      card('c', 'small', {from: 14, to: 19}),
+      card('d', 'small', {from: 12, to: 17}),
+    ];
+    const moves = plan(fleet);
+    expect(Object.keys(moves)).toHaveLength(1);
+    expect(Object.values(moves)).toEqual(['15-20']);
+  });
+
   it('moves an upstream whose layers are held three times to those that nobody holds', () => {
     const fleet = [
       card('a', 'fast', {from: 0, to: 10}),
--- a/src/features/paths/common/pathSearch.ts
+++ b/src/features/paths/common/pathSearch.ts
@@ -27,6 +27,8 @@
   readonly loadOf: (upstream: string) => LoadFigure;
   /** Factor by which an upstream is slower than its kind; 1 for a sound one. */
   readonly slownessOf: (upstream: string) => number;
+  /** Factor on the cost of crossings; Infinity when there may be none. */
+  readonly crossingFactor: number;
   /** Whether an upstream may be used at all. */
   readonly isUsable: (upstream: Upstream) => boolean;
 }
@@ -163,7 +165,10 @@
     }
     for (let to = place.layer + 1; to <= last; to++) {
       if (to === last || boundaries.has(to)) {
-        keep(places, step(question, candidate, place, to));
+        const next = step(question, candidate, place, to);
+        if (Number.isFinite(next.cost)) {
+          keep(places, next);
+        }
       }
     }
   }
@@ -188,7 +193,7 @@
     slowness,
   );
   const from = place.dataCentre ?? dataCentre;
-  const crossing = crossingMilliseconds(engine, from, dataCentre, size);
+  const crossing = crossingCost(question, from, dataCentre);
   return {
     layer: to,
     dataCentre,
@@ -198,6 +203,17 @@
   };
 }
 
+/** A crossing that may not be made costs infinitely much. */
+function crossingCost(
+  {crossingFactor, engine, size}: PathQuestion,
+  from: string,
+  to: string,
+): number {
+  return from === to
+    ? 0
+    : crossingMilliseconds(engine, from, to, size) * crossingFactor;
+}
+
 function keep(places: Map<number, Map<string, Place>>, place: Place): void {
   const here = places.get(place.layer) ?? new Map<string, Place>();
   const name = place.dataCentre ?? '';
@@ -212,17 +228,15 @@
   question: PathQuestion,
   ends: ReadonlyMap<string, Place> | undefined,
 ): Place | undefined {
-  const {engine, size, leavingTo} = question;
+  const {leavingTo} = question;
   let best: Place | undefined;
   for (const place of ends?.values() ?? []) {
     const from = place.dataCentre ?? '';
-    const crossing = crossingMilliseconds(
-      engine,
-      from,
-      leavingTo ?? from,
-      size,
-    );
+    const crossing = crossingCost(question, from, leavingTo ?? from);
     const cost = place.cost + crossing;
+    if (!Number.isFinite(cost)) {
+      continue;
+    }
     if (best === undefined || cost < best.cost) {
       best = {...place, cost};
     }
--- a/src/features/paths/test/pathSearch.test.ts
+++ b/src/features/paths/test/pathSearch.test.ts
@@ -4,6 +4,8 @@
 import {makeUpstream} from '../../fleet/test/upstreams.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {LoadFigure} from '../../fleet/common/upstreamLoad.js';
+import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {LinkLoad} from '../common/linkLoad.js';
 import {crossingsOf, formatPath} from '../common/path.js';
 import {findPath, PathQuestion} from '../common/pathSearch.js';
 import {layeredEngine} from './engines.js';
@@ -37,6 +39,7 @@
     leavingTo: undefined,
     loadOf: () => ({requests: 0, tokens: 0}),
     slownessOf: () => 1,
+    crossingFactor: 1,
     isUsable: upstream => !upstream.isLeaving,
     ...fields,
   });
@@ -130,6 +133,12 @@
       upstreams: [holder('a', 0, 3), holder('b', 4, 8)],
       answer: {kind: 'noLayers', layer: 3},
     },
+    {
+      name: 'a crossing that the link has no room for',
+      upstreams: [holder('a', 0, 4), holder('b', 4, 8, south)],
+      fields: {crossingFactor: Infinity},
+      answer: {kind: 'noRoom'},
+    },
     {
       name: 'no room',
       upstreams: [holder('a', 0, 8)],
@@ -183,3 +192,22 @@
   });
   expect(answer.kind === 'found' && formatPath(answer.path)).toBe('b=0-1');
 });
+
+describe('the load of the link', () => {
+  it.each([
+    {megabytes: 0, factor: 1},
+    {megabytes: 100, factor: 1 / (1 - 0.4 / 0.5)},
+    {megabytes: 125, factor: Infinity},
+    {megabytes: 500, factor: Infinity},
+  ])(
+    'of 2 instances that cross with $megabytes MB a second makes crossings $factor times as dear',
+    ({megabytes, factor}) => {
+      const clock = new FakeClock();
+      const load = new LinkLoad(clock, () => 2);
+      load.note(megabytes * 1_000_000);
+      expect(load.costFactor(4_000)).toBeCloseTo(factor);
+      clock.advance(1_001);
+      expect(load.costFactor(4_000)).toBe(1);
+    },
+  );
+});
--- a/src/programs/router/routerParts.ts
+++ b/src/programs/router/routerParts.ts
@@ -28,6 +28,7 @@
   LEASE_STEP_MILLISECONDS,
 } from '../../features/layers/common/layerController.js';
 import {TableLease} from '../../features/placement/common/tableLease.js';
+import {LinkLoad} from '../../features/paths/common/linkLoad.js';
 import {ConfigurationFollower} from '../../features/traffic/common/configurationFollower.js';
 import {ConfigurationKeeper} from '../../features/traffic/common/configurationKeeper.js';
 import {Logger} from '../../infrastructure/logging/common/logger.js';
@@ -128,6 +129,7 @@
     suspicions,
     trials,
     load,
+    linkLoad: new LinkLoad(clock, () => instances.size),
     slowness,
     budget: new RetryBudget(clock, settings.retries, () => instances.size),
     outcomes,
