--- a/src/features/layers/common/layerController.ts
+++ b/src/features/layers/common/layerController.ts
@@ -35,6 +35,12 @@
 const SETTLE_MILLISECONDS = 1_500;
 const SETTLE_LIMIT_MILLISECONDS = 4_000;
 
+/**
+ * An upstream that comes while no layer is lacking often replaces one that says a moment later that it
+ * leaves: for this long it gets no layers, so that it can then take over just those.
+ */
+const FRESH_MILLISECONDS = 1_800;
+
 /** Time of one order; sound upstreams answer in a few milliseconds. */
 const ORDER_MILLISECONDS = 300;
 
@@ -97,6 +103,8 @@
   private readonly ordered = new Map<string, Ordered>();
   private readonly orderCounts = new Map<string, number>();
   private readonly arrivals = new Arrivals();
+  /** When each upstream was first seen. */
+  private readonly seenAt = new Map<string, number>();
 
   constructor(
     private readonly clock: Clock,
@@ -185,11 +193,28 @@
     const ordered = new Map(
       [...this.ordered].map(([id, {range}]) => [id, range]),
     );
+    const fresh = this.freshAmong(upstreams);
     const {layers} = service;
-    return planLayers({layers, sizes, upstreams, ordered}).map(assignment => ({
-      assignment,
-      service,
-    }));
+    return planLayers({layers, sizes, upstreams, ordered, fresh}).map(
+      assignment => ({
+        assignment,
+        service,
+      }),
+    );
+  }
+
+  /** Those that were first seen just now. */
+  private freshAmong(upstreams: readonly Upstream[]): ReadonlySet<string> {
+    const now = this.clock.monotonicMilliseconds();
+    const fresh = new Set<string>();
+    for (const {id} of upstreams) {
+      const seenAt = this.seenAt.get(id) ?? now;
+      this.seenAt.set(id, seenAt);
+      if (now - seenAt < FRESH_MILLISECONDS) {
+        fresh.add(id);
+      }
+    }
+    return fresh;
   }
 
   private async order(
@@ -269,6 +294,11 @@
   /** Takes off what is reported, gone or overdue. */
   private forgetDone(): void {
     const now = this.clock.monotonicMilliseconds();
+    for (const id of this.seenAt.keys()) {
+      if (this.directory.find(id) === undefined) {
+        this.seenAt.delete(id);
+      }
+    }
     for (const [id, {range, giveUpAt}] of this.ordered) {
       const upstream = this.directory.find(id);
       const {layers} = upstream ?? {};
--- a/src/features/layers/common/planLayers.ts
+++ b/src/features/layers/common/planLayers.ts
@@ -19,6 +19,8 @@
   readonly upstreams: readonly Upstream[];
   /** Ranges that were ordered and are not yet reported, by upstream. */
   readonly ordered: ReadonlyMap<string, LayerRange>;
+  /** Upstreams that have come just now: where no layer is lacking yet they wait for the one that they replace to leave. */
+  readonly fresh: ReadonlySet<string>;
 }
 
 /**
@@ -130,6 +132,10 @@
   );
   const assignments: LayerAssignment[] = [];
   for (const upstream of ordered) {
+    const {dataCentre, id} = upstream;
+    if (situation.fresh.has(id) && coverage.lackingIn(dataCentre) === 0) {
+      continue;
+    }
     const range = bestRange(situation, coverage, upstream);
     if (range !== undefined) {
       coverage.add(upstream.dataCentre, range);
--- a/src/features/layers/test/layers.test.ts
+++ b/src/features/layers/test/layers.test.ts
@@ -79,8 +79,15 @@
 function plan(
   upstreams: readonly Upstream[],
   ordered: ReadonlyMap<string, LayerRange> = new Map(),
+  fresh: ReadonlySet<string> = new Set(),
 ): Readonly<Record<string, string>> {
-  const assignments = planLayers({layers, sizes, upstreams, ordered});
+  const assignments = planLayers({
+    layers,
+    sizes,
+    upstreams,
+    ordered,
+    fresh,
+  });
   return Object.fromEntries(
     assignments.map(({upstream, range}) => [
       upstream.id,
@@ -117,6 +124,7 @@
       sizes,
       upstreams: fleet,
       ordered: new Map(),
+      fresh: new Set(),
     });
     for (const dataCentre of ['north', 'south']) {
       expect(coveredBy(dataCentre, assignments)).toBe(LAYERS);
@@ -132,6 +140,31 @@
     expect(plan(fleet)).toEqual({new: '10-15'});
   });
 
+  it.each([
+    {
+      name: 'waits while none is lacking',
+      held: {from: 15, to: 20},
+      expected: {},
+    },
+    {
+      name: 'takes what is lacking at once',
+      held: undefined,
+      expected: {new: '15-20', old: '15-20'},
+    },
+  ])('an upstream that has just come $name', ({held, expected}) => {
+    const fleet = [
+      card('f', 'fast', {from: 0, to: 10}),
+      card('a', 'small', {from: 10, to: 15}),
+      card('old', 'small', held),
+      card('new', 'small'),
+    ];
+    const planned = plan(fleet, new Map(), new Set(['new']));
+    expect(Object.keys(planned).length).toBe(held === undefined ? 1 : 0);
+    expect(Object.values(expected)).toEqual(
+      expect.arrayContaining(Object.values(planned)),
+    );
+  });
+
   it('counts what was ordered as held', () => {
     const fleet = [card('a', 'fast'), card('b', 'fast')];
     const ordered = new Map([['a', {from: 0, to: 10}]]);
