--- a/src/features/layers/common/layerController.ts
+++ b/src/features/layers/common/layerController.ts
@@ -22,7 +22,12 @@
   LayerModel,
   Service,
 } from '../../traffic/common/trafficConfiguration.js';
-import {chooseLayerSizes, KindCounts} from './layerSize.js';
+import {
+  chooseLayerSizes,
+  KindCounts,
+  largerSizes,
+  LayerSizes,
+} from './layerSize.js';
 import {LayerAssignment, planLayers} from './planLayers.js';
 
 /** Time between two looks at what is held. */
@@ -103,6 +108,8 @@
   private readonly ordered = new Map<string, Ordered>();
   private readonly orderCounts = new Map<string, number>();
   private readonly arrivals = new Arrivals();
+  /** Sizes of the first plan, by service. */
+  private readonly firstSizes = new Map<string, LayerSizes>();
   /** When each upstream was first seen. */
   private readonly seenAt = new Map<string, number>();
 
@@ -185,11 +192,7 @@
       .filter(
         ({id, isLeaving}) => !isLeaving && !this.suspicions.isLongLost(id),
       );
-    const sizes = chooseLayerSizes(
-      service.engine,
-      service.layers,
-      countKinds(upstreams),
-    );
+    const sizes = this.sizesOf(service, upstreams);
     const ordered = new Map(
       [...this.ordered].map(([id, {range}]) => [id, range]),
     );
@@ -203,6 +206,21 @@
     );
   }
 
+  /**
+   * Sizes do not shrink: while upstreams are replaced there are more of them for a time, and with smaller
+   * ranges a new one could not take over what an old one held.
+   */
+  private sizesOf(
+    service: LayeredService,
+    upstreams: readonly Upstream[],
+  ): LayerSizes {
+    const {engine, layers, name} = service;
+    const chosen = chooseLayerSizes(engine, layers, countKinds(upstreams));
+    const first = this.firstSizes.get(name) ?? chosen;
+    this.firstSizes.set(name, first);
+    return largerSizes(first, chosen);
+  }
+
   /** Those that were first seen just now. */
   private freshAmong(upstreams: readonly Upstream[]): ReadonlySet<string> {
     const now = this.clock.monotonicMilliseconds();
--- a/src/features/layers/common/layerSize.ts
+++ b/src/features/layers/common/layerSize.ts
@@ -51,6 +51,17 @@
   return sizes;
 }
 
+/** The larger of two sizes for each kind. */
+export function largerSizes(left: LayerSizes, right: LayerSizes): LayerSizes {
+  const kinds = new Set([...left.keys(), ...right.keys()]);
+  return new Map(
+    [...kinds].map(kind => [
+      kind,
+      Math.max(left.get(kind) ?? 0, right.get(kind) ?? 0),
+    ]),
+  );
+}
+
 function totalOfAll(sizes: LayerSizes, counts: KindCounts): number {
   return [...counts.values()].reduce(
     (sum, kinds) => sum + totalLayers(sizes, kinds),
--- a/src/features/layers/test/layers.test.ts
+++ b/src/features/layers/test/layers.test.ts
@@ -3,7 +3,7 @@
 import {makeUpstream} from '../../fleet/test/upstreams.js';
 import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
 import {layeredEngine} from '../../paths/test/engines.js';
-import {chooseLayerSizes} from '../common/layerSize.js';
+import {chooseLayerSizes, largerSizes} from '../common/layerSize.js';
 import {LayerAssignment, planLayers} from '../common/planLayers.js';
 
 const LAYERS = 20;
@@ -62,6 +62,20 @@
   });
 });
 
+it('the larger sizes keep what an earlier plan gave', () => {
+  const larger = largerSizes(
+    new Map([
+      ['a', 9],
+      ['b', 6],
+    ]),
+    new Map([
+      ['a', 8],
+      ['c', 3],
+    ]),
+  );
+  expect(Object.fromEntries(larger)).toEqual({a: 9, b: 6, c: 3});
+});
+
 const sizes = new Map([
   ['small', 5],
   ['fast', 10],
