--- a/src/features/layers/common/layerController.ts
+++ b/src/features/layers/common/layerController.ts
@@ -44,7 +44,7 @@
  * An upstream that comes while no layer is lacking often replaces one that says a moment later that it
  * leaves: for this long it gets no layers, so that it can then take over just those.
  */
-const FRESH_MILLISECONDS = 1_800;
+const FRESH_MILLISECONDS = 4_000;
 
 /** Time of one order; sound upstreams answer in a few milliseconds. */
 const ORDER_MILLISECONDS = 300;
