--- a/src/features/forwarding/common/roomPatience.ts
+++ b/src/features/forwarding/common/roomPatience.ts
@@ -13,11 +13,10 @@
 }
 
 /**
- * Callers give a stream up after a pause of two seconds. One that has begun is worth waiting for until
- * shortly before: breaking it off loses all that was made, and layers of a lost upstream are loaded in
- * one to two seconds.
+ * A request that may have run, and of which its caller has nothing yet, can only be failed. Layers of a
+ * lost upstream are loaded in one to two seconds, so it is worth waiting for so long.
  */
-const PAUSE_LIMIT_MILLISECONDS = 1_800;
+const UNKNOWN_WAIT_MILLISECONDS = 1_800;
 
 /**
  * Part of the target that a request that has surely not run may wait. Streams end all the time, so room
@@ -26,11 +25,27 @@
  */
 const FIRST_WAIT_SHARE = 1 / 8;
 
-/** Milliseconds for which the stream goes on looking for a path; none left when zero. */
+/**
+ * Milliseconds for which the stream goes on looking for a path; none left when zero. One that has begun
+ * is never given up before its time is over: its caller knows best how long to wait, and leaves.
+ */
 export function roomPatience(stream: WaitingStream): number {
-  const limit =
-    stream.hasBegun || stream.mayHaveRun
-      ? PAUSE_LIMIT_MILLISECONDS
-      : stream.latencyTargetMilliseconds * FIRST_WAIT_SHARE;
+  if (stream.hasBegun) {
+    return Infinity;
+  }
+  const limit = stream.mayHaveRun
+    ? UNKNOWN_WAIT_MILLISECONDS
+    : stream.latencyTargetMilliseconds * FIRST_WAIT_SHARE;
   return Math.max(0, limit - stream.silentMilliseconds);
 }
+
+/** How often a stream looks again, and how often once it has waited for long. */
+const LOOK_AGAIN_MILLISECONDS = 20;
+const LOOK_SELDOM_MILLISECONDS = 100;
+
+/** Milliseconds until a waiting stream looks for a path again. */
+export function lookAgainAfter(silentMilliseconds: number): number {
+  return silentMilliseconds < UNKNOWN_WAIT_MILLISECONDS
+    ? LOOK_AGAIN_MILLISECONDS
+    : LOOK_SELDOM_MILLISECONDS;
+}
--- a/src/features/forwarding/node/streamRun.ts
+++ b/src/features/forwarding/node/streamRun.ts
@@ -14,7 +14,7 @@
 import {EventSequence} from '../common/eventSequence.js';
 import {PauseMeter} from '../common/pauseMeter.js';
 import {NotRunReason} from '../common/retryAfter.js';
-import {roomPatience} from '../common/roomPatience.js';
+import {lookAgainAfter, roomPatience} from '../common/roomPatience.js';
 import {StreamProgress} from '../common/silence.js';
 import {AnswerFacts} from '../common/wire.js';
 import {ForwardingServices} from './forwardingServices.js';
@@ -30,9 +30,6 @@
 /** Events usually hold up to two tokens; with fewer the expected gap is too long, which only delays a look. */
 const TOKENS_PER_EVENT = 2;
 
-/** How often a stream that waits for a path looks again. */
-const LOOK_AGAIN_MILLISECONDS = 20;
-
 /** Forwards a stream along a path of upstreams, and carries it on elsewhere when the path breaks. */
 export class StreamRun
   extends RequestRun
@@ -172,10 +169,11 @@
 
   /** Looks for a path again a little later, as long as that may still serve the caller. */
   private waitOrGiveUp(cause: string, reason: NotRunReason): void {
+    const silentMilliseconds = this.pauses.silence(this.now);
     const patience = roomPatience({
       hasBegun: this.exchange.hasBegun,
       mayHaveRun: this.mayHaveRun,
-      silentMilliseconds: this.pauses.silence(this.now),
+      silentMilliseconds,
       latencyTargetMilliseconds: this.admitted.route.latencyTargetMilliseconds,
     });
     if (patience === 0 || !this.hasTime) {
@@ -186,11 +184,7 @@
       this.hasNotedWait = true;
       this.note('waitingForPath', {cause, reason, patience});
     }
-    const timer = this.services.clock.setTimer(LOOK_AGAIN_MILLISECONDS, () => {
-      this.owned.delete(timer);
-      this.start(cause);
-    });
-    this.owned.add(timer);
+    this.later(() => this.start(cause));
   }
 
   /**
@@ -333,8 +327,8 @@
       void this.services.trials.try(upstream, 'reset', {detail});
     }
     this.mayHaveRun = true;
-    if (this.canRepeat && this.mayRepeat()) {
-      this.repeat('answerLost');
+    if (this.canRepeat) {
+      this.repeatOrWait('answerLost', () => this.fail(502, 'answerLost'));
     } else {
       this.fail(502, 'answerLost');
     }
@@ -352,11 +346,35 @@
         request: this.admitted.id,
       });
     }
+    this.repeatOrWait('notRun', () => this.giveUp('refused'));
+  }
+
+  /** A stream that has begun waits for a repeat when none is left; others end. */
+  private repeatOrWait(cause: string, onNone: () => void): void {
+    if (this.isDone) {
+      return;
+    }
     if (this.mayRepeat()) {
-      this.repeat('notRun');
-    } else {
-      this.giveUp('refused');
+      this.repeat(cause);
+      return;
     }
+    const isOver = !this.hasTime || this.attempts >= ATTEMPT_LIMIT;
+    if (!this.exchange.hasBegun || isOver) {
+      onNone();
+      return;
+    }
+    this.noteNotRestarted(cause);
+    this.later(() => this.repeatOrWait(cause, onNone));
+  }
+
+  /** Calls back after a while that grows with the silence of the stream. */
+  private later(callback: () => void): void {
+    const wait = lookAgainAfter(this.pauses.silence(this.now));
+    const timer = this.services.clock.setTimer(wait, () => {
+      this.owned.delete(timer);
+      callback();
+    });
+    this.owned.add(timer);
   }
 
   /**
--- a/src/features/forwarding/test/policies.test.ts
+++ b/src/features/forwarding/test/policies.test.ts
@@ -5,6 +5,7 @@
 import {choosePlainUpstream} from '../common/choosePlainUpstream.js';
 import {OutcomeHistory} from '../common/outcomeHistory.js';
 import {NotRunReason, retryAfterMilliseconds} from '../common/retryAfter.js';
+import {roomPatience} from '../common/roomPatience.js';
 import {RetryBudget} from '../common/retryBudget.js';
 import {findSilentStreams, StreamProgress} from '../common/silence.js';
 
@@ -165,6 +166,54 @@
   );
 });
 
+describe('the wait for a path', () => {
+  it.each([
+    {
+      name: 'has begun',
+      hasBegun: true,
+      mayHaveRun: true,
+      silent: 5_000,
+      left: Infinity,
+    },
+    {
+      name: 'may have run',
+      hasBegun: false,
+      mayHaveRun: true,
+      silent: 500,
+      left: 1_300,
+    },
+    {
+      name: 'may have run long ago',
+      hasBegun: false,
+      mayHaveRun: true,
+      silent: 1_900,
+      left: 0,
+    },
+    {
+      name: 'has not run',
+      hasBegun: false,
+      mayHaveRun: false,
+      silent: 20,
+      left: 30,
+    },
+    {
+      name: 'has not run and waited',
+      hasBegun: false,
+      mayHaveRun: false,
+      silent: 60,
+      left: 0,
+    },
+  ])('of a stream that $name', ({hasBegun, mayHaveRun, silent, left}) => {
+    const patience = roomPatience({
+      hasBegun,
+      mayHaveRun,
+      silentMilliseconds: silent,
+      latencyTargetMilliseconds: 400,
+    });
+    expect(patience).toBe(left);
+  });
+});
+
 describe('silent streams', () => {
   function stream(
     requestId: string,
