A dead upstream that a refusal named first is found lost by a trial call

The first sign on five of seven instances was a refusal that named it, so it was held as refusing; a later silence or unanswered trial changed nothing, since an upstream that is suspected was not suspected again, and running streams do not leave one that refuses. 33 streams stood still until their callers left two seconds later. Ruled out: the trial's time limit, the budget of repeats (no line notRestarted), room elsewhere. Change: worse evidence replaces a refusal; a refusal that is news is followed by a trial call.

--- a/src/features/fleet/common/suspicions.ts
+++ b/src/features/fleet/common/suspicions.ts
@@ -58,14 +58,18 @@
     super();
   }
 
-  /** Holds an upstream to be lost. */
+  /**
+   * Holds an upstream to be lost; answers whether that is news. One that only refuses can still turn out
+   * to be lost: a dead upstream is named in refusals before anything else shows that it is dead.
+   */
   suspect(
     upstream: string,
     reason: SuspicionReason,
     evidence: Readonly<Record<string, unknown>>,
-  ): void {
-    if (this.suspected.has(upstream)) {
-      return;
+  ): boolean {
+    const known = this.suspected.get(upstream);
+    if (known !== undefined && !isWorse(reason, known.reason)) {
+      return false;
     }
     const since = this.clock.monotonicMilliseconds();
     const hold = reason === 'refusing' ? this.holdOf(upstream, since) : 0;
@@ -73,6 +77,7 @@
     this.suspected.set(upstream, suspicion);
     this.logger.decision('upstreamSuspected', {upstream, reason, ...evidence});
     this.begun.fire(suspicion);
+    return true;
   }
 
   /** A trial was answered, or the upstream is gone from the list. */
@@ -127,3 +132,7 @@
     return [...this.suspected.values()];
   }
 }
+
+function isWorse(reason: SuspicionReason, known: SuspicionReason): boolean {
+  return known === 'refusing' && reason !== 'refusing';
+}
--- a/src/features/fleet/test/fleet.test.ts
+++ b/src/features/fleet/test/fleet.test.ts
@@ -83,6 +83,13 @@
   });
 });
 
+/** Lets listeners be called, which happens after the event. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 10; turn++) {
+    await Promise.resolve();
+  }
+}
+
 describe('suspicions', () => {
   it('end with an answered trial call', () => {
     const suspicions = new Suspicions(new FakeClock(), new SilentLogger());
@@ -117,6 +124,25 @@
     },
   );
 
+  it.each([
+    {reasons: ['refusing', 'silent'], told: ['refusing', 'silent'], lost: true},
+    {reasons: ['refusing', 'reset'], told: ['refusing', 'reset'], lost: true},
+    {reasons: ['refusing', 'refusing'], told: ['refusing'], lost: false},
+    {reasons: ['silent', 'refusing'], told: ['silent'], lost: true},
+    {reasons: ['silent', 'reset'], told: ['silent'], lost: true},
+  ] as const)(
+    'for $reasons in a row are told as $told',
+    async ({reasons, told, lost}) => {
+      const suspicions = new Suspicions(new FakeClock(), new SilentLogger());
+      const heard: string[] = [];
+      suspicions.onDidSuspect(({reason}) => heard.push(reason));
+      reasons.forEach(reason => suspicions.suspect('one', reason, {}));
+      await settle();
+      expect(heard).toEqual(told);
+      expect(suspicions.isLost('one')).toBe(lost);
+    },
+  );
+
   it('end at once when the upstream is gone', () => {
     const suspicions = new Suspicions(new FakeClock(), new SilentLogger());
     suspicions.suspect('one', 'refusing', {});
--- a/src/features/forwarding/node/streamRun.ts
+++ b/src/features/forwarding/node/streamRun.ts
@@ -341,14 +341,22 @@
       misdirected: facts.isMisdirected,
     });
     if (faulty !== undefined) {
-      const reason = facts.isMisdirected ? 'misdirected' : 'refusing';
-      this.services.suspicions.suspect(faulty.id, reason, {
-        request: this.admitted.id,
-      });
+      this.suspectRefusing(faulty, facts.isMisdirected);
     }
     this.repeatOrWait('notRun', () => this.giveUp('refused'));
   }
 
+  /** A refusal names full and leaving upstreams, but dead ones, too: only a call to it tells them apart. */
+  private suspectRefusing(faulty: Upstream, isMisdirected: boolean): void {
+    const {suspicions, trials} = this.services;
+    const evidence = {request: this.admitted.id};
+    const reason = isMisdirected ? 'misdirected' : 'refusing';
+    const isNews = suspicions.suspect(faulty.id, reason, evidence);
+    if (isNews && !isMisdirected && !trials.hasJustAnswered(faulty.id)) {
+      void trials.try(faulty, 'silent', evidence);
+    }
+  }
+
   /** A stream that has begun waits for a repeat when none is left; others end. */
   private repeatOrWait(cause: string, onNone: () => void): void {
     if (this.isDone) {
--- a/src/features/forwarding/node/upstreamTrials.ts
+++ b/src/features/forwarding/node/upstreamTrials.ts
@@ -134,6 +134,8 @@
           this.running.delete(id);
           if (report !== undefined) {
             this.suspicions.clear(id, 'answered');
+          } else {
+            this.suspicions.suspect(id, 'silent', {trial: 'return'});
           }
         });
       }
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -584,6 +584,37 @@
     expect(forwarding.control.moves).toEqual([]);
   });
 
+  it.each([
+    {name: 'does not answer', isDead: true},
+    {name: 'answers', isDead: false},
+  ])(
+    'leaves an upstream that refused another stream and $name: $isDead',
+    async ({isDead}) => {
+      const forwarding = bench();
+      await forwarding.send('/stream/');
+      const running = forwarding.connector.last;
+      running.head();
+      running.eventsOf(1, 2);
+      const [first] = running.added['hops'] as readonly string[];
+      const {address, dataCentre} = engines.find(({id}) => id === first)!;
+      const elsewhere = engines.filter(
+        engine => engine.dataCentre !== dataCentre,
+      );
+      const {load} = forwarding.services;
+      elsewhere.forEach(({id}) => load.add(id, 10_000_000));
+      await forwarding.send('/stream/');
+      elsewhere.forEach(({id}) => load.remove(id, 10_000_000));
+      const other = forwarding.connector.last;
+      expect(other.added['hops']).toContain(first);
+      if (isDead) {
+        forwarding.control.dead.add(first!);
+      }
+      other.answer(503, ['notRun', '1', 'faulty', address]);
+      await forwarding.settle();
+      expect(running.isClosed).toBe(isDead);
+    },
+  );
+
   it('is refused with a time to come back when no path has room', async () => {
     const forwarding = bench();
     for (const {id} of engines) {
