The lease for layers: a stopping instance gives it up for good, and that of an ended run is free at once

Change: LayerController.leave ends the competition, then releases. A row is free at once when its holder is this process or a run that surely ended: another run of the same instance answered a question sent after the row was seen. Starts are only compared for being equal, since wall clocks jump.

--- a/src/features/instances/common/instanceTable.ts
+++ b/src/features/instances/common/instanceTable.ts
@@ -18,9 +18,17 @@
   readonly isUnreachable: boolean;
 }
 
+/** Which run of a peer answered, and when it was asked. */
+interface PeerAnswer {
+  readonly startedAt: number;
+  readonly askedAt: number;
+}
+
 /** Which instances there are and what each can do, from what they tell each other. */
 export class InstanceTable {
   private readonly others = new Map<string, Known>();
+  /** The last answer of each peer. */
+  private readonly answers = new Map<string, PeerAnswer>();
   private beat = 0;
   private ownState: InstanceState = 'unready';
 
@@ -94,6 +102,28 @@
     }
   }
 
+  /** A peer answered a question that was sent at a monotonic time: this run of it was alive then. */
+  noteAnswer({name, startedAt}: InstanceRecord, askedAt: number): void {
+    this.answers.set(name, {startedAt, askedAt});
+  }
+
+  /**
+   * Whether a run of an instance that was active up to a monotonic time has surely ended: there is one
+   * process on an instance, and another run answered a later question. Starts are only compared for
+   * being equal, since wall clocks jump.
+   */
+  hasEnded(name: string, startedAt: number, activeUntil: number): boolean {
+    if (name === this.own.name) {
+      return startedAt !== this.own.startedAt;
+    }
+    const answer = this.answers.get(name);
+    return (
+      answer !== undefined &&
+      answer.startedAt !== startedAt &&
+      answer.askedAt > activeUntil
+    );
+  }
+
   /** Peers to exchange news with, stopping and silent ones included until they are forgotten. */
   get peers(): readonly InstanceRecord[] {
     this.forgetOld();
@@ -135,6 +165,7 @@
     for (const [name, {heardAt}] of this.others) {
       if (heardAt > 0 && now - heardAt > FORGOTTEN_MILLISECONDS) {
         this.others.delete(name);
+        this.answers.delete(name);
       }
     }
   }
--- a/src/features/instances/node/peerTalk.ts
+++ b/src/features/instances/node/peerTalk.ts
@@ -137,12 +137,14 @@
       limit.abort(),
     );
     const cancelled = token.onDidCancel(() => limit.abort());
+    const askedAt = this.clock.monotonicMilliseconds();
     try {
       const client = this.connections.client<NewsRouter>(peer.peerAddress);
       const answer = await client.news.exchange.mutate(this.compose(), {
         signal: limit.signal,
       });
       this.take(answer as PeerNews);
+      this.noteRun(answer as PeerNews, askedAt);
     } catch {
       // The table writes the line: silent peers are news only once.
       this.parts.instances.noteUnreachable(peer.name);
@@ -152,6 +154,13 @@
     }
   }
 
+  private noteRun({from, instances}: PeerNews, askedAt: number): void {
+    const own = instances.find(({record}) => record.name === from);
+    if (own !== undefined) {
+      this.parts.instances.noteAnswer(own.record, askedAt);
+    }
+  }
+
   private compose(): PeerNews {
     const {instances, load, slowness, suspicions} = this.parts;
     const loads = [...load.ownFigures].map(([upstream, figure]) => ({
--- a/src/features/instances/test/instances.test.ts
+++ b/src/features/instances/test/instances.test.ts
@@ -41,6 +41,32 @@
   return {clock, table};
 }
 
+describe('a run of an instance', () => {
+  const cases = [
+    {name: 'own', start: 1, ended: false},
+    {name: 'own', start: 7, ended: true},
+    {name: 'peer', start: 1, ended: false},
+    {name: 'peer', answered: {start: 1, askedAt: 20}, start: 1, ended: false},
+    {name: 'peer', answered: {start: 2, askedAt: 20}, start: 1, ended: true},
+    // The wall clock was ahead when the run that ended had begun.
+    {name: 'peer', answered: {start: 2, askedAt: 20}, start: 9, ended: true},
+    // The question was older than the sign of life.
+    {name: 'peer', answered: {start: 2, askedAt: 5}, start: 3, ended: false},
+  ];
+
+  it.each(cases)(
+    '$name of $start after $answered has ended: $ended',
+    ({name, answered, start, ended}) => {
+      const {table} = makeTable();
+      if (answered !== undefined) {
+        const run = record(name, 'north', answered.start);
+        table.noteAnswer(run, answered.askedAt);
+      }
+      expect(table.hasEnded(name, start, 10)).toBe(ended);
+    },
+  );
+});
+
 describe('instances that serve', () => {
   const cases: ReadonlyArray<{
     name: string;
--- a/src/features/layers/common/layerController.ts
+++ b/src/features/layers/common/layerController.ts
@@ -112,6 +112,8 @@
   private readonly firstSizes = new Map<string, LayerSizes>();
   /** When each upstream was first seen. */
   private readonly seenAt = new Map<string, number>();
+  private isLeaving = false;
+  private leaseStep: Promise<void> = Promise.resolve();
 
   constructor(
     private readonly clock: Clock,
@@ -152,11 +154,19 @@
     this.task.runNow();
   }
 
+  /** Gives the lease up for good: an instance that stops would soon leave it to nobody again. */
+  async leave(token: CancellationToken): Promise<void> {
+    this.isLeaving = true;
+    await this.leaseStep;
+    await this.lease.release(token);
+  }
+
   private async stepLease(token: CancellationToken): Promise<void> {
-    if (this.lease.state === 'idle' && this.isHolderHeard()) {
-      return;
+    const isElsewhere = this.lease.state === 'idle' && this.isHolderHeard();
+    if (!this.isLeaving && !isElsewhere) {
+      this.leaseStep = this.lease.advance(token);
+      await this.leaseStep;
     }
-    await this.lease.advance(token);
   }
 
   private onLease(state: string): void {
--- a/src/features/layers/test/layerController.test.ts
+++ b/src/features/layers/test/layerController.test.ts
@@ -4,6 +4,7 @@
 import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
 import {failure, Result, success} from '../../../base/common/result.js';
+import {neverCancelled} from '../../../base/common/cancellation.js';
 import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
 import {Suspicions} from '../../fleet/common/suspicions.js';
 import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
@@ -207,6 +208,19 @@
     );
   });
 
+  it('is not taken again by an instance that stops', async () => {
+    const world = new ControllerWorld(2);
+    world.list(cards(6));
+    await world.pass(6000);
+    const holder = world.leases.findIndex(({fencing}) => fencing !== undefined);
+    await world.controllers[holder]!.leave(neverCancelled);
+    for (let passed = 0; passed < 20; passed++) {
+      await world.pass(500);
+      expect(world.leases[holder]!.fencing).toBeUndefined();
+    }
+    expect(world.leases[1 - holder]!.fencing).toBeDefined();
+  });
+
   it.each(['answerLost', 'orderLost'] as const)(
     'makes good an order when the %s',
     async fault => {
--- a/src/features/placement/common/leaseObserver.ts
+++ b/src/features/placement/common/leaseObserver.ts
@@ -10,6 +10,9 @@
   readonly since: number;
 }
 
+/** Whether a holder that wrote its row before a monotonic time has surely ended, so that it can't act any more. */
+export type HolderCheck = (holder: string, writtenBefore: number) => boolean;
+
 /** Watches a lease of others and knows when it may be taken. */
 export class LeaseObserver {
   private seen: ObservedLease | undefined;
@@ -17,6 +20,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly durationMilliseconds: number,
+    private readonly hasEnded: HolderCheck,
   ) {}
 
   /** The row as it was seen last; undefined when there is none. */
@@ -35,12 +39,15 @@
     }
   }
 
-  /** Whether there is no row, its holder gave it up, or it stayed the same for a whole duration. */
+  /** Whether there is no row, its holder gave it up or has ended, or it stayed the same for a whole duration. */
   get isTakeable(): boolean {
     const {seen} = this;
     if (seen === undefined || seen.record.released) {
       return true;
     }
+    if (this.hasEnded(seen.record.holder, seen.since)) {
+      return true;
+    }
     const unchanged = this.clock.monotonicMilliseconds() - seen.since;
     return unchanged >= this.durationMilliseconds;
   }
--- a/src/features/placement/common/tableLease.ts
+++ b/src/features/placement/common/tableLease.ts
@@ -9,7 +9,7 @@
   TableService,
 } from '../../../infrastructure/table/common/tableService.js';
 import {LeaseAction, leaseChart, LeaseEvent, LeaseState} from './leaseChart.js';
-import {LeaseObserver} from './leaseObserver.js';
+import {HolderCheck, LeaseObserver} from './leaseObserver.js';
 import {
   isHeldStill,
   isSameWrite,
@@ -52,11 +52,17 @@
     private readonly clock: Clock,
     private readonly createNonce: () => string,
     private readonly settings: LeaseSettings = defaultLeaseSettings,
+    hasEnded: HolderCheck = () => false,
   ) {
     super();
     const {durationMilliseconds, callMilliseconds} = settings;
     this.row = new LeaseRow(key, table, clock, callMilliseconds);
-    this.observer = new LeaseObserver(clock, durationMilliseconds);
+    this.observer = new LeaseObserver(
+      clock,
+      durationMilliseconds,
+      // A lease of its own that it lost in an outage is not acted on any more, and nobody else took it.
+      (name, before) => name === holder || hasEnded(name, before),
+    );
   }
 
   get state(): LeaseState {
--- a/src/features/placement/test/tableLease.test.ts
+++ b/src/features/placement/test/tableLease.test.ts
@@ -20,6 +20,8 @@
   readonly clock = new FakeClock();
   readonly platform = new InMemoryPlatform(this.clock);
   readonly leases: readonly TableLease[];
+  /** Holders that have ended, as the others know. */
+  readonly ended = new Set<string>();
   private readonly calls: Array<Promise<void> | undefined> = [];
   private nonces = 0;
 
@@ -27,7 +29,15 @@
     this.leases = Array.from({length: count}, (_, index) => {
       const {table} = this.platform.portsOf(`p${index}`);
       const nonce = () => `n${this.nonces++}`;
-      return new TableLease(KEY, `p${index}`, table, this.clock, nonce);
+      return new TableLease(
+        KEY,
+        `p${index}`,
+        table,
+        this.clock,
+        nonce,
+        defaultLeaseSettings,
+        holder => this.ended.has(holder),
+      );
     });
   }
 
@@ -76,6 +86,29 @@
   expect([world.acting, world.leases[0]!.fencing]).toEqual([[0], 1]);
 });
 
+it.each([
+  {name: 'that has ended', ended: ['p0'], acting: [1]},
+  {name: 'that may live', ended: [], acting: []},
+])('of a holder $name is free at once: $acting', async ({ended, acting}) => {
+  const world = new LeaseWorld(2);
+  await world.pass(100, 0);
+  await world.pass(100, 1);
+  ended.forEach(holder => world.ended.add(holder));
+  world.leases[0]!.dispose();
+  await world.pass(100, 1);
+  await world.pass(100, 1);
+  expect(world.acting.filter(index => index === 1)).toEqual(acting);
+});
+
+it('that was lost in an outage is taken again at once when nobody else took it', async () => {
+  const world = new LeaseWorld(1);
+  await world.pass(STEP, 0);
+  world.clock.pause(DURATION);
+  await world.pass(10, 0);
+  await world.pass(10, 0);
+  expect([world.acting, world.leases[0]!.fencing]).toEqual([[0], 2]);
+});
+
 it('is not acted on after a pause, and the next holder has a higher number', async () => {
   const world = new LeaseWorld(2);
   await world.pass(STEP, 0);
--- a/src/programs/router/routerParts.ts
+++ b/src/programs/router/routerParts.ts
@@ -65,7 +65,6 @@
   readonly instances: InstanceTable;
   readonly registry: InstanceRegistry;
   readonly talk: PeerTalk;
-  readonly lease: TableLease;
   readonly layers: LayerController;
   readonly handler: RequestHandler;
   readonly metrics: Registry;
@@ -150,7 +149,7 @@
   );
   const lease = new TableLease(
     LEASE_KEY,
-    `${own.name} ${own.startedAt}`,
+    formatHolder(own),
     ports.table,
     clock,
     randomUUID,
@@ -159,6 +158,7 @@
       marginMilliseconds: LEASE_MARGIN_MILLISECONDS,
       callMilliseconds: LEASE_CALL_MILLISECONDS,
     },
+    (holder, since) => hasHolderEnded(instances, holder, since),
   );
   const talk = owned.add(
     new PeerTalk(clock, random, logger, own, settings.peerKey, {
@@ -177,7 +177,6 @@
     directory,
     instances,
     registry,
-    lease,
     metrics,
     follower: owned.add(
       new ConfigurationFollower(clock, logger, ports.configurations, keeper),
@@ -203,6 +202,25 @@
   };
 }
 
+/** A run of an instance as the holder of a lease: the name, a space, the start. */
+function formatHolder({name, startedAt}: InstanceRecord): string {
+  return `${name} ${startedAt}`;
+}
+
+function hasHolderEnded(
+  instances: InstanceTable,
+  holder: string,
+  writtenBefore: number,
+): boolean {
+  const space = holder.lastIndexOf(' ');
+  const startedAt = Number(holder.slice(space + 1));
+  return (
+    space > 0 &&
+    Number.isFinite(startedAt) &&
+    instances.hasEnded(holder.slice(0, space), startedAt, writtenBefore)
+  );
+}
+
 function confirmationLimit({revocationMilliseconds}: RouterSettings): number {
   return revocationMilliseconds === undefined
     ? UNBOUNDED_CONFIRMATION_MILLISECONDS
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -137,10 +137,12 @@
   }
 
   private async leave(): Promise<void> {
-    const {lease, registry, talk} = this.parts;
-    await talk.tellAll(neverCancelled);
+    const {layers, registry, talk} = this.parts;
+    await Promise.all([
+      talk.tellAll(neverCancelled),
+      layers.leave(neverCancelled),
+    ]);
     await registry.withdraw(this.settings.instance.name, neverCancelled);
-    await lease.release(neverCancelled);
   }
 
   private sleep(milliseconds: number): Promise<void> {
