Layers that slow upstreams hold are loaded elsewhere; news of slowness ends with the slowness

An upstream was still told to be slow 0.9 s after it was sound, since peers passed the news on as if it were theirs, each time anew. Ruled out: memory (room was there), crossings (those streams were the fast ones). Change: the plan counts layers on slow upstreams as lacking where the data centre can hold the model without them; the backlog of reading grows by the factor; peers are told only own readings with their age, and the newest reading counts.

--- a/src/features/fleet/common/slowness.ts
+++ b/src/features/fleet/common/slowness.ts
@@ -3,7 +3,7 @@
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 
-/** A factor counts for this long after it was heard; reports come every second or two. */
+/** A factor counts for this long after it was reported; reports come every second or two. */
 const VALID_MILLISECONDS = 5_000;
 
 /** Factors below this are those of a sound upstream. */
@@ -12,10 +12,27 @@
 /** From this factor on running streams are moved off where another upstream can take their part. */
 const MOVING_FACTOR = 2.5;
 
-/** How many times slower than its kind each upstream is, as it reported. */
+/** What an instance has read in a report itself. */
+export interface SlownessReading {
+  readonly upstream: string;
+  readonly factor: number;
+  readonly ageMilliseconds: number;
+}
+
+interface Known {
+  readonly factor: number;
+  /** Monotonic milliseconds of the report. */
+  readonly at: number;
+  readonly isOwn: boolean;
+}
+
+/**
+ * How many times slower than its kind each upstream is, as it reported. Peers are told only what was read
+ * here, with its age: news that is passed on and on would outlive the slowness.
+ */
 export class Slowness extends DisposableOwner {
   private readonly slowed = this.register(new Emitter<string>());
-  private readonly factors = new Map<string, {factor: number; at: number}>();
+  private readonly readings = new Map<string, Known>();
 
   /** Fires with an upstream that has become so slow that streams had better leave it. */
   readonly onDidSlow = this.slowed.event;
@@ -27,43 +44,71 @@
     super();
   }
 
-  /** Takes a reported factor. */
+  /** Takes a factor that was reported just now. */
   note(upstream: string, factor: number): void {
-    const before = this.of(upstream);
-    if (factor >= MOVING_FACTOR && before < MOVING_FACTOR) {
-      this.logger.decision('upstreamSlow', {upstream, factor, before});
-      this.slowed.fire(upstream);
-    }
-    if (factor < LEAST_FACTOR) {
-      this.factors.delete(upstream);
-    } else {
-      this.factors.set(upstream, {factor, at: this.now()});
-    }
+    this.take(upstream, {factor, at: this.now(), isOwn: true});
+  }
+
+  /** Takes a factor that a peer has read. */
+  hear({upstream, factor, ageMilliseconds}: SlownessReading): void {
+    const at = this.now() - ageMilliseconds;
+    this.take(upstream, {factor, at, isOwn: false});
   }
 
   /** 1 for a sound upstream. */
   of(upstream: string): number {
-    const known = this.factors.get(upstream);
-    if (known === undefined) {
-      return 1;
+    const known = this.readings.get(upstream);
+    const counts =
+      known !== undefined &&
+      known.factor >= LEAST_FACTOR &&
+      this.now() - known.at <= VALID_MILLISECONDS;
+    return counts ? known.factor : 1;
+  }
+
+  /** Whether an upstream is so slow that what runs on it had better run elsewhere. */
+  isSlow(upstream: string): boolean {
+    return this.of(upstream) >= MOVING_FACTOR;
+  }
+
+  /** The slow upstreams that this instance has read of itself, for peers. */
+  get own(): readonly SlownessReading[] {
+    this.forgetOld();
+    const now = this.now();
+    return [...this.readings]
+      .filter(([, {factor, isOwn}]) => isOwn && factor >= LEAST_FACTOR)
+      .map(([upstream, {factor, at}]) => ({
+        upstream,
+        factor,
+        ageMilliseconds: now - at,
+      }));
+  }
+
+  private take(upstream: string, reading: Known): void {
+    const known = this.readings.get(upstream);
+    const knownAt = known?.at ?? -Infinity;
+    const isNewer = reading.isOwn
+      ? reading.at >= knownAt
+      : reading.at > knownAt;
+    if (!isNewer) {
+      return;
     }
-    if (this.now() - known.at > VALID_MILLISECONDS) {
-      this.factors.delete(upstream);
-      return 1;
+    const before = this.of(upstream);
+    this.readings.set(upstream, reading);
+    const factor = this.of(upstream);
+    if (factor >= MOVING_FACTOR && before < MOVING_FACTOR) {
+      const age = Math.round(this.now() - reading.at);
+      this.logger.decision('upstreamSlow', {upstream, factor, before, age});
+      this.slowed.fire(upstream);
     }
-    return known.factor;
   }
 
-  /** The upstreams that are slow now, for peers. */
-  get all(): ReadonlyMap<string, number> {
-    const all = new Map<string, number>();
-    for (const id of [...this.factors.keys()]) {
-      const factor = this.of(id);
-      if (factor > 1) {
-        all.set(id, factor);
+  private forgetOld(): void {
+    const from = this.now() - VALID_MILLISECONDS;
+    for (const [upstream, {at}] of this.readings) {
+      if (at < from) {
+        this.readings.delete(upstream);
       }
     }
-    return all;
   }
 
   private now(): number {
--- a/src/features/fleet/test/fleet.test.ts
+++ b/src/features/fleet/test/fleet.test.ts
@@ -171,6 +171,38 @@
   });
 });
 
+it('slowness that is passed on among peers ends with the slowness', () => {
+  const clock = new FakeClock();
+  const peers = [...Array(3)].map(
+    () => new Slowness(clock, new SilentLogger()),
+  );
+  peers[0]!.note('one', 12);
+  const talk = (): void => {
+    for (const teller of peers) {
+      peers.forEach(peer => teller.own.forEach(news => peer.hear(news)));
+    }
+  };
+  talk();
+  expect(peers.map(peer => peer.isSlow('one'))).toEqual([true, true, true]);
+  for (let passed = 0; passed < 12; passed++) {
+    clock.advance(500);
+    talk();
+  }
+  expect(peers.map(peer => peer.of('one'))).toEqual([1, 1, 1]);
+});
+
+it('what was read last counts, whoever read it', () => {
+  const clock = new FakeClock();
+  const slowness = new Slowness(clock, new SilentLogger());
+  clock.advance(1000);
+  slowness.note('one', 1);
+  slowness.hear({upstream: 'one', factor: 12, ageMilliseconds: 500});
+  expect(slowness.of('one')).toBe(1);
+  clock.advance(1000);
+  slowness.hear({upstream: 'one', factor: 12, ageMilliseconds: 500});
+  expect(slowness.of('one')).toBe(12);
+});
+
 it('a reported slowness fades', () => {
   const clock = new FakeClock();
   const slowness = new Slowness(clock, new SilentLogger());
--- a/src/features/forwarding/test/forwardingBench.ts
+++ b/src/features/forwarding/test/forwardingBench.ts
@@ -379,7 +379,11 @@
       trials,
       load: new UpstreamLoad(),
       linkLoad: new LinkLoad(clock, () => 1),
-      readingBacklog: new ReadingBacklog(clock, () => 1),
+      readingBacklog: new ReadingBacklog(
+        clock,
+        () => 1,
+        () => 1,
+      ),
       slowness,
       budget: new RetryBudget(
         clock,
--- a/src/features/instances/common/peerNews.ts
+++ b/src/features/instances/common/peerNews.ts
@@ -1,5 +1,6 @@
 import * as zod from 'zod';
 
+import {SlownessReading} from '../../fleet/common/slowness.js';
 import {InstanceNews} from './instance.js';
 
 /** What instances tell each other in one exchange. */
@@ -11,18 +12,12 @@
   readonly tokens: number;
 }
 
-/** How many times slower than its kind an upstream is. */
-export interface SlownessNews {
-  readonly upstream: string;
-  readonly factor: number;
-}
-
 /** One side of an exchange. */
 export interface PeerNews {
   readonly from: string;
   readonly instances: readonly InstanceNews[];
   readonly loads: readonly UpstreamLoadNews[];
-  readonly slow: readonly SlownessNews[];
+  readonly slow: readonly SlownessReading[];
   /** Whether the sender holds the lease for orders about layers. */
   readonly holdsLease: boolean;
   /** Upstreams that the sender holds to be lost. */
@@ -63,7 +58,13 @@
     )
     .max(PEER_LIST_LIMIT),
   slow: zod
-    .array(zod.object({upstream: text, factor: zod.number()}))
+    .array(
+      zod.object({
+        upstream: text,
+        factor: zod.number(),
+        ageMilliseconds: zod.number().nonnegative(),
+      }),
+    )
     .max(PEER_LIST_LIMIT),
   holdsLease: zod.boolean(),
   lost: zod.array(text).max(PEER_LIST_LIMIT),
--- a/src/features/instances/node/peerTalk.ts
+++ b/src/features/instances/node/peerTalk.ts
@@ -168,15 +168,11 @@
       requests: figure.requests,
       tokens: Math.round(figure.tokens),
     }));
-    const slow = [...slowness.all].map(([upstream, factor]) => ({
-      upstream,
-      factor,
-    }));
     return {
       from: this.own.name,
       instances: instances.allNews.slice(0, PEER_LIST_LIMIT),
       loads: loads.slice(0, PEER_LIST_LIMIT),
-      slow: slow.slice(0, PEER_LIST_LIMIT),
+      slow: slowness.own.slice(0, PEER_LIST_LIMIT),
       holdsLease: this.parts.lease.fencing !== undefined,
       lost: suspicions.all.map(({upstream}) => upstream),
     };
@@ -192,7 +188,7 @@
       news.loads.map(({upstream, ...figure}) => [upstream, figure]),
     );
     load.setPeer(news.from, this.clock.monotonicMilliseconds(), figures);
-    news.slow.forEach(({upstream, factor}) => slowness.note(upstream, factor));
+    news.slow.forEach(reading => slowness.hear(reading));
     news.lost.forEach(upstream => this.verify(upstream, news.from));
   }
 
--- a/src/features/layers/common/layerController.ts
+++ b/src/features/layers/common/layerController.ts
@@ -3,6 +3,7 @@
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {Slowness} from '../../fleet/common/slowness.js';
 import {Suspicions} from '../../fleet/common/suspicions.js';
 import {
   LayerRange,
@@ -28,7 +29,7 @@
   largerSizes,
   LayerSizes,
 } from './layerSize.js';
-import {LayerAssignment, planLayers} from './planLayers.js';
+import {LayerAssignment, planLayers, withoutSlow} from './planLayers.js';
 
 /** Time between two looks at what is held. */
 const PERIOD_MILLISECONDS = 350;
@@ -124,6 +125,7 @@
     private readonly configuration: ConfigurationKeeper,
     private readonly directory: UpstreamDirectory,
     private readonly suspicions: Suspicions,
+    private readonly slowness: Slowness,
     /** Whether a peer says that it holds the lease: then the row need not be read. */
     private readonly isHolderHeard: () => boolean,
   ) {
@@ -208,7 +210,11 @@
     );
     const fresh = this.freshAmong(upstreams);
     const {layers} = service;
-    return planLayers({layers, sizes, upstreams, ordered, fresh}).map(
+    const sound = withoutSlow(upstreams, id => this.slowness.isSlow(id), {
+      layers,
+      sizes,
+    });
+    return planLayers({layers, sizes, upstreams: sound, ordered, fresh}).map(
       assignment => ({
         assignment,
         service,
--- a/src/features/layers/common/planLayers.ts
+++ b/src/features/layers/common/planLayers.ts
@@ -99,6 +99,22 @@
   return 1 / ((holders + 0.1) * (holders + 0.1));
 }
 
+/**
+ * Leaves out slow upstreams, so that what they hold counts as lacking: loading it elsewhere takes a second
+ * or two, slowness lasts longer. Not where the others could not hold the whole model: a slow path is better
+ * than crossing for each token.
+ */
+export function withoutSlow(
+  upstreams: readonly Upstream[],
+  isSlow: (upstream: string) => boolean,
+  {layers, sizes}: Pick<LayerSituation, 'layers' | 'sizes'>,
+): readonly Upstream[] {
+  return [...byDataCentre(upstreams).values()].flatMap(group => {
+    const sound = group.filter(({id}) => !isSlow(id));
+    return totalSize(sizes, sound) >= layers.layerCount ? sound : group;
+  });
+}
+
 /** The assignments that are missing; none when all is as it should be. */
 export function planLayers(
   situation: LayerSituation,
@@ -157,10 +173,7 @@
   const busy = new Set(filled.map(({upstream}) => upstream.id));
   const assignments: LayerAssignment[] = [];
   for (const [dataCentre, upstreams] of byDataCentre(situation.upstreams)) {
-    const total = upstreams.reduce(
-      (sum, upstream) => sum + sizeOf(situation, upstream),
-      0,
-    );
+    const total = totalSize(situation.sizes, upstreams);
     const isLacking = coverage.lackingIn(dataCentre) > 0;
     if (isLacking && total >= situation.layers.layerCount) {
       const movable = upstreams.filter(
@@ -258,6 +271,16 @@
   return best?.range;
 }
 
-function sizeOf(situation: LayerSituation, upstream: Upstream): number {
-  return situation.sizes.get(upstream.acceleratorKind ?? '') ?? 0;
+function totalSize(sizes: LayerSizes, upstreams: readonly Upstream[]): number {
+  return upstreams.reduce(
+    (sum, upstream) => sum + sizeOf({sizes}, upstream),
+    0,
+  );
+}
+
+function sizeOf(
+  {sizes}: Pick<LayerSituation, 'sizes'>,
+  upstream: Upstream,
+): number {
+  return sizes.get(upstream.acceleratorKind ?? '') ?? 0;
 }
--- a/src/features/layers/test/layerController.test.ts
+++ b/src/features/layers/test/layerController.test.ts
@@ -6,6 +6,7 @@
 import {failure, Result, success} from '../../../base/common/result.js';
 import {neverCancelled} from '../../../base/common/cancellation.js';
 import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
+import {Slowness} from '../../fleet/common/slowness.js';
 import {Suspicions} from '../../fleet/common/suspicions.js';
 import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
 import {
@@ -89,6 +90,7 @@
   readonly engines = new FakeEngines();
   private readonly platform = new InMemoryPlatform(this.clock);
   private readonly directories: UpstreamDirectory[] = [];
+  readonly slowness = new Slowness(this.clock, new SilentLogger());
   readonly leases: TableLease[] = [];
   readonly controllers: LayerController[] = [];
   private upstreams: readonly Upstream[] = [];
@@ -156,6 +158,7 @@
       keeper,
       directory,
       new Suspicions(clock, logger),
+      this.slowness,
       () => false,
     );
     this.controllers.push(controller);
@@ -208,6 +211,26 @@
     );
   });
 
+  it('loads what a slow upstream holds elsewhere', async () => {
+    const world = new ControllerWorld(1);
+    world.list(cards(6));
+    await world.pass(10_000);
+    const orders = world.engines.orders.length;
+    const held = [...world.engines.held.entries()];
+    const [slow] = held.find(
+      ([id, range]) =>
+        !held.some(
+          ([other, {from, to}]) =>
+            other !== id && from <= range.from && to >= range.to,
+        ),
+    )!;
+    world.slowness.note(slow, 12);
+    await world.pass(3000);
+    const added = world.engines.orders.slice(orders);
+    expect(added.length).toBeGreaterThan(0);
+    expect(added.map(({id}) => id)).not.toContain(slow);
+  });
+
   it('is not taken again by an instance that stops', async () => {
     const world = new ControllerWorld(2);
     world.list(cards(6));
--- a/src/features/layers/test/layers.test.ts
+++ b/src/features/layers/test/layers.test.ts
@@ -4,7 +4,11 @@
 import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
 import {layeredEngine} from '../../paths/test/engines.js';
 import {chooseLayerSizes, largerSizes} from '../common/layerSize.js';
-import {LayerAssignment, planLayers} from '../common/planLayers.js';
+import {
+  LayerAssignment,
+  planLayers,
+  withoutSlow,
+} from '../common/planLayers.js';
 
 const LAYERS = 20;
 const engine = layeredEngine(LAYERS);
@@ -126,6 +130,30 @@
   return covered.size;
 }
 
+describe('slow upstreams', () => {
+  const upstreams = ['n1', 'n2', 'n3', 's1', 's2'].map(id =>
+    makeUpstream({
+      id,
+      dataCentre: id.startsWith('n') ? 'north' : 'south',
+      acceleratorKind: 'small',
+    }),
+  );
+  const sizes = new Map([['small', LAYERS / 2]]);
+
+  it.each([
+    {slow: ['n1'], kept: ['n2', 'n3', 's1', 's2']},
+    {slow: ['n1', 'n2'], kept: ['n1', 'n2', 'n3', 's1', 's2']},
+    {slow: ['s1'], kept: ['n1', 'n2', 'n3', 's1', 's2']},
+    {slow: ['n3', 's1'], kept: ['n1', 'n2', 's1', 's2']},
+  ])('$slow leave $kept to be planned with', ({slow, kept}) => {
+    const left = withoutSlow(upstreams, id => slow.includes(id), {
+      layers,
+      sizes,
+    });
+    expect(left.map(({id}) => id)).toEqual(kept);
+  });
+});
+
 describe('the plan of layers', () => {
   it('covers the model in each data centre before it doubles anything', () => {
     const fleet = ['north', 'south'].flatMap(dataCentre => [
--- a/src/features/paths/common/readingBacklog.ts
+++ b/src/features/paths/common/readingBacklog.ts
@@ -23,6 +23,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly instanceCount: () => number,
+    /** Factor by which an upstream is slower than its kind. */
+    private readonly slownessOf: (upstream: string) => number,
   ) {}
 
   /** A prompt was sent along a path; the upstreams in `kept` have read it already. */
@@ -35,7 +37,9 @@
     const now = this.clock.monotonicMilliseconds();
     for (const {upstream} of path) {
       if (!kept.has(upstream.id)) {
-        const time = readingMilliseconds(engine, upstream, promptTokens);
+        const time =
+          readingMilliseconds(engine, upstream, promptTokens) *
+          this.slownessOf(upstream.id);
         const from = Math.max(now, this.busyUntil.get(upstream.id) ?? now);
         const added = time * Math.max(1, this.instanceCount());
         this.busyUntil.set(upstream.id, from + added);
--- a/src/features/paths/test/readingBacklog.test.ts
+++ b/src/features/paths/test/readingBacklog.test.ts
@@ -38,14 +38,19 @@
 
 describe('the reading backlog', () => {
   it.each([
-    {name: 'of one prompt', prompts: 1, instances: 1, after: 0, wait: 50},
-    {name: 'of three prompts', prompts: 3, instances: 1, after: 0, wait: 150},
-    {name: 'drains', prompts: 3, instances: 1, after: 120, wait: 30},
-    {name: 'is empty at last', prompts: 3, instances: 1, after: 200, wait: 0},
-    {name: 'guesses peers', prompts: 1, instances: 7, after: 0, wait: 350},
-  ])('$name', ({prompts, instances, after, wait}) => {
+    {name: 'of one prompt', prompts: 1, wait: 50},
+    {name: 'of three prompts', prompts: 3, wait: 150},
+    {name: 'drains', prompts: 3, after: 120, wait: 30},
+    {name: 'is empty at last', prompts: 3, after: 200, wait: 0},
+    {name: 'guesses peers', prompts: 1, instances: 7, wait: 350},
+    {name: 'of a slow upstream', prompts: 1, slowness: 12, wait: 600},
+  ])('$name', ({prompts, instances = 1, slowness = 1, after = 0, wait}) => {
     const clock = new FakeClock();
-    const backlog = new ReadingBacklog(clock, () => instances);
+    const backlog = new ReadingBacklog(
+      clock,
+      () => instances,
+      () => slowness,
+    );
     for (let count = 0; count < prompts; count++) {
       backlog.note(engine, whole, 1000, new Set());
     }
@@ -55,14 +60,22 @@
   });
 
   it('leaves out upstreams that have read the prompt', () => {
-    const backlog = new ReadingBacklog(new FakeClock(), () => 1);
+    const backlog = new ReadingBacklog(
+      new FakeClock(),
+      () => 1,
+      () => 1,
+    );
     backlog.note(engine, whole, 1000, new Set(['a']));
     expect(backlog.waitOf('a')).toBe(0);
     expect(backlog.waitOf('b')).toBeCloseTo(ONE_PROMPT_MILLISECONDS);
   });
 
   it('forgets upstreams that are gone', () => {
-    const backlog = new ReadingBacklog(new FakeClock(), () => 1);
+    const backlog = new ReadingBacklog(
+      new FakeClock(),
+      () => 1,
+      () => 1,
+    );
     backlog.note(engine, whole, 1000, new Set());
     backlog.retain(id => id === 'b');
     expect(backlog.waitOf('a')).toBe(0);
@@ -89,7 +102,14 @@
       // The south was in use a little more.
       load.add('c', 4_000);
       load.add('d', 4_000);
-      return {load, backlog: new ReadingBacklog(clock, () => INSTANCES)};
+      return {
+        load,
+        backlog: new ReadingBacklog(
+          clock,
+          () => INSTANCES,
+          () => 1,
+        ),
+      };
     });
     const sent = new Map<string, number>();
     for (let stream = 0; stream < STREAMS; stream++) {
--- a/src/programs/router/routerParts.ts
+++ b/src/programs/router/routerParts.ts
@@ -106,7 +106,11 @@
   );
   const connector = owned.add(new HttpUpstreamConnector());
   const outcomes = new OutcomeHistory(clock);
-  const readingBacklog = new ReadingBacklog(clock, () => instances.size);
+  const readingBacklog = new ReadingBacklog(
+    clock,
+    () => instances.size,
+    id => slowness.of(id),
+  );
   owned.add(
     directory.onDidChange(() => {
       const isListed = (id: string): boolean =>
@@ -195,6 +199,7 @@
         keeper,
         directory,
         suspicions,
+        slowness,
         () => talk.isHolderHeard,
       ),
     ),
