A request that waited for its start is not sent to an upstream that began to leave meanwhile

The reservations were made 1.1 to 1.8 s after the notice, before the list showed it (1.9 s); their start was predicted 5.7 to 8.6 s ahead, the run waited for it and then sent the first step to the upstream that had begun to leave: a fault of the router. Besides, the check took the time at which a step began in the engine's own queue for the time at which it came. Change: after the wait the plan is made again without upstreams that leave; nothing was sent until then. The stand-ins write down when work reached them, and the check goes by that: stricter towards what is sent late, and silent about what was sent in time and waited at the upstream.

--- a/src/features/pipeline/node/pipelineDependencies.ts
+++ b/src/features/pipeline/node/pipelineDependencies.ts
@@ -15,4 +15,6 @@
   readonly metrics: Metrics;
   readonly settings: PipelineSettings;
   readonly safeguards: Safeguards;
+  /** Whether the platform's list says that an upstream leaves, so that it gets nothing new. */
+  readonly isLeaving: (upstream: string) => boolean;
 }
--- a/src/features/pipeline/node/pipelineRun.ts
+++ b/src/features/pipeline/node/pipelineRun.ts
@@ -91,11 +91,34 @@
   }
 
   private async reserve(): Promise<AttemptEvent> {
-    const {state, stages, capacity} = this.parts;
+    const {state, capacity} = this.parts;
     if (state.token.isCancelled) {
       return 'ended';
     }
-    const reply = await capacity.reserve();
+    const left: string[] = [];
+    let reply = await capacity.reserve();
+    for (;;) {
+      const event = await this.takePlan(reply);
+      const leaving = this.leavingUpstreams();
+      if (event !== 'reserved' || leaving.length === 0) {
+        return event;
+      }
+      // The start may have lain seconds ahead; nothing was sent yet, so the plan is made again without them.
+      left.push(...leaving);
+      reply = await capacity.replan(
+        state.reservation!,
+        state,
+        left,
+        'upstreamLeaves',
+      );
+    }
+  }
+
+  /** Takes a plan over and waits for its start. */
+  private async takePlan(
+    reply: ReservationReply | undefined,
+  ): Promise<AttemptEvent> {
+    const {state, stages} = this.parts;
     if (reply === undefined) {
       return 'ended';
     }
@@ -114,6 +137,14 @@
     return started ? 'reserved' : 'ended';
   }
 
+  /** Upstreams of the plan that have begun to leave since it was made. */
+  private leavingUpstreams(): readonly string[] {
+    const {sessions} = this.parts.stages;
+    return sessions
+      .map(({chosen}) => chosen.upstream)
+      .filter(upstream => this.dependencies.isLeaving(upstream));
+  }
+
   /** Comes a little before the predicted start: engines queue by priority, and predictions err. */
   private async waitForStart(startsIn: number): Promise<boolean> {
     const {token} = this.parts.state;
--- a/src/features/pipeline/test/pipelineBench.ts
+++ b/src/features/pipeline/test/pipelineBench.ts
@@ -218,6 +218,8 @@
   readonly engines: readonly FaultyEngine[];
   readonly broker: ListBroker;
   readonly runs: BenchRun[] = [];
+  /** Upstreams that the list shows as leaving. */
+  readonly leaving = new Set<string>();
   private readonly driver: DefaultPipelineDriver;
 
   constructor(options: BenchOptions = {}) {
@@ -248,6 +250,7 @@
       metrics: this.metrics,
       settings: {...defaultPipelineSettings, ...options.settings},
       safeguards: options.safeguards ?? new StrictSafeguards(),
+      isLeaving: upstream => this.leaving.has(upstream),
     });
   }
 
--- a/src/features/pipeline/test/pipelineLifecycle.test.ts
+++ b/src/features/pipeline/test/pipelineLifecycle.test.ts
@@ -51,6 +51,27 @@
     await bench.finish();
   });
 
+  test.each([
+    {replicas: 2, ok: true, upstreams: ['stage0-1', 'stage1-0', 'stage2-0']},
+    {replicas: 1, ok: false, upstreams: []},
+  ])(
+    'sends nothing to an upstream that began to leave while the start was awaited, of $replicas',
+    async ({replicas, ok, upstreams}) => {
+      const bench = new PipelineBench({replicas, startsInMilliseconds: 4000});
+      const run = bench.start();
+      await bench.clock.advanceAsync(1000);
+      bench.leaving.add('stage0-0');
+      await finishCleanly(bench);
+      const used = new Set(bench.ledger.map(({upstream}) => upstream));
+      expect([...used]).toEqual(upstreams);
+      expect(run.result?.ok).toBe(ok);
+      expect(bench.broker.held.size).toBe(0);
+      if (!ok) {
+        expect(run.result).toMatchObject({error: {executed: 'no'}});
+      }
+    },
+  );
+
   test('tells once that probing stages answered, with the first token', async () => {
     const bench = new PipelineBench({probing: true});
     const run = bench.start();
--- a/src/features/pipeline/test/pipelineOverHttp.test.ts
+++ b/src/features/pipeline/test/pipelineOverHttp.test.ts
@@ -51,6 +51,7 @@
     metrics: new SilentMetrics(),
     settings: defaultPipelineSettings,
     safeguards: new StrictSafeguards(),
+    isLeaving: () => false,
   });
 });
 
--- a/src/programs/entry/redwingParts.ts
+++ b/src/programs/entry/redwingParts.ts
@@ -88,7 +88,7 @@
   }
 
   private createDriver(): DefaultPipelineDriver {
-    const {engines, clock, logger, metrics} = this.base;
+    const {engines, views, clock, logger, metrics} = this.base;
     return new DefaultPipelineDriver({
       broker: this.broker,
       connector: engines,
@@ -97,6 +97,10 @@
       metrics,
       settings: defaultPipelineSettings,
       safeguards: new StrictSafeguards(),
+      isLeaving: upstream =>
+        views.current?.upstreams.some(
+          ({id, state}) => id === upstream && state === 'leaving',
+        ) ?? false,
     });
   }
 
--- a/test/prove/ledgerIndex.ts
+++ b/test/prove/ledgerIndex.ts
@@ -67,18 +67,23 @@
     ];
   }
 
-  /** First begun steps and executions at an upstream, one for each request. */
+  /**
+   * When requests came to an upstream that it ran, one time for each. What came early may have waited in the
+   * upstream's own queue for seconds.
+   */
   arrivalsAt(upstream: string): readonly number[] {
     const arrivals: number[] = [];
     for (const steps of this.stepsByRequest.values()) {
       const here = steps.filter(step => step.upstream === upstream);
       if (here.length > 0) {
-        arrivals.push(Math.min(...here.map(step => step.at)));
+        arrivals.push(
+          Math.min(...here.map(step => step.receivedAt ?? step.at)),
+        );
       }
     }
     for (const executions of this.executionsByRequest.values()) {
       const here = executions.filter(entry => entry.upstream === upstream);
-      arrivals.push(...here.map(entry => entry.at));
+      arrivals.push(...here.map(entry => entry.receivedAt));
     }
     return arrivals;
   }
--- a/test/prove/test/checks.test.ts
+++ b/test/prove/test/checks.test.ts
@@ -113,6 +113,7 @@
   path: '/bookings',
   sequence: 1,
   at: 10,
+  receivedAt: 0,
 };
 
 const ledgerCases: readonly LedgerCase[] = [
@@ -262,15 +263,24 @@
   {name: 'new work long after the notice', at: 9000, count: 1},
   {name: 'new work within the grace', at: 3500, count: 0},
   {name: 'new work after its return', at: 20_000, count: 0},
-])('leaving: $name', ({at, count}) => {
+  {name: 'work that waited at the upstream', at: 9000, waited: 6000, count: 0},
+  {name: 'new work that waited a little', at: 9000, waited: 900, count: 1},
+])('leaving: $name', ({at, waited = 0, count}) => {
+  const receivedAt = at - waited;
   const ledger = new LedgerIndex(
-    [...step(0, 0, {at: 100}), ...step(1, 0, {at: 9500})],
-    [{...execution, upstream: 'e0', requestId: 'b', at}],
+    [
+      ...step(0, 0, {at: 100}),
+      ...step(1, 0, {at: 9500}),
+      ...step(0, 0, {requestId: 'c', at, receivedAt}),
+    ],
+    [{...execution, upstream: 'e0', requestId: 'b', at, receivedAt}],
   );
   const lagMilliseconds = 1000;
   const window = {upstream: 'e0', from: 0, to: 10_000, lagMilliseconds};
   const found = checkLeavingGetsNothing([window], ledger);
   expect(found).toHaveLength(count);
+  const arrivals = ledger.arrivalsAt('e0').filter(time => time > 4000);
+  expect(arrivals.filter(time => time < 10_000)).toHaveLength(2 * count);
 });
 
 it.each([
--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -70,6 +70,15 @@
 const PREFIX_LIMIT = 32;
 const PREFIX_REPORT_LAG_MILLISECONDS = 200;
 
+/** How a step came to the engine. */
+interface StepArrival {
+  /** Monotonic milliseconds, for the time that it waits. */
+  readonly arrivedAt: number;
+  /** Wall milliseconds, for the ledger. */
+  readonly receivedAt: number;
+  readonly transferMilliseconds: number;
+}
+
 /** One incarnation of a model engine; dies for good, a new one takes its place. */
 export class Engine extends DisposableOwner {
   readonly incarnation = randomUUID();
@@ -119,6 +128,7 @@
       await sleep(transferMilliseconds);
     }
     const arrivedAt = performance.now();
+    const receivedAt = Date.now();
     for (;;) {
       const refusal = this.refusalOf(step);
       if (refusal !== undefined) {
@@ -129,7 +139,11 @@
         return failure(this.stoppedWaiting(step));
       }
       const result = await sequence.inTurn(() =>
-        this.attempt(step, sequence, arrivedAt, transferMilliseconds),
+        this.attempt(step, sequence, {
+          arrivedAt,
+          receivedAt,
+          transferMilliseconds,
+        }),
       );
       if (result !== 'slotLost') {
         return result;
@@ -322,8 +336,7 @@
   private async attempt(
     step: StepRequest,
     sequence: Sequence,
-    arrivedAt: number,
-    transferMilliseconds: number,
+    {arrivedAt, receivedAt, transferMilliseconds}: StepArrival,
   ): Promise<StepResult | 'slotLost'> {
     await this.surroundings.thawed();
     if (this.slots.get(step.requestId) !== sequence) {
@@ -334,7 +347,7 @@
       return failure(refusal);
     }
     const begunAt = performance.now();
-    const output = await this.execute(step, sequence);
+    const output = await this.execute(step, sequence, receivedAt);
     if (output === undefined) {
       return refused('dead');
     }
@@ -354,11 +367,12 @@
   private async execute(
     step: StepRequest,
     sequence: Sequence,
+    receivedAt: number,
   ): Promise<StepOutput | undefined> {
     const record = this.recordOf(step.requestId);
     record.begun = true;
     record.highestEpoch = Math.max(record.highestEpoch, step.epoch);
-    this.write({kind: 'begun', ...ledgerFields(step)});
+    this.write({kind: 'begun', ...ledgerFields(step), receivedAt});
     this.surroundings.reached('begun');
     sequence.runningSteps++;
     await pass(sequence, this.computeMilliseconds(step));
--- a/test/standins/engineSettings.ts
+++ b/test/standins/engineSettings.ts
@@ -139,6 +139,8 @@
       readonly positions: PositionRange;
       readonly rebuild: boolean;
       readonly version: string;
+      /** Wall milliseconds at which a begun step reached the engine; it may have waited there for long. */
+      readonly receivedAt?: number;
       /** The business key: the word `[key:…]` among the step's tokens, at first stages. */
       readonly key?: string;
       /** The token made, for completed steps of a last stage. */
--- a/test/standins/serviceStandIn.ts
+++ b/test/standins/serviceStandIn.ts
@@ -54,6 +54,8 @@
   readonly key: string | undefined;
   readonly method: string;
   readonly path: string;
+  /** Wall milliseconds at which the call came; it was executed later. */
+  readonly receivedAt: number;
 }
 
 const DEFAULT_MILLISECONDS = 2;
@@ -130,6 +132,7 @@
     fault: ServiceFault | undefined,
   ): Promise<StandInAnswer> {
     const requestId = String(call.headers['redwing-request-id'] ?? '');
+    const receivedAt = Date.now();
     const extra = fault?.kind === 'slow' ? fault.milliseconds : 0;
     await sleep((this.settings.milliseconds ?? DEFAULT_MILLISECONDS) + extra);
     this.ledger.add({
@@ -138,6 +141,7 @@
       key: keyOf(call.text),
       method: call.method,
       path: call.path,
+      receivedAt,
     });
     return this.answer(call, requestId, fault);
   }
