One instance reads the list of upstreams for its peers

Change: the first by name of the serving instances reads when its list is 0.5 s old; the others ask it every 0.4 s, are told digest and age, the list itself only when it has changed, and read themselves at 1.1 s. Answers are dated from their question, so that suspended processes take nothing for fresh.

--- a/src/features/fleet/common/upstreamDirectory.ts
+++ b/src/features/fleet/common/upstreamDirectory.ts
@@ -3,6 +3,7 @@
 import {Disposable, DisposableOwner} from '../../../base/common/lifecycle.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {Upstream} from './upstream.js';
+import {describeUpstream, digestOf} from './upstreamList.js';
 
 /** Reads that are further apart than this had an outage of the list between them. */
 const OUTAGE_MILLISECONDS = 2_500;
@@ -22,6 +23,7 @@
   private lastRead = -Infinity;
   private completeFrom = -Infinity;
   private lastList: readonly Upstream[] = [];
+  private lastDigest = digestOf([]);
   private dropTimer: Disposable | undefined;
 
   /** Fires when an upstream came, left or changed. */
@@ -64,14 +66,34 @@
     return this.clock.monotonicMilliseconds() - this.lastRead;
   }
 
-  /** Takes a whole list that was read just now. */
-  replace(list: readonly Upstream[]): void {
+  /** The list as it was read last, what an outage hides left out. */
+  get list(): readonly Upstream[] {
+    return this.lastList;
+  }
+
+  /** Tells lists apart. */
+  get digest(): string {
+    return this.lastDigest;
+  }
+
+  /**
+   * Takes a whole list that showed the upstreams at a monotonic time, by default now; one that is older than
+   * the last changes nothing.
+   */
+  replace(
+    list: readonly Upstream[],
+    asOf = this.clock.monotonicMilliseconds(),
+  ): void {
+    if (asOf < this.lastRead) {
+      return;
+    }
     const now = this.clock.monotonicMilliseconds();
-    if (now - this.lastRead > OUTAGE_MILLISECONDS) {
+    if (asOf - this.lastRead > OUTAGE_MILLISECONDS) {
       this.completeFrom = now + RETURN_MILLISECONDS;
     }
-    this.lastRead = now;
+    this.lastRead = asOf;
     this.lastList = list;
+    this.lastDigest = digestOf(list);
     this.apply(now);
   }
 
@@ -125,13 +147,16 @@
     let isChanged = false;
     for (const upstream of next.values()) {
       const before = this.upstreams.get(upstream.id);
-      if (before === undefined || describe(before) !== describe(upstream)) {
+      if (
+        before === undefined ||
+        describeUpstream(before) !== describeUpstream(upstream)
+      ) {
         isChanged = true;
         this.logger.decision('upstreamChanged', {
           upstream: upstream.id,
           address: upstream.address,
-          before: before && describe(before),
-          now: describe(upstream),
+          before: before && describeUpstream(before),
+          now: describeUpstream(upstream),
         });
       }
     }
@@ -144,11 +169,3 @@
     return isChanged;
   }
 }
-
-function describe(upstream: Upstream): string {
-  const {layers} = upstream;
-  const range = layers === undefined ? '-' : `${layers.from}-${layers.to}`;
-  const state = upstream.isLeaving ? 'leaving' : 'ready';
-  const models = upstream.models.join(',');
-  return `${state} ${range} ${models} ${upstream.address} ${upstream.slots}`;
-}
--- a/src/features/fleet/common/upstreamLister.ts
+++ b/src/features/fleet/common/upstreamLister.ts
@@ -7,12 +7,8 @@
 import {UpstreamDirectory} from './upstreamDirectory.js';
 import {UpstreamSource} from './upstreamSource.js';
 
-/**
- * How often the list is read: an upstream that leaves must get nothing new two seconds after it said
- * so, and one reading may fail. Reading it is cheaper than following it, since every heartbeat is a
- * change.
- */
-const PERIOD_MILLISECONDS = 750;
+/** The list is not looked at more often, however old it is. */
+const LEAST_WAIT_MILLISECONDS = 50;
 
 /** After a failed reading the next one comes sooner. */
 const RETRY_MILLISECONDS = 250;
@@ -24,19 +20,24 @@
   private lastFindings = '';
 
   constructor(
-    clock: Clock,
+    private readonly clock: Clock,
     random: RandomSource,
     private readonly logger: Logger,
     private readonly source: UpstreamSource,
     private readonly directory: UpstreamDirectory,
+    /**
+     * Milliseconds that the list may be old. Reading it is cheaper than following it, since every heartbeat
+     * is a change; hearing of it from a peer that has just read it is cheaper still.
+     */
+    private readonly ageLimit: () => number,
   ) {
     super();
     this.task = this.register(
       new RepeatingTask(
         clock,
         random,
-        () => (this.isLost ? RETRY_MILLISECONDS : PERIOD_MILLISECONDS),
-        token => this.read(token),
+        () => this.waitMilliseconds,
+        token => this.look(token),
       ),
     );
   }
@@ -46,7 +47,22 @@
     this.task.runNow();
   }
 
+  /** Until the list is too old, by what is known of it now. */
+  private get waitMilliseconds(): number {
+    const left = this.ageLimit() - this.directory.age;
+    return left > 0
+      ? Math.max(LEAST_WAIT_MILLISECONDS, left)
+      : RETRY_MILLISECONDS;
+  }
+
+  private async look(token: CancellationToken): Promise<void> {
+    if (this.directory.age >= this.ageLimit()) {
+      await this.read(token);
+    }
+  }
+
   private async read(token: CancellationToken): Promise<void> {
+    const askedAt = this.clock.monotonicMilliseconds();
     const listing = await this.source.list(token);
     if (token.isCancelled) {
       return;
@@ -60,7 +76,7 @@
       this.logger.info('upstream list regained');
     }
     this.reportFindings(listing.value.findings);
-    this.directory.replace(listing.value.upstreams);
+    this.directory.replace(listing.value.upstreams, askedAt);
   }
 
   private noteLost(detail: string): void {
--- a/src/features/instances/common/instanceTable.ts
+++ b/src/features/instances/common/instanceTable.ts
@@ -1,5 +1,6 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {listAgeLimit, readerFor} from './listReader.js';
 import {InstanceNews, InstanceRecord, InstanceState} from './instance.js';
 
 /**
@@ -151,6 +152,19 @@
     return this.ownState === 'serving' ? [this.own, ...others] : others;
   }
 
+  /** The instance that reads the list of upstreams for this one; undefined while none serves. */
+  get reader(): string | undefined {
+    return readerFor(
+      this.own.name,
+      this.serving.map(({name}) => name),
+    );
+  }
+
+  /** Milliseconds for which this instance may go without reading the list of upstreams. */
+  get listAgeLimit(): number {
+    return listAgeLimit(this.own.name, this.reader);
+  }
+
   /** Instances that share bounds over all instances: this one and each known other. */
   get size(): number {
     return this.others.size + 1;
--- a/src/features/instances/common/peerNews.ts
+++ b/src/features/instances/common/peerNews.ts
@@ -1,6 +1,7 @@
 import * as zod from 'zod';
 
 import {SlownessReading} from '../../fleet/common/slowness.js';
+import {Upstream} from '../../fleet/common/upstream.js';
 import {InstanceNews} from './instance.js';
 
 /** What instances tell each other in one exchange. */
@@ -12,12 +13,23 @@
   readonly tokens: number;
 }
 
+/** What a peer knows of the platform's list of upstreams. */
+export interface UpstreamListNews {
+  readonly digest: string;
+  /** Time since it was read. */
+  readonly ageMilliseconds: number;
+  /** The list itself, in an answer to a peer that knows another, older one. */
+  readonly upstreams?: readonly Upstream[];
+}
+
 /** One side of an exchange. */
 export interface PeerNews {
   readonly from: string;
   readonly instances: readonly InstanceNews[];
   readonly loads: readonly UpstreamLoadNews[];
   readonly slow: readonly SlownessReading[];
+  /** Undefined before the list was first read. */
+  readonly list?: UpstreamListNews;
   /** Whether the sender holds the lease for orders about layers. */
   readonly holdsLease: boolean;
   /** Upstreams that the sender holds to be lost. */
@@ -44,6 +56,29 @@
   beat: zod.int().nonnegative(),
 });
 
+const upstream: zod.ZodType<Upstream> = zod.object({
+  id: text,
+  service: text,
+  address: text,
+  dataCentre: text,
+  slots: zod.number(),
+  isLeaving: zod.boolean(),
+  coldMilliseconds: zod.number(),
+  // JSON leaves out what is undefined.
+  acceleratorKind: text.optional().transform(kind => kind),
+  layers: zod
+    .object({from: zod.int(), to: zod.int()})
+    .optional()
+    .transform(range => range),
+  models: zod.array(text),
+});
+
+const list = zod.object({
+  digest: text,
+  ageMilliseconds: zod.number().nonnegative(),
+  upstreams: zod.array(upstream).max(PEER_LIST_LIMIT).optional(),
+});
+
 /** Checks what a peer sent. */
 export const peerNewsSchema: zod.ZodType<PeerNews> = zod.object({
   from: text,
@@ -66,6 +101,7 @@
       }),
     )
     .max(PEER_LIST_LIMIT),
+  list: list.optional(),
   holdsLease: zod.boolean(),
   lost: zod.array(text).max(PEER_LIST_LIMIT),
 });
--- a/src/features/instances/node/peerTalk.ts
+++ b/src/features/instances/node/peerTalk.ts
@@ -14,7 +14,8 @@
 import {InstanceRecord} from '../common/instance.js';
 import {InstanceRegistry} from '../common/instanceRegistry.js';
 import {InstanceTable} from '../common/instanceTable.js';
-import {PEER_LIST_LIMIT, PeerNews} from '../common/peerNews.js';
+import {ListExchange} from '../common/listExchange.js';
+import {PEER_LIST_LIMIT, PeerNews, peerNewsSchema} from '../common/peerNews.js';
 import {NewsRouter} from './newsRouter.js';
 
 /** Time between two rounds of exchanges. */
@@ -48,6 +49,7 @@
 export class PeerTalk extends DisposableOwner {
   private readonly task: RepeatingTask;
   private readonly connections: RpcConnections;
+  private readonly lists: ListExchange;
   private round = 0;
   private holderHeardAt = -Infinity;
   private isAnnounced = false;
@@ -61,6 +63,7 @@
     private readonly parts: TalkParts,
   ) {
     super();
+    this.lists = new ListExchange(parts.directory);
     this.connections = this.register(new RpcConnections(peerKey));
     this.task = this.register(
       new RepeatingTask(
@@ -99,7 +102,7 @@
   /** Answers a peer. */
   answer(news: PeerNews): PeerNews {
     this.take(news);
-    return this.compose();
+    return {...this.compose(), list: this.lists.answerTo(news.list)};
   }
 
   private async talk(token: CancellationToken): Promise<void> {
@@ -120,8 +123,10 @@
   }
 
   private pick(peers: readonly InstanceRecord[]): readonly InstanceRecord[] {
-    const left = [...peers];
-    const picked: InstanceRecord[] = [];
+    // The one that reads the list of upstreams for this instance is asked in every round.
+    const {reader} = this.parts.instances;
+    const left = peers.filter(({name}) => name !== reader);
+    const picked = peers.filter(({name}) => name === reader);
     while (left.length > 0 && picked.length < PEERS_PER_ROUND) {
       picked.push(...left.splice(this.random.nextInteger(left.length), 1));
     }
@@ -140,11 +145,13 @@
     const askedAt = this.clock.monotonicMilliseconds();
     try {
       const client = this.connections.client<NewsRouter>(peer.peerAddress);
-      const answer = await client.news.exchange.mutate(this.compose(), {
+      const answered = await client.news.exchange.mutate(this.compose(), {
         signal: limit.signal,
       });
-      this.take(answer as PeerNews);
-      this.noteRun(answer as PeerNews, askedAt);
+      const answer = peerNewsSchema.parse(answered);
+      this.take(answer);
+      this.noteRun(answer, askedAt);
+      this.lists.take(answer.list, askedAt);
     } catch {
       // The table writes the line: silent peers are news only once.
       this.parts.instances.noteUnreachable(peer.name);
@@ -172,6 +179,7 @@
       from: this.own.name,
       instances: instances.allNews.slice(0, PEER_LIST_LIMIT),
       loads: loads.slice(0, PEER_LIST_LIMIT),
+      list: this.lists.own,
       slow: slowness.own.slice(0, PEER_LIST_LIMIT),
       holdsLease: this.parts.lease.fencing !== undefined,
       lost: suspicions.all.map(({upstream}) => upstream),
--- a/src/programs/router/routerParts.ts
+++ b/src/programs/router/routerParts.ts
@@ -186,7 +186,14 @@
       new ConfigurationFollower(clock, logger, ports.configurations, keeper),
     ),
     lister: owned.add(
-      new UpstreamLister(clock, random, logger, ports.upstreams, directory),
+      new UpstreamLister(
+        clock,
+        random,
+        logger,
+        ports.upstreams,
+        directory,
+        () => instances.listAgeLimit,
+      ),
     ),
     talk,
     layers: owned.add(
