--- a/src/features/forwarding/node/plainRun.ts
+++ b/src/features/forwarding/node/plainRun.ts
@@ -86,7 +86,13 @@
       settings.heldAnswerBytes,
       outcome => this.onOutcome(upstream, outcome),
     );
-    const exchange = connector.open(upstream, this.toRequest(upstream), answer);
+    const request = this.upstreamRequest(upstream, {
+      path: undefined,
+      lastEvent: this.admitted.facts.lastEvent,
+      // A late second answer on a kept connection would leave open whether the request ran.
+      isAlone: true,
+    });
+    const exchange = connector.open(upstream, request, answer);
     const release = toDisposable(() => {
       load.remove(upstream.id, 0);
       exchange.dispose();
@@ -98,28 +104,6 @@
     this.running.set(upstream.id, this.owned.add(release));
   }
 
-  private toRequest(upstream: Upstream) {
-    const {admitted, exchange, services} = this;
-    const {method, target, headers} = exchange.request;
-    const sent = services.wire.upstreamHeaders(headers, {
-      deadlineMilliseconds: Math.max(1, Math.floor(this.timeLeft)),
-      upstream,
-      account: admitted.account,
-      priority: admitted.priority,
-      path: undefined,
-      lastEvent: admitted.facts.lastEvent,
-    });
-    return {
-      method,
-      target,
-      headers: sent,
-      body: admitted.body,
-      connectMilliseconds: services.settings.connectMilliseconds,
-      // A late second answer on a kept connection would leave open whether the request ran.
-      isAlone: true,
-    };
-  }
-
   private onOutcome(upstream: Upstream, outcome: AttemptOutcome): void {
     const running = this.running.get(upstream.id);
     this.running.delete(upstream.id);
--- a/src/features/forwarding/node/requestRun.ts
+++ b/src/features/forwarding/node/requestRun.ts
@@ -1,7 +1,9 @@
 import {Disposable, DisposableStore} from '../../../base/common/lifecycle.js';
 import {AnswerHead, CallerExchange} from '../common/callerExchange.js';
 import {NotRunReason, retryAfterMilliseconds} from '../common/retryAfter.js';
-import {RequestFacts} from '../common/wire.js';
+import {UpstreamRequest} from '../common/upstreamExchange.js';
+import {RequestFacts, UpstreamAdditions} from '../common/wire.js';
+import {Upstream} from '../../fleet/common/upstream.js';
 import {Route} from '../../traffic/common/trafficConfiguration.js';
 import {ForwardingServices} from './forwardingServices.js';
 
@@ -22,6 +24,10 @@
   readonly configurationAge: number;
 }
 
+/** What differs between the sendings of a request. */
+type SendingFacts = Pick<UpstreamAdditions, 'path' | 'lastEvent'> &
+  Pick<UpstreamRequest, 'isAlone'>;
+
 /** Forwards one request until its caller has a final answer or has left. */
 export abstract class RequestRun implements Disposable {
   protected readonly owned = new DisposableStore();
@@ -85,6 +91,31 @@
     return this.now - this.exchange.request.receivedAt;
   }
 
+  /** The caller's request as it is sent to an upstream now. */
+  protected upstreamRequest(
+    upstream: Upstream,
+    {path, lastEvent, isAlone}: SendingFacts,
+  ): UpstreamRequest {
+    const {admitted, exchange, services} = this;
+    const {method, target, headers} = exchange.request;
+    const sent = services.wire.upstreamHeaders(headers, {
+      deadlineMilliseconds: Math.max(1, Math.floor(this.timeLeft)),
+      upstream,
+      account: admitted.account,
+      priority: admitted.priority,
+      path,
+      lastEvent,
+    });
+    return {
+      method,
+      target,
+      headers: sent,
+      body: admitted.body,
+      connectMilliseconds: services.settings.connectMilliseconds,
+      isAlone,
+    };
+  }
+
   /** The request has surely not run: says so, and when to come back. */
   protected refuse(reason: NotRunReason): void {
     if (this.isDone) {
--- a/src/features/forwarding/node/streamRun.ts
+++ b/src/features/forwarding/node/streamRun.ts
@@ -8,7 +8,6 @@
   upstreamIdsOf,
 } from '../../paths/common/path.js';
 import {tokenMilliseconds} from '../../paths/common/pathCost.js';
-import {PathAnswer} from '../../paths/common/pathSearch.js';
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {AnswerHead, CallerExchange} from '../common/callerExchange.js';
 import {EventSequence} from '../common/eventSequence.js';
@@ -17,9 +16,11 @@
 import {lookAgainAfter, roomPatience} from '../common/roomPatience.js';
 import {StreamProgress} from '../common/silence.js';
 import {AnswerFacts} from '../common/wire.js';
+import {FirstUpstreams} from './firstUpstreams.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {HeldPath} from './heldPath.js';
 import {PathChooser} from './pathChooser.js';
+import {PathMover} from './pathMover.js';
 import {AdmittedRequest, RequestRun} from './requestRun.js';
 import {StreamAttempt, StreamAttemptEvents} from './streamAttempt.js';
 import {StreamWatch, WatchedStream} from './streamWatch.js';
@@ -38,8 +39,9 @@
   private readonly sequence: EventSequence;
   private readonly chooser: PathChooser;
   private readonly held: HeldPath;
+  private readonly mover: PathMover;
   private readonly pauses: PauseMeter;
-  private readonly firstParts = new Set<string>();
+  private readonly firsts: FirstUpstreams;
   private attempt: StreamAttempt | undefined;
   private head: AnswerHead | undefined;
   private sentAt = 0;
@@ -69,6 +71,8 @@
     this.pauses = new PauseMeter(exchange.request.receivedAt);
     this.held = new HeldPath(services.load, size);
     this.chooser = new PathChooser(services, service, engine, size);
+    this.firsts = new FirstUpstreams(services, admitted.route.attemptLimit);
+    this.mover = new PathMover(services, admitted.id, this.chooser);
   }
 
   protected override begin(): void {
@@ -149,7 +153,7 @@
   }
 
   private start(cause: string): void {
-    const answer = this.findWhole();
+    const answer = this.firsts.choose(this.chooser);
     if (answer.kind !== 'found') {
       const reason = answer.kind === 'noRoom' ? 'noRoom' : this.missingReason();
       this.waitOrGiveUp(cause, reason);
@@ -187,24 +191,6 @@
     this.later(() => this.start(cause));
   }
 
-  /**
-   * Once no further first upstream may be used, one that was used already is taken again. Those that
-   * have ended do not count, but that must be sure: a suspicion may be wrong.
-   */
-  private findWhole(): PathAnswer {
-    const {attemptLimit} = this.admitted.route;
-    const {directory, suspicions} = this.services;
-    const counted = [...this.firstParts].filter(
-      id => directory.find(id) !== undefined && !suspicions.isLongLost(id),
-    );
-    if (counted.length < attemptLimit) {
-      return this.chooser.whole(() => true);
-    }
-    return this.chooser.whole(
-      ({id, layers}) => this.firstParts.has(id) || (layers?.from ?? 0) > 0,
-    );
-  }
-
   /** @param kept upstreams that have read the prompt already */
   private take(path: Path, kept: ReadonlySet<string> = new Set()): void {
     const {promptTokens} = this.held.size;
@@ -228,33 +214,20 @@
       this.giveUp('noLayers');
       return;
     }
-    this.firstParts.add(first.upstream.id);
+    this.firsts.add(first.upstream.id);
     this.sequence.beginRun();
     this.sentAt = this.now;
     const {id} = this.admitted;
     this.attempt = new StreamAttempt(this.services, id, this.sequence, this);
-    this.attempt.open(first.upstream, this.toRequest(first.upstream));
-  }
-
-  private toRequest(upstream: Upstream) {
-    const {admitted, exchange, services} = this;
-    const {method, target, headers} = exchange.request;
     const hasPath = this.engine.layers !== undefined;
-    return {
-      method,
-      target,
-      headers: services.wire.upstreamHeaders(headers, {
-        deadlineMilliseconds: Math.max(1, Math.floor(this.timeLeft)),
-        upstream,
-        account: admitted.account,
-        priority: admitted.priority,
+    this.attempt.open(
+      first.upstream,
+      this.upstreamRequest(first.upstream, {
         path: hasPath ? this.path : undefined,
         lastEvent: this.sequence.lastEvent,
+        isAlone: false,
       }),
-      body: admitted.body,
-      connectMilliseconds: services.settings.connectMilliseconds,
-      isAlone: false,
-    };
+    );
   }
 
   onStreamHead(head: AnswerHead): void {
@@ -405,59 +378,29 @@
    * @param isUrgent whether the stream can't go on where it is
    */
   private async move(left: string, isUrgent: boolean): Promise<void> {
-    const {control, settings} = this.services;
-    const lost = this.lostOnPath(left);
-    const [first] = this.path;
-    const answer = this.chooser.without(this.path, lost);
-    // A path that crosses more often carries all tokens so far across again: reading them anew in one
-    // data centre takes less time, if the budget allows it.
-    const crossesMore =
-      answer.kind === 'found' &&
-      crossingsOf(answer.path) > crossingsOf(this.path);
-    if (answer.kind !== 'found' || crossesMore) {
+    const move = this.mover.find(this.path, left);
+    if (move === undefined || move.crossesMore) {
       const isGone = isUrgent && this.restart('upstreamLost');
-      if (isGone || !isUrgent || answer.kind !== 'found') {
+      if (isGone || !isUrgent || move === undefined) {
         return;
       }
     }
-    if (first === undefined) {
-      return;
-    }
+    const {events} = this.pauses;
     this.isMoving = true;
     this.moves++;
-    const {path} = answer;
-    const {events} = this.pauses;
-    const moved = await control.repath(
-      first.upstream,
-      this.admitted.id,
-      path,
-      settings.repathMilliseconds,
-    );
+    const isMoved = await this.mover.order(move);
     this.isMoving = false;
-    this.note('streamMoved', {
-      lost: [...lost],
-      path: formatPath(path),
-      ok: moved.ok,
-      error: moved.ok ? undefined : moved.error.kind,
-    });
     if (this.isDone || this.attempt === undefined) {
       return;
     }
-    if (moved.ok) {
+    if (isMoved) {
       this.services.metrics.noteRepeat('moved');
-      this.take(path, new Set(upstreamIdsOf(this.path)));
+      this.take(move.path, new Set(upstreamIdsOf(this.path)));
     } else if (this.pauses.events === events) {
       this.restart('notMoved');
     }
   }
 
-  private lostOnPath(left: string): ReadonlySet<string> {
-    const {directory, suspicions} = this.services;
-    const isLost = (id: string): boolean =>
-      id === left || suspicions.isLost(id) || directory.find(id) === undefined;
-    return new Set(upstreamIdsOf(this.path).filter(isLost));
-  }
-
   /** Gives the running attempt up and begins another where that is allowed; answers whether it did. */
   private restart(cause: string): boolean {
     if (!this.canRepeat) {
