A trial call is judged only for time in which the process could read answers

A timer runs before what has arrived is read, and after three late trials the last one counted. Ruled out: layers (all were held in two data centres), the list (read at the start).

--- a/src/features/forwarding/node/upstreamTrials.ts
+++ b/src/features/forwarding/node/upstreamTrials.ts
@@ -23,14 +23,20 @@
 const TRIAL_BURST = 40;
 const TRIALS_PER_SECOND = 20;
 
-/** A trial that ended so much too late was held up in this process and says nothing about the upstream. */
-const HELD_UP_MILLISECONDS = 15;
+/**
+ * A timer that fires so much too late says that this process was held up: an answer may have come that it has
+ * not read yet, since timers run before what has arrived.
+ */
+const HELD_UP_MILLISECONDS = 5;
+
+/** Time after the limit in which an answer that has arrived is read. */
+const READING_MILLISECONDS = 3;
 
-/** Trials in a row that this process may hold up; then it is too busy to tell, and the last one counts. */
-const FAIR_TRIALS = 3;
+/** Longest time of a trial call: for an upstream that is suspected already, and while this process is held up. */
+const LONG_TRIAL_MILLISECONDS = 250;
 
-/** Time in which a suspected upstream answers a trial call; it is no longer in a hurry. */
-const RETURN_TRIAL_MILLISECONDS = 250;
+/** The trial's time is over. */
+const OVERDUE = Symbol('overdue');
 
 /** Tries upstreams that may be lost, and those that are suspected until they answer. */
 export class UpstreamTrials extends DisposableOwner {
@@ -97,7 +103,7 @@
     if (!this.takeTrial()) {
       return Promise.resolve(undefined);
     }
-    const trial = this.askFairly(upstream).then(report => {
+    const trial = this.askInTime(upstream).then(report => {
       if (report === undefined) {
         this.suspicions.suspect(upstream.id, reason, evidence);
       }
@@ -108,19 +114,40 @@
     return trial;
   }
 
-  /** Asks again when this process could not have read an answer in time. */
-  private async askFairly(
+  /** The report if it comes in time; one that comes later ends the suspicion. */
+  private async askInTime(
     upstream: Upstream,
   ): Promise<UpstreamReport | undefined> {
-    for (let trial = 1; ; trial++) {
-      const dueAt = this.clock.monotonicMilliseconds() + this.trialMilliseconds;
-      const report = await this.ask(upstream, this.trialMilliseconds);
-      const late = this.clock.monotonicMilliseconds() - dueAt;
-      const isFair = late <= HELD_UP_MILLISECONDS || trial === FAIR_TRIALS;
-      if (report !== undefined || isFair) {
-        return report;
+    const answer = this.ask(upstream, LONG_TRIAL_MILLISECONDS);
+    const inTime = await Promise.race([answer, this.untilOverdue()]);
+    if (inTime !== OVERDUE) {
+      return inTime;
+    }
+    void answer.then(report => {
+      if (report !== undefined) {
+        this.suspicions.clear(upstream.id, 'answered');
       }
+    });
+    return undefined;
+  }
+
+  /** Resolves after a trial's time in which this process was not held up, and could read what had come. */
+  private async untilOverdue(): Promise<typeof OVERDUE> {
+    while ((await this.sleep(this.trialMilliseconds)) > HELD_UP_MILLISECONDS) {
+      // What came meanwhile has not been read yet.
     }
+    await this.sleep(READING_MILLISECONDS);
+    return OVERDUE;
+  }
+
+  /** Resolves with the milliseconds by which the timer was late. */
+  private sleep(milliseconds: number): Promise<number> {
+    const dueAt = this.clock.monotonicMilliseconds() + milliseconds;
+    return new Promise(resolve => {
+      this.clock.setTimer(milliseconds, () =>
+        resolve(this.clock.monotonicMilliseconds() - dueAt),
+      );
+    });
   }
 
   /**
@@ -128,7 +155,7 @@
    * connections of one that crashed end, too.
    */
   async isAlive(upstream: Upstream): Promise<boolean> {
-    const report = await this.ask(upstream, RETURN_TRIAL_MILLISECONDS);
+    const report = await this.ask(upstream, LONG_TRIAL_MILLISECONDS);
     return report !== undefined;
   }
 
@@ -152,7 +179,7 @@
       if (upstream === undefined) {
         this.suspicions.clear(id, 'gone');
       } else if (!this.running.has(id)) {
-        const trial = this.ask(upstream, RETURN_TRIAL_MILLISECONDS);
+        const trial = this.ask(upstream, LONG_TRIAL_MILLISECONDS);
         this.running.set(id, trial);
         void trial.then(report => {
           this.running.delete(id);
