--- a/src/features/layers/common/planLayers.ts
+++ b/src/features/layers/common/planLayers.ts
@@ -179,7 +179,48 @@
       const movable = upstreams.filter(
         ({id}) => !situation.ordered.has(id) && !busy.has(id),
       );
-      assignments.push(...bestMove(situation, coverage, movable));
+      const move = bestMove(situation, coverage, movable);
+      const isQuiet = movable.length === upstreams.length;
+      const shifted = isQuiet ? shiftRanges(situation, upstreams) : [];
+      assignments.push(...(move.length > 0 ? move : shifted));
+    }
+  }
+  return assignments;
+}
+
+/**
+ * Ranges of a data centre's upstreams that cover the model without a gap, each as near to the present one as
+ * that allows. One move can't close a gap that is smaller than what the moved upstream leaves behind; many
+ * small shifts can, and only layers that are new to an upstream are loaded. They end within the time of the
+ * largest shift, while a data centre with a gap serves nobody without crossing.
+ */
+export function shiftRanges(
+  situation: LayerSituation,
+  upstreams: readonly Upstream[],
+): readonly LayerAssignment[] {
+  const {layerCount} = situation.layers;
+  const holders = upstreams
+    .flatMap(upstream => {
+      const {layers: held} = upstream;
+      const size = sizeOf(situation, upstream);
+      return held === undefined || size === 0 ? [] : [{upstream, held, size}];
+    })
+    .sort((left, right) => left.held.from - right.held.from);
+  let rest = holders.reduce((sum, {size}) => sum + size, 0);
+  if (rest < layerCount) {
+    return [];
+  }
+  const assignments: LayerAssignment[] = [];
+  let covered = 0;
+  for (const {upstream, held, size} of holders) {
+    rest -= size;
+    // Not beyond what is covered, and not so early that the others can't cover what is left.
+    const earliest = Math.max(held.from, layerCount - rest - size);
+    const from = Math.min(covered, earliest, layerCount - size);
+    const range = {from, to: from + size};
+    covered = Math.max(covered, range.to);
+    if (held.from !== range.from || held.to !== range.to) {
+      assignments.push({upstream, range, reason: 'dataCentreIncomplete'});
     }
   }
   return assignments;
--- a/src/features/layers/test/layers.test.ts
+++ b/src/features/layers/test/layers.test.ts
@@ -1,3 +1,4 @@
+import * as fastCheck from 'fast-check';
 import {describe, expect, it} from 'vitest';
 
 import {makeUpstream} from '../../fleet/test/upstreams.js';
@@ -7,6 +8,7 @@
 import {
   LayerAssignment,
   planLayers,
+  shiftRanges,
   withoutSlow,
 } from '../common/planLayers.js';
 
@@ -154,6 +156,102 @@
   });
 });
 
+describe('shifted ranges', () => {
+  const shiftSizes = new Map([
+    ['small', 4],
+    ['fast', 7],
+  ]);
+  const ranges = fastCheck.array(
+    fastCheck.record({
+      from: fastCheck.integer({min: 0, max: LAYERS - 1}),
+      kind: fastCheck.constantFrom('small', 'fast'),
+    }),
+    {minLength: 1, maxLength: 12},
+  );
+
+  function situationOf(upstreams: readonly Upstream[]) {
+    return {
+      layers,
+      sizes: shiftSizes,
+      upstreams,
+      ordered: new Map<string, LayerRange>(),
+      fresh: new Set<string>(),
+    };
+  }
+
+  /** What each holds once the assignments are carried out. */
+  function heldAfter(
+    upstreams: readonly Upstream[],
+    assignments: readonly LayerAssignment[],
+  ): readonly LayerRange[] {
+    const after = new Map(upstreams.map(({id, layers: held}) => [id, held!]));
+    assignments.forEach(({upstream, range}) => after.set(upstream.id, range));
+    return [...after.values()];
+  }
+
+  function lackingOf(ranges: readonly LayerRange[]): number {
+    return [...Array(LAYERS).keys()].filter(
+      layer => !ranges.some(({from, to}) => from <= layer && layer < to),
+    ).length;
+  }
+
+  it('cover the model wherever it fits, and change nothing elsewhere', () => {
+    fastCheck.assert(
+      fastCheck.property(ranges, held => {
+        const upstreams = held.map(({from, kind}, index) => {
+          const to = Math.min(LAYERS, from + 3);
+          return card(`u${index}`, kind, {from, to});
+        });
+        const found = shiftRanges(situationOf(upstreams), upstreams);
+        const total = held.reduce(
+          (sum, {kind}) => sum + shiftSizes.get(kind)!,
+          0,
+        );
+        if (total < LAYERS) {
+          expect(found).toEqual([]);
+          return;
+        }
+        expect(lackingOf(heldAfter(upstreams, found))).toBe(0);
+        for (const {range} of found) {
+          expect(range.from).toBeGreaterThanOrEqual(0);
+          expect(range.to).toBeLessThanOrEqual(LAYERS);
+        }
+      }),
+    );
+  });
+
+  it('close a gap that no single move closes', () => {
+    const upstreams = [
+      card('u0', 'small', {from: 0, to: 3}),
+      card('u1', 'small', {from: 3, to: 6}),
+      card('u2', 'small', {from: 6, to: 9}),
+      card('u3', 'small', {from: 9, to: 12}),
+      card('u4', 'fast', {from: 12, to: 19}),
+    ];
+    const found = planLayers(situationOf(upstreams));
+    expect(lackingOf(heldAfter(upstreams, found))).toBe(0);
+    const largestShift = Math.max(
+      ...found.map(({upstream, range}) =>
+        Math.abs(range.from - upstream.layers!.from),
+      ),
+    );
+    expect(largestShift).toBe(1);
+  });
+
+  it('wait while anything in the data centre is under way', () => {
+    const upstreams = [
+      card('u0', 'small', {from: 0, to: 3}),
+      card('u1', 'small', {from: 3, to: 6}),
+      card('u2', 'small', {from: 6, to: 9}),
+      card('u3', 'small', {from: 9, to: 12}),
+      card('u4', 'fast', {from: 12, to: 19}),
+    ];
+    const ordered = new Map([['u4', {from: 12, to: 19}]]);
+    const found = planLayers({...situationOf(upstreams), ordered});
+    expect(found).toEqual([]);
+  });
+});
+
 describe('the plan of layers', () => {
   it('covers the model in each data centre before it doubles anything', () => {
     const fleet = ['north', 'south'].flatMap(dataCentre => [
