--- a/src/features/layers/test/layers.test.ts
+++ b/src/features/layers/test/layers.test.ts
@@ -169,6 +169,15 @@
     {minLength: 1, maxLength: 12},
   );
 
+  /** Each move leaves more behind than the one layer that is lacking. */
+  const stuck = [
+    card('u0', 'small', {from: 0, to: 3}),
+    card('u1', 'small', {from: 3, to: 6}),
+    card('u2', 'small', {from: 6, to: 9}),
+    card('u3', 'small', {from: 9, to: 12}),
+    card('u4', 'fast', {from: 12, to: 19}),
+  ];
+
   function situationOf(upstreams: readonly Upstream[]) {
     return {
       layers,
@@ -221,15 +230,8 @@
   });
 
   it('close a gap that no single move closes', () => {
-    const upstreams = [
-      card('u0', 'small', {from: 0, to: 3}),
-      card('u1', 'small', {from: 3, to: 6}),
-      card('u2', 'small', {from: 6, to: 9}),
-      card('u3', 'small', {from: 9, to: 12}),
-      card('u4', 'fast', {from: 12, to: 19}),
-    ];
-    const found = planLayers(situationOf(upstreams));
-    expect(lackingOf(heldAfter(upstreams, found))).toBe(0);
+    const found = planLayers(situationOf(stuck));
+    expect(lackingOf(heldAfter(stuck, found))).toBe(0);
     const largestShift = Math.max(
       ...found.map(({upstream, range}) =>
         Math.abs(range.from - upstream.layers!.from),
@@ -239,15 +241,8 @@
   });
 
   it('wait while anything in the data centre is under way', () => {
-    const upstreams = [
-      card('u0', 'small', {from: 0, to: 3}),
-      card('u1', 'small', {from: 3, to: 6}),
-      card('u2', 'small', {from: 6, to: 9}),
-      card('u3', 'small', {from: 9, to: 12}),
-      card('u4', 'fast', {from: 12, to: 19}),
-    ];
     const ordered = new Map([['u4', {from: 12, to: 19}]]);
-    const found = planLayers({...situationOf(upstreams), ordered});
+    const found = planLayers({...situationOf(stuck), ordered});
     expect(found).toEqual([]);
   });
 });
