The list of an instance that was suspended is not taken for a fresh one

Cause: found while reading the change once more: the monotonic clock stands still while an instance is suspended, so a reader that wakes would answer with a list that is seconds old and say that it was read 0.3 s ago; a peer that had read it itself meanwhile would take the older list and send to an upstream that leaves. Change: the age of a list counts wall time where it runs ahead, as the confirmation of the configuration does; both use the same moments (base/common/moment.ts). The test failed first (the asker took the older list).

--- a/src/features/fleet/common/upstreamDirectory.ts
+++ b/src/features/fleet/common/upstreamDirectory.ts
@@ -1,6 +1,7 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Emitter} from '../../../base/common/event.js';
 import {Disposable, DisposableOwner} from '../../../base/common/lifecycle.js';
+import {elapsedSince, Moment, momentOf} from '../../../base/common/moment.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {Upstream} from './upstream.js';
 import {describeUpstream, digestOf} from './upstreamList.js';
@@ -20,7 +21,7 @@
   private upstreams = new Map<string, Upstream>();
   private byService = new Map<string, readonly Upstream[]>();
   private byAddress = new Map<string, Upstream>();
-  private lastRead = -Infinity;
+  private lastRead: Moment | undefined;
   private completeFrom = -Infinity;
   private lastList: readonly Upstream[] = [];
   private lastDigest = digestOf([]);
@@ -63,7 +64,9 @@
 
   /** Milliseconds since the list was read. */
   get age(): number {
-    return this.clock.monotonicMilliseconds() - this.lastRead;
+    return this.lastRead === undefined
+      ? Infinity
+      : elapsedSince(this.clock, this.lastRead);
   }
 
   /** The list as it was read last, what an outage hides left out. */
@@ -77,18 +80,16 @@
   }
 
   /**
-   * Takes a whole list that showed the upstreams at a monotonic time, by default now; one that is older than
-   * the last changes nothing.
+   * Takes a whole list that showed the upstreams at a moment, by default now; one that is older than the last
+   * changes nothing.
    */
-  replace(
-    list: readonly Upstream[],
-    asOf = this.clock.monotonicMilliseconds(),
-  ): void {
-    if (asOf < this.lastRead) {
+  replace(list: readonly Upstream[], asOf = momentOf(this.clock)): void {
+    const lastRead = this.lastRead?.monotonic ?? -Infinity;
+    if (asOf.monotonic < lastRead) {
       return;
     }
     const now = this.clock.monotonicMilliseconds();
-    if (asOf - this.lastRead > OUTAGE_MILLISECONDS) {
+    if (asOf.monotonic - lastRead > OUTAGE_MILLISECONDS) {
       this.completeFrom = now + RETURN_MILLISECONDS;
     }
     this.lastRead = asOf;
--- a/src/features/instances/common/listExchange.ts
+++ b/src/features/instances/common/listExchange.ts
@@ -1,3 +1,4 @@
+import {Moment, momentBefore} from '../../../base/common/moment.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {PEER_LIST_LIMIT, UpstreamListNews} from './peerNews.js';
 
@@ -31,12 +32,12 @@
    * Takes an answer. It is dated from the question: the answer was made after it, however long it took to
    * come. What peers ask is not taken, since a question may have waited for a suspended process.
    */
-  take(news: UpstreamListNews | undefined, askedAt: number): void {
+  take(news: UpstreamListNews | undefined, askedAt: Moment): void {
     if (news === undefined) {
       return;
     }
     const {directory} = this;
-    const asOf = askedAt - news.ageMilliseconds;
+    const asOf = momentBefore(askedAt, news.ageMilliseconds);
     if (news.digest === directory.digest) {
       directory.replace(directory.list, asOf);
     } else if (news.upstreams !== undefined) {
--- a/src/features/instances/node/peerTalk.ts
+++ b/src/features/instances/node/peerTalk.ts
@@ -1,6 +1,7 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Clock} from '../../../base/common/clock.js';
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
+import {momentOf} from '../../../base/common/moment.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {RpcConnections} from '../../../infrastructure/rpc/node/rpc.js';
@@ -144,7 +145,7 @@
       limit.abort(),
     );
     const cancelled = token.onDidCancel(() => limit.abort());
-    const askedAt = this.clock.monotonicMilliseconds();
+    const askedAt = momentOf(this.clock);
     try {
       const client = this.connections.client<NewsRouter>(peer.peerAddress);
       const answered = await client.news.exchange.mutate(this.compose(), {
@@ -152,7 +153,7 @@
       });
       const answer = peerNewsSchema.parse(answered);
       this.take(answer);
-      this.noteRun(answer, askedAt);
+      this.noteRun(answer, askedAt.monotonic);
       this.lists.take(answer.list, askedAt);
     } catch {
       // The table writes the line: silent peers are news only once.
--- a/src/features/instances/test/listExchange.test.ts
+++ b/src/features/instances/test/listExchange.test.ts
@@ -2,6 +2,7 @@
 
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {CancellationToken} from '../../../base/common/cancellation.js';
+import {momentBefore, momentOf} from '../../../base/common/moment.js';
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
 import {failure, Result, success} from '../../../base/common/result.js';
 import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
@@ -68,12 +69,12 @@
     clock.advance(10_000);
     const asker = new UpstreamDirectory(clock, new SilentLogger());
     const peer = new UpstreamDirectory(clock, new SilentLogger());
-    asker.replace(row.known, 10_000 - row.knownAge);
-    peer.replace(row.told, 10_000 - row.toldAge);
+    asker.replace(row.known, momentBefore(momentOf(clock), row.knownAge));
+    peer.replace(row.told, momentBefore(momentOf(clock), row.toldAge));
     const exchange = new ListExchange(asker);
     const answer = new ListExchange(peer).answerTo(exchange.own);
     expect(answer?.upstreams !== undefined).toBe(row.travels);
-    exchange.take(answer, 10_000);
+    exchange.take(answer, momentOf(clock));
     expect(asker.list).toEqual(row.taken);
     expect(asker.age).toBe(row.age);
   });
@@ -84,11 +85,29 @@
     const asker = new UpstreamDirectory(clock, new SilentLogger());
     peer.replace([one]);
     const exchange = new ListExchange(asker);
+    const askedAt = momentOf(clock);
     const answer = new ListExchange(peer).answerTo(exchange.own);
     clock.advance(3000);
-    exchange.take(answer, 0);
+    exchange.take(answer, askedAt);
     expect(asker.age).toBe(3000);
   });
+
+  it('of a peer that was suspended is not taken for a fresh one', () => {
+    const clock = new FakeClock();
+    const peerClock = new FakeClock();
+    const asker = new UpstreamDirectory(clock, new SilentLogger());
+    const peer = new UpstreamDirectory(peerClock, new SilentLogger());
+    peer.replace([one]);
+    // The peer's monotonic clock stands still meanwhile.
+    peerClock.shiftWall(4000);
+    clock.advance(4000);
+    asker.replace([leaving], momentBefore(momentOf(clock), 600));
+    const exchange = new ListExchange(asker);
+    const answer = new ListExchange(peer).answerTo(exchange.own);
+    exchange.take(answer, momentOf(clock));
+    expect(asker.list).toEqual([leaving]);
+    expect(asker.age).toBe(600);
+  });
 });
 
 /** The platform's list, for all instances. */
@@ -193,7 +212,8 @@
     }
 
     private talk(index: number): void {
-      const now = this.clock.monotonicMilliseconds();
+      const moment = momentOf(this.clock);
+      const now = moment.monotonic;
       const phase = (index * ROUND_MILLISECONDS) / INSTANCES;
       const isDue = (now - phase) % ROUND_MILLISECONDS < STEP_MILLISECONDS;
       if (!this.passesOn || this.lost.has(index) || now < phase || !isDue) {
@@ -203,7 +223,7 @@
       for (let count = 0; count < PEERS; count++) {
         const peer = count === 0 ? 0 : this.random.nextInteger(INSTANCES);
         if (!this.lost.has(peer)) {
-          asker.take(this.exchanges[peer]!.answerTo(asker.own), now);
+          asker.take(this.exchanges[peer]!.answerTo(asker.own), moment);
         }
       }
     }
--- a/src/features/traffic/common/configurationKeeper.ts
+++ b/src/features/traffic/common/configurationKeeper.ts
@@ -1,22 +1,11 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Emitter} from '../../../base/common/event.js';
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
+import {elapsedSince, Moment, momentOf} from '../../../base/common/moment.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {RouteTable} from './routeTable.js';
 import {TrafficConfiguration} from './trafficConfiguration.js';
 
-/** A moment on both clocks, so that a suspension of the instance can be noticed. */
-export interface Moment {
-  readonly monotonic: number;
-  readonly wall: number;
-}
-
-/**
- * Wall time that may pass beyond monotonic time before the instance counts as suspended: well over
- * the drift of sound clocks within a few seconds, well under the bound for revoked keys.
- */
-const SUSPENSION_MILLISECONDS = 300;
-
 /** Holds the configuration in force. Versions only grow; how long ago it was confirmed is known. */
 export class ConfigurationKeeper extends DisposableOwner {
   private readonly changed = this.register(new Emitter<RouteTable>());
@@ -45,10 +34,7 @@
 
   /** Now, to be taken before a read that may confirm the configuration. */
   now(): Moment {
-    return {
-      monotonic: this.clock.monotonicMilliseconds(),
-      wall: this.clock.wallMilliseconds(),
-    };
+    return momentOf(this.clock);
   }
 
   /** Takes a configuration; an older one changes nothing. */
@@ -82,11 +68,7 @@
     if (current === undefined || confirmed === undefined) {
       return Infinity;
     }
-    const now = this.now();
-    const monotonic = now.monotonic - confirmed.monotonic;
-    const wall = now.wall - confirmed.wall;
-    // The monotonic clock stands still while an instance is suspended; the wall clock does not.
-    return wall - monotonic > SUSPENSION_MILLISECONDS ? wall : monotonic;
+    return elapsedSince(this.clock, confirmed);
   }
 
   /** Whether decisions that depend on keys may be made. */
