An upstream that starts again under its name is another run; malformed rows name no upstream

Knowledge was kept by that id, so a new run inherited suspicion, load and layers of the one before, and a trial call that the new run answered cleared the loss of the old one. Change: the identifier of an upstream is that of a run; its name goes on the wire. A report by another run is no answer.

--- a/src/features/fleet/common/upstream.ts
+++ b/src/features/fleet/common/upstream.ts
@@ -7,9 +7,17 @@
   readonly to: number;
 }
 
-/** One start of an upstream; a restart has a new identifier. */
+/** One run of an upstream. */
 export interface Upstream {
+  /**
+   * Identifies the run: another start under the same name has another one. What is known by it therefore
+   * ends with the run, as what the upstream itself held does.
+   */
   readonly id: string;
+  /** The name under which the platform lists it, and by which it knows itself; kept over restarts. */
+  readonly name: string;
+  /** Start of the run in Unix milliseconds; undefined where the platform does not say. */
+  readonly startedAt: number | undefined;
   readonly service: string;
   /** `IP:port`; may be given to another upstream after this one has ended. */
   readonly address: string;
--- a/src/features/fleet/common/upstreamControl.ts
+++ b/src/features/fleet/common/upstreamControl.ts
@@ -26,7 +26,7 @@
 /** Why a call to an upstream had no effect, or may have had one. */
 export type UpstreamCallError =
   | {readonly kind: 'noAnswer'; readonly detail: string}
-  /** Another upstream has the address. */
+  /** Another upstream has the address, or another run of the same one. */
   | {readonly kind: 'misdirected'}
   /** Someone with a higher fencing number has given orders. */
   | {readonly kind: 'superseded'}
--- a/src/features/fleet/common/upstreamLister.ts
+++ b/src/features/fleet/common/upstreamLister.ts
@@ -5,8 +5,9 @@
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {RepeatingTask} from '../../membership/common/repeatingTask.js';
+import {Upstream} from './upstream.js';
 import {UpstreamDirectory} from './upstreamDirectory.js';
-import {UpstreamSource} from './upstreamSource.js';
+import {UpstreamFinding, UpstreamSource} from './upstreamSource.js';
 
 /** The list is not looked at more often, however old it is. */
 const LEAST_WAIT_MILLISECONDS = 50;
@@ -14,6 +15,9 @@
 /** After a failed reading the next one comes sooner. */
 const RETRY_MILLISECONDS = 250;
 
+/** Findings written out in one log line; the line says how many there were. */
+const REPORTED_FINDINGS = 8;
+
 /** Keeps the directory of upstreams as new as the list. */
 export class UpstreamLister extends DisposableOwner {
   private readonly task: RepeatingTask;
@@ -76,8 +80,23 @@
       this.isLost = false;
       this.logger.info('upstream list regained');
     }
-    this.reportFindings(listing.value.findings);
-    this.directory.replace(listing.value.upstreams, askedAt);
+    const {findings, upstreams} = listing.value;
+    this.reportFindings(findings);
+    const kept = this.unreadableAmong(findings);
+    this.directory.replace([...upstreams, ...kept], askedAt);
+  }
+
+  /**
+   * Upstreams whose entry can't be read now. They get nothing new, like leaving ones; but nothing says that they
+   * have left, so what they run is not given up.
+   */
+  private unreadableAmong(
+    findings: readonly UpstreamFinding[],
+  ): readonly Upstream[] {
+    const names = new Set(findings.map(({name}) => name));
+    return this.directory.list
+      .filter(({name}) => names.has(name))
+      .map(upstream => ({...upstream, isLeaving: true}));
   }
 
   private noteLost(detail: string): void {
@@ -88,11 +107,14 @@
     }
   }
 
-  /** The same findings at every reading are reported once. */
-  private reportFindings(findings: readonly string[]): void {
-    const text = findings.join('; ');
+  /** The same findings at every reading are reported once, and no more of them than help. */
+  private reportFindings(findings: readonly UpstreamFinding[]): void {
+    const text = findings.map(({name, field}) => `${name} ${field}`).join();
     if (text !== this.lastFindings && text !== '') {
-      this.logger.warn('malformed upstream entries', {findings});
+      this.logger.warn('malformed upstream entries', {
+        count: findings.length,
+        findings: findings.slice(0, REPORTED_FINDINGS),
+      });
     }
     this.lastFindings = text;
   }
--- a/src/features/fleet/test/upstreams.ts
+++ b/src/features/fleet/test/upstreams.ts
@@ -4,6 +4,8 @@
 export function makeUpstream(fields: Partial<Upstream> = {}): Upstream {
   return {
     id: 'upstream',
+    name: fields.id ?? 'upstream',
+    startedAt: undefined,
     service: 's',
     address: '10.0.0.1:8080',
     dataCentre: 'north',
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -666,6 +666,22 @@
     },
   );
 
+  it('leaves an upstream of which another run answers, and does not come back', async () => {
+    const forwarding = bench();
+    await forwarding.send('/stream/');
+    const running = forwarding.connector.last;
+    running.head();
+    running.eventsOf(1, 2);
+    const [first] = running.added['hops'] as readonly string[];
+    forwarding.control.restarted.add(first!);
+    const upstream = engines.find(({id}) => id === first)!;
+    void forwarding.services.trials.try(upstream, 'silent', {});
+    await forwarding.settle();
+    expect(running.isClosed).toBe(true);
+    await forwarding.pass(2_000);
+    expect(forwarding.suspicions.has(first!)).toBe(true);
+  });
+
   it.each([
     {name: 'does not answer', isDead: true},
     {name: 'answers', isDead: false},
--- a/src/features/forwarding/test/forwardingBench.ts
+++ b/src/features/forwarding/test/forwardingBench.ts
@@ -202,6 +202,8 @@
 /** Upstreams answer reports unless they are dead. */
 export class FakeControl extends UpstreamControl {
   readonly dead = new Set<string>();
+  /** Upstreams where another run answers under the same name. */
+  readonly restarted = new Set<string>();
   readonly moves: string[] = [];
   reports = 0;
   /** Milliseconds after which reports are answered; Infinity when never. */
@@ -218,6 +220,9 @@
   ): Promise<Result<UpstreamReport, UpstreamCallError>> {
     this.reports++;
     await this.wait();
+    if (this.restarted.has(upstream.id)) {
+      return failure({kind: 'misdirected'});
+    }
     return this.dead.has(upstream.id)
       ? failure({kind: 'noAnswer', detail: 'dead'})
       : success({
--- a/src/features/instances/common/peerNews.ts
+++ b/src/features/instances/common/peerNews.ts
@@ -58,6 +58,11 @@
 
 const upstream: zod.ZodType<Upstream> = zod.object({
   id: text,
+  name: text,
+  startedAt: zod
+    .number()
+    .optional()
+    .transform(start => start),
   service: text,
   address: text,
   dataCentre: text,
--- a/test/router/router.test.ts
+++ b/test/router/router.test.ts
@@ -287,6 +287,27 @@
     },
   );
 
+  it('take an engine that starts again under its name for an empty one', async () => {
+    const calls = [...Array(12).keys()].map(index =>
+      call(system.instances[index % 3]!, '/chat/x'),
+    );
+    await sleep(120);
+    const lost = system.engines.engines.find(
+      engine =>
+        engine.isRunning && !engine.isDark && engine.holds({From: 5, To: 6}),
+    )!;
+    const again = await lost.restart();
+    for (const answer of await Promise.all(calls)) {
+      expect(answer).toMatchObject({status: 200, isWhole: true});
+      expect(idsOf(answer)).toEqual(allIds);
+    }
+    // It is given layers anew, and serves.
+    await waitFor(
+      () => again.holds({From: again.firstLayer, To: again.firstLayer + 1}),
+      STEP_MILLISECONDS,
+    );
+  });
+
   it('stop without breaking off a request', async () => {
     const stopped = system.instances[2]!;
     const calls = [...Array(6).keys()].map(() => call(stopped, '/chat/x'));
--- a/test/standins/fleet/layeredEngine.ts
+++ b/test/standins/fleet/layeredEngine.ts
@@ -75,6 +75,7 @@
   private layers: Range | undefined;
   private orders = 0;
   private highestFence = 0;
+  private readonly startedAt = Date.now();
   isRunning = true;
   /** Accepts connections and answers nothing. */
   isDark = false;
@@ -92,6 +93,12 @@
     });
   }
 
+  /** Ends without a word and starts again under its name, empty. */
+  restart(): Promise<LayeredEngine> {
+    this.crash();
+    return this.fleet.add(this.id, this.address, this.zone, this.kind);
+  }
+
   async start(): Promise<void> {
     const {host, port} = parseAddress(this.address);
     await new Promise<void>(resolve =>
@@ -107,6 +114,11 @@
     this.server.closeAllConnections();
   }
 
+  /** Its first layer; NaN while it holds none. */
+  get firstLayer(): number {
+    return this.layers?.From ?? NaN;
+  }
+
   /** Says that it leaves. */
   leave(): void {
     this.isLeaving = true;
@@ -132,6 +144,7 @@
       Layers: this.layers ?? null,
       Models: [],
       Seq: 1,
+      born: this.startedAt,
     });
   }
 
@@ -154,7 +167,14 @@
         response,
         200,
         {},
-        {Seq, Busy: false, pace: 1, Layers: layers ?? null, Stalled: []},
+        {
+          Seq,
+          Busy: false,
+          pace: 1,
+          Layers: layers ?? null,
+          Stalled: [],
+          born: this.startedAt,
+        },
       );
     } else if (request.url === '/order') {
       this.order(
