Room is counted by the layers that a path uses, no upstream comes twice on a path, events hold the configured tokens

Cause: a path that uses a part of what an upstream holds was charged for all of it; with overlapping ranges the cheapest path could use one upstream twice, and the search then fell back to hand-overs at the ends of ranges only; events were taken to hold two tokens, so where they hold four every stream seemed slow and each instance asked each upstream for a report every 1.5 s. Change: load is told in tokens times layers; upstreams follow each other by their first layer; tokens of an event from the configuration.

--- a/src/features/fleet/common/upstreamLoad.ts
+++ b/src/features/fleet/common/upstreamLoad.ts
@@ -1,11 +1,14 @@
 /** What one upstream has in progress. */
 export interface LoadFigure {
   readonly requests: number;
-  /** Tokens of prompts and expected answers, as many as the upstream's layers must remember. */
-  readonly tokens: number;
+  /**
+   * Memory that it needs: tokens of prompts and expected answers, times the layers through which each runs here. A
+   * path may use a part of what an upstream holds.
+   */
+  readonly tokenLayers: number;
 }
 
-const NO_LOAD: LoadFigure = {requests: 0, tokens: 0};
+const NO_LOAD: LoadFigure = {requests: 0, tokenLayers: 0};
 
 /** Peers' figures that are older than this count for nothing: they come every half second or so. */
 const PEER_FIGURE_MILLISECONDS = 3_000;
@@ -26,13 +29,13 @@
   private readonly others = new Map<string, LoadFigure>();
 
   /** Counts a request on an upstream. */
-  add(upstream: string, tokens: number): void {
-    this.change(upstream, 1, tokens);
+  add(upstream: string, tokenLayers: number): void {
+    this.change(upstream, 1, tokenLayers);
   }
 
   /** Takes a request off an upstream again. */
-  remove(upstream: string, tokens: number): void {
-    this.change(upstream, -1, -tokens);
+  remove(upstream: string, tokenLayers: number): void {
+    this.change(upstream, -1, -tokenLayers);
   }
 
   /** The figures of this instance alone, for its peers. */
@@ -56,7 +59,7 @@
     const others = this.others.get(upstream) ?? NO_LOAD;
     return {
       requests: own.requests + others.requests,
-      tokens: own.tokens + others.tokens,
+      tokenLayers: own.tokenLayers + others.tokenLayers,
     };
   }
 
@@ -73,8 +76,12 @@
     }
   }
 
-  private change(upstream: string, requests: number, tokens: number): void {
-    const figure = sum(this.own.get(upstream), {requests, tokens});
+  private change(
+    upstream: string,
+    requests: number,
+    tokenLayers: number,
+  ): void {
+    const figure = sum(this.own.get(upstream), {requests, tokenLayers});
     if (figure.requests <= 0) {
       this.own.delete(upstream);
     } else {
@@ -86,6 +93,6 @@
 function sum(left: LoadFigure | undefined, right: LoadFigure): LoadFigure {
   return {
     requests: (left?.requests ?? 0) + right.requests,
-    tokens: (left?.tokens ?? 0) + right.tokens,
+    tokenLayers: (left?.tokenLayers ?? 0) + right.tokenLayers,
   };
 }
--- a/src/features/fleet/test/fleet.test.ts
+++ b/src/features/fleet/test/fleet.test.ts
@@ -157,17 +157,17 @@
     load.add('one', 100);
     load.add('one', 50);
     load.remove('one', 100);
-    load.setPeer('a', 0, new Map([['one', {requests: 2, tokens: 20}]]));
-    load.setPeer('b', 0, new Map([['one', {requests: 1, tokens: 5}]]));
-    load.setPeer('a', 500, new Map([['one', {requests: 1, tokens: 10}]]));
-    expect(load.of('one')).toEqual({requests: 3, tokens: 65});
+    load.setPeer('a', 0, new Map([['one', {requests: 2, tokenLayers: 20}]]));
+    load.setPeer('b', 0, new Map([['one', {requests: 1, tokenLayers: 5}]]));
+    load.setPeer('a', 500, new Map([['one', {requests: 1, tokenLayers: 10}]]));
+    expect(load.of('one')).toEqual({requests: 3, tokenLayers: 65});
   });
 
   it('leaves out peers that were not heard of', () => {
     const load = new UpstreamLoad();
-    load.setPeer('a', 0, new Map([['one', {requests: 2, tokens: 20}]]));
+    load.setPeer('a', 0, new Map([['one', {requests: 2, tokenLayers: 20}]]));
     load.setPeer('b', 4000, new Map());
-    expect(load.of('one')).toEqual({requests: 0, tokens: 0});
+    expect(load.of('one')).toEqual({requests: 0, tokenLayers: 0});
   });
 });
 
--- a/src/features/forwarding/node/heldPath.ts
+++ b/src/features/forwarding/node/heldPath.ts
@@ -1,10 +1,6 @@
+import {layerCountOf} from '../../fleet/common/upstream.js';
 import {UpstreamLoad} from '../../fleet/common/upstreamLoad.js';
-import {
-  Path,
-  tokensOf,
-  upstreamIdsOf,
-  WorkSize,
-} from '../../paths/common/path.js';
+import {Path, PathPart, tokensOf, WorkSize} from '../../paths/common/path.js';
 
 /** The path of one stream, counted as load on its upstreams for as long as it is held. */
 export class HeldPath {
@@ -21,9 +17,16 @@
 
   /** Holds a path in place of the last one; an empty one holds nothing. */
   take(path: Path): void {
-    const tokens = tokensOf(this.size);
-    upstreamIdsOf(this.held).forEach(id => this.load.remove(id, tokens));
-    upstreamIdsOf(path).forEach(id => this.load.add(id, tokens));
+    for (const part of this.held) {
+      this.load.remove(part.upstream.id, this.memoryOf(part));
+    }
+    for (const part of path) {
+      this.load.add(part.upstream.id, this.memoryOf(part));
+    }
     this.held = path;
   }
+
+  private memoryOf({range}: PathPart): number {
+    return tokensOf(this.size) * layerCountOf(range);
+  }
 }
--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -22,6 +22,7 @@
   slots: Infinity,
   kvTokens: Infinity,
   kvTokenBytes: 1,
+  tokensPerEvent: 1,
   stepMilliseconds: 1,
   promptTokensPerSecond: 1_000_000,
   usualPromptTokens: 0,
--- a/src/features/forwarding/node/streamRun.ts
+++ b/src/features/forwarding/node/streamRun.ts
@@ -28,9 +28,6 @@
 /** Attempts beyond this are not made whatever the budget says: a stream that broke so often is unlucky or harmful. */
 const ATTEMPT_LIMIT = 10;
 
-/** Events usually hold up to two tokens; with fewer the expected gap is too long, which only delays a look. */
-const TOKENS_PER_EVENT = 2;
-
 /** Forwards a stream along a path of upstreams, and carries it on elsewhere when the path breaks. */
 export class StreamRun
   extends RequestRun
@@ -199,7 +196,8 @@
     const activations = this.engine.layers?.activationBytes ?? 0;
     const tokens = tokensOf(this.held.size);
     this.services.linkLoad.note(crossingsOf(path) * tokens * activations);
-    this.expectedGap = TOKENS_PER_EVENT * tokenMilliseconds(this.engine, path);
+    this.expectedGap =
+      this.engine.tokensPerEvent * tokenMilliseconds(this.engine, path);
   }
 
   private missingReason(): NotRunReason {
--- a/src/features/forwarding/test/policies.test.ts
+++ b/src/features/forwarding/test/policies.test.ts
@@ -129,7 +129,7 @@
   ])('is $name', ({loads, failures, unusable = [], chosen}) => {
     const answer = choosePlainUpstream({
       upstreams,
-      loadOf: id => ({requests: loads[id] ?? 0, tokens: 0}),
+      loadOf: id => ({requests: loads[id] ?? 0, tokenLayers: 0}),
       failureShareOf: id => failures[id] ?? 0,
       isUsable: ({id}) => !unusable.includes(id),
       draw: () => 0,
--- a/src/features/instances/common/peerNews.ts
+++ b/src/features/instances/common/peerNews.ts
@@ -10,7 +10,7 @@
 export interface UpstreamLoadNews {
   readonly upstream: string;
   readonly requests: number;
-  readonly tokens: number;
+  readonly tokenLayers: number;
 }
 
 /** What a peer knows of the platform's list of upstreams. */
@@ -93,7 +93,7 @@
       zod.object({
         upstream: text,
         requests: zod.number(),
-        tokens: zod.number(),
+        tokenLayers: zod.number(),
       }),
     )
     .max(PEER_LIST_LIMIT),
--- a/src/features/instances/node/peerTalk.ts
+++ b/src/features/instances/node/peerTalk.ts
@@ -186,7 +186,7 @@
     const loads = [...load.ownFigures].map(([upstream, figure]) => ({
       upstream,
       requests: figure.requests,
-      tokens: Math.round(figure.tokens),
+      tokenLayers: Math.round(figure.tokenLayers),
     }));
     return {
       from: this.own.name,
--- a/src/features/paths/common/pathCost.ts
+++ b/src/features/paths/common/pathCost.ts
@@ -1,5 +1,5 @@
 import {LoadFigure} from '../../fleet/common/upstreamLoad.js';
-import {Upstream} from '../../fleet/common/upstream.js';
+import {layerCountOf, Upstream} from '../../fleet/common/upstream.js';
 import {
   AcceleratorKind,
   EngineSettings,
@@ -72,28 +72,32 @@
   return Math.max(0, (free * BYTES_PER_MEGABYTE) / bytesPerToken);
 }
 
-/** Room of an upstream as it stands. */
+/** Room of an upstream as it stands, in tokens times layers. */
 export function roomOf(engine: EngineSettings, upstream: Upstream): number {
   const {layers} = engine;
   if (layers === undefined || upstream.layers === undefined) {
     return engine.kvTokens;
   }
   const {memoryMegabytes} = kindOf(layers, upstream);
-  const count = upstream.layers.to - upstream.layers.from;
-  return memoryMegabytes === 0
-    ? engine.kvTokens
-    : roomTokens(engine, layers, memoryMegabytes, count);
+  const count = layerCountOf(upstream.layers);
+  const tokens =
+    memoryMegabytes === 0
+      ? engine.kvTokens
+      : roomTokens(engine, layers, memoryMegabytes, count);
+  return tokens * count;
 }
 
-/** The share of an upstream's room that is taken once a request has been added; above 1 it is full. */
+/** The share of an upstream's room that is taken once a request runs through some of its layers too; above 1 it is full. */
 export function pressureWith(
   engine: EngineSettings,
   upstream: Upstream,
   load: LoadFigure,
   size: WorkSize,
+  layerCount: number,
 ): number {
   const room = roomOf(engine, upstream) * PLANNED_ROOM_SHARE;
-  return (load.tokens + tokensOf(size)) / Math.max(room, 1);
+  const taken = load.tokenLayers + tokensOf(size) * layerCount;
+  return taken / Math.max(room, 1);
 }
 
 /** Predicted milliseconds that a request spends in a number of layers on one upstream. */
--- a/src/features/paths/common/pathSearch.ts
+++ b/src/features/paths/common/pathSearch.ts
@@ -49,6 +49,8 @@
   readonly layer: number;
   readonly dataCentre: string | undefined;
   readonly cost: number;
+  /** The last upstream among the candidates; -1 at the start. */
+  readonly lastIndex: number;
   readonly part: PathPart | undefined;
   readonly before: Place | undefined;
 }
@@ -57,7 +59,7 @@
 interface Candidate {
   readonly upstream: Upstream;
   readonly range: LayerRange;
-  readonly pressure: number;
+  readonly load: LoadFigure;
   readonly slowness: number;
   readonly readingWait: number;
 }
@@ -65,8 +67,7 @@
 /** Finds the path with the least predicted time that has room. */
 export function findPath(question: PathQuestion): PathAnswer {
   const usable = candidatesOf(question);
-  const roomy = usable.filter(candidate => candidate.pressure <= 1);
-  const found = search(question, roomy);
+  const found = search(question, usable);
   if (found !== undefined) {
     return found;
   }
@@ -75,7 +76,7 @@
 }
 
 function candidatesOf(question: PathQuestion): readonly Candidate[] {
-  const {engine, size, span} = question;
+  const {engine, span} = question;
   const candidates: Candidate[] = [];
   for (const upstream of question.upstreams) {
     const range = engine.layers === undefined ? span : upstream.layers;
@@ -86,12 +87,16 @@
       continue;
     }
     const load = question.loadOf(upstream.id);
-    const pressure = pressureWith(engine, upstream, load, size);
     const slowness = question.slownessOf(upstream.id);
     const readingWait = question.readingWaitOf(upstream.id);
-    candidates.push({upstream, range, pressure, slowness, readingWait});
+    candidates.push({upstream, range, load, slowness, readingWait});
   }
-  return candidates;
+  return candidates.sort(byStart);
+}
+
+function byStart(left: Candidate, right: Candidate): number {
+  const starts = left.range.from - right.range.from;
+  return starts !== 0 ? starts : left.upstream.id < right.upstream.id ? -1 : 1;
 }
 
 function firstMissingLayer(
@@ -115,12 +120,12 @@
 ): PathAnswer | undefined {
   const boundaries = boundariesOf(question.span, candidates);
   const end = bestEnd(question, candidates, boundaries);
-  if (end !== undefined && isUsablePath(end)) {
+  if (end !== undefined && isShort(end)) {
     return found(end);
   }
-  // With hand-overs only at the end of each range no upstream can come twice.
+  // With hand-overs only at the end of each range there are fewer parts.
   const plain = bestEnd(question, candidates, new Set([question.span.to]));
-  return plain !== undefined && isUsablePath(plain) ? found(plain) : undefined;
+  return plain !== undefined && isShort(plain) ? found(plain) : undefined;
 }
 
 function boundariesOf(
@@ -144,6 +149,7 @@
     layer: span.from,
     dataCentre: question.enteringFrom,
     cost: 0,
+    lastIndex: -1,
     part: undefined,
     before: undefined,
   });
@@ -162,15 +168,17 @@
   place: Place,
   places: Map<number, Map<string, Place>>,
 ): void {
-  for (const candidate of candidates) {
-    const {range} = candidate;
+  // Upstreams follow each other in the order of their first layers, so that none comes twice: engines refuse such
+  // paths. No way is lost by it: one that starts earlier and reaches farther could have run the part before, too.
+  for (let index = place.lastIndex + 1; index < candidates.length; index++) {
+    const {range} = candidates[index]!;
     const last = Math.min(range.to, question.span.to);
-    if (range.from > place.layer || last <= place.layer) {
-      continue;
+    if (range.from > place.layer) {
+      return;
     }
     for (let to = place.layer + 1; to <= last; to++) {
       if (to === last || boundaries.has(to)) {
-        const next = step(question, candidate, place, to);
+        const next = step(question, candidates, index, place, to);
         if (Number.isFinite(next.cost)) {
           keep(places, next);
         }
@@ -181,13 +189,15 @@
 
 function step(
   question: PathQuestion,
-  candidate: Candidate,
+  candidates: readonly Candidate[],
+  index: number,
   place: Place,
   to: number,
 ): Place {
   const {engine, size} = question;
-  const {upstream, pressure, slowness, readingWait} = candidate;
+  const {upstream, load, slowness, readingWait} = candidates[index]!;
   const count = to - place.layer;
+  const pressure = pressureWith(engine, upstream, load, size, count);
   const {dataCentre} = upstream;
   const time = partMilliseconds(
     engine,
@@ -203,7 +213,9 @@
   return {
     layer: to,
     dataCentre,
-    cost: place.cost + time + wait + crossing,
+    // A full upstream can't be passed at all.
+    cost: pressure > 1 ? Infinity : place.cost + time + wait + crossing,
+    lastIndex: index,
     part: {upstream, range: {from: place.layer, to}},
     before: place,
   };
@@ -250,10 +262,8 @@
   return best;
 }
 
-function isUsablePath(end: Place): boolean {
-  const path = partsOf(end);
-  const distinct = new Set(path.map(part => part.upstream.id));
-  return distinct.size === path.length && path.length <= PART_LIMIT;
+function isShort(end: Place): boolean {
+  return partsOf(end).length <= PART_LIMIT;
 }
 
 function found(end: Place): PathAnswer {
--- a/src/features/paths/test/engines.ts
+++ b/src/features/paths/test/engines.ts
@@ -6,6 +6,7 @@
     slots: 100,
     kvTokens: 50_000,
     kvTokenBytes: 8_000 * layerCount,
+    tokensPerEvent: 2,
     stepMilliseconds: 1,
     promptTokensPerSecond: 200_000,
     usualPromptTokens: 700,
--- a/src/features/paths/test/pathSearch.test.ts
+++ b/src/features/paths/test/pathSearch.test.ts
@@ -37,7 +37,7 @@
     span: {from: 0, to: LAYERS},
     enteringFrom: undefined,
     leavingTo: undefined,
-    loadOf: () => ({requests: 0, tokens: 0}),
+    loadOf: () => ({requests: 0, tokenLayers: 0}),
     slownessOf: () => 1,
     readingWaitOf: () => 0,
     crossingFactor: 1,
@@ -99,7 +99,7 @@
       fields: {
         loadOf: (id): LoadFigure => ({
           requests: 1,
-          tokens: id === 'a' ? 1_000_000 : 0,
+          tokenLayers: id === 'a' ? 1_000_000 : 0,
         }),
       },
       path: 'b=0-8',
@@ -143,7 +143,7 @@
     {
       name: 'no room',
       upstreams: [holder('a', 0, 8)],
-      fields: {loadOf: () => ({requests: 1, tokens: 1_000_000})},
+      fields: {loadOf: () => ({requests: 1, tokenLayers: 1_000_000})},
       answer: {kind: 'noRoom'},
     },
   ])('is not found with $name', ({upstreams, fields, answer}) => {
@@ -189,7 +189,7 @@
   const answer = ask([makeUpstream({id: 'a'}), makeUpstream({id: 'b'})], {
     engine,
     span: {from: 0, to: 1},
-    loadOf: id => ({requests: 1, tokens: id === 'a' ? 5000 : 0}),
+    loadOf: id => ({requests: 1, tokenLayers: id === 'a' ? 5000 : 0}),
   });
   expect(answer.kind === 'found' && formatPath(answer.path)).toBe('b=0-1');
 });
--- a/src/features/traffic/common/trafficConfiguration.ts
+++ b/src/features/traffic/common/trafficConfiguration.ts
@@ -76,6 +76,8 @@
   readonly kvTokens: number;
   /** Bytes of KV cache that a token takes over all layers. */
   readonly kvTokenBytes: number;
+  /** Tokens that one event of a stream holds; a shorter last one aside. */
+  readonly tokensPerEvent: number;
   /** A decoding step over all layers. */
   readonly stepMilliseconds: number;
   readonly promptTokensPerSecond: number;
