Gaps of a data centre are closed by growing and shifting ranges at the least cost

Cause: the sizes left 82 to 86 layers for 80 in each data centre, so after any loss no size fitted: moves of whole upstreams left gaps of their own, shifts moved twelve upstreams at once and cut off what ran through them, and while five upstreams were twelve times as slow no layer was loaded elsewhere, since the sizes could not hold the model without them. Change: completeRanges.ts: an upstream may grow until it keeps room for 0.45 of its slots and for what runs through it; of all ranges in their order those with the least loads (squared) and layers given up are chosen; spare ones may take another place. The tests of single moves and shifts are replaced by those of completed ranges: same property, also that limits are kept, and tables.

--- a/src/features/layers/common/layerController.ts
+++ b/src/features/layers/common/layerController.ts
@@ -14,6 +14,7 @@
   UpstreamCallError,
   UpstreamControl,
 } from '../../fleet/common/upstreamControl.js';
+import {UpstreamLoad} from '../../fleet/common/upstreamLoad.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {RepeatingTask} from '../../membership/common/repeatingTask.js';
 import {TableLease} from '../../placement/common/tableLease.js';
@@ -26,6 +27,7 @@
 import {
   chooseLayerSizes,
   KindCounts,
+  layersWithRoom,
   largerSizes,
   LayerSizes,
 } from './layerSize.js';
@@ -61,6 +63,12 @@
 const LOAD_TIME_FACTOR = 3;
 const REPORT_MILLISECONDS = 4_000;
 
+/**
+ * Room that an upstream keeps when it takes over layers of a lost one, as a share of its slots times the usual
+ * request: a data centre had 40 to 60 streams of 134 slots in progress, up to 90 when another one was out.
+ */
+const LEAST_ROOM_SHARE = 0.45;
+
 /** What was ordered of one upstream. */
 interface Ordered {
   readonly range: LayerRange;
@@ -126,6 +134,7 @@
     private readonly directory: UpstreamDirectory,
     private readonly suspicions: Suspicions,
     private readonly slowness: Slowness,
+    private readonly load: UpstreamLoad,
     /** Whether a peer says that it holds the lease: then the row need not be read. */
     private readonly isHolderHeard: () => boolean,
   ) {
@@ -210,16 +219,36 @@
     );
     const fresh = this.freshAmong(upstreams);
     const {layers} = service;
+    const limitOf = (upstream: Upstream): number =>
+      this.limitOf(service, upstream);
     const sound = withoutSlow(upstreams, id => this.slowness.isSlow(id), {
       layers,
-      sizes,
+      limitOf,
     });
-    return planLayers({layers, sizes, upstreams: sound, ordered, fresh}).map(
-      assignment => ({
-        assignment,
-        service,
-      }),
-    );
+    return planLayers({
+      layers,
+      sizes,
+      limitOf,
+      upstreams: sound,
+      ordered,
+      fresh,
+    }).map(assignment => ({assignment, service}));
+  }
+
+  /** The most layers beside which an upstream still has room for what runs through it. */
+  private limitOf(
+    {engine, layers}: LayeredService,
+    {acceleratorKind, id, layers: held}: Upstream,
+  ): number {
+    const kind = layers.kinds.find(({name}) => name === acceleratorKind);
+    if (kind === undefined) {
+      return 0;
+    }
+    const {tokenLayers} = this.load.of(id);
+    const inUse = held === undefined ? 0 : tokenLayers / layerCountOf(held);
+    const usual = engine.usualPromptTokens + engine.usualAnswerTokens;
+    const least = LEAST_ROOM_SHARE * engine.slots * usual;
+    return layersWithRoom(engine, layers, kind, Math.max(inUse, least));
   }
 
   /**
--- a/src/features/layers/common/layerSize.ts
+++ b/src/features/layers/common/layerSize.ts
@@ -86,12 +86,15 @@
   room: number,
 ): LayerSizes {
   return new Map(
-    layers.kinds.map(kind => [kind.name, sizeFor(engine, layers, kind, room)]),
+    layers.kinds.map(kind => [
+      kind.name,
+      layersWithRoom(engine, layers, kind, room),
+    ]),
   );
 }
 
-/** The most layers that leave the room; at least one that fits. */
-function sizeFor(
+/** The most layers that leave room for a number of tokens on an accelerator; at least one that fits. */
+export function layersWithRoom(
   engine: EngineSettings,
   layers: LayerModel,
   kind: AcceleratorKind,
--- a/src/features/layers/common/planLayers.ts
+++ b/src/features/layers/common/planLayers.ts
@@ -1,4 +1,5 @@
 import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
+import {completeRanges, RangeHolder} from './completeRanges.js';
 import {LayerModel} from '../../traffic/common/trafficConfiguration.js';
 import {LayerSizes} from './layerSize.js';
 
@@ -17,6 +18,8 @@
   readonly sizes: LayerSizes;
   /** Upstreams that are neither leaving nor held to be lost. */
   readonly upstreams: readonly Upstream[];
+  /** Most layers that an upstream may come to hold where its data centre lacks some. */
+  readonly limitOf: (upstream: Upstream) => number;
   /** Ranges that were ordered and are not yet reported, by upstream. */
   readonly ordered: ReadonlyMap<string, LayerRange>;
   /** Upstreams that have come just now: where no layer is lacking yet they wait for the one that they replace to leave. */
@@ -107,11 +110,11 @@
 export function withoutSlow(
   upstreams: readonly Upstream[],
   isSlow: (upstream: string) => boolean,
-  {layers, sizes}: Pick<LayerSituation, 'layers' | 'sizes'>,
+  situation: Pick<LayerSituation, 'layers' | 'limitOf'>,
 ): readonly Upstream[] {
   return [...byDataCentre(upstreams).values()].flatMap(group => {
     const sound = group.filter(({id}) => !isSlow(id));
-    return totalSize(sizes, sound) >= layers.layerCount ? sound : group;
+    return canHoldAll(situation, sound) ? sound : group;
   });
 }
 
@@ -161,98 +164,54 @@
   return assignments;
 }
 
-/**
- * Moves one upstream in each data centre that lacks layers and could hold them all, if fewer are lacking
- * afterwards. Paths then need not cross; the link between data centres carries only part of the load.
- */
+/** Closes the gaps of each data centre whose upstreams can hold the whole model. Paths then need not cross. */
 function completeDataCentres(
   situation: LayerSituation,
   coverage: Coverage,
   filled: readonly LayerAssignment[],
 ): readonly LayerAssignment[] {
-  const busy = new Set(filled.map(({upstream}) => upstream.id));
   const assignments: LayerAssignment[] = [];
   for (const [dataCentre, upstreams] of byDataCentre(situation.upstreams)) {
-    const total = totalSize(situation.sizes, upstreams);
-    const isLacking = coverage.lackingIn(dataCentre) > 0;
-    if (isLacking && total >= situation.layers.layerCount) {
-      const movable = upstreams.filter(
-        ({id}) => !situation.ordered.has(id) && !busy.has(id),
+    if (coverage.lackingIn(dataCentre) > 0) {
+      const holders = holdersOf(situation, upstreams, filled);
+      const changes = completeRanges(situation.layers.layerCount, holders);
+      const reason = 'dataCentreIncomplete';
+      assignments.push(
+        ...(changes ?? []).map(change => ({...change, reason}) as const),
       );
-      const move = bestMove(situation, coverage, movable);
-      const isQuiet = movable.length === upstreams.length;
-      const shifted = isQuiet ? shiftRanges(situation, upstreams) : [];
-      assignments.push(...(move.length > 0 ? move : shifted));
     }
   }
   return assignments;
 }
 
-/**
- * Ranges of a data centre's upstreams that cover the model without a gap, each as near to the present one as
- * that allows. One move can't close a gap that is smaller than what the moved upstream leaves behind; many
- * small shifts can, and only layers that are new to an upstream are loaded. They end within the time of the
- * largest shift, while a data centre with a gap serves nobody without crossing.
- */
-export function shiftRanges(
-  situation: LayerSituation,
+function holdersOf(
+  {limitOf, ordered}: LayerSituation,
   upstreams: readonly Upstream[],
-): readonly LayerAssignment[] {
-  const {layerCount} = situation.layers;
-  const holders = upstreams
-    .flatMap(upstream => {
-      const {layers: held} = upstream;
-      const size = sizeOf(situation, upstream);
-      return held === undefined || size === 0 ? [] : [{upstream, held, size}];
-    })
-    .sort((left, right) => left.held.from - right.held.from);
-  let rest = holders.reduce((sum, {size}) => sum + size, 0);
-  if (rest < layerCount) {
-    return [];
-  }
-  const assignments: LayerAssignment[] = [];
-  let covered = 0;
-  for (const {upstream, held, size} of holders) {
-    rest -= size;
-    // Not beyond what is covered, and not so early that the others can't cover what is left.
-    const earliest = Math.max(held.from, layerCount - rest - size);
-    const from = Math.min(covered, earliest, layerCount - size);
-    const range = {from, to: from + size};
-    covered = Math.max(covered, range.to);
-    if (held.from !== range.from || held.to !== range.to) {
-      assignments.push({upstream, range, reason: 'dataCentreIncomplete'});
-    }
-  }
-  return assignments;
+  filled: readonly LayerAssignment[],
+): readonly RangeHolder[] {
+  const given = new Map(
+    filled.map(({upstream, range}) => [upstream.id, range]),
+  );
+  return upstreams.flatMap(upstream => {
+    const underWay = ordered.get(upstream.id) ?? given.get(upstream.id);
+    const held = underWay ?? upstream.layers;
+    const isFixed = underWay !== undefined;
+    return held === undefined
+      ? []
+      : [{upstream, held, limit: limitOf(upstream), isFixed}];
+  });
 }
 
-/** The move that leaves the fewest layers lacking; none where no move helps. */
-function bestMove(
-  situation: LayerSituation,
-  coverage: Coverage,
+/** Whether upstreams of a data centre hold the whole model, or can come to hold it. */
+function canHoldAll(
+  situation: Pick<LayerSituation, 'layers' | 'limitOf'>,
   upstreams: readonly Upstream[],
-): readonly LayerAssignment[] {
-  let best: {assignment: LayerAssignment; lacking: number} | undefined;
-  for (const upstream of upstreams) {
-    const {dataCentre, layers: held} = upstream;
-    const size = sizeOf(situation, upstream);
-    if (held === undefined || size === 0) {
-      continue;
-    }
-    const before = coverage.lackingIn(dataCentre);
-    coverage.add(dataCentre, held, -1);
-    for (let from = 0; from + size <= situation.layers.layerCount; from++) {
-      const range = {from, to: from + size};
-      const lacking =
-        coverage.lackingIn(dataCentre) - coverage.lackingIn(dataCentre, range);
-      if (lacking < Math.min(before, best?.lacking ?? Infinity)) {
-        const reason = 'dataCentreIncomplete';
-        best = {assignment: {upstream, range, reason}, lacking};
-      }
-    }
-    coverage.add(dataCentre, held);
-  }
-  return best === undefined ? [] : [best.assignment];
+): boolean {
+  const total = upstreams.reduce(
+    (sum, upstream) => sum + situation.limitOf(upstream),
+    0,
+  );
+  return total >= situation.layers.layerCount;
 }
 
 function byDataCentre(
@@ -312,13 +271,6 @@
   return best?.range;
 }
 
-function totalSize(sizes: LayerSizes, upstreams: readonly Upstream[]): number {
-  return upstreams.reduce(
-    (sum, upstream) => sum + sizeOf({sizes}, upstream),
-    0,
-  );
-}
-
 function sizeOf(
   {sizes}: Pick<LayerSituation, 'sizes'>,
   upstream: Upstream,
--- a/src/features/layers/test/layers.test.ts
+++ b/src/features/layers/test/layers.test.ts
@@ -4,11 +4,15 @@
 import {makeUpstream} from '../../fleet/test/upstreams.js';
 import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
 import {layeredEngine} from '../../paths/test/engines.js';
+import {
+  ChangedRange,
+  completeRanges,
+  RangeHolder,
+} from '../common/completeRanges.js';
 import {chooseLayerSizes, largerSizes} from '../common/layerSize.js';
 import {
   LayerAssignment,
   planLayers,
-  shiftRanges,
   withoutSlow,
 } from '../common/planLayers.js';
 
@@ -96,6 +100,17 @@
   return makeUpstream({id, acceleratorKind: kind, layers: held, dataCentre});
 }
 
+/** A range written as its first layer and the one behind its last. */
+function rangeOf(text: string): LayerRange {
+  const [from = 0, to = 0] = text.split('-').map(Number);
+  return {from, to};
+}
+
+/** Nothing may grow beyond its usual size. */
+function sizeLimit({acceleratorKind}: Upstream): number {
+  return sizes.get(acceleratorKind ?? '') ?? 0;
+}
+
 function plan(
   upstreams: readonly Upstream[],
   ordered: ReadonlyMap<string, LayerRange> = new Map(),
@@ -104,6 +119,7 @@
   const assignments = planLayers({
     layers,
     sizes,
+    limitOf: sizeLimit,
     upstreams,
     ordered,
     fresh,
@@ -140,8 +156,6 @@
       acceleratorKind: 'small',
     }),
   );
-  const sizes = new Map([['small', LAYERS / 2]]);
-
   it.each([
     {slow: ['n1'], kept: ['n2', 'n3', 's1', 's2']},
     {slow: ['n1', 'n2'], kept: ['n1', 'n2', 'n3', 's1', 's2']},
@@ -150,17 +164,19 @@
   ])('$slow leave $kept to be planned with', ({slow, kept}) => {
     const left = withoutSlow(upstreams, id => slow.includes(id), {
       layers,
-      sizes,
+      limitOf: () => LAYERS / 2,
     });
     expect(left.map(({id}) => id)).toEqual(kept);
   });
 });
 
-describe('shifted ranges', () => {
-  const shiftSizes = new Map([
+describe('completed ranges', () => {
+  const limits = new Map([
     ['small', 4],
     ['fast', 7],
   ]);
+  const limitOf = ({acceleratorKind}: Upstream): number =>
+    limits.get(acceleratorKind ?? '')!;
   const ranges = fastCheck.array(
     fastCheck.record({
       from: fastCheck.integer({min: 0, max: LAYERS - 1}),
@@ -178,29 +194,39 @@
     card('u4', 'fast', {from: 12, to: 19}),
   ];
 
+  function holdersOf(upstreams: readonly Upstream[]): readonly RangeHolder[] {
+    return upstreams.map(upstream => ({
+      upstream,
+      held: upstream.layers!,
+      limit: limitOf(upstream),
+      isFixed: false,
+    }));
+  }
+
   function situationOf(upstreams: readonly Upstream[]) {
     return {
       layers,
-      sizes: shiftSizes,
+      sizes: limits,
+      limitOf,
       upstreams,
       ordered: new Map<string, LayerRange>(),
       fresh: new Set<string>(),
     };
   }
 
-  /** What each holds once the assignments are carried out. */
+  /** What each holds once the changes are carried out. */
   function heldAfter(
     upstreams: readonly Upstream[],
-    assignments: readonly LayerAssignment[],
+    changes: readonly ChangedRange[],
   ): readonly LayerRange[] {
     const after = new Map(upstreams.map(({id, layers: held}) => [id, held!]));
-    assignments.forEach(({upstream, range}) => after.set(upstream.id, range));
+    changes.forEach(({upstream, range}) => after.set(upstream.id, range));
     return [...after.values()];
   }
 
-  function lackingOf(ranges: readonly LayerRange[]): number {
+  function lackingOf(held: readonly LayerRange[]): number {
     return [...Array(LAYERS).keys()].filter(
-      layer => !ranges.some(({from, to}) => from <= layer && layer < to),
+      layer => !held.some(({from, to}) => from <= layer && layer < to),
     ).length;
   }
 
@@ -211,24 +237,63 @@
           const to = Math.min(LAYERS, from + 3);
           return card(`u${index}`, kind, {from, to});
         });
-        const found = shiftRanges(situationOf(upstreams), upstreams);
-        const total = held.reduce(
-          (sum, {kind}) => sum + shiftSizes.get(kind)!,
-          0,
-        );
+        const found = completeRanges(LAYERS, holdersOf(upstreams));
+        const total = held.reduce((sum, {kind}) => sum + limits.get(kind)!, 0);
         if (total < LAYERS) {
-          expect(found).toEqual([]);
+          expect(found).toBeUndefined();
           return;
         }
-        expect(lackingOf(heldAfter(upstreams, found))).toBe(0);
-        for (const {range} of found) {
+        expect(lackingOf(heldAfter(upstreams, found!))).toBe(0);
+        for (const {range, upstream} of found!) {
           expect(range.from).toBeGreaterThanOrEqual(0);
           expect(range.to).toBeLessThanOrEqual(LAYERS);
+          expect(range.to - range.from).toBeLessThanOrEqual(limitOf(upstream));
         }
       }),
     );
   });
 
+  it.each([
+    {
+      name: 'grow on both sides of a loss, and nothing is given up',
+      held: ['0-5', '9-14', '14-20'],
+      limit: 8,
+      expected: ['0-7', '7-14', '14-20'],
+    },
+    {
+      name: 'grow where there is room for it',
+      held: ['0-5', '8-16', '16-20'],
+      limit: 8,
+      expected: ['0-8', '8-16', '16-20'],
+    },
+    {
+      name: 'shift where the neighbours have no room left',
+      held: ['0-3', '3-9', '11-17', '17-20'],
+      limit: 6,
+      expected: ['0-4', '4-10', '10-16', '16-20'],
+    },
+    {
+      name: 'stay as they are when nothing is lacking',
+      held: ['0-6', '4-10', '10-20'],
+      limit: 10,
+      expected: ['0-6', '4-10', '10-20'],
+    },
+    {
+      name: 'move what others hold, too',
+      held: ['0-10', '4-9', '10-15'],
+      limit: 5,
+      expected: ['0-10', '15-20', '10-15'],
+    },
+  ])('$name', ({held, limit, expected}) => {
+    const upstreams = held.map((text, index) =>
+      card(`u${index}`, 'small', rangeOf(text)),
+    );
+    const holders = holdersOf(upstreams).map(holder => ({...holder, limit}));
+    const found = completeRanges(LAYERS, holders);
+    const after = heldAfter(upstreams, found!);
+    expect(after.map(({from, to}) => `${from}-${to}`)).toEqual(expected);
+  });
+
   it('close a gap that no single move closes', () => {
     const found = planLayers(situationOf(stuck));
     expect(lackingOf(heldAfter(stuck, found))).toBe(0);
@@ -240,7 +305,7 @@
     expect(largestShift).toBe(1);
   });
 
-  it('wait while anything in the data centre is under way', () => {
+  it('leave an upstream alone that has an order to carry out', () => {
     const ordered = new Map([['u4', {from: 12, to: 19}]]);
     const found = planLayers({...situationOf(stuck), ordered});
     expect(found).toEqual([]);
@@ -257,6 +322,7 @@
     const assignments = planLayers({
       layers,
       sizes,
+      limitOf: sizeLimit,
       upstreams: fleet,
       ordered: new Map(),
       fresh: new Set(),
--- a/src/programs/router/routerParts.ts
+++ b/src/programs/router/routerParts.ts
@@ -209,6 +209,7 @@
         directory,
         suspicions,
         slowness,
+        load,
         () => talk.isHolderHeard,
       ),
     ),
