Mechanisms of the decisions can be switched off one by one, by a file of the router's own settings

For measuring what each is worth: ten switches, all on without the file; unknown names and wrong values are findings, reported together with those of the platform's file; the line at the start names what is off.

--- a/deploy/launch.cjs
+++ b/deploy/launch.cjs
@@ -3,7 +3,7 @@
 const {Script} = require('node:vm');
 
 /**
- * Starts the bundled router from its compiled form: `redwing-router.cjs [settings file]`. After all instances
+ * Starts the bundled router from its compiled form: `redwing-router.cjs [settings file] [--own file]`. After all instances
  * were killed nobody serves until the first has started, and compiling took a third of that time. A
  * compiled form that does not fit this Node is left aside by it; the source decides.
  */
@@ -29,4 +29,4 @@
 }
 const bundle = {exports: {}};
 script.runInThisContext()(bundle.exports, require, bundle);
-void bundle.exports.runRouter(process.argv[2]);
+void bundle.exports.runRouter(process.argv.slice(2));
--- a/src/features/forwarding/node/forwardingServices.ts
+++ b/src/features/forwarding/node/forwardingServices.ts
@@ -8,6 +8,7 @@
 import {UpstreamLoad} from '../../fleet/common/upstreamLoad.js';
 import {LinkLoad} from '../../paths/common/linkLoad.js';
 import {ReadingBacklog} from '../../paths/common/readingBacklog.js';
+import {Mechanisms} from '../../mechanisms/common/mechanisms.js';
 import {ConfigurationKeeper} from '../../traffic/common/configurationKeeper.js';
 import {ForwardingSettings} from '../common/forwardingSettings.js';
 import {OutcomeHistory} from '../common/outcomeHistory.js';
@@ -20,6 +21,7 @@
 /** What forwarding works with; constructed by the program. */
 export interface ForwardingServices {
   readonly settings: ForwardingSettings;
+  readonly mechanisms: Mechanisms;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
--- a/src/features/forwarding/node/pathChooser.ts
+++ b/src/features/forwarding/node/pathChooser.ts
@@ -66,8 +66,8 @@
     span: LayerRange,
     isAllowed: (upstream: Upstream) => boolean,
   ): PathQuestion {
-    const {directory, linkLoad, load, readingBacklog, slowness, suspicions} =
-      this.services;
+    const {directory, linkLoad, load, mechanisms, suspicions} = this.services;
+    const {readingBacklog, slowness} = this.services;
     const pipe = this.engine.layers?.pipeMegabits ?? 0;
     return {
       engine: this.engine,
@@ -77,9 +77,13 @@
       enteringFrom: undefined,
       leavingTo: undefined,
       loadOf: id => load.of(id),
-      slownessOf: id => slowness.of(id),
-      readingWaitOf: id => readingBacklog.waitOf(id),
-      crossingFactor: linkLoad.costFactor(pipe),
+      slownessOf: id => (mechanisms.slownessInPaths ? slowness.of(id) : 1),
+      readingWaitOf: id =>
+        mechanisms.readingBacklog ? readingBacklog.waitOf(id) : 0,
+      crossingFactor: mechanisms.boundedCrossings
+        ? linkLoad.costFactor(pipe)
+        : 1,
+      isRoomBounded: mechanisms.boundedRooms,
       isUsable: upstream =>
         !upstream.isLeaving &&
         !suspicions.has(upstream.id) &&
--- a/src/features/forwarding/node/streamRun.ts
+++ b/src/features/forwarding/node/streamRun.ts
@@ -116,7 +116,8 @@
       return;
     }
     const isFirst = this.path[0]?.upstream.id === upstream;
-    if (isFirst || !this.attempt.hasEvents) {
+    const {movedStreams} = this.services.mechanisms;
+    if (isFirst || !movedStreams || !this.attempt.hasEvents) {
       this.restart('upstreamLost');
     } else {
       void this.move(upstream, true);
@@ -127,7 +128,8 @@
     const isFirst = this.path[0]?.upstream.id === upstream;
     // The end of its first upstream shows at once on the connection; moving off it would not be faster.
     const canMove = !isFirst && !this.isMoving && this.attempt?.hasEvents;
-    if (canMove && !this.isDone) {
+    const {movedStreams} = this.services.mechanisms;
+    if (movedStreams && canMove && !this.isDone) {
       void this.move(upstream, false);
     }
   }
--- a/src/features/forwarding/node/streamWatch.ts
+++ b/src/features/forwarding/node/streamWatch.ts
@@ -63,6 +63,7 @@
     slowness: Slowness,
     private readonly trials: UpstreamTrials,
     private readonly periodMilliseconds: number,
+    private readonly isOn: boolean,
   ) {
     super();
     this.register(toDisposable(() => this.timer?.dispose()));
@@ -91,7 +92,7 @@
     return this.clock.setTimer(this.periodMilliseconds, () => {
       const late = this.clock.monotonicMilliseconds() - dueAt;
       this.timer = this.schedule();
-      if (late < HELD_UP_MILLISECONDS) {
+      if (this.isOn && late < HELD_UP_MILLISECONDS) {
         this.look();
       }
     });
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -7,6 +7,7 @@
   makeConfiguration,
   makeRoute,
 } from '../../traffic/test/trafficConfigurations.js';
+import {Mechanisms} from '../../mechanisms/common/mechanisms.js';
 import {FakeSending, ForwardingBench} from './forwardingBench.js';
 
 const LAYERS = 8;
@@ -71,8 +72,9 @@
   }),
 );
 
-function bench(): ForwardingBench {
-  return new ForwardingBench(configuration, [...plain, ...engines]);
+function bench(mechanisms: Partial<Mechanisms> = {}): ForwardingBench {
+  const upstreams = [...plain, ...engines];
+  return new ForwardingBench(configuration, upstreams, mechanisms);
 }
 
 describe('admission', () => {
@@ -666,6 +668,50 @@
     },
   );
 
+  it('begins again after the loss of a later upstream where moving is switched off', async () => {
+    const forwarding = bench({movedStreams: false});
+    await forwarding.send('/stream/');
+    const sending = forwarding.connector.last;
+    const [, second] = sending.added['hops'] as readonly string[];
+    sending.head();
+    sending.eventsOf(1, 2);
+    forwarding.suspicions.suspect(second!, 'silent', {});
+    await forwarding.settle();
+    expect(forwarding.control.moves).toEqual([]);
+    expect(forwarding.connector.sendings).toHaveLength(2);
+  });
+
+  it.each([
+    {silenceWatch: true, asked: true},
+    {silenceWatch: false, asked: false},
+  ])(
+    'that falls silent leads to trial calls where that is on: $silenceWatch',
+    async ({silenceWatch, asked}) => {
+      const forwarding = bench({silenceWatch});
+      await forwarding.send('/stream/');
+      const sending = forwarding.connector.last;
+      sending.head();
+      sending.eventsOf(1, 2);
+      await forwarding.pass(1_000);
+      expect(forwarding.control.reports > 0).toBe(asked);
+    },
+  );
+
+  it.each([
+    {boundedRooms: true, outcome: 'notRun'},
+    {boundedRooms: false, outcome: 'open'},
+  ])(
+    'is refused without room only where rooms are bounded: $boundedRooms',
+    async ({boundedRooms, outcome}) => {
+      const forwarding = bench({boundedRooms});
+      const {load} = forwarding.services;
+      engines.forEach(({id}) => load.add(id, 100_000_000));
+      const caller = await forwarding.send('/stream/');
+      await forwarding.pass(200);
+      expect(caller.outcome).toBe(outcome);
+    },
+  );
+
   it('leaves an upstream of which another run answers, and does not come back', async () => {
     const forwarding = bench();
     await forwarding.send('/stream/');
--- a/src/features/forwarding/test/forwardingBench.ts
+++ b/src/features/forwarding/test/forwardingBench.ts
@@ -18,6 +18,7 @@
 import {LinkLoad} from '../../paths/common/linkLoad.js';
 import {ReadingBacklog} from '../../paths/common/readingBacklog.js';
 import {Path} from '../../paths/common/path.js';
+import {allMechanisms, Mechanisms} from '../../mechanisms/common/mechanisms.js';
 import {ConfigurationKeeper} from '../../traffic/common/configurationKeeper.js';
 import {TrafficConfiguration} from '../../traffic/common/trafficConfiguration.js';
 import {
@@ -365,6 +366,7 @@
   constructor(
     configuration: TrafficConfiguration,
     upstreams: readonly Upstream[],
+    mechanisms: Partial<Mechanisms> = {},
   ) {
     const {clock, connector, control} = this;
     const logger = new SilentLogger();
@@ -387,6 +389,7 @@
     );
     this.services = {
       settings,
+      mechanisms: {...allMechanisms, ...mechanisms},
       clock,
       random: new SeededRandomSource(1),
       logger,
@@ -420,6 +423,7 @@
       slowness,
       trials,
       settings.watchPeriodMilliseconds,
+      this.services.mechanisms.silenceWatch,
     );
     this.handler = new RequestHandler(this.services, watch);
   }
--- a/src/features/instances/node/peerTalk.ts
+++ b/src/features/instances/node/peerTalk.ts
@@ -10,6 +10,7 @@
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {UpstreamLoad} from '../../fleet/common/upstreamLoad.js';
 import {UpstreamTrials} from '../../forwarding/node/upstreamTrials.js';
+import {Mechanisms} from '../../mechanisms/common/mechanisms.js';
 import {RepeatingTask} from '../../membership/common/repeatingTask.js';
 import {TableLease} from '../../placement/common/tableLease.js';
 import {InstanceRecord} from '../common/instance.js';
@@ -44,6 +45,7 @@
   readonly suspicions: Suspicions;
   readonly trials: UpstreamTrials;
   readonly lease: TableLease;
+  readonly mechanisms: Mechanisms;
 }
 
 /** Tells peers what this instance knows and takes what they know. */
@@ -206,7 +208,9 @@
     const figures = new Map(
       news.loads.map(({upstream, ...figure}) => [upstream, figure]),
     );
-    load.setPeer(news.from, this.clock.monotonicMilliseconds(), figures);
+    if (this.parts.mechanisms.peerLoads) {
+      load.setPeer(news.from, this.clock.monotonicMilliseconds(), figures);
+    }
     news.slow.forEach(reading => slowness.hear(reading));
     news.lost.forEach(upstream => this.verify(upstream, news.from));
   }
--- a/src/features/layers/common/layerController.ts
+++ b/src/features/layers/common/layerController.ts
@@ -16,6 +16,7 @@
 } from '../../fleet/common/upstreamControl.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {roomTokens} from '../../paths/common/pathCost.js';
+import {Mechanisms} from '../../mechanisms/common/mechanisms.js';
 import {RepeatingTask} from '../../membership/common/repeatingTask.js';
 import {TableLease} from '../../placement/common/tableLease.js';
 import {ConfigurationKeeper} from '../../traffic/common/configurationKeeper.js';
@@ -135,6 +136,7 @@
     private readonly directory: UpstreamDirectory,
     private readonly suspicions: Suspicions,
     private readonly slowness: Slowness,
+    private readonly mechanisms: Mechanisms,
     /** Whether a peer says that it holds the lease: then the row need not be read. */
     private readonly isHolderHeard: () => boolean,
   ) {
@@ -222,15 +224,18 @@
     const {layers} = service;
     const limitOf = (upstream: Upstream): number =>
       takeOverLimit(service, upstream);
-    const sound = withoutSlow(upstreams, id => this.slowness.isSlow(id), {
-      layers,
-      limitOf,
-    });
+    const {completedRanges, replacedWhenSlow} = this.mechanisms;
+    const sound = withoutSlow(
+      upstreams,
+      id => replacedWhenSlow && this.slowness.isSlow(id),
+      {layers, limitOf},
+    );
     return planLayers({
       layers,
       sizes,
       limitOf,
       roomShareOf: (upstream, count) => roomShareOf(service, upstream, count),
+      canComplete: completedRanges,
       upstreams: sound,
       ordered,
       fresh,
@@ -246,7 +251,12 @@
     upstreams: readonly Upstream[],
   ): LayerSizes {
     const {engine, layers, name} = service;
-    const chosen = chooseLayerSizes(engine, layers, countKinds(upstreams));
+    const chosen = chooseLayerSizes(
+      engine,
+      layers,
+      countKinds(upstreams),
+      this.mechanisms.secondHolders,
+    );
     const first = this.firstSizes.get(name) ?? chosen;
     this.firstSizes.set(name, first);
     return largerSizes(first, chosen);
--- a/src/features/layers/common/layerSize.ts
+++ b/src/features/layers/common/layerSize.ts
@@ -43,9 +43,10 @@
   engine: EngineSettings,
   layers: LayerModel,
   counts: KindCounts,
+  hasSecondHolders = true,
 ): LayerSizes {
   const doubled = largestRoom(engine, layers, counts, COPIES_IN_DATA_CENTRE);
-  return doubled.share >= SPARE_ROOM_SHARE
+  return hasSecondHolders && doubled.share >= SPARE_ROOM_SHARE
     ? doubled.sizes
     : largestRoom(engine, layers, counts, 1).sizes;
 }
--- a/src/features/layers/common/planLayers.ts
+++ b/src/features/layers/common/planLayers.ts
@@ -22,6 +22,8 @@
   readonly limitOf: (upstream: Upstream) => number;
   /** Part of the wanted room for requests that a number of layers leaves an upstream, up to 1. */
   readonly roomShareOf: (upstream: Upstream, layerCount: number) => number;
+  /** Whether ranges may grow and shift to close the gaps of a data centre. */
+  readonly canComplete: boolean;
   /** Ranges that were ordered and are not yet reported, by upstream. */
   readonly ordered: ReadonlyMap<string, LayerRange>;
   /** Upstreams that have come just now: where no layer is lacking yet they wait for the one that they replace to leave. */
@@ -135,7 +137,9 @@
     }
   }
   const filled = fillEmpty(situation, coverage, empty);
-  const completed = completeDataCentres(situation, coverage, filled);
+  const completed = situation.canComplete
+    ? completeDataCentres(situation, coverage, filled)
+    : [];
   const isSettled = empty.length === 0 && completed.length === 0;
   const moved = isSettled ? coverUnheld(situation, coverage) : [];
   return [...filled, ...completed, ...moved];
--- a/src/features/layers/test/layerController.test.ts
+++ b/src/features/layers/test/layerController.test.ts
@@ -18,6 +18,7 @@
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {makeUpstream} from '../../fleet/test/upstreams.js';
 import {layeredEngine} from '../../paths/test/engines.js';
+import {allMechanisms} from '../../mechanisms/common/mechanisms.js';
 import {TableLease} from '../../placement/common/tableLease.js';
 import {ConfigurationKeeper} from '../../traffic/common/configurationKeeper.js';
 import {makeConfiguration} from '../../traffic/test/trafficConfigurations.js';
@@ -160,6 +161,7 @@
       directory,
       new Suspicions(clock, logger),
       this.slowness,
+      allMechanisms,
       () => false,
     );
     this.controllers.push(controller);
--- a/src/features/paths/common/pathSearch.ts
+++ b/src/features/paths/common/pathSearch.ts
@@ -32,6 +32,8 @@
   readonly readingWaitOf: (upstream: string) => number;
   /** Factor on the cost of crossings; Infinity when there may be none. */
   readonly crossingFactor: number;
+  /** Whether upstreams without room for the request are left out. */
+  readonly isRoomBounded: boolean;
   /** Whether an upstream may be used at all. */
   readonly isUsable: (upstream: Upstream) => boolean;
 }
@@ -213,8 +215,10 @@
   return {
     layer: to,
     dataCentre,
-    // A full upstream can't be passed at all.
-    cost: pressure > 1 ? Infinity : place.cost + time + wait + crossing,
+    cost:
+      question.isRoomBounded && pressure > 1
+        ? Infinity
+        : place.cost + time + wait + crossing,
     lastIndex: index,
     part: {upstream, range: {from: place.layer, to}},
     before: place,
--- a/src/features/paths/test/pathSearch.test.ts
+++ b/src/features/paths/test/pathSearch.test.ts
@@ -41,6 +41,7 @@
     slownessOf: () => 1,
     readingWaitOf: () => 0,
     crossingFactor: 1,
+    isRoomBounded: true,
     isUsable: upstream => !upstream.isLeaving,
     ...fields,
   });
--- a/src/features/paths/test/readingBacklog.test.ts
+++ b/src/features/paths/test/readingBacklog.test.ts
@@ -125,6 +125,7 @@
         slownessOf: () => 1,
         readingWaitOf: id => (knowsBacklog ? backlog.waitOf(id) : 0),
         crossingFactor: Infinity,
+        isRoomBounded: true,
         isUsable: () => true,
       });
       if (answer.kind !== 'found') {
--- a/src/programs/router/routerParts.ts
+++ b/src/programs/router/routerParts.ts
@@ -79,6 +79,7 @@
   logger: Logger,
   owned: DisposableStore,
 ): RouterParts {
+  const {mechanisms} = settings;
   const own: InstanceRecord = {
     ...settings.instance,
     startedAt: clock.wallMilliseconds(),
@@ -123,6 +124,7 @@
   const metrics = new Registry();
   const services: ForwardingServices = {
     settings: defaultForwardingSettings,
+    mechanisms,
     clock,
     random,
     logger,
@@ -149,6 +151,7 @@
       slowness,
       trials,
       defaultForwardingSettings.watchPeriodMilliseconds,
+      mechanisms.silenceWatch,
     ),
   );
   const lease = new TableLease(
@@ -176,6 +179,7 @@
       suspicions,
       trials,
       lease,
+      mechanisms,
     }),
   );
   return {
@@ -209,6 +213,7 @@
         directory,
         suspicions,
         slowness,
+        mechanisms,
         () => talk.isHolderHeard,
       ),
     ),
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -14,6 +14,7 @@
 import {CallerListener} from './callerListener.js';
 import {watchLoop} from './loopWatch.js';
 import {createRouterParts, RouterParts} from './routerParts.js';
+import {switchedOff} from '../../features/mechanisms/common/mechanisms.js';
 import {RouterPorts} from './routerPorts.js';
 import {RouterSettings} from './routerSettings.js';
 
@@ -94,6 +95,7 @@
     this.owned.add(keeper.onDidConfirm(() => this.updateState()));
     const {instance, listen} = this.settings;
     this.logger.info('started', {
+      switchedOff: switchedOff(this.settings.mechanisms),
       dataCentre: instance.dataCentre,
       region: instance.region,
       ...listen,
--- a/src/programs/router/routerSettings.ts
+++ b/src/programs/router/routerSettings.ts
@@ -1,4 +1,5 @@
 import {RetryBudgetSettings} from '../../features/forwarding/common/retryBudget.js';
+import {Mechanisms} from '../../features/mechanisms/common/mechanisms.js';
 
 /** Settings of the router program. Addresses are `IP:port`. */
 export interface RouterSettings {
@@ -24,6 +25,8 @@
   /** Longest time for which callers keep a list of addresses. */
   readonly addressSeconds: number;
   readonly retries: RetryBudgetSettings;
+  /** Which mechanisms of the decisions are on. */
+  readonly mechanisms: Mechanisms;
   /** Secret that instances present to each other. */
   readonly peerKey: string;
   /** Descriptors that the process may have open. */
