measure account: why streams of a log were not served in time

Sorts the streams of a log by how they ended, what was too long and what befell them, with request ids to look up; the rows and those in time add up to all.

--- a/measure/main.ts
+++ b/measure/main.ts
@@ -1,5 +1,6 @@
 import {parseArgs} from 'node:util';
 
+import {accountForLog} from './account.js';
 import {measureControl} from './control.js';
 import {measureOverhead} from './overhead.js';
 import {measureRecovery} from './recovery.js';
@@ -9,8 +10,13 @@
 /** Runs one measure and prints its figures as one JSON line, the last line of its output. */
 
 const DEFAULT_SEED = 20261202;
+
+/** Targets of the users' stream routes: time to the first event, and the shortest pause that any of them allows. */
+const FIRST_MILLISECONDS = 500;
+const PAUSE_MILLISECONDS = 200;
+
 const USAGE =
-  'usage: npm run measure -- (throughput|overhead|recovery|control|slopes) [--seed N] [--seconds N] [--loads 0.8,1]';
+  'usage: npm run measure -- (throughput|overhead|recovery|control|slopes) [--seed N] [--seconds N] [--loads 0.8,1] | account --log FILE [--first MS] [--pause MS]';
 
 interface MeasureOptions {
   readonly seed: number;
@@ -39,8 +45,20 @@
       seed: {type: 'string'},
       seconds: {type: 'string'},
       loads: {type: 'string'},
+      log: {type: 'string'},
+      first: {type: 'string'},
+      pause: {type: 'string'},
     },
   });
+  if (positionals[0] === 'account' && values.log !== undefined) {
+    const account = accountForLog({
+      log: values.log,
+      firstMilliseconds: Number(values.first ?? FIRST_MILLISECONDS),
+      pauseMilliseconds: Number(values.pause ?? PAUSE_MILLISECONDS),
+    });
+    console.log(JSON.stringify(account));
+    return 0;
+  }
   const measure = measures[positionals[0] ?? ''];
   if (measure === undefined) {
     console.error(USAGE);
