Log each read of the membership list and each view that changes the upstreams

No line told whether the read of the list, its way from peer to peer, the view of the entry program or the choice of the upstream took the time.

--- a/src/programs/control/memberTracker.ts
+++ b/src/programs/control/memberTracker.ts
@@ -3,17 +3,25 @@
 import {Emitter} from '../../base/common/event.js';
 import {DisposableOwner} from '../../base/common/lifecycle.js';
 import {RandomSource} from '../../base/common/randomSource.js';
+import {Result} from '../../base/common/result.js';
 import {withDeadline} from '../../features/configuration/common/callDeadline.js';
-import {ListReader} from '../../features/membership/common/listReader.js';
+import {
+  ListReader,
+  ListReadResult,
+} from '../../features/membership/common/listReader.js';
 import {
   ListReadLimits,
   ListReadScheduler,
 } from '../../features/membership/common/listReadScheduler.js';
 import {LocalState} from '../../features/peers/common/localState.js';
 import {MemberGossip} from '../../features/peers/common/memberGossip.js';
-import {Logger} from '../../infrastructure/logging/common/logger.js';
+import {
+  DecisionFields,
+  Logger,
+} from '../../infrastructure/logging/common/logger.js';
 import {MembershipList} from '../../infrastructure/membership/common/membershipList.js';
 import {Metrics} from '../../infrastructure/metrics/common/metrics.js';
+import {StorageError} from '../../infrastructure/table/common/tableService.js';
 
 const READ_TIMEOUT_MILLISECONDS = 2_000;
 
@@ -32,6 +40,7 @@
   private readonly changeEmitter = this.register(new Emitter<void>());
   private readonly scheduler: ListReadScheduler;
   private readonly reader: ListReader;
+  private lastReadAt: number | undefined;
 
   /** Fires after the list of members changed. */
   readonly onDidChange = this.changeEmitter.event;
@@ -53,7 +62,7 @@
       logger,
       id => state.isRecentlySeen(id),
     );
-    this.register(gossip.onDidLearnMembers(() => this.changeEmitter.fire()));
+    this.register(gossip.onDidLearnMembers(() => this.handleLearnedMembers()));
     this.register(
       gossip.onDidFailToConverge(() => this.scheduler.requestRepairRead()),
     );
@@ -62,11 +71,11 @@
   /** Reads the list if a read is due; called once per minimum interval. */
   async readIfDue(token: CancellationToken): Promise<void> {
     const {state, gossip, clock, metrics} = this.dependencies;
-    if (
-      !this.scheduler.isDue(state.countListReaders(this.silenceMilliseconds))
-    ) {
+    const readers = state.countListReaders(this.silenceMilliseconds);
+    if (!this.scheduler.isDue(readers)) {
       return;
     }
+    const startedAt = clock.monotonicMilliseconds();
     const reading = await withDeadline(
       clock,
       token,
@@ -76,6 +85,7 @@
     metrics.count('control.list_reads', 1, {
       outcome: reading.ok ? 'ok' : reading.error.kind,
     });
+    this.logRead(reading, readers, startedAt);
     if (!reading.ok || !reading.value.changed) {
       return;
     }
@@ -85,4 +95,42 @@
       gossip.announce();
     }
   }
+  private handleLearnedMembers(): void {
+    this.logList({source: 'peer', changed: true});
+    this.changeEmitter.fire();
+  }
+
+  private logRead(
+    reading: Result<ListReadResult, StorageError>,
+    readers: number,
+    startedAt: number,
+  ): void {
+    const tookMilliseconds = this.now() - startedAt;
+    const sinceLastReadMilliseconds =
+      this.lastReadAt === undefined ? undefined : startedAt - this.lastReadAt;
+    this.lastReadAt = startedAt;
+    this.logList({
+      source: 'platform',
+      ...(reading.ok
+        ? {changed: reading.value.changed}
+        : {error: reading.error.kind}),
+      readers,
+      tookMilliseconds,
+      sinceLastReadMilliseconds,
+    });
+  }
+
+  /** Logs what this instance knows of the list after a read or after changes from a peer. */
+  private logList(fields: DecisionFields): void {
+    const {memberList} = this.dependencies.state;
+    this.dependencies.logger.decision('membershipList', {
+      ...fields,
+      members: memberList.size,
+      fingerprint: memberList.fingerprint,
+    });
+  }
+
+  private now(): number {
+    return this.dependencies.clock.monotonicMilliseconds();
+  }
 }
--- a/src/programs/entry/entryProgram.ts
+++ b/src/programs/entry/entryProgram.ts
@@ -21,6 +21,7 @@
 import {EntrySettings} from '../../infrastructure/settings/common/programSettings.js';
 import {PolicyDependencies, PolicyComponents} from './policyComponents.js';
 import {RedwingComponents} from './redwingComponents.js';
+import {ViewLog} from './viewLog.js';
 
 /** Composition root of the entry program. */
 
@@ -42,6 +43,9 @@
   ) {
     super();
     this.dependencies = this.createDependencies(peerKey);
+    const {views, logger} = this.dependencies;
+    const viewLog = new ViewLog(logger);
+    this.register(views.onDidChange(view => viewLog.record(view)));
     this.components = this.register(createPolicyComponents(this.dependencies));
     this.gate = this.createGate();
     this.server = this.createServer();
--- /dev/null
+++ b/src/programs/entry/viewLog.ts
@@ -0,0 +1,29 @@
+import {SystemView} from '../../features/membership/common/systemView.js';
+import {Logger} from '../../infrastructure/logging/common/logger.js';
+
+/** Logs the views that change which upstreams or whether this process serves. */
+export class ViewLog {
+  private previous: SystemView | undefined;
+
+  constructor(private readonly logger: Logger) {}
+
+  /** Logs a view if its standing or its upstreams differ from the previous one. */
+  record(view: SystemView): void {
+    const {previous} = this;
+    this.previous = view;
+    if (
+      previous?.upstreams === view.upstreams &&
+      previous.standing.kind === view.standing.kind
+    ) {
+      return;
+    }
+    const leaving = view.upstreams.filter(({state}) => state === 'leaving');
+    this.logger.decision('systemView', {
+      sequence: view.sequence,
+      standing: view.standing.kind,
+      instances: view.instances.length,
+      upstreams: view.upstreams.length,
+      leaving: leaving.map(({id}) => id),
+    });
+  }
+}
