Membership list: an instance that died soon loses its turns of reading

A turn that falls to a dead instance passes without a read. It counted as a reader for 60 s, so that with one of three instances dead 12 of 200 simulated departures of an upstream were known later than 3 s, up to 4.06 s after they were listed.

Now it counts until the status of a running instance would have arrived: four exchanges, plus one for each doubling of the number of instances, 60 s at most. None of 200 is late. The limit of silence moves from the member tracker to the local state, which uses it for both.

--- a/src/features/peers/common/localState.ts
+++ b/src/features/peers/common/localState.ts
@@ -17,8 +17,10 @@
 import {InstanceStatusTable} from '../../membership/common/instanceStatusTable.js';
 import {rosterFingerprint} from './roster.js';
 
-/** An instance with a status no older than this is considered running and reading the list. */
+/** An instance with a status no older than this is considered running. */
 const RECENT_MILLISECONDS = 60_000;
+/** The time in which a status passes on to twice as many instances, as a share of the silence limit. */
+const SPREAD_SHARE = 0.25;
 
 /** The state of the control program, shared by all components that access the table or peers. */
 export class LocalState {
@@ -32,11 +34,13 @@
   private peerRespondedAt: number | undefined;
   private rosterKey = rosterFingerprint([]);
 
+  /** @param silenceMilliseconds time without a response from any peer after which the instance reads on its own. */
   constructor(
     readonly id: string,
     readonly replica: ConfigurationReplica,
     readonly clock: Clock,
     readonly boundMilliseconds: number,
+    private readonly silenceMilliseconds: number,
   ) {
     this.startedAt = clock.monotonicMilliseconds();
     this.own = {id, incarnation: undefined, ready: false, leaving: false};
@@ -101,20 +105,20 @@
 
   /**
    * Ids of the instances that read the list and gossip, this one included; only its own if no peer responded for the
-   * given time.
+   * silence limit.
    */
-  listReaders(silenceMilliseconds: number): readonly string[] {
+  listReaders(): readonly string[] {
+    const {silenceMilliseconds} = this;
     const now = this.clock.monotonicMilliseconds();
     const {ids} = this.directory;
     const respondedAt = this.peerRespondedAt ?? this.startedAt;
     if (now - respondedAt > silenceMilliseconds) {
       return [this.id];
     }
+    const limit = readerStatusLimit(ids.length, silenceMilliseconds);
     // Soon after the start, statuses of running instances may not have arrived yet.
-    const isNew = now - this.startedAt < RECENT_MILLISECONDS;
-    const readers = isNew
-      ? ids
-      : this.statuses.recentIds(ids, now, RECENT_MILLISECONDS);
+    const isNew = now - this.startedAt < limit;
+    const readers = isNew ? ids : this.statuses.recentIds(ids, now, limit);
     return readers.includes(this.id) ? readers : [...readers, this.id];
   }
 
@@ -169,3 +173,16 @@
     };
   }
 }
+
+/**
+ * Age of its status above which an instance no longer counts as a reader of the list. A turn of a dead reader passes
+ * without a read, so it is dropped as soon as the status of a running one would have arrived.
+ */
+function readerStatusLimit(
+  instanceCount: number,
+  silenceMilliseconds: number,
+): number {
+  const doublings = Math.log2(Math.max(1, instanceCount));
+  const limit = silenceMilliseconds * (1 + SPREAD_SHARE * doublings);
+  return Math.min(RECENT_MILLISECONDS, limit);
+}
--- a/src/features/peers/test/peerCalls.test.ts
+++ b/src/features/peers/test/peerCalls.test.ts
@@ -47,7 +47,7 @@
 
 const clock = new FakeClock();
 const replica = new ConfigurationReplica();
-const state = new LocalState('a', replica, clock, 10_000);
+const state = new LocalState('a', replica, clock, 10_000, 4_000);
 const provider = new Provider();
 let server: Server;
 let address: string;
--- a/src/programs/control/controlCore.ts
+++ b/src/programs/control/controlCore.ts
@@ -63,6 +63,9 @@
       this.replica,
       clock,
       timings.confirmationBoundSeconds * MILLISECONDS_PER_SECOND,
+      UNANSWERED_EXCHANGE_LIMIT *
+        timings.peerExchangeSeconds *
+        MILLISECONDS_PER_SECOND,
     );
     this.responder = this.register(new PeerResponder(this.state));
     this.publisher = this.register(new ViewPublisher());
@@ -183,9 +186,6 @@
           timings.membershipReadSeconds * MILLISECONDS_PER_SECOND,
         bytesPerSecond: timings.membershipReadBytesPerSecond,
       },
-      UNANSWERED_EXCHANGE_LIMIT *
-        timings.peerExchangeSeconds *
-        MILLISECONDS_PER_SECOND,
     );
   }
 
--- a/src/programs/control/memberTracker.ts
+++ b/src/programs/control/memberTracker.ts
@@ -45,11 +45,9 @@
   /** Fires after the list of members changed. */
   readonly onDidChange = this.changeEmitter.event;
 
-  /** @param silenceMilliseconds time without a response from any peer after which the instance reads on its own. */
   constructor(
     private readonly dependencies: MemberTrackerDependencies,
     limits: ListReadLimits,
-    private readonly silenceMilliseconds: number,
   ) {
     super();
     const {list, state, gossip, clock, random, logger} = dependencies;
@@ -76,7 +74,7 @@
   /** Reads the list if a read is due; called once per turn of the readers. */
   async readIfDue(token: CancellationToken): Promise<void> {
     const {state, gossip, clock, metrics} = this.dependencies;
-    const readers = state.listReaders(this.silenceMilliseconds);
+    const readers = state.listReaders();
     if (!this.scheduler.isDue(readers)) {
       return;
     }
--- a/src/programs/control/test/memberFleet.ts
+++ b/src/programs/control/test/memberFleet.ts
@@ -21,6 +21,7 @@
 /** Simulates how many instances read the membership list, without the other parts of their control programs. */
 
 const BOUND_MILLISECONDS = 12_000;
+const UNANSWERED_EXCHANGE_LIMIT = 4;
 
 /** Periods in milliseconds, and the read rate of an instance. */
 interface FleetTimings {
@@ -106,7 +107,13 @@
     const {clock, timings} = this;
     const random = new SeededRandomSource(this.seed * 1_000 + index);
     const replica = new ConfigurationReplica();
-    const state = new LocalState(id, replica, clock, BOUND_MILLISECONDS);
+    const state = new LocalState(
+      id,
+      replica,
+      clock,
+      BOUND_MILLISECONDS,
+      UNANSWERED_EXCHANGE_LIMIT * timings.exchange,
+    );
     const responder = new PeerResponder(state);
     const connection = this.connectionOf(id);
     const peers = new PeerExchanger(state, connection, responder, random);
@@ -120,7 +127,6 @@
         minIntervalMilliseconds: timings.read,
         bytesPerSecond: timings.bytesPerSecond,
       },
-      4 * timings.exchange,
     );
     this.states.set(id, state);
     this.responders.set(id, responder);
--- a/src/programs/control/test/memberTracker.test.ts
+++ b/src/programs/control/test/memberTracker.test.ts
@@ -246,6 +246,47 @@
     },
     60_000,
   );
+
+  /** Guards against turns that go to instances which died and so pass without a read. */
+  it.each([
+    {instanceCount: 2, deadCount: 1},
+    {instanceCount: 3, deadCount: 1},
+  ])(
+    'is known within the grace period while $deadCount of $instanceCount instances have been dead for some seconds',
+    async ({instanceCount, deadCount}) => {
+      const ids = instanceIds(instanceCount);
+      const alive = ids.slice(deadCount);
+      const delays: number[] = [];
+      for (let seed = 1; seed <= 25; seed++) {
+        const fleet = new MemberFleet(ids, engineMembers(10), timings, seed);
+        fleet.maximumDelayMilliseconds = 20;
+        await fleet.run(70 * MILLISECONDS_PER_SECOND);
+        ids.slice(0, deadCount).forEach((id, index) => {
+          fleet.groups.set(id, 1 + index);
+          fleet.platform.addFault({kind: 'down'}, {instance: id});
+        });
+        await fleet.run(10 * MILLISECONDS_PER_SECOND);
+        const showsAll = (state: string) =>
+          alive.every(id => fleet.shownState(id, 'e3') === state);
+        for (let departure = 0; departure < 8; departure++) {
+          const listedAt = now(fleet);
+          fleet.list(['e3'], 'leaving');
+          await runUntil(
+            fleet,
+            () => showsAll('leaving'),
+            FINE_STEP_MILLISECONDS,
+          );
+          delays.push(now(fleet) - listedAt);
+          await fleet.run(2_137);
+          fleet.list(['e3'], 'live');
+          await runUntil(fleet, () => showsAll('live'));
+        }
+      }
+      const late = delays.filter(delay => delay > LEAVING_GRACE_MILLISECONDS);
+      expect(late).toEqual([]);
+    },
+    60_000,
+  );
 });
 
 async function runAndCheck(
