Membership list: announce changes to peers that were heard of recently

Notices of a changed list went to four random peers, dead ones too. None is late since notices go to peers that were heard of recently; the others learn by exchanges, as before.

--- a/src/features/peers/common/peerExchanger.ts
+++ b/src/features/peers/common/peerExchanger.ts
@@ -91,9 +91,12 @@
     return outcome;
   }
 
-  /** Notifies some random peers that this instance's member list changed. */
+  /**
+   * Notifies some random peers that this instance's member list changed. Peers that were not heard of recently learn of
+   * it by exchanges: a notice that nobody receives spreads nothing.
+   */
   async announceMembers(token: CancellationToken): Promise<void> {
-    const candidates = [...this.peers()];
+    const candidates = this.runningPeers();
     const targets: InstanceMember[] = [];
     while (targets.length < MEMBERS_NOTICE_FAN_OUT && candidates.length > 0) {
       const index = this.random.nextInteger(candidates.length);
@@ -182,6 +185,14 @@
     );
   }
 
+  /** The peers that were heard of recently, or all if there are none. */
+  private runningPeers(): InstanceMember[] {
+    const peers = this.peers();
+    const running = new Set(this.state.listReaders());
+    const runningPeers = peers.filter(({id}) => running.has(id));
+    return runningPeers.length > 0 ? runningPeers : [...peers];
+  }
+
   private pickPeer(): InstanceMember | undefined {
     const peers = this.peers();
     return peers[this.random.nextInteger(peers.length)];
--- a/src/programs/control/test/memberTracker.test.ts
+++ b/src/programs/control/test/memberTracker.test.ts
@@ -251,6 +251,7 @@
   it.each([
     {instanceCount: 2, deadCount: 1},
     {instanceCount: 3, deadCount: 1},
+    {instanceCount: 9, deadCount: 4},
   ])(
     'is known within the grace period while $deadCount of $instanceCount instances have been dead for some seconds',
     async ({instanceCount, deadCount}) => {
