Claims: a duplicate of refused work is no longer told that its outcome is unknown

Callers that had sent a key to two instances got 503 or 429 with executed: no from one and 409 duplicate, executed: unknown, without a time to come back, from the other, although nothing had run.

Cause: the second instance reads the row of the first one's claim and asks it. If the first refuses the work meanwhile, it records the outcome and forgets the key, and its answer 'forgotten' counted as unknown; the row was not read again.

Change: the row is read again; if nothing ran, the key is claimed anew by the same conditional write. The look-up of a key is fixed with it.

The two new cases for work that did not run failed before.

--- a/src/features/claims/common/outcomeFinder.ts
+++ b/src/features/claims/common/outcomeFinder.ts
@@ -86,11 +86,12 @@
   ): Promise<KeyState> {
     const request = {incarnation, keyHash, grantExpiresAt: undefined};
     const response = await this.ask(request, token);
-    if (response?.kind !== 'seen') {
-      return UNKNOWN_STATE;
+    if (response?.kind === 'seen') {
+      const {outcome, fingerprint} = response;
+      return {outcome, fingerprint};
     }
-    const {outcome, fingerprint} = response;
-    return {outcome, fingerprint};
+    // The owner may have recorded the outcome and forgotten the key since the row was read.
+    return (await this.readRecorded(keyHash, token)) ?? UNKNOWN_STATE;
   }
 
   /** Reads the response from the table if its body is no longer in memory. */
--- a/src/features/claims/common/plainKeyResolver.ts
+++ b/src/features/claims/common/plainKeyResolver.ts
@@ -1,7 +1,7 @@
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {TableService} from '../../../infrastructure/table/common/tableService.js';
 import {RequestOutcome} from '../../requests/common/request.js';
-import {claimRowKey, parseClaimRecord} from './claimRecord.js';
+import {claimRowKey, isNotRun, parseClaimRecord} from './claimRecord.js';
 import {ClaimDecision} from './claimService.js';
 import {decideDuplicate} from './fingerprints.js';
 import {OutcomeFinder} from './outcomeFinder.js';
@@ -9,6 +9,8 @@
 
 const UNKNOWN: RequestOutcome = {kind: 'unknown'};
 const UNDECIDED_RETRY_MILLISECONDS = 1000;
+/** Claims for one request, when each finds an attempt that ends as not run. */
+const MAX_CLAIMS = 3;
 
 /** Claims and looks up plain keys, and asks other instances for outcomes that are not in the table. */
 export class PlainKeyResolver {
@@ -23,6 +25,27 @@
     keyHash: string,
     token: CancellationToken,
     fingerprint: string | undefined,
+  ): Promise<ClaimDecision> {
+    for (let count = 0; count < MAX_CLAIMS; count++) {
+      const decision = await this.claimOnce(keyHash, token, fingerprint);
+      const isFree =
+        decision.kind === 'duplicate' && isNotRun(decision.outcome);
+      if (!isFree) {
+        return decision;
+      }
+      // Another instance closed its attempt as not run in the meantime, so the key can be claimed again.
+    }
+    return {
+      kind: 'undecided',
+      detail: 'other attempts were closed as not run meanwhile',
+      retryAfterMilliseconds: UNDECIDED_RETRY_MILLISECONDS,
+    };
+  }
+
+  private async claimOnce(
+    keyHash: string,
+    token: CancellationToken,
+    fingerprint: string | undefined,
   ): Promise<ClaimDecision> {
     const decision = await this.claims.claim(keyHash, token, fingerprint);
     switch (decision.kind) {
--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -238,6 +238,45 @@
     expect(await claim(simulation, 1, 'order')).toEqual({kind: 'granted'});
   });
 
+  /** Guards against a final `unknown` for a key whose attempt ends while another instance asks for it. */
+  describe('whose attempt ends while another instance asks for it', () => {
+    /** The owner records the outcome and forgets the key before it answers. */
+    const simulationWithEndBeforeAnswer = (outcome: RequestOutcome) => {
+      const simulation = new ClaimSimulation(2, {
+        ask: async (request, owner) => {
+          owner.service.complete(ACCOUNT, 'order', outcome);
+          await new Promise<void>(resolve => {
+            owner.clock.setTimer(60, resolve);
+          });
+          return owner.service.answer(request);
+        },
+      });
+      simulations.push(simulation);
+      return simulation;
+    };
+
+    test.each([
+      ['as not run are granted to it', notRun, {kind: 'granted'}],
+      ['as completed have that outcome', completed, duplicateOf(completed)],
+    ])('%s', async (_name, outcome, expected) => {
+      const simulation = simulationWithEndBeforeAnswer(outcome);
+      await claim(simulation, 0, 'order');
+      expect(await claim(simulation, 1, 'order')).toEqual(expected);
+    });
+
+    test('as not run are looked up as not run', async () => {
+      const simulation = simulationWithEndBeforeAnswer(notRun);
+      await claim(simulation, 0, 'order');
+      const found = simulation.slots[1]!.service.findOutcome(
+        ACCOUNT,
+        'order',
+        neverCancelled,
+      );
+      await simulation.advance(500);
+      expect(await found).toEqual(notRun);
+    });
+  });
+
   test('a response body over the limit is omitted, not truncated', async () => {
     const simulation = newSimulation(2, {
       ...testSettings,
--- a/src/features/claims/test/claimSimulation.ts
+++ b/src/features/claims/test/claimSimulation.ts
@@ -33,7 +33,10 @@
   readonly executedOf?: (decision: ClaimDecision) => ExecutionStatus;
   readonly table?: (table: TableService) => TableService;
   readonly createNonce?: () => string;
-  readonly ask?: (request: AskRequest, slot: ProcessSlot) => AskResponse;
+  readonly ask?: (
+    request: AskRequest,
+    slot: ProcessSlot,
+  ) => AskResponse | Promise<AskResponse>;
 }
 
 export const testSettings: ClaimSettings = {
--- a/src/features/routing/common/laxityPolicy.ts
+++ b/src/features/routing/common/laxityPolicy.ts
@@ -97,7 +97,11 @@
     );
     if (inTime.length === 0) {
       const retryAfter = retryDelayMilliseconds(pipelines, work, waitFactor);
-      return refuse('cannotMeetTarget', retryAfter, candidates);
+      const nearest = leastBy(
+        pipelines,
+        pipeline => -laxity(pipeline, work, waitFactor),
+      );
+      return refuse('cannotMeetTarget', retryAfter, candidates, nearest);
     }
     const allowed = isOverShare(shareStatus)
       ? inTime.filter(
--- a/src/features/routing/common/pipelinePolicy.ts
+++ b/src/features/routing/common/pipelinePolicy.ts
@@ -1,6 +1,7 @@
 import {findPipelines, Pipeline} from './pipelineSearch.js';
 import {
   CellView,
+  NearestPipeline,
   RoutingDecision,
   RoutingPolicy,
   ShareView,
@@ -30,8 +31,28 @@
   reason: 'cannotMeetTarget' | 'overShare' | 'noUpstream',
   retryAfterMilliseconds: number,
   candidates: number,
+  nearest?: Pipeline,
 ): RoutingDecision {
-  return {kind: 'refuse', reason, retryAfterMilliseconds, candidates};
+  return {
+    kind: 'refuse',
+    reason,
+    retryAfterMilliseconds,
+    candidates,
+    ...(nearest === undefined ? {} : {nearest: describe(nearest)}),
+  };
+}
+
+function describe({prediction, stages}: Pipeline): NearestPipeline {
+  return {
+    prediction,
+    stages: stages.map(stage => ({
+      upstream: stage.upstream,
+      sequenceLimit: stage.sequenceLimit,
+      sequences: stage.expectedFinishTimes.length,
+      decodeMilliseconds: stage.decodeMilliseconds,
+      linkMilliseconds: stage.linkMilliseconds,
+    })),
+  };
 }
 
 /** Base class of policies that choose among predicted pipelines. */
--- a/src/features/routing/common/routing.ts
+++ b/src/features/routing/common/routing.ts
@@ -103,8 +103,23 @@
       readonly reason: 'cannotMeetTarget' | 'overShare' | 'noUpstream';
       readonly retryAfterMilliseconds: number;
       readonly candidates: number;
+      /** The pipeline that came closest to the targets; undefined if none was predicted. */
+      readonly nearest?: NearestPipeline;
     };
 
+/** A pipeline that missed a target, with the figures of its prediction, for the log. */
+export interface NearestPipeline {
+  readonly prediction: Prediction;
+  readonly stages: ReadonlyArray<{
+    readonly upstream: string;
+    readonly sequenceLimit: number;
+    /** Sequences that were expected to be resident. */
+    readonly sequences: number;
+    readonly decodeMilliseconds: number;
+    readonly linkMilliseconds: number;
+  }>;
+}
+
 /** A reservation made by a cell's owner. */
 export interface Reservation {
   readonly reservationId: string;
--- a/src/features/routing/node/cellOwner.ts
+++ b/src/features/routing/node/cellOwner.ts
@@ -452,6 +452,8 @@
       why: decision.reason,
       chosen: isAdmitted ? decision.stages.map(stage => stage.upstream) : [],
       prediction: isAdmitted ? decision.prediction : undefined,
+      nearest: isAdmitted ? undefined : decision.nearest,
+      firstTokenWithinMilliseconds: call.work.firstTokenWithinMilliseconds,
       retryAfterMilliseconds: isAdmitted
         ? undefined
         : decision.retryAfterMilliseconds,
