Claims: a key whose owner does not answer counts as running, not as lost

A duplicate of work that another instance was running got 409 duplicate, executed: unknown, without a time to come back, if that instance did not answer in time, and its caller gave up. Cause: a failed call was treated like the answer of an instance that has forgotten the key. While the owner is listed and the row has no outcome, the key now counts as running.

--- a/src/features/claims/common/outcomeFinder.ts
+++ b/src/features/claims/common/outcomeFinder.ts
@@ -38,6 +38,12 @@
   readonly askMilliseconds: number;
 }
 
+/** The state of a key whose owner may be running but did not respond: it can be asked again. */
+const RUNNING_STATE: KeyState = {
+  outcome: {kind: 'running'},
+  fingerprint: undefined,
+};
+
 const UNKNOWN_STATE: KeyState = {
   outcome: {kind: 'unknown'},
   fingerprint: undefined,
@@ -91,7 +97,12 @@
       return {outcome, fingerprint};
     }
     // The owner may have recorded the outcome and forgotten the key since the row was read.
-    return (await this.readRecorded(keyHash, token)) ?? UNKNOWN_STATE;
+    const recorded = await this.readRecorded(keyHash, token);
+    if (recorded !== undefined) {
+      return recorded;
+    }
+    const mayBeAlive = response === undefined && this.isListed(incarnation);
+    return mayBeAlive ? RUNNING_STATE : UNKNOWN_STATE;
   }
 
   /** Reads the response from the table if its body is no longer in memory. */
--- a/src/features/claims/test/claimService.test.ts
+++ b/src/features/claims/test/claimService.test.ts
@@ -277,6 +277,19 @@
     });
   });
 
+  test('of a listed instance that does not answer are reported as running, so that their callers ask again', async () => {
+    const simulation = newSimulation(2);
+    await claim(simulation, 0, 'order');
+    simulation.pause(simulation.slots[0]!);
+    expect(await claim(simulation, 1, 'order')).toEqual(
+      duplicateOf({kind: 'running'}),
+    );
+    await simulation.resume(simulation.slots[0]!);
+    simulation.slots[0]!.service.complete(ACCOUNT, 'order', completed);
+    await simulation.advance(200);
+    expect(await claim(simulation, 1, 'order')).toEqual(duplicateOf(completed));
+  });
+
   test('a response body over the limit is omitted, not truncated', async () => {
     const simulation = newSimulation(2, {
       ...testSettings,
