--- a/src/programs/control/controlProgram.ts
+++ b/src/programs/control/controlProgram.ts
@@ -1,12 +1,9 @@
-import {randomBytes, randomUUID} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import {createServer, RequestListener} from 'node:http';
 
 import {CancellationSource} from '../../base/common/cancellation.js';
 import {DisposableOwner, toDisposable} from '../../base/common/lifecycle.js';
-import {
-  RandomSource,
-  SeededRandomSource,
-} from '../../base/common/randomSource.js';
+import {createRandomSource} from '../../base/node/randomlySeededSource.js';
 import {SystemClock} from '../../base/node/systemClock.js';
 import {AdministrationApi} from '../../features/administration/node/administrationApi.js';
 import {OperatorKeys} from '../../features/administration/node/operatorKeys.js';
@@ -39,7 +36,6 @@
 import {createStatusReport} from './statusReport.js';
 
 const PROGRAM = 'redwing-control';
-const SEED_BYTES = 4;
 /** Connections to each of the platform's services. */
 const PLATFORM_CONNECTIONS = 2;
 /** Placement sends one request at a time to each engine. */
@@ -194,7 +190,3 @@
     );
   }
 }
-
-function createRandomSource(): RandomSource {
-  return new SeededRandomSource(randomBytes(SEED_BYTES).readUInt32LE());
-}
--- a/src/programs/entry/redwingComponents.ts
+++ b/src/programs/entry/redwingComponents.ts
@@ -1,10 +1,5 @@
-import {randomBytes} from 'node:crypto';
-
 import {DisposableOwner} from '../../base/common/lifecycle.js';
-import {
-  RandomSource,
-  SeededRandomSource,
-} from '../../base/common/randomSource.js';
+import {createRandomSource} from '../../base/node/randomlySeededSource.js';
 import {addressOfIncarnation} from '../../features/callers/common/entrypoints.js';
 import {SystemViewPeerDirectory} from '../../features/claims/common/peerDirectory.js';
 import {createClaimRouter} from '../../features/claims/node/claimRouter.js';
@@ -21,8 +16,6 @@
 import {HttpTableService} from '../../infrastructure/table/node/httpTableService.js';
 import {PolicyDependencies, PolicyComponents} from './policyComponents.js';
 
-const RANDOM_SEED_BYTES = 4;
-
 /** The components of the `redwing` policy: cells, pipelines with recovery, claims and recorded outcomes. */
 export class RedwingComponents
   extends DisposableOwner
@@ -124,7 +117,3 @@
     });
   }
 }
-
-function createRandomSource(): RandomSource {
-  return new SeededRandomSource(randomBytes(RANDOM_SEED_BYTES).readUInt32LE());
-}
