Routing: a call to a cell's owner is not given up while the caller itself is held up

An instance that was busy or waited for a processor gave up on the owner of a cell after 100 ms and decided with its own copy of the cell, beside the owner, so that slots were given out twice.

Cause: the limit counted wall time, and timers fire before what has arrived is read. Evidence, in a trial beside 40 busy processes: given up after 246 ms (limit 100 ms) with 56 ms of processor time, the event loop active for 241 ms and idle for 0 ms; quiet, the same first call takes 34 to 53 ms, nearly all of it processor time.

Change: the limit counts steps of 10 ms with their nominal length, however late they fire, up to five times the limit in all. A silent owner is given up after the same time as before.

--- a/src/features/routing/node/cellOwnerClient.ts
+++ b/src/features/routing/node/cellOwnerClient.ts
@@ -2,6 +2,7 @@
 import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
 import {InstanceMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {Metrics} from '../../../infrastructure/metrics/common/metrics.js';
+import {limitCallTime} from '../common/callTimeLimit.js';
 import {CellAuthority} from '../common/cellMessages.js';
 import {CellMap} from '../common/cellMap.js';
 import {CellDirectory} from './cellDirectory.js';
@@ -116,7 +117,7 @@
     const controller = new AbortController();
     const abort = (): void => controller.abort();
     token.addEventListener('abort', abort, {once: true});
-    const timer = this.clock.setTimer(timeoutMillisecondsOf(peer), abort);
+    const limit = limitCallTime(this.clock, timeoutMillisecondsOf(peer), abort);
     try {
       const answer = await call(peer.authority, controller.signal);
       this.answered(peer, member, startedAt);
@@ -127,7 +128,7 @@
       }
       return undefined;
     } finally {
-      timer.dispose();
+      limit.dispose();
       token.removeEventListener('abort', abort);
     }
   }
