--- a/src/features/routing/node/cellOwner.ts
+++ b/src/features/routing/node/cellOwner.ts
@@ -8,6 +8,7 @@
   SummaryMessage,
 } from '../common/cellMessages.js';
 import {Cell} from '../common/cells.js';
+import {CellShares, ReservedWork} from '../common/cellShares.js';
 import {
   CellView,
   ChosenStage,
@@ -17,11 +18,9 @@
   RoutingPolicy,
   ShareView,
   StageView,
-  WorkEstimate,
 } from '../common/routing.js';
-import {ShareAccounting} from '../common/shareAccounting.js';
 import {summarizeSlots} from '../common/slotSummary.js';
-import {DecayedMean} from '../common/decayedMean.js';
+import {logReservation} from './reservationLog.js';
 import {StageRegistry} from './stageRegistry.js';
 
 /** Collaborators of a cell's owner. */
@@ -32,12 +31,9 @@
   readonly metrics: Metrics;
 }
 
-interface ReservationRecord {
+interface ReservationRecord extends ReservedWork {
   readonly stages: readonly ChosenStage[];
-  readonly classOfWork: string;
-  readonly clientAccount: string;
   readonly reservedAt: number;
-  readonly expectedMilliseconds: number;
   readonly expiresAt: number;
 }
 
@@ -49,15 +45,13 @@
 
 /** Time past its deadline after which an unreleased reservation expires. */
 const EXPIRY_MARGIN_MILLISECONDS = 2000;
-const MEAN_WORK_DECAY_MILLISECONDS = 60000;
 const MAX_RESERVATIONS = 8192;
 const SWEEP_INTERVAL_MILLISECONDS = 1000;
 
 /** Makes the routing decisions for one cell and tracks its outstanding reservations. */
 export class CellOwner {
   private readonly records = new Map<string, ReservationRecord>();
-  private readonly shareAccounts = new ShareAccounting();
-  private readonly meanWorkByClass = new Map<string, DecayedMean>();
+  private readonly shares = new CellShares();
   private sweptAt = 0;
 
   constructor(
@@ -81,10 +75,10 @@
     if (earlier !== undefined) {
       this.endReservation(call.reservationId, earlier, now);
     }
-    const shares = this.shareView(configuration, now);
+    const shares = this.shares.view(configuration, now);
     const {view, decision} = this.decide(call, configuration, shares, now);
-    this.recordDemand(call.work, decision, now);
-    this.log(call, view, decision);
+    this.shares.recordDemand(call.work, decision, now);
+    this.report(call, view, decision);
     const summaries = this.summaries(now);
     if (decision.kind === 'refuse') {
       const {reason, retryAfterMilliseconds} = decision;
@@ -264,8 +258,7 @@
       this.records.delete(oldest!);
     }
     this.addToLedgers(call.reservationId, record);
-    this.recordUse(record, expectedMilliseconds, now);
-    this.meanWorkOf(work.classOfWork).add(expectedMilliseconds, 1, now);
+    this.shares.recordReservation(record, now);
     return {
       reservationId: call.reservationId,
       cell: this.cell.id,
@@ -316,17 +309,7 @@
   ): void {
     this.records.delete(id);
     this.removeFromLedgers(id, record, now);
-    const heldMilliseconds = now - record.reservedAt;
-    const excessMilliseconds = heldMilliseconds - record.expectedMilliseconds;
-    const {classOfWork, clientAccount} = record;
-    this.recordUse(record, excessMilliseconds, now);
-    this.shareAccounts.addDemand(
-      classOfWork,
-      clientAccount,
-      excessMilliseconds,
-      now,
-      0,
-    );
+    this.shares.recordEnd(record, now - record.reservedAt, now);
   }
 
   /** Restores a reservation on those of its stages that aren't excluded, unless it has expired. */
@@ -346,77 +329,6 @@
     }
   }
 
-  private recordDemand(
-    work: WorkEstimate,
-    decision: RoutingDecision,
-    now: number,
-  ): void {
-    const wanted =
-      decision.kind === 'admit'
-        ? decision.prediction.wholeMilliseconds
-        : this.meanWorkOf(work.classOfWork).value(
-            work.deadlineWithinMilliseconds / 2,
-            now,
-          );
-    this.shareAccounts.addDemand(
-      work.classOfWork,
-      work.clientAccount,
-      wanted,
-      now,
-    );
-  }
-
-  private recordUse(
-    record: ReservationRecord,
-    amount: number,
-    now: number,
-  ): void {
-    const {classOfWork, clientAccount} = record;
-    this.shareAccounts.addUsage(classOfWork, clientAccount, amount, now);
-  }
-
-  private meanWorkOf(classOfWork: string): DecayedMean {
-    const known = this.meanWorkByClass.get(classOfWork);
-    if (known !== undefined) {
-      return known;
-    }
-    const created = new DecayedMean(MEAN_WORK_DECAY_MILLISECONDS);
-    this.meanWorkByClass.set(classOfWork, created);
-    return created;
-  }
-
-  private shareView(configuration: Configuration, now: number): ShareView {
-    const classes = Object.values(configuration.classes);
-    const targets = new Map(
-      classes.map(workClass => [workClass.name, workClass.requestsPerSecond]),
-    );
-    for (const name of [...this.meanWorkByClass.keys()]) {
-      if (!targets.has(name)) {
-        this.meanWorkByClass.delete(name);
-      }
-    }
-    const workByClass = new Map(
-      [...this.meanWorkByClass].map(([name, mean]) => [
-        name,
-        mean.value(0, now),
-      ]),
-    );
-    const timesByClass = new Map(
-      classes.map(workClass => [
-        workClass.name,
-        {
-          firstToken: workClass.firstTokenMilliseconds,
-          betweenTokens: workClass.betweenTokensMilliseconds,
-        },
-      ]),
-    );
-    return {
-      ...this.shareAccounts.view(targets, now),
-      workByClass,
-      timesByClass,
-    };
-  }
-
   /** Removes reservations that expired without a release; runs at most once per interval. */
   private removeExpired(now: number): void {
     if (now - this.sweptAt < SWEEP_INTERVAL_MILLISECONDS) {
@@ -431,34 +343,13 @@
     }
   }
 
-  private log(
+  private report(
     call: ReserveRequest,
     view: CellView,
     decision: RoutingDecision,
   ): void {
     const isAdmitted = decision.kind === 'admit';
-    const ages = view.stages.map(stage => stage.reportAgeMilliseconds);
-    this.dependencies.logger.decision('reservation', {
-      requestId: call.work.requestId,
-      classOfWork: call.work.classOfWork,
-      clientAccount: call.work.clientAccount,
-      cell: view.cell,
-      model: view.model,
-      version: view.version,
-      stagesConsidered: view.stages.length,
-      candidates: decision.candidates,
-      excluded: call.excluded,
-      outcome: decision.kind,
-      why: decision.reason,
-      chosen: isAdmitted ? decision.stages.map(stage => stage.upstream) : [],
-      prediction: isAdmitted ? decision.prediction : undefined,
-      nearest: isAdmitted ? undefined : decision.nearest,
-      firstTokenWithinMilliseconds: call.work.firstTokenWithinMilliseconds,
-      retryAfterMilliseconds: isAdmitted
-        ? undefined
-        : decision.retryAfterMilliseconds,
-      oldestFigureMilliseconds: ages.length > 0 ? Math.max(...ages) : undefined,
-    });
+    logReservation(this.dependencies.logger, call, view, decision);
     this.dependencies.metrics.count('routing.decision', 1, {
       outcome: decision.kind,
       why: isAdmitted ? this.dependencies.policy.name : decision.reason,
