--- a/src/programs/control/test/memberTracker.test.ts
+++ b/src/programs/control/test/memberTracker.test.ts
@@ -225,21 +225,10 @@
       fleet.maximumDelayMilliseconds = 20;
       await fleet.run(5 * MILLISECONDS_PER_SECOND);
       const delays: number[] = [];
-      const showsAll = (state: string) =>
-        ids.every(id => fleet.shownState(id, 'e3') === state);
       for (let departure = 0; departure < departureCount; departure++) {
         // Departures come at all phases of the reads.
         await fleet.run(5 * MILLISECONDS_PER_SECOND + 137 * (departure % 8));
-        const listedAt = now(fleet);
-        fleet.list(['e3'], 'leaving');
-        await runUntil(
-          fleet,
-          () => showsAll('leaving'),
-          FINE_STEP_MILLISECONDS,
-        );
-        delays.push(now(fleet) - listedAt);
-        fleet.list(['e3'], 'live');
-        await runUntil(fleet, () => showsAll('live'));
+        delays.push(await measureDeparture(fleet, ids));
       }
       const late = delays.filter(delay => delay > LEAVING_GRACE_MILLISECONDS);
       expect(late).toEqual([]);
@@ -267,20 +256,9 @@
           fleet.platform.addFault({kind: 'down'}, {instance: id});
         });
         await fleet.run(10 * MILLISECONDS_PER_SECOND);
-        const showsAll = (state: string) =>
-          alive.every(id => fleet.shownState(id, 'e3') === state);
         for (let departure = 0; departure < 8; departure++) {
-          const listedAt = now(fleet);
-          fleet.list(['e3'], 'leaving');
-          await runUntil(
-            fleet,
-            () => showsAll('leaving'),
-            FINE_STEP_MILLISECONDS,
-          );
-          delays.push(now(fleet) - listedAt);
           await fleet.run(2_137);
-          fleet.list(['e3'], 'live');
-          await runUntil(fleet, () => showsAll('live'));
+          delays.push(await measureDeparture(fleet, alive));
         }
       }
       const late = delays.filter(delay => delay > LEAVING_GRACE_MILLISECONDS);
@@ -290,6 +268,22 @@
   );
 });
 
+/** Makes an upstream leave and return; resolves to the milliseconds until the instances `ids` show that it leaves. */
+async function measureDeparture(
+  fleet: MemberFleet,
+  ids: readonly string[],
+): Promise<number> {
+  const showAll = (state: string) => () =>
+    ids.every(id => fleet.shownState(id, 'e3') === state);
+  const listedAt = now(fleet);
+  fleet.list(['e3'], 'leaving');
+  await runUntil(fleet, showAll('leaving'), FINE_STEP_MILLISECONDS);
+  const delay = now(fleet) - listedAt;
+  fleet.list(['e3'], 'live');
+  await runUntil(fleet, showAll('live'));
+  return delay;
+}
+
 async function runAndCheck(
   fleet: MemberFleet,
   seconds: number,
--- a/src/programs/entry/viewLog.ts
+++ b/src/programs/entry/viewLog.ts
@@ -1,13 +1,13 @@
 import {SystemView} from '../../features/membership/common/systemView.js';
 import {Logger} from '../../infrastructure/logging/common/logger.js';
 
-/** Logs the views that change which upstreams or whether this process serves. */
+/** Logs each view whose upstreams or standing differ from those of the previous one. */
 export class ViewLog {
   private previous: SystemView | undefined;
 
   constructor(private readonly logger: Logger) {}
 
-  /** Logs a view if its standing or its upstreams differ from the previous one. */
+  /** Writes a line for a view if it differs from the previous one in these parts. */
   record(view: SystemView): void {
     const {previous} = this;
     this.previous = view;
