--- a/src/features/callers/common/requestGate.ts
+++ b/src/features/callers/common/requestGate.ts
@@ -1,6 +1,5 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
-import {RandomSource} from '../../../base/common/randomSource.js';
 import {failure, Result, success} from '../../../base/common/result.js';
 import {SystemView} from '../../membership/common/systemView.js';
 import {SystemViewSource} from '../../membership/common/systemViewSource.js';
@@ -12,7 +11,6 @@
   orderEntrypoints,
 } from './entrypoints.js';
 import {notExecuted} from './failureBody.js';
-import {InstanceLoad, redirectedShare} from './instanceLoad.js';
 
 /** Admission control: whether this instance accepts new work, and where callers should go when it doesn't. */
 
@@ -22,9 +20,6 @@
 /** Milliseconds after which refused callers may retry at this instance. */
 export const GATE_RETRY_MILLISECONDS = 1000;
 
-/** Redirected callers come to other instances spread over this time. */
-const REDIRECT_RETRY_MILLISECONDS = 100;
-
 /** Settings of the instance that the gate belongs to. */
 export interface GateSettings extends Locality {
   readonly id: string;
@@ -41,8 +36,6 @@
     private readonly views: SystemViewSource,
     private readonly clock: Clock,
     private readonly settings: GateSettings,
-    private readonly load: InstanceLoad,
-    private readonly random: RandomSource,
   ) {}
 
   /** Number of requests in progress. */
@@ -60,19 +53,10 @@
     return this.servingView().ok;
   }
 
-  /**
-   * Acquires a slot for one request. Fails when all are in use, and for a share of the requests when this instance is
-   * overloaded and another one is ready. Dispose the slot to release it.
-   */
+  /** Acquires a slot for one request; fails when all are in use. Dispose the slot to release it. */
   tryAcquireSlot(): Result<Disposable, RequestFailure> {
-    const {concurrentRequestLimit} = this.settings;
-    if (this.inProgress >= concurrentRequestLimit) {
-      return failure(
-        this.redirect('this instance has as many requests as it may'),
-      );
-    }
-    if (this.drawsRedirect() && this.otherAddresses().length > 0) {
-      return failure(this.redirect('this instance is overloaded'));
+    if (this.inProgress >= this.settings.concurrentRequestLimit) {
+      return failure(this.tooManyRequests());
     }
     this.inProgress += 1;
     return success(toDisposable(() => this.leave()));
@@ -89,8 +73,7 @@
 
   /**
    * Returns caller addresses for an account, best first. This instance is included only while it accepts
-   * new work, and comes last for a share of the responses while it is overloaded. Its own state decides,
-   * because the view of the system lags behind it.
+   * new work. Its own state decides, because the view of the system lags behind it.
    */
   addressesFor(clientAccount: string): readonly string[] {
     const instances = this.views.current?.instances ?? [];
@@ -100,12 +83,7 @@
       const ready = isOwn ? isServing : view.ready;
       return {view: {...view, ready}, weight: 1};
     });
-    const addresses = orderEntrypoints(
-      candidates,
-      clientAccount,
-      this.settings,
-    );
-    return this.drawsRedirect() ? this.moveOwnToEnd(addresses) : addresses;
+    return orderEntrypoints(candidates, clientAccount, this.settings);
   }
 
   /** Returns the caller address of the instance that runs an incarnation; undefined when none is known. */
@@ -150,52 +128,23 @@
   }
 
   private refusal(kind: 'shuttingDown' | 'cutOff'): RequestFailure {
-    const addresses = this.otherAddresses();
+    const others = (this.views.current?.instances ?? []).filter(
+      view => view.member.id !== this.settings.id,
+    );
+    const candidates = others.map(view => ({view, weight: 1}));
+    const addresses = orderEntrypoints(candidates, '', this.settings);
     const retryAfter = addresses.length > 0 ? 0 : GATE_RETRY_MILLISECONDS;
     return notExecuted({kind}, retryAfter, addresses);
   }
 
-  /** Refuses a request in favour of the other instances. */
-  private redirect(detail: string): RequestFailure {
-    const addresses = this.otherAddresses();
-    const retryAfter =
-      addresses.length > 0
-        ? this.random.nextInteger(REDIRECT_RETRY_MILLISECONDS)
-        : GATE_RETRY_MILLISECONDS;
+  private tooManyRequests(): RequestFailure {
+    const detail = 'this instance has as many requests as it may';
     return notExecuted(
       {kind: 'cannotMeetTarget', detail},
-      retryAfter,
-      addresses,
+      GATE_RETRY_MILLISECONDS,
     );
   }
 
-  /** Decides at random, so that the share of redirected requests follows the load. */
-  private drawsRedirect(): boolean {
-    const share = redirectedShare(this.load.utilization);
-    return share > 0 && this.random.next() < share;
-  }
-
-  /** Addresses of the other ready instances: the nearest first, in random order within a data centre. */
-  private otherAddresses(): readonly string[] {
-    const others = (this.views.current?.instances ?? []).filter(
-      view => view.member.id !== this.settings.id,
-    );
-    const candidates = others.map(view => ({view, weight: 1}));
-    const seed = String(this.random.next());
-    return orderEntrypoints(candidates, seed, this.settings);
-  }
-
-  private moveOwnToEnd(addresses: readonly string[]): readonly string[] {
-    const own = this.views.current?.instances.find(
-      ({member}) => member.id === this.settings.id,
-    )?.member.callerAddress;
-    const isOwn = (address: string): boolean => address === own;
-    return [
-      ...addresses.filter(address => !isOwn(address)),
-      ...addresses.filter(isOwn),
-    ];
-  }
-
   private leave(): void {
     this.inProgress -= 1;
     this.notifyWhenIdle();
--- a/src/features/callers/test/callerFakes.ts
+++ b/src/features/callers/test/callerFakes.ts
@@ -4,7 +4,6 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Emitter} from '../../../base/common/event.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
-import {SeededRandomSource} from '../../../base/common/randomSource.js';
 import {Result, success} from '../../../base/common/result.js';
 import {SystemClock} from '../../../base/node/systemClock.js';
 import {
@@ -32,7 +31,6 @@
   ModelRequest,
   RequestOutcome,
 } from '../../requests/common/request.js';
-import {InstanceLoad} from '../common/instanceLoad.js';
 import {RequestGate} from '../common/requestGate.js';
 import {
   ServiceCallRequest,
@@ -250,11 +248,6 @@
   }
 }
 
-/** The load that a test sets. */
-export class FakeLoad extends InstanceLoad {
-  override utilization = 0;
-}
-
 /** A server with fake dependencies on a free port. */
 export class CallerFixture {
   readonly views = new FakeViews();
@@ -262,25 +255,17 @@
   readonly driver = new FakeDriver();
   readonly dispatcher = new FakeDispatcher();
   readonly logger = new RecordingLogger();
-  readonly load = new FakeLoad();
   readonly gate: RequestGate;
   readonly server: CallerServer;
   port = 0;
 
   constructor(readonly clock: Clock = new SystemClock()) {
-    const gateSettings = {
+    this.gate = new RequestGate(this.views, clock, {
       id: 'a',
       dataCentre: 'dc1',
       region: 'east',
       concurrentRequestLimit: 2,
-    };
-    this.gate = new RequestGate(
-      this.views,
-      clock,
-      gateSettings,
-      this.load,
-      new SeededRandomSource(1),
-    );
+    });
     this.server = new CallerServer({
       views: this.views,
       claims: this.claims,
--- a/src/programs/entry/entryProgram.ts
+++ b/src/programs/entry/entryProgram.ts
@@ -1,11 +1,9 @@
 import {randomUUID} from 'node:crypto';
 
 import {DisposableOwner} from '../../base/common/lifecycle.js';
-import {createRandomSource} from '../../base/node/randomlySeededSource.js';
 import {SystemClock} from '../../base/node/systemClock.js';
 import {RequestGate} from '../../features/callers/common/requestGate.js';
 import {CallerServer} from '../../features/callers/node/callerServer.js';
-import {EventLoopLoad} from '../../features/callers/node/eventLoopLoad.js';
 import {ControlViewSource} from '../../features/membership/node/controlViewSource.js';
 import {NaiveClaimService} from '../../features/naive/common/naiveClaimService.js';
 import {NaiveBroker} from '../../features/naive/node/naiveBroker.js';
@@ -36,7 +34,6 @@
 export class EntryProgram extends DisposableOwner {
   private readonly dependencies: PolicyDependencies;
   private readonly components: PolicyComponents;
-  private readonly load: EventLoopLoad;
   private readonly gate: RequestGate;
   private readonly server: CallerServer;
 
@@ -50,8 +47,6 @@
     const viewLog = new ViewLog(logger);
     this.register(views.onDidChange(view => viewLog.record(view)));
     this.components = this.register(createPolicyComponents(this.dependencies));
-    const {clock, metrics} = this.dependencies;
-    this.load = this.register(new EventLoopLoad(clock, logger, metrics));
     this.gate = this.createGate();
     this.server = this.createServer();
   }
@@ -60,7 +55,6 @@
   async start(): Promise<void> {
     const {views, logger, incarnation} = this.dependencies;
     views.start();
-    this.load.start();
     await this.components.start();
     const {host, port} = parseAddress(this.settings.callerAddress);
     await this.server.listen(host, port);
@@ -128,13 +122,7 @@
   private createGate(): RequestGate {
     const {views, clock} = this.dependencies;
     const {instance, concurrentRequestLimit} = this.settings;
-    return new RequestGate(
-      views,
-      clock,
-      {...instance, concurrentRequestLimit},
-      this.load,
-      createRandomSource(),
-    );
+    return new RequestGate(views, clock, {...instance, concurrentRequestLimit});
   }
 
   private createServer(): CallerServer {
