Failing tests: an upstream that names a limit gets more than that from all instances together

Four router processes, stand-in upstreams that name 1.9 requests a second, 20 requests a second of load. From 3 s after the limit was first named, 16.4 requests in 4 s are allowed; 80 came on an entry engine, 32 and 37 in two runs on a plain replica.

sendRequest moves out of router.test.ts, so that both files use it.

--- a/test/router/router.test.ts
+++ b/test/router/router.test.ts
@@ -1,5 +1,3 @@
-import {request} from 'node:http';
-
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 
 import {
@@ -10,81 +8,13 @@
   waitFor,
 } from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
+import {RecordedResponse, sendRequest} from './sendRequest.js';
 
 /** Router instances as separate processes, in front of stand-ins that implement the protocols of the platform. */
 
 const EVENT_COUNT = 30;
 const WAIT_TIMEOUT_MILLISECONDS = 8_000;
 
-interface RecordedResponse {
-  readonly status: number;
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  readonly body: string;
-  /** Whether the body was received completely according to its HTTP framing. */
-  readonly isComplete: boolean;
-  readonly longestPauseMilliseconds: number;
-}
-
-interface RequestOptions {
-  readonly method?: string;
-  readonly headers?: Readonly<Record<string, string>>;
-  readonly body?: string;
-}
-
-let requestCount = 0;
-
-function sendRequest(
-  instance: RouterInstance,
-  path: string,
-  {method = 'POST', headers = {}, body = ''}: RequestOptions = {},
-): Promise<RecordedResponse> {
-  const [host, port] = instance.callerAddress.split(':');
-  return new Promise((resolve, reject) => {
-    const outgoing = request(
-      {
-        host,
-        port,
-        path,
-        method,
-        agent: false,
-        headers: {
-          host: 'host.example',
-          'request-id': `request-${++requestCount}`,
-          'deadline-ms': '8000',
-          'token-count': '100,60',
-          authorization: `Bearer ${API_KEY}`,
-          ...headers,
-        },
-      },
-      response => {
-        let text = '';
-        let lastChunkAt = 0;
-        let longestPauseMilliseconds = 0;
-        response.on('data', (chunk: Buffer) => {
-          const now = performance.now();
-          longestPauseMilliseconds =
-            lastChunkAt === 0
-              ? 0
-              : Math.max(longestPauseMilliseconds, now - lastChunkAt);
-          lastChunkAt = now;
-          text += chunk.toString();
-        });
-        response.on('close', () =>
-          resolve({
-            status: response.statusCode ?? 0,
-            headers: response.headers,
-            body: text,
-            isComplete: response.complete,
-            longestPauseMilliseconds,
-          }),
-        );
-      },
-    );
-    outgoing.on('error', reject);
-    outgoing.end(body);
-  });
-}
-
 function eventIdsOf({body}: RecordedResponse): readonly number[] {
   return [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
 }
--- /dev/null
+++ b/test/router/sendRequest.ts
@@ -0,0 +1,77 @@
+import {request} from 'node:http';
+
+import {API_KEY, RouterInstance} from '../standins/fleet/system.js';
+
+/** Sends requests of a caller to a router instance. */
+
+/** A response as the caller received it. */
+export interface RecordedResponse {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** Whether the body was received completely according to its HTTP framing. */
+  readonly isComplete: boolean;
+  readonly longestPauseMilliseconds: number;
+}
+
+/** What a request differs in from a `POST` without a body. */
+export interface RequestOptions {
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+let requestCount = 0;
+
+/** Sends a request over a connection of its own; resolves when the response has ended or was cut off. */
+export function sendRequest(
+  instance: RouterInstance,
+  path: string,
+  {method = 'POST', headers = {}, body = ''}: RequestOptions = {},
+): Promise<RecordedResponse> {
+  const [host, port] = instance.callerAddress.split(':');
+  return new Promise((resolve, reject) => {
+    const outgoing = request(
+      {
+        host,
+        port,
+        path,
+        method,
+        agent: false,
+        headers: {
+          host: 'host.example',
+          'request-id': `request-${++requestCount}`,
+          'deadline-ms': '8000',
+          'token-count': '100,60',
+          authorization: `Bearer ${API_KEY}`,
+          ...headers,
+        },
+      },
+      response => {
+        let text = '';
+        let lastChunkAt = 0;
+        let longestPauseMilliseconds = 0;
+        response.on('data', (chunk: Buffer) => {
+          const now = performance.now();
+          longestPauseMilliseconds =
+            lastChunkAt === 0
+              ? 0
+              : Math.max(longestPauseMilliseconds, now - lastChunkAt);
+          lastChunkAt = now;
+          text += chunk.toString();
+        });
+        response.on('close', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: text,
+            isComplete: response.complete,
+            longestPauseMilliseconds,
+          }),
+        );
+      },
+    );
+    outgoing.on('error', reject);
+    outgoing.end(body);
+  });
+}
--- a/test/standins/fleet/layeredEngine.ts
+++ b/test/standins/fleet/layeredEngine.ts
@@ -32,6 +32,15 @@
   readonly account: string | undefined;
 }
 
+/** Response headers in which an upstream names a limit of requests a second for all instances together; none without one. */
+export function limitHeaders(
+  requestLimit: number | undefined,
+): Readonly<Record<string, string>> {
+  return requestLimit === undefined
+    ? {}
+    : {'server-limit': String(requestLimit)};
+}
+
 /** All engines of a model; resolves the addresses of a path to engines. */
 export class EngineFleet implements Disposable {
   readonly engines: LayeredEngine[] = [];
@@ -70,6 +79,8 @@
 /** An engine of the fleet. */
 export class LayeredEngine {
   readonly runs: StartedStream[] = [];
+  /** `performance.now()` of each request for a stream, refused ones included. */
+  readonly arrivedAt: number[] = [];
   private readonly running = new Map<string, RunningStream>();
   private readonly server: Server;
   private layers: LayerSpan | undefined;
@@ -80,6 +91,8 @@
   /** Accepts connections but sends no responses or events. */
   isUnresponsive = false;
   isLeaving = false;
+  /** Requests a second that it names as its limit; undefined if it names none. */
+  requestLimit: number | undefined;
 
   constructor(
     private readonly fleet: EngineFleet,
@@ -223,11 +236,17 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
+    this.arrivedAt.push(performance.now());
     const id = String(request.headers['request-id']);
     const path = parsePath(String(request.headers['hop-count'] ?? ''));
     const faulty = this.findFaultyAddress(path);
     if (faulty !== undefined) {
-      const headers = {'not-run': '1', 'at-server': faulty, 'request-id': id};
+      const headers = {
+        'not-run': '1',
+        'at-server': faulty,
+        'request-id': id,
+        ...limitHeaders(this.requestLimit),
+      };
       send(response, 503, headers, {});
       return;
     }
@@ -242,6 +261,7 @@
       'content-type': 'text/event-stream',
       'request-id': id,
       'route-stamp': `${this.id}.${id}`,
+      ...limitHeaders(this.requestLimit),
     });
     const stream: RunningStream = {path};
     this.running.set(id, stream);
--- a/test/standins/fleet/plainReplica.ts
+++ b/test/standins/fleet/plainReplica.ts
@@ -2,6 +2,7 @@
 
 import {Disposable} from '../../../src/base/common/lifecycle.js';
 import {parseAddress} from '../../../src/infrastructure/rpc/node/rpc.js';
+import {limitHeaders} from './layeredEngine.js';
 import {RowStore} from './rowStore.js';
 
 /** A request as received by a replica of a plain service. */
@@ -15,6 +16,10 @@
 /** A replica of a plain service that records the requests that it executes. */
 export class PlainReplica implements Disposable {
   readonly executedRequests: ExecutedRequest[] = [];
+  /** `performance.now()` of each request, refused ones included. */
+  readonly arrivedAt: number[] = [];
+  /** Requests a second that it names as its limit; undefined if it names none. */
+  requestLimit: number | undefined;
   private readonly server: Server;
   /** How the replica handles requests: `refuse` does not execute them, `mute` executes but does not respond. */
   behaviour: 'answer' | 'fail' | 'refuse' | 'mute' = 'answer';
@@ -30,9 +35,13 @@
       const chunks: Buffer[] = [];
       request.on('data', (chunk: Buffer) => chunks.push(chunk));
       request.on('end', () => {
+        this.arrivedAt.push(performance.now());
         const id = String(request.headers['request-id']);
+        const limit = limitHeaders(this.requestLimit);
         if (this.behaviour === 'refuse') {
-          response.writeHead(503, {'not-run': '1', 'request-id': id}).end();
+          response
+            .writeHead(503, {'not-run': '1', 'request-id': id, ...limit})
+            .end();
           return;
         }
         this.executedRequests.push({
@@ -45,7 +54,11 @@
           return;
         }
         const status = this.behaviour === 'fail' ? 500 : 200;
-        const headers = {'request-id': id, 'route-stamp': `${this.id}.${id}`};
+        const headers = {
+          'request-id': id,
+          'route-stamp': `${this.id}.${id}`,
+          ...limit,
+        };
         response.writeHead(status, headers).end(`${this.id} did ${id}`);
       });
     });
