--- a/src/base/common/rendezvous.ts
+++ b/src/base/common/rendezvous.ts
@@ -1,7 +1,9 @@
+import {hashText} from './hashText.js';
+
 /** Rendezvous (highest random weight) hashing: processes with the same list of names choose the same ones. */
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
+const MURMUR3_FIRST_MULTIPLIER = 0x85ebca6b;
+const MURMUR3_SECOND_MULTIPLIER = 0xc2b2ae35;
 
 /** Returns the candidates in descending order of their score for a key; equal scores are ordered by name. */
 export function rankByRendezvous<T>(
@@ -21,14 +23,29 @@
   return scored.map(({candidate}) => candidate);
 }
 
-/** Returns a 32-bit score: FNV-1a, then the finaliser of MurmurHash3. */
+/** Returns a 32-bit score of a name for a key. */
 export function rendezvousScore(key: string, name: string): number {
-  let hash = FNV_OFFSET;
-  const text = `${key}\u0000${name}`;
-  for (let index = 0; index < text.length; index++) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
+  return mixedHash(`${key}\u0000${name}`);
+}
+
+/** Returns a 32-bit hash with well distributed bits; the same in every process. */
+export function mixedHash(text: string): number {
+  return mix(hashText(text));
+}
+
+/**
+ * Weight of a member for a key, from the mixed hashes of both; the member with the highest weight holds the key.
+ * Cheaper than `rendezvousScore` where each hash is used often.
+ */
+export function rendezvousWeight(keyHash: number, memberHash: number): number {
+  return mix(Math.imul(keyHash, MURMUR3_FIRST_MULTIPLIER) ^ memberHash);
+}
+
+/** The 32-bit finalizer of MurmurHash3. */
+function mix(value: number): number {
+  let mixed = value ^ (value >>> 16);
+  mixed = Math.imul(mixed, MURMUR3_FIRST_MULTIPLIER);
+  mixed ^= mixed >>> 13;
+  mixed = Math.imul(mixed, MURMUR3_SECOND_MULTIPLIER);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
 }
--- a/src/features/routing/common/cellOwnership.ts
+++ b/src/features/routing/common/cellOwnership.ts
@@ -1,7 +1,7 @@
+import {mixedHash, rendezvousWeight} from '../../../base/common/rendezvous.js';
 import {InstanceMember} from '../../../infrastructure/membership/common/membershipList.js';
 import {InstanceView} from '../../membership/common/systemView.js';
 import {Cell} from './cells.js';
-import {hashText, rendezvousWeight} from './rendezvous.js';
 
 /** Assigns cells to the ready instances by distance, then by rendezvous hashing. */
 
@@ -27,7 +27,7 @@
   constructor(instances: readonly InstanceView[]) {
     this.instances = instances
       .filter(instance => instance.ready)
-      .map(({member}) => ({member, hash: hashText(member.id)}));
+      .map(({member}) => ({member, hash: mixedHash(member.id)}));
   }
 
   /** Up to `limit` instances to ask about a cell, in order of preference; the first is the owner. */
@@ -43,7 +43,7 @@
 
   /** The best instances by distance and weight. A single pass avoids sorting all instances for every cell. */
   private rank(cell: Cell): readonly InstanceMember[] {
-    const cellHash = hashText(cell.id);
+    const cellHash = mixedHash(cell.id);
     const best: RankedInstance[] = [];
     for (const {member, hash} of this.instances) {
       const distance = distanceTo(cell, member);
--- a/src/features/routing/common/cells.ts
+++ b/src/features/routing/common/cells.ts
@@ -1,5 +1,5 @@
+import {mixedHash, rendezvousWeight} from '../../../base/common/rendezvous.js';
 import {UpstreamMember} from '../../../infrastructure/membership/common/membershipList.js';
-import {hashText, rendezvousWeight} from './rendezvous.js';
 
 /** Partitions the listed engines into cells. All instances compute the same cells from the same list. */
 
@@ -34,7 +34,7 @@
       addReplica(
         cells,
         replica,
-        indexOfLargestWeight(hashText(replica.group), buckets),
+        indexOfLargestWeight(mixedHash(replica.group), buckets),
       );
     }
   }
@@ -54,7 +54,7 @@
 
 function bucketHashes(dataCentre: string, count: number): number[] {
   return Array.from({length: count}, (_, bucket) =>
-    hashText(`${dataCentre}/${bucket}`),
+    mixedHash(`${dataCentre}/${bucket}`),
   );
 }
 
