Limits of upstreams: read, tracked and logged, before anything keeps to them

No log line or metric told whether a limit was known and how old the knowledge was. Now every response is read for it, a change writes upstreamLimit with the figure before, the source and the age, and redwing_limited_upstreams counts them. Decisions do not change yet.

--- a/src/features/forwarding/common/headerCodec.ts
+++ b/src/features/forwarding/common/headerCodec.ts
@@ -50,6 +50,8 @@
   readonly faultyAddress: string | undefined;
   /** Whether the body has a content encoding, which callers did not ask for. */
   readonly isEncoded: boolean;
+  /** Requests a second that the upstream takes from all instances together; undefined if it names no limit. */
+  readonly requestLimit: number | undefined;
 }
 
 /** Parses request and response headers and creates those to send. */
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -97,6 +97,8 @@
       isMisdirected: fields['misdirected'] !== undefined,
       faultyAddress: fields['faulty'],
       isEncoded: fields['encoded'] !== undefined,
+      requestLimit:
+        fields['limit'] === undefined ? undefined : Number(fields['limit']),
     };
   }
 
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 
-import {Registry} from 'prom-client';
+import {Gauge, Registry} from 'prom-client';
 
 import {Clock} from '../../base/common/clock.js';
 import {DisposableStore} from '../../base/common/lifecycle.js';
@@ -8,6 +8,7 @@
 import {SuspicionTracker} from '../../features/fleet/common/suspicionTracker.js';
 import {SlownessTracker} from '../../features/fleet/common/slownessTracker.js';
 import {UpstreamDirectory} from '../../features/fleet/common/upstreamDirectory.js';
+import {UpstreamLimitTracker} from '../../features/fleet/common/upstreamLimitTracker.js';
 import {UpstreamListRefresher} from '../../features/fleet/common/upstreamListRefresher.js';
 import {UpstreamLoadTracker} from '../../features/fleet/common/upstreamLoadTracker.js';
 import {defaultForwardingSettings} from '../../features/forwarding/common/forwardingSettings.js';
@@ -15,6 +16,7 @@
 import {RetryBudget} from '../../features/forwarding/common/retryBudget.js';
 import {ForwardingServices} from '../../features/forwarding/node/forwardingServices.js';
 import {HttpUpstreamConnector} from '../../features/forwarding/node/httpUpstreamConnector.js';
+import {LimitReadingConnector} from '../../features/forwarding/node/limitReadingConnector.js';
 import {RequestHandler} from '../../features/forwarding/node/requestHandler.js';
 import {RequestMetrics} from '../../features/forwarding/node/requestMetrics.js';
 import {StreamMonitor} from '../../features/forwarding/node/streamMonitor.js';
@@ -105,6 +107,7 @@
       defaultForwardingSettings.trialMilliseconds,
     ),
   );
+  const limits = new UpstreamLimitTracker(clock, logger);
   const connector = owned.add(new HttpUpstreamConnector());
   const outcomes = new OutcomeHistory(clock);
   const prefillBacklog = new PrefillBacklog(
@@ -118,10 +121,12 @@
         directory.find(id) !== undefined;
       connector.retain(isListed);
       outcomes.retain(isListed);
+      limits.retain(isListed);
       prefillBacklog.retain(isListed);
     }),
   );
   const metrics = new Registry();
+  registerLimitedUpstreams(metrics, limits);
   const services: ForwardingServices = {
     settings: defaultForwardingSettings,
     mechanisms,
@@ -130,7 +135,12 @@
     logger,
     metrics: new RequestMetrics(metrics),
     headerCodec: ports.headerCodec,
-    connector,
+    connector: new LimitReadingConnector(
+      connector,
+      ports.headerCodec,
+      clock,
+      limits,
+    ),
     control: ports.upstreamControl,
     configuration: activeConfiguration,
     directory,
@@ -230,6 +240,20 @@
   };
 }
 
+function registerLimitedUpstreams(
+  registry: Registry,
+  limits: UpstreamLimitTracker,
+): void {
+  new Gauge({
+    name: 'redwing_limited_upstreams',
+    help: 'Upstreams that name a limit of requests a second.',
+    registers: [registry],
+    collect() {
+      this.set(limits.limitedCount);
+    },
+  });
+}
+
 /** Formats a run of an instance as a lease holder: the name, a space and the start time. */
 function formatHolder({name, startedAt}: InstanceRecord): string {
   return `${name} ${startedAt}`;
