An upstream that names a limit gets no more than that from all instances together

No caller was served badly, but an upstream in need got 4.8 requests a second, no fewer than before it asked for 1.5.

Requests that nothing else can take are refused at once, with the time of the next slot. Why equal shares do not do: one whole request of burst each is 378 requests in 4 s at 370 instances and 1.9 a second.

The test of refusals limits all engines now, since a third entry engine without a limit served all; two cases have other names.

--- a/src/features/forwarding/common/retryAfter.ts
+++ b/src/features/forwarding/common/retryAfter.ts
@@ -10,6 +10,8 @@
   | 'noLayers'
   /** No path has capacity for the request. */
   | 'noRoom'
+  /** Every usable upstream has reached the limit of requests that it names. */
+  | 'limited'
   /** Every upstream that was tried refused the request. */
   | 'refused'
   /** The deadline passed before the request could be sent. */
@@ -20,7 +22,7 @@
 /**
  * Base delay for each reason, from the time until its cause ends. A confirmation is retried at once, and
  * calls to the store are limited to less than a second. A lost upstream is replaced or probed again after
- * half a second. The layers of one accelerator load in one to two seconds. A slot of a plain service is
+ * half a second. The layers of one accelerator load in one to two seconds. A limit gives its own time. A slot of a plain service is
  * free after a call or two, capacity on a path when some streams have ended. When this instance stops, another
  * one takes the request at once.
  */
@@ -29,6 +31,7 @@
   noUpstream: 700,
   noLayers: 1_500,
   noRoom: 400,
+  limited: 400,
   refused: 250,
   timeOver: 250,
   stopping: 0,
@@ -38,15 +41,19 @@
 const MAX_DEADLINE_SHARE = 1 / 3;
 
 /**
- * Returns the delay to send to the caller. Jitter of up to half the base delay spreads the retries of many
+ * Returns the delay to send to the caller: the base delay, or the time until the cause ends if that is longer. Jitter of up to half the base delay spreads the retries of many
  * callers.
  */
 export function retryAfterMilliseconds(
   reason: NotRunReason,
   remainingMilliseconds: number,
   randomFraction: number,
+  causeEndsInMilliseconds = 0,
 ): number {
-  const base = RETRY_AFTER_MILLISECONDS[reason];
+  const base = Math.max(
+    RETRY_AFTER_MILLISECONDS[reason],
+    causeEndsInMilliseconds,
+  );
   const jittered = base * (1 + randomFraction / 2);
   const limit = Math.max(0, remainingMilliseconds * MAX_DEADLINE_SHARE);
   return Math.round(Math.min(jittered, limit));
--- a/src/features/forwarding/node/entryUpstreams.ts
+++ b/src/features/forwarding/node/entryUpstreams.ts
@@ -1,7 +1,15 @@
+import {Upstream} from '../../fleet/common/upstream.js';
 import {PathSearchResult} from '../../paths/common/pathSearch.js';
+import {LimitedWait, LimitFilter} from '../common/limitFilter.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {PathChooser} from './pathChooser.js';
 
+/** A path, or why there is none. */
+export type EntryChoice =
+  | PathSearchResult
+  /** Each upstream at which a path could start has reached its limit. */
+  | {readonly kind: 'limited'; readonly wait: LimitedWait};
+
 /**
  * Limits the entry upstreams to which one request is sent to the number that its route allows. Upstreams
  * that have ended do not count, but only once that is certain, since a suspicion may be wrong.
@@ -19,16 +27,20 @@
   }
 
   /**
-   * Finds a path over all layers. Once the limit is reached, the path must start at an upstream that was
-   * used before.
+   * Finds a path over all layers. Once the number is reached, the path must start at an upstream that was used
+   * before. It starts at no upstream that has reached the limit that it names.
    */
-  choosePath(pathChooser: PathChooser): PathSearchResult {
-    if (this.liveCount < this.limit) {
-      return pathChooser.whole(() => true);
-    }
-    return pathChooser.whole(
-      ({id, layers}) => this.sentTo.has(id) || (layers?.from ?? 0) > 0,
-    );
+  choosePath(pathChooser: PathChooser): EntryChoice {
+    const mayUseNew = this.liveCount < this.limit;
+    const limitFilter = new LimitFilter(this.services.rateLimiter);
+    const canStartAt = (upstream: Upstream): boolean =>
+      (mayUseNew || this.sentTo.has(upstream.id)) &&
+      limitFilter.accepts(upstream);
+    const choice = pathChooser.whole(canStartAt);
+    const {wait} = limitFilter;
+    return choice.kind === 'noRoom' && wait !== undefined
+      ? {kind: 'limited', wait}
+      : choice;
   }
 
   private get liveCount(): number {
--- a/src/features/forwarding/node/forwardingServices.ts
+++ b/src/features/forwarding/node/forwardingServices.ts
@@ -5,6 +5,7 @@
 import {SlownessTracker} from '../../fleet/common/slownessTracker.js';
 import {UpstreamControl} from '../../fleet/common/upstreamControl.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
+import {UpstreamRateLimiter} from '../../fleet/common/upstreamRateLimiter.js';
 import {UpstreamLoadTracker} from '../../fleet/common/upstreamLoadTracker.js';
 import {LinkLoad} from '../../paths/common/linkLoad.js';
 import {PrefillBacklog} from '../../paths/common/prefillBacklog.js';
@@ -37,6 +38,7 @@
   readonly linkLoad: LinkLoad;
   readonly readingBacklog: PrefillBacklog;
   readonly slowness: SlownessTracker;
+  readonly rateLimiter: UpstreamRateLimiter;
   readonly budget: RetryBudget;
   readonly outcomes: OutcomeHistory;
 }
--- a/src/features/forwarding/node/limitedConnector.ts
+++ b/src/features/forwarding/node/limitedConnector.ts
@@ -1,6 +1,7 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
+import {UpstreamRateLimiter} from '../../fleet/common/upstreamRateLimiter.js';
 import {HeaderCodec, RawHeaders} from '../common/headerCodec.js';
 import {
   ExchangeFailure,
@@ -10,13 +11,17 @@
   UpstreamRequest,
 } from '../common/upstreamExchange.js';
 
-/** Reads the limits that upstreams name in their responses. Every request to an upstream passes through it. */
-export class LimitReadingConnector extends UpstreamConnector {
+/**
+ * Reads the limits that upstreams name in their responses, and counts what is sent to them. Every request to an
+ * upstream passes through it.
+ */
+export class LimitedConnector extends UpstreamConnector {
   constructor(
     private readonly connector: UpstreamConnector,
     private readonly headerCodec: HeaderCodec,
     private readonly clock: Clock,
     private readonly limits: UpstreamLimitTracker,
+    private readonly rateLimiter: UpstreamRateLimiter,
   ) {
     super();
   }
@@ -26,6 +31,7 @@
     request: UpstreamRequest,
     listener: ResponseListener,
   ): UpstreamExchange {
+    this.rateLimiter.recordSend(upstream);
     const sentAt = this.clock.monotonicMilliseconds();
     const readHead = (status: number, headers: RawHeaders): void => {
       const response = this.headerCodec.readResponse(status, headers);
--- a/src/features/forwarding/node/pathChooser.ts
+++ b/src/features/forwarding/node/pathChooser.ts
@@ -20,12 +20,12 @@
     private readonly size: RequestSize,
   ) {}
 
-  /** Finds a path over all layers. */
-  whole(isAllowed: (upstream: Upstream) => boolean): PathSearchResult {
+  /** Finds a path over all layers that starts at an upstream that the predicate accepts. */
+  whole(canStartAt: (upstream: Upstream) => boolean): PathSearchResult {
     const {layers} = this.engine;
     const span =
       layers === undefined ? WHOLE_MODEL : {from: 0, to: layers.layerCount};
-    return findPath(this.buildQuery(span, isAllowed));
+    return findPath({...this.buildQuery(span, () => true), canStartAt});
   }
 
   /**
@@ -95,6 +95,7 @@
         !upstream.isLeaving &&
         !suspicions.isSuspect(upstream.id) &&
         isAllowed(upstream),
+      canStartAt: () => true,
     };
   }
 }
--- a/src/features/forwarding/node/plainForwarder.ts
+++ b/src/features/forwarding/node/plainForwarder.ts
@@ -1,6 +1,7 @@
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {choosePlainUpstream} from '../common/choosePlainUpstream.js';
+import {LimitedWait, LimitFilter} from '../common/limitFilter.js';
 import {NotRunReason} from '../common/retryAfter.js';
 import {RequestForwarder} from './requestForwarder.js';
 import {AttemptOutcome, ResponseBuffer} from './responseBuffer.js';
@@ -22,6 +23,8 @@
   private readonly attemptedUpstreams = new Set<string>();
   private attempts = 0;
   private mayHaveRun = false;
+  /** The wait for limits of the last choice; undefined if limits did not decide it. */
+  private limitedWait: LimitedWait | undefined;
   /** An upstream's error response, forwarded if no retry succeeds. */
   private failure: Extract<AttemptOutcome, {kind: 'answered'}> | undefined;
 
@@ -56,7 +59,7 @@
   private startAttempt(cause: string): void {
     const upstream = this.chooseUpstream();
     if (upstream === undefined) {
-      this.giveUp('noUpstream');
+      this.giveUp(this.limitedWait === undefined ? 'noUpstream' : 'limited');
       return;
     }
     if (cause !== 'first') {
@@ -68,10 +71,12 @@
 
   private chooseUpstream(): Upstream | undefined {
     const {directory, load, outcomes, suspicions, random} = this.services;
+    const limitFilter = new LimitFilter(this.services.rateLimiter);
     const isUsable = (upstream: Upstream): boolean =>
       !upstream.isLeaving &&
       !suspicions.isSuspect(upstream.id) &&
-      !this.attemptedUpstreams.has(upstream.id);
+      !this.attemptedUpstreams.has(upstream.id) &&
+      limitFilter.accepts(upstream);
     const choice = choosePlainUpstream({
       upstreams: directory.ofService(this.admitted.service),
       loadOf: id => load.totalOf(id),
@@ -79,6 +84,7 @@
       isUsable,
       randomFraction: () => random.next(),
     });
+    this.limitedWait = limitFilter.wait;
     return choice.kind === 'found' ? choice.upstream : undefined;
   }
 
@@ -243,7 +249,7 @@
     } else if (this.mayHaveRun) {
       this.fail(502, 'no upstream answered');
     } else {
-      this.refuse(reason);
+      this.refuse(reason, this.limitedWait?.anyMilliseconds);
     }
   }
 }
--- a/src/features/forwarding/node/requestForwarder.ts
+++ b/src/features/forwarding/node/requestForwarder.ts
@@ -121,8 +121,11 @@
     };
   }
 
-  /** Ends a request that was certainly not executed, and tells the caller when to retry. */
-  protected refuse(reason: NotRunReason): void {
+  /**
+   * Ends a request that was certainly not executed, and tells the caller when to retry.
+   * @param causeEndsInMilliseconds time until the cause ends, where it is known
+   */
+  protected refuse(reason: NotRunReason, causeEndsInMilliseconds = 0): void {
     if (this.isDone) {
       return;
     }
@@ -130,6 +133,7 @@
       reason,
       this.remainingMilliseconds,
       this.services.random.next(),
+      causeEndsInMilliseconds,
     );
     this.exchange.sendRouterResponse({
       kind: 'notRun',
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -13,10 +13,11 @@
 import {EventGapMeter} from '../common/eventGapMeter.js';
 import {EventSequence} from '../common/eventSequence.js';
 import {pathRetryDelay, remainingPathWait} from '../common/pathWait.js';
+import {LimitedWait} from '../common/limitFilter.js';
 import {NotRunReason} from '../common/retryAfter.js';
 import {StreamProgress} from '../common/silentStreams.js';
 import {ResponseMetadata} from '../common/headerCodec.js';
-import {EntryUpstreams} from './entryUpstreams.js';
+import {EntryChoice, EntryUpstreams} from './entryUpstreams.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {PathChooser} from './pathChooser.js';
 import {PathLoad} from './pathLoad.js';
@@ -161,8 +162,7 @@
   private startAttempt(cause: string): void {
     const choice = this.entryUpstreams.choosePath(this.pathChooser);
     if (choice.kind !== 'found') {
-      const reason = choice.kind === 'noRoom' ? 'noRoom' : this.noPathReason();
-      this.waitOrGiveUp(cause, reason);
+      this.onNoPath(cause, choice);
       return;
     }
     this.attempts++;
@@ -177,17 +177,39 @@
     this.send();
   }
 
+  private onNoPath(
+    cause: string,
+    choice: Exclude<EntryChoice, {kind: 'found'}>,
+  ): void {
+    switch (choice.kind) {
+      case 'limited':
+        return this.waitForLimit(cause, choice.wait);
+      case 'noRoom':
+        return this.waitOrGiveUp(cause, 'noRoom');
+      case 'noLayers':
+        return this.waitOrGiveUp(cause, this.noPathReason());
+    }
+  }
+
+  /** Waits only if the request may have run, or if this instance may send it soon. */
+  private waitForLimit(cause: string, wait: LimitedWait): void {
+    const isNew = !this.mayHaveRun && !this.exchange.hasBegun;
+    if (isNew && wait.ownMilliseconds > this.remainingWaitMilliseconds) {
+      this.giveUp('limited', wait.anyMilliseconds);
+    } else {
+      this.waitOrGiveUp(cause, 'limited', wait.anyMilliseconds);
+    }
+  }
+
   /** Searches for a path again later, as long as that may still serve the caller. */
-  private waitOrGiveUp(cause: string, reason: NotRunReason): void {
-    const silentMilliseconds = this.gapMeter.silence(this.now);
-    const remainingWait = remainingPathWait({
-      hasBegun: this.exchange.hasBegun,
-      mayHaveRun: this.mayHaveRun,
-      silentMilliseconds,
-      latencyTargetMilliseconds: this.admitted.route.latencyTargetMilliseconds,
-    });
+  private waitOrGiveUp(
+    cause: string,
+    reason: NotRunReason,
+    causeEndsInMilliseconds = 0,
+  ): void {
+    const remainingWait = this.remainingWaitMilliseconds;
     if (remainingWait === 0 || !this.hasTimeForAttempt) {
-      this.giveUp(reason);
+      this.giveUp(reason, causeEndsInMilliseconds);
       return;
     }
     if (!this.hasLoggedWait) {
@@ -201,6 +223,15 @@
     this.scheduleRetry(() => this.startAttempt(cause));
   }
 
+  private get remainingWaitMilliseconds(): number {
+    return remainingPathWait({
+      hasBegun: this.exchange.hasBegun,
+      mayHaveRun: this.mayHaveRun,
+      silentMilliseconds: this.gapMeter.silence(this.now),
+      latencyTargetMilliseconds: this.admitted.route.latencyTargetMilliseconds,
+    });
+  }
+
   /** @param cachedIds upstreams that already hold the stream's KV cache */
   private usePath(
     path: Path,
@@ -479,11 +510,11 @@
     this.startAttempt(cause);
   }
 
-  private giveUp(reason: NotRunReason): void {
+  private giveUp(reason: NotRunReason, causeEndsInMilliseconds = 0): void {
     if (this.mayHaveRun || this.exchange.hasBegun) {
       this.fail(502, reason);
     } else {
-      this.refuse(reason);
+      this.refuse(reason, causeEndsInMilliseconds);
     }
   }
 
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -14,6 +14,8 @@
   UpstreamReport,
 } from '../../fleet/common/upstreamControl.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
+import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
+import {UpstreamRateLimiter} from '../../fleet/common/upstreamRateLimiter.js';
 import {UpstreamLoadTracker} from '../../fleet/common/upstreamLoadTracker.js';
 import {LinkLoad} from '../../paths/common/linkLoad.js';
 import {PrefillBacklog} from '../../paths/common/prefillBacklog.js';
@@ -47,6 +49,7 @@
   HeaderCodec,
 } from '../common/headerCodec.js';
 import {ForwardingServices} from '../node/forwardingServices.js';
+import {LimitedConnector} from '../node/limitedConnector.js';
 import {RequestHandler} from '../node/requestHandler.js';
 import {RequestMetrics} from '../node/requestMetrics.js';
 import {StreamMonitor} from '../node/streamMonitor.js';
@@ -369,6 +372,7 @@
   readonly configuration: ActiveConfiguration;
   readonly directory: UpstreamDirectory;
   readonly suspicions: SuspicionTracker;
+  readonly limits: UpstreamLimitTracker;
   readonly services: ForwardingServices;
   readonly handler: RequestHandler;
   private count = 0;
@@ -397,15 +401,34 @@
       slowness,
       settings.trialMilliseconds,
     );
+    this.limits = new UpstreamLimitTracker(clock, logger);
+    const random = new SeededRandomSource(1);
+    const rateLimiter = new UpstreamRateLimiter(
+      clock,
+      random,
+      this.limits,
+      () => ({
+        ownName: 'own',
+        live: [{name: 'own', dataCentre: 'north'}],
+        silentCount: 0,
+      }),
+    );
+    const headerCodec = new FakeHeaderCodec();
     this.services = {
       settings,
       mechanisms: {...defaultMechanisms, ...mechanisms},
       clock,
-      random: new SeededRandomSource(1),
+      random,
       logger,
       metrics: new RequestMetrics(new Registry()),
-      headerCodec: new FakeHeaderCodec(),
-      connector,
+      headerCodec,
+      connector: new LimitedConnector(
+        connector,
+        headerCodec,
+        clock,
+        this.limits,
+        rateLimiter,
+      ),
       control,
       configuration: this.configuration,
       directory,
@@ -419,6 +442,7 @@
         () => 1,
       ),
       slowness,
+      rateLimiter,
       budget: new RetryBudget(
         clock,
         {ratio: 0.2, slack: 100, windowMilliseconds: 10_000},
--- a/src/features/forwarding/test/policies.test.ts
+++ b/src/features/forwarding/test/policies.test.ts
@@ -168,6 +168,11 @@
   );
 });
 
+it('the retry delay after a limit is at least the time of its next slot', () => {
+  expect(retryAfterMilliseconds('limited', 20_000, 0, 1_250)).toBe(1_250);
+  expect(retryAfterMilliseconds('limited', 20_000, 0, 50)).toBe(400);
+});
+
 describe('the wait for a path', () => {
   it.each([
     {
--- a/src/features/instances/common/gossipMessage.ts
+++ b/src/features/instances/common/gossipMessage.ts
@@ -1,5 +1,6 @@
 import * as zod from 'zod';
 
+import {LimitReading} from '../../fleet/common/upstreamLimitTracker.js';
 import {SlownessReading} from '../../fleet/common/slownessTracker.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {InstanceHeartbeat} from './instance.js';
@@ -28,6 +29,8 @@
   readonly instances: readonly InstanceHeartbeat[];
   readonly loads: readonly UpstreamLoadReport[];
   readonly slow: readonly SlownessReading[];
+  /** Limits that upstreams name, and ends of limits; passed on from peer to peer. */
+  readonly limits: readonly LimitReading[];
   /** Undefined before the first read of the list. */
   readonly list?: UpstreamListState;
   /** Whether the sender holds the lease of the layer controller. */
@@ -106,6 +109,17 @@
       }),
     )
     .max(MESSAGE_LIST_LIMIT),
+  // Instances of earlier releases send none.
+  limits: zod
+    .array(
+      zod.object({
+        upstream: text,
+        requestsPerSecond: zod.number().nonnegative().optional(),
+        ageMilliseconds: zod.number().nonnegative(),
+      }),
+    )
+    .max(MESSAGE_LIST_LIMIT)
+    .default([]),
   list: list.optional(),
   holdsLease: zod.boolean(),
   lost: zod.array(text).max(MESSAGE_LIST_LIMIT),
--- a/src/features/instances/common/instanceTable.ts
+++ b/src/features/instances/common/instanceTable.ts
@@ -1,5 +1,6 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {LimitSharers} from '../../fleet/common/limitShare.js';
 import {listAgeLimitFor, selectListReader} from './upstreamListReader.js';
 import {InstanceHeartbeat, InstanceRecord, InstanceState} from './instance.js';
 
@@ -160,6 +161,20 @@
     return this.ownState === 'serving' ? [this.own, ...peers] : peers;
   }
 
+  /** The instances that share the limits of upstreams. */
+  get limitSharers(): LimitSharers {
+    const servedLast = [...this.peerEntries.values()].filter(
+      ({news}) => news.state === 'serving',
+    );
+    const live = this.serving;
+    const livePeers = live.filter(({name}) => name !== this.own.name);
+    return {
+      ownName: this.own.name,
+      live,
+      silentCount: servedLast.length - livePeers.length,
+    };
+  }
+
   /** Name of the instance that reads the list of upstreams for this one; undefined when none of its group serves. */
   get listReader(): string | undefined {
     return selectListReader(
--- a/src/features/instances/node/peerGossip.ts
+++ b/src/features/instances/node/peerGossip.ts
@@ -5,6 +5,7 @@
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {RpcClientFactory} from '../../../infrastructure/rpc/node/rpc.js';
+import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
 import {SlownessTracker} from '../../fleet/common/slownessTracker.js';
 import {SuspicionTracker} from '../../fleet/common/suspicionTracker.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
@@ -49,6 +50,7 @@
   readonly directory: UpstreamDirectory;
   readonly load: UpstreamLoadTracker;
   readonly slowness: SlownessTracker;
+  readonly limits: UpstreamLimitTracker;
   readonly suspicions: SuspicionTracker;
   readonly prober: UpstreamProber;
   readonly lease: TableLease;
@@ -206,7 +208,7 @@
   }
 
   private composeMessage(): GossipMessage {
-    const {instances, load, slowness, suspicions} = this.dependencies;
+    const {instances, limits, load, slowness, suspicions} = this.dependencies;
     const loads = [...load.ownLoads].map(([upstream, figure]) => ({
       upstream,
       requests: figure.requests,
@@ -218,13 +220,14 @@
       loads: loads.slice(0, MESSAGE_LIST_LIMIT),
       list: this.listExchange.own,
       slow: slowness.own.slice(0, MESSAGE_LIST_LIMIT),
+      limits: limits.readings.slice(0, MESSAGE_LIST_LIMIT),
       holdsLease: this.dependencies.lease.isRenewed,
       lost: suspicions.all.map(({upstream}) => upstream),
     };
   }
 
   private applyMessage(message: GossipMessage): void {
-    const {instances, load, slowness} = this.dependencies;
+    const {instances, limits, load, slowness} = this.dependencies;
     this.trackLeaseHolder(message);
     message.instances.forEach(heartbeat => instances.applyHeartbeat(heartbeat));
     const figures = new Map(
@@ -238,6 +241,7 @@
       );
     }
     message.slow.forEach(reading => slowness.recordFromPeer(reading));
+    message.limits.forEach(reading => limits.recordFromPeer(reading));
     message.lost.forEach(upstream =>
       this.verifySuspicion(upstream, message.from),
     );
--- a/src/features/instances/test/instances.test.ts
+++ b/src/features/instances/test/instances.test.ts
@@ -167,6 +167,46 @@
   });
 });
 
+describe('the instances that share limits', () => {
+  it.each<{
+    name: string;
+    act: (table: InstanceTable, clock: FakeClock) => void;
+    live: readonly string[];
+    silent: number;
+  }>([
+    {
+      name: 'count a serving peer that fell silent, since it may still send',
+      act: (table, clock) => {
+        table.applyHeartbeat(makeHeartbeat('a', 1));
+        clock.advance(1_700);
+        table.applyHeartbeat(makeHeartbeat('b', 1));
+      },
+      live: ['b'],
+      silent: 1,
+    },
+    {
+      name: 'leave out a peer that said that it stops',
+      act: table => {
+        table.applyHeartbeat(makeHeartbeat('a', 1));
+        table.applyHeartbeat(makeHeartbeat('a', 2, 'stopping'));
+      },
+      live: [],
+      silent: 0,
+    },
+    {
+      name: 'leave out peers that are only known from the registry',
+      act: table => table.addRecord(makeRecord('a')),
+      live: [],
+      silent: 0,
+    },
+  ])('$name', ({act, live, silent}) => {
+    const {clock, table} = makeTable();
+    act(table, clock);
+    expect(table.limitSharers.live.map(({name}) => name)).toEqual(live);
+    expect(table.limitSharers.silentCount).toBe(silent);
+  });
+});
+
 describe('the addresses for a caller', () => {
   const serving = [
     makeRecord('n1'),
--- /dev/null
+++ b/src/features/instances/test/limitSimulation.ts
@@ -0,0 +1,225 @@
+import {SeededRandomSource} from '../../../base/common/randomSource.js';
+import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
+import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {Upstream} from '../../fleet/common/upstream.js';
+import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
+import {UpstreamRateLimiter} from '../../fleet/common/upstreamRateLimiter.js';
+import {makeUpstream} from '../../fleet/test/upstreams.js';
+import {InstanceTable} from '../common/instanceTable.js';
+
+/** Plays many instances that share one limited upstream and gossip about it, on one simulated clock. */
+
+const STEP_MILLISECONDS = 20;
+const ROUND_PERIOD_MILLISECONDS = 400;
+const PEERS_PER_ROUND = 4;
+const DATA_CENTRES = ['north', 'south', 'east'];
+
+/**
+ * The published bound on what an upstream that names a limit may get: from some time after it first named the limit,
+ * requests of instances that were told of it some time before.
+ */
+const NOTICE_MILLISECONDS = 3_000;
+const TOLD_MILLISECONDS = 500;
+const WINDOW_MILLISECONDS = 4_000;
+
+/** One played situation. */
+export interface LimitScenario {
+  readonly instanceCount: number;
+  readonly requestsPerSecond: number;
+  /** Requests a second that each instance would send to the upstream. */
+  readonly demandOf: (index: number) => number;
+  readonly answerMilliseconds: number;
+  readonly lengthMilliseconds: number;
+  /** What happens to the instances, called before each step. */
+  readonly disturb?: (simulation: LimitSimulation, now: number) => void;
+}
+
+class SimulatedInstance {
+  table!: InstanceTable;
+  limits!: UpstreamLimitTracker;
+  limiter!: UpstreamRateLimiter;
+  isRunning = false;
+  /** Instances exchange messages only within their side of a partition. */
+  side = 0;
+  /** Whether answers of the upstream reach it. */
+  isAnswered = true;
+  startedAt = 0;
+  /** When this run first got an answer that named the limit. */
+  toldAt = Infinity;
+  readonly phase: number;
+
+  constructor(
+    readonly index: number,
+    private readonly clock: FakeClock,
+  ) {
+    this.phase = (index * 37) % ROUND_PERIOD_MILLISECONDS;
+  }
+
+  get name(): string {
+    return `instance-${this.index}`;
+  }
+
+  start(): void {
+    const {clock} = this;
+    const logger = new SilentLogger();
+    this.startedAt = clock.wallMilliseconds();
+    this.table = new InstanceTable(clock, logger, {
+      name: this.name,
+      startedAt: this.startedAt,
+      dataCentre: DATA_CENTRES[this.index % DATA_CENTRES.length]!,
+      region: 'region',
+      callerAddress: `${this.name}:1`,
+      peerAddress: `${this.name}:2`,
+    });
+    this.table.state = 'serving';
+    const {table} = this;
+    this.limits = new UpstreamLimitTracker(clock, logger);
+    this.limiter = new UpstreamRateLimiter(
+      clock,
+      new SeededRandomSource(this.index),
+      this.limits,
+      () => table.limitSharers,
+    );
+    this.toldAt = Infinity;
+    this.isRunning = true;
+  }
+}
+
+/** The instances, the upstream and what reached it. */
+export class LimitSimulation {
+  readonly clock = new FakeClock();
+  readonly instances: SimulatedInstance[] = [];
+  /** Arrivals from instances that were told of the limit, in simulated milliseconds. */
+  readonly arrivedAt: number[] = [];
+  private firstNamedAt = Infinity;
+  private readonly upstream: Upstream = makeUpstream({
+    id: 'limited',
+    dataCentre: 'south',
+  });
+
+  constructor(
+    private readonly scenario: LimitScenario,
+    private readonly random: SeededRandomSource,
+  ) {
+    this.clock.advance(100_000);
+    for (let index = 0; index < scenario.instanceCount; index++) {
+      const instance = new SimulatedInstance(index, this.clock);
+      instance.start();
+      this.instances.push(instance);
+    }
+    for (const instance of this.instances) {
+      for (const other of this.instances) {
+        instance.table.applyHeartbeat(other.table.createHeartbeat());
+      }
+    }
+  }
+
+  /** Plays the scenario; the upstream names its limit from the beginning. */
+  run(): void {
+    for (let now = 0; now < this.scenario.lengthMilliseconds;) {
+      this.scenario.disturb?.(this, now);
+      this.gossip(now);
+      this.sendRequests();
+      this.clock.advance(STEP_MILLISECONDS);
+      now += STEP_MILLISECONDS;
+    }
+  }
+
+  /** The most requests in any window that counts. */
+  get mostInWindow(): number {
+    const {counted} = this;
+    const counts = counted.map(
+      start =>
+        counted.filter(at => at >= start && at < start + WINDOW_MILLISECONDS)
+          .length,
+    );
+    return Math.max(0, ...counts);
+  }
+
+  /** Requests a second after the notice. */
+  get rate(): number {
+    const end = this.clock.monotonicMilliseconds();
+    const seconds = (end - this.firstNamedAt - NOTICE_MILLISECONDS) / 1_000;
+    return this.counted.length / seconds;
+  }
+
+  private get counted(): readonly number[] {
+    const from = this.firstNamedAt + NOTICE_MILLISECONDS;
+    return this.arrivedAt.filter(at => at >= from);
+  }
+
+  /** Stops an instance as planned: its peers learn of it at once. */
+  stop(index: number): void {
+    const instance = this.instances[index]!;
+    instance.table.state = 'stopping';
+    this.instances
+      .filter(other => other !== instance)
+      .forEach(other => this.exchange(instance, other));
+    instance.isRunning = false;
+  }
+
+  private gossip(now: number): void {
+    for (const instance of this.instances) {
+      const isDue =
+        instance.isRunning &&
+        (now + instance.phase) % ROUND_PERIOD_MILLISECONDS < STEP_MILLISECONDS;
+      for (let count = 0; isDue && count < PEERS_PER_ROUND; count++) {
+        const peer = this.random.nextInteger(this.instances.length);
+        this.exchange(instance, this.instances[peer]!);
+      }
+    }
+  }
+
+  private exchange(one: SimulatedInstance, other: SimulatedInstance): void {
+    if (one === other) {
+      return;
+    }
+    if (!other.isRunning || one.side !== other.side) {
+      one.table.markUnreachable(other.name);
+      return;
+    }
+    const sent = one.table.liveHeartbeats;
+    const returned = other.table.liveHeartbeats;
+    const readings = one.limits.readings;
+    other.limits.readings.forEach(reading =>
+      one.limits.recordFromPeer(reading),
+    );
+    readings.forEach(reading => other.limits.recordFromPeer(reading));
+    sent.forEach(heartbeat => other.table.applyHeartbeat(heartbeat));
+    returned.forEach(heartbeat => one.table.applyHeartbeat(heartbeat));
+  }
+
+  private sendRequests(): void {
+    for (const instance of this.instances) {
+      const expected =
+        (this.scenario.demandOf(instance.index) * STEP_MILLISECONDS) / 1_000;
+      if (
+        instance.isRunning &&
+        this.random.next() < expected &&
+        instance.limiter.canSend(this.upstream)
+      ) {
+        this.sendRequest(instance);
+      }
+    }
+  }
+
+  private sendRequest(instance: SimulatedInstance): void {
+    const {clock, scenario, upstream} = this;
+    const sentAt = clock.monotonicMilliseconds();
+    const {startedAt} = instance;
+    if (sentAt >= instance.toldAt + TOLD_MILLISECONDS) {
+      this.arrivedAt.push(sentAt);
+    }
+    instance.limiter.recordSend(upstream);
+    clock.setTimer(scenario.answerMilliseconds, () => {
+      const now = clock.monotonicMilliseconds();
+      this.firstNamedAt = Math.min(this.firstNamedAt, now);
+      const isSameRun = instance.isRunning && instance.startedAt === startedAt;
+      if (isSameRun && instance.isAnswered) {
+        const {requestsPerSecond} = scenario;
+        instance.toldAt = Math.min(instance.toldAt, now);
+        instance.limits.recordOwn(upstream.id, requestsPerSecond, sentAt);
+      }
+    });
+  }
+}
--- a/src/features/paths/common/pathSearch.ts
+++ b/src/features/paths/common/pathSearch.ts
@@ -36,6 +36,8 @@
   readonly isCapacityLimited: boolean;
   /** Whether an upstream may be used at all. */
   readonly isUsable: (upstream: Upstream) => boolean;
+  /** Whether a path may start at an upstream; it receives the request, the others only a part of its work. */
+  readonly canStartAt: (upstream: Upstream) => boolean;
 }
 
 /** The outcome of a search. */
@@ -179,11 +181,14 @@
   // Upstreams are used in the order of their first layers, so that none occurs twice, since engines refuse such
   // paths. No layer becomes unreachable: an upstream that starts earlier and ends later can run the previous part, too.
   for (let index = node.lastIndex + 1; index < candidates.length; index++) {
-    const {range} = candidates[index]!;
+    const {range, upstream} = candidates[index]!;
     const last = Math.min(range.to, query.span.to);
     if (range.from > node.layer) {
       return;
     }
+    if (node.lastIndex < 0 && !query.canStartAt(upstream)) {
+      continue;
+    }
     for (let to = node.layer + 1; to <= last; to++) {
       if (to === last || handOverLayers.has(to)) {
         const next = nextNode(query, candidates, index, node, to);
--- a/src/features/paths/test/pathSearch.test.ts
+++ b/src/features/paths/test/pathSearch.test.ts
@@ -43,6 +43,7 @@
     crossingCostFactor: 1,
     isCapacityLimited: true,
     isUsable: upstream => !upstream.isLeaving,
+    canStartAt: () => true,
     ...fields,
   });
 }
--- a/src/features/paths/test/prefillBacklog.test.ts
+++ b/src/features/paths/test/prefillBacklog.test.ts
@@ -142,6 +142,7 @@
         crossingCostFactor: Infinity,
         isCapacityLimited: true,
         isUsable: () => true,
+        canStartAt: () => true,
       });
       if (result.kind !== 'found') {
         throw new Error('no path found despite free capacity');
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -9,6 +9,7 @@
 import {SlownessTracker} from '../../features/fleet/common/slownessTracker.js';
 import {UpstreamDirectory} from '../../features/fleet/common/upstreamDirectory.js';
 import {UpstreamLimitTracker} from '../../features/fleet/common/upstreamLimitTracker.js';
+import {UpstreamRateLimiter} from '../../features/fleet/common/upstreamRateLimiter.js';
 import {UpstreamListRefresher} from '../../features/fleet/common/upstreamListRefresher.js';
 import {UpstreamLoadTracker} from '../../features/fleet/common/upstreamLoadTracker.js';
 import {defaultForwardingSettings} from '../../features/forwarding/common/forwardingSettings.js';
@@ -16,7 +17,7 @@
 import {RetryBudget} from '../../features/forwarding/common/retryBudget.js';
 import {ForwardingServices} from '../../features/forwarding/node/forwardingServices.js';
 import {HttpUpstreamConnector} from '../../features/forwarding/node/httpUpstreamConnector.js';
-import {LimitReadingConnector} from '../../features/forwarding/node/limitReadingConnector.js';
+import {LimitedConnector} from '../../features/forwarding/node/limitedConnector.js';
 import {RequestHandler} from '../../features/forwarding/node/requestHandler.js';
 import {RequestMetrics} from '../../features/forwarding/node/requestMetrics.js';
 import {StreamMonitor} from '../../features/forwarding/node/streamMonitor.js';
@@ -108,6 +109,12 @@
     ),
   );
   const limits = new UpstreamLimitTracker(clock, logger);
+  const rateLimiter = new UpstreamRateLimiter(
+    clock,
+    random,
+    limits,
+    () => instances.limitSharers,
+  );
   const connector = owned.add(new HttpUpstreamConnector());
   const outcomes = new OutcomeHistory(clock);
   const prefillBacklog = new PrefillBacklog(
@@ -122,6 +129,7 @@
       connector.retain(isListed);
       outcomes.retain(isListed);
       limits.retain(isListed);
+      rateLimiter.retain(isListed);
       prefillBacklog.retain(isListed);
     }),
   );
@@ -135,11 +143,12 @@
     logger,
     metrics: new RequestMetrics(metrics),
     headerCodec: ports.headerCodec,
-    connector: new LimitReadingConnector(
+    connector: new LimitedConnector(
       connector,
       ports.headerCodec,
       clock,
       limits,
+      rateLimiter,
     ),
     control: ports.upstreamControl,
     configuration: activeConfiguration,
@@ -150,6 +159,7 @@
     linkLoad: new LinkLoad(clock, () => instances.instanceCount),
     readingBacklog: prefillBacklog,
     slowness,
+    rateLimiter,
     budget: new RetryBudget(
       clock,
       settings.retries,
@@ -190,6 +200,7 @@
       directory,
       load,
       slowness,
+      limits,
       suspicions,
       prober,
       lease,
--- a/test/router/limits.test.ts
+++ b/test/router/limits.test.ts
@@ -92,38 +92,34 @@
     return all.filter(status => status === 200).length / all.length;
   }
 
-  function limitEngines(limits: readonly number[]): readonly LimitedUpstream[] {
-    const entries = system.engines.engines.filter(
+  function limitEntryEngine(): LimitedUpstream {
+    const entry = system.engines.engines.find(
       ({firstLayer}) => firstLayer === 0,
-    );
-    limits.forEach((limit, index) => (entries[index]!.requestLimit = limit));
-    return entries.slice(0, limits.length);
+    )!;
+    entry.requestLimit = LIMIT_PER_SECOND;
+    return entry;
   }
 
-  function limitReplicas(
-    limits: readonly number[],
-  ): readonly LimitedUpstream[] {
-    const {plainReplicas} = system;
-    limits.forEach(
-      (limit, index) => (plainReplicas[index]!.requestLimit = limit),
-    );
-    return plainReplicas.slice(0, limits.length);
+  function limitPlainReplica(): LimitedUpstream {
+    const [replica] = system.plainReplicas;
+    replica!.requestLimit = LIMIT_PER_SECOND;
+    return replica!;
   }
 
   it.each<{
     name: string;
     path: string;
-    limit: () => readonly LimitedUpstream[];
+    limit: () => LimitedUpstream;
   }>([
     {
-      name: 'one of two entry engines',
+      name: 'an entry engine',
       path: '/chat/x',
-      limit: () => limitEngines([LIMIT_PER_SECOND]),
+      limit: limitEntryEngine,
     },
     {
-      name: 'one of two plain replicas',
+      name: 'a plain replica',
       path: '/look/',
-      limit: () => limitReplicas([LIMIT_PER_SECOND]),
+      limit: limitPlainReplica,
     },
   ])(
     'gets no more than it named from all instances together, and the other upstreams serve the rest: $name',
@@ -131,17 +127,17 @@
       const limited = limit();
       const namedAt = performance.now();
       const served = await playLoad(path, () => system.instances);
-      limited.forEach(upstream => expectWithinLimit(upstream, namedAt));
+      expectWithinLimit(limited, namedAt);
       expect(served).toBeGreaterThan(0.98);
     },
   );
 
   it('is used up to about its limit, not left idle, while it names one', async () => {
-    const [limited] = limitEngines([LIMIT_PER_SECOND]);
+    const limited = limitEntryEngine();
     const namedAt = performance.now();
     await playLoad('/chat/x', () => system.instances);
     const from = namedAt + NOTICE_MILLISECONDS;
-    const counted = limited!.arrivedAt.filter(at => at >= from);
+    const counted = limited.arrivedAt.filter(at => at >= from);
     const seconds = (LOAD_MILLISECONDS - NOTICE_MILLISECONDS) / 1_000;
     expect(counted.length / seconds).toBeGreaterThan(LIMIT_PER_SECOND / 2);
     expect(counted.length / seconds).toBeLessThan(
@@ -150,7 +146,7 @@
   });
 
   it('gets no more than it named while an instance is restarted', async () => {
-    const limited = limitEngines([LIMIT_PER_SECOND])[0]!;
+    const limited = limitEntryEngine();
     const namedAt = performance.now();
     const restart = sleep(NOTICE_MILLISECONDS).then(async () => {
       const [stopping] = system.instances.splice(1, 1);
@@ -163,7 +159,8 @@
   });
 
   it('makes callers come back later when no other upstream can serve them', async () => {
-    const limited = limitEngines([LIMIT_PER_SECOND, LIMIT_PER_SECOND]);
+    const limited = system.engines.engines;
+    limited.forEach(engine => (engine.requestLimit = LIMIT_PER_SECOND));
     const namedAt = performance.now();
     await playLoad('/chat/x', () => system.instances);
     limited.forEach(upstream => expectWithinLimit(upstream, namedAt));
