Failing tests: instances that are cut off from all upstreams refuse their callers

Four router processes, of which two (a whole data centre) or three lose their links to all upstreams while callers, the store and their peers reach them; a program around the bundle resets, hangs or refuses the connections. Running streams were broken off.

The stand-in of a plain replica refuses reports now, as on the platform; it answered them like a request, so that each probe counted it as lost.

--- a/test/router/router.test.ts
+++ b/test/router/router.test.ts
@@ -8,17 +8,13 @@
   waitFor,
 } from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
-import {RecordedResponse, sendRequest} from './sendRequest.js';
+import {eventIdsOf, sendRequest} from './sendRequest.js';
 
 /** Router instances as separate processes, in front of stand-ins that implement the protocols of the platform. */
 
 const EVENT_COUNT = 30;
 const WAIT_TIMEOUT_MILLISECONDS = 8_000;
 
-function eventIdsOf({body}: RecordedResponse): readonly number[] {
-  return [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
-}
-
 const allEventIds = [...Array(EVENT_COUNT).keys()].map(index => index + 1);
 
 describe('router instances', () => {
--- a/test/router/sendRequest.ts
+++ b/test/router/sendRequest.ts
@@ -75,3 +75,8 @@
     outgoing.end(body);
   });
 }
+
+/** The ids of the events in a streamed response, in their order. */
+export function eventIdsOf({body}: RecordedResponse): readonly number[] {
+  return [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+}
--- a/test/standins/fleet/plainReplica.ts
+++ b/test/standins/fleet/plainReplica.ts
@@ -5,6 +5,9 @@
 import {limitHeaders} from './layeredEngine.js';
 import {RowStore} from './rowStore.js';
 
+/** Replicas of models report their state here; those of plain services refuse it. */
+const REPORT_PATH = '/report';
+
 /** A request as received by a replica of a plain service. */
 export interface ExecutedRequest {
   readonly method: string;
@@ -35,6 +38,10 @@
       const chunks: Buffer[] = [];
       request.on('data', (chunk: Buffer) => chunks.push(chunk));
       request.on('end', () => {
+        if (request.url === REPORT_PATH) {
+          response.writeHead(404).end();
+          return;
+        }
         this.arrivedAt.push(performance.now());
         const id = String(request.headers['request-id']);
         const limit = limitHeaders(this.requestLimit);
--- a/test/standins/fleet/system.ts
+++ b/test/standins/fleet/system.ts
@@ -1,26 +1,30 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import process from 'node:process';
 
 import {
   Disposable,
   DisposableStore,
   toDisposable,
 } from '../../../src/base/common/lifecycle.js';
+import {parseAddress} from '../../../src/infrastructure/rpc/node/rpc.js';
 import {
   ManagedProcess,
   ProcessSupervisor,
 } from '../../support/managedProcess.js';
 import {freeAddresses} from '../../support/ports.js';
 import {sleep} from '../../support/sleep.js';
+import {CutDescription, CutMode} from './cut.js';
 import {EngineFleet} from './layeredEngine.js';
 import {PlainReplica} from './plainReplica.js';
 import {RowStore} from './rowStore.js';
 
 /** Router instances as separate processes, connected to stand-ins for all outside systems. */
 
-/** The bundle that the platform runs, relative to `dist`. */
+/** The bundle that the platform runs, and a program that runs it with links that can be cut, relative to `dist`. */
 const BUNDLED_ROUTER = '../target/redwing-router.cjs';
+const CUTTABLE_ROUTER = 'test/standins/fleet/cuttableRouter.js';
 
 const LAYER_COUNT = 12;
 const EVENTS_PER_STREAM = 30;
@@ -34,6 +38,7 @@
   readonly readinessAddress: string;
   readonly directoryAddress: string;
   readonly process: ManagedProcess;
+  readonly settingsFile: string;
 }
 
 /** The API key of the configured account. */
@@ -136,7 +141,10 @@
   readonly store: RowStore;
   readonly engines: EngineFleet;
 
-  private constructor(private readonly addresses: string[]) {
+  private constructor(
+    private readonly addresses: string[],
+    private readonly program: string,
+  ) {
     this.store = this.owned.add(new RowStore(this.takeAddress()));
     this.engines = this.owned.add(
       new EngineFleet('model', LAYER_COUNT, EVENTS_PER_STREAM, this.store),
@@ -144,13 +152,36 @@
   }
 
   /** Starts all parts; resolves when engines hold all layers and every instance is ready. */
-  static async start(instanceCount: number): Promise<StandInSystem> {
+  static start(instanceCount: number): Promise<StandInSystem> {
+    return StandInSystem.startWith(instanceCount, BUNDLED_ROUTER);
+  }
+
+  /** Starts all parts with instances that `cut` can cut off from the upstreams. */
+  static startCuttable(instanceCount: number): Promise<StandInSystem> {
+    return StandInSystem.startWith(instanceCount, CUTTABLE_ROUTER);
+  }
+
+  private static async startWith(
+    instanceCount: number,
+    program: string,
+  ): Promise<StandInSystem> {
     const addresses = await freeAddresses(60);
-    const system = new StandInSystem([...addresses]);
+    const system = new StandInSystem([...addresses], program);
     await system.startAll(instanceCount);
     return system;
   }
 
+  /** Cuts the links of instances to all upstreams, or restores them with the mode `none`. */
+  cut(instances: readonly RouterInstance[], mode: CutMode): void {
+    const upstreams = [...this.engines.engines, ...this.plainReplicas];
+    const ports = upstreams.map(({address}) => parseAddress(address).port);
+    const description: CutDescription = {mode, ports};
+    for (const {process: running, settingsFile} of instances) {
+      writeFileSync(`${settingsFile}.cut`, JSON.stringify(description));
+      process.kill(running.pid, 'SIGUSR2');
+    }
+  }
+
   async stop(): Promise<void> {
     await this.supervisor.dispose();
     this.dispose();
@@ -197,13 +228,14 @@
       Unknown: {field: true},
     };
     writeFileSync(file, JSON.stringify(settings));
-    const started = this.supervisor.start(name, BUNDLED_ROUTER, file);
+    const started = this.supervisor.start(name, this.program, file);
     const instance = {
       name,
       callerAddress: listen.Front,
       readinessAddress: listen.Ready,
       directoryAddress: listen.Directory,
       process: started,
+      settingsFile: file,
     };
     this.instances.push(instance);
     return instance;
