An instance that has lost its links to upstreams reaches them through its peers

Cause: an instance had one way to an upstream and took the loss of its own link for the loss of the upstream. Evidence: on the cut instances all first upstreams were suspected within 35 ms by ECONNRESET and ECONNREFUSED, while the other three ended 195 of 198 requests as answered.

One instance goes on deciding everything about a request; the peer passes bytes, so a request is sent and counted once, and not-run is said as on a direct connection. An answer that ends with its connection proves nothing over a peer and is given up.

--- a/src/features/forwarding/node/forwardingServices.ts
+++ b/src/features/forwarding/node/forwardingServices.ts
@@ -17,6 +17,7 @@
 import {UpstreamConnector} from '../common/upstreamExchange.js';
 import {HeaderCodec} from '../common/headerCodec.js';
 import {RequestMetrics} from './requestMetrics.js';
+import {ResponseEndCheck} from './responseEndCheck.js';
 import {UpstreamProber} from './upstreamProber.js';
 
 /** The services that forwarding depends on; constructed by the program. */
@@ -34,6 +35,7 @@
   readonly directory: UpstreamDirectory;
   readonly suspicions: SuspicionTracker;
   readonly prober: UpstreamProber;
+  readonly responseEndCheck: ResponseEndCheck;
   readonly load: UpstreamLoadTracker;
   readonly linkLoad: LinkLoad;
   readonly readingBacklog: PrefillBacklog;
--- a/src/features/forwarding/node/httpUpstreamConnector.ts
+++ b/src/features/forwarding/node/httpUpstreamConnector.ts
@@ -1,6 +1,7 @@
-import {buildConnector, Client, Dispatcher, Pool} from 'undici';
+import {Client, Dispatcher, Pool} from 'undici';
 
 import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
+import {Dialer} from '../../../infrastructure/http/node/dialer.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {
   ResponseListener,
@@ -11,9 +12,6 @@
 import {HttpUpstreamExchange} from './httpUpstreamExchange.js';
 import {ResetDetector} from './resetDetector.js';
 
-/** Maximum time of a connection attempt; each request has a shorter timeout of its own. */
-const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
-
 /** Idle connections are closed early if the upstream does not state its keep-alive timeout. */
 const DEFAULT_KEEP_ALIVE_MILLISECONDS = 800;
 
@@ -25,19 +23,26 @@
 
 const HEADER_LIMIT_BYTES = 64 * 1024;
 
+interface UpstreamPool {
+  readonly pool: Pool;
+  /** Address `IP:port` of its upstream. */
+  readonly address: string;
+}
+
 /** Sends requests over HTTP/1.1 with undici, one at a time on a connection. */
 export class HttpUpstreamConnector
   extends DisposableOwner
   implements UpstreamConnector
 {
-  private readonly pools = new Map<string, Pool>();
+  private readonly pools = new Map<string, UpstreamPool>();
   private readonly resetDetector = new ResetDetector();
 
-  constructor() {
+  constructor(private readonly dialer: Dialer) {
     super();
     this.register(
-      toDisposable(() => this.pools.forEach(pool => void pool.destroy())),
+      toDisposable(() => this.pools.forEach(({pool}) => void pool.destroy())),
     );
+    this.register(dialer.onDidChangeWay(address => this.replacePools(address)));
   }
 
   open(
@@ -59,8 +64,18 @@
 
   /** Closes the pools of upstreams that the predicate rejects, once their requests have ended. */
   retain(isKept: (upstream: string) => boolean): void {
-    for (const [id, pool] of this.pools) {
-      if (!isKept(id)) {
+    this.close(id => !isKept(id));
+  }
+
+  /** Closes pools whose new connections take another way; running requests continue on the old connections. */
+  private replacePools(changed: string | undefined): void {
+    this.close((_, address) => changed === undefined || address === changed);
+  }
+
+  /** Closes pools once their requests have ended. */
+  private close(isClosed: (id: string, address: string) => boolean): void {
+    for (const [id, {pool, address}] of this.pools) {
+      if (isClosed(id, address)) {
         this.pools.delete(id);
         void pool.close();
       }
@@ -68,14 +83,16 @@
   }
 
   private poolOf(upstream: Upstream): Pool {
-    let pool = this.pools.get(upstream.id);
-    if (pool === undefined) {
-      pool = new Pool(`http://${upstream.address}`, {
-        ...this.options(),
-        connections: CONNECTION_LIMIT,
-      });
-      this.pools.set(upstream.id, pool);
+    const known = this.pools.get(upstream.id);
+    if (known !== undefined) {
+      return known.pool;
     }
+    const {address} = upstream;
+    const pool = new Pool(`http://${address}`, {
+      ...this.options(),
+      connections: CONNECTION_LIMIT,
+    });
+    this.pools.set(upstream.id, {pool, address});
     return pool;
   }
 
@@ -86,9 +103,7 @@
   private options(): Client.Options {
     return {
       pipelining: 1,
-      connect: this.resetDetector.watch(
-        buildConnector({timeout: CONNECT_TIMEOUT_MILLISECONDS}),
-      ),
+      connect: this.resetDetector.watch(this.dialer.connect),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MILLISECONDS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLISECONDS,
       maxHeaderSize: HEADER_LIMIT_BYTES,
--- a/src/features/forwarding/node/plainForwarder.ts
+++ b/src/features/forwarding/node/plainForwarder.ts
@@ -138,21 +138,21 @@
     }
   }
 
-  /** Accepts a response that ended with its connection only if the upstream is still alive. */
+  /** Accepts a response that ended with its connection only if it is known to be whole. */
   private async verifyCloseDelimited(
     upstream: Upstream,
     outcome: Extract<AttemptOutcome, {kind: 'answered'}>,
   ): Promise<void> {
-    const isAlive = await this.services.prober.isAlive(upstream);
+    const isWhole = await this.services.responseEndCheck.isWhole(upstream);
     if (this.isDone) {
       return;
     }
-    if (isAlive) {
+    if (isWhole) {
       this.onResponse(upstream, outcome);
     } else {
       this.onResponseLost(
         upstream,
-        'upstream ended together with a close-delimited response',
+        'close-delimited response is not known to be whole',
       );
     }
   }
--- a/src/features/forwarding/node/streamAttempt.ts
+++ b/src/features/forwarding/node/streamAttempt.ts
@@ -123,18 +123,19 @@
     this.finish();
   }
 
-  /** A stream that ended with its connection is complete only if its upstream is still alive. */
+  /** A stream that ended with its connection is accepted only if it is known to be whole. */
   private async verifyEnd(): Promise<void> {
     const {upstream} = this;
-    const isAlive =
-      upstream !== undefined && (await this.services.prober.isAlive(upstream));
+    const isWhole =
+      upstream !== undefined &&
+      (await this.services.responseEndCheck.isWhole(upstream));
     if (this.isDone) {
       return;
     }
-    if (isAlive) {
+    if (isWhole) {
       this.finish();
     } else {
-      this.failAsLost('upstream ended together with a close-delimited stream');
+      this.failAsLost('close-delimited stream is not known to be whole');
     }
   }
 
--- a/src/features/forwarding/node/upstreamProber.ts
+++ b/src/features/forwarding/node/upstreamProber.ts
@@ -66,7 +66,7 @@
   ) {
     super();
     this.timer = setInterval(
-      () => this.probeSuspected(),
+      () => this.recheckSuspected(),
       PROBE_PERIOD_MILLISECONDS,
     );
     this.register(toDisposable(() => clearInterval(this.timer)));
@@ -192,7 +192,8 @@
     return report.error.kind === 'refused' ? NO_REPORT : undefined;
   }
 
-  private probeSuspected(): void {
+  /** Probes the suspected upstreams; those that respond are cleared. */
+  recheckSuspected(): void {
     for (const {upstream: id} of this.suspicions.all) {
       const upstream = this.directory.find(id);
       if (upstream === undefined) {
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -327,6 +327,29 @@
   );
 });
 
+describe('a response that ends with its connection through a peer', () => {
+  it.each([
+    {target: '/unsafe/', outcome: 'router 502'},
+    {target: '/once/', outcome: 'aborted'},
+  ])(
+    'to $target results in "$outcome", since the peer may have ended',
+    async ({target, outcome}) => {
+      const harness = createHarness();
+      const caller = await harness.send(target);
+      const {last} = harness.connector;
+      harness.links.recordTest(last.upstream.address, {
+        isDirect: false,
+        isRelayed: true,
+      });
+      last.head();
+      last.sendEvents(1, 2);
+      last.end(false);
+      await harness.flushPromises();
+      expect(caller.outcome).toBe(outcome);
+    },
+  );
+});
+
 describe('under any sequence of faults', () => {
   const steps = fastCheck.array(
     fastCheck.constantFrom(
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -17,6 +17,7 @@
 import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
 import {UpstreamRateLimiter} from '../../fleet/common/upstreamRateLimiter.js';
 import {UpstreamLoadTracker} from '../../fleet/common/upstreamLoadTracker.js';
+import {UpstreamLinks} from '../../links/common/upstreamLinks.js';
 import {LinkLoad} from '../../paths/common/linkLoad.js';
 import {PrefillBacklog} from '../../paths/common/prefillBacklog.js';
 import {Path} from '../../paths/common/path.js';
@@ -51,6 +52,7 @@
 import {ForwardingServices} from '../node/forwardingServices.js';
 import {LimitedConnector} from '../node/limitedConnector.js';
 import {RequestHandler} from '../node/requestHandler.js';
+import {ResponseEndCheck} from '../node/responseEndCheck.js';
 import {RequestMetrics} from '../node/requestMetrics.js';
 import {StreamMonitor} from '../node/streamMonitor.js';
 import {UpstreamProber} from '../node/upstreamProber.js';
@@ -373,6 +375,7 @@
   readonly directory: UpstreamDirectory;
   readonly suspicions: SuspicionTracker;
   readonly limits: UpstreamLimitTracker;
+  readonly links: UpstreamLinks;
   readonly services: ForwardingServices;
   readonly handler: RequestHandler;
   private count = 0;
@@ -401,6 +404,7 @@
       slowness,
       settings.trialMilliseconds,
     );
+    this.links = new UpstreamLinks(clock, logger);
     this.limits = new UpstreamLimitTracker(clock, logger);
     const random = new SeededRandomSource(1);
     const rateLimiter = new UpstreamRateLimiter(
@@ -434,6 +438,7 @@
       directory,
       suspicions,
       prober,
+      responseEndCheck: new ResponseEndCheck(prober, this.links),
       load: new UpstreamLoadTracker(),
       linkLoad: new LinkLoad(clock, () => 1),
       readingBacklog: new PrefillBacklog(
--- a/src/features/forwarding/test/httpUpstreamExchange.test.ts
+++ b/src/features/forwarding/test/httpUpstreamExchange.test.ts
@@ -5,6 +5,7 @@
 import {makeUpstream} from '../../fleet/test/upstreams.js';
 import {ResponseListener, ExchangeFailure} from '../common/upstreamExchange.js';
 import {RawHeaders} from '../common/headerCodec.js';
+import {DirectDialer} from '../../../infrastructure/http/node/directDialer.js';
 import {HttpUpstreamConnector} from '../node/httpUpstreamConnector.js';
 
 /** Exchanges over real sockets with upstreams that respond in various faulty ways. */
@@ -63,7 +64,7 @@
 }
 
 function makeConnector(): HttpUpstreamConnector {
-  const connector = new HttpUpstreamConnector();
+  const connector = new HttpUpstreamConnector(new DirectDialer());
   connectors.push(connector);
   return connector;
 }
--- a/src/features/instances/common/gossipMessage.ts
+++ b/src/features/instances/common/gossipMessage.ts
@@ -56,6 +56,8 @@
 const instance = zod.object({
   record,
   state: zod.enum(['serving', 'unready', 'stopping']),
+  // Instances of earlier releases do not tell.
+  isCutOff: zod.boolean().default(false),
   beat: zod.int().nonnegative(),
 });
 
--- a/src/features/instances/common/instance.ts
+++ b/src/features/instances/common/instance.ts
@@ -20,6 +20,8 @@
 export interface InstanceHeartbeat {
   readonly record: InstanceRecord;
   readonly state: InstanceState;
+  /** Whether it reaches upstreams only through peers, so that it can't relay for others. */
+  readonly isCutOff: boolean;
   /** Heartbeat counter; increases while the instance runs. */
   readonly beat: number;
 }
--- a/src/features/instances/common/instanceTable.ts
+++ b/src/features/instances/common/instanceTable.ts
@@ -33,6 +33,8 @@
   private readonly lastResponses = new Map<string, PeerResponse>();
   private beat = 0;
   private ownState: InstanceState = 'unready';
+  /** Whether this instance reaches no upstream itself; told to peers. */
+  isCutOff = false;
 
   constructor(
     private readonly clock: Clock,
@@ -43,7 +45,12 @@
   /** Creates a heartbeat of this instance; each call increments its counter. */
   createHeartbeat(): InstanceHeartbeat {
     this.beat++;
-    return {record: this.own, state: this.ownState, beat: this.beat};
+    return {
+      record: this.own,
+      state: this.ownState,
+      isCutOff: this.isCutOff,
+      beat: this.beat,
+    };
   }
 
   get state(): InstanceState {
@@ -94,7 +101,12 @@
       (entry === undefined || entry.news.record.startedAt < record.startedAt)
     ) {
       const heartbeatAt = -Infinity;
-      const heartbeat: InstanceHeartbeat = {record, state: 'unready', beat: 0};
+      const heartbeat: InstanceHeartbeat = {
+        record,
+        state: 'unready',
+        isCutOff: false,
+        beat: 0,
+      };
       this.peerEntries.set(record.name, {
         news: heartbeat,
         heartbeatAt,
@@ -161,6 +173,23 @@
     return this.ownState === 'serving' ? [this.own, ...peers] : peers;
   }
 
+  /** Peers that may relay connections to upstreams for this instance. */
+  get relays(): readonly InstanceRecord[] {
+    const cutOff = new Set(
+      [...this.peerEntries.values()]
+        .filter(({news}) => news.isCutOff)
+        .map(({news}) => news.record.name),
+    );
+    return this.serving.filter(
+      ({name}) => name !== this.own.name && !cutOff.has(name),
+    );
+  }
+
+  /** Whether a peer said that it reaches no upstream itself. */
+  isPeerCutOff(name: string): boolean {
+    return this.peerEntries.get(name)?.news.isCutOff ?? false;
+  }
+
   /** The instances that share the limits of upstreams. */
   get limitSharers(): LimitSharers {
     const servedLast = [...this.peerEntries.values()].filter(
--- a/src/features/instances/node/peerGossip.ts
+++ b/src/features/instances/node/peerGossip.ts
@@ -242,9 +242,12 @@
     }
     message.slow.forEach(reading => slowness.recordFromPeer(reading));
     message.limits.forEach(reading => limits.recordFromPeer(reading));
-    message.lost.forEach(upstream =>
-      this.verifySuspicion(upstream, message.from),
-    );
+    // What a cut-off peer cannot reach says nothing about the upstreams.
+    if (!instances.isPeerCutOff(message.from)) {
+      message.lost.forEach(upstream =>
+        this.verifySuspicion(upstream, message.from),
+      );
+    }
   }
 
   /** Checks a peer's suspicion by a probe, since the peer itself may be partitioned from the upstream. */
--- a/src/features/instances/test/instances.test.ts
+++ b/src/features/instances/test/instances.test.ts
@@ -31,7 +31,8 @@
   state: InstanceState = 'serving',
   startedAt = 1,
 ): InstanceHeartbeat {
-  return {record: makeRecord(name, 'north', startedAt), state, beat};
+  const record = makeRecord(name, 'north', startedAt);
+  return {record, state, isCutOff: false, beat};
 }
 
 function makeTable() {
@@ -167,6 +168,16 @@
   });
 });
 
+it('the relays of an instance are serving peers that are not cut off from upstreams themselves', () => {
+  const {table} = makeTable();
+  table.state = 'serving';
+  table.applyHeartbeat(makeHeartbeat('a', 1));
+  table.applyHeartbeat({...makeHeartbeat('b', 1), isCutOff: true});
+  table.applyHeartbeat(makeHeartbeat('c', 1, 'stopping'));
+  expect(table.relays.map(({name}) => name)).toEqual(['a']);
+  expect(table.isPeerCutOff('b')).toBe(true);
+});
+
 describe('the instances that share limits', () => {
   it.each<{
     name: string;
--- a/src/features/mechanisms/common/mechanisms.ts
+++ b/src/features/mechanisms/common/mechanisms.ts
@@ -27,6 +27,8 @@
   movedStreams: isOn,
   /** Upstreams of silent streams are probed before anything else shows a loss. */
   silenceWatch: isOn,
+  /** Upstreams that this instance has lost its links to are reached through peers. */
+  relayedLinks: isOn,
   /** The load on upstreams includes the requests of peers. */
   peerLoads: isOn,
 });
--- a/src/infrastructure/http/node/connectionCache.ts
+++ b/src/infrastructure/http/node/connectionCache.ts
@@ -26,6 +26,16 @@
     return connection;
   }
 
+  /** Closes the connections to an address, busy ones too; all of them if it is undefined. */
+  drop(address: string | undefined): void {
+    for (const [key, connection] of this.connections) {
+      if (address === undefined || key.endsWith(` ${address}`)) {
+        this.connections.delete(key);
+        connection.dispose();
+      }
+    }
+  }
+
   dispose(): void {
     for (const connection of this.connections.values()) {
       connection.dispose();
--- a/src/infrastructure/http/node/httpClient.ts
+++ b/src/infrastructure/http/node/httpClient.ts
@@ -1,4 +1,4 @@
-import {Pool} from 'undici';
+import {buildConnector, Pool} from 'undici';
 
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
@@ -11,6 +11,8 @@
   /** Maximum number of requests in progress or waiting for a connection. */
   readonly maxPendingRequests: number;
   readonly connectMilliseconds: number;
+  /** Opens connections instead of the pool itself. */
+  readonly connect?: buildConnector.connector;
   /** Time limit of requests that do not specify one. */
   readonly callMilliseconds: number;
   /** Maximum size of a response body. */
@@ -41,7 +43,9 @@
     this.pool = new Pool(`http://${address}`, {
       connections: this.options.connections,
       pipelining: 1,
-      connect: {timeout: this.options.connectMilliseconds},
+      connect: this.options.connect ?? {
+        timeout: this.options.connectMilliseconds,
+      },
       // Each exchange has its own timer, which is more precise than the pool's.
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/src/infrastructure/rpc/node/rpc.ts
+++ b/src/infrastructure/rpc/node/rpc.ts
@@ -1,4 +1,5 @@
 import {timingSafeEqual} from 'node:crypto';
+import {Server} from 'node:http';
 
 import {createTRPCClient, TRPCClient} from '@trpc/client';
 import {AnyTRPCRouter, initTRPC, TRPCError} from '@trpc/server';
@@ -34,7 +35,7 @@
 
 /** Base procedure that rejects callers without the peer key. */
 export const peerProcedure = trpc.procedure.use(({ctx, next}) => {
-  if (!isSameKey(ctx.presentedKey, ctx.expectedKey)) {
+  if (!isSamePeerKey(ctx.presentedKey, ctx.expectedKey)) {
     throw new TRPCError({
       code: 'UNAUTHORIZED',
       message: 'peer key missing or wrong',
@@ -43,7 +44,11 @@
   return next();
 });
 
-function isSameKey(presented: string | undefined, expected: string): boolean {
+/** Whether a presented peer key is the expected one; takes the same time for all keys of a length. */
+export function isSamePeerKey(
+  presented: string | undefined,
+  expected: string,
+): boolean {
   if (presented === undefined) {
     return false;
   }
@@ -64,13 +69,15 @@
   };
 }
 
-/** Serves a router on an address; resolves once the server listens. */
+/** Serves a router on an address; resolves once the server listens. `prepare` may add to the server before. */
 export async function serveRpc(
   router: AnyTRPCRouter,
   address: string,
   peerKey: string,
+  prepare: (server: Server) => void = () => undefined,
 ): Promise<Disposable> {
   const server = createRpcServer(router, peerKey);
+  prepare(server);
   const {host, port} = parseAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- /dev/null
+++ b/src/infrastructure/tunnel/node/tunnelServer.ts
@@ -0,0 +1,154 @@
+import {IncomingMessage, Server} from 'node:http';
+import {connect, Socket} from 'node:net';
+import {Duplex} from 'node:stream';
+
+import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
+import {isSamePeerKey, parseAddress} from '../../rpc/node/rpc.js';
+import {PEER_KEY_HEADER} from '../../rpc/node/rpcServer.js';
+
+/** Maximum concurrent tunnels; each holds two descriptors of this process. */
+const TUNNEL_LIMIT = 400;
+
+/** Timeout of the connection to the target, which is in the same region. */
+const CONNECT_TIMEOUT_MILLISECONDS = 120;
+
+/** Why a tunnel is refused, and the status that says so. */
+const refusals = {
+  unauthorized: '401 Unauthorized',
+  forbidden: '403 Forbidden',
+  unreachable: '502 Bad Gateway',
+  full: '503 Service Unavailable',
+} as const;
+
+type Refusal = keyof typeof refusals;
+
+/** Decides whether this instance relays connections to an address `IP:port` now. */
+export type TunnelGuard = (
+  address: string,
+) => 'allowed' | 'forbidden' | 'unreachable' | 'full';
+
+/** Relays connections for peers by HTTP's CONNECT method. Bytes pass unchanged; a reset on one side resets the other. */
+export class TunnelServer extends DisposableOwner {
+  private readonly sockets = new Set<Duplex>();
+  private readonly idleListeners: Array<() => void> = [];
+  private openCount = 0;
+
+  constructor(
+    private readonly peerKey: string,
+    private readonly guard: TunnelGuard,
+  ) {
+    super();
+    this.register(
+      toDisposable(() => this.sockets.forEach(socket => socket.destroy())),
+    );
+  }
+
+  /** Serves the tunnels that peers request from an HTTP server. */
+  attach(server: Server): void {
+    server.on('connect', (request: IncomingMessage, peer: Duplex, head) =>
+      this.accept(request, peer as Socket, head),
+    );
+  }
+
+  /** Number of open tunnels. */
+  get count(): number {
+    return this.openCount;
+  }
+
+  /** Resolves when no tunnel is open. */
+  idle(): Promise<void> {
+    return new Promise(resolve => {
+      this.idleListeners.push(resolve);
+      this.notifyIdle();
+    });
+  }
+
+  private accept(request: IncomingMessage, peer: Socket, head: Buffer): void {
+    peer.on('error', () => peer.destroy());
+    const refusal = this.refusalOf(request);
+    if (refusal !== undefined) {
+      refuse(peer, refusal);
+      return;
+    }
+    this.openCount++;
+    const {host, port} = parseAddress(request.url ?? '');
+    const target = connect({host, port, noDelay: true});
+    const timer = setTimeout(
+      () => target.destroy(new Error('connection timeout')),
+      CONNECT_TIMEOUT_MILLISECONDS,
+    );
+    target.once('connect', () => {
+      clearTimeout(timer);
+      this.join(peer, target, head);
+    });
+    target.once('error', () => {
+      clearTimeout(timer);
+      refuse(peer, 'unreachable');
+    });
+    target.once('close', () => this.release(peer, target));
+    this.sockets.add(peer).add(target);
+  }
+
+  private refusalOf(request: IncomingMessage): Refusal | undefined {
+    const presented = request.headers[PEER_KEY_HEADER];
+    const key = Array.isArray(presented) ? presented[0] : presented;
+    if (!isSamePeerKey(key, this.peerKey)) {
+      return 'unauthorized';
+    }
+    if (this.openCount >= TUNNEL_LIMIT) {
+      return 'full';
+    }
+    const decision = this.guard(request.url ?? '');
+    return decision === 'allowed' ? undefined : decision;
+  }
+
+  private join(peer: Socket, target: Socket, head: Buffer): void {
+    if (peer.destroyed) {
+      target.destroy();
+      return;
+    }
+    peer.setNoDelay(true);
+    peer.write('HTTP/1.1 200 Connection Established\r\n\r\n');
+    target.removeAllListeners('error');
+    passResets(peer, target);
+    passResets(target, peer);
+    if (head.length > 0) {
+      target.write(head);
+    }
+    target.pipe(peer);
+    peer.pipe(target);
+  }
+
+  private release(peer: Socket, target: Socket): void {
+    this.openCount--;
+    this.sockets.delete(peer);
+    this.sockets.delete(target);
+    this.notifyIdle();
+  }
+
+  private notifyIdle(): void {
+    if (this.openCount === 0) {
+      this.idleListeners.splice(0).forEach(listener => listener());
+    }
+  }
+}
+
+/** Resets a connection when the other one fails, and closes it when the other one has closed. */
+function passResets(source: Socket, destination: Socket): void {
+  let hasFailed = false;
+  source.on('error', () => {
+    hasFailed = true;
+    destination.resetAndDestroy();
+  });
+  source.once('close', () => {
+    if (!hasFailed && !destination.destroyed) {
+      destination.destroySoon();
+    }
+  });
+}
+
+function refuse(peer: Socket, refusal: Refusal): void {
+  if (!peer.destroyed) {
+    peer.end(`HTTP/1.1 ${refusals[refusal]}\r\nconnection: close\r\n\r\n`);
+  }
+}
--- /dev/null
+++ b/src/programs/router/relayComponents.ts
@@ -0,0 +1,77 @@
+import {Clock} from '../../base/common/clock.js';
+import {DisposableStore} from '../../base/common/lifecycle.js';
+import {RandomSource} from '../../base/common/randomSource.js';
+import {SuspicionTracker} from '../../features/fleet/common/suspicionTracker.js';
+import {UpstreamDirectory} from '../../features/fleet/common/upstreamDirectory.js';
+import {InstanceTable} from '../../features/instances/common/instanceTable.js';
+import {UpstreamLinks} from '../../features/links/common/upstreamLinks.js';
+import {LinkMonitor} from '../../features/links/node/linkMonitor.js';
+import {RelayClient} from '../../features/links/node/relayClient.js';
+import {RelayingDialer} from '../../features/links/node/relayingDialer.js';
+import {Dialer} from '../../infrastructure/http/node/dialer.js';
+import {Logger} from '../../infrastructure/logging/common/logger.js';
+import {
+  TunnelGuard,
+  TunnelServer,
+} from '../../infrastructure/tunnel/node/tunnelServer.js';
+import {RouterSettings} from './routerSettings.js';
+
+/** Constructs what connects instances to upstreams through each other. */
+
+/** What the relay components depend on. */
+export interface RelayDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly directory: UpstreamDirectory;
+  readonly suspicions: SuspicionTracker;
+  readonly instances: InstanceTable;
+}
+
+/** The constructed parts. */
+export interface RelayComponents {
+  readonly links: UpstreamLinks;
+  readonly dialer: Dialer;
+  readonly tunnels: TunnelServer;
+}
+
+/** Constructs the components; `owned` disposes of them. */
+export function createRelayComponents(
+  {mechanisms, peerKey}: RouterSettings,
+  dependencies: RelayDependencies,
+  owned: DisposableStore,
+): RelayComponents {
+  const {clock, random, logger, directory, suspicions, instances} =
+    dependencies;
+  const links = owned.add(new UpstreamLinks(clock, logger));
+  owned.add(
+    links.onDidChange(() => {
+      instances.isCutOff = links.isCutOff;
+    }),
+  );
+  const relayClient = new RelayClient(
+    clock,
+    random,
+    logger,
+    peerKey,
+    () => instances.relays,
+  );
+  if (mechanisms.relayedLinks) {
+    owned.add(
+      new LinkMonitor(clock, links, relayClient, directory, suspicions),
+    );
+  }
+  const guard: TunnelGuard = address => {
+    if (directory.findByAddress(address) === undefined) {
+      return 'forbidden';
+    }
+    if (instances.state === 'stopping') {
+      return 'full';
+    }
+    // Connections pass through one peer at most.
+    return links.isRelayed(address) ? 'unreachable' : 'allowed';
+  };
+  const tunnels = owned.add(new TunnelServer(peerKey, guard));
+  const dialer = owned.add(new RelayingDialer(links, relayClient));
+  return {links, dialer, tunnels};
+}
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -20,6 +20,7 @@
 import {LimitedConnector} from '../../features/forwarding/node/limitedConnector.js';
 import {RequestHandler} from '../../features/forwarding/node/requestHandler.js';
 import {RequestMetrics} from '../../features/forwarding/node/requestMetrics.js';
+import {ResponseEndCheck} from '../../features/forwarding/node/responseEndCheck.js';
 import {StreamMonitor} from '../../features/forwarding/node/streamMonitor.js';
 import {UpstreamProber} from '../../features/forwarding/node/upstreamProber.js';
 import {InstanceRecord} from '../../features/instances/common/instance.js';
@@ -36,6 +37,8 @@
 import {ConfigurationFollower} from '../../features/traffic/common/configurationFollower.js';
 import {ActiveConfiguration} from '../../features/traffic/common/activeConfiguration.js';
 import {Logger} from '../../infrastructure/logging/common/logger.js';
+import {TunnelServer} from '../../infrastructure/tunnel/node/tunnelServer.js';
+import {createRelayComponents} from './relayComponents.js';
 import {RouterPorts} from './routerPorts.js';
 import {RouterSettings} from './routerSettings.js';
 
@@ -70,6 +73,7 @@
   readonly gossip: PeerGossip;
   readonly layers: LayerController;
   readonly handler: RequestHandler;
+  readonly tunnels: TunnelServer;
   readonly metrics: Registry;
 }
 
@@ -95,13 +99,19 @@
   const directory = owned.add(new UpstreamDirectory(clock, logger));
   const suspicions = owned.add(new SuspicionTracker(clock, logger));
   const instances = new InstanceTable(clock, logger, ownRecord);
+  const {links, dialer, tunnels} = createRelayComponents(
+    settings,
+    {clock, random, logger, directory, suspicions, instances},
+    owned,
+  );
+  const upstreamControl = owned.add(ports.createUpstreamControl(dialer));
   const registry = new InstanceRegistry(ports.table, logger);
   const load = new UpstreamLoadTracker();
   const slowness = owned.add(new SlownessTracker(clock, logger));
   const prober = owned.add(
     new UpstreamProber(
       clock,
-      ports.upstreamControl,
+      upstreamControl,
       directory,
       suspicions,
       slowness,
@@ -115,7 +125,8 @@
     limits,
     () => instances.limitSharers,
   );
-  const connector = owned.add(new HttpUpstreamConnector());
+  const connector = owned.add(new HttpUpstreamConnector(dialer));
+  owned.add(links.onDidChange(() => prober.recheckSuspected()));
   const outcomes = new OutcomeHistory(clock);
   const prefillBacklog = new PrefillBacklog(
     clock,
@@ -134,7 +145,24 @@
     }),
   );
   const metrics = new Registry();
-  registerLimitedUpstreams(metrics, limits);
+  registerGauge(
+    metrics,
+    'redwing_limited_upstreams',
+    'Upstreams that name a limit of requests a second.',
+    () => limits.limitedCount,
+  );
+  registerGauge(
+    metrics,
+    'redwing_relayed_upstreams',
+    'Upstreams that this instance reaches only through peers.',
+    () => links.relayedAddresses.length,
+  );
+  registerGauge(
+    metrics,
+    'redwing_open_tunnels',
+    'Connections to upstreams that this instance relays for peers.',
+    () => tunnels.count,
+  );
   const services: ForwardingServices = {
     settings: defaultForwardingSettings,
     mechanisms,
@@ -150,11 +178,12 @@
       limits,
       rateLimiter,
     ),
-    control: ports.upstreamControl,
+    control: upstreamControl,
     configuration: activeConfiguration,
     directory,
     suspicions,
     prober,
+    responseEndCheck: new ResponseEndCheck(prober, links),
     load,
     linkLoad: new LinkLoad(clock, () => instances.instanceCount),
     readingBacklog: prefillBacklog,
@@ -212,6 +241,7 @@
     directory,
     instances,
     registry,
+    tunnels,
     metrics,
     configurationFollower: owned.add(
       new ConfigurationFollower(
@@ -238,7 +268,7 @@
         random,
         logger,
         lease,
-        ports.upstreamControl,
+        upstreamControl,
         activeConfiguration,
         directory,
         suspicions,
@@ -251,16 +281,18 @@
   };
 }
 
-function registerLimitedUpstreams(
+function registerGauge(
   registry: Registry,
-  limits: UpstreamLimitTracker,
+  name: string,
+  help: string,
+  read: () => number,
 ): void {
   new Gauge({
-    name: 'redwing_limited_upstreams',
-    help: 'Upstreams that name a limit of requests a second.',
+    name,
+    help,
     registers: [registry],
     collect() {
-      this.set(limits.limitedCount);
+      this.set(read());
     },
   });
 }
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -115,7 +115,7 @@
   async stop(): Promise<void> {
     const {stopMilliseconds} = this.settings;
     const stopStartedAt = this.clock.monotonicMilliseconds();
-    const {handler, instances} = this.components;
+    const {handler, instances, tunnels} = this.components;
     this.isStopping = true;
     instances.state = 'stopping';
     this.logger.info('stopping', {inProgress: handler.count});
@@ -134,11 +134,12 @@
     handler.refuseNewRequests();
     this.callers.stopListening();
     await Promise.race([
-      handler.idle(),
+      Promise.all([handler.idle(), tunnels.idle()]),
       sleepUntil(stopMilliseconds - EXIT_MARGIN_MILLISECONDS),
     ]);
     this.logger.info('stopped', {
       unfinished: handler.count,
+      tunnels: tunnels.count,
       milliseconds: Math.round(
         this.clock.monotonicMilliseconds() - stopStartedAt,
       ),
@@ -179,7 +180,12 @@
     const {directory} = this.ports;
     const {gossip, metrics} = this.components;
     const gossipRouter = createGossipRouter(input => gossip.answer(input));
-    this.owned.add(await serveRpc(gossipRouter, listen.peers, peerKey));
+    const {tunnels} = this.components;
+    this.owned.add(
+      await serveRpc(gossipRouter, listen.peers, peerKey, server =>
+        tunnels.attach(server),
+      ),
+    );
     this.owned.add(
       await serveText(listen.readiness, {
         [directory.readinessPath]: () => this.readiness(),
