--- a/src/features/fleet/common/upstreamRateLimiter.ts
+++ b/src/features/fleet/common/upstreamRateLimiter.ts
@@ -1,6 +1,7 @@
 import {Clock} from '../../../base/common/clock.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {LimitShare, LimitSharers, shareLimit} from './limitShare.js';
+import {TokenBucket} from './tokenBucket.js';
 import {Upstream} from './upstream.js';
 import {UpstreamLimit, UpstreamLimitTracker} from './upstreamLimitTracker.js';
 
@@ -17,16 +18,22 @@
 /** Time for which a computed share is used; ranking hundreds of instances for each request would cost too much. */
 const SHARE_LIFETIME_MILLISECONDS = 200;
 
-/** What this instance has sent to a limited upstream. */
+/** The part of a limit that this instance may use, as computed at some time. */
+interface CurrentShare {
+  readonly share: LimitShare;
+  /** The limit that the share is a part of. */
+  readonly requestsPerSecond: number;
+  readonly liveCount: number;
+  readonly computedAt: number;
+}
+
+/** What this instance may send and has sent to a limited upstream. */
 interface SendingState {
-  share: LimitShare;
-  sharedAt: number;
-  /** The limit that the share was computed from. */
-  requestsPerSecond: number;
-  liveCount: number;
-  tokens: number;
-  refilledAt: number;
-  trialAt: number;
+  readonly current: CurrentShare;
+  /** Used while this instance is a holder. */
+  readonly bucket: TokenBucket;
+  /** When this instance last sent a request without being a holder. */
+  readonly triedAt: number;
 }
 
 /**
@@ -55,11 +62,11 @@
       this.states.delete(upstream.id);
       return;
     }
-    const state = this.stateOf(upstream, limit);
-    if (isHolder(state.share)) {
-      state.tokens--;
+    const state = this.updateState(upstream, limit);
+    if (isHolder(state.current.share)) {
+      state.bucket.take();
     } else {
-      state.trialAt = this.now();
+      this.states.set(upstream.id, {...state, triedAt: this.now()});
     }
   }
 
@@ -69,12 +76,12 @@
     if (limit === undefined) {
       return 0;
     }
-    const state = this.stateOf(upstream, limit);
-    if (!isHolder(state.share)) {
-      return this.mayTry(state, limit) ? 0 : Infinity;
+    const state = this.updateState(upstream, limit);
+    const {share} = state.current;
+    if (isHolder(share)) {
+      return state.bucket.millisecondsUntilToken(share.requestsPerSecond);
     }
-    const missing = Math.max(0, 1 - state.tokens);
-    return (missing / state.share.requestsPerSecond) * 1_000;
+    return this.mayTry(state, limit) ? 0 : Infinity;
   }
 
   /** Milliseconds between two requests of all instances together to an upstream; 0 if it names no limit. */
@@ -97,7 +104,7 @@
    * as many in each further period: so an instance deep in the order waits some periods, not hundreds.
    */
   private mayTry(
-    {share, liveCount, trialAt}: SendingState,
+    {current: {share, liveCount}, triedAt}: SendingState,
     {requestsPerSecond, confirmedAt}: UpstreamLimit,
   ): boolean {
     if (share.rank === undefined) {
@@ -110,46 +117,53 @@
     const turn = 1 + Math.log2(share.rank - share.holderCount + 1);
     const now = this.now();
     return (
-      now - confirmedAt >= turn * period && now - trialAt >= liveCount * period
+      now - confirmedAt >= turn * period && now - triedAt >= liveCount * period
     );
   }
 
-  private stateOf(upstream: Upstream, limit: UpstreamLimit): SendingState {
+  /** Refills the bucket and computes the share again if it is outdated. */
+  private updateState(upstream: Upstream, limit: UpstreamLimit): SendingState {
+    const known = this.states.get(upstream.id);
     const now = this.now();
-    let state = this.states.get(upstream.id);
-    if (state === undefined) {
-      state = {
-        ...this.computeShare(upstream, limit),
-        // A random part of a token: instances that become holders at the same moment do not send at once.
-        tokens: this.random.next(),
-        refilledAt: now,
-        trialAt: -Infinity,
-      };
+    if (known === undefined) {
+      const state = this.createState(upstream, limit);
       this.states.set(upstream.id, state);
+      return state;
     }
-    refill(state, now);
-    const isStale =
-      now - state.sharedAt >= SHARE_LIFETIME_MILLISECONDS ||
-      state.requestsPerSecond !== limit.requestsPerSecond;
-    if (isStale) {
-      Object.assign(state, this.computeShare(upstream, limit));
+    const {current, bucket} = known;
+    const isHolding = isHolder(current.share);
+    bucket.refill(now, isHolding ? current.share.requestsPerSecond : 0);
+    const isOutdated =
+      now - current.computedAt >= SHARE_LIFETIME_MILLISECONDS ||
+      current.requestsPerSecond !== limit.requestsPerSecond;
+    if (!isOutdated) {
+      return known;
     }
+    const state = {...known, current: this.computeShare(upstream, limit)};
+    this.states.set(upstream.id, state);
     return state;
   }
 
+  private createState(upstream: Upstream, limit: UpstreamLimit): SendingState {
+    // A random part of a token: instances that become holders at the same moment do not send at once.
+    const tokens = this.random.next();
+    return {
+      current: this.computeShare(upstream, limit),
+      bucket: new TokenBucket(BURST, tokens, this.now()),
+      triedAt: -Infinity,
+    };
+  }
+
   private computeShare(
     upstream: Upstream,
     {requestsPerSecond}: UpstreamLimit,
-  ): Pick<
-    SendingState,
-    'share' | 'sharedAt' | 'requestsPerSecond' | 'liveCount'
-  > {
+  ): CurrentShare {
     const sharers = this.sharers();
     return {
       share: shareLimit(requestsPerSecond, upstream, sharers),
-      sharedAt: this.now(),
       requestsPerSecond,
       liveCount: sharers.live.length,
+      computedAt: this.now(),
     };
   }
 
@@ -161,11 +175,3 @@
 function isHolder({rank, holderCount}: LimitShare): boolean {
   return rank !== undefined && rank < holderCount;
 }
-
-/** Adds the tokens of the time since the last refill; an instance that is no holder gets none. */
-function refill(state: SendingState, now: number): void {
-  const elapsedSeconds = (now - state.refilledAt) / 1_000;
-  const rate = isHolder(state.share) ? state.share.requestsPerSecond : 0;
-  state.tokens = Math.min(BURST, state.tokens + elapsedSeconds * rate);
-  state.refilledAt = now;
-}
