--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -1,5 +1,4 @@
 import {toDisposable} from '../../../base/common/lifecycle.js';
-import {Upstream} from '../../fleet/common/upstream.js';
 import {
   countCrossings,
   formatPath,
@@ -22,6 +21,7 @@
 import {PathChooser} from './pathChooser.js';
 import {PathLoad} from './pathLoad.js';
 import {PathMover} from './pathMover.js';
+import {suspectRefusingUpstream} from './refusedPath.js';
 import {AdmittedRequest, RequestForwarder} from './requestForwarder.js';
 import {StreamAttempt, StreamAttemptListener} from './streamAttempt.js';
 import {StreamMonitor, WatchedStream} from './streamMonitor.js';
@@ -372,32 +372,15 @@
   }
 
   private onNotRun(facts: ResponseMetadata): void {
-    const faulty = this.findFaultyUpstream(facts.faultyAddress);
+    const {id} = this.admitted;
+    const faulty = suspectRefusingUpstream(this.services, id, this.path, facts);
     this.logDecision('refusedByUpstream', {
       faulty: faulty?.id,
       misdirected: facts.isMisdirected,
     });
-    if (faulty !== undefined) {
-      this.suspectRefusing(faulty, facts.isMisdirected);
-    }
     this.retryOrWait('notRun', () => this.giveUp('refused'));
   }
 
-  /** A refusal names full, leaving and dead upstreams alike; only a probe tells them apart. */
-  private suspectRefusing(faulty: Upstream, isMisdirected: boolean): void {
-    const {suspicions, prober} = this.services;
-    const evidence = {request: this.admitted.id};
-    const reason = isMisdirected ? 'misdirected' : 'refusing';
-    const isNewSuspicion = suspicions.suspect(faulty.id, reason, evidence);
-    if (
-      isNewSuspicion &&
-      !isMisdirected &&
-      !prober.hasRecentlyResponded(faulty.id)
-    ) {
-      void prober.probe(faulty, 'silent', evidence);
-    }
-  }
-
   /** Without budget for a retry, a stream that has begun waits until the budget allows one; others end. */
   private retryOrWait(cause: string, onExhausted: () => void): void {
     if (this.isDone) {
@@ -427,20 +410,6 @@
     this.owned.add(timer);
   }
 
-  /**
-   * Returns the upstream of the path that caused a refusal. Searches the path instead of the directory,
-   * since the address may have been given to another upstream.
-   */
-  private findFaultyUpstream(
-    address: string | undefined,
-  ): Upstream | undefined {
-    const part =
-      address === undefined
-        ? this.path[0]
-        : this.path.find(({upstream}) => upstream.address === address);
-    return part?.upstream;
-  }
-
   /**
    * Moves the running stream off upstreams so that the others keep its KV cache.
    * @param isUrgent whether the stream can't continue on its current path
