--- a/test/router/cuts.test.ts
+++ b/test/router/cuts.test.ts
@@ -1,18 +1,18 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {CutMode} from '../standins/fleet/cut.js';
-import {
-  RouterInstance,
-  StandInSystem,
-  waitFor,
-} from '../standins/fleet/system.js';
+import {RouterInstance, StandInSystem} from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
-import {eventIdsOf, RecordedResponse, sendRequest} from './sendRequest.js';
+import {
+  eventIdsOf,
+  RecordedResponse,
+  sendRequest,
+  waitUntilServing,
+} from './sendRequest.js';
 
 /** Instances that lose their links to all upstreams while callers, the store and the other instances reach them. */
 
 const INSTANCE_COUNT = 4;
-const WAIT_TIMEOUT_MILLISECONDS = 8_000;
 const REQUEST_PERIOD_MILLISECONDS = 40;
 const EVENT_COUNT = 30;
 
@@ -48,12 +48,7 @@
 
   beforeEach(async () => {
     system = await StandInSystem.startCuttable(INSTANCE_COUNT);
-    await waitFor(async () => {
-      const responses = await Promise.all(
-        system.instances.map(instance => sendRequest(instance, '/chat/x')),
-      );
-      return responses.every(({status}) => status === 200);
-    }, WAIT_TIMEOUT_MILLISECONDS);
+    await waitUntilServing(system.instances);
   });
 
   afterEach(() => system.stop());
--- a/test/router/limits.test.ts
+++ b/test/router/limits.test.ts
@@ -1,17 +1,12 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
-import {
-  RouterInstance,
-  StandInSystem,
-  waitFor,
-} from '../standins/fleet/system.js';
+import {RouterInstance, StandInSystem} from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
-import {sendRequest} from './sendRequest.js';
+import {sendRequest, waitUntilServing} from './sendRequest.js';
 
 /** Upstreams that name a limit of requests a second for all instances together. */
 
 const INSTANCE_COUNT = 4;
-const WAIT_TIMEOUT_MILLISECONDS = 8_000;
 
 /** Load on all instances together. */
 const REQUEST_PERIOD_MILLISECONDS = 50;
@@ -64,12 +59,7 @@
 
   beforeEach(async () => {
     system = await StandInSystem.start(INSTANCE_COUNT);
-    await waitFor(async () => {
-      const responses = await Promise.all(
-        system.instances.map(instance => sendRequest(instance, '/chat/x')),
-      );
-      return responses.every(({status}) => status === 200);
-    }, WAIT_TIMEOUT_MILLISECONDS);
+    await waitUntilServing(system.instances);
   });
 
   afterEach(() => system.stop());
--- a/test/router/sendRequest.ts
+++ b/test/router/sendRequest.ts
@@ -1,9 +1,12 @@
 import {request} from 'node:http';
 
-import {API_KEY, RouterInstance} from '../standins/fleet/system.js';
+import {API_KEY, RouterInstance, waitFor} from '../standins/fleet/system.js';
 
 /** Sends requests of a caller to a router instance. */
 
+/** Layers are listed only after one or two reads of the list by the router. */
+const START_TIMEOUT_MILLISECONDS = 8_000;
+
 /** A response as the caller received it. */
 export interface RecordedResponse {
   readonly status: number;
@@ -76,6 +79,18 @@
   });
 }
 
+/** Resolves when each instance serves streams. */
+export function waitUntilServing(
+  instances: readonly RouterInstance[],
+): Promise<void> {
+  return waitFor(async () => {
+    const responses = await Promise.all(
+      instances.map(instance => sendRequest(instance, '/chat/x')),
+    );
+    return responses.every(({status}) => status === 200);
+  }, START_TIMEOUT_MILLISECONDS);
+}
+
 /** The ids of the events in a streamed response, in their order. */
 export function eventIdsOf({body}: RecordedResponse): readonly number[] {
   return [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
