--- a/src/features/forwarding/node/upstreamProber.ts
+++ b/src/features/forwarding/node/upstreamProber.ts
@@ -1,5 +1,9 @@
 import {Clock} from '../../../base/common/clock.js';
-import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
+import {
+  Disposable,
+  DisposableOwner,
+  toDisposable,
+} from '../../../base/common/lifecycle.js';
 import {
   SuspicionReason,
   SuspicionTracker,
@@ -54,7 +58,7 @@
   private probeTokens = PROBE_BURST;
   private refilledAt = 0;
   private readonly respondedAt = new Map<string, number>();
-  private readonly timer: NodeJS.Timeout;
+  private recheckTimer: Disposable;
 
   constructor(
     private readonly clock: Clock,
@@ -65,11 +69,8 @@
     private readonly trialMilliseconds: number,
   ) {
     super();
-    this.timer = setInterval(
-      () => this.recheckSuspected(),
-      PROBE_PERIOD_MILLISECONDS,
-    );
-    this.register(toDisposable(() => clearInterval(this.timer)));
+    this.recheckTimer = this.scheduleRecheck();
+    this.register(toDisposable(() => this.recheckTimer.dispose()));
     this.register(directory.onDidChange(() => this.removeUnlisted()));
   }
 
@@ -192,6 +193,13 @@
     return report.error.kind === 'refused' ? NO_REPORT : undefined;
   }
 
+  private scheduleRecheck(): Disposable {
+    return this.clock.setTimer(PROBE_PERIOD_MILLISECONDS, () => {
+      this.recheckTimer = this.scheduleRecheck();
+      this.recheckSuspected();
+    });
+  }
+
   /** Probes the suspected upstreams; those that respond are cleared. */
   recheckSuspected(): void {
     for (const {upstream: id} of this.suspicions.all) {
