Streams: the choice of a path logs which upstreams had the request before and why some do not count

A log could not tell why a stream was sent to more upstreams than its route allows: no line said which earlier ones were left out of the count, nor whether for a suspicion or because they were no longer listed.

--- a/src/features/forwarding/node/entryUpstreams.ts
+++ b/src/features/forwarding/node/entryUpstreams.ts
@@ -10,6 +10,13 @@
   /** Each upstream at which a path could start has reached its limit. */
   | {readonly kind: 'limited'; readonly wait: LimitedWait};
 
+/** An upstream to which a request was sent before. */
+export interface SentUpstream {
+  readonly upstream: string;
+  /** Why it does not count against the limit; undefined if it counts. */
+  readonly leftOutAs: 'unlisted' | 'suspected' | undefined;
+}
+
 /**
  * Limits the entry upstreams to which one request is sent to the number that its route allows. Upstreams
  * that have ended do not count, but only once that is certain, since a suspicion may be wrong.
@@ -43,10 +50,23 @@
       : choice;
   }
 
+  /** The upstreams to which the request was sent, and why those that do not count were left out. */
+  get history(): readonly SentUpstream[] {
+    return [...this.sentTo].map(id => ({
+      upstream: id,
+      leftOutAs: this.leftOutAs(id),
+    }));
+  }
+
   private get liveCount(): number {
+    return this.history.filter(({leftOutAs}) => leftOutAs === undefined).length;
+  }
+
+  private leftOutAs(id: string): SentUpstream['leftOutAs'] {
     const {directory, suspicions} = this.services;
-    return [...this.sentTo].filter(
-      id => directory.find(id) !== undefined && !suspicions.isLongLost(id),
-    ).length;
+    if (directory.find(id) === undefined) {
+      return 'unlisted';
+    }
+    return suspicions.isLongLost(id) ? 'suspected' : undefined;
   }
 }
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -179,6 +179,7 @@
       predicted: Math.round(choice.predictedCost),
       listAge: Math.round(this.services.directory.age),
       lastEvent: this.sequence.lastEvent,
+      sentBefore: this.entryUpstreams.history,
     });
     this.send();
   }
