--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -17,6 +17,10 @@
 import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
 import {UpstreamRateLimiter} from '../../fleet/common/upstreamRateLimiter.js';
 import {UpstreamLoadTracker} from '../../fleet/common/upstreamLoadTracker.js';
+import {
+  ConnectionTest,
+  ConnectionTester,
+} from '../../links/common/connectionTester.js';
 import {UpstreamLinks} from '../../links/common/upstreamLinks.js';
 import {LinkLoad} from '../../paths/common/linkLoad.js';
 import {PrefillBacklog} from '../../paths/common/prefillBacklog.js';
@@ -280,6 +284,17 @@
   }
 }
 
+/** Addresses accept connections unless a test says otherwise. */
+export class FakeConnectionTester extends ConnectionTester {
+  readonly refusing = new Set<string>();
+  /** Whether the links of this instance to all addresses are lost. */
+  isCut = false;
+
+  override async test(address: string): Promise<ConnectionTest> {
+    return this.isCut || this.refusing.has(address) ? 'refused' : 'connected';
+  }
+}
+
 /** A caller that records its response. */
 export class FakeCaller extends CallerExchange {
   private readonly disconnected = new Emitter<void>();
@@ -374,6 +389,7 @@
   readonly clock = new FakeClock();
   readonly connector = new FakeConnector();
   readonly control = new FakeControl(this.clock);
+  readonly connections = new FakeConnectionTester();
   readonly configuration: ActiveConfiguration;
   readonly directory: UpstreamDirectory;
   readonly suspicions: SuspicionTracker;
--- a/src/features/links/node/linkMonitor.ts
+++ b/src/features/links/node/linkMonitor.ts
@@ -1,20 +1,15 @@
-import {connect} from 'node:net';
-
 import {Clock} from '../../../base/common/clock.js';
 import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
-import {parseAddress} from '../../../infrastructure/rpc/node/rpc.js';
 import {
   Suspicion,
   SuspicionTracker,
 } from '../../fleet/common/suspicionTracker.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
+import {ConnectionTester} from '../common/connectionTester.js';
 import {UpstreamLinks} from '../common/upstreamLinks.js';
 import {RelayClient} from './relayClient.js';
 
-/** Timeout of a direct connection; inside a region one takes a few milliseconds. */
-const DIRECT_TIMEOUT_MILLISECONDS = 120;
-
 /** Period at which the links of suspected and relayed upstreams are tested again. */
 const PERIOD_MILLISECONDS = 500;
 
@@ -47,6 +42,7 @@
     private readonly clock: Clock,
     private readonly links: UpstreamLinks,
     private readonly relayClient: RelayClient,
+    private readonly connections: ConnectionTester,
     private readonly directory: UpstreamDirectory,
     private readonly suspicions: SuspicionTracker,
   ) {
@@ -92,7 +88,7 @@
     }
     this.running.add(address);
     try {
-      const isDirect = await connectsDirectly(address);
+      const isDirect = (await this.connections.test(address)) === 'connected';
       const isRelayed = isDirect ? undefined : await this.isRelayable(address);
       this.links.recordTest(address, {isDirect, isRelayed});
       this.updatePause(address, isDirect || isRelayed === true);
@@ -141,19 +137,3 @@
     }
   }
 }
-
-/** Whether a connection to an address stands within the timeout. */
-function connectsDirectly(address: string): Promise<boolean> {
-  const {host, port} = parseAddress(address);
-  return new Promise(resolve => {
-    const socket = connect({host, port});
-    const finish = (isConnected: boolean): void => {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(isConnected);
-    };
-    const timer = setTimeout(() => finish(false), DIRECT_TIMEOUT_MILLISECONDS);
-    socket.once('connect', () => finish(true));
-    socket.once('error', () => finish(false));
-  });
-}
--- a/src/programs/router/relayComponents.ts
+++ b/src/programs/router/relayComponents.ts
@@ -4,6 +4,7 @@
 import {SuspicionTracker} from '../../features/fleet/common/suspicionTracker.js';
 import {UpstreamDirectory} from '../../features/fleet/common/upstreamDirectory.js';
 import {InstanceTable} from '../../features/instances/common/instanceTable.js';
+import {ConnectionTester} from '../../features/links/common/connectionTester.js';
 import {UpstreamLinks} from '../../features/links/common/upstreamLinks.js';
 import {LinkMonitor} from '../../features/links/node/linkMonitor.js';
 import {RelayClient} from '../../features/links/node/relayClient.js';
@@ -26,6 +27,7 @@
   readonly directory: UpstreamDirectory;
   readonly suspicions: SuspicionTracker;
   readonly instances: InstanceTable;
+  readonly connections: ConnectionTester;
 }
 
 /** The constructed parts. */
@@ -43,6 +45,7 @@
 ): RelayComponents {
   const {clock, random, logger, directory, suspicions, instances} =
     dependencies;
+  const {connections} = dependencies;
   const links = owned.add(new UpstreamLinks(clock, logger));
   owned.add(
     links.onDidChange(() => {
@@ -58,7 +61,14 @@
   );
   if (mechanisms.relayedLinks) {
     owned.add(
-      new LinkMonitor(clock, links, relayClient, directory, suspicions),
+      new LinkMonitor(
+        clock,
+        links,
+        relayClient,
+        connections,
+        directory,
+        suspicions,
+      ),
     );
   }
   const guard: TunnelGuard = address => {
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -35,6 +35,7 @@
   LEASE_PERIOD_MILLISECONDS,
 } from '../../features/layers/common/layerController.js';
 import {TableLease} from '../../features/placement/common/tableLease.js';
+import {DirectConnectionTester} from '../../features/links/node/directConnectionTester.js';
 import {LinkLoad} from '../../features/paths/common/linkLoad.js';
 import {PrefillBacklog} from '../../features/paths/common/prefillBacklog.js';
 import {ConfigurationFollower} from '../../features/traffic/common/configurationFollower.js';
@@ -102,9 +103,10 @@
   const directory = owned.add(new UpstreamDirectory(clock, logger));
   const suspicions = owned.add(new SuspicionTracker(clock, logger));
   const instances = new InstanceTable(clock, logger, ownRecord);
+  const connections = new DirectConnectionTester();
   const {links, dialer, tunnels} = createRelayComponents(
     settings,
-    {clock, random, logger, directory, suspicions, instances},
+    {clock, random, logger, directory, suspicions, instances, connections},
     owned,
   );
   const upstreamControl = owned.add(ports.createUpstreamControl(dialer));
