Failing tests: streams are sent to a third sound upstream

Twelve upstreams, each silent for 0.4, 1.0 or 1.3 s after its first two events, or before the first one; cut off from the instance; or no longer listed and still serving. All go on afterwards, and the route allows two. With two upstreams that ended for certain a third one is used and the caller served, before and after.

--- /dev/null
+++ b/src/features/forwarding/test/attemptLimit.test.ts
@@ -0,0 +1,116 @@
+import {describe, expect, it} from 'vitest';
+
+import {makeUpstream} from '../../fleet/test/upstreams.js';
+import {layeredEngine} from '../../paths/test/engines.js';
+import {
+  makeConfiguration,
+  makeRoute,
+} from '../../traffic/test/trafficConfigurations.js';
+import {ForwardingHarness} from './forwardingHarness.js';
+import {SilenceRule, StreamSimulation} from './streamSimulation.js';
+
+const ATTEMPT_LIMIT = 2;
+const ENGINES = 12;
+const LAYERS = 8;
+
+const configuration = makeConfiguration({
+  routes: [
+    makeRoute({
+      name: 'stream',
+      pathPrefix: '/stream/',
+      kind: 'stream',
+      isResumable: true,
+      attemptLimit: ATTEMPT_LIMIT,
+      timeoutMilliseconds: 20_000,
+      targets: [{service: 'model', weight: 1}],
+    }),
+  ],
+  services: [
+    {
+      name: 'model',
+      healthPath: '/healthz',
+      connectionLimit: 100,
+      engine: layeredEngine(LAYERS),
+    },
+  ],
+});
+
+const engines = [...Array(ENGINES).keys()].map(index =>
+  makeUpstream({
+    id: `engine-${index}`,
+    service: 'model',
+    address: `10.0.3.${index + 1}:1`,
+    acceleratorKind: 'small',
+    layers: {from: 0, to: LAYERS},
+  }),
+);
+
+async function play(silence: SilenceRule): Promise<StreamSimulation> {
+  const harness = new ForwardingHarness(configuration, engines);
+  const simulation = new StreamSimulation(harness, engines, silence);
+  await simulation.play('/stream/');
+  return simulation;
+}
+
+interface SilenceCase extends SilenceRule {
+  readonly name: string;
+  /** Whether the caller is served; it leaves after two seconds without an event. */
+  readonly isServed: boolean;
+}
+
+const cases: readonly SilenceCase[] = [
+  ...[400, 1_000, 1_300].map(milliseconds => ({
+    name: `each pause for ${milliseconds} ms`,
+    eventsBefore: 2,
+    milliseconds,
+    isServed: true,
+  })),
+  {
+    name: 'each pause before the first event',
+    eventsBefore: 0,
+    milliseconds: 1_000,
+    isServed: true,
+  },
+  {
+    name: 'are cut off one after the other',
+    eventsBefore: 2,
+    milliseconds: 6_000,
+    isServed: false,
+  },
+  {
+    name: 'leave unannounced and go on',
+    eventsBefore: 2,
+    milliseconds: 400,
+    losesConnection: true,
+    isUnlisted: true,
+    isServed: true,
+  },
+];
+
+describe('a stream whose upstreams are sound', () => {
+  it.each(cases)(
+    'is sent to no more of them than its route allows if they $name',
+    async ({isServed, ...rule}) => {
+      const simulation = await play(rule);
+      expect(simulation.sentTo.size).toBeLessThanOrEqual(ATTEMPT_LIMIT);
+      expect(simulation.isServed).toBe(isServed);
+    },
+  );
+});
+
+describe('a stream whose upstreams end', () => {
+  it.each([
+    {name: 'refuse connections', endsAs: 'refusing' as const},
+    {name: 'are replaced by another run', endsAs: 'replaced' as const},
+  ])('goes on at a third one if the first two $name', async ({endsAs}) => {
+    const simulation = await play({
+      eventsBefore: 2,
+      milliseconds: Infinity,
+      losesConnection: true,
+      endsAs,
+      count: 2,
+    });
+    expect(simulation.sentTo.size).toBe(3);
+    expect(simulation.isServed).toBe(true);
+  });
+});
--- /dev/null
+++ b/src/features/forwarding/test/streamSimulation.ts
@@ -0,0 +1,125 @@
+import {Upstream} from '../../fleet/common/upstream.js';
+import {FakeUpstreamExchange, ForwardingHarness} from './forwardingHarness.js';
+
+/** When the upstreams of a stream fall silent, and what happens to them. */
+export interface SilenceRule {
+  /** Events that an upstream writes before it falls silent. */
+  readonly eventsBefore: number;
+  /** How long it is silent; it goes on afterwards. */
+  readonly milliseconds: number;
+  /** Whether the connection of the stream is reset then. */
+  readonly losesConnection?: boolean;
+  /** Whether it is no longer listed from then on. */
+  readonly isUnlisted?: boolean;
+  /** What its address does if it has ended. */
+  readonly endsAs?: 'refusing' | 'replaced';
+  /** Number of upstreams that do so; all by default. */
+  readonly count?: number;
+}
+
+const STEP_MILLISECONDS = 20;
+const EVENTS = 40;
+const LIST_SETTLES_MILLISECONDS = 2_100;
+
+/** Callers leave a stream after this long without an event. */
+const CALLER_PATIENCE_MILLISECONDS = 2_000;
+
+/** Plays one stream over upstreams that fall silent, and its caller. */
+export class StreamSimulation {
+  /** Identifiers of the upstreams that got the request. */
+  readonly sentTo = new Set<string>();
+  isServed = false;
+  private readonly silentUntil = new Map<string, number>();
+  private readonly written = new Map<FakeUpstreamExchange, number>();
+
+  constructor(
+    private readonly harness: ForwardingHarness,
+    private readonly upstreams: readonly Upstream[],
+    private readonly rule: SilenceRule,
+  ) {}
+
+  /** Plays until the caller has its whole answer, has left or was refused. */
+  async play(target: string): Promise<void> {
+    // The first list counts as incomplete for two seconds.
+    await this.harness.advance(LIST_SETTLES_MILLISECONDS);
+    this.harness.directory.replace(this.upstreams);
+    const caller = await this.harness.send(target, ['deadline', '20000']);
+    let patientUntil = this.now + CALLER_PATIENCE_MILLISECONDS;
+    let received = 0;
+    while (caller.outcome === 'open' && this.now < patientUntil) {
+      this.runUpstreams();
+      await this.harness.advance(STEP_MILLISECONDS);
+      if (caller.text.length > received) {
+        received = caller.text.length;
+        patientUntil = this.now + CALLER_PATIENCE_MILLISECONDS;
+      }
+    }
+    this.isServed = caller.outcome === 'stream';
+    caller.leave();
+  }
+
+  private runUpstreams(): void {
+    const {connector, control} = this.harness;
+    for (const [id, until] of this.silentUntil) {
+      if (this.now >= until) {
+        control.unreachableIds.delete(id);
+      }
+    }
+    for (const exchange of connector.openedExchanges) {
+      this.sentTo.add(exchange.upstream.id);
+      if (!exchange.isDisposed && !exchange.hasResponded) {
+        this.write(exchange);
+      }
+    }
+  }
+
+  private write(exchange: FakeUpstreamExchange): void {
+    const {eventsBefore, count = Infinity, losesConnection} = this.rule;
+    const {id} = exchange.upstream;
+    const written = this.written.get(exchange) ?? 0;
+    const isDue = written >= eventsBefore && !this.silentUntil.has(id);
+    if (isDue && this.silentUntil.size < count) {
+      this.silence(exchange.upstream);
+      if (losesConnection) {
+        exchange.fail(true);
+        return;
+      }
+    }
+    if (this.now < (this.silentUntil.get(id) ?? -Infinity)) {
+      return;
+    }
+    if (written === 0) {
+      exchange.head();
+    }
+    const first = Number(exchange.added['lastEvent'] ?? 0) + 1;
+    const event = first + written;
+    this.written.set(exchange, written + 1);
+    exchange.sendEvents(event, event);
+    if (event === EVENTS) {
+      exchange.end();
+    }
+  }
+
+  private silence({id, address}: Upstream): void {
+    const {milliseconds, isUnlisted, endsAs} = this.rule;
+    const {control, connections} = this.harness;
+    this.silentUntil.set(id, this.now + milliseconds);
+    control.unreachableIds.add(id);
+    if (endsAs === 'refusing') {
+      connections.refusing.add(address);
+    }
+    if (endsAs === 'replaced') {
+      control.restarted.add(id);
+    }
+    if (isUnlisted) {
+      const listed = this.upstreams.filter(
+        upstream => !this.silentUntil.has(upstream.id),
+      );
+      this.harness.directory.replace(listed);
+    }
+  }
+
+  private get now(): number {
+    return this.harness.clock.monotonicMilliseconds();
+  }
+}
