Streams go to a further upstream only once one that had them has certainly ended

Cause: the upstreams of a stream stopped counting after 750 ms of suspicion, or when they were not listed. Sound ones pause for a second, instances lose their links for seconds, and upstreams that left unannounced serve on. Class of fault: a guess used as if it were certain. Now an upstream counts until a proof: another run has its name or address, it left the list after two seconds without any answer, or its host refuses connections after it ended that of the request, while another host accepts one. A stream that could start nowhere else keeps its running attempt, and one that nothing was written of takes its send back.

In the test of three ended upstreams these refuse connections now, as ended ones do.

--- a/src/features/fleet/common/suspicionTracker.ts
+++ b/src/features/fleet/common/suspicionTracker.ts
@@ -33,6 +33,12 @@
   readonly heldUntil: number;
 }
 
+/** A suspicion that has ended. */
+export interface ClearedSuspicion {
+  readonly suspicion: Suspicion;
+  readonly cause: 'answered' | 'gone';
+}
+
 /** Successive refusals of an upstream, not further apart than `REFUSAL_RESET_MILLISECONDS`. */
 interface RefusalStreak {
   readonly count: number;
@@ -45,12 +51,16 @@
 /** Upstreams that are suspected of a failure. They get no new work until they answer a probe. */
 export class SuspicionTracker extends DisposableOwner {
   private readonly begun = this.register(new Emitter<Suspicion>());
+  private readonly cleared = this.register(new Emitter<ClearedSuspicion>());
   private readonly suspected = new Map<string, Suspicion>();
   private readonly refusals = new Map<string, RefusalStreak>();
 
   /** Fires when an upstream becomes suspected. */
   readonly onDidSuspect = this.begun.event;
 
+  /** Fires when a suspicion has ended. */
+  readonly onDidClear = this.cleared.event;
+
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
@@ -82,7 +92,7 @@
   }
 
   /** Ends a suspicion after an answered probe, if its hold time has passed, or after the upstream left the list. */
-  clear(upstream: string, cause: 'answered' | 'gone'): void {
+  clear(upstream: string, cause: ClearedSuspicion['cause']): void {
     const suspicion = this.suspected.get(upstream);
     const now = this.clock.monotonicMilliseconds();
     if (cause === 'gone') {
@@ -97,6 +107,7 @@
     this.suspected.delete(upstream);
     const lasted = Math.round(now - suspicion.since);
     this.logger.decision('upstreamCleared', {upstream, cause, lasted});
+    this.cleared.fire({suspicion, cause});
   }
 
   /** Counts a refusal, and returns for how long it excludes the upstream. */
@@ -134,11 +145,6 @@
     return reason !== 'misdirected' && this.isLostFor(upstream, milliseconds);
   }
 
-  /** Whether an upstream has been lost for so long that it left at least one further probe unanswered. */
-  isLongLost(upstream: string): boolean {
-    return this.isLostFor(upstream, 1.5 * PROBE_PERIOD_MILLISECONDS);
-  }
-
   get all(): readonly Suspicion[] {
     return [...this.suspected.values()];
   }
--- a/src/features/forwarding/common/retryAfter.ts
+++ b/src/features/forwarding/common/retryAfter.ts
@@ -14,6 +14,8 @@
   | 'limited'
   /** Every upstream that was tried refused the request. */
   | 'refused'
+  /** The route allows no further upstream, and those that were tried can't take the request now. */
+  | 'attemptsUsed'
   /** Upstreams crash when they begin to answer such requests. */
   | 'endsUpstreams'
   /** The deadline passed before the request could be sent. */
@@ -35,6 +37,7 @@
   noRoom: 400,
   limited: 400,
   refused: 250,
+  attemptsUsed: 250,
   endsUpstreams: 60_000,
   timeOver: 250,
   stopping: 0,
--- a/src/features/forwarding/node/entryUpstreams.ts
+++ b/src/features/forwarding/node/entryUpstreams.ts
@@ -8,29 +8,83 @@
 export type EntryChoice =
   | PathSearchResult
   /** Each upstream at which a path could start has reached its limit. */
-  | {readonly kind: 'limited'; readonly wait: LimitedWait};
+  | {readonly kind: 'limited'; readonly wait: LimitedWait}
+  /** The route allows no further upstream, and none that was used before is usable now. */
+  | {readonly kind: 'attemptsUsed'};
 
 /** An upstream to which a request was sent before. */
 export interface SentUpstream {
   readonly upstream: string;
-  /** Why it does not count against the limit; undefined if it counts. */
-  readonly leftOutAs: 'unlisted' | 'suspected' | undefined;
+  /** Whether it has certainly ended, so that it does not count against the limit. */
+  readonly hasEnded: boolean;
+}
+
+interface UsedEntry {
+  readonly upstream: Upstream;
+  /** Whether it ended the connection of an attempt. */
+  readonly isConnectionEnded: boolean;
 }
 
 /**
- * Limits the entry upstreams to which one request is sent to the number that its route allows. Upstreams
- * that have ended do not count, but only once that is certain, since a suspicion may be wrong.
+ * Limits the entry upstreams to which one request is sent to the number that its route allows. An upstream stops
+ * counting only when it has certainly ended: one that was merely lost from sight may still run the request.
  */
 export class EntryUpstreams {
-  private readonly sentTo = new Set<string>();
+  private readonly used = new Map<string, UsedEntry>();
+  /** The upstream that the last attempt used for the first time. */
+  private firstUsedByLast: string | undefined;
 
   constructor(
     private readonly services: ForwardingServices,
     private readonly limit: number,
   ) {}
 
-  add(upstream: string): void {
-    this.sentTo.add(upstream);
+  /** Records an attempt. */
+  add(upstream: Upstream): void {
+    const known = this.used.get(upstream.id);
+    this.firstUsedByLast = known === undefined ? upstream.id : undefined;
+    this.used.set(upstream.id, known ?? {upstream, isConnectionEnded: false});
+  }
+
+  /** Takes the last attempt back, of which nothing was written to its upstream. */
+  takeBackLast(): void {
+    if (this.firstUsedByLast !== undefined) {
+      this.used.delete(this.firstUsedByLast);
+    }
+  }
+
+  /** Records that the connection of an attempt has ended before its response did. */
+  recordConnectionEnd(upstream: Upstream): void {
+    if (this.used.has(upstream.id)) {
+      this.used.set(upstream.id, {upstream, isConnectionEnded: true});
+    }
+  }
+
+  /** The upstreams to which the request was sent. */
+  get history(): readonly SentUpstream[] {
+    const {endedUpstreams} = this.services;
+    return [...this.used.values()].map(({upstream}) => ({
+      upstream: upstream.id,
+      hasEnded: endedUpstreams.hasEnded(upstream),
+    }));
+  }
+
+  /** Whether the request may be sent now to an upstream other than a given one. */
+  hasStartOtherThan(current: string | undefined): boolean {
+    const {directory, suspicions} = this.services;
+    const isUsable = (id: string): boolean =>
+      directory.find(id)?.isLeaving === false && !suspicions.isSuspect(id);
+    return (
+      this.mayUseNew ||
+      [...this.used.keys()].some(id => id !== current && isUsable(id))
+    );
+  }
+
+  /** Looks for a proof that one of the upstreams that count has ended. */
+  seekProof(): void {
+    for (const {upstream, isConnectionEnded} of this.counted) {
+      this.services.endCheck.request(upstream, isConnectionEnded);
+    }
   }
 
   /**
@@ -38,35 +92,36 @@
    * before. It starts at no upstream that has reached the limit that it names.
    */
   choosePath(pathChooser: PathChooser): EntryChoice {
-    const mayUseNew = this.liveCount < this.limit;
+    const {mayUseNew} = this;
     const limitFilter = new LimitFilter(this.services.rateLimiter);
-    const canStartAt = (upstream: Upstream): boolean =>
-      (mayUseNew || this.sentTo.has(upstream.id)) &&
-      limitFilter.accepts(upstream);
-    const choice = pathChooser.whole(canStartAt);
+    let hasStart = false;
+    const choice = pathChooser.whole(upstream => {
+      if (!mayUseNew && !this.used.has(upstream.id)) {
+        return false;
+      }
+      hasStart = true;
+      return limitFilter.accepts(upstream);
+    });
+    if (choice.kind === 'found') {
+      return choice;
+    }
+    if (!mayUseNew && !hasStart) {
+      return {kind: 'attemptsUsed'};
+    }
     const {wait} = limitFilter;
     return choice.kind === 'noRoom' && wait !== undefined
       ? {kind: 'limited', wait}
       : choice;
   }
 
-  /** The upstreams to which the request was sent, and why those that do not count were left out. */
-  get history(): readonly SentUpstream[] {
-    return [...this.sentTo].map(id => ({
-      upstream: id,
-      leftOutAs: this.leftOutAs(id),
-    }));
-  }
-
-  private get liveCount(): number {
-    return this.history.filter(({leftOutAs}) => leftOutAs === undefined).length;
+  private get mayUseNew(): boolean {
+    return this.counted.length < this.limit;
   }
 
-  private leftOutAs(id: string): SentUpstream['leftOutAs'] {
-    const {directory, suspicions} = this.services;
-    if (directory.find(id) === undefined) {
-      return 'unlisted';
-    }
-    return suspicions.isLongLost(id) ? 'suspected' : undefined;
+  private get counted(): readonly UsedEntry[] {
+    const {endedUpstreams} = this.services;
+    return [...this.used.values()].filter(
+      ({upstream}) => !endedUpstreams.hasEnded(upstream),
+    );
   }
 }
--- a/src/features/forwarding/node/forwardingServices.ts
+++ b/src/features/forwarding/node/forwardingServices.ts
@@ -1,6 +1,7 @@
 import {Clock} from '../../../base/common/clock.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {EndedUpstreams} from '../../fleet/common/endedUpstreams.js';
 import {SuspicionTracker} from '../../fleet/common/suspicionTracker.js';
 import {SlownessTracker} from '../../fleet/common/slownessTracker.js';
 import {UpstreamControl} from '../../fleet/common/upstreamControl.js';
@@ -20,6 +21,7 @@
 import {HeaderCodec} from '../common/headerCodec.js';
 import {RequestMetrics} from './requestMetrics.js';
 import {ResponseEndCheck} from './responseEndCheck.js';
+import {UpstreamEndCheck} from './upstreamEndCheck.js';
 import {UpstreamProber} from './upstreamProber.js';
 
 /** The services that forwarding depends on; constructed by the program. */
@@ -36,6 +38,8 @@
   readonly configuration: ActiveConfiguration;
   readonly directory: UpstreamDirectory;
   readonly suspicions: SuspicionTracker;
+  readonly endedUpstreams: EndedUpstreams;
+  readonly endCheck: UpstreamEndCheck;
   readonly prober: UpstreamProber;
   readonly responseEndCheck: ResponseEndCheck;
   readonly load: UpstreamLoadTracker;
--- a/src/features/forwarding/node/promptWatch.ts
+++ b/src/features/forwarding/node/promptWatch.ts
@@ -16,11 +16,18 @@
 /** Upstreams that may end under one request shortly after it began there, or before. */
 const ENDED_UPSTREAM_LIMIT = 3;
 
+/** A loss that was recorded for an attempt. */
+interface RecordedLoss {
+  readonly attempt: StreamAttempt | undefined;
+  readonly isConnectionEnded: boolean;
+}
+
 /** Watches whether upstreams end under one stream, and reports what shows that its prompt is deadly or sound. */
 export class PromptWatch {
   /** Upstreams that were lost before or shortly after the first event of an attempt. */
   private readonly lostUpstreams = new Set<string>();
   private soundAt = -Infinity;
+  private lastLoss: RecordedLoss | undefined;
 
   constructor(
     private readonly services: ForwardingServices,
@@ -61,6 +68,14 @@
     if (writing >= SOUND_WRITING_MILLISECONDS || this.soundAt > -Infinity) {
       return;
     }
+    // A stream that can start nowhere else is told of the same loss repeatedly.
+    const isRepeated =
+      this.lastLoss?.attempt === attempt &&
+      this.lastLoss?.isConnectionEnded === isConnectionEnded;
+    if (isRepeated) {
+      return;
+    }
+    this.lastLoss = {attempt, isConnectionEnded};
     this.lostUpstreams.add(upstream);
     const {account, promptParts} = this.prompt;
     if (promptParts.length > 0) {
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -190,6 +190,9 @@
   ): void {
     const reason =
       choice.kind === 'noLayers' ? this.noPathReason() : choice.kind;
+    if (choice.kind === 'attemptsUsed') {
+      this.entryUpstreams.seekProof();
+    }
     const decision = decideWithoutPath(
       {
         hasBegun: this.exchange.hasBegun,
@@ -225,7 +228,7 @@
       this.giveUp('noLayers');
       return;
     }
-    this.entryUpstreams.add(first.upstream.id);
+    this.entryUpstreams.add(first.upstream);
     this.sequence.beginAttempt();
     this.sentAt = this.now;
     const {id} = this.admitted;
@@ -327,12 +330,14 @@
       promptParts: this.admitted.facts.promptParts,
     });
     if (!wasSent && upstream !== undefined) {
+      this.entryUpstreams.takeBackLast();
       this.services.suspicions.suspect(upstream.id, 'unreachable', {detail});
       this.startAttempt('unreachable');
       return;
     }
     this.mayHaveRun = true;
     if (upstream !== undefined) {
+      this.entryUpstreams.recordConnectionEnd(upstream);
       this.promptWatch.recordLoss(upstream.id, attempt, true);
     }
     const probe =
@@ -426,11 +431,23 @@
     }
   }
 
-  /** Abandons the running attempt and starts another if that is allowed; returns whether it did. */
+  /**
+   * Abandons the running attempt and starts another if that is allowed; returns whether it did. An attempt that could
+   * start nowhere else goes on, since its upstream may only pause.
+   */
   private restart(cause: string): boolean {
     if (!this.canResend) {
       return false;
     }
+    const current = this.path[0]?.upstream.id;
+    const isCurrentLost =
+      current !== undefined && this.services.suspicions.isSuspect(current);
+    const excluded = isCurrentLost ? current : undefined;
+    if (!this.entryUpstreams.hasStartOtherThan(excluded)) {
+      this.entryUpstreams.seekProof();
+      this.logNotRestarted(cause);
+      return false;
+    }
     if (!this.tryTakeRetry()) {
       this.logNotRestarted(cause);
       return false;
@@ -446,7 +463,11 @@
   private logNotRestarted(cause: string): void {
     if (!this.hasLoggedNoRestart) {
       this.hasLoggedNoRestart = true;
-      this.logDecision('notRestarted', {cause, attempts: this.attempts});
+      this.logDecision('notRestarted', {
+        cause,
+        attempts: this.attempts,
+        sentBefore: this.entryUpstreams.history,
+      });
     }
   }
 
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -476,6 +476,7 @@
       const {last} = harness.connector;
       if (!last.hasResponded) {
         harness.control.unreachableIds.add(last.upstream.id);
+        harness.connections.refusing.add(last.upstream.address);
         last.fail(true);
       }
       await harness.advance(100);
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -6,6 +6,7 @@
 import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {SlownessTracker} from '../../fleet/common/slownessTracker.js';
+import {EndedUpstreams} from '../../fleet/common/endedUpstreams.js';
 import {SuspicionTracker} from '../../fleet/common/suspicionTracker.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {
@@ -61,6 +62,7 @@
 import {ResponseEndCheck} from '../node/responseEndCheck.js';
 import {RequestMetrics} from '../node/requestMetrics.js';
 import {StreamMonitor} from '../node/streamMonitor.js';
+import {UpstreamEndCheck} from '../node/upstreamEndCheck.js';
 import {UpstreamProber} from '../node/upstreamProber.js';
 
 /** Test harness for forwarding: everything outside it is replaced by fakes that a test controls. */
@@ -438,6 +440,12 @@
     );
     const headerCodec = new FakeHeaderCodec();
     const promptGuard = new PromptGuard(clock, logger, true, () => true);
+    const endedUpstreams = new EndedUpstreams(
+      clock,
+      logger,
+      directory,
+      suspicions,
+    );
     this.services = {
       settings,
       mechanisms: {...defaultMechanisms, ...mechanisms},
@@ -457,6 +465,16 @@
       configuration: this.configuration,
       directory,
       suspicions,
+      endedUpstreams,
+      endCheck: new UpstreamEndCheck(
+        clock,
+        random,
+        control,
+        this.connections,
+        directory,
+        suspicions,
+        endedUpstreams,
+      ),
       prober,
       responseEndCheck: new ResponseEndCheck(prober, this.links),
       load: new UpstreamLoadTracker(),
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -8,6 +8,7 @@
 import {rankByRendezvous} from '../../base/common/rendezvous.js';
 import {CrashDetector} from '../../features/crashes/common/crashDetector.js';
 import {PromptGuard} from '../../features/crashes/common/promptGuard.js';
+import {EndedUpstreams} from '../../features/fleet/common/endedUpstreams.js';
 import {SuspicionTracker} from '../../features/fleet/common/suspicionTracker.js';
 import {SlownessTracker} from '../../features/fleet/common/slownessTracker.js';
 import {UpstreamDirectory} from '../../features/fleet/common/upstreamDirectory.js';
@@ -24,6 +25,7 @@
 import {RequestHandler} from '../../features/forwarding/node/requestHandler.js';
 import {RequestMetrics} from '../../features/forwarding/node/requestMetrics.js';
 import {ResponseEndCheck} from '../../features/forwarding/node/responseEndCheck.js';
+import {UpstreamEndCheck} from '../../features/forwarding/node/upstreamEndCheck.js';
 import {StreamMonitor} from '../../features/forwarding/node/streamMonitor.js';
 import {UpstreamProber} from '../../features/forwarding/node/upstreamProber.js';
 import {InstanceRecord} from '../../features/instances/common/instance.js';
@@ -123,6 +125,9 @@
       defaultForwardingSettings.trialMilliseconds,
     ),
   );
+  const endedUpstreams = owned.add(
+    new EndedUpstreams(clock, logger, directory, suspicions),
+  );
   const limits = new UpstreamLimitTracker(clock, logger);
   const rateLimiter = new UpstreamRateLimiter(
     clock,
@@ -204,6 +209,16 @@
     configuration: activeConfiguration,
     directory,
     suspicions,
+    endedUpstreams,
+    endCheck: new UpstreamEndCheck(
+      clock,
+      random,
+      upstreamControl,
+      connections,
+      directory,
+      suspicions,
+      endedUpstreams,
+    ),
     prober,
     responseEndCheck: new ResponseEndCheck(prober, links),
     load,
