--- a/src/features/forwarding/node/plainForwarder.ts
+++ b/src/features/forwarding/node/plainForwarder.ts
@@ -2,6 +2,7 @@
 import {Upstream} from '../../fleet/common/upstream.js';
 import {choosePlainUpstream} from '../common/choosePlainUpstream.js';
 import {LimitedWait, LimitFilter} from '../common/limitFilter.js';
+import {ResponseMetadata} from '../common/headerCodec.js';
 import {NotRunReason} from '../common/retryAfter.js';
 import {RequestForwarder} from './requestForwarder.js';
 import {AttemptOutcome, ResponseBuffer} from './responseBuffer.js';
@@ -181,7 +182,7 @@
   ): void {
     const {head, facts} = outcome;
     if (facts.isNotRun) {
-      this.onNotRun(upstream, facts.isMisdirected);
+      this.onNotRun(upstream, facts);
       return;
     }
     const isSuccess = head.status < MIN_SERVER_ERROR_STATUS;
@@ -195,7 +196,15 @@
     this.retryOrGiveUp('upstreamFailed', 'refused', false);
   }
 
-  private onNotRun(upstream: Upstream, isMisdirected: boolean): void {
+  private onNotRun(
+    upstream: Upstream,
+    {isMisdirected, restMilliseconds}: ResponseMetadata,
+  ): void {
+    this.logDecision('refusedByUpstream', {
+      faulty: upstream.id,
+      misdirected: isMisdirected,
+      rest: restMilliseconds ?? null,
+    });
     if (isMisdirected) {
       this.services.suspicions.suspect(upstream.id, 'misdirected', {});
     }
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -370,6 +370,7 @@
     this.logDecision('refusedByUpstream', {
       faulty: faulty?.id,
       misdirected: facts.isMisdirected,
+      rest: facts.restMilliseconds ?? null,
     });
     this.retryOrWait('notRun', () => this.giveUp('refused'));
   }
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -113,6 +113,8 @@
       isEncoded: fields['encoded'] !== undefined,
       requestLimit:
         fields['limit'] === undefined ? undefined : Number(fields['limit']),
+      restMilliseconds:
+        fields['rest'] === undefined ? undefined : Number(fields['rest']),
     };
   }
 
