--- a/src/features/forwarding/test/limits.test.ts
+++ b/src/features/forwarding/test/limits.test.ts
@@ -7,7 +7,12 @@
   makeRoute,
 } from '../../traffic/test/trafficConfigurations.js';
 import {RouterResponse} from '../common/callerExchange.js';
-import {FakeUpstreamExchange, ForwardingHarness} from './forwardingHarness.js';
+import {
+  FakeCaller,
+  FakeConnector,
+  FakeUpstreamExchange,
+  ForwardingHarness,
+} from './forwardingHarness.js';
 
 /** What one instance sends to upstreams that name a limit. It is the only instance, so that the limits are its own. */
 
@@ -156,6 +161,113 @@
   });
 });
 
+/** The published bound: requests that an upstream may get from half a second after it asked for rest to its end. */
+const REST_NOTICE_MILLISECONDS = 500;
+const REQUESTS_IN_REST = 2;
+
+const REQUESTS_AT_ONCE = 3;
+
+interface RestCase {
+  readonly target: string;
+  readonly asking: readonly string[];
+  readonly restMilliseconds: number;
+}
+
+/** What the upstreams of one play got and what its callers were told. */
+interface RestPlay {
+  /** Times at which each upstream got a request, by its identifier. */
+  readonly arrivals: ReadonlyMap<string, readonly number[]>;
+  /** When each asking upstream asked for rest first. */
+  readonly askedAt: ReadonlyMap<string, number>;
+  readonly callers: readonly FakeCaller[];
+}
+
+/** Sends some requests every 100 ms; the asking upstreams shed each one, the others answer. */
+async function playRests(
+  {target, asking, restMilliseconds}: RestCase,
+  milliseconds: number,
+): Promise<RestPlay> {
+  const harness = createHarness();
+  const {connector, clock} = harness;
+  const arrivals = new Map<string, number[]>();
+  const askedAt = new Map<string, number>();
+  const callers: FakeCaller[] = [];
+  while (clock.monotonicMilliseconds() < milliseconds) {
+    for (let count = 0; count < REQUESTS_AT_ONCE; count++) {
+      callers.push(await harness.send(target));
+    }
+    let waiting = openExchanges(connector);
+    while (waiting.length > 0) {
+      for (const exchange of waiting) {
+        const {id} = exchange.upstream;
+        const now = clock.monotonicMilliseconds();
+        arrivals.set(id, [...(arrivals.get(id) ?? []), now]);
+        if (asking.includes(id)) {
+          askedAt.set(id, askedAt.get(id) ?? now);
+          exchange.respond(503, ['notRun', '1', 'rest', `${restMilliseconds}`]);
+        } else {
+          exchange.respond(200, ['proof', 'p'], '');
+        }
+      }
+      await harness.flushPromises();
+      waiting = openExchanges(connector);
+    }
+    await harness.advance(100);
+  }
+  return {arrivals, askedAt, callers};
+}
+
+function openExchanges(
+  connector: FakeConnector,
+): readonly FakeUpstreamExchange[] {
+  return connector.openedExchanges.filter(
+    ({hasResponded, isDisposed}) => !hasResponded && !isDisposed,
+  );
+}
+
+describe('an upstream that asks for rest', () => {
+  it.each<RestCase>([
+    {target: '/plain/x', asking: ['p1'], restMilliseconds: 3_000},
+    {target: '/plain/x', asking: ['p1', 'p2'], restMilliseconds: 3_000},
+    {target: '/plain/x', asking: ['p2'], restMilliseconds: 1_250},
+    {target: '/stream/x', asking: ['whole'], restMilliseconds: 3_000},
+    {target: '/stream/x', asking: ['start', 'whole'], restMilliseconds: 3_000},
+  ])(
+    'gets no more of $target than is published if $asking ask for $restMilliseconds ms',
+    async restCase => {
+      const {restMilliseconds} = restCase;
+      const {arrivals, askedAt} = await playRests(restCase, restMilliseconds);
+      for (const id of restCase.asking) {
+        const from = askedAt.get(id)!;
+        const inRest = arrivals
+          .get(id)!
+          .filter(
+            at =>
+              at >= from + REST_NOTICE_MILLISECONDS &&
+              at < from + restMilliseconds,
+          );
+        expect(inRest.length).toBeLessThanOrEqual(REQUESTS_IN_REST);
+      }
+    },
+  );
+
+  it('lets callers come back when the first upstream is free', async () => {
+    const {callers} = await playRests(
+      {target: '/plain/x', asking: ['p1', 'p2'], restMilliseconds: 3_000},
+      1_000,
+    );
+    expect(callers.at(-1)?.own).toMatchObject({
+      kind: 'notRun',
+      reason: 'limited',
+    });
+    const {retryAfterMilliseconds} = callers.at(-1)?.own as Extract<
+      RouterResponse,
+      {kind: 'notRun'}
+    >;
+    expect(retryAfterMilliseconds).toBeGreaterThan(1_900);
+  });
+});
+
 /** Exchanges that continue a stream. */
 function resumed({
   connector,
