An upstream that asks an instance for rest gets nothing from it until the rest is over

Cause: Retry-After of upstreams was read nowhere. Streams held a refusing upstream for 0.3 s and an answered probe ended that; plain requests kept no memory of a refusal. Class of fault: what an upstream says is taken for the failure of one request. Now each answer is read, the rest is kept for the run of the upstream on every way to it, and peers that relay are told.

--- a/src/features/forwarding/common/pathWait.ts
+++ b/src/features/forwarding/common/pathWait.ts
@@ -1,4 +1,4 @@
-import {LimitedWait} from './limitFilter.js';
+import {AdmissionWait} from './admissionFilter.js';
 
 /** Determines how long a stream waits for a path when none is available. */
 
@@ -56,22 +56,22 @@
 
 /**
  * Decides whether a stream waits. One that was never sent doesn't wait for a limit under which only other instances may send.
- * @param limitedWait the wait for limits; undefined if they are not the cause
+ * @param admissionWait the wait for limits; undefined if they are not the cause
  * @param hasTimeForAttempt whether enough time is left for an attempt
  */
 export function decideWithoutPath(
   stream: WaitingStream,
-  limitedWait: LimitedWait | undefined,
+  admissionWait: AdmissionWait | undefined,
   hasTimeForAttempt: boolean,
 ): WithoutPath {
   const patienceMilliseconds = remainingPathWait(stream);
   const isNew = !stream.mayHaveRun && !stream.hasBegun;
   const isTooLong =
     isNew &&
-    limitedWait !== undefined &&
-    limitedWait.ownMilliseconds > patienceMilliseconds;
+    admissionWait !== undefined &&
+    admissionWait.ownMilliseconds > patienceMilliseconds;
   if (isTooLong || patienceMilliseconds === 0 || !hasTimeForAttempt) {
-    const causeEndsInMilliseconds = limitedWait?.anyMilliseconds ?? 0;
+    const causeEndsInMilliseconds = admissionWait?.anyMilliseconds ?? 0;
     return {kind: 'giveUp', causeEndsInMilliseconds};
   }
   return {kind: 'wait', patienceMilliseconds};
--- a/src/features/forwarding/common/retryAfter.ts
+++ b/src/features/forwarding/common/retryAfter.ts
@@ -10,7 +10,7 @@
   | 'noLayers'
   /** No path has capacity for the request. */
   | 'noRoom'
-  /** Every usable upstream has reached the limit of requests that it names. */
+  /** Every usable upstream has reached the limit of requests that it names, or asked for rest. */
   | 'limited'
   /** Every upstream that was tried refused the request. */
   | 'refused'
@@ -26,7 +26,7 @@
 /**
  * Base delay for each reason, from the time until its cause ends. A confirmation is retried at once, and
  * calls to the store are limited to less than a second. A lost upstream is replaced or probed again after
- * half a second. The layers of one accelerator load in one to two seconds. A limit gives its own time. A slot of a plain service is
+ * half a second. The layers of one accelerator load in one to two seconds. A limit and a rest give their own time. A slot of a plain service is
  * free after a call or two, and a prompt that crashes upstreams is tried again after a minute at the earliest. Capacity on a path is free when some streams have ended. When this instance stops, another
  * one takes the request at once.
  */
--- a/src/features/forwarding/node/limitedConnector.ts
+++ b/src/features/forwarding/node/admissionConnector.ts
@@ -1,7 +1,9 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
-import {UpstreamRateLimiter} from '../../fleet/common/upstreamRateLimiter.js';
+import {UpstreamAdmission} from '../../fleet/common/upstreamAdmission.js';
+import {UpstreamRests} from '../../fleet/common/upstreamRests.js';
+import {UpstreamLinks} from '../../links/common/upstreamLinks.js';
 import {HeaderCodec, RawHeaders} from '../common/headerCodec.js';
 import {
   ExchangeFailure,
@@ -12,16 +14,18 @@
 } from '../common/upstreamExchange.js';
 
 /**
- * Reads the limits that upstreams name in their responses, and counts what is sent to them. Every request to an
+ * Reads what upstreams ask of instances in their responses, and counts what is sent to them. Every request to an
  * upstream passes through it.
  */
-export class LimitedConnector extends UpstreamConnector {
+export class AdmissionConnector extends UpstreamConnector {
   constructor(
     private readonly connector: UpstreamConnector,
     private readonly headerCodec: HeaderCodec,
     private readonly clock: Clock,
     private readonly limits: UpstreamLimitTracker,
-    private readonly rateLimiter: UpstreamRateLimiter,
+    private readonly rests: UpstreamRests,
+    private readonly admission: UpstreamAdmission,
+    private readonly links: UpstreamLinks,
   ) {
     super();
   }
@@ -31,13 +35,19 @@
     request: UpstreamRequest,
     listener: ResponseListener,
   ): UpstreamExchange {
-    this.rateLimiter.recordSend(upstream);
+    this.admission.recordSend(upstream);
+    const isRelayed = this.links.isRelayed(upstream.address);
     const sentAt = this.clock.monotonicMilliseconds();
     const readHead = (status: number, headers: RawHeaders): void => {
       const response = this.headerCodec.readResponse(status, headers);
       // A misdirected request was answered by another upstream at the same address.
-      if (!response.isMisdirected) {
-        this.limits.recordOwn(upstream.id, response.requestLimit, sentAt);
+      if (response.isMisdirected) {
+        return;
+      }
+      this.limits.recordOwn(upstream.id, response.requestLimit, sentAt);
+      const {restMilliseconds} = response;
+      if (restMilliseconds !== undefined) {
+        this.rests.record(upstream.id, restMilliseconds, isRelayed);
       }
     };
     return this.connector.open(
--- a/src/features/forwarding/node/entryUpstreams.ts
+++ b/src/features/forwarding/node/entryUpstreams.ts
@@ -1,14 +1,14 @@
 import {Upstream} from '../../fleet/common/upstream.js';
 import {PathSearchResult} from '../../paths/common/pathSearch.js';
-import {LimitedWait, LimitFilter} from '../common/limitFilter.js';
+import {AdmissionWait, AdmissionFilter} from '../common/admissionFilter.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {PathChooser} from './pathChooser.js';
 
 /** A path, or why there is none. */
 export type EntryChoice =
   | PathSearchResult
-  /** Each upstream at which a path could start has reached its limit. */
-  | {readonly kind: 'limited'; readonly wait: LimitedWait}
+  /** Each upstream at which a path could start has reached its limit or rests. */
+  | {readonly kind: 'limited'; readonly wait: AdmissionWait}
   /** The route allows no further upstream, and none that was used before is usable now. */
   | {readonly kind: 'attemptsUsed'};
 
@@ -89,18 +89,18 @@
 
   /**
    * Finds a path over all layers. Once the number is reached, the path must start at an upstream that was used
-   * before. It starts at no upstream that has reached the limit that it names.
+   * before. It starts at no upstream that has reached the limit that it names, or that rests.
    */
   choosePath(pathChooser: PathChooser): EntryChoice {
     const {mayUseNew} = this;
-    const limitFilter = new LimitFilter(this.services.rateLimiter);
+    const admissionFilter = new AdmissionFilter(this.services.admission);
     let hasStart = false;
     const choice = pathChooser.whole(upstream => {
       if (!mayUseNew && !this.used.has(upstream.id)) {
         return false;
       }
       hasStart = true;
-      return limitFilter.accepts(upstream);
+      return admissionFilter.accepts(upstream);
     });
     if (choice.kind === 'found') {
       return choice;
@@ -108,7 +108,7 @@
     if (!mayUseNew && !hasStart) {
       return {kind: 'attemptsUsed'};
     }
-    const {wait} = limitFilter;
+    const {wait} = admissionFilter;
     return choice.kind === 'noRoom' && wait !== undefined
       ? {kind: 'limited', wait}
       : choice;
--- a/src/features/forwarding/node/forwardingServices.ts
+++ b/src/features/forwarding/node/forwardingServices.ts
@@ -6,7 +6,7 @@
 import {SlownessTracker} from '../../fleet/common/slownessTracker.js';
 import {UpstreamControl} from '../../fleet/common/upstreamControl.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
-import {UpstreamRateLimiter} from '../../fleet/common/upstreamRateLimiter.js';
+import {UpstreamAdmission} from '../../fleet/common/upstreamAdmission.js';
 import {UpstreamLoadTracker} from '../../fleet/common/upstreamLoadTracker.js';
 import {CrashDetector} from '../../crashes/common/crashDetector.js';
 import {PromptGuard} from '../../crashes/common/promptGuard.js';
@@ -46,7 +46,7 @@
   readonly linkLoad: LinkLoad;
   readonly readingBacklog: PrefillBacklog;
   readonly slowness: SlownessTracker;
-  readonly rateLimiter: UpstreamRateLimiter;
+  readonly admission: UpstreamAdmission;
   readonly budget: RetryBudget;
   readonly outcomes: OutcomeHistory;
   readonly promptGuard: PromptGuard;
--- a/src/features/forwarding/node/plainForwarder.ts
+++ b/src/features/forwarding/node/plainForwarder.ts
@@ -1,7 +1,7 @@
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {choosePlainUpstream} from '../common/choosePlainUpstream.js';
-import {LimitedWait, LimitFilter} from '../common/limitFilter.js';
+import {AdmissionWait, AdmissionFilter} from '../common/admissionFilter.js';
 import {ResponseMetadata} from '../common/headerCodec.js';
 import {NotRunReason} from '../common/retryAfter.js';
 import {RequestForwarder} from './requestForwarder.js';
@@ -25,7 +25,7 @@
   private attempts = 0;
   private mayHaveRun = false;
   /** The wait for limits of the last choice; undefined if limits did not decide it. */
-  private limitedWait: LimitedWait | undefined;
+  private admissionWait: AdmissionWait | undefined;
   /** An upstream's error response, forwarded if no retry succeeds. */
   private failure: Extract<AttemptOutcome, {kind: 'answered'}> | undefined;
 
@@ -60,7 +60,7 @@
   private startAttempt(cause: string): void {
     const upstream = this.chooseUpstream();
     if (upstream === undefined) {
-      this.giveUp(this.limitedWait === undefined ? 'noUpstream' : 'limited');
+      this.giveUp(this.admissionWait === undefined ? 'noUpstream' : 'limited');
       return;
     }
     if (cause !== 'first') {
@@ -72,12 +72,12 @@
 
   private chooseUpstream(): Upstream | undefined {
     const {directory, load, outcomes, suspicions, random} = this.services;
-    const limitFilter = new LimitFilter(this.services.rateLimiter);
+    const admissionFilter = new AdmissionFilter(this.services.admission);
     const isUsable = (upstream: Upstream): boolean =>
       !upstream.isLeaving &&
       !suspicions.isSuspect(upstream.id) &&
       !this.attemptedUpstreams.has(upstream.id) &&
-      limitFilter.accepts(upstream);
+      admissionFilter.accepts(upstream);
     const choice = choosePlainUpstream({
       upstreams: directory.ofService(this.admitted.service),
       loadOf: id => load.totalOf(id),
@@ -85,7 +85,7 @@
       isUsable,
       randomFraction: () => random.next(),
     });
-    this.limitedWait = limitFilter.wait;
+    this.admissionWait = admissionFilter.wait;
     return choice.kind === 'found' ? choice.upstream : undefined;
   }
 
@@ -258,7 +258,7 @@
     } else if (this.mayHaveRun) {
       this.fail(502, 'no upstream answered');
     } else {
-      this.refuse(reason, this.limitedWait?.anyMilliseconds);
+      this.refuse(reason, this.admissionWait?.anyMilliseconds);
     }
   }
 }
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -16,6 +16,8 @@
 } from '../../fleet/common/upstreamControl.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
+import {UpstreamAdmission} from '../../fleet/common/upstreamAdmission.js';
+import {UpstreamRests} from '../../fleet/common/upstreamRests.js';
 import {UpstreamRateLimiter} from '../../fleet/common/upstreamRateLimiter.js';
 import {UpstreamLoadTracker} from '../../fleet/common/upstreamLoadTracker.js';
 import {
@@ -57,7 +59,7 @@
   HeaderCodec,
 } from '../common/headerCodec.js';
 import {ForwardingServices} from '../node/forwardingServices.js';
-import {LimitedConnector} from '../node/limitedConnector.js';
+import {AdmissionConnector} from '../node/admissionConnector.js';
 import {RequestHandler} from '../node/requestHandler.js';
 import {ResponseEndCheck} from '../node/responseEndCheck.js';
 import {RequestMetrics} from '../node/requestMetrics.js';
@@ -440,6 +442,8 @@
         silentCount: 0,
       }),
     );
+    const rests = new UpstreamRests(clock, logger);
+    const admission = new UpstreamAdmission(rateLimiter, rests);
     const headerCodec = new FakeHeaderCodec();
     const promptGuard = new PromptGuard(clock, logger, true, () => true);
     const endedUpstreams = new EndedUpstreams(
@@ -456,12 +460,14 @@
       logger,
       metrics: new RequestMetrics(new Registry()),
       headerCodec,
-      connector: new LimitedConnector(
+      connector: new AdmissionConnector(
         connector,
         headerCodec,
         clock,
         this.limits,
-        rateLimiter,
+        rests,
+        admission,
+        this.links,
       ),
       control,
       configuration: this.configuration,
@@ -487,7 +493,7 @@
         () => 1,
       ),
       slowness,
-      rateLimiter,
+      admission,
       budget: new RetryBudget(
         clock,
         {ratio: 0.2, slack: 100, windowMilliseconds: 10_000},
--- a/src/features/instances/common/gossipMessage.ts
+++ b/src/features/instances/common/gossipMessage.ts
@@ -2,6 +2,7 @@
 
 import {CrashExchange} from '../../crashes/common/crashReport.js';
 import {LimitReading} from '../../fleet/common/upstreamLimitTracker.js';
+import {RestReading} from '../../fleet/common/upstreamRests.js';
 import {SlownessReading} from '../../fleet/common/slownessTracker.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {InstanceHeartbeat} from './instance.js';
@@ -32,6 +33,8 @@
   readonly slow: readonly SlownessReading[];
   /** Limits that upstreams name, and ends of limits; passed on from peer to peer. */
   readonly limits: readonly LimitReading[];
+  /** Upstreams that asked for rest while a peer relayed requests to them; passed on from peer to peer. */
+  readonly rests: readonly RestReading[];
   /** Crashes of upstreams and the requests that may have caused them; undefined if the sender knows none. */
   readonly crashes?: CrashExchange | undefined;
   /** Undefined before the first read of the list. */
@@ -152,6 +155,11 @@
     )
     .max(MESSAGE_LIST_LIMIT)
     .default([]),
+  // Instances of earlier releases send none.
+  rests: zod
+    .array(zod.object({upstream: text, remainingMilliseconds: age}))
+    .max(MESSAGE_LIST_LIMIT)
+    .default([]),
   crashes: crashes.optional(),
   list: list.optional(),
   holdsLease: zod.boolean(),
--- a/src/features/instances/node/peerGossip.ts
+++ b/src/features/instances/node/peerGossip.ts
@@ -1,4 +1,7 @@
-import {CancellationToken} from '../../../base/common/cancellation.js';
+import {
+  CancellationToken,
+  neverCancelled,
+} from '../../../base/common/cancellation.js';
 import {Clock} from '../../../base/common/clock.js';
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
 import {currentMoment} from '../../../base/common/moment.js';
@@ -7,6 +10,7 @@
 import {RpcClientFactory} from '../../../infrastructure/rpc/node/rpc.js';
 import {PromptGuard} from '../../crashes/common/promptGuard.js';
 import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
+import {UpstreamRests} from '../../fleet/common/upstreamRests.js';
 import {SlownessTracker} from '../../fleet/common/slownessTracker.js';
 import {SuspicionTracker} from '../../fleet/common/suspicionTracker.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
@@ -52,11 +56,14 @@
   readonly load: UpstreamLoadTracker;
   readonly slowness: SlownessTracker;
   readonly limits: UpstreamLimitTracker;
+  readonly rests: UpstreamRests;
   readonly suspicions: SuspicionTracker;
   readonly prober: UpstreamProber;
   readonly promptGuard: PromptGuard;
   readonly lease: TableLease;
   readonly mechanisms: Mechanisms;
+  /** Names of the peers that relayed requests to an upstream lately. */
+  readonly relaysOf: (upstream: string) => readonly string[];
 }
 
 /** Exchanges state with peers by gossip. */
@@ -96,6 +103,7 @@
         }
       }),
     );
+    this.register(dependencies.rests.onDidRestRelay(id => this.tellRelays(id)));
   }
 
   /** Starts the gossip rounds; the first one runs at once. */
@@ -125,6 +133,17 @@
     };
   }
 
+  /** Tells the peers that relayed requests to an upstream what it asked of them; they can't read what they relay. */
+  private tellRelays(upstream: string): void {
+    const {instances, relaysOf} = this.dependencies;
+    const names = relaysOf(upstream);
+    for (const peer of instances.peers) {
+      if (names.includes(peer.name)) {
+        void this.exchangeWith(peer, neverCancelled);
+      }
+    }
+  }
+
   private async runRound(token: CancellationToken): Promise<void> {
     const isRegistryReadDue = this.round % ROUNDS_PER_REGISTRY_READ === 0;
     this.round++;
@@ -211,7 +230,8 @@
   }
 
   private composeMessage(): GossipMessage {
-    const {instances, limits, load, slowness, suspicions} = this.dependencies;
+    const {instances, limits, load, rests, slowness, suspicions} =
+      this.dependencies;
     const loads = [...load.ownLoads].map(([upstream, figure]) => ({
       upstream,
       requests: figure.requests,
@@ -224,6 +244,7 @@
       list: this.listExchange.own,
       slow: slowness.own.slice(0, MESSAGE_LIST_LIMIT),
       limits: limits.readings.slice(0, MESSAGE_LIST_LIMIT),
+      rests: rests.readings.slice(0, MESSAGE_LIST_LIMIT),
       crashes: this.dependencies.promptGuard.createExchange(),
       holdsLease: this.dependencies.lease.isRenewed,
       lost: suspicions.all.map(({upstream}) => upstream),
@@ -231,7 +252,7 @@
   }
 
   private applyMessage(message: GossipMessage): void {
-    const {instances, limits, load, slowness} = this.dependencies;
+    const {instances, limits, load, rests, slowness} = this.dependencies;
     this.trackLeaseHolder(message);
     message.instances.forEach(heartbeat => instances.applyHeartbeat(heartbeat));
     const figures = new Map(
@@ -246,6 +267,7 @@
     }
     message.slow.forEach(reading => slowness.recordFromPeer(reading));
     message.limits.forEach(reading => limits.recordFromPeer(reading));
+    message.rests.forEach(reading => rests.recordFromPeer(reading));
     this.dependencies.promptGuard.applyExchange(message.crashes);
     // What a cut-off peer cannot reach says nothing about the upstreams.
     if (!instances.isPeerCutOff(message.from)) {
--- a/src/features/links/node/relayClient.ts
+++ b/src/features/links/node/relayClient.ts
@@ -17,6 +17,9 @@
 /** A peer that could not help is asked last for this long. */
 const FAILURE_MEMORY_MILLISECONDS = 2_000;
 
+/** A connection may live and be used for this long after it was opened. */
+const RELAY_MEMORY_MILLISECONDS = 30_000;
+
 /** A peer that may relay connections. */
 export interface Relay {
   readonly name: string;
@@ -27,6 +30,8 @@
 /** Opens connections to upstreams through peers. */
 export class RelayClient {
   private readonly failedAt = new Map<string, number>();
+  /** When each peer last opened a connection for this instance, by address and name. */
+  private readonly openedAt = new Map<string, Map<string, number>>();
 
   constructor(
     private readonly clock: Clock,
@@ -52,6 +57,7 @@
       }
       if (winner === undefined) {
         winner = socket;
+        this.recordRelay(address, peer);
       } else {
         socket.destroy();
       }
@@ -65,6 +71,25 @@
     return winner;
   }
 
+  /** Names of the peers over which requests to an address may have gone lately. */
+  recentRelays(address: string): readonly string[] {
+    const from = this.clock.monotonicMilliseconds() - RELAY_MEMORY_MILLISECONDS;
+    return [...(this.openedAt.get(address) ?? [])]
+      .filter(([, openedAt]) => openedAt >= from)
+      .map(([name]) => name);
+  }
+
+  private recordRelay(address: string, {name}: Relay): void {
+    const now = this.clock.monotonicMilliseconds();
+    const peers = this.openedAt.get(address) ?? new Map<string, number>();
+    this.openedAt.set(address, peers.set(name, now));
+    for (const known of this.openedAt.keys()) {
+      if (this.recentRelays(known).length === 0) {
+        this.openedAt.delete(known);
+      }
+    }
+  }
+
   private async openThrough(
     peer: Relay,
     targetAddress: string,
--- a/src/programs/router/relayComponents.ts
+++ b/src/programs/router/relayComponents.ts
@@ -33,6 +33,7 @@
 /** The constructed parts. */
 export interface RelayComponents {
   readonly links: UpstreamLinks;
+  readonly relayClient: RelayClient;
   readonly dialer: Dialer;
   readonly tunnels: TunnelServer;
 }
@@ -83,5 +84,5 @@
   };
   const tunnels = owned.add(new TunnelServer(peerKey, guard));
   const dialer = owned.add(new RelayingDialer(links, relayClient));
-  return {links, dialer, tunnels};
+  return {links, relayClient, dialer, tunnels};
 }
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -14,6 +14,8 @@
 import {UpstreamDirectory} from '../../features/fleet/common/upstreamDirectory.js';
 import {UpstreamLimitTracker} from '../../features/fleet/common/upstreamLimitTracker.js';
 import {UpstreamRateLimiter} from '../../features/fleet/common/upstreamRateLimiter.js';
+import {UpstreamAdmission} from '../../features/fleet/common/upstreamAdmission.js';
+import {UpstreamRests} from '../../features/fleet/common/upstreamRests.js';
 import {UpstreamListRefresher} from '../../features/fleet/common/upstreamListRefresher.js';
 import {UpstreamLoadTracker} from '../../features/fleet/common/upstreamLoadTracker.js';
 import {defaultForwardingSettings} from '../../features/forwarding/common/forwardingSettings.js';
@@ -21,7 +23,7 @@
 import {RetryBudget} from '../../features/forwarding/common/retryBudget.js';
 import {ForwardingServices} from '../../features/forwarding/node/forwardingServices.js';
 import {HttpUpstreamConnector} from '../../features/forwarding/node/httpUpstreamConnector.js';
-import {LimitedConnector} from '../../features/forwarding/node/limitedConnector.js';
+import {AdmissionConnector} from '../../features/forwarding/node/admissionConnector.js';
 import {RequestHandler} from '../../features/forwarding/node/requestHandler.js';
 import {RequestMetrics} from '../../features/forwarding/node/requestMetrics.js';
 import {ResponseEndCheck} from '../../features/forwarding/node/responseEndCheck.js';
@@ -106,7 +108,7 @@
   const suspicions = owned.add(new SuspicionTracker(clock, logger));
   const instances = new InstanceTable(clock, logger, ownRecord);
   const connections = new DirectConnectionTester();
-  const {links, dialer, tunnels} = createRelayComponents(
+  const {links, relayClient, dialer, tunnels} = createRelayComponents(
     settings,
     {clock, random, logger, directory, suspicions, instances, connections},
     owned,
@@ -135,6 +137,8 @@
     limits,
     () => instances.limitSharers,
   );
+  const rests = owned.add(new UpstreamRests(clock, logger));
+  const admission = new UpstreamAdmission(rateLimiter, rests);
   const promptGuard = owned.add(
     new PromptGuard(clock, logger, mechanisms.blockedPrompts, part =>
       isFirstInstance(instances, ownRecord.name, part),
@@ -156,6 +160,7 @@
       outcomes.retain(isListed);
       limits.retain(isListed);
       rateLimiter.retain(isListed);
+      rests.retain(isListed);
       prefillBacklog.retain(isListed);
     }),
   );
@@ -166,6 +171,12 @@
     'Upstreams that name a limit of requests a second.',
     () => limits.limitedCount,
   );
+  registerGauge(
+    metrics,
+    'redwing_resting_upstreams',
+    'Upstreams that asked this instance for a time without requests.',
+    () => rests.count,
+  );
   registerGauge(
     metrics,
     'redwing_relayed_upstreams',
@@ -198,12 +209,14 @@
     logger,
     metrics: new RequestMetrics(metrics),
     headerCodec: ports.headerCodec,
-    connector: new LimitedConnector(
+    connector: new AdmissionConnector(
       connector,
       ports.headerCodec,
       clock,
       limits,
-      rateLimiter,
+      rests,
+      admission,
+      links,
     ),
     control: upstreamControl,
     configuration: activeConfiguration,
@@ -225,7 +238,7 @@
     linkLoad: new LinkLoad(clock, () => instances.instanceCount),
     readingBacklog: prefillBacklog,
     slowness,
-    rateLimiter,
+    admission,
     budget: new RetryBudget(
       clock,
       settings.retries,
@@ -277,11 +290,14 @@
       load,
       slowness,
       limits,
+      rests,
       suspicions,
       prober,
       promptGuard,
       lease,
       mechanisms,
+      relaysOf: id =>
+        relayClient.recentRelays(directory.find(id)?.address ?? ''),
     }),
   );
   return {
