Failing tests: an upstream that said in an answer that it leaves gets requests

Server-Leaving is decoded, and nothing decides by it: after four seconds in which the list says ready, or nothing, each of four plays sends to the upstream again (plain and stream, in a success and in a refusal).

--- a/src/features/forwarding/common/headerCodec.ts
+++ b/src/features/forwarding/common/headerCodec.ts
@@ -57,6 +57,8 @@
   readonly isEncoded: boolean;
   /** Requests a second that the upstream takes from all instances together; undefined if it names no limit. */
   readonly requestLimit: number | undefined;
+  /** Whether the upstream says that it is shutting down. */
+  readonly isLeaving: boolean;
   /** How long the upstream wants no further requests of this instance; undefined if it does not say so. */
   readonly restMilliseconds: number | undefined;
 }
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -115,6 +115,7 @@
       isEncoded: fields['encoded'] !== undefined,
       requestLimit:
         fields['limit'] === undefined ? undefined : Number(fields['limit']),
+      isLeaving: fields['leaving'] !== undefined,
       restMilliseconds:
         fields['rest'] === undefined ? undefined : Number(fields['rest']),
     };
--- a/src/features/forwarding/test/limits.test.ts
+++ b/src/features/forwarding/test/limits.test.ts
@@ -268,6 +268,46 @@
   });
 });
 
+/** The published bound: an upstream that said that it leaves gets nothing that was sent later than this. */
+const DRAIN_MILLISECONDS = 2_000;
+
+describe('an upstream that says in an answer that it leaves', () => {
+  it.each([
+    {target: '/plain/x', status: 200},
+    {target: '/plain/x', status: 503},
+    {target: '/stream/x', status: 200},
+    {target: '/stream/x', status: 503},
+  ])(
+    'with status $status gets nothing new of $target, also if it is listed as ready or was not listed for a while',
+    async ({target, status}) => {
+      const harness = createHarness();
+      const {connector, directory} = harness;
+      await harness.send(target);
+      const {upstream} = connector.last;
+      const isWhole = status === 200 ? 'proof' : 'notRun';
+      connector.last.respond(status, [isWhole, '1', 'leaving', '1'], '');
+      const upstreams = [...plainUpstreams, ...engines];
+      const without = upstreams.filter(({id}) => id !== upstream.id);
+      for (const list of [upstreams, without, without, upstreams]) {
+        await harness.advance(1_000);
+        directory.replace(list);
+        await harness.flushPromises();
+      }
+      const sentBefore = connector.openedExchanges.length;
+      expect(harness.clock.monotonicMilliseconds()).toBeGreaterThan(
+        DRAIN_MILLISECONDS,
+      );
+      harness.configuration.confirm(harness.configuration.now());
+      for (let count = 0; count < 6; count++) {
+        await harness.send(target);
+      }
+      const later = sentTo(harness).slice(sentBefore);
+      expect(later).toHaveLength(6);
+      expect(later).not.toContain(upstream.id);
+    },
+  );
+});
+
 /** Exchanges that continue a stream. */
 function resumed({
   connector,
