An upstream that says in an answer that it leaves gets nothing new, whatever the list says

Callers of a leaving upstream would have lost their answers at its end: only the list told of a leave, and the list may be old or the store away. Cause: the header was not read. Now the word of an upstream, in any answer to a request or in a report, counts for its run and goes before the list, also when the list says ready or the row was missing for a while. It stands in the directory, so each choice (first sends, hedges, repeats, resumed streams, moves, layers) sees it.

--- a/src/features/fleet/common/upstreamControl.ts
+++ b/src/features/fleet/common/upstreamControl.ts
@@ -19,6 +19,8 @@
   readonly isBusy: boolean;
   /** Factor by which it is slower than its kind. */
   readonly slowness: number;
+  /** Whether it says that it is shutting down. */
+  readonly isLeaving: boolean;
   readonly layers: LayerRange | undefined;
   readonly stalled: readonly StalledRequest[];
 }
--- a/src/features/fleet/common/upstreamDirectory.ts
+++ b/src/features/fleet/common/upstreamDirectory.ts
@@ -20,6 +20,9 @@
  */
 const RECOVERY_MILLISECONDS = 2_000;
 
+/** Time for which the word of an upstream that it leaves is kept; none takes as long to end. */
+const LEAVING_MEMORY_MILLISECONDS = 10 * 60_000;
+
 /** The listed upstreams, found by service, identifier or address. */
 export class UpstreamDirectory extends DisposableOwner {
   private readonly changed = this.register(new Emitter<void>());
@@ -31,6 +34,8 @@
   private lastList: readonly Upstream[] = [];
   private lastDigest = digestUpstreams([]);
   private removalTimer: Disposable | undefined;
+  /** When upstreams said themselves that they leave, in monotonic milliseconds. */
+  private readonly saidLeavingAt = new Map<string, number>();
 
   /** Fires when an upstream was added, removed or changed. */
   readonly onDidChange = this.changed.event;
@@ -101,6 +106,29 @@
     this.apply(now);
   }
 
+  /**
+   * Records that an upstream said itself that it leaves. That counts for its run, whatever the list says: the list may be
+   * old, or missing during an outage of the platform.
+   */
+  markLeaving(id: string): void {
+    if (this.saidLeavingAt.has(id)) {
+      return;
+    }
+    const now = this.clock.monotonicMilliseconds();
+    this.removeForgotten(now);
+    this.saidLeavingAt.set(id, now);
+    this.logger.decision('upstreamSaidLeaving', {upstream: id});
+    this.apply(now);
+  }
+
+  private removeForgotten(now: number): void {
+    for (const [id, at] of this.saidLeavingAt) {
+      if (now - at > LEAVING_MEMORY_MILLISECONDS) {
+        this.saidLeavingAt.delete(id);
+      }
+    }
+  }
+
   private apply(now: number): void {
     const next = new Map(
       this.lastList.map(upstream => [upstream.id, upstream]),
@@ -109,6 +137,11 @@
       this.retainMissing(next);
       this.scheduleRemoval(this.completeAt - now);
     }
+    for (const [id, upstream] of next) {
+      if (!upstream.isLeaving && this.saidLeavingAt.has(id)) {
+        next.set(id, {...upstream, isLeaving: true});
+      }
+    }
     if (this.logChanges(next)) {
       this.set(next);
       this.changed.fire();
--- a/src/features/forwarding/node/admissionConnector.ts
+++ b/src/features/forwarding/node/admissionConnector.ts
@@ -1,5 +1,6 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Upstream} from '../../fleet/common/upstream.js';
+import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
 import {UpstreamAdmission} from '../../fleet/common/upstreamAdmission.js';
 import {UpstreamRests} from '../../fleet/common/upstreamRests.js';
@@ -14,7 +15,7 @@
 } from '../common/upstreamExchange.js';
 
 /**
- * Reads what upstreams ask of instances in their responses, and counts what is sent to them. Every request to an
+ * Reads in their responses what upstreams ask of instances and whether they leave, and counts what is sent to them. Every request to an
  * upstream passes through it.
  */
 export class AdmissionConnector extends UpstreamConnector {
@@ -22,6 +23,7 @@
     private readonly connector: UpstreamConnector,
     private readonly headerCodec: HeaderCodec,
     private readonly clock: Clock,
+    private readonly directory: UpstreamDirectory,
     private readonly limits: UpstreamLimitTracker,
     private readonly rests: UpstreamRests,
     private readonly admission: UpstreamAdmission,
@@ -45,6 +47,9 @@
         return;
       }
       this.limits.recordOwn(upstream.id, response.requestLimit, sentAt);
+      if (response.isLeaving) {
+        this.directory.markLeaving(upstream.id);
+      }
       const {restMilliseconds} = response;
       if (restMilliseconds !== undefined) {
         this.rests.record(upstream.id, restMilliseconds, isRelayed);
--- a/src/features/forwarding/node/upstreamProber.ts
+++ b/src/features/forwarding/node/upstreamProber.ts
@@ -187,6 +187,9 @@
     if (report.ok) {
       this.respondedAt.set(upstream.id, this.clock.monotonicMilliseconds());
       this.slowness.recordOwn(upstream.id, report.value.slowness);
+      if (report.value.isLeaving) {
+        this.directory.markLeaving(upstream.id);
+      }
       return report.value;
     }
     // Plain services refuse reports; a refusal also shows that the upstream is alive.
@@ -239,6 +242,7 @@
   orderCount: 0,
   isBusy: false,
   slowness: 1,
+  isLeaving: false,
   layers: undefined,
   stalled: [],
 };
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -257,6 +257,7 @@
           orderCount: 0,
           isBusy: false,
           slowness: 1,
+          isLeaving: false,
           layers: upstream.layers,
           stalled: [],
         });
@@ -465,6 +466,7 @@
         connector,
         headerCodec,
         clock,
+        directory,
         this.limits,
         rests,
         admission,
--- a/src/features/layers/test/layerController.test.ts
+++ b/src/features/layers/test/layerController.test.ts
@@ -49,6 +49,7 @@
       orderCount: this.counts.get(upstream.id) ?? 0,
       isBusy: false,
       slowness: 1,
+      isLeaving: false,
       layers: this.held.get(upstream.id),
       stalled: [],
     });
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -213,6 +213,7 @@
       connector,
       ports.headerCodec,
       clock,
+      directory,
       limits,
       rests,
       admission,
