Failing tests: bytes without end in a stream take the processor from all others

An event that never ends is given up at 1 MiB, but each chunk is searched and copied with all that came before it: 9.6 s of processor time in chunks of 256 bytes, 1.25 s in chunks of 1,460.

--- a/src/features/forwarding/test/eventSequence.test.ts
+++ b/src/features/forwarding/test/eventSequence.test.ts
@@ -11,7 +11,22 @@
   return `id: ${id}\ndata: piece ${id}\n\n`;
 }
 
+/** Callers allow a pause of this long between events; one upstream must not hold up all streams for longer. */
+const PAUSE_MILLISECONDS = 200;
+
 describe('EventFramer', () => {
+  it.each([1, 256, 1_460])(
+    'gives up an event without end in chunks of %i bytes before other streams are late',
+    chunkBytes => {
+      const sequence = new EventSequence(undefined);
+      const chunk = encoder.encode('x'.repeat(chunkBytes));
+      const startedAt = performance.now();
+      while (sequence.push(chunk).kind !== 'broken') {
+        expect(performance.now() - startedAt).toBeLessThan(PAUSE_MILLISECONDS);
+      }
+    },
+  );
+
   it.each([
     {name: 'line feeds', text: 'id: 1\ndata: a\n\n', ids: [1], rest: 0},
     {
