--- a/src/features/crashes/test/deadlyParts.test.ts
+++ b/src/features/crashes/test/deadlyParts.test.ts
@@ -129,6 +129,15 @@
   },
 );
 
+it('7 instances with few upstreams to begin at stop two accounts with the same deadly parts', () => {
+  const situation: Situation = {
+    name: 'with two accounts',
+    upstreamCount: 7,
+    deadly: [DEADLY, {...DEADLY, account: 'second'}],
+  };
+  expect(findProblems(situation, 7, 12)).toEqual([]);
+});
+
 it.each(situations)(
   '370 instances together stop requests with a deadly part and let sound ones through $name',
   situation => {
