--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -2,7 +2,6 @@
 import {formatPath, Path, upstreamIdsOf} from '../../paths/common/path.js';
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {CallerExchange, ResponseHead} from '../common/callerExchange.js';
-import {EventGapMeter} from '../common/eventGapMeter.js';
 import {EventSequence} from '../common/eventSequence.js';
 import {decideWithoutPath, pathRetryDelay} from '../common/pathWait.js';
 import {NotRunReason} from '../common/retryAfter.js';
@@ -18,12 +17,8 @@
 import {StreamAttempt, StreamAttemptListener} from './streamAttempt.js';
 import {StreamMonitor, WatchedStream} from './streamMonitor.js';
 import {StreamPath} from './streamPath.js';
-
-/**
- * Maximum attempts per stream, whatever the budget allows: a stream that broke this often may
- * itself cause the failures.
- */
-const ATTEMPT_LIMIT = 10;
+import {StreamResponse} from './streamResponse.js';
+import {StreamRetries} from './streamRetries.js';
 
 /** Forwards a stream along a path of upstreams and continues it elsewhere when the path breaks. */
 export class StreamForwarder
@@ -34,14 +29,12 @@
   private readonly pathChooser: PathChooser;
   private readonly streamPath: StreamPath;
   private readonly pathMover: PathMover;
-  private readonly gapMeter: EventGapMeter;
+  private readonly response: StreamResponse;
+  private readonly retries: StreamRetries;
   private readonly entryUpstreams: EntryUpstreams;
   private readonly promptWatch: PromptWatch;
   private attempt: StreamAttempt | undefined;
-  private head: ResponseHead | undefined;
   private sentAt = 0;
-  private firstEventMilliseconds = 0;
-  private attempts = 0;
   private moveCount = 0;
   private mayHaveRun = false;
   private isMoving = false;
@@ -62,7 +55,11 @@
       answerTokens: expectedAnswerLength(admitted, engine),
     };
     this.sequence = new EventSequence(facts.lastEvent);
-    this.gapMeter = new EventGapMeter(exchange.request.receivedAt);
+    this.response = new StreamResponse(services, exchange);
+    this.retries = new StreamRetries(services, admitted, this.sequence, () => ({
+      hasBegun: exchange.hasBegun,
+      hasTimeForAttempt: this.hasTimeForAttempt,
+    }));
     this.streamPath = new StreamPath(services, engine, size);
     this.pathChooser = new PathChooser(services, service, engine, size);
     this.entryUpstreams = new EntryUpstreams(
@@ -92,11 +89,9 @@
 
   protected override logFields(): Readonly<Record<string, unknown>> {
     return {
-      attempts: this.attempts,
+      attempts: this.retries.count,
       moves: this.moveCount,
-      events: this.gapMeter.events,
-      first: Math.round(this.firstEventMilliseconds),
-      longestPause: Math.round(this.gapMeter.longestGapMilliseconds),
+      ...this.response.logFields,
       path: formatPath(this.path),
       promptParts: this.admitted.facts.promptParts,
     };
@@ -106,12 +101,13 @@
     if (this.attempt === undefined || this.isMoving) {
       return undefined;
     }
+    const {lastEventAt, meanGapMilliseconds} = this.response.gaps;
     return {
       requestId: this.admitted.id,
       upstreams: upstreamIdsOf(this.path),
-      lastActivityAt: Math.max(this.sentAt, this.gapMeter.lastEventAt),
+      lastActivityAt: Math.max(this.sentAt, lastEventAt),
       hasBegun: this.attempt.hasEvents,
-      meanGapMilliseconds: this.gapMeter.meanGapMilliseconds,
+      meanGapMilliseconds,
       expectedGapMilliseconds: this.streamPath.expectedGapMilliseconds,
     };
   }
@@ -154,12 +150,6 @@
     return this.streamPath.path;
   }
 
-  /** Whether a request that was already sent may be sent again. */
-  private get canResend(): boolean {
-    const {route} = this.admitted;
-    return route.isResumable && this.sequence.canResume;
-  }
-
   private startAttempt(cause: string): void {
     const obstacle = this.promptWatch.findObstacle();
     if (obstacle !== undefined) {
@@ -171,7 +161,7 @@
       this.onNoPath(cause, choice);
       return;
     }
-    this.attempts++;
+    this.retries.recordAttempt();
     this.streamPath.startOn(choice.path);
     this.logDecision('pathChosen', {
       cause,
@@ -197,7 +187,7 @@
       {
         hasBegun: this.exchange.hasBegun,
         mayHaveRun: this.mayHaveRun,
-        silentMilliseconds: this.gapMeter.silence(this.now),
+        silentMilliseconds: this.response.silentMilliseconds,
         latencyTargetMilliseconds:
           this.admitted.route.latencyTargetMilliseconds,
       },
@@ -245,30 +235,19 @@
   }
 
   onStreamHead(head: ResponseHead): void {
-    // A response keeps the head of the attempt that delivered its first event.
-    if (!this.exchange.hasBegun) {
-      this.head = head;
-    }
+    this.response.recordHead(head);
   }
 
   onEvents(bytes: Uint8Array, count: number): void {
-    if (this.isDone || this.head === undefined) {
+    if (this.isDone || !this.response.hasHead) {
       return;
     }
-    if (!this.exchange.hasBegun) {
-      this.exchange.sendHead(this.head);
-      this.firstEventMilliseconds = this.elapsedMilliseconds;
-      this.services.metrics.recordFirstOutput(
-        'stream',
-        this.firstEventMilliseconds,
-      );
-    }
-    this.gapMeter.recordEvents(this.now, count);
+    const isKeepingUp = this.response.write(bytes, count);
     if (this.attempt !== undefined) {
       this.promptWatch.recordEvents(this.attempt);
     }
     this.mayHaveRun = true;
-    if (!this.exchange.write(bytes)) {
+    if (!isKeepingUp) {
       const {attempt} = this;
       attempt?.pause();
       this.exchange.whenDrained(() => attempt?.resume());
@@ -279,15 +258,9 @@
     if (this.isDone) {
       return;
     }
-    if (this.head !== undefined && !this.exchange.hasBegun) {
-      this.exchange.sendHead(this.head);
-    }
-    this.exchange.end();
+    this.response.end();
     this.promptWatch.recordSound();
-    this.services.metrics.recordLongestGap(
-      this.gapMeter.longestGapMilliseconds,
-    );
-    this.finish('answered', {status: this.head?.status});
+    this.finish('answered', {status: this.response.status});
   }
 
   onErrorResponse(
@@ -305,7 +278,7 @@
     }
     this.mayHaveRun = true;
     this.logDecision('upstreamFailed', {status: head.status});
-    if (this.canResend && this.tryTakeRetry()) {
+    if (this.retries.canResend && this.retries.tryTake()) {
       this.retry('upstreamFailed');
     } else if (this.exchange.hasBegun) {
       this.fail(502, 'the upstream failed midway');
@@ -342,7 +315,7 @@
     }
     const probe =
       upstream && this.services.prober.probe(upstream, 'reset', {detail});
-    if (!this.canResend) {
+    if (!this.retries.canResend) {
       this.fail(502, 'answerLost');
     } else if (this.promptWatch.isLastLoss) {
       // Whether the request may be sent again depends on whether the upstream has ended.
@@ -380,13 +353,11 @@
     if (this.isDone) {
       return;
     }
-    if (this.tryTakeRetry()) {
+    if (this.retries.tryTake()) {
       this.retry(cause);
       return;
     }
-    const isExhausted =
-      !this.hasTimeForAttempt || this.attempts >= ATTEMPT_LIMIT;
-    if (!this.exchange.hasBegun || isExhausted) {
+    if (!this.exchange.hasBegun || this.retries.isExhausted) {
       onExhausted();
       return;
     }
@@ -396,7 +367,7 @@
 
   /** Calls back after a delay that grows with the silence of the stream. */
   private scheduleRetry(callback: () => void): void {
-    const delay = pathRetryDelay(this.gapMeter.silence(this.now));
+    const delay = pathRetryDelay(this.response.silentMilliseconds);
     const timer = this.services.clock.setTimer(delay, () => {
       this.owned.delete(timer);
       callback();
@@ -416,7 +387,7 @@
         return;
       }
     }
-    const {events} = this.gapMeter;
+    const {events} = this.response.gaps;
     this.isMoving = true;
     this.moveCount++;
     const isMoved = await this.pathMover.order(move);
@@ -427,7 +398,7 @@
     if (isMoved) {
       this.services.metrics.recordRetry('moved');
       this.streamPath.moveTo(move.path);
-    } else if (this.gapMeter.events === events) {
+    } else if (this.response.gaps.events === events) {
       this.restart('notMoved');
     }
   }
@@ -437,7 +408,7 @@
    * start nowhere else goes on, since its upstream may only pause.
    */
   private restart(cause: string): boolean {
-    if (!this.canResend) {
+    if (!this.retries.canResend) {
       return false;
     }
     const current = this.path[0]?.upstream.id;
@@ -449,7 +420,7 @@
       this.logNotRestarted(cause);
       return false;
     }
-    if (!this.tryTakeRetry()) {
+    if (!this.retries.tryTake()) {
       this.logNotRestarted(cause);
       return false;
     }
@@ -466,24 +437,12 @@
       this.hasLoggedNoRestart = true;
       this.logDecision('notRestarted', {
         cause,
-        attempts: this.attempts,
+        attempts: this.retries.count,
         sentBefore: this.entryUpstreams.history,
       });
     }
   }
 
-  private tryTakeRetry(): boolean {
-    const {service} = this.admitted;
-    return (
-      this.hasTimeForAttempt &&
-      this.attempts < ATTEMPT_LIMIT &&
-      this.services.budget.tryTake(
-        service,
-        this.exchange.hasBegun ? 'begun' : 'first',
-      )
-    );
-  }
-
   private retry(cause: string): void {
     this.services.metrics.recordRetry(cause);
     this.startAttempt(cause);
