--- a/test/router/cuts.test.ts
+++ b/test/router/cuts.test.ts
@@ -21,6 +21,14 @@
 const CUT_MILLISECONDS = 7_000;
 const LEAST_SHARE = 2 / 3;
 
+/** The published bound: from half a second after an upstream asked an instance for rest, two requests of it. */
+const REST_SECONDS = 4;
+const REST_NOTICE_MILLISECONDS = 500;
+const REQUESTS_IN_REST = 2;
+
+/** Time in which each instance sends the upstream a request. */
+const ALL_ASKED_MILLISECONDS = 1_000;
+
 const PATHS = ['/chat/x', '/chat/y', '/book/', '/look/'];
 
 interface FirstTry {
@@ -124,6 +132,28 @@
     },
   );
 
+  it('keep off an upstream that asked for rest, and so do the peers that relay for them', async () => {
+    const cutOff = [system.instances[0]!, system.instances[2]!];
+    system.cut(cutOff, 'reset');
+    await playLoad(NOTICE_MILLISECONDS);
+    const [resting] = system.plainReplicas;
+    resting!.behaviour = 'refuse';
+    resting!.restSeconds = REST_SECONDS;
+    const arrivalsBefore = resting!.arrivedAt.length;
+    await playLoad(REST_SECONDS * 1_000);
+    const arrivals = resting!.arrivedAt.slice(arrivalsBefore);
+    const [askedAt = 0] = arrivals;
+    const inRest = arrivals.filter(
+      at =>
+        at > askedAt + ALL_ASKED_MILLISECONDS + REST_NOTICE_MILLISECONDS &&
+        at < askedAt + REST_SECONDS * 1_000,
+    );
+    expect(arrivals.length).toBeGreaterThan(0);
+    expect(inRest.length).toBeLessThanOrEqual(
+      REQUESTS_IN_REST * INSTANCE_COUNT,
+    );
+  });
+
   it('serve callers again over their own links after the cut', async () => {
     const cutOff = [system.instances[0]!, system.instances[2]!];
     await playCut(cutOff, 'hang');
--- a/test/standins/fleet/plainReplica.ts
+++ b/test/standins/fleet/plainReplica.ts
@@ -23,6 +23,8 @@
   readonly arrivedAt: number[] = [];
   /** Requests a second that it names as its limit; undefined if it names none. */
   requestLimit: number | undefined;
+  /** Seconds for which it wants no requests of an instance that it refuses; undefined if it asks for none. */
+  restSeconds: number | undefined;
   private readonly server: Server;
   /** How the replica handles requests: `refuse` does not execute them, `mute` executes but does not respond. */
   behaviour: 'answer' | 'fail' | 'refuse' | 'mute' = 'answer';
@@ -46,8 +48,17 @@
         const id = String(request.headers['request-id']);
         const limit = limitHeaders(this.requestLimit);
         if (this.behaviour === 'refuse') {
+          const rest =
+            this.restSeconds === undefined
+              ? {}
+              : {'retry-after': String(this.restSeconds)};
           response
-            .writeHead(503, {'not-run': '1', 'request-id': id, ...limit})
+            .writeHead(503, {
+              'not-run': '1',
+              'request-id': id,
+              ...limit,
+              ...rest,
+            })
             .end();
           return;
         }
