--- a/src/features/forwarding/node/entryUpstreams.ts
+++ b/src/features/forwarding/node/entryUpstreams.ts
@@ -21,8 +21,8 @@
 
 interface UsedEntry {
   readonly upstream: Upstream;
-  /** Whether it ended the connection of an attempt. */
-  readonly isConnectionEnded: boolean;
+  /** Whether a response of it broke off. */
+  readonly hasBrokenOff: boolean;
 }
 
 /**
@@ -43,7 +43,7 @@
   add(upstream: Upstream): void {
     const known = this.used.get(upstream.id);
     this.firstUsedByLast = known === undefined ? upstream.id : undefined;
-    this.used.set(upstream.id, known ?? {upstream, isConnectionEnded: false});
+    this.used.set(upstream.id, known ?? {upstream, hasBrokenOff: false});
   }
 
   /** Takes the last attempt back, of which nothing was written to its upstream. */
@@ -53,10 +53,10 @@
     }
   }
 
-  /** Records that the connection of an attempt has ended before its response did. */
-  recordConnectionEnd(upstream: Upstream): void {
+  /** Records that the response of an attempt broke off. */
+  recordBrokenOff(upstream: Upstream): void {
     if (this.used.has(upstream.id)) {
-      this.used.set(upstream.id, {upstream, isConnectionEnded: true});
+      this.used.set(upstream.id, {upstream, hasBrokenOff: true});
     }
   }
 
@@ -82,8 +82,8 @@
 
   /** Looks for a proof that one of the upstreams that count has ended. */
   seekProof(): void {
-    for (const {upstream, isConnectionEnded} of this.counted) {
-      this.services.endCheck.request(upstream, isConnectionEnded);
+    for (const {upstream, hasBrokenOff} of this.counted) {
+      this.services.endCheck.request(upstream, hasBrokenOff);
     }
   }
 
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -310,7 +310,7 @@
     }
     this.mayHaveRun = true;
     if (upstream !== undefined) {
-      this.entryUpstreams.recordConnectionEnd(upstream);
+      this.entryUpstreams.recordBrokenOff(upstream);
       this.promptWatch.recordLoss(upstream.id, attempt, true);
     }
     const probe =
@@ -412,9 +412,9 @@
       return false;
     }
     const current = this.path[0]?.upstream.id;
-    const isCurrentLost =
+    const isCurrentSuspect =
       current !== undefined && this.services.suspicions.isSuspect(current);
-    const excluded = isCurrentLost ? current : undefined;
+    const excluded = isCurrentSuspect ? current : undefined;
     if (!this.entryUpstreams.hasStartOtherThan(excluded)) {
       this.entryUpstreams.seekProof();
       this.logNotRestarted(cause);
--- a/src/features/forwarding/node/upstreamEndCheck.ts
+++ b/src/features/forwarding/node/upstreamEndCheck.ts
@@ -29,22 +29,22 @@
 
   /**
    * Starts a check unless one was started just before.
-   * @param isConnectionEnded whether the upstream ended the connection of a request. Only then is a refused
-   *     connection no sign of a limit on connections or of a lost link.
+   * @param hasBrokenOff whether a response of the upstream broke off. Otherwise a refused connection may only be a
+   *     sign of its limit on connections, or of a lost link.
    */
-  request(upstream: Upstream, isConnectionEnded: boolean): void {
+  request(upstream: Upstream, hasBrokenOff: boolean): void {
     const now = this.clock.monotonicMilliseconds();
     const checkedAt = this.checkedAt.get(upstream.id) ?? -Infinity;
     if (now - checkedAt >= PERIOD_MILLISECONDS) {
       this.removeOld(now);
       this.checkedAt.set(upstream.id, now);
-      void this.check(upstream, isConnectionEnded);
+      void this.check(upstream, hasBrokenOff);
     }
   }
 
   private async check(
     upstream: Upstream,
-    isConnectionEnded: boolean,
+    hasBrokenOff: boolean,
   ): Promise<void> {
     const report = await this.control.report(
       upstream,
@@ -53,7 +53,7 @@
     if (!report.ok && report.error.kind === 'misdirected') {
       this.ended.record(upstream.id, 'replaced');
     } else if (!report.ok && report.error.kind === 'noAnswer') {
-      if (isConnectionEnded && (await this.isRefused(upstream))) {
+      if (hasBrokenOff && (await this.isRefused(upstream))) {
         this.ended.record(upstream.id, 'refused');
       }
     }
