--- /dev/null
+++ b/review/2/case.js
@@ -0,0 +1,94 @@
+import {dirname} from 'node:path';
+import {clearInterval, setInterval, setTimeout} from 'node:timers';
+import {fileURLToPath} from 'node:url';
+
+import {send} from '../lib/client.js';
+import {EngineGroup, EVENTS, piece, writePieces} from '../lib/engines.js';
+import {hasTrouble, runCase, sleep} from '../lib/fleet.js';
+
+/** Streams, and which of them is answered by a replica that spoils one of its answers: 3 in 100. */
+const STREAMS = 100;
+const isSpoiled = id => Number(id.slice(-4)) % 34 === 20;
+
+const EVENT_MILLISECONDS = 14;
+/** The replica stands still after this piece, and then writes the next ones at once. */
+const LAST_BEFORE_PAUSE = 20;
+const PAUSE_MILLISECONDS = 42;
+
+const spoiledOnce = new Set();
+
+/** Writes a sound stream up to some piece, two more pieces and then one whose first line is spoiled. */
+function writeSpoiled(stream) {
+  const {id, first, response, group, engine} = stream;
+  if (!hasTrouble || !isSpoiled(id) || spoiledOnce.has(id)) {
+    writePieces(stream);
+    return;
+  }
+  spoiledOnce.add(id);
+  let number = first;
+  const timer = setInterval(() => {
+    response.write(piece(id, number));
+    number++;
+    if (number > LAST_BEFORE_PAUSE) {
+      clearInterval(timer);
+      setTimeout(() => {
+        const spoiled = piece(id, number + 2).replace('id: ', 'iq? ');
+        group.record.add(
+          `${engine.id} writes pieces ${number} and ${number + 1} of ${id}, and a spoiled one`,
+        );
+        response.write(piece(id, number) + piece(id, number + 1) + spoiled);
+      }, PAUSE_MILLISECONDS);
+    }
+  }, EVENT_MILLISECONDS);
+}
+
+await runCase(
+  dirname(fileURLToPath(import.meta.url)),
+  async (fleet, record) => {
+    const engines = new EngineGroup(fleet, record, writeSpoiled);
+    await engines.start();
+    await fleet.start(2);
+    await sleep(1_500);
+    const answers = [];
+    for (let index = 0; index < STREAMS; index++) {
+      const id = `quote${String(index).padStart(4, '0')}`;
+      const router = fleet.routers[index % fleet.routers.length];
+      answers.push(
+        send(router.front, {
+          path: '/quote/draft',
+          id,
+          deadline: 20_000,
+          headers: {
+            Model: 'daka510000',
+            'Token-Count': '800,146',
+            'Prefix-Hash': `5c1e07a2:40,${id}:760`,
+          },
+        }),
+      );
+      await sleep(100);
+    }
+    let broken = 0;
+    for (const {id, status, end, body} of await Promise.all(answers)) {
+      const expected = Array.from({length: EVENTS}, (_, index) =>
+        piece(id, index + 1),
+      );
+      const missing = expected.flatMap((text, index) =>
+        body.includes(text) ? [] : [index + 1],
+      );
+      if (status !== 200 || end !== 'whole' || missing.length > 0) {
+        record.add(
+          `client got ${status} (${end}) for ${id}; missing pieces: ${missing.join(' ')}`,
+        );
+      }
+      if (status === 200 && end === 'whole' && missing.length > 0) {
+        broken++;
+        record.add(
+          `ORDER: ${id} ended as complete without ${missing.join(' ')}`,
+        );
+      }
+    }
+    record.add(`${broken} of ${STREAMS} streams end as complete with a gap`);
+    engines.stop();
+    return broken > 0;
+  },
+);
