--- a/review/lib/engines.js
+++ b/review/lib/engines.js
@@ -114,12 +114,15 @@
     const path = request.headers['hop-count'];
     this.runs.push({id, engine: engine.id, first, path});
     this.record.add(`${engine.id} runs ${id} from piece ${first}`);
-    response.writeHead(200, {
+    const headers = {
       'content-type': 'text/event-stream',
       'request-id': id,
       'route-stamp': `${engine.id}.${id}`,
       'weight-versions': '1',
-    });
+    };
+    for (const [name, value] of Object.entries(headers)) {
+      response.setHeader(name, value);
+    }
     this.write({engine, id, first, response, group: this});
   }
 
--- a/review/lib/plain.js
+++ b/review/lib/plain.js
@@ -12,6 +12,8 @@
     this.answer = answer;
     /** Ids of the requests that it ran. */
     this.runs = [];
+    /** Ids of the requests that it works on, where `answer` keeps them. */
+    this.working = new Set();
     /** A silent replica reads on, and answers when it goes on. */
     this.silence = Promise.resolve();
     this.server = createServer((request, response) => {
@@ -22,6 +24,12 @@
 
   async start(host) {
     this.address = await listen(this.server, host);
+    this.born = Date.now();
+    this.write({});
+  }
+
+  /** Writes its row, with some fields changed; a field that is undefined is left out. */
+  write(fields) {
     this.fleet.store.put('servers', this.id, {
       Service: 'dispatch-app',
       Addr: this.address,
@@ -31,7 +39,8 @@
       State: 'ready',
       ColdLeftMs: 0,
       Seq: 1,
-      born: Date.now(),
+      born: this.born,
+      ...fields,
     });
   }
 
