--- a/review/2/case.js
+++ b/review/2/case.js
@@ -61,7 +61,7 @@
           headers: {
             Model: 'daka510000',
             'Token-Count': '800,146',
-            'Prefix-Hash': `5c1e07a2:40,${id}:760`,
+            'Prefix-Hash': `5c1e07a2:40,f00d${id.slice(-4)}:760`,
           },
         }),
       );
