Review: a script that can't run ends with 2

Without Python or with an error outside the case's own code Node would have ended with 1, which means a broken rule.

--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -295,9 +295,16 @@
   });
 }
 
-/** Runs a case: exit code 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
+/** Runs a case: exit code 0 if the rule held, 3 if it was broken, 2 if the case could not run. Node itself may end with 1. */
+const EXIT_CODES = [0, 3, 2];
+
 export async function runCase(folder, body) {
   const record = new Record(folder);
+  process.on('uncaughtException', error => {
+    record.add(`could not run: ${error.stack}`);
+    record.save();
+    process.exit(2);
+  });
   const fleet = new Fleet(record);
   const limit = setTimeout(() => process.exit(2), 115_000);
   let code = 2;
@@ -313,5 +320,5 @@
     clearTimeout(limit);
   }
   console.log(record.lines.at(-1).trim());
-  process.exit(code);
+  process.exit(EXIT_CODES[code]);
 }
