Streams: sound events that arrive in one read with a spoiled one are delivered

EventSequence counted events as delivered while it read them, and dropped those of a read when one behind them was faulty; the next attempt was asked to continue behind them. The events before the fault are now handed over with it, and the sequence moves on only when they have been written to the caller.

Evidence: log line answerLost 'only some events have identifiers', next attempt with Last-Event-Id 22, the client's last event 20.

--- a/src/features/forwarding/node/streamAttempt.ts
+++ b/src/features/forwarding/node/streamAttempt.ts
@@ -1,6 +1,7 @@
 import {Disposable} from '../../../base/common/lifecycle.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {ResponseHead} from '../common/callerExchange.js';
+import {StreamEvent} from '../common/eventFramer.js';
 import {EventSequence} from '../common/eventSequence.js';
 import {
   ExchangeFailure,
@@ -17,7 +18,7 @@
   /** The head of a successful response; events follow. */
   onStreamHead(head: ResponseHead): void;
   /** Complete events that continue the stream. */
-  onEvents(bytes: Uint8Array, count: number): void;
+  onEvents(events: readonly StreamEvent[]): void;
   /** The stream is complete. */
   onStreamEnd(): void;
   /** A complete response without a success status. */
@@ -110,12 +111,12 @@
       return;
     }
     const result = this.sequence.push(chunk);
+    if (result.events.length > 0) {
+      this.firstEventAt ??= this.services.clock.monotonicMilliseconds();
+      this.events.onEvents(result.events);
+    }
     if (result.kind === 'broken') {
       this.failAsLost(result.detail);
-    } else if (result.events.length > 0) {
-      this.firstEventAt ??= this.services.clock.monotonicMilliseconds();
-      const bytes = result.events.map(event => event.bytes);
-      this.events.onEvents(Buffer.concat(bytes), bytes.length);
     }
   }
 
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -2,6 +2,7 @@
 import {formatPath, Path, upstreamIdsOf} from '../../paths/common/path.js';
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {CallerExchange, ResponseHead} from '../common/callerExchange.js';
+import {StreamEvent} from '../common/eventFramer.js';
 import {EventSequence} from '../common/eventSequence.js';
 import {NotRunReason} from '../common/retryAfter.js';
 import {StreamProgress} from '../common/silentStreams.js';
@@ -224,15 +225,16 @@
     this.response.recordHead(head);
   }
 
-  onEvents(bytes: Uint8Array, count: number): void {
+  onEvents(events: readonly StreamEvent[]): void {
     if (this.isDone || !this.response.hasHead) {
       return;
     }
-    const isKeepingUp = this.response.write(bytes, count);
+    this.mayHaveRun = true;
+    const isKeepingUp = this.response.write(events);
+    this.sequence.recordDelivered(events);
     if (this.attempt !== undefined) {
       this.promptWatch.recordEvents(this.attempt);
     }
-    this.mayHaveRun = true;
     if (!isKeepingUp) {
       const {attempt} = this;
       attempt?.pause();
@@ -286,6 +288,7 @@
       detail,
       wasSent,
       writing: writing === undefined ? null : Math.round(writing),
+      lastEvent: this.sequence.lastEvent,
       promptParts: this.admitted.facts.promptParts,
     });
     if (!wasSent && upstream !== undefined) {
--- a/src/features/forwarding/node/streamResponse.ts
+++ b/src/features/forwarding/node/streamResponse.ts
@@ -1,5 +1,6 @@
 import {CallerExchange, ResponseHead} from '../common/callerExchange.js';
 import {EventGapMeter} from '../common/eventGapMeter.js';
+import {StreamEvent} from '../common/eventFramer.js';
 import {ForwardingServices} from './forwardingServices.js';
 
 /** The response to the caller of a stream, which may continue over several attempts. */
@@ -45,7 +46,7 @@
   }
 
   /** Forwards events; returns whether the caller reads fast enough. */
-  write(bytes: Uint8Array, count: number): boolean {
+  write(events: readonly StreamEvent[]): boolean {
     if (!this.exchange.hasBegun) {
       this.sendHead();
       const {receivedAt} = this.exchange.request;
@@ -55,8 +56,8 @@
         this.firstEventMilliseconds,
       );
     }
-    this.gapMeter.recordEvents(this.now, count);
-    return this.exchange.write(bytes);
+    this.gapMeter.recordEvents(this.now, events.length);
+    return this.exchange.write(Buffer.concat(events.map(({bytes}) => bytes)));
   }
 
   /** Ends the response as complete. */
--- a/src/features/forwarding/test/eventSequence.test.ts
+++ b/src/features/forwarding/test/eventSequence.test.ts
@@ -131,6 +131,35 @@
     );
   });
 
+  // Guards against events that arrive in one chunk with a fault behind them and are lost at the resumption.
+  it.each([
+    {fault: 'an event without an identifier', text: 'data: x\n\n'},
+    {fault: 'a gap', text: event(25)},
+    {fault: 'an event over the size limit', text: 'x'.repeat(2_000_000)},
+  ])(
+    'hands over sound events that arrive in one chunk with $fault',
+    ({text}) => {
+      const sequence = new EventSequence(undefined);
+      sequence.recordDelivered(sequence.push(encoder.encode(event(1))).events);
+      const chunk = encoder.encode(event(2) + event(3) + text);
+      const result = sequence.push(chunk);
+      expect(result.kind).toBe('broken');
+      expect(result.events.map(({id}) => id)).toEqual([2, 3]);
+      expect(sequence.lastEvent).toBe(1);
+      sequence.recordDelivered(result.events);
+      expect(sequence.lastEvent).toBe(3);
+    },
+  );
+
+  // Guards against a resumption behind events that were read but never written to the caller.
+  it('accepts events again that an attempt has read and the caller has not received', () => {
+    const sequence = new EventSequence(undefined);
+    sequence.push(encoder.encode(event(1) + event(2)));
+    sequence.beginAttempt();
+    const result = sequence.push(encoder.encode(event(1) + event(2)));
+    expect(result.events.map(({id}) => id)).toEqual([1, 2]);
+  });
+
   it('delivers each event once and in order, wherever attempts break off and chunks are split', () => {
     const attempts = fastCheck.array(
       fastCheck.record({
@@ -164,6 +193,7 @@
             const result = sequence.push(chunk);
             expect(result.kind).toBe('events');
             if (result.kind === 'events') {
+              sequence.recordDelivered(result.events);
               delivered += result.events
                 .map(({bytes}) => decoder.decode(bytes))
                 .join('');
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -8,7 +8,11 @@
   makeRoute,
 } from '../../traffic/test/trafficConfigurations.js';
 import {Mechanisms} from '../../mechanisms/common/mechanisms.js';
-import {FakeUpstreamExchange, ForwardingHarness} from './forwardingHarness.js';
+import {
+  eventText,
+  FakeUpstreamExchange,
+  ForwardingHarness,
+} from './forwardingHarness.js';
 
 const LAYERS = 8;
 
@@ -492,6 +496,35 @@
     expect(caller.outcome).toBe('router 502');
   });
 
+  // Guards against a gap: sound events that arrive together with a spoiled one were dropped, but counted as delivered.
+  it.each([
+    {target: '/stream/', outcome: 'stream'},
+    {target: '/once/', outcome: 'aborted'},
+  ])(
+    'of $target delivers the sound events that arrive in one read with a spoiled one',
+    async ({target, outcome}) => {
+      const harness = createHarness();
+      const caller = await harness.send(target);
+      const exchange = harness.connector.last;
+      exchange.head();
+      exchange.body(eventText(1));
+      exchange.body(
+        eventText(2) + eventText(3) + eventText(4).replace('id: ', 'iq? '),
+      );
+      await harness.advance(100);
+      const next = harness.connector.last;
+      if (next !== exchange) {
+        expect(next.added).toMatchObject({lastEvent: 3});
+        next.head();
+        next.sendEvents(4, 5);
+        next.end();
+      }
+      expect(caller.outcome).toBe(outcome);
+      const ids = outcome === 'stream' ? [1, 2, 3, 4, 5] : [1, 2, 3];
+      expect(caller.text).toBe(ids.map(eventText).join(''));
+    },
+  );
+
   it('that is not resumable is not sent again once it may have been executed', async () => {
     const harness = createHarness();
     const caller = await harness.send('/once/');
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -141,6 +141,11 @@
   return fields;
 }
 
+/** A sound event of a stream. */
+export function eventText(id: number): string {
+  return `id: ${id}\ndata: ${id}\n\n`;
+}
+
 /** One exchange with an upstream; the test sends the response. */
 export class FakeUpstreamExchange extends UpstreamExchange {
   isDisposed = false;
@@ -187,7 +192,7 @@
   /** Sends the events with identifiers in a range, both ends included. */
   sendEvents(from: number, to: number): void {
     for (let id = from; id <= to; id++) {
-      this.body(`id: ${id}\ndata: ${id}\n\n`);
+      this.body(eventText(id));
     }
   }
 
