Forwarding: a response that Node.js refuses to write no longer leaves its request unanswered

Of the 256 values at a place of the phrase Node.js refuses 158, those from 128 on included.

The phrase is forwarded if it is printable ASCII, else the standard one of the status is sent. HttpCallerExchange doesn't throw any more: what Node.js refuses is answered with 502 or a closed connection, is logged as 'response not written', and ends the request as 'unwritable'.

Evidence: with both halves of the fix taken out, spoiledHeads.test.ts fails for 158 values at place 14 (no answer), and for the refused head, whole and in parts (the other places were not run without the fix).

--- a/src/features/forwarding/common/callerExchange.ts
+++ b/src/features/forwarding/common/callerExchange.ts
@@ -27,6 +27,7 @@
 /** Status line and headers of a response. */
 export interface ResponseHead {
   readonly status: number;
+  /** Reason phrase as received; callers get the standard phrase of the status in place of one that HTTP doesn't allow. */
   readonly reason: string;
   readonly headers: RawHeaders;
 }
@@ -43,20 +44,25 @@
 
 /**
  * Responds to one request. Calls after the response has ended or the caller has disconnected have no
- * effect.
+ * effect. No call throws.
  */
 export abstract class CallerExchange {
   abstract readonly request: CallerRequest;
   /** Fires once if the caller disconnects before the response has ended. */
   abstract readonly onDidDisconnect: Event<void>;
+  /**
+   * Fires once with a description if a response can't be written. The exchange is over then: the caller has an error
+   * response or, if one had begun, a closed connection.
+   */
+  abstract readonly onDidFail: Event<string>;
   /** Whether the response has ended or the caller has disconnected. */
   abstract get isOver(): boolean;
   /** Whether the head of a response was sent. */
   abstract get hasBegun(): boolean;
   /** Reads the body; resolves with undefined if it exceeds the limit or the caller disconnects. */
   abstract readBody(limitBytes: number): Promise<Uint8Array | undefined>;
-  /** Sends a complete upstream response. */
-  abstract sendResponse(head: ResponseHead, body: Uint8Array): void;
+  /** Sends a complete upstream response; returns false if it can't be written. */
+  abstract sendResponse(head: ResponseHead, body: Uint8Array): boolean;
   /** Sends a response that the router generated. */
   abstract sendRouterResponse(response: RouterResponse): void;
   /** Sends the head of a response whose body follows in chunks. */
--- a/src/features/forwarding/node/httpCallerExchange.ts
+++ b/src/features/forwarding/node/httpCallerExchange.ts
@@ -1,4 +1,4 @@
-import {IncomingMessage, ServerResponse} from 'node:http';
+import {IncomingMessage, ServerResponse, STATUS_CODES} from 'node:http';
 
 import {Emitter, Event} from '../../../base/common/event.js';
 import {
@@ -8,6 +8,7 @@
   RouterResponse,
 } from '../common/callerExchange.js';
 
+const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
 const OK = 200;
 const NO_CONTENT = 204;
@@ -16,10 +17,15 @@
 /** Decimal places of the retry delay in seconds. */
 const RETRY_AFTER_DECIMALS = 3;
 
+/** Reason phrases that are forwarded. Node.js throws on control characters and on text beyond Latin-1. */
+const FORWARDED_REASON = /^[\t\x20-\x7e]+$/;
+
 /** A caller's request on Node's HTTP server. */
 export class HttpCallerExchange extends CallerExchange {
   private readonly disconnected = new Emitter<void>();
   override readonly onDidDisconnect: Event<void> = this.disconnected.event;
+  private readonly failed = new Emitter<string>();
+  override readonly onDidFail: Event<string> = this.failed.event;
   override readonly request: CallerRequest;
   private hasDisconnected = false;
   private hasEnded = false;
@@ -70,15 +76,17 @@
     });
   }
 
-  override sendResponse(head: ResponseHead, body: Uint8Array): void {
+  override sendResponse(head: ResponseHead, body: Uint8Array): boolean {
     if (this.isOver || this.hasBegun) {
-      return;
+      return true;
     }
     const hasBody = head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
     const length = hasBody ? ['content-length', String(body.length)] : [];
-    this.writeHead(head, [...head.headers, ...length]);
-    this.hasEnded = true;
-    this.response.end(hasBody ? body : undefined);
+    return this.guard(() => {
+      this.writeHead(head, [...head.headers, ...length]);
+      this.hasEnded = true;
+      this.response.end(hasBody ? body : undefined);
+    });
   }
 
   override sendRouterResponse(routerResponse: RouterResponse): void {
@@ -105,8 +113,10 @@
 
   override sendHead(head: ResponseHead): void {
     if (!this.isOver && !this.hasBegun) {
-      this.writeHead(head, head.headers);
-      this.response.flushHeaders();
+      this.guard(() => {
+        this.writeHead(head, head.headers);
+        this.response.flushHeaders();
+      });
     }
   }
 
@@ -136,14 +146,44 @@
     const connectionHeaders = this.closesConnection()
       ? ['connection', 'close']
       : [];
-    const all = [...headers, ...connectionHeaders];
-    const {status, reason} = head;
+    const {status} = head;
+    const reason = FORWARDED_REASON.test(head.reason)
+      ? head.reason
+      : (STATUS_CODES[status] ?? '');
     this.response.sendDate = false;
-    if (reason === '') {
-      this.response.writeHead(status, all);
-    } else {
-      this.response.writeHead(status, reason, all);
+    this.response.writeHead(status, reason, [...headers, ...connectionHeaders]);
+  }
+
+  /**
+   * Ends the exchange with an error if Node.js refuses to write a response, so that no request stays unanswered. Returns
+   * whether it was written.
+   */
+  private guard(write: () => void): boolean {
+    try {
+      write();
+      return true;
+    } catch (error) {
+      this.hasEnded = true;
+      this.sendFailure();
+      this.failed.fire(String(error));
+      return false;
+    }
+  }
+
+  private sendFailure(): void {
+    if (this.response.headersSent) {
+      this.response.destroy();
+      return;
     }
+    const body = Buffer.from(JSON.stringify({error: 'unwritable response'}));
+    this.response
+      .writeHead(BAD_GATEWAY, STATUS_CODES[BAD_GATEWAY], [
+        'content-type',
+        'application/json',
+        'content-length',
+        String(body.length),
+      ])
+      .end(body);
   }
 
   private handleClose(): void {
--- a/src/features/forwarding/node/requestForwarder.ts
+++ b/src/features/forwarding/node/requestForwarder.ts
@@ -46,6 +46,7 @@
     this.owned.add(
       this.exchange.onDidDisconnect(() => this.finish('callerLeft')),
     );
+    this.owned.add(this.exchange.onDidFail(() => this.finish('unwritable')));
     if (this.exchange.isOver) {
       this.finish('callerLeft');
       return done;
@@ -155,7 +156,10 @@
 
   /** Forwards an upstream's complete response and ends the request. */
   protected forwardResponse(head: ResponseHead, body: Uint8Array): void {
-    this.exchange.sendResponse(head, body);
+    if (!this.exchange.sendResponse(head, body)) {
+      this.finish('unwritable', {status: head.status});
+      return;
+    }
     this.services.metrics.recordFirstOutput(
       this.admitted.route.kind,
       this.elapsedMilliseconds,
--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -76,6 +76,10 @@
   /** Handles one request until it has ended. */
   async handle(exchange: CallerExchange): Promise<void> {
     this.inProgress++;
+    const {target} = exchange.request;
+    exchange.onDidFail(detail =>
+      this.services.logger.error('response not written', {target, detail}),
+    );
     try {
       await this.process(exchange);
     } finally {
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -74,6 +74,13 @@
 
 /** Test harness for forwarding: everything outside it is replaced by fakes that a test controls. */
 
+/** Headers that say how a body is framed, which are not forwarded. */
+const FRAMING_HEADERS = new Set([
+  'connection',
+  'content-length',
+  'transfer-encoding',
+]);
+
 /** Headers with plain names; the values that the router adds are one header in JSON. */
 export class FakeHeaderCodec extends HeaderCodec {
   override readRequest(headers: RawHeaders): RequestMetadata {
@@ -127,7 +134,10 @@
   }
 
   override callerHeaders(headers: RawHeaders): string[] {
-    return [...headers];
+    return headers.filter((_, index) => {
+      const name = headers[index - (index % 2)]!.toLowerCase();
+      return !FRAMING_HEADERS.has(name);
+    });
   }
 }
 
@@ -334,6 +344,7 @@
 export class FakeCaller extends CallerExchange {
   private readonly disconnected = new Emitter<void>();
   override readonly onDidDisconnect = this.disconnected.event;
+  override readonly onDidFail = new Emitter<string>().event;
   own: RouterResponse | undefined;
   whole: {head: ResponseHead; body: string} | undefined;
   text = '';
@@ -362,11 +373,12 @@
     return body.length > limitBytes ? undefined : body;
   }
 
-  override sendResponse(head: ResponseHead, body: Uint8Array): void {
+  override sendResponse(head: ResponseHead, body: Uint8Array): boolean {
     if (!this.isOver) {
       this.whole = {head, body: Buffer.from(body).toString()};
       this.isEnded = true;
     }
+    return true;
   }
 
   override sendRouterResponse(response: RouterResponse): void {
@@ -439,8 +451,11 @@
     configuration: TrafficConfiguration,
     upstreams: readonly Upstream[],
     mechanisms: Partial<Mechanisms> = {},
+    /** Sends requests in place of the fake. */
+    realConnector?: UpstreamConnector,
   ) {
-    const {clock, connector, control} = this;
+    const {clock, control} = this;
+    const connector = realConnector ?? this.connector;
     const logger = new SilentLogger();
     this.configuration = new ActiveConfiguration(clock, logger, 4000);
     this.configuration.activateIfNewer(configuration);
--- /dev/null
+++ b/src/features/forwarding/test/spoiledHeads.test.ts
@@ -0,0 +1,340 @@
+import {
+  Agent,
+  createServer as createHttpServer,
+  IncomingMessage,
+  request,
+  Server as HttpServer,
+} from 'node:http';
+import {AddressInfo, createServer, Server} from 'node:net';
+
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {DirectDialer} from '../../../infrastructure/http/node/directDialer.js';
+import {Upstream} from '../../fleet/common/upstream.js';
+import {makeUpstream} from '../../fleet/test/upstreams.js';
+import {layeredEngine} from '../../paths/test/engines.js';
+import {
+  makeConfiguration,
+  makeRoute,
+} from '../../traffic/test/trafficConfigurations.js';
+import {HttpCallerExchange} from '../node/httpCallerExchange.js';
+import {HttpUpstreamConnector} from '../node/httpUpstreamConnector.js';
+import {eventText, ForwardingHarness} from './forwardingHarness.js';
+
+/** Answers with a spoiled status line on their way from a real socket of an upstream to a real socket of a caller. */
+
+const STATUS_LINE = 'HTTP/1.1 200 OK\r\n';
+const BYTE_VALUES = 256;
+const EVENT_COUNT = 4;
+const LAYERS = 8;
+
+/** Requests with one harness: fewer than its retry budget allows to be repeated. */
+const BATCH_SIZE = 64;
+
+/** A request without an answer counts as unanswered after this time; sound ones take some milliseconds. */
+const ANSWER_LIMIT_MILLISECONDS = 1_500;
+
+const configuration = makeConfiguration({
+  routes: [
+    makeRoute({
+      name: 'unsafe',
+      pathPrefix: '/unsafe/',
+      kind: 'unsafe',
+      attemptLimit: 1,
+    }),
+    makeRoute({
+      name: 'stream',
+      pathPrefix: '/stream/',
+      kind: 'stream',
+      isResumable: true,
+      targets: [{service: 'model', weight: 1}],
+    }),
+  ],
+  services: [
+    ...makeConfiguration().services,
+    {
+      name: 'model',
+      healthPath: '/healthz',
+      connectionLimit: 100,
+      engine: layeredEngine(LAYERS),
+    },
+  ],
+});
+
+/** Changes the status line of the first answer to a request. */
+interface Spoiling {
+  readonly place: number;
+  readonly value: number;
+}
+
+interface Answer {
+  readonly status: number | undefined;
+  readonly body: string;
+  readonly isComplete: boolean;
+}
+
+/** An upstream that answers each request from a socket, and spoils the first answer as the request asks. */
+class SpoilingUpstream {
+  readonly runsOf = new Map<string, number>();
+  private readonly server: Server;
+
+  constructor(private readonly isModel: boolean) {
+    this.server = createServer(socket => {
+      let received = '';
+      socket.on('error', () => undefined);
+      socket.on('data', bytes => {
+        received += bytes.toString('latin1');
+        if (received.includes('\r\n\r\n')) {
+          socket.write(this.answer(received));
+          received = '';
+        }
+      });
+    });
+  }
+
+  async start(): Promise<string> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    return addressOf(this.server);
+  }
+
+  stop(): void {
+    this.server.close();
+  }
+
+  private answer(received: string): Buffer {
+    const id = /^id: (.*)\r$/m.exec(received)?.[1] ?? '';
+    const runs = (this.runsOf.get(id) ?? 0) + 1;
+    this.runsOf.set(id, runs);
+    const lastEvent = Number(/"lastEvent":(\d+)/.exec(received)?.[1] ?? 0);
+    const body = this.isModel ? eventsAfter(lastEvent) : 'body';
+    const answer = Buffer.from(
+      `${STATUS_LINE}id: ${id}\r\nproof: p\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+    );
+    const [place, value] = id.split('-').map(Number);
+    const isFirst = lastEvent === 0 && (runs === 1 || !this.isModel);
+    if (isFirst && place !== undefined && value !== undefined) {
+      answer[place] = value;
+    }
+    return answer;
+  }
+}
+
+/** Forwarding between a caller's socket and upstreams. */
+class SocketHarness {
+  readonly forwarding: ForwardingHarness;
+  private readonly connector = new HttpUpstreamConnector(new DirectDialer());
+  private readonly server: HttpServer;
+  private readonly agent = new Agent({keepAlive: true, maxSockets: 16});
+
+  constructor(upstreams: readonly Upstream[]) {
+    this.forwarding = new ForwardingHarness(
+      configuration,
+      upstreams,
+      {},
+      this.connector,
+    );
+    const {clock, handler} = this.forwarding;
+    this.server = createHttpServer((message, response) => {
+      const exchange = new HttpCallerExchange(
+        message,
+        response,
+        clock.monotonicMilliseconds(),
+        () => false,
+      );
+      void handler.handle(exchange);
+    });
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', () => resolve()),
+    );
+  }
+
+  send(target: string, id: string): Promise<Answer> {
+    const [host, port] = addressOf(this.server).split(':');
+    return new Promise(resolve => {
+      const outgoing = request({
+        host,
+        port,
+        path: target,
+        method: 'POST',
+        agent: this.agent,
+        headers: {id, host: 'host.example', key: 'key'},
+        timeout: ANSWER_LIMIT_MILLISECONDS,
+      });
+      outgoing.on('response', (message: IncomingMessage) => {
+        const chunks: Buffer[] = [];
+        message.on('data', (chunk: Buffer) => chunks.push(chunk));
+        message.on('error', () => undefined);
+        message.on('close', () =>
+          resolve({
+            status: message.statusCode,
+            body: Buffer.concat(chunks).toString(),
+            isComplete: message.complete,
+          }),
+        );
+      });
+      outgoing.on('timeout', () => outgoing.destroy());
+      outgoing.on('error', () =>
+        resolve({status: undefined, body: '', isComplete: false}),
+      );
+      outgoing.end();
+    });
+  }
+
+  stop(): void {
+    this.agent.destroy();
+    this.server.close();
+    this.server.closeAllConnections();
+    this.connector.dispose();
+  }
+}
+
+const stops: Array<() => void> = [];
+
+afterEach(() => stops.splice(0).forEach(stop => stop()));
+
+async function startUpstream(
+  service: string,
+  index: number,
+): Promise<{upstream: Upstream; standIn: SpoilingUpstream}> {
+  const isModel = service === 'model';
+  const standIn = new SpoilingUpstream(isModel);
+  stops.push(() => standIn.stop());
+  const upstream = makeUpstream({
+    id: `${service}-${index}`,
+    service,
+    address: await standIn.start(),
+    acceleratorKind: 'small',
+    layers: isModel ? {from: 0, to: LAYERS} : undefined,
+  });
+  return {upstream, standIn};
+}
+
+/** Sends requests whose answers have each of some byte values at one place of their status line. */
+async function sendAll(
+  harness: SocketHarness,
+  target: string,
+  place: number,
+  values: readonly number[],
+): Promise<ReadonlyArray<Answer & Spoiling>> {
+  return Promise.all(
+    values.map(async value => {
+      const answer = await harness.send(target, `${place}-${value}`);
+      return {...answer, place, value};
+    }),
+  );
+}
+
+describe('a status line with any value in its byte', () => {
+  const places = [...STATUS_LINE].map((character, place) => ({
+    place,
+    character: JSON.stringify(character),
+  }));
+  const kinds = [
+    {service: 's', target: '/unsafe/x'},
+    {service: 'model', target: '/stream/x'},
+  ];
+
+  // Guards against a reason phrase that Node.js refuses to write: the request was never answered.
+  it.each(kinds.flatMap(kind => places.map(place => ({...kind, ...place}))))(
+    '$place ($character) from $service leads to one sound answer or an error',
+    async ({service, target, place}) => {
+      const started = await Promise.all(
+        [0, 1].map(index => startUpstream(service, index)),
+      );
+      const upstreams = started.map(({upstream}) => upstream);
+      const answers: Array<Answer & Spoiling> = [];
+      for (let from = 0; from < BYTE_VALUES; from += BATCH_SIZE) {
+        const harness = new SocketHarness(upstreams);
+        stops.push(() => harness.stop());
+        await harness.start();
+        const values = [...Array(BATCH_SIZE).keys()].map(index => from + index);
+        answers.push(...(await sendAll(harness, target, place, values)));
+        expect(harness.forwarding.handler.count).toBe(0);
+      }
+      const wrong = answers.filter(answer => !isAllowed(answer, service));
+      expect(wrong.map(describeAnswer)).toEqual([]);
+      const runs = (id: string): number =>
+        started.reduce(
+          (sum, {standIn}) => sum + (standIn.runsOf.get(id) ?? 0),
+          0,
+        );
+      if (service === 's') {
+        const repeated = answers.filter(
+          ({value}) => runs(`${place}-${value}`) !== 1,
+        );
+        expect(repeated.map(describeAnswer)).toEqual([]);
+      }
+    },
+  );
+});
+
+describe('a response that Node.js refuses to write', () => {
+  // Guards against an exception on the way to a caller: the request stayed unanswered and counted as in progress.
+  it.each([
+    {name: 'whole', send: 'sendResponse'},
+    {name: 'in parts', send: 'sendHead'},
+  ] as const)('is answered with 502 when sent $name', async ({send}) => {
+    const failures: string[] = [];
+    const server = createHttpServer((message, response) => {
+      const exchange = new HttpCallerExchange(
+        message,
+        response,
+        0,
+        () => false,
+      );
+      exchange.onDidFail(detail => failures.push(detail));
+      const head = {status: 200, reason: '', headers: ['x', 'a\u0003']};
+      exchange[send](head, Buffer.from('body'));
+      exchange.write(Buffer.from('more'));
+      exchange.end();
+      expect(exchange.isOver).toBe(true);
+    });
+    stops.push(() => server.close());
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const response = await fetch(`http://${addressOf(server)}/`);
+    expect(response.status).toBe(502);
+    expect(await response.json()).toEqual({error: 'unwritable response'});
+    expect(failures).toEqual([expect.stringContaining('ERR_INVALID_CHAR')]);
+  });
+});
+
+/** A sound answer is whole; an error of the router is complete, and a stream that has begun is broken off without a gap. */
+function isAllowed(
+  {status, body, isComplete}: Answer,
+  service: string,
+): boolean {
+  if (status === undefined) {
+    return false;
+  }
+  if (status === 502) {
+    return isComplete;
+  }
+  const whole = service === 'model' ? eventsAfter(0) : 'body';
+  return isComplete
+    ? body === whole || status === 204 || status === 304
+    : whole.startsWith(body);
+}
+
+function describeAnswer({value, status, body}: Answer & Spoiling): string {
+  return `byte ${value}: ${status} ${body}`;
+}
+
+function eventsAfter(last: number): string {
+  const ids = [...Array(EVENT_COUNT).keys()].map(index => index + 1);
+  return ids
+    .filter(id => id > last)
+    .map(eventText)
+    .join('');
+}
+
+function addressOf(server: Server): string {
+  const {address, port} = server.address() as AddressInfo;
+  return `${address}:${port}`;
+}
