Bundle: a failed assertion of a library no longer holds up the instance for seconds

Answers whose status is below 100 or 101 fail assertions of undici that have no message. Node.js builds one by parsing the calling source, the whole bundle: four such answers at two instances took 4,393 to 4,423 ms (limit 3,000 ms). The bundle gets assertions that throw a fixed message instead.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -13,6 +13,7 @@
 
 const BUNDLE = resolve('target/router.bundle');
 const ABSENT = resolve('deploy/absentModule.cjs');
+const ASSERT = resolve('deploy/assert.cjs');
 
 /** Creates the code cache after loading the bundle once, so that it includes the functions that run on load. */
 function createCodeCache() {
@@ -38,6 +39,8 @@
   alias: {
     undici: resolve('deploy/undiciDispatchers.js'),
     'undici/lib': resolve('node_modules/undici/lib'),
+    assert: ASSERT,
+    'node:assert': ASSERT,
     'dtrace-provider': ABSENT,
     mv: ABSENT,
     'source-map-support': ABSENT,
