Streams: an event that lost its blank line, its identifier or its data breaks the attempt, not the stream

Callers got a piece twice when a spoiled blank line joined two events (one event with two id lines, then a gap, then a resumption behind the first id), and lost the resumption when the first event came without an id. A status spoiled to 204 ended a stream as complete without an event.

Where another attempt may continue the stream, each event must have one identifier and data, a new stream begins with event 1 (or 0), and the identifiers of an attempt count up by one after the delivered events that it may repeat. A stream that ends before any event is lost.

--- a/src/features/forwarding/common/eventFramer.ts
+++ b/src/features/forwarding/common/eventFramer.ts
@@ -2,14 +2,17 @@
 
 /** One complete event with its raw bytes. */
 export interface StreamEvent {
-  /** Undefined if the event has no numeric identifier. */
+  /** Undefined if the event has no numeric identifier, or several. */
   readonly id: number | undefined;
+  /** Whether the event has data, without which callers don't receive it. */
+  readonly hasData: boolean;
   readonly bytes: Uint8Array;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_FIELD = /^id: ?(\d+)\r?$/m;
+const ID_FIELDS = /^id: ?(\d+)\r?$/gm;
+const DATA_FIELD = /^data(:|\r?$)/m;
 
 /** Maximum size of a buffered incomplete event; an attempt with a longer event is abandoned. */
 const EVENT_LIMIT_BYTES = 1024 * 1024;
@@ -93,7 +96,10 @@
   }
 
   private toEvent(bytes: Uint8Array): StreamEvent {
-    const match = ID_FIELD.exec(this.decoder.decode(bytes));
-    return {id: match ? Number(match[1]) : undefined, bytes};
+    const text = this.decoder.decode(bytes);
+    const ids = [...text.matchAll(ID_FIELDS)].map(match => Number(match[1]));
+    // An event with several identifiers is several events that have lost the blank line between them.
+    const id = ids.length === 1 ? ids[0] : undefined;
+    return {id, hasData: DATA_FIELD.test(text), bytes};
   }
 }
--- a/src/features/forwarding/common/eventSequence.ts
+++ b/src/features/forwarding/common/eventSequence.ts
@@ -12,19 +12,31 @@
       readonly events: readonly StreamEvent[];
     };
 
+/** The identifier of the first event of a stream; an upstream may count from one less. */
+const FIRST_ID = 1;
+
 /**
  * Joins the attempts of one stream so that each event is delivered once and in order, whichever attempt it
- * comes from. An event that was delivered before is dropped; a gap breaks the attempt. Events that were read but
- * not reported as delivered are expected again from the next attempt.
+ * comes from. An attempt may begin with events that were delivered before, which are dropped; from there on its events
+ * count up by one, and any other identifier breaks it. Events that were read but not reported as delivered are expected
+ * again from the next attempt.
  */
 export class EventSequence {
   private framer = new EventFramer();
   private isNumbered: boolean | undefined;
   /** The last event that the current attempt continues: read from it or delivered before it. */
   private lastReadId: number | undefined;
+  /** The last event of the current attempt, delivered before or not. */
+  private lastAttemptId: number | undefined;
 
-  /** @param deliveredId last event that the caller has already received; undefined at the start of a stream */
-  constructor(private deliveredId: number | undefined) {
+  /**
+   * @param deliveredId last event that the caller has already received; undefined at the start of a stream
+   * @param requiresIds whether each event must have an identifier, since another attempt may continue the stream
+   */
+  constructor(
+    private deliveredId: number | undefined,
+    private readonly requiresIds: boolean,
+  ) {
     this.lastReadId = deliveredId;
   }
 
@@ -33,20 +45,21 @@
     return this.deliveredId;
   }
 
+  /** Whether the caller has received an event, from this or an earlier response. */
+  get hasEvents(): boolean {
+    return this.deliveredId !== undefined || this.isNumbered === false;
+  }
+
   /** Whether the current attempt has stopped in the middle of an event. */
   get hasPartialEvent(): boolean {
     return this.framer.pendingBytes > 0;
   }
 
-  /** Whether another attempt can continue the stream, which requires events with identifiers. */
-  get canResume(): boolean {
-    return this.isNumbered !== false;
-  }
-
   /** Starts a new attempt and drops what the previous one has read without delivering it. */
   beginAttempt(): void {
     this.framer = new EventFramer();
     this.lastReadId = this.deliveredId;
+    this.lastAttemptId = undefined;
   }
 
   /** Adds bytes received by the current attempt. */
@@ -77,18 +90,35 @@
     this.deliveredId = events.at(-1)?.id ?? this.deliveredId;
   }
 
-  private findProblem({id}: StreamEvent): string | undefined {
+  private findProblem({id, hasData}: StreamEvent): string | undefined {
     const isNumbered = id !== undefined;
+    if (!isNumbered && this.requiresIds) {
+      return 'an event has no identifier, or several';
+    }
     if (this.isNumbered !== undefined && this.isNumbered !== isNumbered) {
       return 'only some events have identifiers';
     }
     this.isNumbered = isNumbered;
-    if (id === undefined || this.lastReadId === undefined) {
+    if (!isNumbered) {
       return undefined;
     }
-    return id > this.lastReadId + 1
-      ? `event ${id} received after event ${this.lastReadId}`
-      : undefined;
+    if (!hasData && this.requiresIds) {
+      return `event ${id} has no data`;
+    }
+    return this.findWrongOrder(id);
+  }
+
+  private findWrongOrder(id: number): string | undefined {
+    const previous = this.lastAttemptId;
+    const isExpected =
+      previous === undefined
+        ? id <= (this.lastReadId ?? FIRST_ID - 1) + 1
+        : id === previous + 1;
+    if (!isExpected) {
+      return `event ${id} received after event ${previous ?? this.lastReadId ?? 'none'}`;
+    }
+    this.lastAttemptId = id;
+    return undefined;
   }
 
   private isNew({id}: StreamEvent): boolean {
--- a/src/features/forwarding/node/streamAttempt.ts
+++ b/src/features/forwarding/node/streamAttempt.ts
@@ -152,6 +152,10 @@
       this.failAsLost('stream ended in the middle of an event');
       return;
     }
+    if (this.isStream && !this.sequence.hasEvents) {
+      this.failAsLost('stream ended without an event');
+      return;
+    }
     this.isDone = true;
     if (this.isStream) {
       this.events.onStreamEnd();
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -49,23 +49,23 @@
     private readonly monitor: StreamMonitor,
   ) {
     super(services, exchange, admitted);
-    const {facts, service} = admitted;
+    const {facts, route, service} = admitted;
     const size = {
       promptTokens: facts.promptTokens,
       answerTokens: expectedAnswerLength(admitted, engine),
     };
-    this.sequence = new EventSequence(facts.lastEvent);
+    this.sequence = new EventSequence(
+      facts.lastEvent,
+      route.isResumable || facts.lastEvent !== undefined,
+    );
     this.response = new StreamResponse(services, exchange);
-    this.retries = new StreamRetries(services, admitted, this.sequence, () => ({
+    this.retries = new StreamRetries(services, admitted, () => ({
       hasBegun: exchange.hasBegun,
       hasTimeForAttempt: this.hasTimeForAttempt,
     }));
     this.streamPath = new StreamPath(services, engine, size);
     this.pathChooser = new PathChooser(services, service, engine, size);
-    this.entryUpstreams = new EntryUpstreams(
-      services,
-      admitted.route.attemptLimit,
-    );
+    this.entryUpstreams = new EntryUpstreams(services, route.attemptLimit);
     this.pathMover = new PathMover(services, admitted.id, this.pathChooser);
     this.promptWatch = new PromptWatch(services, admitted);
     this.waiting = new StreamWait(
--- a/src/features/forwarding/node/streamRetries.ts
+++ b/src/features/forwarding/node/streamRetries.ts
@@ -1,4 +1,3 @@
-import {EventSequence} from '../common/eventSequence.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {AdmittedRequest} from './requestForwarder.js';
 
@@ -23,7 +22,6 @@
   constructor(
     private readonly services: Pick<ForwardingServices, 'budget'>,
     private readonly admitted: AdmittedRequest,
-    private readonly sequence: EventSequence,
     private readonly readState: () => RetriedStream,
   ) {}
 
@@ -34,7 +32,7 @@
 
   /** Whether a request that was already sent may be sent again. */
   get canResend(): boolean {
-    return this.admitted.route.isResumable && this.sequence.canResume;
+    return this.admitted.route.isResumable;
   }
 
   /** Whether no further attempt is possible, now or later. */
--- a/src/features/forwarding/test/eventSequence.test.ts
+++ b/src/features/forwarding/test/eventSequence.test.ts
@@ -21,7 +21,7 @@
   it.each([256, 1_460])(
     'gives up an event without end in chunks of %i bytes before other streams are late',
     chunkBytes => {
-      const sequence = new EventSequence(undefined);
+      const sequence = new EventSequence(undefined, true);
       const chunk = encoder.encode('x'.repeat(chunkBytes));
       const startedAt = performance.now();
       let elapsed = 0;
@@ -36,7 +36,7 @@
   );
 
   it('lets other streams go on between two reads of an event without end in chunks of one byte', () => {
-    const sequence = new EventSequence(undefined);
+    const sequence = new EventSequence(undefined, true);
     const chunk = encoder.encode('x');
     let longestTurn = 0;
     let isBroken = false;
@@ -86,6 +86,12 @@
 });
 
 describe('EventSequence', () => {
+  it('delivers events without identifiers where no attempt can continue the stream', () => {
+    const sequence = new EventSequence(undefined, false);
+    const result = sequence.push(encoder.encode('data: a\n\ndata: b\n\n'));
+    expect(result).toMatchObject({kind: 'events', events: [{}, {}]});
+  });
+
   it.each([
     {
       name: 'delivers consecutive events',
@@ -117,6 +123,42 @@
       texts: [event(1), event(3)],
       delivered: 'broken',
     },
+    {
+      name: 'breaks at two events that have lost the blank line between them',
+      last: undefined,
+      texts: [event(1).trimEnd(), `\n${event(2)}`],
+      delivered: 'broken',
+    },
+    {
+      name: 'breaks at a first event without an identifier',
+      last: undefined,
+      texts: ['data: a\n\n', event(2)],
+      delivered: 'broken',
+    },
+    {
+      name: 'breaks at a first event without an identifier after events that the caller has',
+      last: 7,
+      texts: ['data: a\n\n', event(9)],
+      delivered: 'broken',
+    },
+    {
+      name: 'breaks when a new stream begins behind its first event',
+      last: undefined,
+      texts: [event(3), event(4)],
+      delivered: 'broken',
+    },
+    {
+      name: 'breaks at an event that goes back after a new one',
+      last: 7,
+      texts: [event(8), event(3)],
+      delivered: 'broken',
+    },
+    {
+      name: 'breaks at an event that has lost its data',
+      last: 7,
+      texts: ['id: 8\n\n'],
+      delivered: 'broken',
+    },
     {
       name: 'breaks when later events have no identifier',
       last: undefined,
@@ -124,7 +166,7 @@
       delivered: 'broken',
     },
   ])('$name', ({last, texts, delivered}) => {
-    const sequence = new EventSequence(last);
+    const sequence = new EventSequence(last, true);
     const result = sequence.push(encoder.encode(texts.join('')));
     expect(result.kind === 'events' ? result.events.length : result.kind).toBe(
       delivered,
@@ -139,7 +181,7 @@
   ])(
     'hands over sound events that arrive in one chunk with $fault',
     ({text}) => {
-      const sequence = new EventSequence(undefined);
+      const sequence = new EventSequence(undefined, true);
       sequence.recordDelivered(sequence.push(encoder.encode(event(1))).events);
       const chunk = encoder.encode(event(2) + event(3) + text);
       const result = sequence.push(chunk);
@@ -153,7 +195,7 @@
 
   // Guards against a resumption behind events that were read but never written to the caller.
   it('accepts events again that an attempt has read and the caller has not received', () => {
-    const sequence = new EventSequence(undefined);
+    const sequence = new EventSequence(undefined, true);
     sequence.push(encoder.encode(event(1) + event(2)));
     sequence.beginAttempt();
     const result = sequence.push(encoder.encode(event(1) + event(2)));
@@ -174,7 +216,7 @@
     fastCheck.assert(
       fastCheck.property(attempts, brokenAttempts => {
         const count = 20;
-        const sequence = new EventSequence(undefined);
+        const sequence = new EventSequence(undefined, true);
         let delivered = '';
         const runAttempt = (
           from: number,
--- a/src/features/forwarding/test/spoiledHeads.test.ts
+++ b/src/features/forwarding/test/spoiledHeads.test.ts
@@ -317,9 +317,8 @@
     return isComplete;
   }
   const whole = service === 'model' ? eventsAfter(0) : 'body';
-  return isComplete
-    ? body === whole || status === 204 || status === 304
-    : whole.startsWith(body);
+  const hasNoBody = service === 's' && (status === 204 || status === 304);
+  return isComplete ? body === whole || hasNoBody : whole.startsWith(body);
 }
 
 function describeAnswer({value, status, body}: Answer & Spoiling): string {
