Crashes: all parts of a prompt are read, so a deadly one behind the 32nd is found

All parts are read now. Judging groups parts by their evidence, since comparing each part of a prompt with each suspect part took the third power of their number; memory is bounded by the parts of all requests (16,384 for a crash, 131,072 in all).

--- a/src/features/crashes/common/crashHistory.ts
+++ b/src/features/crashes/common/crashHistory.ts
@@ -9,6 +9,10 @@
 const CRASH_LIMIT = 64;
 const REQUESTS_PER_CRASH_LIMIT = 128;
 
+/** Prompt parts of the requests of one crash, and of all crashes, counting each as often as requests have it. */
+const PARTS_PER_CRASH_LIMIT = 16_384;
+const PART_LIMIT = 131_072;
+
 /** A report that is this young is told to every peer; gossip reaches hundreds of instances in less time. */
 const NEWS_MILLISECONDS = 2_000;
 
@@ -32,7 +36,8 @@
 export class CrashHistory {
   private readonly stored = new Map<string, StoredCrash>();
   /** Number of crashes whose suspect requests have a prompt part, by part. */
-  private crashCounts: ReadonlyMap<string, number> = new Map();
+  private readonly crashCounts = new Map<string, number>();
+  private partCount = 0;
   private changeCount = 0;
 
   constructor(private readonly clock: Clock) {}
@@ -66,9 +71,9 @@
     }
     const learnedAt = this.now();
     const at = Math.min(known?.at ?? Infinity, learnedAt - ageMilliseconds);
-    this.stored.set(upstream, {upstream, at, requests: merged, learnedAt});
+    this.remove(upstream);
+    this.store({upstream, at, requests: merged, learnedAt});
     this.removeExcess();
-    this.onChange();
     return true;
   }
 
@@ -82,8 +87,7 @@
     const from = this.now() - RETENTION_MILLISECONDS;
     for (const {upstream, at} of [...this.stored.values()]) {
       if (at < from) {
-        this.stored.delete(upstream);
-        this.onChange();
+        this.remove(upstream);
       }
     }
   }
@@ -124,13 +128,16 @@
   }
 
   /**
-   * Removes the oldest crash of the account that is named in most of them. So an account that crashes upstreams with ever new
+   * Removes the oldest crashes of the account that is named in most of them. So an account that crashes upstreams with ever new
    * prompts can't displace what is known of others.
    */
   private removeExcess(): void {
-    if (this.stored.size <= CRASH_LIMIT) {
-      return;
+    while (this.stored.size > CRASH_LIMIT || this.partCount > PART_LIMIT) {
+      this.remove(this.findMostDispensable().upstream);
     }
+  }
+
+  private findMostDispensable(): StoredCrash {
     const counts = new Map<string, number>();
     for (const {requests} of this.stored.values()) {
       for (const account of new Set(requests.map(suspect => suspect.account))) {
@@ -138,24 +145,38 @@
       }
     }
     const [most] = [...counts].sort(([, left], [, right]) => right - left);
-    const oldest = [...this.stored.values()]
+    return [...this.stored.values()]
       .filter(({requests}) =>
         requests.some(({account}) => account === most?.[0]),
       )
       .reduce((left, right) => (left.at <= right.at ? left : right));
-    this.stored.delete(oldest.upstream);
   }
 
-  private onChange(): void {
+  private store(crash: StoredCrash): void {
+    this.stored.set(crash.upstream, crash);
+    this.partCount += countParts(crash.requests);
+    for (const part of distinctParts(crash)) {
+      this.crashCounts.set(part, this.crashCountOf(part) + 1);
+    }
     this.changeCount++;
-    const counts = new Map<string, number>();
-    for (const {requests} of this.stored.values()) {
-      const parts = requests.flatMap(({promptParts}) => promptParts);
-      for (const part of new Set(parts)) {
-        counts.set(part, (counts.get(part) ?? 0) + 1);
+  }
+
+  private remove(upstream: string): void {
+    const crash = this.stored.get(upstream);
+    if (crash === undefined) {
+      return;
+    }
+    this.stored.delete(upstream);
+    this.partCount -= countParts(crash.requests);
+    for (const part of distinctParts(crash)) {
+      const count = this.crashCountOf(part) - 1;
+      if (count > 0) {
+        this.crashCounts.set(part, count);
+      } else {
+        this.crashCounts.delete(part);
       }
     }
-    this.crashCounts = counts;
+    this.changeCount++;
   }
 
   private now(): number {
@@ -163,17 +184,33 @@
   }
 }
 
+/** Adds requests as far as the bounds on memory allow; the first one always fits. */
 function mergeRequests(
   known: readonly SuspectRequest[],
   added: readonly SuspectRequest[],
 ): readonly SuspectRequest[] {
   const ids = new Set(known.map(({request}) => request));
   const merged = [...known];
+  let partCount = countParts(known);
   for (const suspect of added) {
-    if (!ids.has(suspect.request) && merged.length < REQUESTS_PER_CRASH_LIMIT) {
+    const {length} = suspect.promptParts;
+    const fits =
+      merged.length === 0 ||
+      (merged.length < REQUESTS_PER_CRASH_LIMIT &&
+        partCount + length <= PARTS_PER_CRASH_LIMIT);
+    if (fits && !ids.has(suspect.request)) {
       ids.add(suspect.request);
       merged.push(suspect);
+      partCount += length;
     }
   }
   return merged;
 }
+
+function countParts(requests: readonly SuspectRequest[]): number {
+  return requests.reduce((sum, {promptParts}) => sum + promptParts.length, 0);
+}
+
+function distinctParts({requests}: Crash): ReadonlySet<string> {
+  return new Set(requests.flatMap(({promptParts}) => promptParts));
+}
--- a/src/features/crashes/common/crashReport.ts
+++ b/src/features/crashes/common/crashReport.ts
@@ -1,5 +1,8 @@
 /** Reports of crashed upstreams and of the requests that may have caused the crash, exchanged between instances. */
 
+/** Parts that a prompt may have: as many as fit into the largest head that callers can send. */
+export const PROMPT_PART_LIMIT = 32_768;
+
 /** A request that an upstream was about to write to, or had just begun to write to, when it crashed. */
 export interface SuspectRequest {
   /** Identifies the attempt of a caller. */
--- a/src/features/crashes/common/promptGuard.ts
+++ b/src/features/crashes/common/promptGuard.ts
@@ -225,7 +225,11 @@
     this.judgedAt = this.now();
     this.sound.retain(part => this.hasCrashes(part));
     const before = this.suspectParts;
-    this.suspectParts = findSuspectParts(this.history.crashes, this.sound);
+    this.suspectParts = findSuspectParts(
+      this.history.crashes,
+      this.sound,
+      part => this.history.crashCountOf(part),
+    );
     this.logChanges(before);
   }
 
--- a/src/features/crashes/common/suspectParts.ts
+++ b/src/features/crashes/common/suspectParts.ts
@@ -5,7 +5,7 @@
  * written without one.
  */
 
-/** Crashes that make a part suspect while requests without it are written. */
+/** Crashes that make a part suspect while requests without it are written; fewer never do. */
 const CRASHES_FOR_PROOF = 3;
 
 /** Crashes that make a part suspect when nothing else was written, so that all upstreams may be failing. */
@@ -53,6 +53,8 @@
   readonly accounts: ReadonlySet<string>;
   /** Whether the part was shown to be sound at some time, before these crashes. */
   readonly wasSound: boolean;
+  /** Equal for parts that the same requests had at the same crashes: what holds for one of them holds for all. */
+  readonly evidence: string;
 }
 
 /** A prompt and the client account that sent it; the account is empty without one. */
@@ -61,13 +63,19 @@
   readonly promptParts: readonly string[];
 }
 
-/** Returns the parts under which upstreams keep crashing, by their identifiers. */
+/**
+ * Returns the parts under which upstreams keep crashing, by their identifiers.
+ * @param crashCountOf number of crashes whose requests had a part
+ */
 export function findSuspectParts(
   crashes: readonly Crash[],
   soundness: Soundness,
+  crashCountOf: (part: string) => number,
 ): ReadonlyMap<string, SuspectPart> {
   const suspectParts = new Map<string, SuspectPart>();
-  for (const [part, group] of groupByPart(crashes, soundness)) {
+  const mayBeSuspect = (part: string): boolean =>
+    crashCountOf(part) >= CRASHES_FOR_PROOF;
+  for (const [part, group] of groupByPart(crashes, soundness, mayBeSuspect)) {
     const ordered = [...group.crashes].sort(
       (left, right) => left.at - right.at,
     );
@@ -79,6 +87,7 @@
     if (moments >= needed && isProved) {
       const {requests, accounts} = group;
       const lastCrashAt = ordered.at(-1)!.at;
+      const wasSound = soundness.lastSoundAt(part) > -Infinity;
       suspectParts.set(part, {
         part,
         crashes: ordered,
@@ -86,7 +95,8 @@
         lastCrashAt,
         requests,
         accounts,
-        wasSound: soundness.lastSoundAt(part) > -Infinity,
+        wasSound,
+        evidence: describeEvidence(group, wasSound),
       });
     }
   }
@@ -101,27 +111,36 @@
   suspectParts: ReadonlyMap<string, SuspectPart>,
   {account, promptParts}: AccountPrompt,
 ): SuspectPart | undefined {
+  const causes = likelyCauses(suspectParts, promptParts);
+  const explained = new Set<string>();
   for (const part of promptParts) {
     const candidate = suspectParts.get(part);
-    if (candidate === undefined || !concerns(candidate, account)) {
+    if (candidate === undefined || explained.has(candidate.evidence)) {
       continue;
     }
-    const causes = likelyCauses(suspectParts, promptParts).filter(cause =>
-      mayExplain(cause, candidate),
-    );
-    const unexplained = candidate.crashes.filter(
-      ({upstream}) => !causes.some(cause => crashedUnder(cause, upstream)),
-    );
-    const needed = candidate.wasSound
-      ? UNEXPLAINED_CRASHES_ONCE_SOUND
-      : UNEXPLAINED_CRASHES;
-    if (countMoments(unexplained) >= needed) {
+    if (concerns(candidate, account) && !hasOtherCause(candidate, causes)) {
       return candidate;
     }
+    explained.add(candidate.evidence);
   }
   return undefined;
 }
 
+/** Whether so many crashes under a part may be due to other parts that it is not held to be deadly. */
+function hasOtherCause(
+  candidate: SuspectPart,
+  causes: readonly SuspectPart[],
+): boolean {
+  const explaining = causes.filter(cause => mayExplain(cause, candidate));
+  const unexplained = candidate.crashes.filter(
+    ({upstream}) => !explaining.some(cause => crashedUnder(cause, upstream)),
+  );
+  const needed = candidate.wasSound
+    ? UNEXPLAINED_CRASHES_ONCE_SOUND
+    : UNEXPLAINED_CRASHES;
+  return countMoments(unexplained) < needed;
+}
+
 /**
  * Whether an upstream crashed under a suspect part that a prompt doesn't have, and that is a likelier cause than all of the prompt's
  * own parts. A part at as many moments is no likelier: parts of requests that are sent on together crash the same upstreams.
@@ -131,7 +150,9 @@
   upstream: string,
   promptParts: readonly string[],
 ): boolean {
-  const ownParts = promptParts.flatMap(part => suspectParts.get(part) ?? []);
+  const ownParts = distinctByEvidence(
+    promptParts.flatMap(part => suspectParts.get(part) ?? []),
+  );
   return likelyCauses(suspectParts, promptParts).some(
     cause =>
       !cause.wasSound &&
@@ -140,15 +161,33 @@
   );
 }
 
-/** The suspect parts that a prompt doesn't have, and that can be the cause of other requests' crashes. */
+/**
+ * The suspect parts that a prompt doesn't have, and that can be the cause of other requests' crashes; one of those with the same
+ * evidence.
+ */
 function likelyCauses(
   suspectParts: ReadonlyMap<string, SuspectPart>,
   promptParts: readonly string[],
 ): readonly SuspectPart[] {
-  return [...suspectParts.values()].filter(
-    ({part, requests}) =>
-      requests.size >= REQUESTS_FOR_CAUSE && !promptParts.includes(part),
+  const own = new Set(promptParts);
+  const causes = [...suspectParts.values()].filter(
+    ({part, requests}) => requests.size >= REQUESTS_FOR_CAUSE && !own.has(part),
   );
+  return distinctByEvidence(causes);
+}
+
+function distinctByEvidence(
+  parts: readonly SuspectPart[],
+): readonly SuspectPart[] {
+  return [...new Map(parts.map(part => [part.evidence, part])).values()];
+}
+
+function describeEvidence(
+  {crashes, requests, accounts}: PartGroup,
+  wasSound: boolean,
+): string {
+  const upstreams = [...crashes].map(({upstream}) => upstream);
+  return [wasSound, ...upstreams, '', ...requests, '', ...accounts].join('\n');
 }
 
 /**
@@ -193,16 +232,17 @@
   isShared: boolean;
 }
 
-/** Groups the crashes under each part since it was last shown to be sound. */
+/** Groups the crashes under each part that the predicate accepts, since it was last shown to be sound. */
 function groupByPart(
   crashes: readonly Crash[],
   soundness: Soundness,
+  mayBeSuspect: (part: string) => boolean,
 ): ReadonlyMap<string, PartGroup> {
   const groups = new Map<string, PartGroup>();
   for (const crash of crashes) {
     for (const suspect of crash.requests) {
       for (const part of suspect.promptParts) {
-        if (crash.at > soundness.lastSoundAt(part)) {
+        if (mayBeSuspect(part) && crash.at > soundness.lastSoundAt(part)) {
           const group = groups.get(part) ?? createGroup();
           groups.set(part, group);
           group.crashes.add(crash);
--- a/src/features/crashes/test/promptGuard.test.ts
+++ b/src/features/crashes/test/promptGuard.test.ts
@@ -236,3 +236,49 @@
     expect(guard.judge(promptOf(['own'])).kind).toBe('allowed');
   });
 });
+
+describe('prompts with as many parts as the largest head holds', () => {
+  const PARTS = 1_400;
+  const CRASHES = 8;
+  const REQUESTS_PER_CRASH = 11;
+
+  /** A single turn of the event loop that is longer delays all streams noticeably. */
+  const TURN_MILLISECONDS = 50;
+
+  const sharedParts = [...Array(PARTS - 2).keys()].map(
+    index => `part-${index}`,
+  );
+
+  // Guards against a deadly part behind those that are looked at, and against a judgement that takes too long.
+  it('are judged by their last shared part, without holding up the event loop', () => {
+    const clock = makeClock();
+    const guard = makeGuard(clock);
+    let longestTurn = 0;
+    const measure = <T>(action: () => T): T => {
+      const startedAt = performance.now();
+      const result = action();
+      longestTurn = Math.max(longestTurn, performance.now() - startedAt);
+      return result;
+    };
+    for (let index = 0; index < CRASHES; index++) {
+      const reports = [...Array(REQUESTS_PER_CRASH).keys()].map(request =>
+        suspect(
+          ...sharedParts,
+          request === 0 ? 'deadly' : 'usual',
+          `own-${index}-${request}`,
+        ),
+      );
+      for (const report of reports) {
+        measure(() => guard.recordCrash(`upstream-${index}`, report));
+      }
+      clock.advance(500);
+      measure(() => guard.recordSound([...sharedParts, 'usual', 'own-sound']));
+    }
+    const deadly = promptOf([...sharedParts, 'deadly', 'own-new']);
+    const usual = promptOf([...sharedParts, 'usual', 'own-new']);
+    expect(measure(() => guard.judge(deadly)).kind).toBe('blocked');
+    expect(measure(() => guard.judge(usual)).kind).toBe('allowed');
+
+    expect(longestTurn).toBeLessThan(TURN_MILLISECONDS);
+  });
+});
--- a/src/features/instances/common/gossipMessage.ts
+++ b/src/features/instances/common/gossipMessage.ts
@@ -1,6 +1,9 @@
 import * as zod from 'zod';
 
-import {CrashExchange} from '../../crashes/common/crashReport.js';
+import {
+  CrashExchange,
+  PROMPT_PART_LIMIT,
+} from '../../crashes/common/crashReport.js';
 import {LimitReading} from '../../fleet/common/upstreamLimitTracker.js';
 import {RestReading} from '../../fleet/common/upstreamRests.js';
 import {SlownessReading} from '../../fleet/common/slownessTracker.js';
@@ -109,7 +112,7 @@
             zod.object({
               request: text,
               account: text,
-              promptParts: zod.array(text).min(1).max(MESSAGE_LIST_LIMIT),
+              promptParts: zod.array(text).min(1).max(PROMPT_PART_LIMIT),
             }),
           )
           .max(MESSAGE_LIST_LIMIT),
