--- a/src/features/forwarding/node/plainForwarder.ts
+++ b/src/features/forwarding/node/plainForwarder.ts
@@ -133,6 +133,8 @@
       case 'lost':
         return this.onResponseLost(upstream, outcome.detail);
       case 'answered':
+        // Before any wait: at the time limit, an answer that is still being checked must not count as none.
+        this.mayHaveRun ||= !outcome.facts.isNotRun;
         return outcome.isFramed
           ? this.onResponse(upstream, outcome)
           : void this.verifyCloseDelimited(upstream, outcome);
@@ -200,7 +202,6 @@
       this.forwardResponse(head, outcome.body);
       return;
     }
-    this.mayHaveRun = true;
     this.failure = outcome;
     this.retryOrGiveUp('upstreamFailed', 'refused', false);
   }
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -374,6 +374,26 @@
     '/once/',
   );
 
+  // Guards against a refusal as not run at the time limit, while the end of the answer is still being checked.
+  it.each([
+    {target: '/unsafe/x', outcome: 'router 504'},
+    {target: '/safe/x', outcome: 'router 504'},
+    {target: '/once/', outcome: 'aborted'},
+  ])(
+    'a request to $target whose answer is still being checked at its time limit ends as "$outcome"',
+    async ({target, outcome}) => {
+      const harness = createHarness();
+      harness.control.reportDelayMilliseconds = Infinity;
+      const caller = await harness.send(target, ['deadline', '100']);
+      const {last} = harness.connector;
+      last.head();
+      last.sendEvents(1, 2);
+      last.end(false);
+      await harness.advance(150);
+      expect(caller.outcome).toBe(outcome);
+    },
+  );
+
   it('a request that must not be repeated is executed at most once, and "notRun" is reported only if nothing was executed', async () => {
     await fastCheck.assert(
       fastCheck.asyncProperty(targets, steps, async (target, faults) => {
