--- a/src/features/forwarding/node/requestForwarder.ts
+++ b/src/features/forwarding/node/requestForwarder.ts
@@ -28,6 +28,9 @@
 type AttemptParameters = Pick<UpstreamHeaderValues, 'path' | 'lastEvent'> &
   Pick<UpstreamRequest, 'isAlone'>;
 
+/** Statuses by which the router promises callers that a request was not executed and never will be. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Forwards one request until its caller has a final response or has disconnected. */
 export abstract class RequestForwarder implements Disposable {
   protected readonly owned = new DisposableStore();
@@ -154,8 +157,19 @@
     this.finish(outcome, {status, reason});
   }
 
-  /** Forwards an upstream's complete response and ends the request. */
+  /**
+   * Forwards an upstream's complete response and ends the request. Callers may repeat a request after some statuses, so one
+   * that must run once gets another status if the upstream doesn't say that it has not run.
+   */
   protected forwardResponse(head: ResponseHead, body: Uint8Array): void {
+    const isIdempotent = this.admitted.route.kind === 'safe';
+    if (!isIdempotent && NOT_RUN_STATUSES.has(head.status)) {
+      this.fail(
+        502,
+        `the upstream answered ${head.status} and may have run it`,
+      );
+      return;
+    }
     if (!this.exchange.sendResponse(head, body)) {
       this.finish('unwritable', {status: head.status});
       return;
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -374,6 +374,24 @@
     '/once/',
   );
 
+  // Guards against a promise that a request has not run which no upstream made: a faulty one may send any status.
+  it.each(
+    [408, 421, 429, 503].flatMap(status => [
+      {target: '/unsafe/x', status, outcome: 'router 502'},
+      {target: '/once/', status, outcome: 'router 502'},
+    ]),
+  )(
+    'a request to $target that is answered $status without more ends as "$outcome"',
+    async ({target, status, outcome}) => {
+      const harness = createHarness();
+      const caller = await harness.send(target);
+      harness.connector.last.respond(status);
+      await harness.flushPromises();
+      expect(caller.outcome).toBe(outcome);
+      expect(harness.connector.openedExchanges).toHaveLength(1);
+    },
+  );
+
   // Guards against a refusal as not run at the time limit, while the end of the answer is still being checked.
   it.each([
     {target: '/unsafe/x', outcome: 'router 504'},
