--- a/test/standins/fleet/plainReplica.ts
+++ b/test/standins/fleet/plainReplica.ts
@@ -96,8 +96,10 @@
       Service: this.service,
       Addr: this.address,
       Zone: this.zone,
+      Version: 'v1',
       Slots: 6,
       State: state,
+      ColdLeftMs: 0,
       Seq: 1,
     });
   }
