--- a/src/programs/router/callerListener.ts
+++ b/src/programs/router/callerListener.ts
@@ -1,4 +1,5 @@
 import {createServer, Server} from 'node:http';
+import {Server as NetServer} from 'node:net';
 
 import restana from 'restana';
 
@@ -6,6 +7,7 @@
 import {HttpCallerExchange} from '../../features/forwarding/node/httpCallerExchange.js';
 import {RequestHandler} from '../../features/forwarding/node/requestHandler.js';
 import {TrafficLimits} from '../../features/traffic/common/trafficConfiguration.js';
+import {ServerConnections} from '../../infrastructure/http/node/serverConnections.js';
 import {listen} from '../../infrastructure/http/node/textServer.js';
 import {Logger} from '../../infrastructure/logging/common/logger.js';
 
@@ -22,6 +24,7 @@
 /** HTTP server for callers. */
 export class CallerListener {
   private readonly server: Server;
+  private readonly connections: ServerConnections;
   private isClosing = false;
 
   constructor(
@@ -40,6 +43,7 @@
       noDelay: true,
     });
     this.server.maxConnections = connectionLimit;
+    this.connections = new ServerConnections(this.server);
     restana({
       server: this.server,
       defaultRoute: (request, response) => {
@@ -76,14 +80,20 @@
     this.isClosing = true;
   }
 
-  /** Closes connections without a request in progress. */
+  /** Closes connections without a request in progress and without an unwritten response. */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    this.connections.closeIdle();
+  }
+
+  /** Resolves once all responses have been written. */
+  written(): Promise<void> {
+    return this.connections.written();
   }
 
   /** Stops accepting connections; open ones remain. */
   stopListening(): void {
-    this.server.close();
+    // The method of the HTTP server would close connections with unwritten responses.
+    NetServer.prototype.close.call(this.server);
   }
 
   /** Closes the server and all connections, including those with requests in progress. */
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -135,7 +135,10 @@
     handler.refuseNewRequests();
     this.callers.stopListening();
     await Promise.race([
-      Promise.all([handler.idle(), tunnels.idle()]),
+      Promise.all([
+        handler.idle().then(() => this.callers.written()),
+        tunnels.idle(),
+      ]),
       sleepUntil(stopMilliseconds - EXIT_MARGIN_MILLISECONDS),
     ]);
     this.logger.info('stopped', {
