--- a/src/features/forwarding/node/httpCallerExchange.ts
+++ b/src/features/forwarding/node/httpCallerExchange.ts
@@ -59,6 +59,10 @@
   }
 
   override readBody(limitBytes: number): Promise<Uint8Array | undefined> {
+    // The event `close` of a caller that has left is over.
+    if (this.message.destroyed) {
+      return Promise.resolve(undefined);
+    }
     return new Promise(resolve => {
       const chunks: Buffer[] = [];
       let size = 0;
--- a/src/features/forwarding/test/spoiledHeads.test.ts
+++ b/src/features/forwarding/test/spoiledHeads.test.ts
@@ -273,6 +273,33 @@
   );
 });
 
+// Guards against a request that stays in progress for good: its caller left before the body was asked for.
+it('the body of a caller that has left is not awaited', async () => {
+  let resolveBody: (body: unknown) => void = () => undefined;
+  const body = new Promise(resolve => (resolveBody = resolve));
+  const server = createHttpServer((message, response) => {
+    const exchange = new HttpCallerExchange(message, response, 0, () => false);
+    exchange.onDidDisconnect(() => {
+      setImmediate(() => void exchange.readBody(1_000).then(resolveBody));
+    });
+  });
+  stops.push(() => server.close());
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const outgoing = request(`http://${addressOf(server)}/`, {
+    method: 'POST',
+    headers: {'content-length': '5'},
+  });
+  outgoing.on('error', () => undefined);
+  outgoing.write('a');
+  setTimeout(() => outgoing.destroy(), 100);
+  const never = new Promise(resolve =>
+    setTimeout(() => resolve('never'), ANSWER_LIMIT_MILLISECONDS),
+  );
+  expect(await Promise.race([body, never])).toBeUndefined();
+});
+
 describe('a response that Node.js refuses to write', () => {
   // Guards against an exception on the way to a caller: the request stayed unanswered and counted as in progress.
   it.each([
