--- a/src/features/forwarding/test/spoiledHeads.test.ts
+++ b/src/features/forwarding/test/spoiledHeads.test.ts
@@ -5,10 +5,15 @@
   request,
   Server as HttpServer,
 } from 'node:http';
-import {AddressInfo, createServer, Server} from 'node:net';
+import {createServer, Server} from 'node:net';
 
 import {afterEach, describe, expect, it} from 'vitest';
 
+import {
+  addressOf,
+  ANY_LOCAL_ADDRESS,
+} from '../../../../test/support/localServer.js';
+import {listen} from '../../../infrastructure/http/node/textServer.js';
 import {DirectDialer} from '../../../infrastructure/http/node/directDialer.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {makeUpstream} from '../../fleet/test/upstreams.js';
@@ -93,9 +98,7 @@
   }
 
   async start(): Promise<string> {
-    await new Promise<void>(resolve =>
-      this.server.listen(0, '127.0.0.1', () => resolve()),
-    );
+    await listen(this.server, ANY_LOCAL_ADDRESS);
     return addressOf(this.server);
   }
 
@@ -147,10 +150,8 @@
     });
   }
 
-  async start(): Promise<void> {
-    await new Promise<void>(resolve =>
-      this.server.listen(0, '127.0.0.1', () => resolve()),
-    );
+  start(): Promise<void> {
+    return listen(this.server, ANY_LOCAL_ADDRESS);
   }
 
   send(target: string, id: string): Promise<Answer> {
@@ -273,65 +274,6 @@
   );
 });
 
-// Guards against a request that stays in progress for good: its caller left before the body was asked for.
-it('the body of a caller that has left is not awaited', async () => {
-  let resolveBody: (body: unknown) => void = () => undefined;
-  const body = new Promise(resolve => (resolveBody = resolve));
-  const server = createHttpServer((message, response) => {
-    const exchange = new HttpCallerExchange(message, response, 0, () => false);
-    exchange.onDidDisconnect(() => {
-      setImmediate(() => void exchange.readBody(1_000).then(resolveBody));
-    });
-  });
-  stops.push(() => server.close());
-  await new Promise<void>(resolve =>
-    server.listen(0, '127.0.0.1', () => resolve()),
-  );
-  const outgoing = request(`http://${addressOf(server)}/`, {
-    method: 'POST',
-    headers: {'content-length': '5'},
-  });
-  outgoing.on('error', () => undefined);
-  outgoing.write('a');
-  setTimeout(() => outgoing.destroy(), 100);
-  const never = new Promise(resolve =>
-    setTimeout(() => resolve('never'), ANSWER_LIMIT_MILLISECONDS),
-  );
-  expect(await Promise.race([body, never])).toBeUndefined();
-});
-
-describe('a response that Node.js refuses to write', () => {
-  // Guards against an exception on the way to a caller: the request stayed unanswered and counted as in progress.
-  it.each([
-    {name: 'whole', send: 'sendResponse'},
-    {name: 'in parts', send: 'sendHead'},
-  ] as const)('is answered with 502 when sent $name', async ({send}) => {
-    const failures: string[] = [];
-    const server = createHttpServer((message, response) => {
-      const exchange = new HttpCallerExchange(
-        message,
-        response,
-        0,
-        () => false,
-      );
-      exchange.onDidFail(detail => failures.push(detail));
-      const head = {status: 200, reason: '', headers: ['x', 'a\u0003']};
-      exchange[send](head, Buffer.from('body'));
-      exchange.write(Buffer.from('more'));
-      exchange.end();
-      expect(exchange.isOver).toBe(true);
-    });
-    stops.push(() => server.close());
-    await new Promise<void>(resolve =>
-      server.listen(0, '127.0.0.1', () => resolve()),
-    );
-    const response = await fetch(`http://${addressOf(server)}/`);
-    expect(response.status).toBe(502);
-    expect(await response.json()).toEqual({error: 'unwritable response'});
-    expect(failures).toEqual([expect.stringContaining('ERR_INVALID_CHAR')]);
-  });
-});
-
 /** A sound answer is whole; an error of the router is complete, and a stream that has begun is broken off without a gap. */
 function isAllowed(
   {status, body, isComplete}: Answer,
@@ -359,8 +301,3 @@
     .map(eventText)
     .join('');
 }
-
-function addressOf(server: Server): string {
-  const {address, port} = server.address() as AddressInfo;
-  return `${address}:${port}`;
-}
--- a/src/infrastructure/http/node/textServer.ts
+++ b/src/infrastructure/http/node/textServer.ts
@@ -1,4 +1,5 @@
-import {createServer, Server} from 'node:http';
+import {createServer} from 'node:http';
+import {Server as NetServer} from 'node:net';
 
 import restana from 'restana';
 
@@ -65,7 +66,7 @@
 }
 
 /** Listens on `IP:port`; rejects if the address is in use. */
-export function listen(server: Server, address: string): Promise<void> {
+export function listen(server: NetServer, address: string): Promise<void> {
   const separator = address.lastIndexOf(':');
   const host = address.slice(0, separator);
   const port = Number(address.slice(separator + 1));
--- a/src/infrastructure/http/test/serverConnections.test.ts
+++ b/src/infrastructure/http/test/serverConnections.test.ts
@@ -3,7 +3,9 @@
 
 import {afterEach, describe, expect, it} from 'vitest';
 
+import {ANY_LOCAL_ADDRESS} from '../../../../test/support/localServer.js';
 import {sleep} from '../../../../test/support/sleep.js';
+import {listen} from '../node/textServer.js';
 import {ServerConnections} from '../node/serverConnections.js';
 
 /** More than the buffers of both ends of a loopback connection hold. */
@@ -33,9 +35,7 @@
   );
   opened.push(server);
   const connections = new ServerConnections(server);
-  await new Promise<void>(resolve =>
-    server.listen(0, '127.0.0.1', () => resolve()),
-  );
+  await listen(server, ANY_LOCAL_ADDRESS);
   return {connections, port: (server.address() as AddressInfo).port};
 }
 
