--- a/src/features/forwarding/common/eventFramer.ts
+++ b/src/features/forwarding/common/eventFramer.ts
@@ -11,7 +11,7 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_FIELDS = /^id: ?(\d+)\r?$/gm;
+const ID_FIELD = /^id: ?(\d+)\r?$/m;
 const DATA_FIELD = /^data(:|\r?$)/m;
 
 /** Maximum size of a buffered incomplete event; an attempt with a longer event is abandoned. */
@@ -97,9 +97,16 @@
 
   private toEvent(bytes: Uint8Array): StreamEvent {
     const text = this.decoder.decode(bytes);
-    const ids = [...text.matchAll(ID_FIELDS)].map(match => Number(match[1]));
-    // An event with several identifiers is several events that have lost the blank line between them.
-    const id = ids.length === 1 ? ids[0] : undefined;
-    return {id, hasData: DATA_FIELD.test(text), bytes};
+    return {id: readId(text), hasData: DATA_FIELD.test(text), bytes};
   }
 }
+
+/** An event with several identifiers is several events that have lost the blank line between them. */
+function readId(text: string): number | undefined {
+  const match = ID_FIELD.exec(text);
+  if (match === null) {
+    return undefined;
+  }
+  const rest = text.slice(match.index + match[0].length);
+  return ID_FIELD.test(rest) ? undefined : Number(match[1]);
+}
