--- a/src/infrastructure/http/node/serverConnections.ts
+++ b/src/infrastructure/http/node/serverConnections.ts
@@ -6,14 +6,14 @@
  * as soon as its response has been ended, and would close it with the bytes that a slow reader hasn't taken.
  */
 export class ServerConnections {
-  /** Bytes read from each connection when its last response was written; undefined while it has a request. */
+  /** Bytes read from each connection when its last response was written; undefined before and while it has a request. */
   private readonly readBytes = new Map<Socket, number | undefined>();
   private unwrittenCount = 0;
   private onWritten: () => void = () => undefined;
 
   constructor(server: Server) {
     server.on('connection', (socket: Socket) => {
-      this.readBytes.set(socket, 0);
+      this.readBytes.set(socket, undefined);
       socket.on('close', () => this.readBytes.delete(socket));
     });
     server.prependListener(
@@ -23,7 +23,10 @@
     );
   }
 
-  /** Closes connections without a request, not even a part of one, and without an unwritten response. */
+  /**
+   * Closes connections that have had a response and have no request, not even a part of one, and no unwritten response. The
+   * request of a new connection may be on its way.
+   */
   closeIdle(): void {
     for (const [socket, readBytes] of [...this.readBytes]) {
       if (socket.bytesRead === readBytes) {
