--- a/test/standins/fleet/system.ts
+++ b/test/standins/fleet/system.ts
@@ -13,7 +13,7 @@
   ManagedProcess,
   ProcessSupervisor,
 } from '../../support/managedProcess.js';
-import {freeAddresses} from '../../support/ports.js';
+import {freeAddresses, freeHostGroup} from '../../support/ports.js';
 import {sleep} from '../../support/sleep.js';
 import {CutDescription, CutMode} from './cut.js';
 import {EngineFleet} from './layeredEngine.js';
@@ -132,6 +132,12 @@
   };
 }
 
+/** The first three parts of the IP addresses of instances and of engines. */
+interface HostGroups {
+  readonly instances: string;
+  readonly engines: string;
+}
+
 /** A row store, a model on four engines in each of two zones, a plain service and router instances. */
 export class StandInSystem implements Disposable {
   private readonly owned = new DisposableStore();
@@ -144,6 +150,7 @@
 
   private constructor(
     private readonly addresses: string[],
+    private readonly hosts: HostGroups,
     private readonly program: string,
     private readonly zones: readonly string[],
   ) {
@@ -172,7 +179,11 @@
     zones = DEFAULT_ZONES,
   ): Promise<StandInSystem> {
     const addresses = await freeAddresses(60);
-    const system = new StandInSystem([...addresses], program, zones);
+    const hosts = {
+      instances: await freeHostGroup(),
+      engines: await freeHostGroup(),
+    };
+    const system = new StandInSystem([...addresses], hosts, program, zones);
     await system.startAll(instanceCount);
     return system;
   }
@@ -209,7 +220,7 @@
     const index = this.instances.length + 1;
     const name = `instance-${index}`;
     // All instances use the same port for metrics, so each needs its own IP address.
-    const ip = `127.0.7.${index}`;
+    const ip = `${this.hosts.instances}.${index}`;
     const port = (): number => Number(this.takeAddress().split(':')[1]);
     const listen = {
       Front: `${ip}:${port()}`,
@@ -332,7 +343,8 @@
   /** Each engine has a host of its own, since a host that refuses connections says nothing about others. */
   private takeEngineAddress(): string {
     const host = this.engines.engines.length + 1;
-    return `127.0.8.${host}:${parseAddress(this.takeAddress()).port}`;
+    const {port} = parseAddress(this.takeAddress());
+    return `${this.hosts.engines}.${host}:${port}`;
   }
 
   private takeAddress(): string {
--- a/test/support/ports.ts
+++ b/test/support/ports.ts
@@ -8,6 +8,9 @@
 const BLOCK_SIZE = 200;
 const BLOCK_COUNT = Math.floor((LAST_PORT - FIRST_PORT) / BLOCK_SIZE);
 
+/** Second part of the first host group. */
+const FIRST_HOST_GROUP = 10;
+
 /**
  * Allocates ports that no other test process allocates. A process reserves a block of ports by listening on the
  * first port of the block until it exits.
@@ -15,6 +18,8 @@
 class PortAllocator {
   private nextPort = 0;
   private end = 0;
+  private blockIndex = 0;
+  private hostGroupCount = 0;
 
   /** Returns the next free port of the reserved block; reserves a new block when it is used up. */
   async allocate(): Promise<number> {
@@ -31,6 +36,15 @@
     }
   }
 
+  /** Returns the first three parts of loopback addresses that nobody else has been given. */
+  async allocateHostGroup(): Promise<string> {
+    if (this.end === 0) {
+      await this.reserveBlock();
+    }
+    const group = FIRST_HOST_GROUP + this.hostGroupCount++;
+    return `127.${group}.${this.blockIndex}`;
+  }
+
   private async reserveBlock(): Promise<void> {
     const offset = Math.floor(Math.random() * BLOCK_COUNT);
     for (let attempt = 0; attempt < BLOCK_COUNT; attempt++) {
@@ -41,6 +55,7 @@
         reservation.unref();
         this.nextPort = first + 1;
         this.end = first + BLOCK_SIZE;
+        this.blockIndex = block;
         return;
       }
     }
@@ -61,6 +76,14 @@
   return addresses;
 }
 
+/**
+ * Allocates loopback hosts for programs that listen on a fixed port: the first three parts of their addresses, which no
+ * other running test process has allocated.
+ */
+export function freeHostGroup(): Promise<string> {
+  return portAllocator.allocateHostGroup();
+}
+
 function tryListen(port: number): Promise<Server | undefined> {
   return new Promise(resolve => {
     const server = createServer();
