Stop: the log names each request that a stop ends, each of its steps, and how far into the stop a request came and ended

A stream that a stop cut off left 'pathChosen' and nothing after it: the process ended before its end was logged. At the end of its time a stop now ends each request itself: as not run (503) if it was certainly not run, else as one that may have been, and the line requestEnded says so (reason 'stopping'). Lines of requests that end during a stop carry 'stop': received, ended, left (ms). Each step of leaving is logged as done or failed; a failing one no longer ends as an unhandled rejection. The sequence has a module of its own (GracefulStop); its moments are unchanged.

--- a/src/features/forwarding/node/plainForwarder.ts
+++ b/src/features/forwarding/node/plainForwarder.ts
@@ -4,7 +4,7 @@
 import {AdmissionWait, AdmissionFilter} from '../common/admissionFilter.js';
 import {ResponseMetadata} from '../common/headerCodec.js';
 import {NotRunReason} from '../common/retryAfter.js';
-import {RequestForwarder} from './requestForwarder.js';
+import {EarlyEnd, RequestForwarder} from './requestForwarder.js';
 import {AttemptOutcome, ResponseBuffer} from './responseBuffer.js';
 
 /**
@@ -41,11 +41,11 @@
     }
   }
 
-  protected override onDeadline(): void {
+  protected override endEarly({status, reason, notRunReason}: EarlyEnd): void {
     if (this.mayHaveRun || this.running.size > 0) {
-      this.fail(504, 'no answer in time');
+      this.fail(status, reason);
     } else {
-      this.refuse('timeOver');
+      this.refuse(notRunReason);
     }
   }
 
--- a/src/features/forwarding/node/requestForwarder.ts
+++ b/src/features/forwarding/node/requestForwarder.ts
@@ -5,7 +5,9 @@
 import {RequestMetadata, UpstreamHeaderValues} from '../common/headerCodec.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {Route} from '../../traffic/common/trafficConfiguration.js';
+import {describeStopTimes} from '../common/stopWindow.js';
 import {ForwardingServices} from './forwardingServices.js';
+import {RequestInProgress} from './requestsInProgress.js';
 
 /** An admitted request with everything that determines how it is forwarded. */
 export interface AdmittedRequest {
@@ -31,8 +33,31 @@
 /** Statuses by which the router promises callers that a request was not executed and never will be. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Why a request ends before its answer is whole, as its caller is told. */
+export interface EarlyEnd {
+  /** Status and reason if an upstream may have run it. */
+  readonly status: 502 | 504;
+  readonly reason: string;
+  /** Reason if it was certainly not run. */
+  readonly notRunReason: NotRunReason;
+}
+
+const DEADLINE_PASSED: EarlyEnd = {
+  status: 504,
+  reason: 'no whole answer in time',
+  notRunReason: 'timeOver',
+};
+
+const INSTANCE_STOPS: EarlyEnd = {
+  status: 502,
+  reason: 'stopping',
+  notRunReason: 'stopping',
+};
+
 /** Forwards one request until its caller has a final response or has disconnected. */
-export abstract class RequestForwarder implements Disposable {
+export abstract class RequestForwarder
+  implements Disposable, RequestInProgress
+{
   protected readonly owned = new DisposableStore();
   private isFinished = false;
   private resolveDone: () => void = () => undefined;
@@ -56,21 +81,25 @@
     }
     const timer = this.services.clock.setTimer(
       Math.max(0, this.remainingMilliseconds),
-      () => this.onDeadline(),
+      () => this.endEarly(DEADLINE_PASSED),
     );
     this.owned.add(timer);
     this.startFirstAttempt();
     return done;
   }
 
+  endForStop(): void {
+    this.endEarly(INSTANCE_STOPS);
+  }
+
   dispose(): void {
     this.owned.dispose();
   }
 
   protected abstract startFirstAttempt(): void;
 
-  /** Called when the deadline has passed; ends the request. */
-  protected abstract onDeadline(): void;
+  /** Ends the request although its answer is not whole. */
+  protected abstract endEarly(end: EarlyEnd): void;
 
   /** Additional fields of the `requestEnded` log line. */
   protected abstract logFields(): Readonly<Record<string, unknown>>;
@@ -189,7 +218,8 @@
       return;
     }
     this.isFinished = true;
-    const {admitted, services} = this;
+    const {admitted, exchange, services} = this;
+    const {window} = services.stop;
     services.metrics.recordEnd(
       admitted.route.kind,
       outcome,
@@ -207,6 +237,9 @@
       configurationAge: Math.round(admitted.configurationAge),
       listAge: Math.round(services.directory.age),
       ...this.logFields(),
+      stop:
+        window &&
+        describeStopTimes(window, exchange.request.receivedAt, this.now),
     });
     this.dispose();
     this.resolveDone();
--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -6,11 +6,14 @@
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {RouteTable} from '../../traffic/common/routeTable.js';
 import {CallerExchange, RouterResponse} from '../common/callerExchange.js';
+import {describeStopTimes, StopWindow} from '../common/stopWindow.js';
 import {NotRunReason, retryAfterMilliseconds} from '../common/retryAfter.js';
 import {RequestMetadata} from '../common/headerCodec.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {PlainForwarder} from './plainForwarder.js';
 import {AdmittedRequest, RequestForwarder} from './requestForwarder.js';
+import {HandledRequest} from './handledRequest.js';
+import {RequestsInProgress} from './requestsInProgress.js';
 import {StreamForwarder} from './streamForwarder.js';
 import {StreamMonitor} from './streamMonitor.js';
 
@@ -46,9 +49,8 @@
 
 /** Decides whether to admit each request of a caller and forwards those that are admitted. */
 export class RequestHandler {
-  private inProgress = 0;
+  private readonly inProgress = new RequestsInProgress();
   private refusesNew = false;
-  private onIdle: () => void = () => undefined;
   private unnamedCount = 0;
 
   constructor(
@@ -58,7 +60,17 @@
 
   /** Number of requests without a final response. */
   get count(): number {
-    return this.inProgress;
+    return this.inProgress.count;
+  }
+
+  /** The instance has been told to stop. */
+  beginStop(window: StopWindow): void {
+    this.services.stop.begin(window);
+  }
+
+  /** Ends all requests in progress because the time of the stop is over. */
+  endAll(): void {
+    this.inProgress.endAll();
   }
 
   /** Refuses new requests as not executed from now on. */
@@ -68,59 +80,53 @@
 
   /** Resolves once no request is in progress. */
   idle(): Promise<void> {
-    return this.inProgress === 0
-      ? Promise.resolve()
-      : new Promise(resolve => (this.onIdle = resolve));
+    return this.inProgress.idle();
   }
 
   /** Handles one request until it has ended. */
   async handle(exchange: CallerExchange): Promise<void> {
-    this.inProgress++;
-    const {target} = exchange.request;
+    const {target, headers} = exchange.request;
     exchange.onDidFail(detail =>
       this.services.logger.error('response not written', {target, detail}),
     );
+    const request = new HandledRequest(
+      exchange,
+      this.services.headerCodec.readRequest(headers),
+      unsent => this.respond(unsent, {kind: 'refused', reason: 'stopping'}),
+    );
+    const entry = this.inProgress.add(request);
     try {
-      await this.process(exchange);
+      await this.process(request);
     } finally {
-      this.inProgress--;
-      if (this.inProgress === 0) {
-        this.onIdle();
-      }
+      entry.dispose();
     }
   }
 
-  private async process(exchange: CallerExchange): Promise<void> {
-    const facts = this.services.headerCodec.readRequest(
-      exchange.request.headers,
-    );
-    const initial = await this.admit(exchange, facts);
+  private async process(request: HandledRequest): Promise<void> {
+    const initial = await this.admit(request);
     if (initial.kind !== 'admitted') {
-      this.respond(exchange, facts, initial);
+      this.respond(request, initial);
       return;
     }
     const {limits} = initial.table.configuration;
-    const body = await exchange.readBody(limits.bodyBytes);
+    const body = await request.exchange.readBody(limits.bodyBytes);
     if (body === undefined) {
-      this.respond(exchange, facts, {
+      this.respond(request, {
         kind: 'answer',
         answer: {kind: 'rejected', status: 413, reason: 'body too long'},
       });
       return;
     }
     // Reading the body may take long, so the configuration that is now in force decides.
-    const admission = await this.admit(exchange, facts);
+    const admission = await this.admit(request);
     if (admission.kind !== 'admitted') {
-      this.respond(exchange, facts, admission);
+      this.respond(request, admission);
       return;
     }
-    await this.forward(exchange, facts, admission, body);
+    await this.forward(request, admission, body);
   }
 
-  private async admit(
-    exchange: CallerExchange,
-    facts: RequestMetadata,
-  ): Promise<Admission> {
+  private async admit({exchange, facts}: HandledRequest): Promise<Admission> {
     if (this.refusesNew) {
       return {kind: 'refused', reason: 'stopping'};
     }
@@ -181,8 +187,7 @@
   }
 
   private respond(
-    exchange: CallerExchange,
-    facts: RequestMetadata,
+    {exchange, facts}: HandledRequest,
     decision: Exclude<Admission, {kind: 'admitted'}>,
   ): void {
     const response =
@@ -190,7 +195,7 @@
         ? decision.answer
         : this.notRun(decision.reason, facts);
     exchange.sendRouterResponse(response);
-    const {configuration, logger, metrics} = this.services;
+    const {clock, configuration, logger, metrics, stop} = this.services;
     metrics.recordEnd('none', response.kind, 0);
     logger.decision('requestRefused', {
       request: facts.id,
@@ -199,6 +204,13 @@
       ...response,
       configuration: configuration.table?.configuration.version,
       configurationAge: Math.round(configuration.age),
+      stop:
+        stop.window &&
+        describeStopTimes(
+          stop.window,
+          exchange.request.receivedAt,
+          clock.monotonicMilliseconds(),
+        ),
     });
   }
 
@@ -211,15 +223,15 @@
   }
 
   private async forward(
-    exchange: CallerExchange,
-    facts: RequestMetadata,
+    request: HandledRequest,
     {table, route, account}: Extract<Admission, {kind: 'admitted'}>,
     body: Uint8Array,
   ): Promise<void> {
+    const {exchange, facts} = request;
     const service = chooseTarget(route, this.services.random.next());
     if (service === undefined) {
       const reason = 'noUpstream';
-      this.respond(exchange, facts, {kind: 'refused', reason});
+      this.respond(request, {kind: 'refused', reason});
       return;
     }
     this.services.budget.recordRequest(service);
@@ -240,7 +252,8 @@
       configurationVersion: table.configuration.version,
       configurationAge: configuration.age,
     };
-    await this.createForwarder(exchange, admitted, table).run();
+    request.forwarder = this.createForwarder(exchange, admitted, table);
+    await request.forwarder.run();
   }
 
   private createForwarder(
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -13,7 +13,11 @@
 import {PathMover} from './pathMover.js';
 import {PromptWatch} from './promptWatch.js';
 import {suspectRefusingUpstream} from './refusedPath.js';
-import {AdmittedRequest, RequestForwarder} from './requestForwarder.js';
+import {
+  AdmittedRequest,
+  EarlyEnd,
+  RequestForwarder,
+} from './requestForwarder.js';
 import {StreamAttempt, StreamAttemptListener} from './streamAttempt.js';
 import {StreamMonitor, WatchedStream} from './streamMonitor.js';
 import {StreamPath} from './streamPath.js';
@@ -85,11 +89,11 @@
     this.startAttempt('first');
   }
 
-  protected override onDeadline(): void {
+  protected override endEarly({status, reason, notRunReason}: EarlyEnd): void {
     if (this.mayHaveRun || this.attempt !== undefined) {
-      this.fail(504, 'no whole answer in time');
+      this.fail(status, reason);
     } else {
-      this.refuse('timeOver');
+      this.refuse(notRunReason);
     }
   }
 
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -49,6 +49,7 @@
 } from '../common/callerExchange.js';
 import {defaultForwardingSettings} from '../common/forwardingSettings.js';
 import {OutcomeHistory} from '../common/outcomeHistory.js';
+import {InstanceStop} from '../common/instanceStop.js';
 import {RetryBudget} from '../common/retryBudget.js';
 import {
   ResponseListener,
@@ -553,6 +554,7 @@
         promptGuard,
         () => false,
       ),
+      stop: new InstanceStop(),
     };
     const monitor = new StreamMonitor(
       clock,
--- /dev/null
+++ b/src/programs/router/gracefulStop.ts
@@ -0,0 +1,115 @@
+import {neverCancelled} from '../../base/common/cancellation.js';
+import {Clock} from '../../base/common/clock.js';
+import {StopWindow} from '../../features/forwarding/common/stopWindow.js';
+import {Logger} from '../../infrastructure/logging/common/logger.js';
+import {CallerListener} from './callerListener.js';
+import {RouterComponents} from './routerComponents.js';
+
+/** Shares of the shutdown time after which idle connections are closed and new requests are refused. */
+const CLOSE_IDLE_SHARE = 0.4;
+const REFUSE_NEW_SHARE = 0.55;
+
+/** Time reserved for an orderly exit before the platform kills the process. */
+const EXIT_MARGIN_MILLISECONDS = 400;
+
+/** What a graceful stop acts on. */
+export type StoppingComponents = Pick<
+  RouterComponents,
+  'gossip' | 'handler' | 'instances' | 'layers' | 'registry' | 'tunnels'
+>;
+
+/** Stops an instance within the time that the platform allows, finishing requests in progress as far as possible. */
+export class GracefulStop {
+  private readonly startedAt: number;
+  private readonly window: StopWindow;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly components: StoppingComponents,
+    private readonly callers: CallerListener,
+    private readonly instanceName: string,
+    private readonly stopMilliseconds: number,
+  ) {
+    this.startedAt = clock.monotonicMilliseconds();
+    this.window = {
+      startedAt: this.startedAt,
+      endsAt: this.startedAt + stopMilliseconds - EXIT_MARGIN_MILLISECONDS,
+    };
+  }
+
+  /** Resolves when no request is in progress any more. */
+  async run(): Promise<void> {
+    const {handler, instances, tunnels} = this.components;
+    instances.state = 'stopping';
+    this.logger.info('stopping', {
+      inProgress: handler.count,
+      milliseconds: this.window.endsAt - this.startedAt,
+    });
+    handler.beginStop(this.window);
+    this.callers.closeAfterResponses();
+    void this.leave();
+    await this.sleepUntil(
+      this.startedAt + this.stopMilliseconds * CLOSE_IDLE_SHARE,
+    );
+    this.callers.closeIdle();
+    await Promise.race([
+      handler.idle(),
+      this.sleepUntil(
+        this.startedAt + this.stopMilliseconds * REFUSE_NEW_SHARE,
+      ),
+    ]);
+    handler.refuseNewRequests();
+    this.callers.stopListening();
+    await Promise.race([
+      Promise.all([
+        handler.idle().then(() => this.callers.written()),
+        tunnels.idle(),
+      ]),
+      this.sleepUntil(this.window.endsAt),
+    ]);
+    this.logger.info('stopped', {
+      unfinished: handler.count,
+      tunnels: tunnels.count,
+      milliseconds: this.elapsedMilliseconds,
+    });
+    handler.endAll();
+  }
+
+  /** Tells peers and gives up what this instance holds; logs each step. */
+  private async leave(): Promise<void> {
+    const {layers, registry, gossip} = this.components;
+    await Promise.all([
+      this.logStep('peers told', gossip.exchangeWithAll(neverCancelled)),
+      this.logStep('lease released', layers.leave(neverCancelled)),
+    ]);
+    await this.logStep(
+      'registration withdrawn',
+      registry.withdraw(this.instanceName, neverCancelled),
+    );
+  }
+
+  /** Waits for a step of leaving. A step that fails doesn't hold up the others or the stop. */
+  private async logStep(step: string, done: Promise<unknown>): Promise<void> {
+    try {
+      await done;
+      const milliseconds = this.elapsedMilliseconds;
+      this.logger.info('stop step done', {step, milliseconds});
+    } catch (error) {
+      const milliseconds = this.elapsedMilliseconds;
+      const detail = String(error);
+      this.logger.error('stop step failed', {step, milliseconds, detail});
+    }
+  }
+
+  private get elapsedMilliseconds(): number {
+    return Math.round(this.clock.monotonicMilliseconds() - this.startedAt);
+  }
+
+  private sleepUntil(moment: number): Promise<void> {
+    const milliseconds = moment - this.clock.monotonicMilliseconds();
+    return new Promise(resolve => {
+      this.clock.setTimer(Math.max(0, milliseconds), resolve);
+    });
+  }
+}
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -1,5 +1,4 @@
 import {Clock} from '../../base/common/clock.js';
-import {neverCancelled} from '../../base/common/cancellation.js';
 import {DisposableStore, toDisposable} from '../../base/common/lifecycle.js';
 import {RandomSource} from '../../base/common/randomSource.js';
 import {chooseAddresses} from '../../features/instances/common/chooseAddresses.js';
@@ -14,6 +13,7 @@
 import {mergeRpcRouters, serveRpc} from '../../infrastructure/rpc/node/rpc.js';
 import {CallerListener} from './callerListener.js';
 import {monitorEventLoop} from './eventLoopMonitor.js';
+import {GracefulStop} from './gracefulStop.js';
 import {createRouterComponents, RouterComponents} from './routerComponents.js';
 import {disabledMechanisms} from '../../features/mechanisms/common/mechanisms.js';
 import {RouterPorts} from './routerPorts.js';
@@ -38,12 +38,6 @@
 const METRICS_PATH = '/metrics';
 const METRICS_CONTENT_TYPE = 'text/plain; version=0.0.4';
 
-/** Shares of the shutdown time after which idle connections are closed and new requests are refused. */
-const CLOSE_IDLE_SHARE = 0.4;
-const REFUSE_NEW_SHARE = 0.55;
-/** Time reserved for an orderly exit before the platform kills the process. */
-const EXIT_MARGIN_MILLISECONDS = 400;
-
 /** Runs one instance of the router. */
 export class RouterProgram {
   private readonly owned = new DisposableStore();
@@ -114,40 +108,16 @@
 
   /** Shuts down within the time that the platform allows, finishing requests in progress as far as possible. */
   async stop(): Promise<void> {
-    const {stopMilliseconds} = this.settings;
-    const stopStartedAt = this.clock.monotonicMilliseconds();
-    const {handler, instances, tunnels} = this.components;
     this.isStopping = true;
-    instances.state = 'stopping';
-    this.logger.info('stopping', {inProgress: handler.count});
-    this.callers.closeAfterResponses();
-    void this.leave();
-    const sleepUntil = (milliseconds: number): Promise<void> =>
-      this.sleep(
-        stopStartedAt + milliseconds - this.clock.monotonicMilliseconds(),
-      );
-    await sleepUntil(stopMilliseconds * CLOSE_IDLE_SHARE);
-    this.callers.closeIdle();
-    await Promise.race([
-      handler.idle(),
-      sleepUntil(stopMilliseconds * REFUSE_NEW_SHARE),
-    ]);
-    handler.refuseNewRequests();
-    this.callers.stopListening();
-    await Promise.race([
-      Promise.all([
-        handler.idle().then(() => this.callers.written()),
-        tunnels.idle(),
-      ]),
-      sleepUntil(stopMilliseconds - EXIT_MARGIN_MILLISECONDS),
-    ]);
-    this.logger.info('stopped', {
-      unfinished: handler.count,
-      tunnels: tunnels.count,
-      milliseconds: Math.round(
-        this.clock.monotonicMilliseconds() - stopStartedAt,
-      ),
-    });
+    const stop = new GracefulStop(
+      this.clock,
+      this.logger,
+      this.components,
+      this.callers,
+      this.settings.instance.name,
+      this.settings.stopMilliseconds,
+    );
+    await stop.run();
     this.dispose();
   }
 
@@ -156,21 +126,6 @@
     this.owned.dispose();
   }
 
-  private async leave(): Promise<void> {
-    const {layers, registry, gossip} = this.components;
-    await Promise.all([
-      gossip.exchangeWithAll(neverCancelled),
-      layers.leave(neverCancelled),
-    ]);
-    await registry.withdraw(this.settings.instance.name, neverCancelled);
-  }
-
-  private sleep(milliseconds: number): Promise<void> {
-    return new Promise(resolve => {
-      this.clock.setTimer(Math.max(0, milliseconds), resolve);
-    });
-  }
-
   private updateState(): void {
     if (this.isStopping) {
       return;
