Stop: an instance takes only requests that it can bring to their end, and refuses others at once

Now it takes a request only if the longest of the recent answers of its service (or the age of one in progress, if greater) and a quarter more fit into the time that is left, or its own time limit does; others get 503, not run, at once, and may return to another instance at once. Its port stays open until nothing is in progress or 0.2 s before the end, since callers keep addresses for up to three times as long as told.

--- a/src/features/forwarding/node/forwardingServices.ts
+++ b/src/features/forwarding/node/forwardingServices.ts
@@ -16,6 +16,7 @@
 import {ActiveConfiguration} from '../../traffic/common/activeConfiguration.js';
 import {ForwardingSettings} from '../common/forwardingSettings.js';
 import {OutcomeHistory} from '../common/outcomeHistory.js';
+import {AnswerDurations} from '../common/answerDurations.js';
 import {InstanceStop} from '../common/instanceStop.js';
 import {RetryBudget} from '../common/retryBudget.js';
 import {UpstreamConnector} from '../common/upstreamExchange.js';
@@ -52,5 +53,6 @@
   readonly outcomes: OutcomeHistory;
   readonly promptGuard: PromptGuard;
   readonly crashDetector: CrashDetector;
+  readonly durations: AnswerDurations;
   readonly stop: InstanceStop;
 }
--- a/src/features/forwarding/node/requestForwarder.ts
+++ b/src/features/forwarding/node/requestForwarder.ts
@@ -54,6 +54,12 @@
   notRunReason: 'stopping',
 };
 
+/** Outcomes that show how long a request takes: neither its caller nor the router ended it before it could begin. */
+const COMPLETE_OUTCOMES: ReadonlySet<string> = new Set([
+  'answered',
+  'brokenOff',
+]);
+
 /** Forwards one request until its caller has a final response or has disconnected. */
 export abstract class RequestForwarder
   implements Disposable, RequestInProgress
@@ -79,6 +85,9 @@
       this.finish('callerLeft');
       return done;
     }
+    const {service} = this.admitted;
+    const {receivedAt} = this.exchange.request;
+    this.owned.add(this.services.durations.begin(service, receivedAt));
     const timer = this.services.clock.setTimer(
       Math.max(0, this.remainingMilliseconds),
       () => this.endEarly(DEADLINE_PASSED),
@@ -225,6 +234,9 @@
       outcome,
       this.elapsedMilliseconds,
     );
+    if (COMPLETE_OUTCOMES.has(outcome)) {
+      services.durations.record(admitted.service, this.elapsedMilliseconds);
+    }
     services.logger.decision('requestEnded', {
       request: admitted.id,
       route: admitted.route.name,
--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -6,6 +6,7 @@
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {RouteTable} from '../../traffic/common/routeTable.js';
 import {CallerExchange, RouterResponse} from '../common/callerExchange.js';
+import {decideStopAdmission} from '../common/stopAdmission.js';
 import {describeStopTimes, StopWindow} from '../common/stopWindow.js';
 import {NotRunReason, retryAfterMilliseconds} from '../common/retryAfter.js';
 import {RequestMetadata} from '../common/headerCodec.js';
@@ -45,12 +46,16 @@
       readonly account: TrafficAccount | undefined;
     }
   | {readonly kind: 'answer'; readonly answer: RouterResponse}
-  | {readonly kind: 'refused'; readonly reason: NotRunReason};
+  | {
+      readonly kind: 'refused';
+      readonly reason: NotRunReason;
+      /** How long the request was expected to take, where that decided. */
+      readonly expectedMilliseconds?: number;
+    };
 
 /** Decides whether to admit each request of a caller and forwards those that are admitted. */
 export class RequestHandler {
   private readonly inProgress = new RequestsInProgress();
-  private refusesNew = false;
   private unnamedCount = 0;
 
   constructor(
@@ -63,7 +68,7 @@
     return this.inProgress.count;
   }
 
-  /** The instance has been told to stop. */
+  /** From now on, takes only requests that can be finished in the time of the stop. */
   beginStop(window: StopWindow): void {
     this.services.stop.begin(window);
   }
@@ -73,11 +78,6 @@
     this.inProgress.endAll();
   }
 
-  /** Refuses new requests as not executed from now on. */
-  refuseNewRequests(): void {
-    this.refusesNew = true;
-  }
-
   /** Resolves once no request is in progress. */
   idle(): Promise<void> {
     return this.inProgress.idle();
@@ -127,9 +127,6 @@
   }
 
   private async admit({exchange, facts}: HandledRequest): Promise<Admission> {
-    if (this.refusesNew) {
-      return {kind: 'refused', reason: 'stopping'};
-    }
     const {configuration} = this.services;
     if (!configuration.isConfirmed) {
       await this.waitForConfirmation();
@@ -148,7 +145,33 @@
         ? rejection(404, 'no such route')
         : {kind: 'refused', reason: 'unconfirmed'};
     }
-    return this.authorize(table, route, facts);
+    const admission = this.authorize(table, route, facts);
+    return admission.kind === 'admitted'
+      ? (this.findStopRefusal(exchange, facts, route) ?? admission)
+      : admission;
+  }
+
+  /** Refuses a request that the stop of this instance would cut off; undefined if it can be finished. */
+  private findStopRefusal(
+    exchange: CallerExchange,
+    facts: RequestMetadata,
+    route: Route,
+  ): Admission | undefined {
+    const {clock, durations, stop} = this.services;
+    if (stop.window === undefined) {
+      return undefined;
+    }
+    const now = clock.monotonicMilliseconds();
+    const {isAdmitted, expectedMilliseconds} = decideStopAdmission({
+      stopLeft: stop.window.endsAt - now,
+      timeLimit: exchange.request.receivedAt + timeLimitOf(facts, route) - now,
+      longestAnswers: route.targets.map(({service}) =>
+        durations.longest(service, now),
+      ),
+    });
+    return isAdmitted
+      ? undefined
+      : {kind: 'refused', reason: 'stopping', expectedMilliseconds};
   }
 
   private authorize(
@@ -204,6 +227,8 @@
       ...response,
       configuration: configuration.table?.configuration.version,
       configurationAge: Math.round(configuration.age),
+      expectedMilliseconds:
+        decision.kind === 'refused' ? decision.expectedMilliseconds : undefined,
       stop:
         stop.window &&
         describeStopTimes(
@@ -236,10 +261,6 @@
     }
     this.services.budget.recordRequest(service);
     const {configuration} = this.services;
-    const timeLimit = Math.min(
-      facts.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS,
-      route.timeoutMilliseconds,
-    );
     const admitted: AdmittedRequest = {
       id: facts.id ?? `unnamed-${++this.unnamedCount}`,
       facts,
@@ -248,7 +269,7 @@
       account: account?.name,
       priority: account?.priority ?? route.priority,
       body,
-      deadlineAt: exchange.request.receivedAt + timeLimit,
+      deadlineAt: exchange.request.receivedAt + timeLimitOf(facts, route),
       configurationVersion: table.configuration.version,
       configurationAge: configuration.age,
     };
@@ -274,6 +295,14 @@
   }
 }
 
+/** Milliseconds after its arrival at which a request ends at the latest. */
+function timeLimitOf(facts: RequestMetadata, route: Route): number {
+  return Math.min(
+    facts.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS,
+    route.timeoutMilliseconds,
+  );
+}
+
 function rejection(
   status: 401 | 404 | 413 | 431,
   reason: string,
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -49,6 +49,7 @@
 } from '../common/callerExchange.js';
 import {defaultForwardingSettings} from '../common/forwardingSettings.js';
 import {OutcomeHistory} from '../common/outcomeHistory.js';
+import {AnswerDurations} from '../common/answerDurations.js';
 import {InstanceStop} from '../common/instanceStop.js';
 import {RetryBudget} from '../common/retryBudget.js';
 import {
@@ -554,6 +555,7 @@
         promptGuard,
         () => false,
       ),
+      durations: new AnswerDurations(),
       stop: new InstanceStop(),
     };
     const monitor = new StreamMonitor(
--- a/src/programs/router/gracefulStop.ts
+++ b/src/programs/router/gracefulStop.ts
@@ -5,9 +5,14 @@
 import {CallerListener} from './callerListener.js';
 import {RouterComponents} from './routerComponents.js';
 
-/** Shares of the shutdown time after which idle connections are closed and new requests are refused. */
+/**
+ * Share of the shutdown time after which idle connections are closed. Callers keep addresses for three times as long as they
+ * are told, so an instance that has nothing to do is still there for them until then.
+ */
 const CLOSE_IDLE_SHARE = 0.4;
-const REFUSE_NEW_SHARE = 0.55;
+
+/** Time before the end of a stop at which the port is closed, so that connections that were accepted get a response. */
+const CLOSE_PORT_MILLISECONDS = 200;
 
 /** Time reserved for an orderly exit before the platform kills the process. */
 const EXIT_MARGIN_MILLISECONDS = 400;
@@ -55,11 +60,8 @@
     this.callers.closeIdle();
     await Promise.race([
       handler.idle(),
-      this.sleepUntil(
-        this.startedAt + this.stopMilliseconds * REFUSE_NEW_SHARE,
-      ),
+      this.sleepUntil(this.window.endsAt - CLOSE_PORT_MILLISECONDS),
     ]);
-    handler.refuseNewRequests();
     this.callers.stopListening();
     await Promise.race([
       Promise.all([
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -21,6 +21,7 @@
 import {UpstreamLoadTracker} from '../../features/fleet/common/upstreamLoadTracker.js';
 import {defaultForwardingSettings} from '../../features/forwarding/common/forwardingSettings.js';
 import {OutcomeHistory} from '../../features/forwarding/common/outcomeHistory.js';
+import {AnswerDurations} from '../../features/forwarding/common/answerDurations.js';
 import {InstanceStop} from '../../features/forwarding/common/instanceStop.js';
 import {RetryBudget} from '../../features/forwarding/common/retryBudget.js';
 import {ForwardingServices} from '../../features/forwarding/node/forwardingServices.js';
@@ -259,6 +260,7 @@
         () => instances.isCutOff,
       ),
     ),
+    durations: new AnswerDurations(),
     stop: new InstanceStop(),
   };
   const streamWatch = owned.add(
--- a/test/standins/fleet/layeredEngine.ts
+++ b/test/standins/fleet/layeredEngine.ts
@@ -60,6 +60,8 @@
   readonly deadlyParts = new Set<string>();
   /** Time until an engine begins to write, as its prompt waits to be read. */
   beginMilliseconds = 0;
+  /** Time between the events of a stream. */
+  eventMilliseconds = EVENT_INTERVAL_MILLISECONDS;
   readonly deadlyArrivals: DeadlyArrival[] = [];
   /** `performance.now()` of the crashes that requests caused. */
   readonly crashedAt: number[] = [];
@@ -369,7 +371,7 @@
         response.end();
       }
       event++;
-    }, EVENT_INTERVAL_MILLISECONDS);
+    }, this.fleet.eventMilliseconds);
   }
 
   /** Whether this engine or one on a path stands still. */
