--- a/test/standins/fleet/system.ts
+++ b/test/standins/fleet/system.ts
@@ -22,15 +22,17 @@
 
 /** Router instances as separate processes, connected to stand-ins for all outside systems. */
 
-/** The bundle that the platform runs, and a program that runs it with links that can be cut, relative to `dist`. */
-const BUNDLED_ROUTER = '../target/redwing-router.cjs';
+/** The bundle that the platform runs, relative to `dist`. */
+export const BUNDLED_ROUTER = '../target/redwing-router.cjs';
+/** A program that runs the bundle with links that can be cut, relative to `dist`. */
 const CUTTABLE_ROUTER = 'test/standins/fleet/cuttableRouter.js';
 
 const LAYER_COUNT = 12;
 const EVENTS_PER_STREAM = 30;
 const DEFAULT_ZONES: readonly string[] = ['north', 'south'];
 const START_MILLISECONDS = 20_000;
-const STOP_SECONDS = 4;
+/** Time that the settings of an instance give it to stop. */
+export const STOP_SECONDS = 4;
 
 /** A router instance in its own process; addresses are `IP:port`. */
 export interface RouterInstance {
--- a/test/support/managedProcess.ts
+++ b/test/support/managedProcess.ts
@@ -37,12 +37,17 @@
     this.watchdog.unref();
   }
 
-  /** Starts a program from `dist` with a settings file. */
-  start(name: string, program: string, settingsFile: string): ManagedProcess {
+  /** Starts a program from `dist` with a settings file and options of Node.js. */
+  start(
+    name: string,
+    program: string,
+    settingsFile: string,
+    nodeOptions: readonly string[] = [],
+  ): ManagedProcess {
     const logFile = join(this.directory, `${name}.log`);
     const started = new ManagedProcess(
       name,
-      [builtProgramPath(program), settingsFile],
+      [...nodeOptions, builtProgramPath(program), settingsFile],
       logFile,
       line => this.watchdog.stdin?.write(`${line}\n`),
     );
@@ -87,10 +92,22 @@
     return this.child.pid ?? 0;
   }
 
+  /** Resolves with the exit code, undefined if a signal ended the process. */
+  get exitCode(): Promise<number | undefined> {
+    return this.ended;
+  }
+
   get isRunning(): boolean {
     return !this.hasExited;
   }
 
+  /** Sends a signal, unless the process has exited. */
+  signal(signal: NodeJS.Signals): void {
+    if (!this.hasExited) {
+      this.child.kill(signal);
+    }
+  }
+
   /** Suspends the process, as a paused machine would. */
   freeze(): void {
     this.signal('SIGSTOP');
@@ -131,12 +148,6 @@
     return this.log().split('\n').flatMap(parseLogLine);
   }
 
-  private signal(signal: NodeJS.Signals): void {
-    if (!this.hasExited) {
-      this.child.kill(signal);
-    }
-  }
-
   private spawn(): ChildProcess {
     // A file rather than a pipe: the program must not block on a slow reader of its log.
     const log = openSync(this.logFile, 'a');
@@ -173,7 +184,8 @@
   builtProgramPath(WATCHDOG_PROGRAM);
 }
 
-function builtProgramPath(path: string): string {
+/** Path of a built program in `dist`; throws an error if it is missing. */
+export function builtProgramPath(path: string): string {
   const program = join(repositoryRoot(), 'dist', path);
   if (!existsSync(program)) {
     throw new Error(`dist/${path} is missing; run npm run build first`);
