Router: no signal ends the process by default action

Cause: 'process.once' left a second SIGTERM to the default action, SIGINT had no handler, and the handlers were set only once the bundle was compiled.

Change: the launcher sets empty listeners in its first lines; Node.js holds signals back until the bundle has set its own.

--- a/deploy/launch.cjs
+++ b/deploy/launch.cjs
@@ -1,3 +1,9 @@
+// Without listeners, a signal would end the process. Node.js calls listeners only once this file has run; by then,
+// the bundle has set its own, which receive the signals that came meanwhile.
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+  process.on(signal, () => undefined);
+}
+
 const {readFileSync} = require('node:fs');
 const {join} = require('node:path');
 const {Script} = require('node:vm');
