Entry and control: no signal ends the process by default action

Cause: entry had no SIGHUP handler, control used 'once' and set its handlers after its start; both set them only after all modules were loaded.

SIGHUP is logged as needing a restart. A stop ends drainSeconds + 8 s (entry) or 10 s (control) after the signal at the latest.

Measured: test/programs/signals.test.ts, 38 of 40 cases failed before, in 10 (entry) and 12 (control) the process was ended by the signal; now 40 pass. A control program stops within milliseconds, before a later signal is sent, so the test pauses its peers in the cases with several signals.

--- a/src/infrastructure/commandLine/node/runCommandLine.ts
+++ b/src/infrastructure/commandLine/node/runCommandLine.ts
@@ -1,6 +1,6 @@
 import {Writable} from 'node:stream';
 
-import {Builtins, Cli, Command, CommandClass} from 'clipanion';
+import {BaseContext, Builtins, Cli, Command, CommandClass} from 'clipanion';
 
 import {version} from '../../../base/common/version.js';
 
@@ -15,20 +15,24 @@
   readonly stderr: Writable;
 }
 
+/** What commands get besides the standard fields: the output streams and the fields of their own context. */
+export type CommandContext<Context extends BaseContext> = CommandStreams &
+  Omit<Context, keyof BaseContext>;
+
 /** A program and its commands. */
-export interface CommandLine {
+export interface CommandLine<Context extends BaseContext = BaseContext> {
   readonly name: string;
   readonly label: string;
-  readonly commands: readonly CommandClass[];
+  readonly commands: ReadonlyArray<CommandClass<Context>>;
 }
 
 /** Runs a command line and returns its exit code. Usage errors are written to standard error. */
-export async function runCommandLine(
-  program: CommandLine,
+export async function runCommandLine<Context extends BaseContext>(
+  program: CommandLine<Context>,
   args: readonly string[],
-  streams: CommandStreams,
+  context: CommandContext<Context>,
 ): Promise<number> {
-  const cli = Cli.from(
+  const cli = Cli.from<Context>(
     [Builtins.HelpCommand, Builtins.VersionCommand, ...program.commands],
     {
       binaryLabel: program.label,
@@ -37,12 +41,12 @@
       enableColors: false,
     },
   );
-  let command: Command;
+  let command: Command<Context>;
   try {
-    command = cli.process([...args], streams);
+    command = cli.process([...args], context);
   } catch (error) {
-    streams.stderr.write(cli.error(error, {colored: false}));
+    context.stderr.write(cli.error(error, {colored: false}));
     return USAGE_EXIT_CODE;
   }
-  return cli.run(command, streams);
+  return cli.run(command, context);
 }
--- a/src/programs/control/controlProgram.ts
+++ b/src/programs/control/controlProgram.ts
@@ -53,7 +53,7 @@
 
 /** The control program; creates and connects its components. */
 export class ControlProgram extends DisposableOwner {
-  private readonly logger: Logger;
+  readonly logger: Logger;
   private readonly metrics: Metrics;
   private readonly core: ControlCore;
   private readonly placement: PlacementController | undefined;
--- a/src/programs/control/runControl.ts
+++ b/src/programs/control/runControl.ts
@@ -1,13 +1,18 @@
-#!/usr/bin/env node
-import {Command, Option} from 'clipanion';
+import {BaseContext, Command, Option} from 'clipanion';
 
 import {formatFinding, Finding} from '../../base/common/finding.js';
 import {Result, success} from '../../base/common/result.js';
 import {operatorKeysSchema} from '../../features/administration/node/operatorKeys.js';
 import {
+  CommandStreams,
   runCommandLine,
   USAGE_EXIT_CODE,
 } from '../../infrastructure/commandLine/node/runCommandLine.js';
+import {ProcessSignals} from '../../infrastructure/process/node/processSignals.js';
+import {
+  ProgramRunner,
+  restartNeeded,
+} from '../../infrastructure/process/node/programRunner.js';
 import {ControlSettings} from '../../infrastructure/settings/common/programSettings.js';
 import {controlSettingsSchema} from '../../infrastructure/settings/common/settingsSchemas.js';
 import {
@@ -18,6 +23,14 @@
 
 /** Command line of the program `redwing-control`. */
 
+/** Limit of a stop: its peers are told and the placement lease is returned, which needs the table service. */
+const STOP_LIMIT_MILLISECONDS = 10_000;
+
+/** Context of the commands. */
+interface SignalContext extends BaseContext {
+  readonly signals: ProcessSignals;
+}
+
 interface LoadedSettings {
   readonly settings: ControlSettings;
   readonly secrets: ControlSecrets;
@@ -52,7 +65,7 @@
 }
 
 /** Runs the program until SIGTERM or SIGINT. */
-class RunCommand extends Command {
+class RunCommand extends Command<SignalContext> {
   static override paths = [Command.Default, ['run']];
   static override usage = Command.Usage({
     description: 'Run the control program of one instance.',
@@ -70,15 +83,17 @@
     }
     const {settings, secrets} = loaded.value;
     const program = new ControlProgram(settings, secrets);
-    await program.start();
-    await waitForStopSignal();
-    await program.stop();
-    return 0;
+    const {signals} = this.context;
+    const runner = new ProgramRunner(program, signals, program.logger, {
+      stopLimitMilliseconds: STOP_LIMIT_MILLISECONDS,
+      hangUpAction: restartNeeded,
+    });
+    return runner.run();
   }
 }
 
 /** Checks a settings file and the files that it refers to. */
-class CheckSettingsCommand extends Command {
+class CheckSettingsCommand extends Command<SignalContext> {
   static override paths = [['check-settings']];
   static override usage = Command.Usage({
     description: 'Check a settings file; all findings are printed.',
@@ -97,21 +112,20 @@
   }
 }
 
-function waitForStopSignal(): Promise<void> {
-  return new Promise(resolve => {
-    process.once('SIGTERM', () => resolve());
-    process.once('SIGINT', () => resolve());
-  });
+/** Runs one command line; resolves with its exit code. The caller then exits the process. */
+export function runControl(
+  commandLine: readonly string[],
+  streams: CommandStreams,
+  signals: ProcessSignals,
+): Promise<number> {
+  const {stdout, stderr} = streams;
+  return runCommandLine<SignalContext>(
+    {
+      name: 'redwing-control',
+      label: 'redwing-control',
+      commands: [RunCommand, CheckSettingsCommand],
+    },
+    commandLine,
+    {stdout, stderr, signals},
+  );
 }
-
-const exitCode = await runCommandLine(
-  {
-    name: 'redwing-control',
-    label: 'redwing-control',
-    commands: [RunCommand, CheckSettingsCommand],
-  },
-  process.argv.slice(2),
-  process,
-);
-// Connections kept open by peers must not delay the exit.
-process.exit(exitCode);
--- a/src/programs/entry/entryProgram.ts
+++ b/src/programs/entry/entryProgram.ts
@@ -10,6 +10,7 @@
 import {NaivePipelineDriver} from '../../features/naive/node/naivePipelineDriver.js';
 import {NaiveServiceDispatcher} from '../../features/naive/node/naiveServiceDispatcher.js';
 import {HttpEngineConnector} from '../../infrastructure/engine/node/httpEngineConnector.js';
+import {Logger} from '../../infrastructure/logging/common/logger.js';
 import {BunyanLogger} from '../../infrastructure/logging/node/bunyanLogger.js';
 import {
   Metrics,
@@ -30,6 +31,9 @@
 /** Milliseconds that a graceful shutdown waits for outcomes to be recorded. */
 const RECORDING_TIMEOUT_MILLISECONDS = 2000;
 
+/** Milliseconds of a shutdown beyond the drain: last responses, kept connections, recording and announcement. */
+const CLOSE_TIMEOUT_MILLISECONDS = 8000;
+
 /** The entry program of one instance. */
 export class EntryProgram extends DisposableOwner {
   private readonly dependencies: PolicyDependencies;
@@ -51,6 +55,18 @@
     this.server = this.createServer();
   }
 
+  get logger(): Logger {
+    return this.dependencies.logger;
+  }
+
+  /** Limit of a stop, from the stop signal on. */
+  get stopLimitMilliseconds(): number {
+    return (
+      this.settings.drainSeconds * MILLISECONDS_PER_SECOND +
+      CLOSE_TIMEOUT_MILLISECONDS
+    );
+  }
+
   /** Starts to serve callers and peers; resolves once both are being served. */
   async start(): Promise<void> {
     const {views, logger, incarnation} = this.dependencies;
--- a/src/programs/entry/runEntry.ts
+++ b/src/programs/entry/runEntry.ts
@@ -1,12 +1,17 @@
-#!/usr/bin/env node
-import {Command, Option} from 'clipanion';
+import {BaseContext, Command, Option} from 'clipanion';
 
 import {formatFinding, Finding} from '../../base/common/finding.js';
 import {failure, Result, success} from '../../base/common/result.js';
 import {
+  CommandStreams,
   runCommandLine,
   USAGE_EXIT_CODE,
 } from '../../infrastructure/commandLine/node/runCommandLine.js';
+import {ProcessSignals} from '../../infrastructure/process/node/processSignals.js';
+import {
+  ProgramRunner,
+  restartNeeded,
+} from '../../infrastructure/process/node/programRunner.js';
 import {EntrySettings} from '../../infrastructure/settings/common/programSettings.js';
 import {entrySettingsSchema} from '../../infrastructure/settings/common/settingsSchemas.js';
 import {
@@ -17,7 +22,10 @@
 
 /** The program `redwing-entry`. Exit codes: 0 success, 1 failure, 2 invalid settings or usage. */
 
-const EXIT_FAILURE = 1;
+/** Context of the commands. */
+interface SignalContext extends BaseContext {
+  readonly signals: ProcessSignals;
+}
 
 interface LoadedSettings {
   readonly settings: EntrySettings;
@@ -42,7 +50,7 @@
 }
 
 /** A command that takes a settings file. */
-abstract class SettingsCommand extends Command {
+abstract class SettingsCommand extends Command<SignalContext> {
   readonly settingsFile = Option.String({name: 'settings'});
 
   override async execute(): Promise<number> {
@@ -72,17 +80,12 @@
     peerKey,
   }: LoadedSettings): Promise<number> {
     const program = new EntryProgram(settings, peerKey);
-    const stopSignal = waitForStopSignal();
-    try {
-      await program.start();
-    } catch (error) {
-      this.context.stderr.write(`could not start: ${String(error)}\n`);
-      program.dispose();
-      return EXIT_FAILURE;
-    }
-    await stopSignal;
-    await program.stop();
-    return 0;
+    const {signals} = this.context;
+    const runner = new ProgramRunner(program, signals, program.logger, {
+      stopLimitMilliseconds: program.stopLimitMilliseconds,
+      hangUpAction: restartNeeded,
+    });
+    return runner.run();
   }
 }
 
@@ -99,20 +102,20 @@
   }
 }
 
-/** Resolves on the first SIGTERM or SIGINT; later signals don't interrupt the shutdown. */
-function waitForStopSignal(): Promise<void> {
-  return new Promise(resolve => {
-    process.on('SIGTERM', () => resolve());
-    process.on('SIGINT', () => resolve());
-  });
+/** Runs one command line; resolves with its exit code. The caller then exits the process. */
+export function runEntry(
+  commandLine: readonly string[],
+  streams: CommandStreams,
+  signals: ProcessSignals,
+): Promise<number> {
+  const {stdout, stderr} = streams;
+  return runCommandLine<SignalContext>(
+    {
+      name: 'redwing-entry',
+      label: 'redwing-entry',
+      commands: [RunCommand, CheckSettingsCommand],
+    },
+    commandLine,
+    {stdout, stderr, signals},
+  );
 }
-
-process.exitCode = await runCommandLine(
-  {
-    name: 'redwing-entry',
-    label: 'redwing-entry',
-    commands: [RunCommand, CheckSettingsCommand],
-  },
-  process.argv.slice(2),
-  process,
-);
--- a/test/programs/signals.test.ts
+++ b/test/programs/signals.test.ts
@@ -103,6 +103,9 @@
 
     it.each(servingCases)('$name', async ({signals, exits}) => {
       const target = instance[program];
+      // A control program stops within milliseconds unless its peers don't answer.
+      const paused = program === 'control' && signals.length > 1;
+      const peers = [1, 2].map(index => fixture.instance(index).control);
       const workItems = Array.from({length: STREAM_COUNT}, () =>
         fixture.newWork(REPLY_TOKENS),
       );
@@ -110,6 +113,7 @@
         fixture.submitUntilAccepted(instance, work, work.businessKey),
       );
       await Promise.all(workItems.map(work => fixture.awaitBegun(work)));
+      peers.filter(() => paused).forEach(peer => peer.freeze());
       const loggedBefore = loggedSignals(target).length;
       const end = endWithin(
         target,
@@ -130,6 +134,7 @@
               .map(({signal}) => signal),
           );
       } finally {
+        peers.forEach(peer => peer.resume());
         if (!target.isRunning) {
           await target.restart();
         }
