Responses: only chunks and a length mark their own end, another transfer coding doesn't

Any Transfer-Encoding counted as framing, so an answer with "Transfer-Encoding: identity" (or gzip) that stopped in its body, in order or by a reset, was passed on as whole: a 200 with an empty or short body on plain routes, a stream cut between two events, a store's or report's answer without its end. The parser reads such an answer until its connection ends. One function now decides for all HTTP clients; the reset and the check of the upstream's life apply to these answers, too.

The sockets of spoiledHeads.test.ts moved to socketHarness.ts, which both use.

--- a/src/features/forwarding/node/httpUpstreamExchange.ts
+++ b/src/features/forwarding/node/httpUpstreamExchange.ts
@@ -1,5 +1,6 @@
 import {Dispatcher} from 'undici';
 
+import {marksItsEnd} from '../../../infrastructure/http/node/responseFraming.js';
 import {
   ExchangeFailure,
   ResponseListener,
@@ -87,11 +88,7 @@
     if (this.isDone || status < 200) {
       return;
     }
-    this.isFramed =
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined ||
-      status === 204 ||
-      status === 304;
+    this.isFramed = marksItsEnd(status, headers);
     this.listener.onHead(status, reason, toRawHeaders(controller));
   }
 
--- a/src/features/forwarding/test/spoiledHeads.test.ts
+++ b/src/features/forwarding/test/spoiledHeads.test.ts
@@ -1,10 +1,3 @@
-import {
-  Agent,
-  createServer as createHttpServer,
-  IncomingMessage,
-  request,
-  Server as HttpServer,
-} from 'node:http';
 import {createServer, Server} from 'node:net';
 
 import {afterEach, describe, expect, it} from 'vitest';
@@ -14,7 +7,6 @@
   ANY_LOCAL_ADDRESS,
 } from '../../../../test/support/localServer.js';
 import {listen} from '../../../infrastructure/http/node/textServer.js';
-import {DirectDialer} from '../../../infrastructure/http/node/directDialer.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {makeUpstream} from '../../fleet/test/upstreams.js';
 import {layeredEngine} from '../../paths/test/engines.js';
@@ -22,9 +14,8 @@
   makeConfiguration,
   makeRoute,
 } from '../../traffic/test/trafficConfigurations.js';
-import {HttpCallerExchange} from '../node/httpCallerExchange.js';
-import {HttpUpstreamConnector} from '../node/httpUpstreamConnector.js';
-import {eventText, ForwardingHarness} from './forwardingHarness.js';
+import {eventText} from './forwardingHarness.js';
+import {CallerAnswer, SocketHarness} from './socketHarness.js';
 
 /** Answers with a spoiled status line on their way from a real socket of an upstream to a real socket of a caller. */
 
@@ -36,9 +27,6 @@
 /** Requests with one harness: fewer than its retry budget allows to be repeated. */
 const BATCH_SIZE = 64;
 
-/** A request without an answer counts as unanswered after this time; sound ones take some milliseconds. */
-const ANSWER_LIMIT_MILLISECONDS = 1_500;
-
 const configuration = makeConfiguration({
   routes: [
     makeRoute({
@@ -72,12 +60,6 @@
   readonly value: number;
 }
 
-interface Answer {
-  readonly status: number | undefined;
-  readonly body: string;
-  readonly isComplete: boolean;
-}
-
 /** An upstream that answers each request from a socket, and spoils the first answer as the request asks. */
 class SpoilingUpstream {
   readonly runsOf = new Map<string, number>();
@@ -124,76 +106,6 @@
   }
 }
 
-/** Forwarding between a caller's socket and upstreams. */
-class SocketHarness {
-  readonly forwarding: ForwardingHarness;
-  private readonly connector = new HttpUpstreamConnector(new DirectDialer());
-  private readonly server: HttpServer;
-  private readonly agent = new Agent({keepAlive: true, maxSockets: 16});
-
-  constructor(upstreams: readonly Upstream[]) {
-    this.forwarding = new ForwardingHarness(
-      configuration,
-      upstreams,
-      {},
-      this.connector,
-    );
-    const {clock, handler} = this.forwarding;
-    this.server = createHttpServer((message, response) => {
-      const exchange = new HttpCallerExchange(
-        message,
-        response,
-        clock.monotonicMilliseconds(),
-        () => false,
-      );
-      void handler.handle(exchange);
-    });
-  }
-
-  start(): Promise<void> {
-    return listen(this.server, ANY_LOCAL_ADDRESS);
-  }
-
-  send(target: string, id: string): Promise<Answer> {
-    const [host, port] = addressOf(this.server).split(':');
-    return new Promise(resolve => {
-      const outgoing = request({
-        host,
-        port,
-        path: target,
-        method: 'POST',
-        agent: this.agent,
-        headers: {id, host: 'host.example', key: 'key'},
-        timeout: ANSWER_LIMIT_MILLISECONDS,
-      });
-      outgoing.on('response', (message: IncomingMessage) => {
-        const chunks: Buffer[] = [];
-        message.on('data', (chunk: Buffer) => chunks.push(chunk));
-        message.on('error', () => undefined);
-        message.on('close', () =>
-          resolve({
-            status: message.statusCode,
-            body: Buffer.concat(chunks).toString(),
-            isComplete: message.complete,
-          }),
-        );
-      });
-      outgoing.on('timeout', () => outgoing.destroy());
-      outgoing.on('error', () =>
-        resolve({status: undefined, body: '', isComplete: false}),
-      );
-      outgoing.end();
-    });
-  }
-
-  stop(): void {
-    this.agent.destroy();
-    this.server.close();
-    this.server.closeAllConnections();
-    this.connector.dispose();
-  }
-}
-
 const stops: Array<() => void> = [];
 
 afterEach(() => stops.splice(0).forEach(stop => stop()));
@@ -221,7 +133,7 @@
   target: string,
   place: number,
   values: readonly number[],
-): Promise<ReadonlyArray<Answer & Spoiling>> {
+): Promise<ReadonlyArray<CallerAnswer & Spoiling>> {
   return Promise.all(
     values.map(async value => {
       const answer = await harness.send(target, `${place}-${value}`);
@@ -248,10 +160,10 @@
         [0, 1].map(index => startUpstream(service, index)),
       );
       const upstreams = started.map(({upstream}) => upstream);
-      const answers: Array<Answer & Spoiling> = [];
+      const answers: Array<CallerAnswer & Spoiling> = [];
       for (let from = 0; from < BYTE_VALUES; from += BATCH_SIZE) {
-        const harness = new SocketHarness(upstreams);
-        stops.push(() => harness.stop());
+        const harness = new SocketHarness(configuration, upstreams);
+        stops.push(() => harness.dispose());
         await harness.start();
         const values = [...Array(BATCH_SIZE).keys()].map(index => from + index);
         answers.push(...(await sendAll(harness, target, place, values)));
@@ -276,7 +188,7 @@
 
 /** A sound answer is whole; an error of the router is complete, and a stream that has begun is broken off without a gap. */
 function isAllowed(
-  {status, body, isComplete}: Answer,
+  {status, body, isComplete}: CallerAnswer,
   service: string,
 ): boolean {
   if (status === undefined) {
@@ -290,7 +202,11 @@
   return isComplete ? body === whole || hasNoBody : whole.startsWith(body);
 }
 
-function describeAnswer({value, status, body}: Answer & Spoiling): string {
+function describeAnswer({
+  value,
+  status,
+  body,
+}: CallerAnswer & Spoiling): string {
   return `byte ${value}: ${status} ${body}`;
 }
 
--- a/src/infrastructure/http/node/httpExchange.ts
+++ b/src/infrastructure/http/node/httpExchange.ts
@@ -2,6 +2,7 @@
 
 import {CancellationToken} from '../../../base/common/cancellation.js';
 import {Disposable} from '../../../base/common/lifecycle.js';
+import {marksItsEnd} from './responseFraming.js';
 
 /** A request to send. */
 export interface HttpRequest {
@@ -106,7 +107,7 @@
   }
 
   onResponseEnd(): void {
-    if (!this.isFramed()) {
+    if (!marksItsEnd(this.status, this.headers)) {
       this.settleOnce(this.failed('the answer does not say where it ends'));
       return;
     }
@@ -164,16 +165,6 @@
     this.settle(outcome);
   }
 
-  /** Whether the headers delimit the response. If not, a truncated response looks like a complete one. */
-  private isFramed(): boolean {
-    return (
-      this.headers['content-length'] !== undefined ||
-      this.headers['transfer-encoding'] !== undefined ||
-      this.status === 204 ||
-      this.status === 304
-    );
-  }
-
   private body(): string {
     const [first] = this.chunks;
     if (first === undefined) {
