Upstreams: a connection that ends while its response is paused ends the exchange; resets count for their own connection only

Two faults in how the ends of upstream connections were read.

While a caller reads slowly, its response is paused. If the upstream's connection then ended (any answer with Connection: close, as all of an upstream that leaves, without length, or of HTTP/1.0), undici asserted that its parser isn't paused: an uncaught exception, and the exchange ended neither with the answer nor with a failure, until its time limit.

A reset was noted for all connections until the next turn of the event loop, so a whole answer without a length that ended in the same turn counted as lost: 502 although it ran, a stream sent again.

Sockets now give undici an error in place of both ends, one whose code it does not take for the end of a response; the exchange decides from its framing and length whether an answer that ended while paused was whole.

--- a/src/features/forwarding/node/httpUpstreamConnector.ts
+++ b/src/features/forwarding/node/httpUpstreamConnector.ts
@@ -9,8 +9,8 @@
   UpstreamExchange,
   UpstreamRequest,
 } from '../common/upstreamExchange.js';
+import {ConnectionEnds} from './connectionEnds.js';
 import {HttpUpstreamExchange} from './httpUpstreamExchange.js';
-import {ResetDetector} from './resetDetector.js';
 
 /** Idle connections are closed early if the upstream does not state its keep-alive timeout. */
 const DEFAULT_KEEP_ALIVE_MILLISECONDS = 800;
@@ -35,7 +35,7 @@
   implements UpstreamConnector
 {
   private readonly pools = new Map<string, UpstreamPool>();
-  private readonly resetDetector = new ResetDetector();
+  private readonly connectionEnds = new ConnectionEnds();
 
   constructor(private readonly dialer: Dialer) {
     super();
@@ -55,7 +55,7 @@
       : this.poolOf(upstream);
     const exchange = new HttpUpstreamExchange(
       listener,
-      this.resetDetector,
+      this.connectionEnds,
       request.isAlone ? dispatcher : undefined,
     );
     exchange.start(dispatcher, request);
@@ -103,7 +103,7 @@
   private options(): Client.Options {
     return {
       pipelining: 1,
-      connect: this.resetDetector.watch(this.dialer.connect),
+      connect: this.connectionEnds.watch(this.dialer.connect),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MILLISECONDS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLISECONDS,
       maxHeaderSize: HEADER_LIMIT_BYTES,
--- a/src/features/forwarding/node/httpUpstreamExchange.ts
+++ b/src/features/forwarding/node/httpUpstreamExchange.ts
@@ -7,7 +7,11 @@
   UpstreamExchange,
   UpstreamRequest,
 } from '../common/upstreamExchange.js';
-import {ResetDetector} from './resetDetector.js';
+import {
+  ConnectionEnds,
+  PausedEndError,
+  UpstreamConnection,
+} from './connectionEnds.js';
 
 /** One HTTP exchange; used only once. */
 export class HttpUpstreamExchange
@@ -17,12 +21,17 @@
   private controller: Dispatcher.DispatchController | undefined;
   private connectTimer: NodeJS.Timeout | undefined;
   private wasSent = false;
+  /** The connection of the response, once its head has arrived. */
+  private connection: UpstreamConnection | undefined;
   private isFramed = false;
+  /** Length of the body as the head states it. */
+  private statedBytes = NaN;
+  private receivedBytes = 0;
   private isDone = false;
 
   constructor(
     private readonly listener: ResponseListener,
-    private readonly resetDetector: ResetDetector,
+    private readonly connectionEnds: ConnectionEnds,
     /** Dispatcher that belongs to this exchange alone and is destroyed with it. */
     private readonly ownDispatcher: Dispatcher | undefined,
   ) {
@@ -54,13 +63,21 @@
   }
 
   override pause(): void {
+    this.setPaused(true);
     this.controller?.pause();
   }
 
   override resume(): void {
+    this.setPaused(false);
     this.controller?.resume();
   }
 
+  private setPaused(isPaused: boolean): void {
+    if (this.connection !== undefined && !this.isDone) {
+      this.connection.isPaused = isPaused;
+    }
+  }
+
   override dispose(): void {
     if (!this.isDone) {
       this.finish();
@@ -88,12 +105,15 @@
     if (this.isDone || status < 200) {
       return;
     }
+    this.connection = this.connectionEnds.current;
     this.isFramed = marksItsEnd(status, headers);
+    this.statedBytes = Number(headers['content-length']);
     this.listener.onHead(status, reason, toRawHeaders(controller));
   }
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
     if (!this.isDone) {
+      this.receivedBytes += chunk.length;
       this.listener.onBody(chunk);
     }
   }
@@ -102,18 +122,19 @@
     if (this.isDone) {
       return;
     }
-    if (!this.isFramed && this.resetDetector.isResetting) {
-      this.fail(
-        'connection reset before the end of a close-delimited response',
-      );
-      return;
-    }
     this.finish();
     this.listener.onEnd(this.isFramed);
   }
 
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
-    this.fail(describeError(error));
+    const isWhole =
+      error instanceof PausedEndError &&
+      (!this.isFramed || this.receivedBytes === this.statedBytes);
+    if (isWhole) {
+      this.onResponseEnd();
+    } else {
+      this.fail(describeError(error));
+    }
   }
 
   private fail(detail: string): void {
@@ -131,6 +152,7 @@
   }
 
   private finish(): void {
+    this.setPaused(false);
     this.isDone = true;
     clearTimeout(this.connectTimer);
     const {ownDispatcher} = this;
--- a/src/features/forwarding/test/httpUpstreamExchange.test.ts
+++ b/src/features/forwarding/test/httpUpstreamExchange.test.ts
@@ -3,7 +3,11 @@
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {makeUpstream} from '../../fleet/test/upstreams.js';
-import {ResponseListener, ExchangeFailure} from '../common/upstreamExchange.js';
+import {
+  ExchangeFailure,
+  ResponseListener,
+  UpstreamExchange,
+} from '../common/upstreamExchange.js';
 import {RawHeaders} from '../common/headerCodec.js';
 import {DirectDialer} from '../../../infrastructure/http/node/directDialer.js';
 import {HttpUpstreamConnector} from '../node/httpUpstreamConnector.js';
@@ -75,7 +79,17 @@
   isAlone: boolean,
 ): Recorder {
   const recorder = new Recorder();
-  connector.open(
+  openFor(connector, address, isAlone, recorder);
+  return recorder;
+}
+
+function openFor(
+  connector: HttpUpstreamConnector,
+  address: string,
+  isAlone: boolean,
+  recorder: Recorder,
+): UpstreamExchange {
+  return connector.open(
     makeUpstream({address}),
     {
       method: 'POST',
@@ -87,7 +101,6 @@
     },
     recorder,
   );
-  return recorder;
 }
 
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Proof: p\r\n';
@@ -210,3 +223,77 @@
   const recorder = open(makeConnector(), address, false);
   expect(await recorder.ended).toBe('not sent');
 });
+
+interface PausedCase {
+  readonly headers: string;
+  readonly rest: string;
+  readonly closing: 'FIN' | 'RST';
+  readonly outcome: string;
+}
+
+const CLOSE = 'Connection: close\r\n';
+const LENGTH = 'Content-Length: 2\r\n';
+const CHUNKED = 'Transfer-Encoding: chunked\r\n';
+
+const pausedCases: readonly PausedCase[] = [
+  {headers: '', rest: 'ok', closing: 'FIN', outcome: 'end of connection'},
+  {headers: '', rest: 'o', closing: 'RST', outcome: 'lost'},
+  {headers: CLOSE + LENGTH, rest: 'ok', closing: 'FIN', outcome: 'end'},
+  {headers: CLOSE + LENGTH, rest: 'o', closing: 'FIN', outcome: 'lost'},
+  {headers: CLOSE + LENGTH, rest: 'o', closing: 'RST', outcome: 'lost'},
+  {headers: LENGTH, rest: 'o', closing: 'FIN', outcome: 'lost'},
+  {
+    headers: CLOSE + CHUNKED,
+    rest: '1\r\no\r\n',
+    closing: 'FIN',
+    outcome: 'lost',
+  },
+  {
+    headers: CLOSE + CHUNKED,
+    rest: '1\r\no\r\n',
+    closing: 'RST',
+    outcome: 'lost',
+  },
+  {
+    headers: CLOSE + CHUNKED,
+    rest: '2\r\nok\r\n0\r\n\r\n',
+    closing: 'FIN',
+    outcome: 'end',
+  },
+];
+
+// Guards against an assertion of the HTTP client, after which the exchange never ended.
+describe.each([
+  {when: 'with its last bytes', waits: false},
+  {when: 'later', waits: true},
+])('a connection that ends $when while its response is paused', ({waits}) => {
+  it.each(pausedCases)(
+    'by $closing, with the headers $headers and then $rest, ends as $outcome',
+    async ({headers, rest, closing, outcome}) => {
+      const address = await startServer(socket => {
+        const close = (): void =>
+          void (closing === 'FIN' ? socket.end() : socket.resetAndDestroy());
+        socket.write(`${HEAD}${headers}\r\n`);
+        setTimeout(() => {
+          socket.write(rest);
+          if (!waits && closing === 'FIN') {
+            close();
+          } else {
+            setTimeout(close, 20);
+          }
+        }, 10);
+      });
+      const exchanges: UpstreamExchange[] = [];
+      const recorder = new (class extends Recorder {
+        override onBody(chunk: Uint8Array): void {
+          super.onBody(chunk);
+          exchanges.forEach(exchange => exchange.pause());
+        }
+      })();
+      exchanges.push(openFor(makeConnector(), address, false, recorder));
+      await new Promise(resolve => setTimeout(resolve, 60));
+      exchanges.forEach(exchange => exchange.resume());
+      expect(await recorder.ended).toBe(outcome);
+    },
+  );
+});
