--- a/src/infrastructure/tunnel/test/tunnel.test.ts
+++ b/src/infrastructure/tunnel/test/tunnel.test.ts
@@ -6,12 +6,18 @@
 
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
+import {
+  closings,
+  CuttingServer,
+  mapInBatches,
+} from '../../../../test/standins/cutAnswers.js';
 import {openTunnel} from '../node/openTunnel.js';
 import {TunnelGuard, TunnelServer} from '../node/tunnelServer.js';
 
 const HOST = '127.0.0.1';
 const KEY = 'key';
 const TIMEOUT_MILLISECONDS = 500;
+const BATCH_SIZE = 16;
 
 function listen(server: Server | HttpServer): Promise<string> {
   return new Promise(resolve =>
@@ -147,3 +153,26 @@
     await closed;
   });
 });
+
+describe("a peer's answer to a tunnel that stops", () => {
+  const text = 'HTTP/1.1 200 Connection Established\r\n\r\n';
+
+  it.each(closings)('with %s at any byte opens no tunnel', async closing => {
+    const opened = await mapInBatches(
+      [...text].map((_, bytes) => ({bytes, closing})),
+      BATCH_SIZE,
+      async cut => {
+        const peer = new CuttingServer(() => ({text, cut}));
+        const tunnel = await openTunnel({
+          relayAddress: await peer.start(),
+          targetAddress: `${HOST}:1`,
+          peerKey: KEY,
+          milliseconds: TIMEOUT_MILLISECONDS,
+        });
+        peer.stop();
+        return tunnel.ok || tunnel.error === 'timeout' ? cut.bytes : undefined;
+      },
+    );
+    expect(opened.filter(bytes => bytes !== undefined)).toEqual([]);
+  });
+});
