Streams: the forwarder's state, recovery and moves have modules of their own

Change: streamState.ts holds what the attempts of a stream share and the current attempt; streamRecovery.ts decides what follows a lost attempt, a refusal, a restart and the lack of a path; streamMover.ts is what StreamMonitor watches, and moves the running stream; the forwarder (204 lines) chooses the path, sends, forwards events and ends the request. RequestHandler constructs and runs it as before.

Ran and passed: src/features/forwarding/test, test/router/router.test.ts and test/router/attempts.test.ts (251 tests).

--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -1,49 +1,31 @@
 import {toDisposable} from '../../../base/common/lifecycle.js';
-import {formatPath, Path, upstreamIdsOf} from '../../paths/common/path.js';
+import {formatPath} from '../../paths/common/path.js';
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {CallerExchange, ResponseHead} from '../common/callerExchange.js';
 import {StreamEvent} from '../common/eventFramer.js';
-import {EventSequence} from '../common/eventSequence.js';
 import {NotRunReason} from '../common/retryAfter.js';
-import {StreamProgress} from '../common/silentStreams.js';
 import {ResponseMetadata} from '../common/headerCodec.js';
-import {EntryChoice, EntryUpstreams} from './entryUpstreams.js';
 import {ForwardingServices} from './forwardingServices.js';
-import {PathChooser} from './pathChooser.js';
-import {PathMover} from './pathMover.js';
-import {PromptWatch} from './promptWatch.js';
-import {suspectRefusingUpstream} from './refusedPath.js';
 import {
   AdmittedRequest,
   EarlyEnd,
   RequestForwarder,
 } from './requestForwarder.js';
-import {StreamAttempt, StreamAttemptListener} from './streamAttempt.js';
-import {StreamMonitor, WatchedStream} from './streamMonitor.js';
-import {StreamPath} from './streamPath.js';
-import {StreamResponse} from './streamResponse.js';
-import {StreamRetries} from './streamRetries.js';
+import {StreamAttemptListener} from './streamAttempt.js';
+import {StreamMonitor} from './streamMonitor.js';
+import {StreamMover} from './streamMover.js';
+import {StreamActions, StreamRecovery} from './streamRecovery.js';
+import {StreamRequestState, StreamState} from './streamState.js';
 import {StreamWait} from './streamWait.js';
 
 /** Forwards a stream along a path of upstreams and continues it elsewhere when the path breaks. */
 export class StreamForwarder
   extends RequestForwarder
-  implements WatchedStream, StreamAttemptListener
+  implements StreamAttemptListener
 {
-  private readonly sequence: EventSequence;
-  private readonly pathChooser: PathChooser;
-  private readonly streamPath: StreamPath;
-  private readonly pathMover: PathMover;
-  private readonly response: StreamResponse;
-  private readonly retries: StreamRetries;
-  private readonly entryUpstreams: EntryUpstreams;
-  private readonly promptWatch: PromptWatch;
-  private readonly waiting: StreamWait;
-  private attempt: StreamAttempt | undefined;
-  private sentAt = 0;
-  private moveCount = 0;
-  private mayHaveRun = false;
-  private isMoving = false;
+  private readonly state: StreamState;
+  private readonly recovery: StreamRecovery;
+  private readonly mover: StreamMover;
 
   constructor(
     services: ForwardingServices,
@@ -53,35 +35,21 @@
     private readonly monitor: StreamMonitor,
   ) {
     super(services, exchange, admitted);
-    const {facts, route, service} = admitted;
-    const size = {
-      promptTokens: facts.promptTokens,
-      answerTokens: expectedAnswerLength(admitted, engine),
-    };
-    this.sequence = new EventSequence(
-      facts.lastEvent,
-      route.isResumable || facts.lastEvent !== undefined,
+    this.state = new StreamState(services, exchange, admitted, engine, () =>
+      this.readState(),
     );
-    this.response = new StreamResponse(services, exchange);
-    this.retries = new StreamRetries(services, admitted, () => ({
-      hasBegun: exchange.hasBegun,
-      hasTimeForAttempt: this.hasTimeForAttempt,
-    }));
-    this.streamPath = new StreamPath(services, engine, size);
-    this.pathChooser = new PathChooser(services, service, engine, size);
-    this.entryUpstreams = new EntryUpstreams(services, route.attemptLimit);
-    this.pathMover = new PathMover(services, admitted.id, this.pathChooser);
-    this.promptWatch = new PromptWatch(services, admitted);
-    this.waiting = new StreamWait(
+    this.recovery = new StreamRecovery(
       services,
       admitted,
-      this.response,
-      this.owned,
+      this.state,
+      new StreamWait(services, admitted, this.state.response, this.owned),
+      this.createActions(),
     );
+    this.mover = new StreamMover(services, admitted, this.state, this.recovery);
   }
 
   protected override startFirstAttempt(): void {
-    this.owned.add(this.monitor.add(this));
+    this.owned.add(this.monitor.add(this.mover));
     this.owned.add(toDisposable(() => this.release()));
     this.owned.add(
       this.services.promptGuard.onDidSuspect(() => this.stopIfBlocked()),
@@ -90,7 +58,7 @@
   }
 
   protected override endEarly({status, reason, notRunReason}: EarlyEnd): void {
-    if (this.mayHaveRun || this.attempt !== undefined) {
+    if (this.state.mayHaveRun || this.state.attempt !== undefined) {
       this.fail(status, reason);
     } else {
       this.refuse(notRunReason);
@@ -98,336 +66,121 @@
   }
 
   protected override logFields(): Readonly<Record<string, unknown>> {
+    const {path, response, retries} = this.state;
     return {
-      attempts: this.retries.count,
-      moves: this.moveCount,
-      ...this.response.logFields,
-      path: formatPath(this.path),
+      attempts: retries.count,
+      moves: this.mover.moveCount,
+      ...response.logFields,
+      path: formatPath(path),
       promptParts: this.admitted.facts.promptParts,
     };
   }
 
-  get progress(): StreamProgress | undefined {
-    if (this.attempt === undefined || this.isMoving) {
-      return undefined;
-    }
-    const {lastEventAt, meanGapMilliseconds} = this.response.gaps;
-    return {
-      requestId: this.admitted.id,
-      upstreams: upstreamIdsOf(this.path),
-      lastActivityAt: Math.max(this.sentAt, lastEventAt),
-      hasBegun: this.attempt.hasEvents,
-      meanGapMilliseconds,
-      expectedGapMilliseconds: this.streamPath.expectedGapMilliseconds,
-    };
+  onStreamHead(head: ResponseHead): void {
+    this.state.response.recordHead(head);
   }
 
-  leave(upstream: string): void {
-    if (this.isDone || this.isMoving || this.attempt === undefined) {
+  onEvents(events: readonly StreamEvent[]): void {
+    const {promptWatch, response, sequence} = this.state;
+    if (this.isDone || !response.hasHead) {
       return;
     }
-    const isFirst = this.path[0]?.upstream.id === upstream;
-    const {movedStreams} = this.services.mechanisms;
-    if (isFirst) {
-      this.promptWatch.recordLoss(upstream, this.attempt, false);
+    this.state.recordMayHaveRun();
+    const isKeepingUp = response.write(events);
+    sequence.recordDelivered(events);
+    const {attempt} = this.state;
+    if (attempt !== undefined) {
+      promptWatch.recordEvents(attempt);
     }
-    if (isFirst || !movedStreams || !this.attempt.hasEvents) {
-      this.restart('upstreamLost');
-    } else {
-      void this.move(upstream, true);
+    if (!isKeepingUp) {
+      this.pauseUntilDrained();
     }
   }
 
-  onUpstreamDegraded(upstream: string): void {
-    const isFirst = this.path[0]?.upstream.id === upstream;
-    // The end of the first upstream shows on the connection at once; moving off it early would not be
-    // faster.
-    const canMove = !isFirst && !this.isMoving && this.attempt?.hasEvents;
-    const {movedStreams} = this.services.mechanisms;
-    if (movedStreams && canMove && !this.isDone) {
-      void this.move(upstream, false);
+  onStreamEnd(): void {
+    if (this.isDone) {
+      return;
     }
+    const {promptWatch, response} = this.state;
+    response.end();
+    promptWatch.recordSound();
+    this.finish('answered', {status: response.status});
   }
 
-  onSilence(milliseconds: number): void {
-    const {giveUpSilenceMilliseconds} = this.services.settings;
-    if (milliseconds > giveUpSilenceMilliseconds) {
-      this.restart('silence');
-    }
+  onErrorResponse(
+    head: ResponseHead,
+    facts: ResponseMetadata,
+    body: Uint8Array,
+  ): void {
+    this.recovery.onErrorResponse(head, facts, body);
   }
 
-  private get path(): Path {
-    return this.streamPath.path;
+  onLost(detail: string, wasSent: boolean): void {
+    this.recovery.onLost(detail, wasSent);
   }
 
   private startAttempt(cause: string): void {
-    const obstacle = this.promptWatch.findObstacle();
+    const {entryUpstreams, pathChooser, pathLoad, promptWatch, retries} =
+      this.state;
+    const obstacle = promptWatch.findObstacle();
     if (obstacle !== undefined) {
       this.giveUp(obstacle);
       return;
     }
-    const choice = this.entryUpstreams.choosePath(this.pathChooser);
+    const choice = entryUpstreams.choosePath(pathChooser);
     if (choice.kind !== 'found') {
-      this.onNoPath(cause, choice);
+      this.recovery.onNoPath(cause, choice);
       return;
     }
-    this.retries.recordAttempt();
-    this.streamPath.startOn(choice.path);
+    retries.recordAttempt();
+    pathLoad.startOn(choice.path);
     this.logDecision('pathChosen', {
       cause,
       path: formatPath(choice.path),
       predicted: Math.round(choice.predictedCost),
       listAge: Math.round(this.services.directory.age),
-      lastEvent: this.sequence.lastEvent,
-      sentBefore: this.entryUpstreams.history,
+      lastEvent: this.state.sequence.lastEvent,
+      sentBefore: entryUpstreams.history,
     });
     this.send();
   }
 
-  private onNoPath(
-    cause: string,
-    choice: Exclude<EntryChoice, {kind: 'found'}>,
-  ): void {
-    if (choice.kind === 'attemptsUsed') {
-      void this.entryUpstreams.seekProofs();
-    }
-    const decision = this.waiting.decide(cause, choice, {
-      hasBegun: this.exchange.hasBegun,
-      mayHaveRun: this.mayHaveRun,
-      hasTimeForAttempt: this.hasTimeForAttempt,
-    });
-    if (decision.kind === 'giveUp') {
-      this.giveUp(decision.reason, decision.causeEndsInMilliseconds);
-    } else {
-      this.waiting.schedule(() => this.startAttempt(cause));
-    }
-  }
-
   private send(): void {
-    const [first] = this.path;
-    if (first === undefined) {
+    const {firstUpstream, path, sequence} = this.state;
+    if (firstUpstream === undefined) {
       this.giveUp('noLayers');
       return;
     }
-    this.entryUpstreams.add(first.upstream);
-    this.sequence.beginAttempt();
-    this.sentAt = this.now;
-    const {id} = this.admitted;
-    this.attempt = new StreamAttempt(this.services, id, this.sequence, this);
+    const attempt = this.state.beginAttempt(firstUpstream, this);
     const hasPath = this.engine.layers !== undefined;
-    this.attempt.open(
-      first.upstream,
-      this.createUpstreamRequest(first.upstream, {
-        path: hasPath ? this.path : undefined,
-        lastEvent: this.sequence.lastEvent,
+    attempt.open(
+      firstUpstream,
+      this.createUpstreamRequest(firstUpstream, {
+        path: hasPath ? path : undefined,
+        lastEvent: sequence.lastEvent,
         isAlone: false,
       }),
     );
   }
 
-  onStreamHead(head: ResponseHead): void {
-    this.response.recordHead(head);
-  }
-
-  onEvents(events: readonly StreamEvent[]): void {
-    if (this.isDone || !this.response.hasHead) {
-      return;
-    }
-    this.mayHaveRun = true;
-    const isKeepingUp = this.response.write(events);
-    this.sequence.recordDelivered(events);
-    if (this.attempt !== undefined) {
-      this.promptWatch.recordEvents(this.attempt);
-    }
-    if (!isKeepingUp) {
-      const {attempt} = this;
-      attempt?.pause();
-      this.exchange.whenDrained(() => attempt?.resume());
-    }
-  }
-
-  onStreamEnd(): void {
-    if (this.isDone) {
-      return;
-    }
-    this.response.end();
-    this.promptWatch.recordSound();
-    this.finish('answered', {status: this.response.status});
-  }
-
-  onErrorResponse(
-    head: ResponseHead,
-    facts: ResponseMetadata,
-    body: Uint8Array,
-  ): void {
-    this.attempt = undefined;
-    if (this.isDone) {
-      return;
-    }
-    if (facts.isNotRun) {
-      this.onNotRun(facts);
-      return;
-    }
-    this.mayHaveRun = true;
-    this.logDecision('upstreamFailed', {status: head.status});
-    if (this.retries.canResend && this.retries.tryTake()) {
-      this.retry('upstreamFailed');
-    } else if (this.exchange.hasBegun) {
-      this.fail(502, 'the upstream failed midway');
-    } else {
-      this.forwardResponse(head, body);
-    }
-  }
-
-  onLost(detail: string, wasSent: boolean): void {
-    const {attempt} = this;
-    const writing = attempt?.writingMilliseconds;
-    this.attempt = undefined;
-    if (this.isDone) {
-      return;
-    }
-    const upstream = this.path[0]?.upstream;
-    this.logDecision('answerLost', {
-      upstream: upstream?.id,
-      detail,
-      wasSent,
-      writing: writing === undefined ? null : Math.round(writing),
-      lastEvent: this.sequence.lastEvent,
-      promptParts: this.admitted.facts.promptParts,
-    });
-    if (!wasSent && upstream !== undefined) {
-      this.entryUpstreams.takeBackLast();
-      this.services.suspicions.suspect(upstream.id, 'unreachable', {detail});
-      this.startAttempt('unreachable');
-      return;
-    }
-    this.mayHaveRun = true;
-    if (upstream !== undefined) {
-      this.entryUpstreams.recordBrokenOff(upstream);
-      this.promptWatch.recordLoss(upstream.id, attempt, true);
-    }
-    const probe =
-      upstream && this.services.prober.probe(upstream, 'reset', {detail});
-    if (!this.retries.canResend) {
-      this.fail(502, 'answerLost');
-    } else if (this.promptWatch.isLastLoss) {
-      // Whether the request may be sent again depends on whether its upstreams have ended.
-      void Promise.all([probe, this.entryUpstreams.seekProofs()]).then(() =>
-        this.repeatAfterLoss(),
-      );
-    } else {
-      this.repeatAfterLoss();
-    }
-  }
-
-  private repeatAfterLoss(): void {
-    this.retryOrWait('answerLost', () => this.fail(502, 'answerLost'));
+  /** Reads no further events from the upstream while the caller reads more slowly than they arrive. */
+  private pauseUntilDrained(): void {
+    const {attempt} = this.state;
+    attempt?.pause();
+    this.exchange.whenDrained(() => attempt?.resume());
   }
 
   /** Ends an attempt that no upstream has begun to write once its prompt is known to make upstreams crash. */
   private stopIfBlocked(): void {
-    const hasBegun = this.attempt?.hasEvents || this.exchange.hasBegun;
-    if (this.attempt !== undefined && !hasBegun && this.promptWatch.isBlocked) {
+    const {attempt, promptWatch} = this.state;
+    const hasBegun = attempt?.hasEvents || this.exchange.hasBegun;
+    if (attempt !== undefined && !hasBegun && promptWatch.isBlocked) {
       this.fail(502, 'endsUpstreams');
     }
   }
 
-  private onNotRun(facts: ResponseMetadata): void {
-    const {id} = this.admitted;
-    const faulty = suspectRefusingUpstream(this.services, id, this.path, facts);
-    this.logDecision('refusedByUpstream', {
-      faulty: faulty?.id,
-      misdirected: facts.isMisdirected,
-      rest: facts.restMilliseconds ?? null,
-    });
-    this.retryOrWait('notRun', () => this.giveUp('refused'));
-  }
-
-  /** Without budget for a retry, a stream that has begun waits until the budget allows one; others end. */
-  private retryOrWait(cause: string, onExhausted: () => void): void {
-    if (this.isDone) {
-      return;
-    }
-    if (this.retries.tryTake()) {
-      this.retry(cause);
-      return;
-    }
-    if (!this.exchange.hasBegun || this.retries.isExhausted) {
-      onExhausted();
-      return;
-    }
-    this.logNotRestarted(cause);
-    this.waiting.schedule(() => this.retryOrWait(cause, onExhausted));
-  }
-
-  /**
-   * Moves the running stream off upstreams so that the others keep its KV cache.
-   * @param isUrgent whether the stream can't continue on its current path
-   */
-  private async move(excluded: string, isUrgent: boolean): Promise<void> {
-    const move = this.pathMover.findMove(this.path, excluded);
-    if (move === undefined || move.addsCrossings) {
-      const hasRestarted = isUrgent && this.restart('upstreamLost');
-      if (hasRestarted || !isUrgent || move === undefined) {
-        return;
-      }
-    }
-    const {events} = this.response.gaps;
-    this.isMoving = true;
-    this.moveCount++;
-    const isMoved = await this.pathMover.order(move);
-    this.isMoving = false;
-    if (this.isDone || this.attempt === undefined) {
-      return;
-    }
-    if (isMoved) {
-      this.services.metrics.recordRetry('moved');
-      this.streamPath.moveTo(move.path);
-    } else if (this.response.gaps.events === events) {
-      this.restart('notMoved');
-    }
-  }
-
-  /**
-   * Abandons the running attempt and starts another if that is allowed; returns whether it did. An attempt that could
-   * start nowhere else goes on, since its upstream may only pause.
-   */
-  private restart(cause: string): boolean {
-    if (!this.retries.canResend) {
-      return false;
-    }
-    const current = this.path[0]?.upstream.id;
-    const isCurrentSuspect =
-      current !== undefined && this.services.suspicions.isSuspect(current);
-    const excluded = isCurrentSuspect ? current : undefined;
-    if (!this.entryUpstreams.hasStartOtherThan(excluded)) {
-      void this.entryUpstreams.seekProofs();
-      this.logNotRestarted(cause);
-      return false;
-    }
-    if (!this.retries.tryTake()) {
-      this.logNotRestarted(cause);
-      return false;
-    }
-    this.attempt?.dispose();
-    this.attempt = undefined;
-    this.mayHaveRun = true;
-    this.retry(cause);
-    return true;
-  }
-
-  private logNotRestarted(cause: string): void {
-    const {history} = this.entryUpstreams;
-    this.waiting.logNotRestarted(cause, this.retries.count, history);
-  }
-
-  private retry(cause: string): void {
-    this.services.metrics.recordRetry(cause);
-    this.startAttempt(cause);
-  }
-
   private giveUp(reason: NotRunReason, causeEndsInMilliseconds = 0): void {
-    if (this.mayHaveRun || this.exchange.hasBegun) {
+    if (this.state.mayHaveRun || this.exchange.hasBegun) {
       this.fail(502, reason);
     } else {
       this.refuse(reason, causeEndsInMilliseconds);
@@ -435,18 +188,21 @@
   }
 
   private release(): void {
-    this.attempt?.dispose();
-    this.attempt = undefined;
-    this.streamPath.release();
+    this.state.abandonAttempt();
+    this.state.pathLoad.release();
+  }
+
+  private readState(): StreamRequestState {
+    const {isDone, hasTimeForAttempt} = this;
+    return {isDone, hasTimeForAttempt};
   }
-}
 
-/** Estimated tokens of the answer: the caller's estimate or else the usual length, limited to the maximum. */
-function expectedAnswerLength(
-  {facts}: AdmittedRequest,
-  engine: EngineSettings,
-): number {
-  const expected = facts.expectedAnswerTokens ?? engine.usualAnswerTokens;
-  const most = facts.answerTokens > 0 ? facts.answerTokens : expected;
-  return Math.min(expected, most);
+  private createActions(): StreamActions {
+    return {
+      startAttempt: cause => this.startAttempt(cause),
+      giveUp: (reason, endsIn) => this.giveUp(reason, endsIn),
+      fail: (status, reason) => this.fail(status, reason),
+      forwardResponse: (head, body) => this.forwardResponse(head, body),
+    };
+  }
 }
