Stand-ins: upstreams record the work on each request; streams may have lengths of their own

Cause: a soak needs what upstreams saw of each request and when, the stop time and the event interval as options, and streams of several lengths. Change: an upstream log shared by all upstreams of a stand-in system, options of StandInSystem, defaults unchanged.

--- a/test/router/stops.test.ts
+++ b/test/router/stops.test.ts
@@ -39,7 +39,7 @@
   ])(
     'takes no stream that it would have to cut off, with streams of $streamMilliseconds ms',
     async ({eventMilliseconds, areSomeTaken}) => {
-      system.engines.eventMilliseconds = eventMilliseconds;
+      system.engines.eventIntervalMilliseconds = eventMilliseconds;
       const stopping = system.instances[1]!;
       const streams: Array<Promise<SentStream>> = [];
       const begunAt = performance.now();
--- a/test/standins/fleet/layeredEngine.ts
+++ b/test/standins/fleet/layeredEngine.ts
@@ -4,6 +4,7 @@
 import {parseAddress} from '../../../src/infrastructure/rpc/node/rpc.js';
 import {sleep} from '../../support/sleep.js';
 import {RowStore} from './rowStore.js';
+import {UpstreamLog} from './upstreamLog.js';
 
 /** A minimal engine that holds a range of layers and implements the users' published protocol. */
 
@@ -23,6 +24,8 @@
 }
 
 interface RunningStream {
+  readonly requestId: string;
+  readonly eventCount: number;
   path: readonly Hop[];
 }
 
@@ -60,11 +63,11 @@
   readonly deadlyParts = new Set<string>();
   /** Time until an engine begins to write, as its prompt waits to be read. */
   beginMilliseconds = 0;
-  /** Time between the events of a stream. */
-  eventMilliseconds = EVENT_INTERVAL_MILLISECONDS;
   readonly deadlyArrivals: DeadlyArrival[] = [];
   /** `performance.now()` of the crashes that requests caused. */
   readonly crashedAt: number[] = [];
+  /** Whether streams have as many events as their requests allow output tokens. */
+  followsTokenCount = false;
   private isDisposed = false;
 
   constructor(
@@ -73,8 +76,17 @@
     /** Events of each stream. */
     public events: number,
     readonly store: RowStore,
+    readonly log = new UpstreamLog(),
+    public eventIntervalMilliseconds = EVENT_INTERVAL_MILLISECONDS,
   ) {}
 
+  /** Number of events of the stream that a request asks for. */
+  eventCountOf({headers}: IncomingMessage): number {
+    return this.followsTokenCount
+      ? Number(String(headers['token-count']).split(',')[1])
+      : this.events;
+  }
+
   /** Starts an engine and publishes its row in the store. */
   async add(
     id: string,
@@ -255,7 +267,7 @@
         response,
       );
     } else {
-      this.startStream(request, response);
+      this.startStream(request, response, body);
     }
   }
 
@@ -295,6 +307,7 @@
   private startStream(
     request: IncomingMessage,
     response: ServerResponse,
+    body: string,
   ): void {
     this.arrivedAt.push(performance.now());
     const id = String(request.headers['request-id']);
@@ -304,6 +317,20 @@
     }
     const path = parsePath(String(request.headers['hop-count'] ?? ''));
     const faulty = this.findFaultyAddress(path);
+    const stamp = `${this.id}.${id}`;
+    this.fleet.log.record(
+      request,
+      response,
+      {
+        upstream: this.id,
+        path: path.map(({address}) => address),
+        body,
+        hasRun: faulty === undefined,
+        status: faulty === undefined ? 200 : 503,
+        stamp: faulty === undefined ? stamp : undefined,
+      },
+      () => !this.isRunning,
+    );
     if (faulty !== undefined) {
       const headers = {
         'not-run': '1',
@@ -324,10 +351,14 @@
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'request-id': id,
-      'route-stamp': `${this.id}.${id}`,
+      'route-stamp': stamp,
       ...limitHeaders(this.requestLimit),
     });
-    const stream: RunningStream = {path};
+    const stream: RunningStream = {
+      requestId: id,
+      path,
+      eventCount: this.fleet.eventCountOf(request),
+    };
     this.running.set(id, stream);
     if (isDeadly) {
       this.fleet.scheduleCrash(this);
@@ -365,13 +396,15 @@
       ) {
         return;
       }
-      response.write(`id: ${event}\ndata: piece ${event}\n\n`);
-      if (event === this.fleet.events) {
+      response.write(
+        `id: ${event}\ndata: piece ${event} of ${stream.requestId}\n\n`,
+      );
+      if (event >= stream.eventCount) {
         clearInterval(timer);
         response.end();
       }
       event++;
-    }, this.fleet.eventMilliseconds);
+    }, this.fleet.eventIntervalMilliseconds);
   }
 
   /** Whether this engine or one on a path stands still. */
--- a/test/standins/fleet/plainReplica.ts
+++ b/test/standins/fleet/plainReplica.ts
@@ -4,6 +4,7 @@
 import {parseAddress} from '../../../src/infrastructure/rpc/node/rpc.js';
 import {limitHeaders} from './layeredEngine.js';
 import {RowStore} from './rowStore.js';
+import {UpstreamLog} from './upstreamLog.js';
 
 /** Replicas of models report their state here; those of plain services refuse it. */
 const REPORT_PATH = '/report';
@@ -26,6 +27,9 @@
   /** Seconds for which it wants no requests of an instance that it refuses; undefined if it asks for none. */
   restSeconds: number | undefined;
   readonly server: Server;
+  /** Time that it takes to execute a request. */
+  workMilliseconds = 0;
+  private isStopped = false;
   /** How the replica handles requests: `refuse` does not execute them, `mute` executes but does not respond. */
   behaviour: 'answer' | 'fail' | 'refuse' | 'mute' = 'answer';
 
@@ -35,6 +39,7 @@
     readonly id: string,
     readonly address: string,
     private readonly zone: string,
+    private readonly log = new UpstreamLog(),
   ) {
     this.server = createServer((request, response) => {
       const chunks: Buffer[] = [];
@@ -47,6 +52,22 @@
         this.arrivedAt.push(performance.now());
         const id = String(request.headers['request-id']);
         const limit = limitHeaders(this.requestLimit);
+        const body = Buffer.concat(chunks).toString('utf8');
+        const stamp = `${this.id}.${id}`;
+        const hasRun = this.behaviour !== 'refuse';
+        this.log.record(
+          request,
+          response,
+          {
+            upstream: this.id,
+            path: [this.address],
+            body,
+            hasRun,
+            status: this.status,
+            stamp: hasRun ? stamp : undefined,
+          },
+          () => this.isStopped || this.behaviour === 'mute',
+        );
         if (this.behaviour === 'refuse') {
           const rest =
             this.restSeconds === undefined
@@ -66,22 +87,36 @@
           method: request.method ?? '',
           target: request.url ?? '',
           headers: request.rawHeaders,
-          body: Buffer.concat(chunks).toString('utf8'),
+          body,
         });
         if (this.behaviour === 'mute') {
           return;
         }
-        const status = this.behaviour === 'fail' ? 500 : 200;
-        const headers = {
-          'request-id': id,
-          'route-stamp': `${this.id}.${id}`,
-          ...limit,
+        const {status} = this;
+        const headers = {'request-id': id, 'route-stamp': stamp, ...limit};
+        const answer = (): void => {
+          response.writeHead(status, headers).end(`${this.id} did ${id}`);
         };
-        response.writeHead(status, headers).end(`${this.id} did ${id}`);
+        if (this.workMilliseconds === 0) {
+          answer();
+        } else {
+          setTimeout(answer, this.workMilliseconds);
+        }
       });
     });
   }
 
+  private get status(): number {
+    switch (this.behaviour) {
+      case 'refuse':
+        return 503;
+      case 'fail':
+        return 500;
+      default:
+        return 200;
+    }
+  }
+
   async start(): Promise<void> {
     const {host, port} = parseAddress(this.address);
     await new Promise<void>(resolve =>
@@ -105,6 +140,7 @@
   }
 
   dispose(): void {
+    this.isStopped = true;
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/test/standins/fleet/system.ts
+++ b/test/standins/fleet/system.ts
@@ -19,6 +19,7 @@
 import {EngineFleet} from './layeredEngine.js';
 import {PlainReplica} from './plainReplica.js';
 import {RowStore} from './rowStore.js';
+import {UpstreamLog} from './upstreamLog.js';
 
 /** Router instances as separate processes, connected to stand-ins for all outside systems. */
 
@@ -33,6 +34,7 @@
 const START_MILLISECONDS = 20_000;
 /** Time that the settings of an instance give it to stop. */
 export const STOP_SECONDS = 4;
+const ADDRESS_COUNT = 60;
 
 /** A router instance in its own process; addresses are `IP:port`. */
 export interface RouterInstance {
@@ -44,6 +46,18 @@
   readonly settingsFile: string;
 }
 
+/** What a system differs in from the one that most tests need. */
+export interface StandInOptions {
+  readonly zones?: readonly string[];
+  /** Time that a stopping instance has. */
+  readonly stopSeconds?: number;
+  readonly eventIntervalMilliseconds?: number;
+  /** Top-level fields of the first configuration. */
+  readonly configuration?: Readonly<Record<string, unknown>>;
+  /** Addresses to reserve for instances, upstreams and replacements. */
+  readonly addressCount?: number;
+}
+
 /** The API key of the configured account. */
 export const API_KEY = 'good-key';
 
@@ -149,22 +163,35 @@
   readonly plainReplicas: PlainReplica[] = [];
   readonly store: RowStore;
   readonly engines: EngineFleet;
+  readonly upstreamLog = new UpstreamLog();
+  private readonly zones: readonly string[];
 
   private constructor(
     private readonly addresses: string[],
     private readonly hosts: HostGroups,
     private readonly program: string,
-    private readonly zones: readonly string[],
+    private readonly options: StandInOptions,
   ) {
+    this.zones = options.zones ?? DEFAULT_ZONES;
     this.store = this.owned.add(new RowStore(this.takeAddress()));
     this.engines = this.owned.add(
-      new EngineFleet('model', LAYER_COUNT, EVENTS_PER_STREAM, this.store),
+      new EngineFleet(
+        'model',
+        LAYER_COUNT,
+        EVENTS_PER_STREAM,
+        this.store,
+        this.upstreamLog,
+        options.eventIntervalMilliseconds,
+      ),
     );
   }
 
   /** Starts all parts; resolves when engines hold all layers and every instance is ready. */
-  static start(instanceCount: number): Promise<StandInSystem> {
-    return StandInSystem.startWith(instanceCount, BUNDLED_ROUTER);
+  static start(
+    instanceCount: number,
+    options: StandInOptions = {},
+  ): Promise<StandInSystem> {
+    return StandInSystem.startWith(instanceCount, BUNDLED_ROUTER, options);
   }
 
   /** Starts all parts with instances that `cut` can cut off from the upstreams. */
@@ -172,20 +199,22 @@
     instanceCount: number,
     zones = DEFAULT_ZONES,
   ): Promise<StandInSystem> {
-    return StandInSystem.startWith(instanceCount, CUTTABLE_ROUTER, zones);
+    return StandInSystem.startWith(instanceCount, CUTTABLE_ROUTER, {zones});
   }
 
   private static async startWith(
     instanceCount: number,
     program: string,
-    zones = DEFAULT_ZONES,
+    options: StandInOptions,
   ): Promise<StandInSystem> {
-    const addresses = await freeAddresses(60);
+    const addresses = await freeAddresses(
+      options.addressCount ?? ADDRESS_COUNT,
+    );
     const hosts = {
       instances: await freeHostGroup(),
       engines: await freeHostGroup(),
     };
-    const system = new StandInSystem([...addresses], hosts, program, zones);
+    const system = new StandInSystem([...addresses], hosts, program, options);
     await system.startAll(instanceCount);
     return system;
   }
@@ -243,7 +272,7 @@
       Bounds: {
         StrictRevoke: true,
         RevokeMs: 3000,
-        GraceS: STOP_SECONDS,
+        GraceS: this.options.stopSeconds ?? STOP_SECONDS,
         RetryRatio: 0.2,
         RetrySlack: 200,
         BudgetWindowS: 10,
@@ -266,6 +295,21 @@
     return instance;
   }
 
+  /** Starts one more replica of the plain service. */
+  async startPlainReplica(id: string, zone: string): Promise<PlainReplica> {
+    const replica = new PlainReplica(
+      this.store,
+      'plain',
+      id,
+      this.takeAddress(),
+      zone,
+      this.upstreamLog,
+    );
+    this.plainReplicas.push(this.owned.add(replica));
+    await replica.start();
+    return replica;
+  }
+
   /** Addresses that an instance's directory returns for a zone. */
   async resolve(
     instance: RouterInstance,
@@ -291,7 +335,11 @@
 
   private async startAll(instanceCount: number): Promise<void> {
     await this.store.start();
-    this.store.put('op', 'config', makeConfiguration(1));
+    this.store.put(
+      'op',
+      'config',
+      makeConfiguration(1, this.options.configuration),
+    );
     for (const zone of this.zones) {
       for (const [index, kind] of [
         'big',
@@ -306,15 +354,7 @@
           kind,
         );
       }
-      const replica = new PlainReplica(
-        this.store,
-        'plain',
-        `plain-${zone}`,
-        this.takeAddress(),
-        zone,
-      );
-      this.plainReplicas.push(this.owned.add(replica));
-      await replica.start();
+      await this.startPlainReplica(`plain-${zone}`, zone);
     }
     for (let index = 0; index < instanceCount; index++) {
       this.startInstance(this.zones[index % this.zones.length]!);
