--- a/test/standins/fleet/layeredEngine.ts
+++ b/test/standins/fleet/layeredEngine.ts
@@ -234,6 +234,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const arrivedAt = performance.now();
     const body = await readBody(request);
     while (this.isPaused) {
       await sleep(EVENT_INTERVAL_MILLISECONDS);
@@ -267,7 +268,7 @@
         response,
       );
     } else {
-      this.startStream(request, response, body);
+      this.startStream(request, response, body, arrivedAt);
     }
   }
 
@@ -308,6 +309,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     body: string,
+    arrivedAt: number,
   ): void {
     this.arrivedAt.push(performance.now());
     const id = String(request.headers['request-id']);
@@ -325,6 +327,7 @@
         upstream: this.id,
         path: path.map(({address}) => address),
         body,
+        arrivedAt,
         hasRun: faulty === undefined,
         status: faulty === undefined ? 200 : 503,
         stamp: faulty === undefined ? stamp : undefined,
--- a/test/standins/fleet/plainReplica.ts
+++ b/test/standins/fleet/plainReplica.ts
@@ -38,10 +38,11 @@
     private readonly service: string,
     readonly id: string,
     readonly address: string,
-    private readonly zone: string,
+    readonly zone: string,
     private readonly log = new UpstreamLog(),
   ) {
     this.server = createServer((request, response) => {
+      const arrivedAt = performance.now();
       const chunks: Buffer[] = [];
       request.on('data', (chunk: Buffer) => chunks.push(chunk));
       request.on('end', () => {
@@ -62,6 +63,7 @@
             upstream: this.id,
             path: [this.address],
             body,
+            arrivedAt,
             hasRun,
             status: this.status,
             stamp: hasRun ? stamp : undefined,
--- a/test/standins/fleet/upstreamLog.ts
+++ b/test/standins/fleet/upstreamLog.ts
@@ -21,7 +21,8 @@
   readonly method: string;
   readonly target: string;
   readonly body: string;
-  readonly startedAt: number;
+  /** When its head arrived. */
+  readonly arrivedAt: number;
   /** Whether the upstream executed the request; it refused it otherwise. */
   readonly hasRun: boolean;
   readonly status: number;
@@ -42,7 +43,7 @@
     response: ServerResponse,
     fields: Pick<
       UpstreamCall,
-      'upstream' | 'path' | 'body' | 'hasRun' | 'status' | 'stamp'
+      'upstream' | 'path' | 'body' | 'arrivedAt' | 'hasRun' | 'status' | 'stamp'
     >,
     isCrashed: () => boolean,
   ): void {
@@ -51,7 +52,6 @@
       requestId: String(request.headers['request-id']),
       method: request.method ?? '',
       target: request.url ?? '',
-      startedAt: performance.now(),
       firstEvent: Number(request.headers['last-event-id'] ?? 0) + 1,
       endedAt: undefined,
       end: 'open',
