--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -271,7 +271,7 @@
   return checkAll(exits, exit => {
     const life = lifeBefore(index.eventsOf(exit.instance), exit.at);
     const subject = `${exit.instance} at ${Math.round(exit.at)}`;
-    const problem = describeExit(life, exit.code);
+    const problem = describeExit(life, exit.at, exit.code);
     return problem === undefined ? {kind: 'kept'} : broken(subject, problem);
   });
 }
@@ -288,6 +288,7 @@
 
 function describeExit(
   life: readonly ProcessEvent[],
+  endedAt: number,
   code: number | undefined,
 ): string | undefined {
   const signals = life.filter(event => event.kind === 'signal');
@@ -301,7 +302,7 @@
     return `ended by itself with code ${code}`;
   }
   const start = life.find(({kind}) => kind === 'start');
-  const age = stop.at - (start?.at ?? -Infinity);
+  const age = endedAt - (start?.at ?? -Infinity);
   const isYoung = code === undefined && age < HANDLERS_READY_MILLISECONDS;
   return code === 0 || isYoung ? undefined : `stopped with code ${code}`;
 }
