Log: which upstreams a request has lost, how, and which of them count as ended under it

A fourth send could not be told from the log to rest on late ends, on ends that were left out, or on ends without a proof. Each pathChosen line now has lostBefore, a request that is stopped after three ends has a line with the same list, and a first upstream that is left for a suspicion has one with the time for which it had been writing.

--- a/src/features/forwarding/node/promptWatch.ts
+++ b/src/features/forwarding/node/promptWatch.ts
@@ -2,6 +2,7 @@
   AccountPrompt,
   SOUND_WRITING_MILLISECONDS,
 } from '../../crashes/common/suspectParts.js';
+import {EndProof} from '../../fleet/common/endedUpstreams.js';
 import {NotRunReason} from '../common/retryAfter.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {AdmittedRequest} from './requestForwarder.js';
@@ -20,12 +21,27 @@
 interface RecordedLoss {
   readonly attempt: StreamAttempt | undefined;
   readonly isConnectionEnded: boolean;
+  readonly writingMilliseconds: number;
+  /** Whether the upstream counts against the limit if it has ended. */
+  readonly isCounted: boolean;
+}
+
+/** What is known of an upstream that a stream has lost, for the log. */
+export interface LostUpstream {
+  readonly upstream: string;
+  /** Milliseconds for which it had been writing; 0 before its first event. */
+  readonly writing: number;
+  readonly sign: 'connectionEnded' | 'suspected';
+  /** Whether it has ended: certainly, as far as this instance knows, or not. */
+  readonly end: EndProof | 'likely' | 'unknown';
+  /** Whether it counts against the number of upstreams that may end under the request. */
+  readonly counts: boolean;
 }
 
 /** Watches whether upstreams end under one stream, and reports what shows that its prompt is deadly or sound. */
 export class PromptWatch {
-  /** Upstreams that were lost before or shortly after the first event of an attempt. */
-  private readonly lostUpstreams = new Set<string>();
+  /** The last loss of each upstream. */
+  private readonly losses = new Map<string, RecordedLoss>();
   private soundAt = -Infinity;
   private lastLoss: RecordedLoss | undefined;
 
@@ -38,13 +54,15 @@
   findObstacle(): NotRunReason | undefined {
     const {id} = this.admitted;
     if (this.endedCount >= ENDED_UPSTREAM_LIMIT && this.hasProvedEnd) {
+      const {history: lostBefore} = this;
+      this.logDecision('requestBlocked', {kind: 'upstreamsEnded', lostBefore});
       return 'endsUpstreams';
     }
     const verdict = this.services.promptGuard.admit(id, this.prompt);
     if (verdict.kind !== 'blocked') {
       return undefined;
     }
-    this.services.logger.decision('requestBlocked', {request: id, ...verdict});
+    this.logDecision('requestBlocked', verdict);
     return 'endsUpstreams';
   }
 
@@ -55,7 +73,22 @@
 
   /** Whether one more loss would use up the number of upstreams that may end under the request. */
   get isLastLoss(): boolean {
-    return this.lostUpstreams.size >= ENDED_UPSTREAM_LIMIT;
+    return this.countedUpstreams.length >= ENDED_UPSTREAM_LIMIT;
+  }
+
+  /** The upstreams that were lost, and what is known of them now. */
+  get history(): readonly LostUpstream[] {
+    const {crashDetector, endedUpstreams} = this.services;
+    const counted = new Set(this.endedUpstreams);
+    return [...this.losses].map(([upstream, loss]) => ({
+      upstream,
+      writing: Math.round(loss.writingMilliseconds),
+      sign: loss.isConnectionEnded ? 'connectionEnded' : 'suspected',
+      end:
+        endedUpstreams.proofOf(upstream) ??
+        (crashDetector.hasEnded(upstream) ? 'likely' : 'unknown'),
+      counts: counted.has(upstream),
+    }));
   }
 
   /** Records the loss of the upstream to which an attempt was sent. */
@@ -64,10 +97,6 @@
     attempt: StreamAttempt | undefined,
     isConnectionEnded: boolean,
   ): void {
-    const writing = attempt?.writingMilliseconds ?? 0;
-    if (writing >= SOUND_WRITING_MILLISECONDS || this.soundAt > -Infinity) {
-      return;
-    }
     // A stream that can start nowhere else is told of the same loss repeatedly.
     const isRepeated =
       this.lastLoss?.attempt === attempt &&
@@ -75,8 +104,24 @@
     if (isRepeated) {
       return;
     }
-    this.lastLoss = {attempt, isConnectionEnded};
-    this.lostUpstreams.add(upstream);
+    const writingMilliseconds = attempt?.writingMilliseconds ?? 0;
+    const isCounted =
+      writingMilliseconds < SOUND_WRITING_MILLISECONDS &&
+      this.soundAt === -Infinity;
+    this.lastLoss = {
+      attempt,
+      isConnectionEnded,
+      writingMilliseconds,
+      isCounted: isCounted || this.losses.get(upstream)?.isCounted === true,
+    };
+    this.losses.set(upstream, this.lastLoss);
+    if (!isConnectionEnded) {
+      const writing = Math.round(writingMilliseconds);
+      this.logDecision('firstUpstreamSuspected', {upstream, writing});
+    }
+    if (!isCounted) {
+      return;
+    }
     const {account, promptParts} = this.prompt;
     if (promptParts.length > 0) {
       this.services.crashDetector.recordLoss({
@@ -107,22 +152,39 @@
     }
   }
 
-  /** Upstreams that have ended under the request, but for those that ended for another request's prompt. */
   private get endedCount(): number {
+    return this.endedUpstreams.length;
+  }
+
+  /** Upstreams that have ended under the request, but for those that ended for another request's prompt. */
+  private get endedUpstreams(): readonly string[] {
     const {crashDetector, endedUpstreams, promptGuard} = this.services;
     const {promptParts} = this.prompt;
-    const ended = [...this.lostUpstreams].filter(
+    return this.countedUpstreams.filter(
       id =>
         (crashDetector.hasEnded(id) || endedUpstreams.hasEnded(id)) &&
         !promptGuard.isExplained(id, promptParts),
     );
-    return ended.length;
   }
 
   /** Whether an upstream has certainly ended under the request. If none has, links of this instance may be lost. */
   private get hasProvedEnd(): boolean {
     const {endedUpstreams} = this.services;
-    return [...this.lostUpstreams].some(id => endedUpstreams.hasEnded(id));
+    return this.countedUpstreams.some(id => endedUpstreams.hasEnded(id));
+  }
+
+  private get countedUpstreams(): readonly string[] {
+    return [...this.losses]
+      .filter(([, {isCounted}]) => isCounted)
+      .map(([upstream]) => upstream);
+  }
+
+  private logDecision(
+    decision: string,
+    fields: Readonly<Record<string, unknown>>,
+  ): void {
+    const request = this.admitted.id;
+    this.services.logger.decision(decision, {request, ...fields});
   }
 
   private get prompt(): AccountPrompt {
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -141,6 +141,7 @@
       listAge: Math.round(this.services.directory.age),
       lastEvent: this.state.sequence.lastEvent,
       sentBefore: entryUpstreams.history,
+      lostBefore: promptWatch.history,
     });
     this.send();
   }
