--- a/src/features/forwarding/test/attemptLimit.test.ts
+++ b/src/features/forwarding/test/attemptLimit.test.ts
@@ -153,6 +153,19 @@
   },
 ];
 
+const waysToEnd = [
+  {way: 'closing and refusing', losesConnection: true, endsAs: 'refusing'},
+  {way: 'closing and replaced', losesConnection: true, endsAs: 'replaced'},
+  {way: 'silent and replaced', losesConnection: false, endsAs: 'replaced'},
+] as const;
+
+const endCases = waysToEnd.flatMap(({way, ...rule}) =>
+  [0, 1, 20, 35, 150].map(eventsBefore => ({
+    name: `${way} after ${eventsBefore} events`,
+    rule: {...rule, eventsBefore, milliseconds: Infinity, events: 900},
+  })),
+);
+
 describe('a stream whose upstreams are sound', () => {
   it.each(cases)(
     'is sent to no more of them than its route allows if they $name',
@@ -188,18 +201,13 @@
     expect(simulation.isServed).toBe(true);
   });
 
-  it('is sent to no more than three upstreams that end under it', async () => {
-    const simulation = await play(
-      {
-        eventsBefore: 0,
-        milliseconds: Infinity,
-        losesConnection: true,
-        endsAs: 'refusing',
-      },
-      'generous',
-    );
-    expect(simulation.sentTo.size).toBe(3);
-  });
+  it.each(endCases)(
+    'is sent to no more than three upstreams that end under it, $name',
+    async ({rule}) => {
+      const simulation = await play(rule, 'generous');
+      expect(simulation.sentTo.size).toBe(3);
+    },
+  );
 });
 
 describe('a stream whose upstreams end', () => {
--- a/test/router/deadlyPrompts.test.ts
+++ b/test/router/deadlyPrompts.test.ts
@@ -13,6 +13,8 @@
 
 const INSTANCE_COUNT = 4;
 const EVENT_COUNT = 30;
+/** Events of a deadly request; an upstream that ends under it late has written some of them. */
+const DEADLY_EVENT_COUNT = 400;
 const SOUND_PERIOD_MILLISECONDS = 25;
 const DEADLY_PERIOD_MILLISECONDS = 300;
 const LOAD_MILLISECONDS = 14_000;
@@ -45,6 +47,7 @@
 
   beforeEach(async () => {
     system = await StandInSystem.start(INSTANCE_COUNT);
+    system.engines.followsTokenCount = true;
     await waitUntilServing(system.instances);
   });
 
@@ -53,11 +56,12 @@
   function send(
     index: number,
     promptParts: readonly string[],
+    eventCount: number,
   ): Promise<RecordedResponse | undefined> {
     const available = system.instances;
     const prompt = promptParts.map(part => `${part}:10`).join(',');
     return sendRequest(available[index % available.length]!, '/chat/x', {
-      headers: {'prefix-hash': prompt},
+      headers: {'prefix-hash': prompt, 'token-count': `100,${eventCount}`},
     }).catch(() => undefined);
   }
 
@@ -70,7 +74,7 @@
     const end = performance.now() + milliseconds;
     for (let index = 0; performance.now() < end; index++) {
       const first = firstParts[index % firstParts.length]!;
-      const response = send(index, [first, `sound-${index}`]);
+      const response = send(index, [first, `sound-${index}`], EVENT_COUNT);
       tries.push({sentAt: performance.now(), response});
       await sleep(SOUND_PERIOD_MILLISECONDS);
     }
@@ -85,7 +89,7 @@
     const responses: Array<Promise<unknown>> = [];
     const end = performance.now() + milliseconds;
     for (let index = 0; performance.now() < end; index++) {
-      responses.push(send(index, promptOf(index)));
+      responses.push(send(index, promptOf(index), DEADLY_EVENT_COUNT));
       await sleep(DEADLY_PERIOD_MILLISECONDS);
     }
     await Promise.all(responses);
@@ -116,7 +120,25 @@
     return Math.max(0, ...counts.values());
   }
 
-  it('is not sent on after three have ended, neither by its instance nor when its caller repeats it at others', async () => {
+  it('is not sent on after three have ended, neither by its instance nor when its caller repeats it at others', () =>
+    expectStopAfterThree());
+
+  it.each([
+    {name: 'close their connections', silentMilliseconds: 0},
+    {name: 'fall silent', silentMilliseconds: 4_000},
+  ])(
+    'is not sent on after three have ended that wrote it for 700 ms and then $name',
+    async ({silentMilliseconds}) => {
+      system.engines.deadlyBehaviour = {
+        delayMilliseconds: 700,
+        writes: true,
+        silentMilliseconds,
+      };
+      await expectStopAfterThree();
+    },
+  );
+
+  async function expectStopAfterThree(): Promise<void> {
     system.engines.deadlyParts.add('deadly');
     const sound = playSound(LOAD_MILLISECONDS, FIRST_PARTS);
     await playDeadly(LOAD_MILLISECONDS, () => ['first-0', 'deadly']);
@@ -133,7 +155,7 @@
     );
     expect(later.length).toBeGreaterThan(20);
     expect(await servedShare(later)).toBeGreaterThan(LEAST_SHARE);
-  });
+  }
 
   it.each([
     {name: 'few', firstParts: FIRST_PARTS, beginMilliseconds: 0},
--- a/test/standins/fleet/layeredEngine.ts
+++ b/test/standins/fleet/layeredEngine.ts
@@ -14,10 +14,19 @@
 /** Time to load layers. */
 const LOAD_MILLISECONDS = 50;
 
-/** Time from the start of a deadly request to the crash, and from there until the engine runs again. */
-const CRASH_DELAY_MILLISECONDS = 100;
+/** Time from a crash that a request caused until the engine runs again. */
 const CRASH_DOWN_MILLISECONDS = 1_500;
 
+/** How engines end that run a deadly request. */
+export interface DeadlyBehaviour {
+  /** Time from the start of the request to the crash. */
+  readonly delayMilliseconds: number;
+  /** Whether the engine writes events until then. */
+  readonly writes: boolean;
+  /** Time for which it is silent before its connections close. */
+  readonly silentMilliseconds: number;
+}
+
 interface LayerSpan {
   readonly From: number;
   readonly To: number;
@@ -61,6 +70,11 @@
   readonly engines: LayeredEngine[] = [];
   /** Prompt parts that make each engine crash that begins to run a request with one of them. */
   readonly deadlyParts = new Set<string>();
+  deadlyBehaviour: DeadlyBehaviour = {
+    delayMilliseconds: 100,
+    writes: false,
+    silentMilliseconds: 0,
+  };
   /** Time until an engine begins to write, as its prompt waits to be read. */
   beginMilliseconds = 0;
   readonly deadlyArrivals: DeadlyArrival[] = [];
@@ -100,16 +114,26 @@
     return engine;
   }
 
-  /** Crashes an engine a moment after it began to run a deadly request, and starts it again later. */
+  /** Ends an engine a moment after it began to run a deadly request, and starts it again later. */
   scheduleCrash(engine: LayeredEngine): void {
+    const {delayMilliseconds, silentMilliseconds} = this.deadlyBehaviour;
     setTimeout(() => {
-      if (!engine.isRunning || this.isDisposed) {
+      if (!engine.isRunning || engine.isUnresponsive || this.isDisposed) {
         return;
       }
       this.crashedAt.push(performance.now());
-      engine.crash();
-      setTimeout(() => void this.replace(engine), CRASH_DOWN_MILLISECONDS);
-    }, this.beginMilliseconds + CRASH_DELAY_MILLISECONDS);
+      engine.isUnresponsive = true;
+      if (silentMilliseconds === 0) {
+        this.crash(engine);
+      } else {
+        setTimeout(() => this.crash(engine), silentMilliseconds);
+      }
+    }, this.beginMilliseconds + delayMilliseconds);
+  }
+
+  private crash(engine: LayeredEngine): void {
+    engine.crash();
+    setTimeout(() => void this.replace(engine), CRASH_DOWN_MILLISECONDS);
   }
 
   private async replace(crashed: LayeredEngine): Promise<void> {
@@ -365,6 +389,8 @@
     this.running.set(id, stream);
     if (isDeadly) {
       this.fleet.scheduleCrash(this);
+    }
+    if (isDeadly && !this.fleet.deadlyBehaviour.writes) {
       return;
     }
     this.sendEvents(stream, response, first);
