Streams: an upstream that ends under a request counts however long it had been writing

What callers saw: a request whose upstreams end 700 ms after they began to write it was sent to up to ten of them, each of which ended. Cause: a request that was written for half a second once was taken for harmless for good, so no later end counted, and only the limit of ten attempts was left. Change: each first upstream that has ended under the request counts. After three, an attempt of a caller ends: with 502 before its first event, and by closing the connection after it, so that the caller can resume behind its last event. What is reported to other instances stays as it was.

--- a/src/features/forwarding/node/promptWatch.ts
+++ b/src/features/forwarding/node/promptWatch.ts
@@ -14,7 +14,7 @@
 /** Part of a request's identifier that peers are told; callers choose its length. */
 const REQUEST_ID_CHARACTERS = 64;
 
-/** Upstreams that may end under one request shortly after it began there, or before. */
+/** Upstreams that may end under one request, however long they had been writing it. */
 const ENDED_UPSTREAM_LIMIT = 3;
 
 /** A loss that was recorded for an attempt. */
@@ -22,8 +22,6 @@
   readonly attempt: StreamAttempt | undefined;
   readonly isConnectionEnded: boolean;
   readonly writingMilliseconds: number;
-  /** Whether the upstream counts against the limit if it has ended. */
-  readonly isCounted: boolean;
 }
 
 /** What is known of an upstream that a stream has lost, for the log. */
@@ -53,7 +51,8 @@
   /** Why the request must not be sent now; undefined if it may be sent. */
   findObstacle(): NotRunReason | undefined {
     const {id} = this.admitted;
-    if (this.endedCount >= ENDED_UPSTREAM_LIMIT && this.hasProvedEnd) {
+    const endedCount = this.endedUnderRequest.length;
+    if (endedCount >= ENDED_UPSTREAM_LIMIT && this.hasProvedEnd) {
       const {history: lostBefore} = this;
       this.logDecision('requestBlocked', {kind: 'upstreamsEnded', lostBefore});
       return 'endsUpstreams';
@@ -73,13 +72,13 @@
 
   /** Whether one more loss would use up the number of upstreams that may end under the request. */
   get isLastLoss(): boolean {
-    return this.countedUpstreams.length >= ENDED_UPSTREAM_LIMIT;
+    return this.losses.size >= ENDED_UPSTREAM_LIMIT;
   }
 
   /** The upstreams that were lost, and what is known of them now. */
   get history(): readonly LostUpstream[] {
     const {crashDetector, endedUpstreams} = this.services;
-    const counted = new Set(this.endedUpstreams);
+    const counted = new Set(this.endedUnderRequest);
     return [...this.losses].map(([upstream, loss]) => ({
       upstream,
       writing: Math.round(loss.writingMilliseconds),
@@ -105,23 +104,22 @@
       return;
     }
     const writingMilliseconds = attempt?.writingMilliseconds ?? 0;
-    const isCounted =
-      writingMilliseconds < SOUND_WRITING_MILLISECONDS &&
-      this.soundAt === -Infinity;
-    this.lastLoss = {
-      attempt,
-      isConnectionEnded,
-      writingMilliseconds,
-      isCounted: isCounted || this.losses.get(upstream)?.isCounted === true,
-    };
+    this.lastLoss = {attempt, isConnectionEnded, writingMilliseconds};
     this.losses.set(upstream, this.lastLoss);
     if (!isConnectionEnded) {
       const writing = Math.round(writingMilliseconds);
       this.logDecision('firstUpstreamSuspected', {upstream, writing});
     }
-    if (!isCounted) {
-      return;
+    const wasSound =
+      writingMilliseconds >= SOUND_WRITING_MILLISECONDS ||
+      this.soundAt > -Infinity;
+    if (!wasSound) {
+      this.reportLoss(upstream, isConnectionEnded);
     }
+  }
+
+  /** Reports a loss that may show that the prompt is deadly. */
+  private reportLoss(upstream: string, isConnectionEnded: boolean): void {
     const {account, promptParts} = this.prompt;
     if (promptParts.length > 0) {
       this.services.crashDetector.recordLoss({
@@ -152,15 +150,11 @@
     }
   }
 
-  private get endedCount(): number {
-    return this.endedUpstreams.length;
-  }
-
   /** Upstreams that have ended under the request, but for those that ended for another request's prompt. */
-  private get endedUpstreams(): readonly string[] {
+  private get endedUnderRequest(): readonly string[] {
     const {crashDetector, endedUpstreams, promptGuard} = this.services;
     const {promptParts} = this.prompt;
-    return this.countedUpstreams.filter(
+    return [...this.losses.keys()].filter(
       id =>
         (crashDetector.hasEnded(id) || endedUpstreams.hasEnded(id)) &&
         !promptGuard.isExplained(id, promptParts),
@@ -170,13 +164,7 @@
   /** Whether an upstream has certainly ended under the request. If none has, links of this instance may be lost. */
   private get hasProvedEnd(): boolean {
     const {endedUpstreams} = this.services;
-    return this.countedUpstreams.some(id => endedUpstreams.hasEnded(id));
-  }
-
-  private get countedUpstreams(): readonly string[] {
-    return [...this.losses]
-      .filter(([, {isCounted}]) => isCounted)
-      .map(([upstream]) => upstream);
+    return [...this.losses.keys()].some(id => endedUpstreams.hasEnded(id));
   }
 
   private logDecision(
