Streams: before a fourth send proofs of ends are sought also if the upstreams fell silent

What callers saw: nothing on routes of two or three attempts. On a route of five a request whose upstreams fell silent under it and were replaced was sent to five of them, ten if they had written it for longer than 0.5 s. Cause: the limit of three ends rests on one proved end, and proofs were sought only when a connection had ended or the attempts of the route were used up. Change: both ways to a further send look for proofs first once three upstreams were lost.

--- a/src/features/forwarding/node/streamRecovery.ts
+++ b/src/features/forwarding/node/streamRecovery.ts
@@ -102,13 +102,8 @@
       upstream && this.services.prober.probe(upstream, 'reset', {detail});
     if (!state.retries.canResend) {
       this.actions.fail(502, 'answerLost');
-    } else if (state.promptWatch.isLastLoss) {
-      // Whether the request may be sent again depends on whether its upstreams have ended.
-      void Promise.all([probe, state.entryUpstreams.seekProofs()]).then(() =>
-        this.repeatAfterLoss(),
-      );
     } else {
-      this.repeatAfterLoss();
+      this.whenEndsAreKnown(() => this.repeatAfterLoss(), probe);
     }
   }
 
@@ -136,10 +131,27 @@
     }
     state.abandonAttempt();
     state.recordMayHaveRun();
-    this.retry(cause);
+    this.whenEndsAreKnown(() => this.retry(cause));
     return true;
   }
 
+  /**
+   * Calls back at once, or after a search for proofs if the request may be sent again only as long as its upstreams have
+   * not ended.
+   * @param probe another sign of an end that is waited for then
+   */
+  private whenEndsAreKnown(
+    callback: () => void,
+    probe?: Promise<unknown>,
+  ): void {
+    const {entryUpstreams, promptWatch} = this.state;
+    if (promptWatch.isLastLoss) {
+      void Promise.all([probe, entryUpstreams.seekProofs()]).then(callback);
+    } else {
+      callback();
+    }
+  }
+
   private repeatAfterLoss(): void {
     this.retryOrWait('answerLost', () => this.actions.fail(502, 'answerLost'));
   }
@@ -179,6 +191,9 @@
   }
 
   private retry(cause: string): void {
+    if (this.state.isDone) {
+      return;
+    }
     this.services.metrics.recordRetry(cause);
     this.actions.startAttempt(cause);
   }
