Crashes: evidence of upstreams that end late is kept apart, and stops repeats of a request at all instances

What callers saw: a request whose upstreams end 700 ms after they began to write it, repeated with new ids at all instances, went on ending upstreams: each attempt began at zero. Sound requests went with them. Cause: a request written for 0.5 s counted as sound, so its later crashes were never reported. Change: a stream that had been written for long and has lost two upstreams is reported as suspect for both, in a second body of evidence in which only a whole answer shows that a part is sound. The evidence moves to a class of its own; the one that was there stays as it was. Older instances ignore the added field.

--- a/src/features/crashes/common/crashDetector.ts
+++ b/src/features/crashes/common/crashDetector.ts
@@ -2,19 +2,22 @@
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
 import {SuspicionTracker} from '../../fleet/common/suspicionTracker.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
-import {SuspectRequest} from './crashReport.js';
+import {CrashPhase, SuspectRequest} from './crashReport.js';
 import {PromptGuard} from './promptGuard.js';
 
 /** Time within which the loss of an answer is confirmed as a crash: an upstream that ended leaves the list in less. */
 const CONFIRMATION_MILLISECONDS = 6_000;
 
-/** An answer that was lost before or shortly after its first event. */
+/** An answer that was lost under a request that may have caused it. */
 export interface LostAnswer {
   /** Identifier of the run of the upstream. */
   readonly upstream: string;
   /** Whether the connection ended; otherwise the upstream fell silent. */
   readonly isConnectionEnded: boolean;
   readonly suspect: SuspectRequest;
+  readonly phase: CrashPhase;
+  /** Time since the loss. */
+  readonly ageMilliseconds: number;
 }
 
 interface PendingLoss extends LostAnswer {
@@ -61,8 +64,8 @@
     const confirmed = recent.filter(loss => this.isConfirmed(loss));
     this.pending = recent.filter(loss => !confirmed.includes(loss));
     if (!this.isCutOff()) {
-      confirmed.forEach(({upstream, suspect}) =>
-        this.guard.recordCrash(upstream, suspect),
+      confirmed.forEach(({upstream, suspect, phase, ageMilliseconds}) =>
+        this.guard.recordCrash(upstream, suspect, phase, ageMilliseconds),
       );
     }
   }
--- a/src/features/crashes/common/crashReport.ts
+++ b/src/features/crashes/common/crashReport.ts
@@ -3,7 +3,17 @@
 /** Parts that a prompt may have: as many as fit into the largest head that callers can send. */
 export const PROMPT_PART_LIMIT = 32_768;
 
-/** A request that an upstream was about to write to, or had just begun to write to, when it crashed. */
+/** When upstreams crash under requests. */
+export type CrashPhase =
+  /** Before an upstream has written a request for long: one that was written for long is sound. */
+  | 'soon'
+  /** After the request was written for long, there or at an earlier upstream: one that was answered whole is sound. */
+  | 'late';
+
+/**
+ * A request that an upstream was about to write to, or had just begun to write to, when it crashed; in the late phase, one that
+ * it was writing or about to write.
+ */
 export interface SuspectRequest {
   /** Identifies the attempt of a caller. */
   readonly request: string;
@@ -21,7 +31,7 @@
   readonly requests: readonly SuspectRequest[];
 }
 
-/** The last time that a request with a prompt part was written for long, which shows that the part is sound. */
+/** The last time that a request showed that a prompt part of it is sound. */
 export interface SoundPartReport {
   readonly part: string;
   readonly ageMilliseconds: number;
@@ -34,6 +44,14 @@
   /** The latest reports, or all of them for a peer whose digest is another. */
   readonly reports: readonly CrashReport[];
   readonly soundParts: readonly SoundPartReport[];
-  /** Time since any request was last written for long; undefined if none was. */
+  /** Time since any request last showed that its prompt is sound; undefined if none did. */
   readonly soundAgeMilliseconds?: number | undefined;
 }
+
+/** What a message to a peer tells of crashes. */
+export interface CrashNews {
+  /** Crashes in the soon phase; undefined if the sender knows none. */
+  readonly crashes?: CrashExchange | undefined;
+  /** Crashes in the late phase; undefined if the sender knows none, or is of an earlier release. */
+  readonly lateCrashes?: CrashExchange | undefined;
+}
--- a/src/features/crashes/common/promptGuard.ts
+++ b/src/features/crashes/common/promptGuard.ts
@@ -2,16 +2,9 @@
 import {Emitter} from '../../../base/common/event.js';
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
-import {CrashHistory} from './crashHistory.js';
-import {CrashExchange, SuspectRequest} from './crashReport.js';
-import {
-  AccountPrompt,
-  SuspectPart,
-  findCause,
-  findSuspectParts,
-  isExplained,
-} from './suspectParts.js';
-import {SoundParts} from './soundParts.js';
+import {CrashEvidence} from './crashEvidence.js';
+import {CrashNews, CrashPhase, SuspectRequest} from './crashReport.js';
+import {AccountPrompt, SuspectPart} from './suspectParts.js';
 
 /**
  * Time after the last crash until one request is let through again, and its growth with each further crash. A model that was
@@ -25,15 +18,6 @@
 /** Time until the result of a trial is known, before which there is no other one. */
 const TRIAL_RESULT_MILLISECONDS = 30_000;
 
-/** Period at which sound prompts are taken into account while there are crashes. */
-const SOUND_UPDATE_MILLISECONDS = 100;
-
-/** Crashes from which on peers are told that a part is sound. A part of a single crash is far from being suspect. */
-const CRASHES_FOR_SOUND_NEWS = 2;
-
-/** Minimum time between two messages with all reports: peers may never agree on them if both have forgotten some. */
-const FULL_EXCHANGE_PERIOD_MILLISECONDS = 200;
-
 /** What may be done with a request. */
 export type PromptVerdict =
   | {readonly kind: 'allowed'}
@@ -50,13 +34,9 @@
 /** Decides which requests make upstreams crash, from what all instances have seen, and blocks them. */
 export class PromptGuard extends DisposableOwner {
   private readonly suspected = this.register(new Emitter<void>());
-  private readonly history: CrashHistory;
-  private readonly sound: SoundParts;
+  private readonly soon: CrashEvidence;
+  private readonly late: CrashEvidence;
   private readonly trialAt = new Map<string, number>();
-  private suspectParts: ReadonlyMap<string, SuspectPart> = new Map();
-  private judgedVersion = '';
-  private judgedAt = -Infinity;
-  private fullExchangeAt = -Infinity;
 
   /** Fires when upstreams have kept crashing under a further part. */
   readonly onDidSuspect = this.suspected.event;
@@ -69,50 +49,54 @@
     private readonly isTrialOwner: (part: string) => boolean,
   ) {
     super();
-    this.history = new CrashHistory(clock);
-    this.sound = new SoundParts(clock);
+    const onDidSuspect = (): void => this.suspected.fire();
+    this.soon = new CrashEvidence(clock, logger, 'soon', onDidSuspect);
+    this.late = new CrashEvidence(clock, logger, 'late', onDidSuspect);
   }
 
   /** Number of remembered crashes. */
   get crashCount(): number {
-    return this.history.size;
+    return this.soon.crashCount + this.late.crashCount;
   }
 
   /** Number of parts under which upstreams keep crashing. */
   get suspectPartCount(): number {
-    return this.suspectParts.size;
+    return this.soon.suspectPartCount + this.late.suspectPartCount;
   }
 
   hasCrashed(upstream: string): boolean {
-    return this.history.has(upstream);
-  }
-
-  /** Records a crash that this instance has seen, and a request that may have caused it. */
-  recordCrash(upstream: string, suspect: SuspectRequest): void {
-    const isNew = this.history.add({
-      upstream,
-      ageMilliseconds: 0,
-      requests: [suspect],
-    });
-    if (isNew) {
-      this.logger.decision('upstreamCrashed', {upstream, ...suspect});
-      this.update();
+    return this.soon.hasCrashed(upstream) || this.late.hasCrashed(upstream);
+  }
+
+  /**
+   * Records a crash that this instance has seen, and a request that may have caused it. In the late phase only the last part of its
+   * prompt, which repeats of the request share with it, is held against it: the other parts are on many streams that are there by
+   * chance, and these are answered too rarely while upstreams keep crashing.
+   */
+  recordCrash(
+    upstream: string,
+    suspect: SuspectRequest,
+    phase: CrashPhase = 'soon',
+    ageMilliseconds = 0,
+  ): void {
+    const promptParts =
+      phase === 'late' ? suspect.promptParts.slice(-1) : suspect.promptParts;
+    const requests = [{...suspect, promptParts}];
+    if (this[phase].recordCrash({upstream, ageMilliseconds, requests})) {
+      const fields = {upstream, phase, ...suspect};
+      this.logger.decision('upstreamCrashed', fields);
     }
   }
 
-  /** Records that a request was written for so long that its prompt can't be deadly. */
+  /** Records that a request was written for so long that its prompt ends no upstream soon. */
   recordSound(promptParts: readonly string[]): void {
-    this.sound.recordAny(0);
-    if (this.crashCount > 0) {
-      promptParts
-        .filter(part => this.hasCrashes(part))
-        .forEach(part => this.sound.record(part, 0));
-      const isRelease = promptParts.some(part => this.suspectParts.has(part));
-      const isDue = this.now() - this.judgedAt >= SOUND_UPDATE_MILLISECONDS;
-      if (isRelease || isDue) {
-        this.update();
-      }
-    }
+    this.soon.recordSound(promptParts);
+  }
+
+  /** Records that a request was answered whole, so that its prompt can't be deadly. */
+  recordAnswered(promptParts: readonly string[]): void {
+    this.soon.recordSound(promptParts);
+    this.late.recordSound(promptParts);
   }
 
   /** What may be done with a request now; a trial counts as begun. */
@@ -127,69 +111,50 @@
 
   /** What may be done with a request now. */
   judge(prompt: AccountPrompt): PromptVerdict {
+    if (!this.isEnabled) {
+      return {kind: 'allowed'};
+    }
     const cause =
-      this.isEnabled && this.suspectParts.size > 0
-        ? findCause(this.suspectParts, prompt)
-        : undefined;
+      this.soon.findCause(prompt, this.late) ??
+      this.late.findCause(prompt, this.soon);
     return cause === undefined ? {kind: 'allowed'} : this.judgeCause(cause);
   }
 
   /** Whether a crash had a cause that a prompt doesn't have. */
   isExplained(upstream: string, promptParts: readonly string[]): boolean {
-    return isExplained(this.suspectParts, upstream, promptParts);
+    return (
+      this.soon.isExplained(upstream, promptParts) ||
+      this.late.isExplained(upstream, promptParts)
+    );
   }
 
-  /** A message for peers; undefined while there is nothing to tell. */
-  createExchange(): CrashExchange | undefined {
-    if (this.crashCount === 0) {
-      return undefined;
-    }
+  /** What a message to a peer tells of crashes. */
+  createNews(): CrashNews {
     return {
-      digest: this.history.digest,
-      reports: this.history.news,
-      soundParts: this.sound.news.filter(
-        ({part}) => this.history.crashCountOf(part) >= CRASHES_FOR_SOUND_NEWS,
-      ),
-      soundAgeMilliseconds: this.sound.anyAgeMilliseconds,
+      crashes: this.soon.createExchange(),
+      lateCrashes: this.late.createExchange(),
     };
   }
 
-  /** The response to a message of a peer; with all reports if the peer lacks some. */
-  createResponse(
-    received: CrashExchange | undefined,
-  ): CrashExchange | undefined {
-    const exchange = this.createExchange();
-    const now = this.now();
-    const isDue =
-      now - this.fullExchangeAt >= FULL_EXCHANGE_PERIOD_MILLISECONDS;
-    if (
-      exchange === undefined ||
-      received?.digest === exchange.digest ||
-      !isDue
-    ) {
-      return exchange;
-    }
-    this.fullExchangeAt = now;
+  /** What the response to a message of a peer tells of crashes; with all reports if the peer lacks some. */
+  createResponse({crashes, lateCrashes}: CrashNews): CrashNews {
     return {
-      ...exchange,
-      reports: this.history.all,
-      soundParts: this.sound.all,
+      crashes: this.soon.createResponse(crashes),
+      lateCrashes: this.late.createResponse(lateCrashes),
     };
   }
 
   /** Applies a message of a peer. */
-  applyExchange(exchange: CrashExchange | undefined): void {
-    if (!this.isEnabled || exchange === undefined) {
+  applyNews({crashes, lateCrashes}: CrashNews): void {
+    if (!this.isEnabled) {
       return;
     }
-    exchange.reports.forEach(report => this.history.add(report));
-    exchange.soundParts.forEach(({part, ageMilliseconds}) =>
-      this.sound.record(part, ageMilliseconds),
-    );
-    if (exchange.soundAgeMilliseconds !== undefined) {
-      this.sound.recordAny(exchange.soundAgeMilliseconds);
+    if (crashes !== undefined) {
+      this.soon.applyExchange(crashes);
+    }
+    if (lateCrashes !== undefined) {
+      this.late.applyExchange(lateCrashes);
     }
-    this.update();
   }
 
   private judgeCause({part, moments, lastCrashAt}: SuspectPart): PromptVerdict {
@@ -210,48 +175,6 @@
     };
   }
 
-  private hasCrashes(part: string): boolean {
-    return this.history.crashCountOf(part) > 0;
-  }
-
-  /** Finds the suspect parts again if anything changed, and logs those that are new or no longer suspect. */
-  private update(): void {
-    this.history.removeExpired();
-    const version = `${this.history.version} ${this.sound.version}`;
-    if (version === this.judgedVersion) {
-      return;
-    }
-    this.judgedVersion = version;
-    this.judgedAt = this.now();
-    this.sound.retain(part => this.hasCrashes(part));
-    const before = this.suspectParts;
-    this.suspectParts = findSuspectParts(
-      this.history.crashes,
-      this.sound,
-      part => this.history.crashCountOf(part),
-    );
-    this.logChanges(before);
-  }
-
-  private logChanges(before: ReadonlyMap<string, SuspectPart>): void {
-    for (const part of before.keys()) {
-      if (!this.suspectParts.has(part)) {
-        this.trialAt.delete(part);
-        this.logger.decision('promptPartCleared', {part});
-      }
-    }
-    const added = [...this.suspectParts.values()].filter(
-      ({part}) => !before.has(part),
-    );
-    for (const {part, crashes, moments} of added) {
-      const upstreams = crashes.map(({upstream}) => upstream);
-      this.logger.decision('promptPartSuspected', {part, moments, upstreams});
-    }
-    if (added.length > 0) {
-      this.suspected.fire();
-    }
-  }
-
   private now(): number {
     return this.clock.monotonicMilliseconds();
   }
--- a/src/features/crashes/common/suspectParts.ts
+++ b/src/features/crashes/common/suspectParts.ts
@@ -106,12 +106,14 @@
 /**
  * Returns the part for which a prompt is held to be deadly; undefined if there is none. A part that crashes have in common with
  * the cause is not held against prompts without the cause.
+ * @param otherCauses likely causes of crashes in another phase, which may explain these, too
  */
 export function findCause(
   suspectParts: ReadonlyMap<string, SuspectPart>,
   {account, promptParts}: AccountPrompt,
+  otherCauses: readonly SuspectPart[],
 ): SuspectPart | undefined {
-  const causes = likelyCauses(suspectParts, promptParts);
+  const causes = [...likelyCauses(suspectParts, promptParts), ...otherCauses];
   const explained = new Set<string>();
   for (const part of promptParts) {
     const candidate = suspectParts.get(part);
@@ -165,7 +167,7 @@
  * The suspect parts that a prompt doesn't have, and that can be the cause of other requests' crashes; one of those with the same
  * evidence.
  */
-function likelyCauses(
+export function likelyCauses(
   suspectParts: ReadonlyMap<string, SuspectPart>,
   promptParts: readonly string[],
 ): readonly SuspectPart[] {
--- a/src/features/crashes/test/crashDetector.test.ts
+++ b/src/features/crashes/test/crashDetector.test.ts
@@ -91,6 +91,8 @@
         upstream: 'lost',
         isConnectionEnded,
         suspect: {request: 'r', account: 'a', promptParts: ['own']},
+        phase: 'soon',
+        ageMilliseconds: 0,
       });
       if (suspicion !== undefined) {
         suspicions.suspect('lost', suspicion, {});
--- a/src/features/crashes/test/crashSimulation.ts
+++ b/src/features/crashes/test/crashSimulation.ts
@@ -8,13 +8,14 @@
   STEP_MILLISECONDS,
 } from '../../../../test/support/gossipSimulation.js';
 import {SuspectRequest} from '../common/crashReport.js';
+import {StreamLosses} from '../common/streamLosses.js';
 import {SOUND_WRITING_MILLISECONDS} from '../common/suspectParts.js';
 import {PromptGuard} from '../common/promptGuard.js';
 
 /** Plays instances that gossip about the crashes of their upstreams, on one simulated clock. */
 
 const UPSTREAM_DOWN_MILLISECONDS = 4_000;
-const CRASH_DELAY_MILLISECONDS = 120;
+const DEFAULT_CRASH_DELAY_MILLISECONDS = 120;
 /** Longest time until an upstream begins to write, for each stream that it runs already. */
 const BEGIN_MILLISECONDS_PER_STREAM = 30;
 const STREAM_MILLISECONDS = 3_000;
@@ -36,15 +37,22 @@
     readonly parts: readonly string[];
     readonly perSecond: number;
     readonly account?: string;
+    /** Whether each request repeats the first one: it has no part of its own. */
+    readonly isRepeated?: boolean;
   }>;
   /** When the deadly requests begin. */
   readonly deadlyFromMilliseconds: number;
+  /** Time from the first event of a deadly request to the crash. */
+  readonly crashDelayMilliseconds?: number;
 }
 
 interface Stream {
   readonly instance: SimulatedInstance;
   readonly suspect: SuspectRequest;
   readonly isDeadly: boolean;
+  readonly losses: StreamLosses;
+  /** Whether it was written for long at any upstream. */
+  wasWritten: boolean;
   upstream: SimulatedUpstream;
   /** When the upstream begins to write. */
   beginsAt: number;
@@ -60,6 +68,7 @@
 /** A request before it is sent for the first time. */
 interface NewRequest {
   readonly parts: readonly string[];
+  readonly isRepeated: boolean;
   readonly account: string;
   readonly isDeadly: boolean;
 }
@@ -136,14 +145,27 @@
     upstream.run++;
     upstream.downUntil = now + UPSTREAM_DOWN_MILLISECONDS;
     this.streams = this.streams.filter(stream => stream.upstream !== upstream);
-    for (const stream of lost) {
-      if (now - stream.beginsAt < SOUND_WRITING_MILLISECONDS) {
-        stream.instance.guard.recordCrash(run, stream.suspect);
-      }
-    }
+    lost.forEach(stream => this.recordLoss(stream, run));
     lost.forEach(stream => this.send(stream));
   }
 
+  private recordLoss(stream: Stream, upstream: string): void {
+    const {instance, suspect, wasWritten, losses} = stream;
+    const at = this.now();
+    const writingMilliseconds = Math.max(0, at - stream.beginsAt);
+    const reported = losses.record({
+      upstream,
+      isConnectionEnded: true,
+      writingMilliseconds,
+      phase: wasWritten ? 'late' : 'soon',
+      at,
+    });
+    for (const loss of reported) {
+      const {upstream: lost, phase} = loss;
+      instance.guard.recordCrash(lost, suspect, phase, at - loss.at);
+    }
+  }
+
   /** Starts an instance again, with nothing that it knew before; its first round of gossip runs at once. */
   restart(index: number): void {
     const instance = this.instances[index]!;
@@ -156,20 +178,28 @@
     one: SimulatedInstance,
     other: SimulatedInstance,
   ): void {
-    const request = one.guard.createExchange();
-    other.guard.applyExchange(request);
-    one.guard.applyExchange(other.guard.createResponse(request));
+    const request = one.guard.createNews();
+    other.guard.applyNews(request);
+    one.guard.applyNews(other.guard.createResponse(request));
   }
 
   protected override sendRequests(now: number): void {
     const {deadlyFromMilliseconds, firstParts, soundPerSecond} = this.scenario;
     const deadly = now < deadlyFromMilliseconds ? [] : this.scenario.deadly;
-    for (const {parts, perSecond, account = 'account'} of deadly) {
-      this.sendAtRate(perSecond, () => ({parts, account, isDeadly: true}));
+    for (const {perSecond, ...request} of deadly) {
+      const {parts, account = 'account', isRepeated = false} = request;
+      const isDeadly = true;
+      this.sendAtRate(perSecond, () => ({
+        parts,
+        isRepeated,
+        account,
+        isDeadly,
+      }));
     }
     this.sendAtRate(soundPerSecond, () => {
       const part = firstParts[this.random.nextInteger(firstParts.length)]!;
-      return {parts: [part], account: 'account', isDeadly: false};
+      const parts = [part];
+      return {parts, isRepeated: false, account: 'account', isDeadly: false};
     });
   }
 
@@ -186,13 +216,13 @@
 
   private sendNew(
     instance: SimulatedInstance,
-    {parts, account, isDeadly}: NewRequest,
+    {parts, isRepeated, account, isDeadly}: NewRequest,
   ): void {
     const request = `request-${++this.requestCount}`;
     const suspect = {
       request,
       account,
-      promptParts: [...parts, `own-${request}`],
+      promptParts: isRepeated ? parts : [...parts, `own-${request}`],
     };
     const upstream = this.upstreams[0]!;
     const sentAt = this.now();
@@ -200,6 +230,8 @@
       instance,
       suspect,
       isDeadly,
+      losses: new StreamLosses(),
+      wasWritten: false,
       upstream,
       beginsAt: sentAt,
       sends: 0,
@@ -240,23 +272,29 @@
 
   protected override progress(): void {
     const now = this.now();
+    const {crashDelayMilliseconds = DEFAULT_CRASH_DELAY_MILLISECONDS} =
+      this.scenario;
     let here = new Set(this.streams);
     for (const stream of [...this.streams]) {
       const age = now - stream.beginsAt;
       const isHere = here.has(stream);
-      if (isHere && stream.isDeadly && age >= CRASH_DELAY_MILLISECONDS) {
+      if (isHere && stream.isDeadly && age >= crashDelayMilliseconds) {
         if (this.isCounted(stream)) {
           this.crashedAt.push(now);
         }
         this.crash(this.upstreams.indexOf(stream.upstream));
         here = new Set(this.streams);
       } else if (isHere && age >= SOUND_WRITING_MILLISECONDS) {
+        stream.wasWritten = true;
         stream.instance.guard.recordSound(stream.suspect.promptParts);
       }
     }
-    this.streams = this.streams.filter(
-      ({beginsAt}) => now - beginsAt < STREAM_MILLISECONDS,
-    );
+    const isWhole = ({beginsAt}: Stream): boolean =>
+      now - beginsAt >= STREAM_MILLISECONDS;
+    for (const {instance, suspect} of this.streams.filter(isWhole)) {
+      instance.guard.recordAnswered(suspect.promptParts);
+    }
+    this.streams = this.streams.filter(stream => !isWhole(stream));
   }
 
   /** Whether a request has the deadly part that the bounds are about: the first of the scenario. */
--- a/src/features/crashes/test/deadlyParts.test.ts
+++ b/src/features/crashes/test/deadlyParts.test.ts
@@ -20,6 +20,13 @@
 const FIRST_PARTS = [...Array(30).keys()].map(index => `first-${index}`);
 const DEADLY = {parts: ['first-0', 'deadly'], perSecond: 3.5};
 
+/** Ends one upstream a second. */
+function loseInTurn(simulation: CrashSimulation, now: number): void {
+  if (now % 1_000 === 0 && now < 15_000) {
+    simulation.crash(now / 1_000);
+  }
+}
+
 type Situation = Partial<CrashScenario> & {readonly name: string};
 
 const situations: readonly Situation[] = [
@@ -51,11 +58,7 @@
   },
   {
     name: 'while upstreams are lost one after the other',
-    disturb: (simulation, now) => {
-      if (now % 1_000 === 0 && now < 15_000) {
-        simulation.crash(now / 1_000);
-      }
-    },
+    disturb: loseInTurn,
   },
   {
     name: 'while instances restart in turn',
@@ -82,6 +85,24 @@
   },
 ];
 
+/** A request that callers repeat, under which upstreams crash late. */
+const REPEATED = {...DEADLY, isRepeated: true};
+
+const lateSituations: readonly Situation[] = [
+  {name: 'after 700 ms', crashDelayMilliseconds: 700},
+  {name: 'shortly before its end', crashDelayMilliseconds: 2_500},
+  {
+    name: 'after 700 ms, with few upstreams to begin at',
+    crashDelayMilliseconds: 700,
+    upstreamCount: 7,
+  },
+  {
+    name: 'after 700 ms, while upstreams are lost one after the other',
+    crashDelayMilliseconds: 700,
+    disturb: loseInTurn,
+  },
+].map(situation => ({...situation, deadly: [REPEATED]}));
+
 function play(situation: Situation, count: number, seed: number) {
   const simulation = new CrashSimulation(
     {
@@ -132,6 +153,22 @@
   },
 );
 
+it.each(
+  [3, 7, 19, 370].flatMap(count =>
+    lateSituations.map(situation => ({count, situation, name: situation.name})),
+  ),
+)(
+  '$count instances together stop a repeated request under which upstreams crash $name',
+  ({count, situation}) => {
+    const seeds = count < 100 ? SEEDS : SEEDS.slice(0, 1);
+    const problems = seeds.flatMap(seed =>
+      findProblems(situation, count, seed),
+    );
+    expect(problems).toEqual([]);
+  },
+  TIMEOUT_AT_SIZE_MILLISECONDS,
+);
+
 it('7 instances with few upstreams to begin at stop two accounts with the same deadly parts', () => {
   const situation: Situation = {
     name: 'with two accounts',
--- a/src/features/crashes/test/promptGuard.test.ts
+++ b/src/features/crashes/test/promptGuard.test.ts
@@ -94,7 +94,7 @@
     const guard = makeGuard(clock);
     const other = makeGuard(clock, false);
     crash(clock, guard, ['own'], {times: 3});
-    other.applyExchange(guard.createExchange());
+    other.applyNews(guard.createNews());
     clock.advance(MINUTE);
     expect(other.admit('a', promptOf(['own'])).kind).toBe('blocked');
     expect(guard.admit('b', promptOf(['own'])).kind).toBe('trial');
@@ -112,7 +112,7 @@
     crash(clock, guard, ['own'], {times: 3});
     clock.advance(MINUTE / 2);
     const started = makeGuard(clock);
-    started.applyExchange(guard.createResponse(started.createExchange()));
+    started.applyNews(guard.createResponse(started.createNews()));
     expect(started.judge(promptOf(['own'])).kind).toBe('blocked');
   });
 
@@ -228,11 +228,8 @@
       clock.advance(500);
       const requests = [suspect('own')];
       const ageMilliseconds = 100 + 500 * index;
-      guard.applyExchange({
-        digest: 0,
-        reports: [{...report, requests, ageMilliseconds}],
-        soundParts: [],
-      });
+      const reports = [{...report, requests, ageMilliseconds}];
+      guard.applyNews({crashes: {digest: 0, reports, soundParts: []}});
     }
     expect(guard.crashCount).toBe(1);
     expect(guard.judge(promptOf(['own'])).kind).toBe('allowed');
--- a/src/features/forwarding/node/promptWatch.ts
+++ b/src/features/forwarding/node/promptWatch.ts
@@ -1,3 +1,4 @@
+import {StreamLoss, StreamLosses} from '../../crashes/common/streamLosses.js';
 import {
   AccountPrompt,
   SOUND_WRITING_MILLISECONDS,
@@ -21,7 +22,6 @@
 interface RecordedLoss {
   readonly attempt: StreamAttempt | undefined;
   readonly isConnectionEnded: boolean;
-  readonly writingMilliseconds: number;
 }
 
 /** What is known of an upstream that a stream has lost, for the log. */
@@ -38,8 +38,7 @@
 
 /** Watches whether upstreams end under one stream, and reports what shows that its prompt is deadly or sound. */
 export class PromptWatch {
-  /** The last loss of each upstream. */
-  private readonly losses = new Map<string, RecordedLoss>();
+  private readonly losses = new StreamLosses();
   private soundAt = -Infinity;
   private lastLoss: RecordedLoss | undefined;
 
@@ -72,14 +71,14 @@
 
   /** Whether one more loss would use up the number of upstreams that may end under the request. */
   get isLastLoss(): boolean {
-    return this.losses.size >= ENDED_UPSTREAM_LIMIT;
+    return this.losses.count >= ENDED_UPSTREAM_LIMIT;
   }
 
   /** The upstreams that were lost, and what is known of them now. */
   get history(): readonly LostUpstream[] {
     const {crashDetector, endedUpstreams} = this.services;
     const counted = new Set(this.endedUnderRequest);
-    return [...this.losses].map(([upstream, loss]) => ({
+    return this.losses.all.map(({upstream, ...loss}) => ({
       upstream,
       writing: Math.round(loss.writingMilliseconds),
       sign: loss.isConnectionEnded ? 'connectionEnded' : 'suspected',
@@ -103,23 +102,24 @@
     if (isRepeated) {
       return;
     }
+    this.lastLoss = {attempt, isConnectionEnded};
     const writingMilliseconds = attempt?.writingMilliseconds ?? 0;
-    this.lastLoss = {attempt, isConnectionEnded, writingMilliseconds};
-    this.losses.set(upstream, this.lastLoss);
     if (!isConnectionEnded) {
       const writing = Math.round(writingMilliseconds);
       this.logDecision('firstUpstreamSuspected', {upstream, writing});
     }
-    const wasSound =
+    const wasWritten =
       writingMilliseconds >= SOUND_WRITING_MILLISECONDS ||
       this.soundAt > -Infinity;
-    if (!wasSound) {
-      this.reportLoss(upstream, isConnectionEnded);
-    }
+    const phase = wasWritten ? 'late' : 'soon';
+    const at = this.services.clock.monotonicMilliseconds();
+    this.losses
+      .record({upstream, isConnectionEnded, writingMilliseconds, phase, at})
+      .forEach(loss => this.report(loss));
   }
 
   /** Reports a loss that may show that the prompt is deadly. */
-  private reportLoss(upstream: string, isConnectionEnded: boolean): void {
+  private report({upstream, isConnectionEnded, phase, at}: StreamLoss): void {
     const {account, promptParts} = this.prompt;
     if (promptParts.length > 0) {
       this.services.crashDetector.recordLoss({
@@ -130,6 +130,8 @@
           account,
           promptParts,
         },
+        phase,
+        ageMilliseconds: this.services.clock.monotonicMilliseconds() - at,
       });
     }
   }
@@ -141,8 +143,13 @@
     }
   }
 
-  /** Records that the request has been answered, or written for long. */
-  recordSound(): void {
+  /** Records that the request has been answered whole. */
+  recordAnswered(): void {
+    this.services.promptGuard.recordAnswered(this.prompt.promptParts);
+  }
+
+  /** Records that the request has been written for long. */
+  private recordSound(): void {
     const now = this.services.clock.monotonicMilliseconds();
     if (now - this.soundAt >= SOUND_PERIOD_MILLISECONDS) {
       this.soundAt = now;
@@ -154,7 +161,7 @@
   private get endedUnderRequest(): readonly string[] {
     const {crashDetector, endedUpstreams, promptGuard} = this.services;
     const {promptParts} = this.prompt;
-    return [...this.losses.keys()].filter(
+    return this.lostUpstreams.filter(
       id =>
         (crashDetector.hasEnded(id) || endedUpstreams.hasEnded(id)) &&
         !promptGuard.isExplained(id, promptParts),
@@ -164,7 +171,11 @@
   /** Whether an upstream has certainly ended under the request. If none has, links of this instance may be lost. */
   private get hasProvedEnd(): boolean {
     const {endedUpstreams} = this.services;
-    return [...this.losses.keys()].some(id => endedUpstreams.hasEnded(id));
+    return this.lostUpstreams.some(id => endedUpstreams.hasEnded(id));
+  }
+
+  private get lostUpstreams(): readonly string[] {
+    return this.losses.all.map(({upstream}) => upstream);
   }
 
   private logDecision(
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -103,7 +103,7 @@
     }
     const {promptWatch, response} = this.state;
     response.end();
-    promptWatch.recordSound();
+    promptWatch.recordAnswered();
     this.finish('answered', {status: response.status});
   }
 
--- a/src/features/instances/common/gossipMessage.ts
+++ b/src/features/instances/common/gossipMessage.ts
@@ -2,6 +2,7 @@
 
 import {
   CrashExchange,
+  CrashNews,
   PROMPT_PART_LIMIT,
 } from '../../crashes/common/crashReport.js';
 import {LimitReading} from '../../fleet/common/upstreamLimitTracker.js';
@@ -29,7 +30,7 @@
 }
 
 /** Request or response of an exchange. */
-export interface GossipMessage {
+export interface GossipMessage extends CrashNews {
   readonly from: string;
   readonly instances: readonly InstanceHeartbeat[];
   readonly loads: readonly UpstreamLoadReport[];
@@ -38,8 +39,6 @@
   readonly limits: readonly LimitReading[];
   /** Upstreams that asked for rest while a peer relayed requests to them; passed on from peer to peer. */
   readonly rests: readonly RestReading[];
-  /** Crashes of upstreams and the requests that may have caused them; undefined if the sender knows none. */
-  readonly crashes?: CrashExchange | undefined;
   /** Undefined before the first read of the list. */
   readonly list?: UpstreamListState;
   /** Whether the sender holds the lease of the layer controller. */
@@ -164,6 +163,7 @@
     .max(MESSAGE_LIST_LIMIT)
     .default([]),
   crashes: crashes.optional(),
+  lateCrashes: crashes.optional(),
   list: list.optional(),
   holdsLease: zod.boolean(),
   lost: zod.array(text).max(MESSAGE_LIST_LIMIT),
--- a/src/features/instances/node/peerGossip.ts
+++ b/src/features/instances/node/peerGossip.ts
@@ -128,7 +128,7 @@
     this.applyMessage(request);
     return {
       ...this.composeMessage(),
-      crashes: this.dependencies.promptGuard.createResponse(request.crashes),
+      ...this.dependencies.promptGuard.createResponse(request),
       list: this.listExchange.createResponse(request.list),
     };
   }
@@ -245,7 +245,7 @@
       slow: slowness.own.slice(0, MESSAGE_LIST_LIMIT),
       limits: limits.readings.slice(0, MESSAGE_LIST_LIMIT),
       rests: rests.readings.slice(0, MESSAGE_LIST_LIMIT),
-      crashes: this.dependencies.promptGuard.createExchange(),
+      ...this.dependencies.promptGuard.createNews(),
       holdsLease: this.dependencies.lease.isRenewed,
       lost: suspicions.all.map(({upstream}) => upstream),
     };
@@ -268,7 +268,7 @@
     message.slow.forEach(reading => slowness.recordFromPeer(reading));
     message.limits.forEach(reading => limits.recordFromPeer(reading));
     message.rests.forEach(reading => rests.recordFromPeer(reading));
-    this.dependencies.promptGuard.applyExchange(message.crashes);
+    this.dependencies.promptGuard.applyNews(message);
     // What a cut-off peer cannot reach says nothing about the upstreams.
     if (!instances.isPeerCutOff(message.from)) {
       message.lost.forEach(upstream =>
