Layers: an upstream that names layers beyond its model is neither planned nor used

What operators of another system saw: one odd row of another writer among those of the replicas, and the processes that read it ended or stood still. Here a row with Layers 0 to 2^53-1 froze every process for good: the planner of layers counts holders layer by layer up to the end of the range. Cause: a figure of another writer bounds a loop. Class: what is decoded is of the right type, and is trusted in its size. Change: an upstream with layers beyond the configured model is no part of it: it gets no orders, holds no layers in a plan, and is on no path. A log line names it once.

--- a/src/features/fleet/common/upstream.ts
+++ b/src/features/fleet/common/upstream.ts
@@ -36,6 +36,17 @@
   readonly models: readonly string[];
 }
 
+/**
+ * Whether an upstream may serve a model: it holds none of its layers, or no layers beyond it. A row that names others was
+ * written by somebody else, or is one of another model.
+ */
+export function isWithinModel(
+  {layers}: Pick<Upstream, 'layers'>,
+  layerCount: number,
+): boolean {
+  return layers === undefined || layers.to <= layerCount;
+}
+
 export function layerCountOf(range: LayerRange): number {
   return range.to - range.from;
 }
--- a/src/features/layers/common/layerController.ts
+++ b/src/features/layers/common/layerController.ts
@@ -47,6 +47,7 @@
     super();
     this.planner = new LayerPlanner(
       clock,
+      logger,
       directory,
       suspicions,
       slowness,
--- a/src/features/layers/common/layerPlanner.ts
+++ b/src/features/layers/common/layerPlanner.ts
@@ -1,7 +1,12 @@
 import {Clock} from '../../../base/common/clock.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {SlownessTracker} from '../../fleet/common/slownessTracker.js';
 import {SuspicionTracker} from '../../fleet/common/suspicionTracker.js';
-import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
+import {
+  isWithinModel,
+  LayerRange,
+  Upstream,
+} from '../../fleet/common/upstream.js';
 import {UpstreamDirectory} from '../../fleet/common/upstreamDirectory.js';
 import {Mechanisms} from '../../mechanisms/common/mechanisms.js';
 import {ArrivalTracker} from './arrivalTracker.js';
@@ -38,9 +43,12 @@
   private readonly firstSizes = new Map<string, RangeSizes>();
   /** Monotonic milliseconds at which each upstream was first listed. */
   private readonly firstSeenAt = new Map<string, number>();
+  /** Listed upstreams that were logged as not part of their model. */
+  private readonly beyondModel = new Set<string>();
 
   constructor(
     private readonly clock: Clock,
+    private readonly logger: Logger,
     private readonly directory: UpstreamDirectory,
     private readonly suspicions: SuspicionTracker,
     private readonly slowness: SlownessTracker,
@@ -95,19 +103,45 @@
         this.firstSeenAt.delete(id);
       }
     }
+    for (const id of this.beyondModel) {
+      if (this.directory.find(id) === undefined) {
+        this.beyondModel.delete(id);
+      }
+    }
   }
 
-  /** Upstreams of a service that are neither leaving nor considered lost. */
-  private findUsable({name}: LayeredService): readonly Upstream[] {
+  /** Upstreams of a service that are neither leaving nor considered lost, and hold no layers of another model. */
+  private findUsable({
+    name,
+    layers: {layerCount},
+  }: LayeredService): readonly Upstream[] {
     return this.directory
       .ofService(name)
       .filter(
-        ({id, isLeaving}) =>
-          !isLeaving &&
-          !this.suspicions.isSilentFor(id, REPLACEMENT_DELAY_MILLISECONDS),
+        upstream =>
+          !upstream.isLeaving &&
+          !this.suspicions.isSilentFor(
+            upstream.id,
+            REPLACEMENT_DELAY_MILLISECONDS,
+          ) &&
+          this.isWithinModel(upstream, layerCount),
       );
   }
 
+  private isWithinModel(upstream: Upstream, layerCount: number): boolean {
+    const {id, layers} = upstream;
+    const isWithin = isWithinModel(upstream, layerCount);
+    if (!isWithin && !this.beyondModel.has(id)) {
+      this.beyondModel.add(id);
+      this.logger.decision('layersBeyondModel', {
+        upstream: id,
+        layers,
+        layerCount,
+      });
+    }
+    return isWithin;
+  }
+
   /**
    * Range sizes do not shrink. During a replacement there are temporarily more upstreams, and with smaller
    * ranges a new upstream could not take over all layers of the old one.
--- a/src/features/paths/common/pathSearch.ts
+++ b/src/features/paths/common/pathSearch.ts
@@ -1,4 +1,8 @@
-import {LayerRange, Upstream} from '../../fleet/common/upstream.js';
+import {
+  isWithinModel,
+  LayerRange,
+  Upstream,
+} from '../../fleet/common/upstream.js';
 import {RequestLoad} from '../../fleet/common/upstreamLoadTracker.js';
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {Path, PathPart, RequestSize} from './path.js';
@@ -91,6 +95,10 @@
     if (range === undefined || !query.isUsable(upstream)) {
       continue;
     }
+    const layerCount = engine.layers?.layerCount ?? Infinity;
+    if (!isWithinModel(upstream, layerCount)) {
+      continue;
+    }
     if (range.to <= span.from || range.from >= span.to) {
       continue;
     }
--- a/test/standins/fleet/layeredEngine.ts
+++ b/test/standins/fleet/layeredEngine.ts
@@ -225,6 +225,11 @@
     return this.layers?.From ?? NaN;
   }
 
+  /** Whether it holds layers. */
+  get isLoaded(): boolean {
+    return this.layers !== undefined;
+  }
+
   /** Publishes the state `draining`. */
   leave(): void {
     this.isLeaving = true;
--- a/test/standins/fleet/rowStore.ts
+++ b/test/standins/fleet/rowStore.ts
@@ -64,13 +64,17 @@
 
   /** Writes a row on behalf of the operator or a replica. */
   put(table: string, key: string, value: unknown): void {
-    const text = Buffer.from(JSON.stringify(value)).toString('base64');
+    this.putText(table, key, JSON.stringify(value));
+  }
+
+  /** Like `put`, with a value that need not be JSON. */
+  putText(table: string, key: string, text: string): void {
     this.version++;
     this.storeRow({
       Table: table,
       part: '',
       Key: key,
-      Value: text,
+      Value: Buffer.from(text).toString('base64'),
       Ver: this.version,
     });
     this.notifyListeners();
