Cells: stages and work estimates have codecs of their own

cellCodec.ts had 390 lines with the rows of messages, of stages and of work. It keeps the messages (227 lines); stageCodec.ts and workCodec.ts hold the other rows. Moved as they were; the routing tests pass.

--- a/src/features/routing/common/cellCodec.ts
+++ b/src/features/routing/common/cellCodec.ts
@@ -8,31 +8,25 @@
   ReserveRequest,
   SummaryMessage,
 } from './cellMessages.js';
-import {
-  ChosenStage,
-  Prediction,
-  StageObservation,
-  WorkEstimate,
-} from './routing.js';
 import {
   responseRowSchema,
   failureRowSchema,
-  stageOutcomes,
   refusalReasons,
   releaseRowSchema,
   replanRowSchema,
   reserveRowSchema,
   summaryRowSchema,
-  workRowSchema,
 } from './cellSchemas.js';
 import {FrontCoder} from './frontCoder.js';
-
-/** Bit flags of a chosen stage. `checksFencing` has a meaning only if `fencingKnown` is set. */
-enum StageFlag {
-  checksFencing = 1,
-  fencingKnown = 2,
-  probing = 4,
-}
+import {
+  decodeObservation,
+  decodePrediction,
+  decodeStages,
+  encodeObservation,
+  encodePrediction,
+  encodeStages,
+} from './stageCodec.js';
+import {decodeWork, encodeWork} from './workCodec.js';
 
 /**
  * Converts messages about cells to positional rows and back. Rows omit what the receiver already
@@ -63,10 +57,6 @@
   model: '',
 };
 
-type ReservedRow = Extract<ResponseRow, readonly [0, ...unknown[]]>;
-type StageRow = ReservedRow[1][number];
-type PredictionRow = ReservedRow[2];
-
 export function encodeReserve(call: ReserveRequest): ReserveRow {
   return [
     call.cell,
@@ -235,156 +225,3 @@
     summaries: decodeSummaries(summaryRows, call),
   };
 }
-
-/** Fields that are often absent come last, so that they can be cut off. */
-function encodeWork(work: WorkEstimate): z.input<typeof workRowSchema> {
-  return [
-    work.requestId,
-    work.classOfWork,
-    work.clientAccount,
-    work.promptTokens,
-    work.outputTokens,
-    work.firstTokenWithinMilliseconds,
-    work.betweenTokensTargetMilliseconds,
-    work.deadlineWithinMilliseconds,
-    work.priority,
-    ...trimTrailingNulls([
-      work.prefixKey ?? null,
-      work.prefixTokens ?? null,
-      work.adapter ?? null,
-      work.version ?? null,
-      work.inProgress ?? null,
-    ] as const),
-  ];
-}
-
-function decodeWork(row: z.output<typeof workRowSchema>): WorkEstimate {
-  const [requestId, classOfWork, clientAccount, promptTokens, ...others] = row;
-  const [outputTokens, firstTokenWithin, betweenTokensTarget, ...rest] = others;
-  const [deadlineWithin, priority, prefixKey, prefixTokens, ...optionalFields] =
-    rest;
-  const [adapter, version, inProgress] = optionalFields;
-  return {
-    requestId,
-    classOfWork,
-    clientAccount,
-    adapter: adapter ?? undefined,
-    promptTokens,
-    outputTokens,
-    prefixKey: prefixKey ?? undefined,
-    prefixTokens: prefixTokens ?? undefined,
-    version: version ?? undefined,
-    firstTokenWithinMilliseconds: firstTokenWithin,
-    betweenTokensTargetMilliseconds: betweenTokensTarget,
-    deadlineWithinMilliseconds: deadlineWithin,
-    priority,
-    inProgress: inProgress ?? undefined,
-  };
-}
-
-type OptionalWorkFields = readonly [
-  (string | null)?,
-  (number | null)?,
-  (string | null)?,
-  (string | null)?,
-  (boolean | null)?,
-];
-
-/** Cuts off the nulls at the end of a row. */
-function trimTrailingNulls(row: OptionalWorkFields): OptionalWorkFields {
-  const lastIndex = row.findLastIndex(value => value !== null);
-  return row.slice(0, lastIndex + 1) as unknown as OptionalWorkFields;
-}
-
-function encodeObservation(
-  observation: StageObservation,
-  upstreams: FrontCoder,
-): ReleaseRow[2][number] {
-  return [
-    upstreams.encode(observation.upstream),
-    stageOutcomes.indexOf(observation.outcome),
-    observation.steps,
-    observation.decodeMilliseconds ?? null,
-    observation.linkMilliseconds ?? null,
-  ];
-}
-
-function decodeObservation(
-  row: z.output<typeof releaseRowSchema>[2][number],
-  upstreams: FrontCoder,
-): StageObservation {
-  const [upstream, outcome, steps, decodeMilliseconds, linkMilliseconds] = row;
-  return {
-    upstream: upstreams.decode(upstream),
-    outcome: stageOutcomes[outcome]!,
-    decodeMilliseconds: decodeMilliseconds ?? undefined,
-    linkMilliseconds: linkMilliseconds ?? undefined,
-    steps,
-  };
-}
-
-function encodeStages(stages: readonly ChosenStage[]): StageRow[] {
-  const upstreams = new FrontCoder();
-  const addresses = new FrontCoder();
-  const versions = new FrontCoder();
-  return stages.map(stage => [
-    upstreams.encode(stage.upstream),
-    addresses.encode(stage.address),
-    stage.layers.from,
-    stage.layers.to,
-    encodeFlags(stage),
-    stage.version === undefined ? null : versions.encode(stage.version),
-  ]);
-}
-
-function decodeStages(rows: readonly StageRow[]): ChosenStage[] {
-  const upstreams = new FrontCoder();
-  const addresses = new FrontCoder();
-  const versions = new FrontCoder();
-  return rows.map(([upstream, address, from, to, flags, version]) => ({
-    upstream: upstreams.decode(upstream),
-    address: addresses.decode(address),
-    layers: {from, to},
-    ...decodeFlags(flags),
-    version: version === null ? undefined : versions.decode(version),
-  }));
-}
-
-function encodeFlags({checksFencing, probing}: ChosenStage): number {
-  const fencing =
-    checksFencing === undefined
-      ? 0
-      : StageFlag.fencingKnown + (checksFencing ? StageFlag.checksFencing : 0);
-  return fencing + (probing === true ? StageFlag.probing : 0);
-}
-
-function decodeFlags(
-  flags: number,
-): Pick<ChosenStage, 'checksFencing' | 'probing'> {
-  const isKnown = (flags & StageFlag.fencingKnown) !== 0;
-  const checks = (flags & StageFlag.checksFencing) !== 0;
-  const probing = (flags & StageFlag.probing) !== 0 ? true : undefined;
-  return {checksFencing: isKnown ? checks : undefined, probing};
-}
-
-function encodePrediction(prediction: Prediction): PredictionRow {
-  return [
-    prediction.startsInMilliseconds,
-    prediction.firstTokenMilliseconds,
-    prediction.betweenTokensMilliseconds,
-    prediction.wholeMilliseconds,
-    prediction.figuresAgeMilliseconds,
-  ];
-}
-
-function decodePrediction(row: PredictionRow): Prediction {
-  const [starts, firstToken, betweenTokens, whole, figuresAge] = row;
-  return {
-    startsInMilliseconds: starts,
-    firstTokenMilliseconds: firstToken,
-    betweenTokensMilliseconds: betweenTokens,
-    wholeMilliseconds: whole,
-    // JSON has no infinite numbers: Infinity is sent as null.
-    figuresAgeMilliseconds: figuresAge ?? Infinity,
-  };
-}
