Tunnels: a reset right after data is passed on as a reset, not as an end

What callers could get: an answer without a length that came through a peer and whose upstream reset the connection reached the instance as one that had ended in order. It is not taken as whole without a check, but the promise of the tunnel was broken. Cause: Node.js reports a reset that arrives together with data as a plain end, and the tunnel piped the end on. The instance's own connections are told apart by connectionEnds.ts; the check has one place now.

--- a/src/features/forwarding/node/connectionEnds.ts
+++ b/src/features/forwarding/node/connectionEnds.ts
@@ -1,5 +1,6 @@
 import {Socket} from 'node:net';
 
+import {isEndOfReset} from '../../../base/node/socketEnd.js';
 import {buildConnector} from 'undici';
 
 /**
@@ -87,8 +88,7 @@
   socket: Socket,
   {isPaused}: UpstreamConnection,
 ): Error | undefined {
-  // A reset right after data is reported as a plain end, but then the socket no longer has a remote address.
-  if (socket.remoteAddress === undefined) {
+  if (isEndOfReset(socket)) {
     return new ConnectionResetError();
   }
   return isPaused ? new PausedEndError() : undefined;
--- a/src/infrastructure/tunnel/node/tunnelServer.ts
+++ b/src/infrastructure/tunnel/node/tunnelServer.ts
@@ -3,6 +3,7 @@
 import {Duplex} from 'node:stream';
 
 import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
+import {isEndOfReset} from '../../../base/node/socketEnd.js';
 import {isSamePeerKey, parseAddress} from '../../rpc/node/rpc.js';
 import {PEER_KEY_HEADER} from '../../rpc/node/rpcServer.js';
 
@@ -110,13 +111,11 @@
     peer.setNoDelay(true);
     peer.write('HTTP/1.1 200 Connection Established\r\n\r\n');
     target.removeAllListeners('error');
-    passResets(peer, target);
-    passResets(target, peer);
     if (head.length > 0) {
       target.write(head);
     }
-    target.pipe(peer);
-    peer.pipe(target);
+    pass(peer, target);
+    pass(target, peer);
   }
 
   private release(peer: Socket, target: Socket): void {
@@ -133,18 +132,27 @@
   }
 }
 
-/** Resets a connection when the other one fails, and closes it when the other one has closed. */
-function passResets(source: Socket, destination: Socket): void {
+/** Passes bytes on, and how the connection ends: a reset is passed on as a reset, and an end as an end. */
+function pass(source: Socket, destination: Socket): void {
   let hasFailed = false;
-  source.on('error', () => {
+  const passReset = (): void => {
     hasFailed = true;
     destination.resetAndDestroy();
+  };
+  source.on('error', passReset);
+  source.once('end', () => {
+    if (isEndOfReset(source)) {
+      passReset();
+    } else {
+      destination.end();
+    }
   });
   source.once('close', () => {
     if (!hasFailed && !destination.destroyed) {
       destination.destroySoon();
     }
   });
+  source.pipe(destination, {end: false});
 }
 
 function refuse(peer: Socket, refusal: Refusal): void {
--- a/src/infrastructure/tunnel/test/tunnel.test.ts
+++ b/src/infrastructure/tunnel/test/tunnel.test.ts
@@ -11,6 +11,7 @@
   CuttingServer,
   mapInBatches,
 } from '../../../../test/standins/cutAnswers.js';
+import {isEndOfReset} from '../../../base/node/socketEnd.js';
 import {openTunnel} from '../node/openTunnel.js';
 import {TunnelGuard, TunnelServer} from '../node/tunnelServer.js';
 
@@ -134,15 +135,30 @@
     expect(received.join('')).toBe('all');
   });
 
-  it('is reset when the target resets, so that no truncated response looks complete', async () => {
-    serve = socket => {
-      socket.write('part');
-      setTimeout(() => socket.resetAndDestroy(), 20);
-    };
-    const socket = await openSocket();
-    const error = await nextEvent(socket, 'error');
-    expect((error as NodeJS.ErrnoException).code).toBe('ECONNRESET');
-  });
+  it.each([
+    {name: 'later', milliseconds: 20},
+    {name: 'right after its data', milliseconds: 0},
+  ])(
+    'is reset when the target resets $name, so that no truncated response looks complete',
+    async ({milliseconds}) => {
+      serve = socket =>
+        socket.once('data', () => {
+          socket.write('part');
+          const reset = (): unknown => socket.resetAndDestroy();
+          return milliseconds === 0 ? reset() : setTimeout(reset, milliseconds);
+        });
+      const socket = await openSocket();
+      socket.write('request');
+      const isReset = new Promise<boolean>(resolve => {
+        socket.once('error', error =>
+          resolve((error as NodeJS.ErrnoException).code === 'ECONNRESET'),
+        );
+        socket.once('end', () => resolve(isEndOfReset(socket)));
+      });
+      socket.resume();
+      expect(await isReset).toBe(true);
+    },
+  );
 
   it('closes the connection to the target when its user leaves', async () => {
     const closed = new Promise<void>(resolve => {
