--- a/src/features/crashes/test/deadlyParts.test.ts
+++ b/src/features/crashes/test/deadlyParts.test.ts
@@ -169,6 +169,17 @@
   TIMEOUT_AT_SIZE_MILLISECONDS,
 );
 
+it.each([3, 7, 19])(
+  '%i instances together stop different requests that share a part under which upstreams crash late',
+  count => {
+    const situation = {name: 'after 700 ms', crashDelayMilliseconds: 700};
+    const problems = SEEDS.flatMap(seed =>
+      findProblems(situation, count, seed),
+    );
+    expect(problems).toEqual([]);
+  },
+);
+
 it('7 instances with few upstreams to begin at stop two accounts with the same deadly parts', () => {
   const situation: Situation = {
     name: 'with two accounts',
