--- a/src/features/crashes/common/crashReport.ts
+++ b/src/features/crashes/common/crashReport.ts
@@ -6,7 +6,7 @@
 /** When upstreams crash under requests. */
 export type CrashPhase =
   /** Before an upstream has written a request for long: one that was written for long is sound. */
-  | 'soon'
+  | 'early'
   /** After the request was written for long, there or at an earlier upstream: one that was answered whole is sound. */
   | 'late';
 
@@ -50,7 +50,7 @@
 
 /** What a message to a peer tells of crashes. */
 export interface CrashNews {
-  /** Crashes in the soon phase; undefined if the sender knows none. */
+  /** Crashes in the early phase; undefined if the sender knows none. */
   readonly crashes?: CrashExchange | undefined;
   /** Crashes in the late phase; undefined if the sender knows none, or is of an earlier release. */
   readonly lateCrashes?: CrashExchange | undefined;
--- a/src/features/crashes/common/promptGuard.ts
+++ b/src/features/crashes/common/promptGuard.ts
@@ -34,7 +34,7 @@
 /** Decides which requests make upstreams crash, from what all instances have seen, and blocks them. */
 export class PromptGuard extends DisposableOwner {
   private readonly suspected = this.register(new Emitter<void>());
-  private readonly soon: CrashEvidence;
+  private readonly early: CrashEvidence;
   private readonly late: CrashEvidence;
   private readonly trialAt = new Map<string, number>();
 
@@ -50,22 +50,22 @@
   ) {
     super();
     const onDidSuspect = (): void => this.suspected.fire();
-    this.soon = new CrashEvidence(clock, logger, 'soon', onDidSuspect);
+    this.early = new CrashEvidence(clock, logger, 'early', onDidSuspect);
     this.late = new CrashEvidence(clock, logger, 'late', onDidSuspect);
   }
 
   /** Number of remembered crashes. */
   get crashCount(): number {
-    return this.soon.crashCount + this.late.crashCount;
+    return this.early.crashCount + this.late.crashCount;
   }
 
   /** Number of parts under which upstreams keep crashing. */
   get suspectPartCount(): number {
-    return this.soon.suspectPartCount + this.late.suspectPartCount;
+    return this.early.suspectPartCount + this.late.suspectPartCount;
   }
 
   hasCrashed(upstream: string): boolean {
-    return this.soon.hasCrashed(upstream) || this.late.hasCrashed(upstream);
+    return this.early.hasCrashed(upstream) || this.late.hasCrashed(upstream);
   }
 
   /**
@@ -76,7 +76,7 @@
   recordCrash(
     upstream: string,
     suspect: SuspectRequest,
-    phase: CrashPhase = 'soon',
+    phase: CrashPhase = 'early',
     ageMilliseconds = 0,
   ): void {
     const promptParts =
@@ -88,14 +88,14 @@
     }
   }
 
-  /** Records that a request was written for so long that its prompt ends no upstream soon. */
+  /** Records that a request was written for so long that its prompt ends no upstream early. */
   recordSound(promptParts: readonly string[]): void {
-    this.soon.recordSound(promptParts);
+    this.early.recordSound(promptParts);
   }
 
   /** Records that a request was answered whole, so that its prompt can't be deadly. */
   recordAnswered(promptParts: readonly string[]): void {
-    this.soon.recordSound(promptParts);
+    this.early.recordSound(promptParts);
     this.late.recordSound(promptParts);
   }
 
@@ -115,15 +115,15 @@
       return {kind: 'allowed'};
     }
     const cause =
-      this.soon.findCause(prompt, this.late) ??
-      this.late.findCause(prompt, this.soon);
+      this.early.findCause(prompt, this.late) ??
+      this.late.findCause(prompt, this.early);
     return cause === undefined ? {kind: 'allowed'} : this.judgeCause(cause);
   }
 
   /** Whether a crash had a cause that a prompt doesn't have. */
   isExplained(upstream: string, promptParts: readonly string[]): boolean {
     return (
-      this.soon.isExplained(upstream, promptParts) ||
+      this.early.isExplained(upstream, promptParts) ||
       this.late.isExplained(upstream, promptParts)
     );
   }
@@ -131,7 +131,7 @@
   /** What a message to a peer tells of crashes. */
   createNews(): CrashNews {
     return {
-      crashes: this.soon.createExchange(),
+      crashes: this.early.createExchange(),
       lateCrashes: this.late.createExchange(),
     };
   }
@@ -139,7 +139,7 @@
   /** What the response to a message of a peer tells of crashes; with all reports if the peer lacks some. */
   createResponse({crashes, lateCrashes}: CrashNews): CrashNews {
     return {
-      crashes: this.soon.createResponse(crashes),
+      crashes: this.early.createResponse(crashes),
       lateCrashes: this.late.createResponse(lateCrashes),
     };
   }
@@ -150,7 +150,7 @@
       return;
     }
     if (crashes !== undefined) {
-      this.soon.applyExchange(crashes);
+      this.early.applyExchange(crashes);
     }
     if (lateCrashes !== undefined) {
       this.late.applyExchange(lateCrashes);
--- a/src/features/crashes/test/crashDetector.test.ts
+++ b/src/features/crashes/test/crashDetector.test.ts
@@ -91,7 +91,7 @@
         upstream: 'lost',
         isConnectionEnded,
         suspect: {request: 'r', account: 'a', promptParts: ['own']},
-        phase: 'soon',
+        phase: 'early',
         ageMilliseconds: 0,
       });
       if (suspicion !== undefined) {
--- a/src/features/crashes/test/crashSimulation.ts
+++ b/src/features/crashes/test/crashSimulation.ts
@@ -157,7 +157,7 @@
       upstream,
       isConnectionEnded: true,
       writingMilliseconds,
-      phase: wasWritten ? 'late' : 'soon',
+      phase: wasWritten ? 'late' : 'early',
       at,
     });
     for (const loss of reported) {
--- a/src/features/forwarding/node/promptWatch.ts
+++ b/src/features/forwarding/node/promptWatch.ts
@@ -111,7 +111,7 @@
     const wasWritten =
       writingMilliseconds >= SOUND_WRITING_MILLISECONDS ||
       this.soundAt > -Infinity;
-    const phase = wasWritten ? 'late' : 'soon';
+    const phase = wasWritten ? 'late' : 'early';
     const at = this.services.clock.monotonicMilliseconds();
     this.losses
       .record({upstream, isConnectionEnded, writingMilliseconds, phase, at})
