Log: crashes that an instance knows of under a request, when it sends it

Cause of the change: a repeat that is sent although three upstreams have ended under its request looks the same whether its instance had not been told or had left the crashes out. pathChosen now has knownCrashes. No decision changes.

--- a/src/features/forwarding/node/promptWatch.ts
+++ b/src/features/forwarding/node/promptWatch.ts
@@ -89,6 +89,14 @@
     }));
   }
 
+  /** Crashes that this instance knows of, of upstreams that had a request with the same last prompt part. */
+  get knownCrashCount(): number {
+    const lastPart = this.prompt.promptParts.at(-1);
+    return lastPart === undefined
+      ? 0
+      : this.services.promptGuard.crashCountOf(lastPart);
+  }
+
   /** Records the loss of the upstream to which an attempt was sent. */
   recordLoss(
     upstream: string,
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -142,6 +142,7 @@
       lastEvent: this.state.sequence.lastEvent,
       sentBefore: entryUpstreams.history,
       lostBefore: promptWatch.history,
+      knownCrashes: promptWatch.knownCrashCount,
     });
     this.send();
   }
--- a/src/features/forwarding/test/attemptLimit.test.ts
+++ b/src/features/forwarding/test/attemptLimit.test.ts
@@ -157,6 +157,13 @@
   {way: 'closing and refusing', losesConnection: true, endsAs: 'refusing'},
   {way: 'closing and replaced', losesConnection: true, endsAs: 'replaced'},
   {way: 'silent and replaced', losesConnection: false, endsAs: 'replaced'},
+  {way: 'closing and silent for good', losesConnection: true},
+  {way: 'silent for good', losesConnection: false},
+  {
+    way: 'silent for good and unlisted',
+    losesConnection: false,
+    unlistedAfter: 2_200,
+  },
 ] as const;
 
 const endCases = waysToEnd.flatMap(({way, ...rule}) =>
