--- a/test/router/sendRequest.ts
+++ b/test/router/sendRequest.ts
@@ -22,6 +22,8 @@
   readonly method?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** Time without a byte after which the caller leaves; never by default. */
+  readonly patienceMilliseconds?: number;
 }
 
 let requestCount = 0;
@@ -30,7 +32,12 @@
 export function sendRequest(
   instance: RouterInstance,
   path: string,
-  {method = 'POST', headers = {}, body = ''}: RequestOptions = {},
+  {
+    method = 'POST',
+    headers = {},
+    body = '',
+    patienceMilliseconds = 0,
+  }: RequestOptions = {},
 ): Promise<RecordedResponse> {
   const [host, port] = instance.callerAddress.split(':');
   return new Promise((resolve, reject) => {
@@ -75,6 +82,7 @@
       },
     );
     outgoing.on('error', reject);
+    outgoing.setTimeout(patienceMilliseconds, () => outgoing.destroy());
     outgoing.end(body);
   });
 }
--- a/test/standins/fleet/layeredEngine.ts
+++ b/test/standins/fleet/layeredEngine.ts
@@ -80,6 +80,8 @@
   readonly deadlyArrivals: DeadlyArrival[] = [];
   /** `performance.now()` of the crashes that requests caused. */
   readonly crashedAt: number[] = [];
+  /** `performance.now()` at which these engines closed their connections. */
+  readonly endedAt: number[] = [];
   /** Whether streams have as many events as their requests allow output tokens. */
   followsTokenCount = false;
   private isDisposed = false;
@@ -132,6 +134,7 @@
   }
 
   private crash(engine: LayeredEngine): void {
+    this.endedAt.push(performance.now());
     engine.crash();
     setTimeout(() => void this.replace(engine), CRASH_DOWN_MILLISECONDS);
   }
--- a/test/standins/fleet/plainReplica.ts
+++ b/test/standins/fleet/plainReplica.ts
@@ -9,6 +9,9 @@
 /** Replicas of models report their state here; those of plain services refuse it. */
 const REPORT_PATH = '/report';
 
+/** Time from the start of a deadly request to the crash. */
+const CRASH_DELAY_MILLISECONDS = 50;
+
 /** A request as received by a replica of a plain service. */
 export interface ExecutedRequest {
   readonly method: string;
@@ -27,6 +30,8 @@
   /** Seconds for which it wants no requests of an instance that it refuses; undefined if it asks for none. */
   restSeconds: number | undefined;
   readonly server: Server;
+  /** Target of requests under which the replica crashes; none by default. */
+  deadlyTarget: string | undefined;
   /** Time that it takes to execute a request. */
   workMilliseconds = 0;
   private isStopped = false;
@@ -91,6 +96,10 @@
           headers: request.rawHeaders,
           body,
         });
+        if (request.url === this.deadlyTarget) {
+          setTimeout(() => this.dispose(), CRASH_DELAY_MILLISECONDS);
+          return;
+        }
         if (this.behaviour === 'mute') {
           return;
         }
