Repeats: ends under a request count at all instances until the upstream is known to run

Callers' repeats at other instances were sent on after three upstreams had ended under the request.

Cause: an end had to be proved before it counted, by a closed connection and a suspicion, by a row that left the list, by a comparison with what other requests had met.

Change: RequestLosses remembers each loss under a request and its repeats, and judges when the request is to be sent: an upstream counts until it is known to run. The instances tell one another at once, with answers, before a caller is told that its request has failed; later by gossip. What a stream has left counts, too, if it ends afterwards. Findings that an upstream runs (an answered probe, a peer that reaches it) take it back, so streams of an instance with lost links go on (attemptLimit.test.ts).

--- a/src/features/crashes/common/crashEvidence.ts
+++ b/src/features/crashes/common/crashEvidence.ts
@@ -54,11 +54,6 @@
     return this.history.has(upstream);
   }
 
-  /** Number of remembered crashes of upstreams that had a request with a part. */
-  crashCountOf(part: string): number {
-    return this.history.crashCountOf(part);
-  }
-
   isSuspect(part: string): boolean {
     return this.suspectParts.has(part);
   }
--- a/src/features/crashes/common/promptGuard.ts
+++ b/src/features/crashes/common/promptGuard.ts
@@ -68,11 +68,6 @@
     return this.early.hasCrashed(upstream) || this.late.hasCrashed(upstream);
   }
 
-  /** Number of remembered crashes of upstreams that had a request with a part, in both phases. */
-  crashCountOf(part: string): number {
-    return this.early.crashCountOf(part) + this.late.crashCountOf(part);
-  }
-
   /**
    * Records a crash that this instance has seen, and a request that may have caused it. In the late phase only the last part of its
    * prompt, which repeats of the request share with it, is held against it: the other parts are on many streams that are there by
--- /dev/null
+++ b/src/features/crashes/common/requestLosses.ts
@@ -0,0 +1,295 @@
+import {Clock} from '../../../base/common/clock.js';
+import {Emitter} from '../../../base/common/event.js';
+import {DisposableOwner} from '../../../base/common/lifecycle.js';
+import {Logger} from '../../../infrastructure/logging/common/logger.js';
+import {EndedUpstreams} from '../../fleet/common/endedUpstreams.js';
+
+/**
+ * Upstreams that were lost under each request, over all attempts of its caller and all instances. Unlike the evidence on prompt
+ * parts it errs on the side of caution: an upstream counts until it is known to run.
+ */
+
+/** Upstreams that may end under a request and its repeats; it is not sent again afterwards. */
+export const REQUEST_END_LIMIT = 3;
+
+/** Upstreams that a request must have lost until peers are told: most lose one by chance. */
+const LOSSES_FOR_NEWS = 2;
+
+/** Time after a loss in which instances find out by themselves whether the upstream still runs. */
+const VERIFICATION_MILLISECONDS = 1_500;
+
+/** How long the finding that an upstream runs is valid. */
+const RUNNING_VALID_MILLISECONDS = 2_000;
+
+/** Callers give up a request in less, and operators replace what is faulty. */
+const RETENTION_MILLISECONDS = 10 * 60_000;
+
+/** Bounds on memory and on messages. */
+const REQUEST_LIMIT = 1_024;
+export const REQUEST_NEWS_LIMIT = 64;
+
+/** Time for which peers are told of a change; gossip reaches hundreds of instances in less. */
+const NEWS_MILLISECONDS = 2_000;
+
+/** How a request lost an upstream. */
+export type LossKind =
+  /** Its connection ended, or it was suspected. */
+  | 'lost'
+  /** The request left it although it answered probes; it counts only if it ends later. */
+  | 'left';
+
+/** The loss of an upstream under a request, as peers are told of it. */
+export interface RequestLossReport {
+  /** Identifies a request and its repeats. */
+  readonly key: string;
+  /** Identifier of the run of the upstream. */
+  readonly upstream: string;
+  readonly kind: LossKind;
+  /** Whether the sender has a proof that the run has ended. */
+  readonly isProved: boolean;
+  readonly ageMilliseconds: number;
+}
+
+/** A request that was answered whole after it had lost upstreams. */
+export interface AnsweredRequestReport {
+  readonly key: string;
+  readonly ageMilliseconds: number;
+}
+
+/** What instances tell each other about requests that lost upstreams. */
+export interface RequestLossNews {
+  readonly losses: readonly RequestLossReport[];
+  readonly answered: readonly AnsweredRequestReport[];
+}
+
+interface StoredLoss {
+  readonly upstream: string;
+  readonly kind: LossKind;
+  readonly isProved: boolean;
+  /** Monotonic milliseconds. */
+  readonly at: number;
+  /** Monotonic milliseconds at which this instance learned of it. */
+  readonly learnedAt: number;
+}
+
+/** What is known of one request and its repeats. */
+interface LosingRequest {
+  readonly key: string;
+  /** By upstream. */
+  readonly losses: Map<string, StoredLoss>;
+  /** Whether an attempt has failed, so that peers are told however few upstreams were lost. */
+  hasFailed: boolean;
+  /** When it was last answered whole, in monotonic milliseconds; -Infinity for never. */
+  answeredAt: number;
+}
+
+/** Remembers which upstreams may have ended under each request. */
+export class RequestLosses extends DisposableOwner {
+  private readonly learned = this.register(new Emitter<void>());
+  /** By key, the one that changed last at the end. */
+  private readonly requests = new Map<string, LosingRequest>();
+  /** When upstreams were last found to run, in monotonic milliseconds. */
+  private readonly runningAt = new Map<string, number>();
+
+  /** Fires when peers have told of losses. */
+  readonly onDidLearn = this.learned.event;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly endedUpstreams: EndedUpstreams,
+    /** Whether a run has ended as far as this instance knows: it is suspected or not listed. */
+    private readonly hasLikelyEnded: (upstream: string) => boolean,
+    /** Whether this instance reaches no upstream itself, so that what it loses shows nothing. */
+    private readonly isCutOff: () => boolean,
+  ) {
+    super();
+    this.register(
+      endedUpstreams.onDidFindRunning(upstream =>
+        this.runningAt.set(upstream, this.now()),
+      ),
+    );
+  }
+
+  /** Whether nothing is remembered, so that no request needs to be looked up. */
+  get isEmpty(): boolean {
+    return this.requests.size === 0;
+  }
+
+  /** Upstreams that may have ended under a request since it was last answered. */
+  endedUnder(key: string): readonly string[] {
+    const losses = this.requests.get(key)?.losses.values() ?? [];
+    return [...losses]
+      .filter(loss => this.mayHaveEnded(loss))
+      .map(({upstream}) => upstream);
+  }
+
+  /** Whether so many upstreams may have ended under a request that it must not be sent again. */
+  isBlocked(key: string): boolean {
+    return this.endedUnder(key).length >= REQUEST_END_LIMIT;
+  }
+
+  /** Records the loss of an upstream; returns whether peers should be told at once. */
+  record(key: string, upstream: string, kind: LossKind): boolean {
+    const at = this.now();
+    this.addLoss(key, {upstream, kind, isProved: false, at, learnedAt: at});
+    return kind === 'lost' && this.recordOf(key).losses.size >= LOSSES_FOR_NEWS;
+  }
+
+  /** Records that an attempt ended without a whole answer, so that its caller may repeat the request. */
+  recordFailed(key: string): void {
+    const request = this.requests.get(key);
+    if (request !== undefined) {
+      request.hasFailed = true;
+    }
+  }
+
+  /** Records that a request was answered whole, so that its upstreams did not end because of it. */
+  recordAnswered(key: string, ageMilliseconds = 0): void {
+    const request = this.requests.get(key);
+    const at = this.now() - ageMilliseconds;
+    if (request === undefined || at <= request.answeredAt) {
+      return;
+    }
+    request.answeredAt = at;
+    for (const [upstream, loss] of request.losses) {
+      if (loss.at <= at) {
+        request.losses.delete(upstream);
+      }
+    }
+  }
+
+  /** What peers are told; undefined if there is nothing to tell. */
+  createNews(): RequestLossNews | undefined {
+    const requests = [...this.requests.values()];
+    const losses = requests.flatMap(request => this.lossNewsOf(request));
+    const answered = requests
+      .filter(({answeredAt}) => this.ageOf(answeredAt) <= NEWS_MILLISECONDS)
+      .map(({key, answeredAt}) => ({
+        key,
+        ageMilliseconds: this.ageOf(answeredAt),
+      }));
+    return losses.length + answered.length === 0
+      ? undefined
+      : {
+          losses: losses.slice(-REQUEST_NEWS_LIMIT),
+          answered: answered.slice(-REQUEST_NEWS_LIMIT),
+        };
+  }
+
+  /** Applies what a peer tells. */
+  applyNews({losses, answered}: RequestLossNews): void {
+    const learnedAt = this.now();
+    for (const {key, ageMilliseconds, ...loss} of losses) {
+      this.addLoss(key, {...loss, at: learnedAt - ageMilliseconds, learnedAt});
+    }
+    for (const {key, ageMilliseconds} of answered) {
+      this.recordAnswered(key, ageMilliseconds);
+    }
+    if (losses.length > 0) {
+      this.learned.fire();
+    }
+  }
+
+  private lossNewsOf({
+    key,
+    losses,
+    hasFailed,
+  }: LosingRequest): readonly RequestLossReport[] {
+    if (!hasFailed && losses.size < LOSSES_FOR_NEWS) {
+      return [];
+    }
+    const isCutOff = this.isCutOff();
+    return [...losses.values()]
+      .filter(({learnedAt}) => this.ageOf(learnedAt) <= NEWS_MILLISECONDS)
+      .map(({upstream, kind, isProved, at}) => ({
+        key,
+        upstream,
+        kind,
+        isProved: isProved || this.endedUpstreams.hasEnded(upstream),
+        ageMilliseconds: this.ageOf(at),
+      }))
+      .filter(({isProved}) => isProved || !isCutOff);
+  }
+
+  /** Whether an upstream may have ended under a request, by this instance's own findings or else by those of peers. */
+  private mayHaveEnded({upstream, kind, isProved, at}: StoredLoss): boolean {
+    if (this.endedUpstreams.hasEnded(upstream)) {
+      return true;
+    }
+    const runningAt = this.runningAt.get(upstream) ?? -Infinity;
+    if (this.ageOf(runningAt) < RUNNING_VALID_MILLISECONDS) {
+      return false;
+    }
+    const isUnverified =
+      kind === 'lost' && this.ageOf(at) < VERIFICATION_MILLISECONDS;
+    const isTold = (isProved || isUnverified) && runningAt < at;
+    return isTold || this.hasLikelyEnded(upstream);
+  }
+
+  private addLoss(key: string, loss: StoredLoss): void {
+    const request = this.recordOf(key);
+    const known = request.losses.get(loss.upstream);
+    const tellsNothing =
+      known !== undefined &&
+      (known.isProved || !loss.isProved) &&
+      (known.kind === 'lost' || loss.kind === 'left');
+    if (tellsNothing || loss.at <= request.answeredAt) {
+      return;
+    }
+    request.losses.set(loss.upstream, loss);
+    this.requests.delete(key);
+    this.requests.set(key, request);
+    this.removeExcess();
+    const {upstream, kind, isProved} = loss;
+    this.logger.decision('requestLostUpstream', {
+      key,
+      upstream,
+      kind,
+      isProved,
+      age: this.ageOf(loss.at),
+      ended: this.endedUnder(key).length,
+    });
+  }
+
+  private recordOf(key: string): LosingRequest {
+    const request = this.requests.get(key) ?? {
+      key,
+      losses: new Map<string, StoredLoss>(),
+      hasFailed: false,
+      answeredAt: -Infinity,
+    };
+    this.requests.set(key, request);
+    return request;
+  }
+
+  /** Forgets the requests whose last change is too old, and the oldest ones beyond the limit. */
+  private removeExcess(): void {
+    for (const [key, {losses, answeredAt}] of this.requests) {
+      const lastAt = Math.max(
+        answeredAt,
+        ...[...losses.values()].map(({learnedAt}) => learnedAt),
+      );
+      const isExcess = this.requests.size > REQUEST_LIMIT;
+      if (!isExcess && this.ageOf(lastAt) < RETENTION_MILLISECONDS) {
+        break;
+      }
+      this.requests.delete(key);
+    }
+    for (const [upstream, at] of this.runningAt) {
+      if (this.ageOf(at) >= RETENTION_MILLISECONDS) {
+        this.runningAt.delete(upstream);
+      }
+    }
+  }
+
+  /** Whole milliseconds since a moment of the monotonic clock. */
+  private ageOf(at: number): number {
+    const age = this.clock.monotonicMilliseconds() - at;
+    return Math.max(0, Math.round(age));
+  }
+
+  private now(): number {
+    return this.clock.monotonicMilliseconds();
+  }
+}
--- a/src/features/fleet/common/endedUpstreams.ts
+++ b/src/features/fleet/common/endedUpstreams.ts
@@ -1,4 +1,5 @@
 import {Clock} from '../../../base/common/clock.js';
+import {Emitter} from '../../../base/common/event.js';
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {SuspicionTracker} from './suspicionTracker.js';
@@ -25,6 +26,10 @@
  */
 export class EndedUpstreams extends DisposableOwner {
   private readonly proofs = new Map<string, StoredProof>();
+  private readonly foundRunning = this.register(new Emitter<string>());
+
+  /** Fires with the identifier of a run that this instance or a peer has found to run. */
+  readonly onDidFindRunning = this.foundRunning.event;
 
   constructor(
     private readonly clock: Clock,
@@ -35,7 +40,7 @@
     this.register(
       suspicions.onDidClear(({suspicion, cause}) => {
         if (cause === 'answered') {
-          this.retract(suspicion.upstream);
+          this.recordRunning(suspicion.upstream);
         }
       }),
     );
@@ -67,7 +72,12 @@
     }
   }
 
-  /** Drops the proof of a run that has answered, so that it counts for later decisions. */
+  /** Records that a run has not ended; drops a proof that it had, so that it counts for later decisions. */
+  recordRunning(upstream: string): void {
+    this.retract(upstream);
+    this.foundRunning.fire(upstream);
+  }
+
   private retract(upstream: string): void {
     const stored = this.proofs.get(upstream);
     if (stored !== undefined) {
--- a/src/features/forwarding/node/forwardingServices.ts
+++ b/src/features/forwarding/node/forwardingServices.ts
@@ -9,7 +9,9 @@
 import {UpstreamAdmission} from '../../fleet/common/upstreamAdmission.js';
 import {UpstreamLoadTracker} from '../../fleet/common/upstreamLoadTracker.js';
 import {CrashDetector} from '../../crashes/common/crashDetector.js';
+import {LossAnnouncer} from '../../crashes/common/lossAnnouncer.js';
 import {PromptGuard} from '../../crashes/common/promptGuard.js';
+import {RequestLosses} from '../../crashes/common/requestLosses.js';
 import {LinkLoad} from '../../paths/common/linkLoad.js';
 import {PrefillBacklog} from '../../paths/common/prefillBacklog.js';
 import {Mechanisms} from '../../mechanisms/common/mechanisms.js';
@@ -53,6 +55,8 @@
   readonly outcomes: OutcomeHistory;
   readonly promptGuard: PromptGuard;
   readonly crashDetector: CrashDetector;
+  readonly requestLosses: RequestLosses;
+  readonly lossAnnouncer: LossAnnouncer;
   readonly durations: AnswerDurations;
   readonly stop: InstanceStop;
 }
--- a/src/features/forwarding/node/promptWatch.ts
+++ b/src/features/forwarding/node/promptWatch.ts
@@ -1,3 +1,4 @@
+import {REQUEST_END_LIMIT} from '../../crashes/common/requestLosses.js';
 import {StreamLoss, StreamLosses} from '../../crashes/common/streamLosses.js';
 import {
   AccountPrompt,
@@ -7,6 +8,7 @@
 import {NotRunReason} from '../common/retryAfter.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {AdmittedRequest} from './requestForwarder.js';
+import {RequestLossWatch} from './requestLossWatch.js';
 import {StreamAttempt} from './streamAttempt.js';
 
 /** Period at which a running stream shows that its prompt is sound. */
@@ -15,9 +17,6 @@
 /** Part of a request's identifier that peers are told; callers choose its length. */
 const REQUEST_ID_CHARACTERS = 64;
 
-/** Upstreams that may end under one request, however long they had been writing it. */
-const ENDED_UPSTREAM_LIMIT = 3;
-
 /** A loss that was recorded for an attempt. */
 interface RecordedLoss {
   readonly attempt: StreamAttempt | undefined;
@@ -34,6 +33,8 @@
   readonly end: EndProof | 'likely' | 'unknown';
   /** Whether it counts against the number of upstreams that may end under the request. */
   readonly counts: boolean;
+  /** Whether another request's prompt is known to make upstreams crash, and was there. */
+  readonly isExplained: boolean;
 }
 
 /** Watches whether upstreams end under one stream, and reports what shows that its prompt is deadly or sound. */
@@ -45,15 +46,17 @@
   constructor(
     private readonly services: ForwardingServices,
     private readonly admitted: AdmittedRequest,
+    private readonly lossWatch: RequestLossWatch,
   ) {}
 
   /** Why the request must not be sent now; undefined if it may be sent. */
   findObstacle(): NotRunReason | undefined {
     const {id} = this.admitted;
-    const endedCount = this.endedUnderRequest.length;
-    if (endedCount >= ENDED_UPSTREAM_LIMIT && this.hasProvedEnd) {
+    if (this.mustNotBeResent) {
       const {history: lostBefore} = this;
-      this.logDecision('requestBlocked', {kind: 'upstreamsEnded', lostBefore});
+      const {endedUpstreams: ended} = this.lossWatch;
+      const kind = 'upstreamsEnded';
+      this.logDecision('requestBlocked', {kind, ended, lostBefore});
       return 'endsUpstreams';
     }
     const verdict = this.services.promptGuard.admit(id, this.prompt);
@@ -66,18 +69,27 @@
 
   /** Whether the request is known to make upstreams crash. */
   get isBlocked(): boolean {
-    return this.services.promptGuard.judge(this.prompt).kind === 'blocked';
+    return (
+      this.mustNotBeResent ||
+      this.services.promptGuard.judge(this.prompt).kind === 'blocked'
+    );
+  }
+
+  /** Whether so many upstreams may have ended under the request, at any instance, that it must not be sent again. */
+  get mustNotBeResent(): boolean {
+    return this.lossWatch.isBlocked;
   }
 
-  /** Whether one more loss would use up the number of upstreams that may end under the request. */
-  get isLastLoss(): boolean {
-    return this.losses.count >= ENDED_UPSTREAM_LIMIT;
+  /** Whether it depends on proofs for the upstreams that were lost if the request may be sent again. */
+  get dependsOnProofs(): boolean {
+    return this.losses.count >= REQUEST_END_LIMIT || this.mustNotBeResent;
   }
 
   /** The upstreams that were lost, and what is known of them now. */
   get history(): readonly LostUpstream[] {
-    const {crashDetector, endedUpstreams} = this.services;
-    const counted = new Set(this.endedUnderRequest);
+    const {crashDetector, endedUpstreams, promptGuard} = this.services;
+    const counted = new Set(this.lossWatch.endedUpstreams);
+    const {promptParts} = this.prompt;
     return this.losses.all.map(({upstream, ...loss}) => ({
       upstream,
       writing: Math.round(loss.writingMilliseconds),
@@ -86,23 +98,21 @@
         endedUpstreams.proofOf(upstream) ??
         (crashDetector.hasEnded(upstream) ? 'likely' : 'unknown'),
       counts: counted.has(upstream),
+      isExplained: promptGuard.isExplained(upstream, promptParts),
     }));
   }
 
-  /** Crashes that this instance knows of, of upstreams that had a request with the same last prompt part. */
-  get knownCrashCount(): number {
-    const lastPart = this.prompt.promptParts.at(-1);
-    return lastPart === undefined
-      ? 0
-      : this.services.promptGuard.crashCountOf(lastPart);
+  /** Records that an attempt was given up at an upstream that may still run. */
+  recordLeft(upstream: string): void {
+    void this.lossWatch.record(upstream, 'left');
   }
 
-  /** Records the loss of the upstream to which an attempt was sent. */
-  recordLoss(
+  /** Records the loss of the upstream to which an attempt was sent; resolves when peers know of it as far as they need to. */
+  async recordLoss(
     upstream: string,
     attempt: StreamAttempt | undefined,
     isConnectionEnded: boolean,
-  ): void {
+  ): Promise<void> {
     // A stream that can start nowhere else is told of the same loss repeatedly.
     const isRepeated =
       this.lastLoss?.attempt === attempt &&
@@ -124,6 +134,7 @@
     this.losses
       .record({upstream, isConnectionEnded, writingMilliseconds, phase, at})
       .forEach(loss => this.report(loss));
+    await this.lossWatch.record(upstream, 'lost');
   }
 
   /** Reports a loss that may show that the prompt is deadly. */
@@ -165,27 +176,6 @@
     }
   }
 
-  /** Upstreams that have ended under the request, but for those that ended for another request's prompt. */
-  private get endedUnderRequest(): readonly string[] {
-    const {crashDetector, endedUpstreams, promptGuard} = this.services;
-    const {promptParts} = this.prompt;
-    return this.lostUpstreams.filter(
-      id =>
-        (crashDetector.hasEnded(id) || endedUpstreams.hasEnded(id)) &&
-        !promptGuard.isExplained(id, promptParts),
-    );
-  }
-
-  /** Whether an upstream has certainly ended under the request. If none has, links of this instance may be lost. */
-  private get hasProvedEnd(): boolean {
-    const {endedUpstreams} = this.services;
-    return this.lostUpstreams.some(id => endedUpstreams.hasEnded(id));
-  }
-
-  private get lostUpstreams(): readonly string[] {
-    return this.losses.all.map(({upstream}) => upstream);
-  }
-
   private logDecision(
     decision: string,
     fields: Readonly<Record<string, unknown>>,
--- a/src/features/forwarding/node/requestForwarder.ts
+++ b/src/features/forwarding/node/requestForwarder.ts
@@ -7,6 +7,7 @@
 import {Route} from '../../traffic/common/trafficConfiguration.js';
 import {describeStopTimes} from '../common/stopWindow.js';
 import {ForwardingServices} from './forwardingServices.js';
+import {RequestLossWatch} from './requestLossWatch.js';
 import {RequestInProgress} from './requestsInProgress.js';
 
 /** An admitted request with everything that determines how it is forwarded. */
@@ -65,6 +66,7 @@
   implements Disposable, RequestInProgress
 {
   protected readonly owned = new DisposableStore();
+  protected readonly lossWatch: RequestLossWatch;
   private isFinished = false;
   private resolveDone: () => void = () => undefined;
 
@@ -72,7 +74,9 @@
     protected readonly services: ForwardingServices,
     protected readonly exchange: CallerExchange,
     protected readonly admitted: AdmittedRequest,
-  ) {}
+  ) {
+    this.lossWatch = new RequestLossWatch(services, admitted, exchange.request);
+  }
 
   /** Starts forwarding; resolves when the request has ended. */
   run(): Promise<void> {
@@ -234,6 +238,7 @@
       outcome,
       this.elapsedMilliseconds,
     );
+    this.lossWatch.recordEnd(outcome === 'answered');
     if (COMPLETE_OUTCOMES.has(outcome)) {
       services.durations.record(admitted.service, this.elapsedMilliseconds);
     }
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -35,8 +35,13 @@
     private readonly monitor: StreamMonitor,
   ) {
     super(services, exchange, admitted);
-    this.state = new StreamState(services, exchange, admitted, engine, () =>
-      this.readState(),
+    this.state = new StreamState(
+      services,
+      exchange,
+      admitted,
+      engine,
+      this.lossWatch,
+      () => this.readState(),
     );
     this.recovery = new StreamRecovery(
       services,
@@ -54,6 +59,9 @@
     this.owned.add(
       this.services.promptGuard.onDidSuspect(() => this.stopIfBlocked()),
     );
+    this.owned.add(
+      this.services.requestLosses.onDidLearn(() => this.stopIfBlocked()),
+    );
     this.startAttempt('first');
   }
 
@@ -142,7 +150,7 @@
       lastEvent: this.state.sequence.lastEvent,
       sentBefore: entryUpstreams.history,
       lostBefore: promptWatch.history,
-      knownCrashes: promptWatch.knownCrashCount,
+      endedUnderRequest: this.lossWatch.endedUpstreams.length,
     });
     this.send();
   }
--- a/src/features/forwarding/node/streamMover.ts
+++ b/src/features/forwarding/node/streamMover.ts
@@ -52,7 +52,7 @@
     const isFirst = this.isFirst(upstream);
     const {movedStreams} = this.services.mechanisms;
     if (isFirst) {
-      promptWatch.recordLoss(upstream, attempt, false);
+      void promptWatch.recordLoss(upstream, attempt, false);
     }
     if (isFirst || !movedStreams || !attempt.hasEvents) {
       this.recovery.restart('upstreamLost');
--- a/src/features/forwarding/node/streamRecovery.ts
+++ b/src/features/forwarding/node/streamRecovery.ts
@@ -94,16 +94,18 @@
       return;
     }
     state.recordMayHaveRun();
+    let findings: Promise<unknown> = Promise.resolve();
     if (upstream !== undefined) {
       state.entryUpstreams.recordBrokenOff(upstream);
-      state.promptWatch.recordLoss(upstream.id, attempt, true);
+      findings = Promise.all([
+        state.promptWatch.recordLoss(upstream.id, attempt, true),
+        state.lossWatch.probe(upstream, detail),
+      ]);
     }
-    const probe =
-      upstream && this.services.prober.probe(upstream, 'reset', {detail});
     if (!state.retries.canResend) {
       this.actions.fail(502, 'answerLost');
     } else {
-      this.whenEndsAreKnown(() => this.repeatAfterLoss(), probe);
+      this.whenEndsAreKnown(() => this.repeatAfterLoss(), findings);
     }
   }
 
@@ -120,8 +122,12 @@
     const isCurrentSuspect =
       current !== undefined && this.services.suspicions.isSuspect(current);
     const excluded = isCurrentSuspect ? current : undefined;
-    if (!state.entryUpstreams.hasStartOtherThan(excluded)) {
-      void state.entryUpstreams.seekProofs();
+    const {entryUpstreams, promptWatch} = state;
+    if (
+      promptWatch.mustNotBeResent ||
+      !entryUpstreams.hasStartOtherThan(excluded)
+    ) {
+      void entryUpstreams.seekProofs();
       this.logNotRestarted(cause);
       return false;
     }
@@ -131,6 +137,9 @@
     }
     state.abandonAttempt();
     state.recordMayHaveRun();
+    if (current !== undefined) {
+      promptWatch.recordLeft(current);
+    }
     this.whenEndsAreKnown(() => this.retry(cause));
     return true;
   }
@@ -138,15 +147,15 @@
   /**
    * Calls back at once, or after a search for proofs if the request may be sent again only as long as its upstreams have
    * not ended.
-   * @param probe another sign of an end that is waited for then
+   * @param findings what else shows whether they have ended, and is waited for then
    */
   private whenEndsAreKnown(
     callback: () => void,
-    probe?: Promise<unknown>,
+    findings?: Promise<unknown>,
   ): void {
     const {entryUpstreams, promptWatch} = this.state;
-    if (promptWatch.isLastLoss) {
-      void Promise.all([probe, entryUpstreams.seekProofs()]).then(callback);
+    if (promptWatch.dependsOnProofs) {
+      void Promise.all([findings, entryUpstreams.seekProofs()]).then(callback);
     } else {
       callback();
     }
--- a/src/features/forwarding/node/streamState.ts
+++ b/src/features/forwarding/node/streamState.ts
@@ -8,6 +8,7 @@
 import {PathChooser} from './pathChooser.js';
 import {PromptWatch} from './promptWatch.js';
 import {AdmittedRequest} from './requestForwarder.js';
+import {RequestLossWatch} from './requestLossWatch.js';
 import {StreamAttempt, StreamAttemptListener} from './streamAttempt.js';
 import {StreamPath} from './streamPath.js';
 import {StreamResponse} from './streamResponse.js';
@@ -40,6 +41,7 @@
     private readonly exchange: CallerExchange,
     private readonly admitted: AdmittedRequest,
     engine: EngineSettings,
+    readonly lossWatch: RequestLossWatch,
     private readonly readRequestState: () => StreamRequestState,
   ) {
     const {facts, route, service} = admitted;
@@ -56,7 +58,7 @@
     this.pathLoad = new StreamPath(services, engine, size);
     this.pathChooser = new PathChooser(services, service, engine, size);
     this.entryUpstreams = new EntryUpstreams(services, route.attemptLimit);
-    this.promptWatch = new PromptWatch(services, admitted);
+    this.promptWatch = new PromptWatch(services, admitted, lossWatch);
   }
 
   /** Whether the request has ended. */
--- a/src/features/forwarding/node/upstreamEndCheck.ts
+++ b/src/features/forwarding/node/upstreamEndCheck.ts
@@ -74,6 +74,8 @@
     const peers = await this.peerLinks.askAll(address);
     if (peers !== undefined && isRefusedEverywhere(own, peers)) {
       this.ended.record(id, 'refused', {instances: peers.length + 1});
+    } else if (peers?.includes('reached')) {
+      this.ended.recordRunning(id);
     }
   }
 
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -32,6 +32,8 @@
 import {ReachabilityTester} from '../../links/node/reachabilityTester.js';
 import {LinkLoad} from '../../paths/common/linkLoad.js';
 import {PrefillBacklog} from '../../paths/common/prefillBacklog.js';
+import {LossAnnouncer} from '../../crashes/common/lossAnnouncer.js';
+import {RequestLosses} from '../../crashes/common/requestLosses.js';
 import {CrashDetector} from '../../crashes/common/crashDetector.js';
 import {PromptGuard} from '../../crashes/common/promptGuard.js';
 import {Path} from '../../paths/common/path.js';
@@ -342,6 +344,11 @@
   }
 }
 
+/** There is no peer to tell. */
+class FakeLossAnnouncer extends LossAnnouncer {
+  override async announce(): Promise<void> {}
+}
+
 /** A caller that records its response. */
 export class FakeCaller extends CallerExchange {
   private readonly disconnected = new Emitter<void>();
@@ -494,6 +501,13 @@
     const headerCodec = new FakeHeaderCodec();
     const promptGuard = new PromptGuard(clock, logger, true, () => true);
     const endedUpstreams = new EndedUpstreams(clock, logger, suspicions);
+    const crashDetector = new CrashDetector(
+      clock,
+      directory,
+      suspicions,
+      promptGuard,
+      () => false,
+    );
     this.services = {
       settings,
       mechanisms: {...defaultMechanisms, ...mechanisms},
@@ -548,13 +562,15 @@
       ),
       outcomes: new OutcomeHistory(clock),
       promptGuard,
-      crashDetector: new CrashDetector(
+      crashDetector,
+      requestLosses: new RequestLosses(
         clock,
-        directory,
-        suspicions,
-        promptGuard,
+        logger,
+        endedUpstreams,
+        id => crashDetector.hasEnded(id),
         () => false,
       ),
+      lossAnnouncer: new FakeLossAnnouncer(),
       durations: new AnswerDurations(),
       stop: new InstanceStop(),
     };
--- a/src/features/instances/common/gossipMessage.ts
+++ b/src/features/instances/common/gossipMessage.ts
@@ -5,6 +5,10 @@
   CrashNews,
   PROMPT_PART_LIMIT,
 } from '../../crashes/common/crashReport.js';
+import {
+  REQUEST_NEWS_LIMIT,
+  RequestLossNews,
+} from '../../crashes/common/requestLosses.js';
 import {LimitReading} from '../../fleet/common/upstreamLimitTracker.js';
 import {RestReading} from '../../fleet/common/upstreamRests.js';
 import {SlownessReading} from '../../fleet/common/slownessTracker.js';
@@ -39,6 +43,8 @@
   readonly limits: readonly LimitReading[];
   /** Upstreams that asked for rest while a peer relayed requests to them; passed on from peer to peer. */
   readonly rests: readonly RestReading[];
+  /** Requests that have lost upstreams; undefined if there are none, or if the sender is of an earlier release. */
+  readonly requestLosses?: RequestLossNews | undefined;
   /** Undefined before the first read of the list. */
   readonly list?: UpstreamListState;
   /** Whether the sender holds the lease of the layer controller. */
@@ -124,6 +130,24 @@
   soundAgeMilliseconds: age.optional(),
 });
 
+/** Validates what a peer tells of requests that have lost upstreams. */
+export const requestLossNewsSchema: zod.ZodType<RequestLossNews> = zod.object({
+  losses: zod
+    .array(
+      zod.object({
+        key: text,
+        upstream: text,
+        kind: zod.enum(['lost', 'left']),
+        isProved: zod.boolean(),
+        ageMilliseconds: age,
+      }),
+    )
+    .max(REQUEST_NEWS_LIMIT),
+  answered: zod
+    .array(zod.object({key: text, ageMilliseconds: age}))
+    .max(REQUEST_NEWS_LIMIT),
+});
+
 /** Validates a message of a peer. */
 export const gossipMessageSchema: zod.ZodType<GossipMessage> = zod.object({
   from: text,
@@ -164,6 +188,7 @@
     .default([]),
   crashes: crashes.optional(),
   lateCrashes: crashes.optional(),
+  requestLosses: requestLossNewsSchema.optional(),
   list: list.optional(),
   holdsLease: zod.boolean(),
   lost: zod.array(text).max(MESSAGE_LIST_LIMIT),
--- a/src/features/instances/node/gossipRouter.ts
+++ b/src/features/instances/node/gossipRouter.ts
@@ -2,18 +2,32 @@
   createRpcRouter,
   peerProcedure,
 } from '../../../infrastructure/rpc/node/rpc.js';
-import {GossipMessage, gossipMessageSchema} from '../common/gossipMessage.js';
+import {RequestLossNews} from '../../crashes/common/requestLosses.js';
+import {
+  GossipMessage,
+  gossipMessageSchema,
+  requestLossNewsSchema,
+} from '../common/gossipMessage.js';
 
 /** Processes a peer's message and returns the response. */
 export type GossipHandler = (message: GossipMessage) => GossipMessage;
 
+/** Processes what a peer tells of requests that have lost upstreams. */
+export type RequestLossHandler = (news: RequestLossNews) => void;
+
 /** Creates the tRPC router for calls between instances. */
-export function createGossipRouter(handleMessage: GossipHandler) {
+export function createGossipRouter(
+  handleMessage: GossipHandler,
+  handleRequestLosses: RequestLossHandler,
+) {
   return createRpcRouter({
     news: createRpcRouter({
       exchange: peerProcedure
         .input(gossipMessageSchema)
         .mutation(({input}) => handleMessage(input)),
+      requestLosses: peerProcedure
+        .input(requestLossNewsSchema)
+        .mutation(({input}) => handleRequestLosses(input)),
     }),
   });
 }
--- a/src/features/instances/node/peerGossip.ts
+++ b/src/features/instances/node/peerGossip.ts
@@ -9,6 +9,7 @@
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {RpcClientFactory} from '../../../infrastructure/rpc/node/rpc.js';
 import {PromptGuard} from '../../crashes/common/promptGuard.js';
+import {RequestLosses} from '../../crashes/common/requestLosses.js';
 import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
 import {UpstreamRests} from '../../fleet/common/upstreamRests.js';
 import {SlownessTracker} from '../../fleet/common/slownessTracker.js';
@@ -60,6 +61,7 @@
   readonly suspicions: SuspicionTracker;
   readonly prober: UpstreamProber;
   readonly promptGuard: PromptGuard;
+  readonly requestLosses: RequestLosses;
   readonly lease: TableLease;
   readonly mechanisms: Mechanisms;
   /** Names of the peers that relayed requests to an upstream lately. */
@@ -246,6 +248,7 @@
       limits: limits.readings.slice(0, MESSAGE_LIST_LIMIT),
       rests: rests.readings.slice(0, MESSAGE_LIST_LIMIT),
       ...this.dependencies.promptGuard.createNews(),
+      requestLosses: this.dependencies.requestLosses.createNews(),
       holdsLease: this.dependencies.lease.isRenewed,
       lost: suspicions.all.map(({upstream}) => upstream),
     };
@@ -269,6 +272,9 @@
     message.limits.forEach(reading => limits.recordFromPeer(reading));
     message.rests.forEach(reading => rests.recordFromPeer(reading));
     this.dependencies.promptGuard.applyNews(message);
+    if (message.requestLosses !== undefined) {
+      this.dependencies.requestLosses.applyNews(message.requestLosses);
+    }
     // What a cut-off peer cannot reach says nothing about the upstreams.
     if (!instances.isPeerCutOff(message.from)) {
       message.lost.forEach(upstream =>
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -23,6 +23,8 @@
 import {InstanceRecord} from '../../features/instances/common/instance.js';
 import {InstanceRegistry} from '../../features/instances/common/instanceRegistry.js';
 import {InstanceTable} from '../../features/instances/common/instanceTable.js';
+import {RequestLosses} from '../../features/crashes/common/requestLosses.js';
+import {RpcLossAnnouncer} from '../../features/instances/node/rpcLossAnnouncer.js';
 import {PeerGossip} from '../../features/instances/node/peerGossip.js';
 import {LayerController} from '../../features/layers/common/layerController.js';
 import {DirectConnectionTester} from '../../features/links/node/directConnectionTester.js';
@@ -56,6 +58,7 @@
   readonly instances: InstanceTable;
   readonly registry: InstanceRegistry;
   readonly gossip: PeerGossip;
+  readonly requestLosses: RequestLosses;
   readonly layers: LayerController;
   readonly handler: RequestHandler;
   readonly tunnels: TunnelServer;
@@ -121,6 +124,24 @@
     tunnels,
     promptGuard,
   });
+  const crashDetector = owned.add(
+    new CrashDetector(
+      clock,
+      directory,
+      suspicions,
+      promptGuard,
+      () => instances.isCutOff,
+    ),
+  );
+  const requestLosses = owned.add(
+    new RequestLosses(
+      clock,
+      logger,
+      endedUpstreams,
+      id => crashDetector.hasEnded(id),
+      () => instances.isCutOff,
+    ),
+  );
   const services: ForwardingServices = {
     settings: defaultForwardingSettings,
     mechanisms,
@@ -165,13 +186,15 @@
     ),
     outcomes,
     promptGuard,
-    crashDetector: owned.add(
-      new CrashDetector(
+    crashDetector,
+    requestLosses,
+    lossAnnouncer: owned.add(
+      new RpcLossAnnouncer(
         clock,
-        directory,
-        suspicions,
-        promptGuard,
-        () => instances.isCutOff,
+        logger,
+        settings.peerKey,
+        requestLosses,
+        () => instances.peers,
       ),
     ),
     durations: new AnswerDurations(),
@@ -201,6 +224,7 @@
       suspicions,
       prober,
       promptGuard,
+      requestLosses,
       lease,
       mechanisms,
       relaysOf: id =>
@@ -238,6 +262,7 @@
       ),
     ),
     gossip,
+    requestLosses,
     layers: owned.add(
       new LayerController(
         clock,
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -137,10 +137,13 @@
   private async listen(): Promise<void> {
     const {listen, peerKey} = this.settings;
     const {directory} = this.ports;
-    const {gossip, metrics} = this.components;
+    const {gossip, metrics, requestLosses} = this.components;
     const {tunnels, ownLinks} = this.components;
     const peerRouter = mergeRpcRouters(
-      createGossipRouter(input => gossip.answer(input)),
+      createGossipRouter(
+        input => gossip.answer(input),
+        news => requestLosses.applyNews(news),
+      ),
       createLinkRouter(address => ownLinks.test(address)),
     );
     this.owned.add(
