--- a/src/features/forwarding/node/plainForwarder.ts
+++ b/src/features/forwarding/node/plainForwarder.ts
@@ -58,6 +58,12 @@
   }
 
   private startAttempt(cause: string): void {
+    if (this.lossWatch.isBlocked) {
+      const {endedUpstreams: ended} = this.lossWatch;
+      this.logDecision('requestBlocked', {kind: 'upstreamsEnded', ended});
+      this.giveUp('endsUpstreams');
+      return;
+    }
     const upstream = this.chooseUpstream();
     if (upstream === undefined) {
       this.giveUp(this.admissionWait === undefined ? 'noUpstream' : 'limited');
@@ -174,14 +180,17 @@
   private onResponseLost(upstream: Upstream, detail: string): void {
     this.mayHaveRun = true;
     this.services.outcomes.record(upstream.id, false);
-    void this.services.prober.probe(upstream, 'reset', {detail});
+    void this.lossWatch.probe(upstream, detail);
     this.logDecision('answerLost', {
       upstream: upstream.id,
       detail,
       wasSent: true,
     });
+    const announced = this.lossWatch.record(upstream.id, 'lost');
     if (this.isIdempotent) {
-      this.retryOrGiveUp('answerLost', 'refused', false);
+      void announced.then(() =>
+        this.retryOrGiveUp('answerLost', 'refused', false),
+      );
     } else {
       this.fail(502, 'the answer was lost');
     }
@@ -226,6 +235,7 @@
     const canRetry =
       !this.isDone &&
       this.running.size === 1 &&
+      this.lossWatch.endedUpstreams.length === 0 &&
       this.attempts < this.admitted.route.attemptLimit &&
       this.chooseUpstream() !== undefined &&
       this.services.budget.tryTake(this.admitted.service, 'first');
@@ -240,7 +250,7 @@
     /** Whether the retry is exempt from the budget, since the last attempt was never sent. */
     isBudgetExempt: boolean,
   ): void {
-    if (this.running.size > 0) {
+    if (this.running.size > 0 || this.isDone) {
       return;
     }
     if (isBudgetExempt) {
