Pipelines: a request is given up after three engines may have ended under it

Played now: a request of the product's own interface under which engines are killed or freeze went to 8 of 8 engines in 4 of 4 cases (pipelineFaults.test.ts, failed before the fix: 8, 3 allowed).

PipelineRecovery counts the engines that were lost, silent, or unreachable after they had computed for the request. One that responds again is taken out. Not covered: repeats by its caller, and engines that restart so fast that only their cache is missing.

--- a/src/features/pipeline/common/pipelineSettings.ts
+++ b/src/features/pipeline/common/pipelineSettings.ts
@@ -32,6 +32,8 @@
   readonly exports: ExportSettings;
   /** Number of recoveries after which a request fails. */
   readonly recoveryLimit: number;
+  /** Number of engines that may have ended under a request after which it fails. */
+  readonly endedEngineLimit: number;
   /** Time-out of one cancel call. */
   readonly cancelMilliseconds: number;
   /** Delay before the first retry of a cancel call; it doubles with each retry. */
@@ -68,6 +70,7 @@
     minimumRemainingTokens: 32,
   },
   recoveryLimit: 8,
+  endedEngineLimit: 3,
   cancelMilliseconds: 1000,
   cancelRetryMilliseconds: 500,
   cancelRetries: 6,
--- a/src/features/pipeline/common/stageFailure.ts
+++ b/src/features/pipeline/common/stageFailure.ts
@@ -39,6 +39,23 @@
   }
 }
 
+/** Whether an engine may have ended under a request that it was running. */
+export function mayHaveEnded(
+  kind: StepError['kind'],
+  /** Positions that the engine had computed. */
+  coveredTo: number,
+): boolean {
+  switch (kind) {
+    case 'lost':
+    case 'silent':
+      return true;
+    case 'unreachable':
+      return coveredTo > 0;
+    default:
+      return false;
+  }
+}
+
 /** Records a failed step for its engine. */
 export function recordFailure(
   record: EngineExecutionRecord,
--- a/src/features/pipeline/node/pipelineRecovery.ts
+++ b/src/features/pipeline/node/pipelineRecovery.ts
@@ -2,7 +2,11 @@
 import {Reservation, ReservationReply} from '../../routing/common/routing.js';
 import {coversAllLayers} from '../common/layerCoverage.js';
 import {AttemptEvent} from '../common/pipelineAttempt.js';
-import {hasForeignEpoch, classifyFailure} from '../common/stageFailure.js';
+import {
+  classifyFailure,
+  hasForeignEpoch,
+  mayHaveEnded,
+} from '../common/stageFailure.js';
 import {cancellableDelay} from './cancellableCall.js';
 import {CacheTransfer} from './cacheTransfer.js';
 import {CapacityClient} from './capacityClient.js';
@@ -28,6 +32,8 @@
   private readonly excluded = new Map<string, boolean>();
   /** Upstreams whose lost KV cache was already rebuilt in place once. */
   private readonly rebuiltUpstreams = new Set<string>();
+  /** Upstreams that may have ended under the request; one that responds again is taken out. */
+  private readonly ended = new Set<string>();
   /** Retry-after time of the last refusal. */
   retryAfterMilliseconds: number | undefined;
 
@@ -58,6 +64,9 @@
       return this.resumed();
     }
     this.exclude(failed, formerEpoch);
+    if (this.ended.size >= this.dependencies.settings.endedEngineLimit) {
+      return {kind: 'exhausted'};
+    }
     return this.moveToOtherStages(failed, formerEpoch);
   }
 
@@ -109,6 +118,9 @@
   private exclude({session, error}: StageFailure, formerEpoch: number): void {
     const {upstream, checksFencing} = session.chosen;
     this.excluded.set(upstream, checksFencing === true);
+    if (mayHaveEnded(error.kind, session.coveredTo)) {
+      this.ended.add(upstream);
+    }
     if (error.kind === 'mismatch') {
       this.stages.forgetExport(session.chosen.layers);
     }
@@ -179,6 +191,9 @@
     const checks = [...this.excluded].map(async ([upstream, checksFencing]) => {
       const report = await this.canceller.cancel(upstream, formerEpoch);
       const record = this.stages.executionTracker.recordOf(upstream);
+      if (report !== 'silent') {
+        this.ended.delete(upstream);
+      }
       if (
         report !== 'silent' &&
         safeguards.canEnterEpoch(record, checksFencing)
--- a/src/features/pipeline/test/faultyEngine.ts
+++ b/src/features/pipeline/test/faultyEngine.ts
@@ -114,6 +114,11 @@
     return `${this.upstream}/${this.incarnationNumber}`;
   }
 
+  /** Whether a step was sent to the engine. */
+  get wasReached(): boolean {
+    return this.stepCount > 0;
+  }
+
   /** Requests whose KV cache the engine holds; none once it is dead. */
   get resident(): readonly string[] {
     return this.isDead ? [] : [...this.sequences.keys()];
--- a/src/features/pipeline/test/pipelineFaults.test.ts
+++ b/src/features/pipeline/test/pipelineFaults.test.ts
@@ -192,6 +192,35 @@
   );
 });
 
+describe('a request under which engines end', () => {
+  const cases: ReadonlyArray<{kind: FaultKind; atStep: number}> = [
+    {kind: 'killBefore', atStep: PREFILL_STEP},
+    {kind: 'killAfter', atStep: PREFILL_STEP},
+    {kind: 'killAfter', atStep: 1},
+    {kind: 'freezeAfter', atStep: PREFILL_STEP},
+  ];
+  test.each(cases)(
+    'is given up after three have ended: each $kind at step $atStep',
+    async ({kind, atStep}) => {
+      const replicas = 8;
+      const faults = [...Array(replicas).keys()].map(replica => ({
+        upstream: upstreamName(0, replica),
+        kind,
+        atStep,
+        milliseconds: 60_000,
+      }));
+      const harness = new PipelineHarness({replicas, faults});
+      const run = harness.start();
+      await finishWithoutViolations(harness);
+      const reached = harness.engines.filter(
+        engine => engine.upstream.startsWith('stage0-') && engine.wasReached,
+      );
+      expect(reached.length).toBe(3);
+      expect(run.result?.ok).toBe(false);
+    },
+  );
+});
+
 describe('a request that another driver also runs', () => {
   test.each([
     {repeatable: true, atStep: PREFILL_STEP, outcome: 'complete'},
