Repeats: each loss is announced, and late evidence counts the losses of all repeats

The simulation now plays RequestLosses, announcements and callers that repeat at once elsewhere, at 3, 7, 19 and 370 instances (deadlyParts.test.ts). A stream's late loss is reported as soon as two upstreams may have ended under the request and its repeats.

--- a/src/features/crashes/common/requestLosses.ts
+++ b/src/features/crashes/common/requestLosses.ts
@@ -15,8 +15,8 @@
 /** Upstreams that a request must have lost until peers are told: most lose one by chance. */
 const LOSSES_FOR_NEWS = 2;
 
-/** Time after a loss in which instances find out by themselves whether the upstream still runs. */
-const VERIFICATION_MILLISECONDS = 1_500;
+/** Time after which an instance relies on its own view of an upstream: one that has ended has left the list by then. */
+const VERIFICATION_MILLISECONDS = 5_000;
 
 /** How long the finding that an upstream runs is valid. */
 const RUNNING_VALID_MILLISECONDS = 2_000;
@@ -88,6 +88,8 @@
   private readonly learned = this.register(new Emitter<void>());
   /** By key, the one that changed last at the end. */
   private readonly requests = new Map<string, LosingRequest>();
+  /** When requests of which peers are told changed, in monotonic milliseconds, the last one at the end. */
+  private readonly changedAt = new Map<string, number>();
   /** When upstreams were last found to run, in monotonic milliseconds. */
   private readonly runningAt = new Map<string, number>();
 
@@ -129,18 +131,25 @@
     return this.endedUnder(key).length >= REQUEST_END_LIMIT;
   }
 
-  /** Records the loss of an upstream; returns whether peers should be told at once. */
+  /**
+   * Records the loss of an upstream.
+   * @returns whether the request may not be sent again, nor its caller be answered, before peers have been told
+   */
   record(key: string, upstream: string, kind: LossKind): boolean {
     const at = this.now();
     this.addLoss(key, {upstream, kind, isProved: false, at, learnedAt: at});
-    return kind === 'lost' && this.recordOf(key).losses.size >= LOSSES_FOR_NEWS;
+    const ended = this.endedUnder(key);
+    const fields = {key, upstream, kind, ended: ended.length};
+    this.logger.decision('requestLostUpstream', fields);
+    return kind === 'lost' && ended.length >= LOSSES_FOR_NEWS;
   }
 
   /** Records that an attempt ended without a whole answer, so that its caller may repeat the request. */
   recordFailed(key: string): void {
     const request = this.requests.get(key);
-    if (request !== undefined) {
+    if (request !== undefined && request.losses.size > 0) {
       request.hasFailed = true;
+      this.recordChange(request);
     }
   }
 
@@ -157,14 +166,27 @@
         request.losses.delete(upstream);
       }
     }
+    this.recordChange(request);
   }
 
-  /** What peers are told; undefined if there is nothing to tell. */
+  /** What gossip tells peers; undefined if there is nothing to tell. */
   createNews(): RequestLossNews | undefined {
-    const requests = [...this.requests.values()];
+    for (const [key, changedAt] of this.changedAt) {
+      if (this.ageOf(changedAt) <= NEWS_MILLISECONDS) {
+        break;
+      }
+      this.changedAt.delete(key);
+    }
+    const keys = [...this.changedAt.keys()];
+    return this.createNewsOf(keys.slice(-REQUEST_NEWS_LIMIT));
+  }
+
+  /** What peers are told of some requests; undefined if there is nothing to tell. */
+  createNewsOf(keys: readonly string[]): RequestLossNews | undefined {
+    const requests = keys.flatMap(key => this.requests.get(key) ?? []);
     const losses = requests.flatMap(request => this.lossNewsOf(request));
     const answered = requests
-      .filter(({answeredAt}) => this.ageOf(answeredAt) <= NEWS_MILLISECONDS)
+      .filter(({answeredAt}) => answeredAt > -Infinity)
       .map(({key, answeredAt}) => ({
         key,
         ageMilliseconds: this.ageOf(answeredAt),
@@ -191,17 +213,29 @@
     }
   }
 
-  private lossNewsOf({
+  /** Lets gossip tell of a request once it has lost so many upstreams, has failed or was answered. */
+  private recordChange({
     key,
     losses,
     hasFailed,
-  }: LosingRequest): readonly RequestLossReport[] {
-    if (!hasFailed && losses.size < LOSSES_FOR_NEWS) {
-      return [];
+    answeredAt,
+  }: LosingRequest): void {
+    const isNews =
+      hasFailed ||
+      losses.size >= LOSSES_FOR_NEWS ||
+      this.ageOf(answeredAt) <= NEWS_MILLISECONDS;
+    if (isNews) {
+      this.changedAt.delete(key);
+      this.changedAt.set(key, this.now());
     }
+  }
+
+  private lossNewsOf({
+    key,
+    losses,
+  }: LosingRequest): readonly RequestLossReport[] {
     const isCutOff = this.isCutOff();
     return [...losses.values()]
-      .filter(({learnedAt}) => this.ageOf(learnedAt) <= NEWS_MILLISECONDS)
       .map(({upstream, kind, isProved, at}) => ({
         key,
         upstream,
@@ -228,7 +262,7 @@
   }
 
   private addLoss(key: string, loss: StoredLoss): void {
-    const request = this.recordOf(key);
+    const request = this.requests.get(key) ?? createRequest(key);
     const known = request.losses.get(loss.upstream);
     const tellsNothing =
       known !== undefined &&
@@ -240,27 +274,8 @@
     request.losses.set(loss.upstream, loss);
     this.requests.delete(key);
     this.requests.set(key, request);
+    this.recordChange(request);
     this.removeExcess();
-    const {upstream, kind, isProved} = loss;
-    this.logger.decision('requestLostUpstream', {
-      key,
-      upstream,
-      kind,
-      isProved,
-      age: this.ageOf(loss.at),
-      ended: this.endedUnder(key).length,
-    });
-  }
-
-  private recordOf(key: string): LosingRequest {
-    const request = this.requests.get(key) ?? {
-      key,
-      losses: new Map<string, StoredLoss>(),
-      hasFailed: false,
-      answeredAt: -Infinity,
-    };
-    this.requests.set(key, request);
-    return request;
   }
 
   /** Forgets the requests whose last change is too old, and the oldest ones beyond the limit. */
@@ -275,6 +290,7 @@
         break;
       }
       this.requests.delete(key);
+      this.changedAt.delete(key);
     }
     for (const [upstream, at] of this.runningAt) {
       if (this.ageOf(at) >= RETENTION_MILLISECONDS) {
@@ -293,3 +309,7 @@
     return this.clock.monotonicMilliseconds();
   }
 }
+
+function createRequest(key: string): LosingRequest {
+  return {key, losses: new Map(), hasFailed: false, answeredAt: -Infinity};
+}
--- a/src/features/crashes/common/streamLosses.ts
+++ b/src/features/crashes/common/streamLosses.ts
@@ -3,7 +3,7 @@
 /** Losses of upstreams under one stream, and which of them may show that its prompt is deadly. */
 
 /**
- * Upstreams that a stream must have lost until it is suspect although it was written for long: most lose one by chance, and a
+ * Upstreams that a stream, or it and its repeats, must have lost until it is suspect although it was written for long: most lose one by chance, and a
  * deadly prompt that ends upstreams late loses the next one soon.
  */
 const LOSSES_FOR_LATE_SUSPICION = 2;
@@ -36,11 +36,15 @@
     return [...this.byUpstream.values()];
   }
 
-  /** Records a loss; returns the losses that are to be reported now. */
-  record(loss: StreamLoss): readonly StreamLoss[] {
+  /**
+   * Records a loss; returns the losses that are to be reported now.
+   * @param endedUnderRequest number of upstreams that may have ended under the request and its repeats
+   */
+  record(loss: StreamLoss, endedUnderRequest: number): readonly StreamLoss[] {
     this.byUpstream.set(loss.upstream, loss);
     this.unreported = [...this.unreported, loss];
-    if (loss.phase === 'late' && this.count < LOSSES_FOR_LATE_SUSPICION) {
+    const lostCount = Math.max(this.count, endedUnderRequest);
+    if (loss.phase === 'late' && lostCount < LOSSES_FOR_LATE_SUSPICION) {
       return [];
     }
     const reported = this.unreported;
--- a/src/features/crashes/test/crashSimulation.ts
+++ b/src/features/crashes/test/crashSimulation.ts
@@ -7,7 +7,10 @@
   GossipSimulation,
   STEP_MILLISECONDS,
 } from '../../../../test/support/gossipSimulation.js';
+import {EndedUpstreams} from '../../fleet/common/endedUpstreams.js';
+import {SuspicionTracker} from '../../fleet/common/suspicionTracker.js';
 import {SuspectRequest} from '../common/crashReport.js';
+import {RequestLosses} from '../common/requestLosses.js';
 import {StreamLosses} from '../common/streamLosses.js';
 import {SOUND_WRITING_MILLISECONDS} from '../common/suspectParts.js';
 import {PromptGuard} from '../common/promptGuard.js';
@@ -20,6 +23,10 @@
 const BEGIN_MILLISECONDS_PER_STREAM = 30;
 const STREAM_MILLISECONDS = 3_000;
 const SEND_LIMIT = 3;
+/** Time until instances that did not use an upstream find out that it has ended. */
+const LISTED_MILLISECONDS = 2_000;
+/** Upstreams that may end under a request and its repeats. */
+const ALLOWED_ENDS = 3;
 
 /** The published bound counts requests from this long after the fifth crash. */
 const NOTICE_MILLISECONDS = 3_000;
@@ -39,6 +46,8 @@
     readonly account?: string;
     /** Whether each request repeats the first one: it has no part of its own. */
     readonly isRepeated?: boolean;
+    /** How often its caller repeats a request at another instance as soon as it has failed. */
+    readonly repeatsAtOnce?: number;
   }>;
   /** When the deadly requests begin. */
   readonly deadlyFromMilliseconds: number;
@@ -51,6 +60,7 @@
   readonly suspect: SuspectRequest;
   readonly isDeadly: boolean;
   readonly losses: StreamLosses;
+  readonly repeatsLeft: number;
   /** Whether it was written for long at any upstream. */
   wasWritten: boolean;
   upstream: SimulatedUpstream;
@@ -69,16 +79,19 @@
 interface NewRequest {
   readonly parts: readonly string[];
   readonly isRepeated: boolean;
+  readonly repeatsAtOnce: number;
   readonly account: string;
   readonly isDeadly: boolean;
 }
 
 class SimulatedInstance extends GossipingInstance {
   guard!: PromptGuard;
+  losses!: RequestLosses;
 
   constructor(
     index: number,
     private readonly clock: FakeClock,
+    private readonly hasLeftList: (run: string) => boolean,
   ) {
     super(index);
     this.start();
@@ -89,6 +102,14 @@
     const isTrialOwner = (): boolean => this.index === 0;
     const logger = new SilentLogger();
     this.guard = new PromptGuard(this.clock, logger, true, isTrialOwner);
+    const suspicions = new SuspicionTracker(this.clock, logger);
+    this.losses = new RequestLosses(
+      this.clock,
+      logger,
+      new EndedUpstreams(this.clock, logger, suspicions),
+      this.hasLeftList,
+      () => false,
+    );
     this.isRunning = true;
   }
 }
@@ -102,6 +123,10 @@
   private readonly upstreams: SimulatedUpstream[] = [];
   private streams: Stream[] = [];
   private requestCount = 0;
+  /** Sound requests that were not sent on after a loss, since too many upstreams may have ended under them. */
+  soundGivenUpCount = 0;
+  /** When runs of upstreams ended. */
+  private readonly endedAt = new Map<string, number>();
   /** When the instances that are not in touch, as the bound defines it, were started again. */
   private readonly startedAt = new Map<SimulatedInstance, number>();
 
@@ -111,7 +136,9 @@
   ) {
     super(random);
     for (let index = 0; index < scenario.instanceCount; index++) {
-      this.instances.push(new SimulatedInstance(index, this.clock));
+      this.instances.push(
+        new SimulatedInstance(index, this.clock, run => this.hasLeftList(run)),
+      );
     }
     for (let index = 0; index < scenario.upstreamCount; index++) {
       this.upstreams.push({name: `upstream-${index}`, run: 0, downUntil: 0});
@@ -125,6 +152,12 @@
     return this.deadlySentAt.filter(at => at > from).length;
   }
 
+  /** Deadly requests that reached upstreams after three had ended under them. */
+  get sentAfterThirdEnd(): number {
+    const third = this.crashedAt[ALLOWED_ENDS - 1] ?? Infinity;
+    return this.deadlySentAt.filter(at => at > third).length;
+  }
+
   /** Share of the sound requests with a first part that were let through twice the published time after the fifth crash. */
   sentShare(isCounted: (part: string) => boolean): number {
     const counted = this.crashedAt[COUNTED_CRASH - 1] ?? this.crashedAt.at(-1);
@@ -143,23 +176,75 @@
     const lost = this.streams.filter(stream => stream.upstream === upstream);
     const run = `${upstream.name} ${upstream.run}`;
     upstream.run++;
+    this.endedAt.set(run, now);
     upstream.downUntil = now + UPSTREAM_DOWN_MILLISECONDS;
     this.streams = this.streams.filter(stream => stream.upstream !== upstream);
     lost.forEach(stream => this.recordLoss(stream, run));
-    lost.forEach(stream => this.send(stream));
+    for (const instance of new Set(lost.map(stream => stream.instance))) {
+      this.announce(
+        instance,
+        lost
+          .filter(stream => stream.instance === instance)
+          .map(({suspect}) => keyOf(suspect)),
+      );
+    }
+    lost.forEach(stream => this.sendOn(stream));
+  }
+
+  private hasLeftList(run: string): boolean {
+    const endedAt = this.endedAt.get(run) ?? Infinity;
+    return this.now() - endedAt >= LISTED_MILLISECONDS;
+  }
+
+  /** Sends a stream on after a loss; if it fails, its caller may repeat it at another instance. */
+  private sendOn(stream: Stream): void {
+    const {instance, suspect, isDeadly, repeatsLeft} = stream;
+    if (this.send(stream)) {
+      return;
+    }
+    if (!isDeadly) {
+      this.soundGivenUpCount++;
+    }
+    const others = this.instances.filter(
+      other => other.isRunning && other !== instance,
+    );
+    if (repeatsLeft > 0 && others.length > 0) {
+      this.sendNew(others[this.random.nextInteger(others.length)]!, {
+        parts: suspect.promptParts,
+        isRepeated: true,
+        repeatsAtOnce: repeatsLeft - 1,
+        account: suspect.account,
+        isDeadly,
+      });
+    }
+  }
+
+  /** Tells all instances of requests that have lost upstreams. */
+  private announce(from: SimulatedInstance, keys: readonly string[]): void {
+    const news = from.losses.createNewsOf(keys);
+    if (news !== undefined) {
+      this.instances
+        .filter(({isRunning, side}) => isRunning && side === from.side)
+        .forEach(({losses}) => losses.applyNews(news));
+    }
   }
 
   private recordLoss(stream: Stream, upstream: string): void {
     const {instance, suspect, wasWritten, losses} = stream;
     const at = this.now();
     const writingMilliseconds = Math.max(0, at - stream.beginsAt);
-    const reported = losses.record({
-      upstream,
-      isConnectionEnded: true,
-      writingMilliseconds,
-      phase: wasWritten ? 'late' : 'early',
-      at,
-    });
+    const key = keyOf(suspect);
+    instance.losses.record(key, upstream, 'lost');
+    const reported = losses.record(
+      {
+        upstream,
+        isConnectionEnded: true,
+        writingMilliseconds,
+        phase: wasWritten ? 'late' : 'early',
+        at,
+      },
+      instance.losses.endedUnder(key).length,
+    );
     for (const loss of reported) {
       const {upstream: lost, phase} = loss;
       instance.guard.recordCrash(lost, suspect, phase, at - loss.at);
@@ -181,17 +266,25 @@
     const request = one.guard.createNews();
     other.guard.applyNews(request);
     one.guard.applyNews(other.guard.createResponse(request));
+    const losses = [one.losses.createNews(), other.losses.createNews()];
+    losses.forEach((news, index) => {
+      if (news !== undefined) {
+        [other, one][index]!.losses.applyNews(news);
+      }
+    });
   }
 
   protected override sendRequests(now: number): void {
     const {deadlyFromMilliseconds, firstParts, soundPerSecond} = this.scenario;
     const deadly = now < deadlyFromMilliseconds ? [] : this.scenario.deadly;
     for (const {perSecond, ...request} of deadly) {
-      const {parts, account = 'account', isRepeated = false} = request;
+      const {parts, account = 'account'} = request;
+      const {isRepeated = false, repeatsAtOnce = 0} = request;
       const isDeadly = true;
       this.sendAtRate(perSecond, () => ({
         parts,
         isRepeated,
+        repeatsAtOnce,
         account,
         isDeadly,
       }));
@@ -199,7 +292,13 @@
     this.sendAtRate(soundPerSecond, () => {
       const part = firstParts[this.random.nextInteger(firstParts.length)]!;
       const parts = [part];
-      return {parts, isRepeated: false, account: 'account', isDeadly: false};
+      return {
+        parts,
+        isRepeated: false,
+        repeatsAtOnce: 0,
+        account: 'account',
+        isDeadly: false,
+      };
     });
   }
 
@@ -216,7 +315,7 @@
 
   private sendNew(
     instance: SimulatedInstance,
-    {parts, isRepeated, account, isDeadly}: NewRequest,
+    {parts, isRepeated, repeatsAtOnce, account, isDeadly}: NewRequest,
   ): void {
     const request = `request-${++this.requestCount}`;
     const suspect = {
@@ -231,6 +330,7 @@
       suspect,
       isDeadly,
       losses: new StreamLosses(),
+      repeatsLeft: repeatsAtOnce,
       wasWritten: false,
       upstream,
       beginsAt: sentAt,
@@ -247,6 +347,7 @@
     const {request} = suspect;
     if (
       stream.sends >= SEND_LIMIT ||
+      instance.losses.isBlocked(keyOf(suspect)) ||
       instance.guard.admit(request, suspect).kind === 'blocked'
     ) {
       return false;
@@ -293,6 +394,7 @@
       now - beginsAt >= STREAM_MILLISECONDS;
     for (const {instance, suspect} of this.streams.filter(isWhole)) {
       instance.guard.recordAnswered(suspect.promptParts);
+      instance.losses.recordAnswered(keyOf(suspect));
     }
     this.streams = this.streams.filter(stream => !isWhole(stream));
   }
@@ -308,3 +410,8 @@
     return this.clock.monotonicMilliseconds();
   }
 }
+
+/** Repeats of a request have the same last part. */
+function keyOf({promptParts}: SuspectRequest): string {
+  return promptParts.at(-1)!;
+}
--- a/src/features/crashes/test/deadlyParts.test.ts
+++ b/src/features/crashes/test/deadlyParts.test.ts
@@ -103,6 +103,19 @@
   },
 ].map(situation => ({...situation, deadly: [REPEATED]}));
 
+const repeatSituations: readonly Situation[] = [
+  {name: 'as they begin to write'},
+  {name: 'after 700 ms', crashDelayMilliseconds: 700},
+  {
+    name: 'while upstreams are lost one after the other',
+    disturb: loseInTurn,
+  },
+  {name: 'with few upstreams to begin at', upstreamCount: 7},
+].map(situation => ({
+  ...situation,
+  deadly: [{...REPEATED, perSecond: 1, repeatsAtOnce: 6}],
+}));
+
 function play(situation: Situation, count: number, seed: number) {
   const simulation = new CrashSimulation(
     {
@@ -169,6 +182,26 @@
   TIMEOUT_AT_SIZE_MILLISECONDS,
 );
 
+it.each(
+  [3, 7, 19, 370].flatMap(count =>
+    repeatSituations.map(situation => ({
+      count,
+      situation,
+      name: situation.name,
+    })),
+  ),
+)(
+  '$count instances together send no repeat of a request under which three upstreams have ended $name',
+  ({count, situation}) => {
+    const seeds = count < 100 ? SEEDS : SEEDS.slice(0, 1);
+    const sent = seeds.map(
+      seed => play(situation, count, seed).sentAfterThirdEnd,
+    );
+    expect(sent).toEqual(seeds.map(() => 0));
+  },
+  TIMEOUT_AT_SIZE_MILLISECONDS,
+);
+
 it.each([3, 7, 19])(
   '%i instances together stop different requests that share a part under which upstreams crash late',
   count => {
--- a/src/features/forwarding/node/promptWatch.ts
+++ b/src/features/forwarding/node/promptWatch.ts
@@ -1,4 +1,5 @@
 import {REQUEST_END_LIMIT} from '../../crashes/common/requestLosses.js';
+import {CrashPhase} from '../../crashes/common/crashReport.js';
 import {StreamLoss, StreamLosses} from '../../crashes/common/streamLosses.js';
 import {
   AccountPrompt,
@@ -129,12 +130,14 @@
     const wasWritten =
       writingMilliseconds >= SOUND_WRITING_MILLISECONDS ||
       this.soundAt > -Infinity;
-    const phase = wasWritten ? 'late' : 'early';
+    const phase: CrashPhase = wasWritten ? 'late' : 'early';
     const at = this.services.clock.monotonicMilliseconds();
+    const loss = {upstream, isConnectionEnded, writingMilliseconds, phase, at};
+    const announced = this.lossWatch.record(upstream, 'lost');
     this.losses
-      .record({upstream, isConnectionEnded, writingMilliseconds, phase, at})
-      .forEach(loss => this.report(loss));
-    await this.lossWatch.record(upstream, 'lost');
+      .record(loss, this.lossWatch.endedUpstreams.length)
+      .forEach(reported => this.report(reported));
+    await announced;
   }
 
   /** Reports a loss that may show that the prompt is deadly. */
--- a/src/features/forwarding/node/requestLossWatch.ts
+++ b/src/features/forwarding/node/requestLossWatch.ts
@@ -33,8 +33,10 @@
   /** Records the loss of an upstream; resolves when peers know what they need to know of the request. */
   async record(upstream: string, kind: LossKind): Promise<void> {
     const {requestLosses, lossAnnouncer} = this.services;
-    if (requestLosses.record(this.key, upstream, kind)) {
-      await lossAnnouncer.announce();
+    const isUrgent = requestLosses.record(this.key, upstream, kind);
+    const announced = lossAnnouncer.announce(this.key);
+    if (isUrgent) {
+      await announced;
     }
   }
 
--- a/src/features/instances/node/rpcLossAnnouncer.ts
+++ b/src/features/instances/node/rpcLossAnnouncer.ts
@@ -16,6 +16,8 @@
 /** Tells all peers by remote calls; announcements that come while one is under way share the next one. */
 export class RpcLossAnnouncer extends DisposableOwner implements LossAnnouncer {
   private readonly connections: RpcClientFactory;
+  /** Requests that the next announcement is about. */
+  private readonly waitingKeys = new Set<string>();
   private running: Promise<void> = Promise.resolve();
   private next: Promise<void> | undefined;
 
@@ -30,14 +32,16 @@
     this.connections = this.register(new RpcClientFactory(peerKey));
   }
 
-  announce(): Promise<void> {
+  announce(key: string): Promise<void> {
+    this.waitingKeys.add(key);
     this.next ??= this.running.then(() => this.tellAll());
     return this.next;
   }
 
   private tellAll(): Promise<void> {
     this.next = undefined;
-    const news = this.losses.createNews();
+    const news = this.losses.createNewsOf([...this.waitingKeys]);
+    this.waitingKeys.clear();
     const peers = news === undefined ? [] : this.peers();
     this.running = Promise.all(peers.map(peer => this.tell(peer, news!))).then(
       () => undefined,
