--- a/src/features/crashes/common/requestLosses.ts
+++ b/src/features/crashes/common/requestLosses.ts
@@ -90,8 +90,6 @@
   private readonly requests = new Map<string, LosingRequest>();
   /** When requests of which peers are told changed, in monotonic milliseconds, the last one at the end. */
   private readonly changedAt = new Map<string, number>();
-  /** When upstreams were last found to run, in monotonic milliseconds. */
-  private readonly runningAt = new Map<string, number>();
 
   /** Fires when peers have told of losses. */
   readonly onDidLearn = this.learned.event;
@@ -106,11 +104,6 @@
     private readonly isCutOff: () => boolean,
   ) {
     super();
-    this.register(
-      endedUpstreams.onDidFindRunning(upstream =>
-        this.runningAt.set(upstream, this.now()),
-      ),
-    );
   }
 
   /** Whether nothing is remembered, so that no request needs to be looked up. */
@@ -157,15 +150,15 @@
   recordAnswered(key: string, ageMilliseconds = 0): void {
     const request = this.requests.get(key);
     const at = this.now() - ageMilliseconds;
-    if (request === undefined || at <= request.answeredAt) {
+    const earlier = [...(request?.losses.values() ?? [])].filter(
+      loss => loss.at <= at,
+    );
+    // Without losses it is no news: what a peer passes on would come back, a little younger each time.
+    if (request === undefined || earlier.length === 0) {
       return;
     }
     request.answeredAt = at;
-    for (const [upstream, loss] of request.losses) {
-      if (loss.at <= at) {
-        request.losses.delete(upstream);
-      }
-    }
+    earlier.forEach(({upstream}) => request.losses.delete(upstream));
     this.recordChange(request);
   }
 
@@ -202,13 +195,15 @@
   /** Applies what a peer tells. */
   applyNews({losses, answered}: RequestLossNews): void {
     const learnedAt = this.now();
+    let hasLearned = false;
     for (const {key, ageMilliseconds, ...loss} of losses) {
-      this.addLoss(key, {...loss, at: learnedAt - ageMilliseconds, learnedAt});
+      const at = learnedAt - ageMilliseconds;
+      hasLearned = this.addLoss(key, {...loss, at, learnedAt}) || hasLearned;
     }
     for (const {key, ageMilliseconds} of answered) {
       this.recordAnswered(key, ageMilliseconds);
     }
-    if (losses.length > 0) {
+    if (hasLearned) {
       this.learned.fire();
     }
   }
@@ -251,7 +246,7 @@
     if (this.endedUpstreams.hasEnded(upstream)) {
       return true;
     }
-    const runningAt = this.runningAt.get(upstream) ?? -Infinity;
+    const runningAt = this.endedUpstreams.lastRunningAt(upstream);
     if (this.ageOf(runningAt) < RUNNING_VALID_MILLISECONDS) {
       return false;
     }
@@ -261,7 +256,8 @@
     return isTold || this.hasLikelyEnded(upstream);
   }
 
-  private addLoss(key: string, loss: StoredLoss): void {
+  /** Adds a loss; returns whether it told anything new. */
+  private addLoss(key: string, loss: StoredLoss): boolean {
     const request = this.requests.get(key) ?? createRequest(key);
     const known = request.losses.get(loss.upstream);
     const tellsNothing =
@@ -269,13 +265,14 @@
       (known.isProved || !loss.isProved) &&
       (known.kind === 'lost' || loss.kind === 'left');
     if (tellsNothing || loss.at <= request.answeredAt) {
-      return;
+      return false;
     }
     request.losses.set(loss.upstream, loss);
     this.requests.delete(key);
     this.requests.set(key, request);
     this.recordChange(request);
     this.removeExcess();
+    return true;
   }
 
   /** Forgets the requests whose last change is too old, and the oldest ones beyond the limit. */
@@ -292,11 +289,6 @@
       this.requests.delete(key);
       this.changedAt.delete(key);
     }
-    for (const [upstream, at] of this.runningAt) {
-      if (this.ageOf(at) >= RETENTION_MILLISECONDS) {
-        this.runningAt.delete(upstream);
-      }
-    }
   }
 
   /** Whole milliseconds since a moment of the monotonic clock. */
--- a/src/features/fleet/common/endedUpstreams.ts
+++ b/src/features/fleet/common/endedUpstreams.ts
@@ -1,5 +1,4 @@
 import {Clock} from '../../../base/common/clock.js';
-import {Emitter} from '../../../base/common/event.js';
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {SuspicionTracker} from './suspicionTracker.js';
@@ -26,10 +25,8 @@
  */
 export class EndedUpstreams extends DisposableOwner {
   private readonly proofs = new Map<string, StoredProof>();
-  private readonly foundRunning = this.register(new Emitter<string>());
-
-  /** Fires with the identifier of a run that this instance or a peer has found to run. */
-  readonly onDidFindRunning = this.foundRunning.event;
+  /** When runs were last found to run, in monotonic milliseconds. */
+  private readonly runningAt = new Map<string, number>();
 
   constructor(
     private readonly clock: Clock,
@@ -72,10 +69,16 @@
     }
   }
 
+  /** When this instance or a peer last found a run to run, in monotonic milliseconds; -Infinity for never. */
+  lastRunningAt(upstream: string): number {
+    return this.runningAt.get(upstream) ?? -Infinity;
+  }
+
   /** Records that a run has not ended; drops a proof that it had, so that it counts for later decisions. */
   recordRunning(upstream: string): void {
     this.retract(upstream);
-    this.foundRunning.fire(upstream);
+    this.removeExpired();
+    this.runningAt.set(upstream, this.now());
   }
 
   private retract(upstream: string): void {
@@ -97,6 +100,11 @@
         this.proofs.delete(upstream);
       }
     }
+    for (const [upstream, at] of this.runningAt) {
+      if (at < from) {
+        this.runningAt.delete(upstream);
+      }
+    }
   }
 
   private now(): number {
--- a/src/features/forwarding/node/upstreamEndCheck.ts
+++ b/src/features/forwarding/node/upstreamEndCheck.ts
@@ -57,6 +57,7 @@
       REPORT_TIMEOUT_MILLISECONDS,
     );
     if (report.ok) {
+      this.ended.recordRunning(upstream.id);
       return;
     }
     if (report.error.kind === 'misdirected') {
@@ -74,7 +75,7 @@
     const peers = await this.peerLinks.askAll(address);
     if (peers !== undefined && isRefusedEverywhere(own, peers)) {
       this.ended.record(id, 'refused', {instances: peers.length + 1});
-    } else if (peers?.includes('reached')) {
+    } else if (peers?.includes('reached') && !this.ended.hasEnded(id)) {
       this.ended.recordRunning(id);
     }
   }
