Repeats: a loss that peers know is neither logged nor announced again

Found on reading: each move of a silent stream logged its loss a second time as left, and sent peers a message that told nothing. No decision changes. Tests of forwarding, crashes, fleet, instances and links pass.

--- a/src/features/crashes/common/requestLosses.ts
+++ b/src/features/crashes/common/requestLosses.ts
@@ -38,6 +38,15 @@
   /** The request left it although it answered probes; it counts only if it ends later. */
   | 'left';
 
+/** How urgently peers are to be told of a loss. */
+export type LossUrgency =
+  /** They have been told. */
+  | 'known'
+  /** At once, but nothing waits for it. */
+  | 'soon'
+  /** Before the request is given up, since its caller may repeat it at one of them. */
+  | 'beforeAnswer';
+
 /** The loss of an upstream under a request, as peers are told of it. */
 export interface RequestLossReport {
   /** Identifies a request and its repeats. */
@@ -124,17 +133,20 @@
     return this.endedUnder(key).length >= REQUEST_END_LIMIT;
   }
 
-  /**
-   * Records the loss of an upstream.
-   * @returns whether the request may not be sent again, nor its caller be answered, before peers have been told
-   */
-  record(key: string, upstream: string, kind: LossKind): boolean {
+  /** Records the loss of an upstream; returns how urgently peers are to be told. */
+  record(key: string, upstream: string, kind: LossKind): LossUrgency {
     const at = this.now();
-    this.addLoss(key, {upstream, kind, isProved: false, at, learnedAt: at});
-    const ended = this.endedUnder(key);
-    const fields = {key, upstream, kind, ended: ended.length};
-    this.logger.decision('requestLostUpstream', fields);
-    return kind === 'lost' && ended.length >= LOSSES_FOR_NEWS;
+    const loss = {upstream, kind, isProved: false, at, learnedAt: at};
+    const isNew = this.addLoss(key, loss);
+    const ended = this.endedUnder(key).length;
+    if (isNew) {
+      const fields = {key, upstream, kind, ended};
+      this.logger.decision('requestLostUpstream', fields);
+    }
+    if (kind === 'lost' && ended >= LOSSES_FOR_NEWS) {
+      return 'beforeAnswer';
+    }
+    return isNew ? 'soon' : 'known';
   }
 
   /** Records that an attempt ended without a whole answer, so that its caller may repeat the request. */
--- a/src/features/forwarding/node/requestLossWatch.ts
+++ b/src/features/forwarding/node/requestLossWatch.ts
@@ -33,9 +33,12 @@
   /** Records the loss of an upstream; resolves when peers know what they need to know of the request. */
   async record(upstream: string, kind: LossKind): Promise<void> {
     const {requestLosses, lossAnnouncer} = this.services;
-    const isUrgent = requestLosses.record(this.key, upstream, kind);
+    const urgency = requestLosses.record(this.key, upstream, kind);
+    if (urgency === 'known') {
+      return;
+    }
     const announced = lossAnnouncer.announce(this.key);
-    if (isUrgent) {
+    if (urgency === 'beforeAnswer') {
       await announced;
     }
   }
