--- a/src/features/forwarding/common/answerDurations.ts
+++ b/src/features/forwarding/common/answerDurations.ts
@@ -27,6 +27,11 @@
     }
   }
 
+  /** Number of answers of a service that are remembered. */
+  count(service: string): number {
+    return this.recent.get(service)?.length ?? 0;
+  }
+
   /**
    * The longest of the recent answers in milliseconds, or the time for which one has been in progress if that is longer;
    * undefined if no answer of the service has ended.
--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -162,16 +162,26 @@
       return undefined;
     }
     const now = clock.monotonicMilliseconds();
+    const {receivedAt} = exchange.request;
+    const timeLimit = receivedAt + timeLimitOf(facts, route) - now;
     const {isAdmitted, expectedMilliseconds} = decideStopAdmission({
       stopLeft: stop.window.endsAt - now,
-      timeLimit: exchange.request.receivedAt + timeLimitOf(facts, route) - now,
+      timeLimit,
       longestAnswers: route.targets.map(({service}) =>
         durations.longest(service, now),
       ),
     });
-    return isAdmitted
-      ? undefined
-      : {kind: 'refused', reason: 'stopping', expectedMilliseconds};
+    if (!isAdmitted) {
+      return {kind: 'refused', reason: 'stopping', expectedMilliseconds};
+    }
+    this.services.logger.decision('takenWhileStopping', {
+      request: facts.id,
+      expectedMilliseconds,
+      knownAnswers: route.targets.map(({service}) => durations.count(service)),
+      timeLimit: Math.round(timeLimit),
+      stop: describeStopTimes(stop.window, receivedAt, now),
+    });
+    return undefined;
   }
 
   private authorize(
--- a/src/infrastructure/logging/node/boundedLogStream.ts
+++ b/src/infrastructure/logging/node/boundedLogStream.ts
@@ -30,6 +30,12 @@
     callback();
   }
 
+  /** Reports the lines that were dropped since the last report. */
+  override _final(callback: () => void): void {
+    this.reportDropped();
+    callback();
+  }
+
   private writeOrDrop(line: string | Buffer): void {
     const now = this.now();
     if (now - this.windowStart >= WINDOW_MILLISECONDS) {
@@ -42,11 +48,15 @@
       return;
     }
     this.linesInWindow++;
+    this.reportDropped();
+    this.target.write(line);
+  }
+
+  private reportDropped(): void {
     if (this.droppedLines > 0) {
       const report = {msg: 'log lines left out', count: this.droppedLines};
       this.droppedLines = 0;
       this.target.write(`${JSON.stringify(report)}\n`);
     }
-    this.target.write(line);
   }
 }
--- a/src/infrastructure/logging/test/boundedLogStream.test.ts
+++ b/src/infrastructure/logging/test/boundedLogStream.test.ts
@@ -19,6 +19,19 @@
   );
 });
 
+it('reports the lines that were left out at the very end', async () => {
+  const target = new PassThrough();
+  const stream = new BoundedLogStream(target, () => 0);
+  for (let line = 0; line < 403; line++) {
+    stream.write('line\n');
+  }
+  await new Promise<void>(resolve => stream.end(resolve));
+  expect(String(target.read()).split('\n').slice(-2)).toEqual([
+    '{"msg":"log lines left out","count":3}',
+    '',
+  ]);
+});
+
 it('drops lines instead of blocking when the reader is slow', () => {
   let now = 0;
   const target = new PassThrough({highWaterMark: 1});
--- a/src/programs/router/gracefulStop.ts
+++ b/src/programs/router/gracefulStop.ts
@@ -74,6 +74,7 @@
       unfinished: handler.count,
       tunnels: tunnels.count,
       milliseconds: this.elapsedMilliseconds,
+      isTimeUp: this.clock.monotonicMilliseconds() >= this.window.endsAt,
     });
     handler.endAll();
   }
