--- a/test/router/stops.test.ts
+++ b/test/router/stops.test.ts
@@ -1,6 +1,10 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
-import {StandInSystem, waitFor} from '../standins/fleet/system.js';
+import {
+  RouterInstance,
+  StandInSystem,
+  waitFor,
+} from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
 import {
   RecordedResponse,
@@ -13,6 +17,7 @@
 const SEND_PERIOD_MILLISECONDS = 40;
 const LOAD_BEFORE_STOP_MILLISECONDS = 4_000;
 const EXIT_TIMEOUT_MILLISECONDS = 8_000;
+const SLOWDOWN = 3;
 
 interface SentStream {
   /** Milliseconds from the stop signal until it was sent. */
@@ -21,6 +26,67 @@
   readonly response: RecordedResponse | undefined;
 }
 
+interface StopUnderLoad {
+  readonly exitCode: number | undefined;
+  /** Streams that were sent after the signal. */
+  readonly later: readonly SentStream[];
+  /** Times of the streams that began and were not whole. */
+  readonly cutOff: readonly number[];
+  readonly refused: readonly RecordedResponse[];
+}
+
+interface LoadOptions {
+  readonly loadBeforeMilliseconds?: number;
+  /** Headers of the stream with a number. */
+  readonly headersOf?: (index: number) => Readonly<Record<string, string>>;
+  /** Called before each stream with the time since the stop signal. */
+  readonly disturb?: (sinceSignal: number) => void;
+}
+
+/** Sends streams to an instance over connections of their own until it has ended, and stops it meanwhile. */
+async function stopUnderLoad(
+  stopping: RouterInstance,
+  {
+    loadBeforeMilliseconds = LOAD_BEFORE_STOP_MILLISECONDS,
+    headersOf = () => ({}),
+    disturb = () => undefined,
+  }: LoadOptions = {},
+): Promise<StopUnderLoad> {
+  const streams: Array<Promise<SentStream>> = [];
+  const begunAt = performance.now();
+  let exitCode: Promise<number | undefined> | undefined;
+  let signalledAt = Infinity;
+  while (stopping.process.isRunning) {
+    const now = performance.now();
+    if (exitCode === undefined && now - begunAt > loadBeforeMilliseconds) {
+      exitCode = stopping.process.terminate();
+      signalledAt = now;
+    }
+    const sentAt = now - signalledAt;
+    disturb(sentAt);
+    const headers = headersOf(streams.length);
+    streams.push(
+      sendRequest(stopping, '/chat/x', {headers}).then(
+        response => ({sentAt, response}),
+        () => ({sentAt, response: undefined}),
+      ),
+    );
+    await sleep(SEND_PERIOD_MILLISECONDS);
+  }
+  await waitFor(() => !stopping.process.isRunning, EXIT_TIMEOUT_MILLISECONDS);
+  const later = (await Promise.all(streams)).filter(({sentAt}) => sentAt > 0);
+  return {
+    exitCode: await exitCode,
+    later,
+    cutOff: later
+      .filter(({response}) => response?.isComplete === false)
+      .map(({sentAt}) => sentAt),
+    refused: later.flatMap(({response}) =>
+      response?.status === 503 ? [response] : [],
+    ),
+  };
+}
+
 describe('an instance that stops', () => {
   let system: StandInSystem;
 
@@ -40,42 +106,10 @@
     'takes no stream that it would have to cut off, with streams of $streamMilliseconds ms',
     async ({eventMilliseconds, areSomeTaken}) => {
       system.engines.eventIntervalMilliseconds = eventMilliseconds;
-      const stopping = system.instances[1]!;
-      const streams: Array<Promise<SentStream>> = [];
-      const begunAt = performance.now();
-      let exitCode: Promise<number | undefined> | undefined;
-      let signalledAt = Infinity;
-      while (stopping.process.isRunning) {
-        const now = performance.now();
-        if (
-          exitCode === undefined &&
-          now - begunAt > LOAD_BEFORE_STOP_MILLISECONDS
-        ) {
-          exitCode = stopping.process.terminate();
-          signalledAt = now;
-        }
-        const sentAt = now - signalledAt;
-        streams.push(
-          sendRequest(stopping, '/chat/x').then(
-            response => ({sentAt, response}),
-            () => ({sentAt, response: undefined}),
-          ),
-        );
-        await sleep(SEND_PERIOD_MILLISECONDS);
-      }
-      await waitFor(
-        () => !stopping.process.isRunning,
-        EXIT_TIMEOUT_MILLISECONDS,
-      );
-      const sent = await Promise.all(streams);
-      const later = sent.filter(({sentAt}) => sentAt > 0);
-      const cutOff = later.filter(
-        ({response}) => response?.isComplete === false,
-      );
-      const refused = later.flatMap(({response}) =>
-        response?.status === 503 ? [response] : [],
+      const {exitCode, later, cutOff, refused} = await stopUnderLoad(
+        system.instances[1]!,
       );
-      expect(cutOff.map(({sentAt}) => sentAt)).toEqual([]);
+      expect(cutOff).toEqual([]);
       expect(refused.length).toBeGreaterThan(0);
       expect(new Set(refused.map(({body}) => body))).toEqual(
         new Set(['{"error":"stopping"}']),
@@ -83,7 +117,41 @@
       expect(later.some(({response}) => response?.status === 200)).toBe(
         areSomeTaken,
       );
-      expect(await exitCode).toBe(0);
+      expect(exitCode).toBe(0);
+    },
+  );
+
+  // Streams were taken by how long others had lasted, and cut off when the engines turned slow.
+  it.each([{slowFrom: 700}, {slowFrom: 1_400}])(
+    'cuts off no stream that it took while it stops when engines turn slow $slowFrom ms after the signal',
+    async ({slowFrom}) => {
+      system.engines.eventIntervalMilliseconds = 30;
+      const {cutOff} = await stopUnderLoad(system.instances[1]!, {
+        disturb: sinceSignal => {
+          if (sinceSignal > slowFrom) {
+            system.engines.eventIntervalMilliseconds = 30 * SLOWDOWN;
+          }
+        },
+      });
+      expect(cutOff).toEqual([]);
+    },
+  );
+
+  // An instance that had seen short answers only took long ones for short.
+  it.each([
+    {name: 'every 20th stream is ten times longer', longOneIn: 20, before: 500},
+    {name: 'all streams are longer than the first', longOneIn: 1, before: 100},
+  ])(
+    'cuts off no stream that it took while it stops when $name',
+    async ({longOneIn, before}) => {
+      system.engines.followsTokenCount = true;
+      const {cutOff} = await stopUnderLoad(system.instances[1]!, {
+        loadBeforeMilliseconds: before,
+        headersOf: index => ({
+          'token-count': index % longOneIn === 0 ? '100,600' : '100,60',
+        }),
+      });
+      expect(cutOff).toEqual([]);
     },
   );
 });
--- a/test/standins/fleet/layeredEngine.ts
+++ b/test/standins/fleet/layeredEngine.ts
@@ -412,7 +412,7 @@
     );
   }
 
-  /** Sends events at a fixed interval; pauses while any hop of the path is faulty. */
+  /** Sends events at the interval of the fleet, which may change; pauses while any hop of the path is faulty. */
   private sendEvents(
     stream: RunningStream,
     response: ServerResponse,
@@ -420,28 +420,28 @@
   ): void {
     let event = first;
     const beginsAt = performance.now() + this.fleet.beginMilliseconds;
-    const timer = setInterval(() => {
+    const sendNext = (): void => {
       if (!this.isRunning || response.destroyed) {
-        clearInterval(timer);
         return;
       }
-      if (
+      const isHeldUp =
         this.isUnresponsive ||
         performance.now() < beginsAt ||
         this.isStalled(stream.path) ||
-        this.findFaultyAddress(stream.path) !== undefined
-      ) {
-        return;
+        this.findFaultyAddress(stream.path) !== undefined;
+      if (!isHeldUp) {
+        response.write(
+          `id: ${event}\ndata: piece ${event} of ${stream.requestId}\n\n`,
+        );
+        event++;
       }
-      response.write(
-        `id: ${event}\ndata: piece ${event} of ${stream.requestId}\n\n`,
-      );
-      if (event >= stream.eventCount) {
-        clearInterval(timer);
+      if (event > stream.eventCount) {
         response.end();
+      } else {
+        setTimeout(sendNext, this.fleet.eventIntervalMilliseconds);
       }
-      event++;
-    }, this.fleet.eventIntervalMilliseconds);
+    };
+    setTimeout(sendNext, this.fleet.eventIntervalMilliseconds);
   }
 
   /** Whether this engine or one on a path stands still. */
