--- a/test/router/stops.test.ts
+++ b/test/router/stops.test.ts
@@ -18,6 +18,8 @@
 const LOAD_BEFORE_STOP_MILLISECONDS = 4_000;
 const EXIT_TIMEOUT_MILLISECONDS = 8_000;
 const SLOWDOWN = 3;
+const STREAMS_CUT_OFF = 80;
+const RUNNING_MILLISECONDS = 500;
 
 interface SentStream {
   /** Milliseconds from the stop signal until it was sent. */
@@ -154,4 +156,28 @@
       expect(cutOff).toEqual([]);
     },
   );
+
+  it('logs each stream that it cuts off', async () => {
+    system.engines.followsTokenCount = true;
+    const stopping = system.instances[1]!;
+    const ids = [...Array(STREAMS_CUT_OFF).keys()].map(index => `cut-${index}`);
+    const streams = ids.map(id =>
+      sendRequest(stopping, '/chat/x', {
+        headers: {'request-id': id, 'token-count': '100,600'},
+      }),
+    );
+    await sleep(RUNNING_MILLISECONDS);
+    expect(await stopping.process.terminate()).toBe(0);
+    for (const {status, isComplete} of await Promise.all(streams)) {
+      expect({status, isComplete}).toEqual({status: 200, isComplete: false});
+    }
+    const logged = stopping.process
+      .logLines()
+      .filter(
+        ({decision, reason}) =>
+          decision === 'requestEnded' && reason === 'stopping',
+      )
+      .map(({request}) => request);
+    expect(new Set(logged)).toEqual(new Set(ids));
+  });
 });
