Stops: a request is taken only if its own time limit ends in the stop

Callers saw streams end without a whole answer around SIGTERM: a stopping instance took a request if 1.25 times its longest recent answer fitted into the rest, and cut it off at the end if it lasted longer.

Cause: an estimate decided.

Change: only the request's own time limit bounds its duration, so only that decides, when its head and when its body have arrived, and again before each attempt of a request that has certainly not run. Everything else is refused as not run at once, for another instance. AnswerDurations and its bookkeeping go.

The older table of stops.test.ts said that streams of 0.9 and 1.8 s are taken under a limit of 8 s; they are refused now, so it states the limit: none is taken beyond the rest, some within it.

The log line takenWhileStopping is written once and names the time limit.

--- a/src/features/forwarding/common/instanceStop.ts
+++ b/src/features/forwarding/common/instanceStop.ts
@@ -1,6 +1,6 @@
 import {StopWindow} from './stopWindow.js';
 
-/** Whether this instance stops, and how much time its requests have then. */
+/** Whether this instance stops, and which requests would not be brought to their end then. */
 export class InstanceStop {
   private begun: StopWindow | undefined;
 
@@ -12,4 +12,14 @@
   begin(window: StopWindow): void {
     this.begun ??= window;
   }
+
+  /**
+   * Whether the stop may end a request before its answer is whole. Only the request's time limit bounds its duration: how long
+   * others took says nothing certain. Its caller can return to another instance at once, whereas an answer that is cut off
+   * costs the caller all of it.
+   * @param deadlineAt monotonic milliseconds at which the request ends by its time limit
+   */
+  mayCutOff(deadlineAt: number): boolean {
+    return this.begun !== undefined && deadlineAt > this.begun.endsAt;
+  }
 }
--- a/src/features/forwarding/node/forwardingServices.ts
+++ b/src/features/forwarding/node/forwardingServices.ts
@@ -18,7 +18,6 @@
 import {ActiveConfiguration} from '../../traffic/common/activeConfiguration.js';
 import {ForwardingSettings} from '../common/forwardingSettings.js';
 import {OutcomeHistory} from '../common/outcomeHistory.js';
-import {AnswerDurations} from '../common/answerDurations.js';
 import {InstanceStop} from '../common/instanceStop.js';
 import {RetryBudget} from '../common/retryBudget.js';
 import {UpstreamConnector} from '../common/upstreamExchange.js';
@@ -57,6 +56,5 @@
   readonly crashDetector: CrashDetector;
   readonly requestLosses: RequestLosses;
   readonly lossAnnouncer: LossAnnouncer;
-  readonly durations: AnswerDurations;
   readonly stop: InstanceStop;
 }
--- a/src/features/forwarding/node/plainForwarder.ts
+++ b/src/features/forwarding/node/plainForwarder.ts
@@ -64,6 +64,10 @@
       this.giveUp('endsUpstreams');
       return;
     }
+    if (this.mayBeCutOff && !this.mayHaveRun && this.running.size === 0) {
+      this.giveUp('stopping');
+      return;
+    }
     const upstream = this.chooseUpstream();
     if (upstream === undefined) {
       this.giveUp(this.admissionWait === undefined ? 'noUpstream' : 'limited');
--- a/src/features/forwarding/node/requestForwarder.ts
+++ b/src/features/forwarding/node/requestForwarder.ts
@@ -55,12 +55,6 @@
   notRunReason: 'stopping',
 };
 
-/** Outcomes that show how long a request takes: neither its caller nor the router ended it before it could begin. */
-const COMPLETE_OUTCOMES: ReadonlySet<string> = new Set([
-  'answered',
-  'brokenOff',
-]);
-
 /** Forwards one request until its caller has a final response or has disconnected. */
 export abstract class RequestForwarder
   implements Disposable, RequestInProgress
@@ -89,9 +83,6 @@
       this.finish('callerLeft');
       return done;
     }
-    const {service} = this.admitted;
-    const {receivedAt} = this.exchange.request;
-    this.owned.add(this.services.durations.begin(service, receivedAt));
     const timer = this.services.clock.setTimer(
       Math.max(0, this.remainingMilliseconds),
       () => this.endEarly(DEADLINE_PASSED),
@@ -130,6 +121,11 @@
     return this.admitted.deadlineAt - this.now;
   }
 
+  /** Whether this instance stops and may end the request before its answer is whole. */
+  protected get mayBeCutOff(): boolean {
+    return this.services.stop.mayCutOff(this.admitted.deadlineAt);
+  }
+
   /** Whether enough time is left for another attempt. */
   protected get hasTimeForAttempt(): boolean {
     return (
@@ -239,9 +235,6 @@
       this.elapsedMilliseconds,
     );
     this.lossWatch.recordEnd(outcome === 'answered');
-    if (COMPLETE_OUTCOMES.has(outcome)) {
-      services.durations.record(admitted.service, this.elapsedMilliseconds);
-    }
     services.logger.decision('requestEnded', {
       request: admitted.id,
       route: admitted.route.name,
--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -6,7 +6,6 @@
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {RouteTable} from '../../traffic/common/routeTable.js';
 import {CallerExchange, RouterResponse} from '../common/callerExchange.js';
-import {decideStopAdmission} from '../common/stopAdmission.js';
 import {describeStopTimes, StopWindow} from '../common/stopWindow.js';
 import {NotRunReason, retryAfterMilliseconds} from '../common/retryAfter.js';
 import {RequestMetadata} from '../common/headerCodec.js';
@@ -49,8 +48,8 @@
   | {
       readonly kind: 'refused';
       readonly reason: NotRunReason;
-      /** How long the request was expected to take, where that decided. */
-      readonly expectedMilliseconds?: number;
+      /** Milliseconds until the request's time limit, where that decided. */
+      readonly timeLimit?: number;
     };
 
 /** Decides whether to admit each request of a caller and forwards those that are admitted. */
@@ -68,7 +67,7 @@
     return this.inProgress.count;
   }
 
-  /** From now on, takes only requests that can be finished in the time of the stop. */
+  /** From now on, takes only requests that are certain to end in the time of the stop. */
   beginStop(window: StopWindow): void {
     this.services.stop.begin(window);
   }
@@ -146,42 +145,15 @@
         : {kind: 'refused', reason: 'unconfirmed'};
     }
     const admission = this.authorize(table, route, facts);
-    return admission.kind === 'admitted'
-      ? (this.findStopRefusal(exchange, facts, route) ?? admission)
-      : admission;
-  }
-
-  /** Refuses a request that the stop of this instance would cut off; undefined if it can be finished. */
-  private findStopRefusal(
-    exchange: CallerExchange,
-    facts: RequestMetadata,
-    route: Route,
-  ): Admission | undefined {
-    const {clock, durations, stop} = this.services;
-    if (stop.window === undefined) {
-      return undefined;
+    const deadlineAt = deadlineOf(exchange, facts, route);
+    if (
+      admission.kind === 'admitted' &&
+      this.services.stop.mayCutOff(deadlineAt)
+    ) {
+      const timeLimit = this.millisecondsUntil(deadlineAt);
+      return {kind: 'refused', reason: 'stopping', timeLimit};
     }
-    const now = clock.monotonicMilliseconds();
-    const {receivedAt} = exchange.request;
-    const timeLimit = receivedAt + timeLimitOf(facts, route) - now;
-    const {isAdmitted, expectedMilliseconds} = decideStopAdmission({
-      stopLeft: stop.window.endsAt - now,
-      timeLimit,
-      longestAnswers: route.targets.map(({service}) =>
-        durations.longest(service, now),
-      ),
-    });
-    if (!isAdmitted) {
-      return {kind: 'refused', reason: 'stopping', expectedMilliseconds};
-    }
-    this.services.logger.decision('takenWhileStopping', {
-      request: facts.id,
-      expectedMilliseconds,
-      knownAnswers: route.targets.map(({service}) => durations.count(service)),
-      timeLimit: Math.round(timeLimit),
-      stop: describeStopTimes(stop.window, receivedAt, now),
-    });
-    return undefined;
+    return admission;
   }
 
   private authorize(
@@ -237,8 +209,7 @@
       ...response,
       configuration: configuration.table?.configuration.version,
       configurationAge: Math.round(configuration.age),
-      expectedMilliseconds:
-        decision.kind === 'refused' ? decision.expectedMilliseconds : undefined,
+      timeLimit: decision.kind === 'refused' ? decision.timeLimit : undefined,
       stop:
         stop.window &&
         describeStopTimes(
@@ -249,6 +220,28 @@
     });
   }
 
+  private logTakenWhileStopping(
+    {exchange}: HandledRequest,
+    {id, deadlineAt}: AdmittedRequest,
+  ): void {
+    const {clock, logger, stop} = this.services;
+    if (stop.window !== undefined) {
+      logger.decision('takenWhileStopping', {
+        request: id,
+        timeLimit: this.millisecondsUntil(deadlineAt),
+        stop: describeStopTimes(
+          stop.window,
+          exchange.request.receivedAt,
+          clock.monotonicMilliseconds(),
+        ),
+      });
+    }
+  }
+
+  private millisecondsUntil(moment: number): number {
+    return Math.round(moment - this.services.clock.monotonicMilliseconds());
+  }
+
   private notRun(reason: NotRunReason, facts: RequestMetadata): RouterResponse {
     const remaining =
       facts.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
@@ -279,10 +272,11 @@
       account: account?.name,
       priority: account?.priority ?? route.priority,
       body,
-      deadlineAt: exchange.request.receivedAt + timeLimitOf(facts, route),
+      deadlineAt: deadlineOf(exchange, facts, route),
       configurationVersion: table.configuration.version,
       configurationAge: configuration.age,
     };
+    this.logTakenWhileStopping(request, admitted);
     request.forwarder = this.createForwarder(exchange, admitted, table);
     await request.forwarder.run();
   }
@@ -305,12 +299,14 @@
   }
 }
 
-/** Milliseconds after its arrival at which a request ends at the latest. */
-function timeLimitOf(facts: RequestMetadata, route: Route): number {
-  return Math.min(
-    facts.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS,
-    route.timeoutMilliseconds,
-  );
+/** Monotonic milliseconds at which a request ends at the latest. */
+function deadlineOf(
+  {request}: CallerExchange,
+  facts: RequestMetadata,
+  route: Route,
+): number {
+  const timeLimit = facts.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
+  return request.receivedAt + Math.min(timeLimit, route.timeoutMilliseconds);
 }
 
 function rejection(
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -130,6 +130,10 @@
   private startAttempt(cause: string): void {
     const {entryUpstreams, pathChooser, pathLoad, promptWatch, retries} =
       this.state;
+    if (this.mayBeCutOff && !this.state.mayHaveRun) {
+      this.refuse('stopping');
+      return;
+    }
     const obstacle = promptWatch.findObstacle();
     if (obstacle !== undefined) {
       this.giveUp(obstacle);
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -51,7 +51,6 @@
 } from '../common/callerExchange.js';
 import {defaultForwardingSettings} from '../common/forwardingSettings.js';
 import {OutcomeHistory} from '../common/outcomeHistory.js';
-import {AnswerDurations} from '../common/answerDurations.js';
 import {InstanceStop} from '../common/instanceStop.js';
 import {RetryBudget} from '../common/retryBudget.js';
 import {
@@ -571,7 +570,6 @@
         () => false,
       ),
       lossAnnouncer: new FakeLossAnnouncer(),
-      durations: new AnswerDurations(),
       stop: new InstanceStop(),
     };
     const monitor = new StreamMonitor(
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -9,7 +9,6 @@
 import {UpstreamDirectory} from '../../features/fleet/common/upstreamDirectory.js';
 import {UpstreamListRefresher} from '../../features/fleet/common/upstreamListRefresher.js';
 import {UpstreamLoadTracker} from '../../features/fleet/common/upstreamLoadTracker.js';
-import {AnswerDurations} from '../../features/forwarding/common/answerDurations.js';
 import {defaultForwardingSettings} from '../../features/forwarding/common/forwardingSettings.js';
 import {InstanceStop} from '../../features/forwarding/common/instanceStop.js';
 import {RetryBudget} from '../../features/forwarding/common/retryBudget.js';
@@ -197,7 +196,6 @@
         () => instances.peers,
       ),
     ),
-    durations: new AnswerDurations(),
     stop: new InstanceStop(),
   };
   const streamWatch = owned.add(
--- a/test/router/stops.test.ts
+++ b/test/router/stops.test.ts
@@ -101,15 +101,17 @@
 
   // Streams taken until 0.55 of the stop were cut off at its end if they lasted longer than the rest.
   it.each([
-    {eventMilliseconds: 30, streamMilliseconds: 900, areSomeTaken: true},
-    {eventMilliseconds: 60, streamMilliseconds: 1_800, areSomeTaken: true},
-    {eventMilliseconds: 100, streamMilliseconds: 3_000, areSomeTaken: false},
+    {eventMilliseconds: 30, timeLimit: 8_000, areSomeTaken: false},
+    {eventMilliseconds: 30, timeLimit: 1_500, areSomeTaken: true},
+    {eventMilliseconds: 60, timeLimit: 2_500, areSomeTaken: true},
+    {eventMilliseconds: 100, timeLimit: 8_000, areSomeTaken: false},
   ])(
-    'takes no stream that it would have to cut off, with streams of $streamMilliseconds ms',
-    async ({eventMilliseconds, areSomeTaken}) => {
+    'takes no stream that it would have to cut off, with an event each $eventMilliseconds ms and a time limit of $timeLimit ms',
+    async ({eventMilliseconds, timeLimit, areSomeTaken}) => {
       system.engines.eventIntervalMilliseconds = eventMilliseconds;
       const {exitCode, later, cutOff, refused} = await stopUnderLoad(
         system.instances[1]!,
+        {headersOf: () => ({'deadline-ms': String(timeLimit)})},
       );
       expect(cutOff).toEqual([]);
       expect(refused.length).toBeGreaterThan(0);
