Stops: callers that nobody serves are told when to return

A caller that a stopping instance refused was told to return at once, also when all other instances were stopping, too: its one repeat was refused as well.

--- a/src/features/forwarding/common/instanceStop.ts
+++ b/src/features/forwarding/common/instanceStop.ts
@@ -4,6 +4,11 @@
 export class InstanceStop {
   private begun: StopWindow | undefined;
 
+  constructor(
+    /** Whether another instance serves callers, as far as this one knows. */
+    private readonly isServedElsewhere: () => boolean,
+  ) {}
+
   /** The time that is available; undefined while the instance has not been told to stop. */
   get window(): StopWindow | undefined {
     return this.begun;
@@ -22,4 +27,11 @@
   mayCutOff(deadlineAt: number): boolean {
     return this.begun !== undefined && deadlineAt > this.begun.endsAt;
   }
+
+  /** Milliseconds after which callers of this instance are probably served: at another instance at once, else by its next run. */
+  servedAgainIn(now: number): number {
+    return this.begun === undefined || this.isServedElsewhere()
+      ? 0
+      : Math.max(0, this.begun.endsAt - now);
+  }
 }
--- a/src/features/forwarding/common/retryAfter.ts
+++ b/src/features/forwarding/common/retryAfter.ts
@@ -28,7 +28,7 @@
  * calls to the store are limited to less than a second. A lost upstream is replaced or probed again after
  * half a second. The layers of one accelerator load in one to two seconds. A limit and a rest give their own time. A slot of a plain service is
  * free after a call or two, and a prompt that crashes upstreams is tried again after a minute at the earliest. Capacity on a path is free when some streams have ended. When this instance stops, another
- * one takes the request at once.
+ * one takes the request at once, or this one after its restart if no other serves.
  */
 const RETRY_AFTER_MILLISECONDS: Readonly<Record<NotRunReason, number>> = {
   unconfirmed: 1_000,
--- a/src/features/forwarding/node/requestForwarder.ts
+++ b/src/features/forwarding/node/requestForwarder.ts
@@ -1,12 +1,13 @@
 import {Disposable, DisposableStore} from '../../../base/common/lifecycle.js';
 import {CallerExchange, ResponseHead} from '../common/callerExchange.js';
-import {NotRunReason, retryAfterMilliseconds} from '../common/retryAfter.js';
+import {NotRunReason} from '../common/retryAfter.js';
 import {UpstreamRequest} from '../common/upstreamExchange.js';
 import {RequestMetadata, UpstreamHeaderValues} from '../common/headerCodec.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {Route} from '../../traffic/common/trafficConfiguration.js';
 import {describeStopTimes} from '../common/stopWindow.js';
 import {ForwardingServices} from './forwardingServices.js';
+import {notRunDelay} from './notRunDelay.js';
 import {RequestLossWatch} from './requestLossWatch.js';
 import {RequestInProgress} from './requestsInProgress.js';
 
@@ -167,16 +168,19 @@
    * Ends a request that was certainly not executed, and tells the caller when to retry.
    * @param causeEndsInMilliseconds time until the cause ends, where it is known
    */
-  protected refuse(reason: NotRunReason, causeEndsInMilliseconds = 0): void {
+  protected refuse(
+    reason: NotRunReason,
+    causeEndsInMilliseconds?: number,
+  ): void {
     if (this.isDone) {
       return;
     }
-    const delay = retryAfterMilliseconds(
+    const {remainingMilliseconds} = this;
+    const delay = notRunDelay(this.services, {
       reason,
-      this.remainingMilliseconds,
-      this.services.random.next(),
+      remainingMilliseconds,
       causeEndsInMilliseconds,
-    );
+    });
     this.exchange.sendRouterResponse({
       kind: 'notRun',
       reason,
--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -7,12 +7,13 @@
 import {RouteTable} from '../../traffic/common/routeTable.js';
 import {CallerExchange, RouterResponse} from '../common/callerExchange.js';
 import {describeStopTimes, StopWindow} from '../common/stopWindow.js';
-import {NotRunReason, retryAfterMilliseconds} from '../common/retryAfter.js';
+import {NotRunReason} from '../common/retryAfter.js';
 import {RequestMetadata} from '../common/headerCodec.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {PlainForwarder} from './plainForwarder.js';
 import {AdmittedRequest, RequestForwarder} from './requestForwarder.js';
 import {HandledRequest} from './handledRequest.js';
+import {notRunDelay} from './notRunDelay.js';
 import {RequestsInProgress} from './requestsInProgress.js';
 import {StreamForwarder} from './streamForwarder.js';
 import {StreamMonitor} from './streamMonitor.js';
@@ -243,10 +244,9 @@
   }
 
   private notRun(reason: NotRunReason, facts: RequestMetadata): RouterResponse {
-    const remaining =
+    const remainingMilliseconds =
       facts.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
-    const randomFraction = this.services.random.next();
-    const delay = retryAfterMilliseconds(reason, remaining, randomFraction);
+    const delay = notRunDelay(this.services, {reason, remainingMilliseconds});
     return {kind: 'notRun', reason, retryAfterMilliseconds: delay};
   }
 
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -453,6 +453,8 @@
   readonly links: UpstreamLinks;
   readonly services: ForwardingServices;
   readonly handler: RequestHandler;
+  /** Whether another instance serves callers. */
+  isServedElsewhere = true;
   private count = 0;
 
   constructor(
@@ -570,7 +572,7 @@
         () => false,
       ),
       lossAnnouncer: new FakeLossAnnouncer(),
-      stop: new InstanceStop(),
+      stop: new InstanceStop(() => this.isServedElsewhere),
     };
     const monitor = new StreamMonitor(
       clock,
--- a/src/features/forwarding/test/stops.test.ts
+++ b/src/features/forwarding/test/stops.test.ts
@@ -36,7 +36,7 @@
     {name: 'one that ends with it', deadlineAt: 10_000, cutsOff: false},
     {name: 'one beyond it', deadlineAt: 10_001, cutsOff: true},
   ])('may cut off a request with $name: $cutsOff', ({deadlineAt, cutsOff}) => {
-    const stop = new InstanceStop();
+    const stop = new InstanceStop(() => true);
     expect(stop.mayCutOff(deadlineAt)).toBe(false);
     stop.begin({startedAt: 2_000, endsAt: 10_000});
     stop.begin({startedAt: 3_000, endsAt: 11_000});
@@ -71,6 +71,30 @@
     },
   );
 
+  it.each([
+    {where: 'elsewhere', isServedElsewhere: true, least: 0, most: 0},
+    {where: 'nowhere', isServedElsewhere: false, least: 2_600, most: 3_900},
+  ])(
+    'tells callers that are served $where to return after $least to $most ms',
+    async ({isServedElsewhere, least, most}) => {
+      const harness = createHarness();
+      harness.isServedElsewhere = isServedElsewhere;
+      const waiting = await harness.send('/stream/x', LONG);
+      beginStop(harness);
+      await harness.advance(5_000);
+      harness.configuration.confirm(harness.configuration.now());
+      const refused = await harness.send('/stream/x', LONG);
+      refuse(harness.connector.last);
+      await harness.flushPromises();
+      for (const {own} of [waiting, refused]) {
+        expect(own).toMatchObject({kind: 'notRun', reason: 'stopping'});
+        const delay = own?.kind === 'notRun' ? own.retryAfterMilliseconds : -1;
+        expect(delay).toBeGreaterThanOrEqual(least);
+        expect(delay).toBeLessThanOrEqual(most);
+      }
+    },
+  );
+
   it('decides again once the body of a request has arrived', async () => {
     const harness = createHarness();
     let finishBody = (): void => undefined;
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -196,7 +196,9 @@
         () => instances.peers,
       ),
     ),
-    stop: new InstanceStop(),
+    stop: new InstanceStop(() =>
+      instances.serving.some(({name}) => name !== ownRecord.name),
+    ),
   };
   const streamWatch = owned.add(
     new StreamMonitor(
