Relays: new streams leave the connections through a peer that was told to stop

Cause: new connections went through other peers at once, but streams are sent over kept connections, so new streams went on through the stopping peer, which ends all tunnels at the end of its stop.

--- a/src/features/instances/common/instanceTable.ts
+++ b/src/features/instances/common/instanceTable.ts
@@ -1,4 +1,5 @@
 import {Clock} from '../../../base/common/clock.js';
+import {Emitter} from '../../../base/common/event.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {LimitSharers} from '../../fleet/common/limitShare.js';
 import {listAgeLimitFor, selectListReader} from './upstreamListReader.js';
@@ -29,6 +30,7 @@
 /** Membership table: the known instances and their states, as learned by gossip. */
 export class InstanceTable {
   private readonly peerEntries = new Map<string, PeerEntry>();
+  private readonly peerBeganStop = new Emitter<InstanceRecord>();
   /** Last response of each peer. */
   private readonly lastResponses = new Map<string, PeerResponse>();
   private beat = 0;
@@ -36,6 +38,9 @@
   /** Whether this instance reaches no upstream itself; told to peers. */
   isCutOff = false;
 
+  /** Fires when a peer is known to have been told to stop. */
+  readonly onDidBeginPeerStop = this.peerBeganStop.event;
+
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
@@ -91,6 +96,10 @@
       heartbeatAt,
       isUnreachable: false,
     });
+    const isStopping = heartbeat.state === 'stopping';
+    if (isStopping && entry?.news.state !== 'stopping') {
+      this.peerBeganStop.fire(heartbeat.record);
+    }
   }
 
   /** Adds an instance from the registry, which doesn't hold its state, unless this run or a later one is known. */
--- a/src/features/links/common/upstreamLinks.ts
+++ b/src/features/links/common/upstreamLinks.ts
@@ -105,6 +105,12 @@
     this.announceCutOff();
   }
 
+  /** Announces that connections through peers are to be opened anew, since a peer is about to end those that it relays. */
+  recordRelayStop(): void {
+    const addresses = this.isCutOff ? [undefined] : this.relayedAddresses;
+    addresses.forEach(address => this.changed.fire({address}));
+  }
+
   /** Forgets addresses that the predicate rejects. */
   retain(isListed: (address: string) => boolean): void {
     for (const address of this.relayed.keys()) {
--- a/src/programs/router/relayComponents.ts
+++ b/src/programs/router/relayComponents.ts
@@ -59,6 +59,7 @@
       instances.isCutOff = links.isCutOff;
     }),
   );
+  owned.add(instances.onDidBeginPeerStop(() => links.recordRelayStop()));
   const relayClient = new RelayClient(
     clock,
     random,
