Stops: a request that is taken while a stop waits for something else is waited for, too

A stop waited for the requests in progress, then for their responses, and at the same time for the tunnels of peers. If the requests had ended first, what a kept connection brought while the tunnels were still open was taken and then cut off when the last tunnel closed, long before the time was up.

Change: the stop looks again until no request, response or tunnel is left. Shown with fakes only (gracefulStop.test.ts: both cases failed before); the users' record has no sign of tunnels.

--- a/src/infrastructure/http/node/serverConnections.ts
+++ b/src/infrastructure/http/node/serverConnections.ts
@@ -8,7 +8,7 @@
 export class ServerConnections {
   /** Bytes read from each connection when its last response was written; undefined before and while it has a request. */
   private readonly readBytes = new Map<Socket, number | undefined>();
-  private unwrittenCount = 0;
+  private unwritten = 0;
   private onWritten: () => void = () => undefined;
 
   constructor(server: Server) {
@@ -35,22 +35,27 @@
     }
   }
 
+  /** Number of responses that have not been written whole. */
+  get unwrittenCount(): number {
+    return this.unwritten;
+  }
+
   /** Resolves once the bytes of all responses have been handed to the operating system, or their connections are closed. */
   written(): Promise<void> {
-    return this.unwrittenCount === 0
+    return this.unwritten === 0
       ? Promise.resolve()
       : new Promise(resolve => (this.onWritten = resolve));
   }
 
   private watch(socket: Socket, response: ServerResponse): void {
-    this.unwrittenCount++;
+    this.unwritten++;
     this.readBytes.set(socket, undefined);
     response.once('close', () => {
       if (this.readBytes.has(socket)) {
         this.readBytes.set(socket, socket.bytesRead);
       }
-      this.unwrittenCount--;
-      if (this.unwrittenCount === 0) {
+      this.unwritten--;
+      if (this.unwritten === 0) {
         this.onWritten();
       }
     });
--- a/src/programs/router/callerListener.ts
+++ b/src/programs/router/callerListener.ts
@@ -85,6 +85,11 @@
     this.connections.closeIdle();
   }
 
+  /** Number of responses that have not been written whole, those of requests in progress included. */
+  get unwrittenCount(): number {
+    return this.connections.unwrittenCount;
+  }
+
   /** Resolves once all responses have been written. */
   written(): Promise<void> {
     return this.connections.written();
--- a/src/programs/router/gracefulStop.ts
+++ b/src/programs/router/gracefulStop.ts
@@ -63,13 +63,7 @@
       this.sleepUntil(this.window.endsAt - CLOSE_PORT_MILLISECONDS),
     ]);
     this.callers.stopListening();
-    await Promise.race([
-      Promise.all([
-        handler.idle().then(() => this.callers.written()),
-        tunnels.idle(),
-      ]),
-      this.sleepUntil(this.window.endsAt),
-    ]);
+    await Promise.race([this.untilIdle(), this.sleepUntil(this.window.endsAt)]);
     this.logger.info('stopped', {
       unfinished: handler.count,
       tunnels: tunnels.count,
@@ -79,6 +73,22 @@
     handler.endAll();
   }
 
+  /**
+   * Resolves when no request, response or tunnel is left. While one kind of work is waited for, kept connections may bring
+   * more of another.
+   */
+  private async untilIdle(): Promise<void> {
+    const {handler, tunnels} = this.components;
+    const isBusy = (): boolean =>
+      handler.count > 0 || this.callers.unwrittenCount > 0 || tunnels.count > 0;
+    while (isBusy()) {
+      await Promise.all([
+        handler.idle().then(() => this.callers.written()),
+        tunnels.idle(),
+      ]);
+    }
+  }
+
   /** Tells peers and gives up what this instance holds; logs each step. */
   private async leave(): Promise<void> {
     const {layers, registry, gossip} = this.components;
