Stops: an answer that is whole at the end of the time still reaches its caller

An answer of which an upstream had written everything was cut off if the event loop was late for the end of a stop: its timer runs before the loop reads what has arrived meanwhile. One that was whole here, but that a slow reader had not taken, was cut off 0.4 s before the process has to end.

Change: at the end of its time a stop lets the event loop read once more, and then gives whole responses another 150 ms (the runner ends the process 50 ms later at the latest, the platform 200 ms after that). What waits for the poll is the function that the program runner had for signals, now nextPoll.

--- a/src/infrastructure/process/node/programRunner.ts
+++ b/src/infrastructure/process/node/programRunner.ts
@@ -1,3 +1,4 @@
+import {nextPoll} from '../../../base/node/nextPoll.js';
 import {Logger} from '../../logging/common/logger.js';
 import {ProcessSignals, ReceivedSignal} from './processSignals.js';
 
@@ -56,10 +57,10 @@
   /** Resolves with the exit code; the caller then exits, since a start that was interrupted goes on. */
   async run(): Promise<number> {
     this.signals.setListener(received => this.handle(received));
-    await receivePendingSignals();
+    await nextPoll();
     const exitCode = await this.startAndStop();
     // Signals that came together are all logged.
-    await receivePendingSignals();
+    await nextPoll();
     return exitCode;
   }
 
@@ -158,16 +159,3 @@
   serving: 'stops',
   stopping: 'nothing; already stopping',
 };
-
-/**
- * Signals reach their listeners when the event loop polls. The first wait may end before it has polled again, the
- * second can't.
- */
-async function receivePendingSignals(): Promise<void> {
-  await nextImmediate();
-  await nextImmediate();
-}
-
-function nextImmediate(): Promise<void> {
-  return new Promise(resolve => setImmediate(resolve));
-}
--- a/src/programs/router/gracefulStop.ts
+++ b/src/programs/router/gracefulStop.ts
@@ -1,5 +1,6 @@
 import {neverCancelled} from '../../base/common/cancellation.js';
 import {Clock} from '../../base/common/clock.js';
+import {nextPoll} from '../../base/node/nextPoll.js';
 import {StopWindow} from '../../features/forwarding/common/stopWindow.js';
 import {Logger} from '../../infrastructure/logging/common/logger.js';
 import {CallerListener} from './callerListener.js';
@@ -17,6 +18,9 @@
 /** Time reserved for an orderly exit before the platform kills the process. */
 const EXIT_MARGIN_MILLISECONDS = 400;
 
+/** Time after the end of a stop in which whole responses that a slow reader has not taken are still written. */
+const LAST_WRITES_MILLISECONDS = 150;
+
 /** What a graceful stop acts on. */
 export type StoppingComponents = Pick<
   RouterComponents,
@@ -63,7 +67,11 @@
       this.sleepUntil(this.window.endsAt - CLOSE_PORT_MILLISECONDS),
     ]);
     this.callers.stopListening();
-    await Promise.race([this.untilIdle(), this.sleepUntil(this.window.endsAt)]);
+    await Promise.race([
+      this.untilIdle(),
+      // What has arrived by the end is still read, however late the event loop is.
+      this.sleepUntil(this.window.endsAt).then(nextPoll),
+    ]);
     this.logger.info('stopped', {
       unfinished: handler.count,
       tunnels: tunnels.count,
@@ -71,6 +79,10 @@
       isTimeUp: this.clock.monotonicMilliseconds() >= this.window.endsAt,
     });
     handler.endAll();
+    await Promise.race([
+      this.callers.written(),
+      this.sleepUntil(this.window.endsAt + LAST_WRITES_MILLISECONDS),
+    ]);
   }
 
   /**
--- a/src/programs/router/test/gracefulStop.test.ts
+++ b/src/programs/router/test/gracefulStop.test.ts
@@ -1,6 +1,11 @@
+import {once} from 'node:events';
+import {AddressInfo, connect, createServer, Socket} from 'node:net';
+
 import {describe, expect, it} from 'vitest';
 
 import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {Clock} from '../../../base/common/clock.js';
+import {SystemClock} from '../../../base/node/systemClock.js';
 import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
 import {CallerListener} from '../callerListener.js';
 import {GracefulStop, StoppingComponents} from '../gracefulStop.js';
@@ -9,6 +14,11 @@
 
 const STOP_MILLISECONDS = 8_000;
 
+/** A stop in real time, and when it ends requests in progress. */
+const SHORT_STOP_MILLISECONDS = 1_000;
+const SHORT_STOP_END_MILLISECONDS = 600;
+const LATE_MILLISECONDS = 100;
+
 /** Something of which a stop waits until none is left. */
 class Work {
   count = 0;
@@ -27,8 +37,7 @@
 }
 
 /** A stop with fakes for everything that it acts on. */
-class StopHarness {
-  readonly clock = new FakeClock();
+class StopHarness<C extends Clock> {
   readonly requests = new Work();
   readonly responses = new Work();
   readonly tunnels = new Work();
@@ -36,7 +45,13 @@
   endedRequests: number | undefined;
   hasEnded = false;
 
-  start(): void {
+  constructor(
+    readonly clock: C,
+    private readonly stopMilliseconds = STOP_MILLISECONDS,
+  ) {}
+
+  /** Resolves when the stop has ended. */
+  async run(): Promise<void> {
     const {clock, requests, responses, tunnels} = this;
     const components = {
       gossip: {exchangeWithAll: async () => undefined},
@@ -68,9 +83,10 @@
       components,
       callers,
       'instance',
-      STOP_MILLISECONDS,
+      this.stopMilliseconds,
     );
-    void stop.run().then(() => (this.hasEnded = true));
+    await stop.run();
+    this.hasEnded = true;
   }
 }
 
@@ -81,11 +97,11 @@
   ])(
     'does not cut off a request that was taken while it waited for $first only',
     async ({isTunnel}) => {
-      const harness = new StopHarness();
+      const harness = new StopHarness(new FakeClock());
       const {clock, requests, responses, tunnels} = harness;
       const awaited = isTunnel ? tunnels : responses;
       awaited.count = 1;
-      harness.start();
+      void harness.run();
       await clock.advanceAsync(4_000);
       requests.count = 1;
       awaited.end();
@@ -97,4 +113,58 @@
       expect(harness.hasEnded).toBe(true);
     },
   );
+
+  it.each([
+    {name: 'is written', writtenAt: 7_700, endedAt: 7_700},
+    {
+      name: 'would be at the end of the process',
+      writtenAt: 9_000,
+      endedAt: 7_750,
+    },
+  ])(
+    'waits for a whole response after its time was up until it $name',
+    async ({writtenAt, endedAt}) => {
+      const harness = new StopHarness(new FakeClock());
+      const {clock, responses} = harness;
+      responses.count = 1;
+      clock.setTimer(writtenAt, () => responses.end());
+      void harness.run();
+      await clock.advanceAsync(endedAt - 1);
+      expect(harness.hasEnded).toBe(false);
+      await clock.advanceAsync(1);
+      expect(harness.hasEnded).toBe(true);
+    },
+  );
+
+  it('still reads what has arrived when the event loop is late for the end of its time', async () => {
+    const harness = new StopHarness(new SystemClock(), SHORT_STOP_MILLISECONDS);
+    const server = createServer().listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const upstream = connect(port, '127.0.0.1');
+    const [connection] = (await once(server, 'connection')) as [Socket];
+    harness.requests.count = 1;
+    // While the first part is handled, the rest arrives and the time ends. Timers run before the event loop reads again.
+    connection.once('data', () => {
+      upstream.write('the rest of the answer');
+      blockEventLoop(LATE_MILLISECONDS);
+      connection.once('data', () => harness.requests.end());
+    });
+    const ended = harness.run();
+    setTimeout(
+      () => upstream.write('an answer'),
+      SHORT_STOP_END_MILLISECONDS - LATE_MILLISECONDS / 2,
+    );
+    await ended;
+    expect(harness.endedRequests).toBe(0);
+    upstream.destroy();
+    server.close();
+  });
 });
+
+function blockEventLoop(milliseconds: number): void {
+  const end = performance.now() + milliseconds;
+  while (performance.now() < end) {
+    // Busy.
+  }
+}
