--- a/src/features/forwarding/test/cutAnswers.test.ts
+++ b/src/features/forwarding/test/cutAnswers.test.ts
@@ -26,7 +26,8 @@
 } from '../../traffic/test/trafficConfigurations.js';
 import {HttpUpstreamConnector} from '../node/httpUpstreamConnector.js';
 import {AttemptOutcome, ResponseBuffer} from '../node/responseBuffer.js';
-import {eventText, FakeHeaderCodec} from './forwardingHarness.js';
+import {FakeHeaderCodec} from './fakeHeaderCodec.js';
+import {eventText} from './fakeUpstreams.js';
 import {createRelayingDialer, startRelay} from './relayedLinks.js';
 import {CallerAnswer, SocketHarness} from './socketHarness.js';
 
--- a/src/features/forwarding/test/forwarding.test.ts
+++ b/src/features/forwarding/test/forwarding.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 
-import {FakeUpstreamExchange} from './forwardingHarness.js';
+import {FakeUpstreamExchange} from './fakeUpstreams.js';
 import {
   createHarness,
   failUnsent,
--- a/src/features/forwarding/test/forwardingSetup.ts
+++ b/src/features/forwarding/test/forwardingSetup.ts
@@ -5,7 +5,8 @@
   makeConfiguration,
   makeRoute,
 } from '../../traffic/test/trafficConfigurations.js';
-import {FakeUpstreamExchange, ForwardingHarness} from './forwardingHarness.js';
+import {FakeUpstreamExchange} from './fakeUpstreams.js';
+import {ForwardingHarness} from './forwardingHarness.js';
 
 /** The routes and upstreams of the forwarding tests, and the responses that upstreams give in them. */
 
--- a/src/features/forwarding/test/limits.test.ts
+++ b/src/features/forwarding/test/limits.test.ts
@@ -7,12 +7,9 @@
   makeRoute,
 } from '../../traffic/test/trafficConfigurations.js';
 import {RouterResponse} from '../common/callerExchange.js';
-import {
-  FakeCaller,
-  FakeConnector,
-  FakeUpstreamExchange,
-  ForwardingHarness,
-} from './forwardingHarness.js';
+import {FakeCaller} from './fakeCaller.js';
+import {FakeConnector, FakeUpstreamExchange} from './fakeUpstreams.js';
+import {ForwardingHarness} from './forwardingHarness.js';
 
 /** What one instance sends to upstreams that name a limit. It is the only instance, so that the limits are its own. */
 
--- a/src/features/forwarding/test/spoiledHeads.test.ts
+++ b/src/features/forwarding/test/spoiledHeads.test.ts
@@ -14,7 +14,7 @@
   makeConfiguration,
   makeRoute,
 } from '../../traffic/test/trafficConfigurations.js';
-import {eventText} from './forwardingHarness.js';
+import {eventText} from './fakeUpstreams.js';
 import {CallerAnswer, SocketHarness} from './socketHarness.js';
 
 /** Answers with a spoiled status line on their way from a real socket of an upstream to a real socket of a caller. */
--- a/src/features/forwarding/test/stops.test.ts
+++ b/src/features/forwarding/test/stops.test.ts
@@ -1,7 +1,8 @@
 import {describe, expect, it} from 'vitest';
 
 import {InstanceStop} from '../common/instanceStop.js';
-import {FakeCaller, ForwardingHarness} from './forwardingHarness.js';
+import {FakeCaller} from './fakeCaller.js';
+import {ForwardingHarness} from './forwardingHarness.js';
 import {
   configuration,
   engines,
--- a/src/features/forwarding/test/streamSimulation.ts
+++ b/src/features/forwarding/test/streamSimulation.ts
@@ -1,6 +1,7 @@
 import {Upstream} from '../../fleet/common/upstream.js';
 import {Reachability} from '../../links/common/reachability.js';
-import {FakeUpstreamExchange, ForwardingHarness} from './forwardingHarness.js';
+import {FakeUpstreamExchange} from './fakeUpstreams.js';
+import {ForwardingHarness} from './forwardingHarness.js';
 
 /** When the upstreams of a stream fall silent, and what happens to them. */
 export interface SilenceRule {
--- a/src/features/forwarding/test/streams.test.ts
+++ b/src/features/forwarding/test/streams.test.ts
@@ -1,7 +1,8 @@
 import {describe, expect, it} from 'vitest';
 
 import {makeUpstream} from '../../fleet/test/upstreams.js';
-import {eventText, ForwardingHarness} from './forwardingHarness.js';
+import {eventText} from './fakeUpstreams.js';
+import {ForwardingHarness} from './forwardingHarness.js';
 import {
   configuration,
   createHarness,
