--- a/test/router/stops.test.ts
+++ b/test/router/stops.test.ts
@@ -7,6 +7,7 @@
 } from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
 import {
+  eventIdsOf,
   RecordedResponse,
   sendRequest,
   waitUntilServing,
@@ -19,6 +20,8 @@
 const EXIT_TIMEOUT_MILLISECONDS = 8_000;
 const SLOWDOWN = 3;
 const STREAMS_CUT_OFF = 80;
+/** Longer than a stop. */
+const EVENTS_OF_LONG_STREAM = 600;
 const RUNNING_MILLISECONDS = 500;
 /** Time in which an instance without links finds peers that relay for it. */
 const RELAY_MILLISECONDS = 3_000;
@@ -160,28 +163,31 @@
       const {cutOff} = await stopUnderLoad(system.instances[1]!, {
         loadBeforeMilliseconds: before,
         headersOf: index => ({
-          'token-count': index % longOneIn === 0 ? '100,600' : '100,60',
+          'token-count':
+            index % longOneIn === 0 ? `100,${EVENTS_OF_LONG_STREAM}` : '100,60',
         }),
       });
       expect(cutOff).toEqual([]);
     },
   );
 
-  it('logs each stream that it cuts off', async () => {
+  it('logs each stream that it cuts off, and another instance goes on behind the last event', async () => {
     system.engines.followsTokenCount = true;
-    const stopping = system.instances[1]!;
+    const [other, stopping] = system.instances;
     const ids = [...Array(STREAMS_CUT_OFF).keys()].map(index => `cut-${index}`);
+    const tokenCount = {'token-count': `100,${EVENTS_OF_LONG_STREAM}`};
     const streams = ids.map(id =>
-      sendRequest(stopping, '/chat/x', {
-        headers: {'request-id': id, 'token-count': '100,600'},
+      sendRequest(stopping!, '/chat/x', {
+        headers: {'request-id': id, ...tokenCount},
       }),
     );
     await sleep(RUNNING_MILLISECONDS);
-    expect(await stopping.process.terminate()).toBe(0);
-    for (const {status, isComplete} of await Promise.all(streams)) {
+    expect(await stopping!.process.terminate()).toBe(0);
+    const received = await Promise.all(streams);
+    for (const {status, isComplete} of received) {
       expect({status, isComplete}).toEqual({status: 200, isComplete: false});
     }
-    const logged = stopping.process
+    const logged = stopping!.process
       .logLines()
       .filter(
         ({decision, reason}) =>
@@ -189,6 +195,13 @@
       )
       .map(({request}) => request);
     expect(new Set(logged)).toEqual(new Set(ids));
+    const begun = eventIdsOf(received[0]!);
+    const resumed = await sendRequest(other!, '/chat/x', {
+      headers: {'last-event-id': String(begun.at(-1)), ...tokenCount},
+    });
+    expect([...begun, ...eventIdsOf(resumed)]).toEqual(
+      [...Array(EVENTS_OF_LONG_STREAM).keys()].map(index => index + 1),
+    );
   });
 });
 
