Stops: the time of a stop counts from the earliest moment of its signal

An instance whose event loop was late when SIGTERM came counted its time from when it was told.

The event loop's monitor checks every 100 ms; a signal that is received now was sent after the check before the last one at the earliest, since the loop has polled in between. A stop counts from there. On a loop that is not late it has 0.1 to 0.2 s less than before.

--- a/src/programs/router/eventLoopMonitor.ts
+++ b/src/programs/router/eventLoopMonitor.ts
@@ -1,5 +1,5 @@
 import {Clock} from '../../base/common/clock.js';
-import {Disposable, toDisposable} from '../../base/common/lifecycle.js';
+import {DisposableOwner, toDisposable} from '../../base/common/lifecycle.js';
 import {Logger} from '../../infrastructure/logging/common/logger.js';
 
 /** Period of the check. */
@@ -9,21 +9,43 @@
 const DELAY_THRESHOLD_MILLISECONDS = 60;
 
 /** Logs a warning when the event loop was delayed, either by this process or by contention on the machine. */
-export function monitorEventLoop(clock: Clock, logger: Logger): Disposable {
-  let lastCheckAt = clock.monotonicMilliseconds();
-  let lastUsage = process.cpuUsage();
-  const timer = setInterval(() => {
-    const now = clock.monotonicMilliseconds();
-    const delayMilliseconds = now - lastCheckAt - CHECK_PERIOD_MILLISECONDS;
-    const usage = process.cpuUsage(lastUsage);
+export class EventLoopMonitor extends DisposableOwner {
+  private lastCheckAt: number;
+  private previousCheckAt: number;
+  private lastUsage = process.cpuUsage();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    super();
+    this.lastCheckAt = clock.monotonicMilliseconds();
+    this.previousCheckAt = this.lastCheckAt;
+    const timer = setInterval(() => this.check(), CHECK_PERIOD_MILLISECONDS);
+    this.register(toDisposable(() => clearInterval(timer)));
+  }
+
+  /**
+   * Monotonic milliseconds after which a signal that is received now was sent at the earliest. The event loop has polled
+   * for signals between the last two checks and has not seen it then.
+   */
+  get earliestSignalAt(): number {
+    return this.previousCheckAt;
+  }
+
+  private check(): void {
+    const now = this.clock.monotonicMilliseconds();
+    const delayMilliseconds =
+      now - this.lastCheckAt - CHECK_PERIOD_MILLISECONDS;
+    const usage = process.cpuUsage(this.lastUsage);
     if (delayMilliseconds > DELAY_THRESHOLD_MILLISECONDS) {
-      logger.warn('event loop delayed', {
+      this.logger.warn('event loop delayed', {
         milliseconds: Math.round(delayMilliseconds),
         processorMilliseconds: Math.round((usage.user + usage.system) / 1000),
       });
     }
-    lastCheckAt = now;
-    lastUsage = process.cpuUsage();
-  }, CHECK_PERIOD_MILLISECONDS);
-  return toDisposable(() => clearInterval(timer));
+    this.previousCheckAt = this.lastCheckAt;
+    this.lastCheckAt = now;
+    this.lastUsage = process.cpuUsage();
+  }
 }
--- a/src/programs/router/gracefulStop.ts
+++ b/src/programs/router/gracefulStop.ts
@@ -21,6 +21,14 @@
 /** Time after the end of a stop in which whole responses that a slow reader has not taken are still written. */
 const LAST_WRITES_MILLISECONDS = 150;
 
+/** The time that the platform allows for a stop; monotonic milliseconds. */
+export interface StopTime {
+  /** When the platform may have asked for the stop at the earliest. */
+  readonly signalledAt: number;
+  /** From the platform's request until it kills the process. */
+  readonly stopMilliseconds: number;
+}
+
 /** What a graceful stop acts on. */
 export type StoppingComponents = Pick<
   RouterComponents,
@@ -29,7 +37,6 @@
 
 /** Stops an instance within the time that the platform allows, finishing requests in progress as far as possible. */
 export class GracefulStop {
-  private readonly startedAt: number;
   private readonly window: StopWindow;
 
   constructor(
@@ -38,12 +45,12 @@
     private readonly components: StoppingComponents,
     private readonly callers: CallerListener,
     private readonly instanceName: string,
-    private readonly stopMilliseconds: number,
+    private readonly time: StopTime,
   ) {
-    this.startedAt = clock.monotonicMilliseconds();
+    const {signalledAt, stopMilliseconds} = time;
     this.window = {
-      startedAt: this.startedAt,
-      endsAt: this.startedAt + stopMilliseconds - EXIT_MARGIN_MILLISECONDS,
+      startedAt: signalledAt,
+      endsAt: signalledAt + stopMilliseconds - EXIT_MARGIN_MILLISECONDS,
     };
   }
 
@@ -53,14 +60,14 @@
     instances.state = 'stopping';
     this.logger.info('stopping', {
       inProgress: handler.count,
-      milliseconds: this.window.endsAt - this.startedAt,
+      milliseconds: Math.round(this.timeLeft),
+      afterSignal: this.elapsedMilliseconds,
     });
     handler.beginStop(this.window);
     this.callers.closeAfterResponses();
     void this.leave();
-    await this.sleepUntil(
-      this.startedAt + this.stopMilliseconds * CLOSE_IDLE_SHARE,
-    );
+    const {signalledAt, stopMilliseconds} = this.time;
+    await this.sleepUntil(signalledAt + stopMilliseconds * CLOSE_IDLE_SHARE);
     this.callers.closeIdle();
     await Promise.race([
       handler.idle(),
@@ -76,7 +83,7 @@
       unfinished: handler.count,
       tunnels: tunnels.count,
       milliseconds: this.elapsedMilliseconds,
-      isTimeUp: this.clock.monotonicMilliseconds() >= this.window.endsAt,
+      isTimeUp: this.timeLeft <= 0,
     });
     handler.endAll();
     await Promise.race([
@@ -128,7 +135,12 @@
   }
 
   private get elapsedMilliseconds(): number {
-    return Math.round(this.clock.monotonicMilliseconds() - this.startedAt);
+    const now = this.clock.monotonicMilliseconds();
+    return Math.round(now - this.window.startedAt);
+  }
+
+  private get timeLeft(): number {
+    return this.window.endsAt - this.clock.monotonicMilliseconds();
   }
 
   private sleepUntil(moment: number): Promise<void> {
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -12,7 +12,7 @@
 import {Logger} from '../../infrastructure/logging/common/logger.js';
 import {mergeRpcRouters, serveRpc} from '../../infrastructure/rpc/node/rpc.js';
 import {CallerListener} from './callerListener.js';
-import {monitorEventLoop} from './eventLoopMonitor.js';
+import {EventLoopMonitor} from './eventLoopMonitor.js';
 import {GracefulStop} from './gracefulStop.js';
 import {createRouterComponents, RouterComponents} from './routerComponents.js';
 import {disabledMechanisms} from '../../features/mechanisms/common/mechanisms.js';
@@ -43,6 +43,7 @@
   private readonly owned = new DisposableStore();
   private readonly components: RouterComponents;
   private readonly callers: CallerListener;
+  private readonly eventLoop: EventLoopMonitor;
   private isStopping = false;
 
   constructor(
@@ -60,6 +61,7 @@
       logger,
       this.owned,
     );
+    this.eventLoop = this.owned.add(new EventLoopMonitor(clock, logger));
     this.callers = new CallerListener(
       clock,
       logger,
@@ -95,7 +97,6 @@
       STATE_PERIOD_MILLISECONDS,
     );
     this.owned.add(toDisposable(() => clearInterval(timer)));
-    this.owned.add(monitorEventLoop(this.clock, this.logger));
     this.owned.add(activeConfiguration.onDidConfirm(() => this.updateState()));
     const {instance, listen} = this.settings;
     this.logger.info('started', {
@@ -115,7 +116,10 @@
       this.components,
       this.callers,
       this.settings.instance.name,
-      this.settings.stopMilliseconds,
+      {
+        signalledAt: this.eventLoop.earliestSignalAt,
+        stopMilliseconds: this.settings.stopMilliseconds,
+      },
     );
     await stop.run();
     this.dispose();
--- a/src/programs/router/test/gracefulStop.test.ts
+++ b/src/programs/router/test/gracefulStop.test.ts
@@ -83,7 +83,10 @@
       components,
       callers,
       'instance',
-      this.stopMilliseconds,
+      {
+        signalledAt: clock.monotonicMilliseconds(),
+        stopMilliseconds: this.stopMilliseconds,
+      },
     );
     await stop.run();
     this.hasEnded = true;
--- a/test/router/stops.test.ts
+++ b/test/router/stops.test.ts
@@ -3,6 +3,7 @@
 import {
   RouterInstance,
   StandInSystem,
+  STOP_SECONDS,
   waitFor,
 } from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
@@ -19,6 +20,7 @@
 const LOAD_BEFORE_STOP_MILLISECONDS = 4_000;
 const EXIT_TIMEOUT_MILLISECONDS = 8_000;
 const SLOWDOWN = 3;
+const LATE_SIGNAL_MILLISECONDS = 1_200;
 const STREAMS_CUT_OFF = 80;
 /** Longer than a stop. */
 const EVENTS_OF_LONG_STREAM = 600;
@@ -171,6 +173,36 @@
     },
   );
 
+  // It counted its time from when it was told, which was late, and was killed with what it had taken.
+  it('ends in time with all that it took when it learns late of the signal', async () => {
+    system.engines.eventIntervalMilliseconds = 30;
+    const stopping = system.instances[1]!;
+    stopping.process.freeze();
+    const exitCode = stopping.process.terminate();
+    const killer = setTimeout(
+      () => stopping.process.signal('SIGKILL'),
+      STOP_SECONDS * 1_000,
+    );
+    await sleep(LATE_SIGNAL_MILLISECONDS);
+    stopping.process.resume();
+    const streams: Array<Promise<RecordedResponse | undefined>> = [];
+    while (stopping.process.isRunning) {
+      streams.push(
+        sendRequest(stopping, '/chat/x', {
+          headers: {'deadline-ms': '1500'},
+        }).catch(() => undefined),
+      );
+      await sleep(SEND_PERIOD_MILLISECONDS);
+    }
+    clearTimeout(killer);
+    const responses = await Promise.all(streams);
+    const cutOff = responses.filter(response => response?.isComplete === false);
+    expect({cutOff: cutOff.length, exitCode: await exitCode}).toEqual({
+      cutOff: 0,
+      exitCode: 0,
+    });
+  });
+
   it('logs each stream that it cuts off, and another instance goes on behind the last event', async () => {
     system.engines.followsTokenCount = true;
     const [other, stopping] = system.instances;
