Prompts: parts that different requests share are held against them in the late phase, too

Cause: only the last part of a prompt was held against a late crash, since the others are on streams that are there by chance.

Change: a third evidence holds all parts of late losses; a part that any request was answered whole with is never suspect in it. The evidence of last parts stays as it was.

evictOldest moves from the stand-ins to base/common.

--- a/src/features/crashes/common/crashEvidence.ts
+++ b/src/features/crashes/common/crashEvidence.ts
@@ -35,6 +35,8 @@
     private readonly logger: Logger,
     private readonly phase: CrashPhase,
     private readonly onDidSuspect: () => void,
+    /** Whether a part that was ever sound is never suspect. */
+    private readonly isSoundForGood = false,
   ) {
     this.history = new CrashHistory(clock);
     this.sound = new SoundParts(clock);
@@ -70,9 +72,9 @@
   /** Records a request that shows that the parts of its prompt are sound. */
   recordSound(promptParts: readonly string[]): void {
     this.sound.recordAny(0);
-    if (this.crashCount > 0) {
+    if (this.crashCount > 0 || this.isSoundForGood) {
       promptParts
-        .filter(part => this.hasCrashes(part))
+        .filter(part => this.mustRemember(part))
         .forEach(part => this.sound.record(part, 0));
       const isRelease = promptParts.some(part => this.suspectParts.has(part));
       const isDue = this.now() - this.judgedAt >= SOUND_UPDATE_MILLISECONDS;
@@ -136,7 +138,9 @@
     return {
       ...exchange,
       reports: this.history.all,
-      soundParts: this.sound.all,
+      soundParts: this.sound.all.filter(
+        ({part}) => this.history.crashCountOf(part) > 0,
+      ),
     };
   }
 
@@ -152,8 +156,9 @@
     this.update();
   }
 
-  private hasCrashes(part: string): boolean {
-    return this.history.crashCountOf(part) > 0;
+  /** Whether it matters when a part was sound. */
+  private mustRemember(part: string): boolean {
+    return this.isSoundForGood || this.history.crashCountOf(part) > 0;
   }
 
   /** Finds the suspect parts again if anything changed, and logs those that are new or no longer suspect. */
@@ -165,12 +170,15 @@
     }
     this.judgedVersion = version;
     this.judgedAt = this.now();
-    this.sound.retain(part => this.hasCrashes(part));
+    this.sound.retain(part => this.mustRemember(part));
     const before = this.suspectParts;
     this.suspectParts = findSuspectParts(
       this.history.crashes,
       this.sound,
-      part => this.history.crashCountOf(part),
+      part =>
+        this.isSoundForGood && this.sound.lastSoundAt(part) > -Infinity
+          ? 0
+          : this.history.crashCountOf(part),
     );
     this.logChanges(before);
   }
--- a/src/features/crashes/common/crashReport.ts
+++ b/src/features/crashes/common/crashReport.ts
@@ -54,4 +54,6 @@
   readonly crashes?: CrashExchange | undefined;
   /** Crashes in the late phase; undefined if the sender knows none, or is of an earlier release. */
   readonly lateCrashes?: CrashExchange | undefined;
+  /** The same crashes with all parts of the prompts; undefined as above. */
+  readonly lateSharedCrashes?: CrashExchange | undefined;
 }
--- a/src/features/crashes/common/promptGuard.ts
+++ b/src/features/crashes/common/promptGuard.ts
@@ -36,6 +36,8 @@
   private readonly suspected = this.register(new Emitter<void>());
   private readonly early: CrashEvidence;
   private readonly late: CrashEvidence;
+  /** Of the late phase, too, with all parts of the prompts. */
+  private readonly lateShared: CrashEvidence;
   private readonly trialAt = new Map<string, number>();
 
   /** Fires when upstreams have kept crashing under a further part. */
@@ -52,6 +54,13 @@
     const onDidSuspect = (): void => this.suspected.fire();
     this.early = new CrashEvidence(clock, logger, 'early', onDidSuspect);
     this.late = new CrashEvidence(clock, logger, 'late', onDidSuspect);
+    this.lateShared = new CrashEvidence(
+      clock,
+      logger,
+      'late',
+      onDidSuspect,
+      true,
+    );
   }
 
   /** Number of remembered crashes. */
@@ -69,9 +78,10 @@
   }
 
   /**
-   * Records a crash that this instance has seen, and a request that may have caused it. In the late phase only the last part of its
-   * prompt, which repeats of the request share with it, is held against it: the other parts are on many streams that are there by
-   * chance, and these are answered too rarely while upstreams keep crashing.
+   * Records a crash that this instance has seen, and a request that may have caused it. In the late phase the last part of its
+   * prompt, which repeats of the request share with it, is held against it. The other parts are on many streams that are there by
+   * chance, and these are answered too rarely while upstreams keep crashing; so they are judged apart, and only those under which
+   * no request was ever answered whole.
    */
   recordCrash(
     upstream: string,
@@ -81,6 +91,10 @@
   ): void {
     const promptParts =
       phase === 'late' ? suspect.promptParts.slice(-1) : suspect.promptParts;
+    if (phase === 'late') {
+      const requests = [suspect];
+      this.lateShared.recordCrash({upstream, ageMilliseconds, requests});
+    }
     const requests = [{...suspect, promptParts}];
     if (this[phase].recordCrash({upstream, ageMilliseconds, requests})) {
       const fields = {upstream, phase, ...suspect};
@@ -97,6 +111,7 @@
   recordAnswered(promptParts: readonly string[]): void {
     this.early.recordSound(promptParts);
     this.late.recordSound(promptParts);
+    this.lateShared.recordSound(promptParts.slice(0, -1));
   }
 
   /** What may be done with a request now; a trial counts as begun. */
@@ -116,7 +131,8 @@
     }
     const cause =
       this.early.findCause(prompt, this.late) ??
-      this.late.findCause(prompt, this.early);
+      this.late.findCause(prompt, this.early) ??
+      this.lateShared.findCause(prompt, this.early);
     return cause === undefined ? {kind: 'allowed'} : this.judgeCause(cause);
   }
 
@@ -133,19 +149,25 @@
     return {
       crashes: this.early.createExchange(),
       lateCrashes: this.late.createExchange(),
+      lateSharedCrashes: this.lateShared.createExchange(),
     };
   }
 
   /** What the response to a message of a peer tells of crashes; with all reports if the peer lacks some. */
-  createResponse({crashes, lateCrashes}: CrashNews): CrashNews {
+  createResponse({
+    crashes,
+    lateCrashes,
+    lateSharedCrashes,
+  }: CrashNews): CrashNews {
     return {
       crashes: this.early.createResponse(crashes),
       lateCrashes: this.late.createResponse(lateCrashes),
+      lateSharedCrashes: this.lateShared.createResponse(lateSharedCrashes),
     };
   }
 
   /** Applies a message of a peer. */
-  applyNews({crashes, lateCrashes}: CrashNews): void {
+  applyNews({crashes, lateCrashes, lateSharedCrashes}: CrashNews): void {
     if (!this.isEnabled) {
       return;
     }
@@ -155,6 +177,9 @@
     if (lateCrashes !== undefined) {
       this.late.applyExchange(lateCrashes);
     }
+    if (lateSharedCrashes !== undefined) {
+      this.lateShared.applyExchange(lateSharedCrashes);
+    }
   }
 
   private judgeCause({part, moments, lastCrashAt}: SuspectPart): PromptVerdict {
--- a/src/features/crashes/common/soundParts.ts
+++ b/src/features/crashes/common/soundParts.ts
@@ -1,10 +1,14 @@
 import {Clock} from '../../../base/common/clock.js';
+import {evictOldest} from '../../../base/common/evictOldest.js';
 import {SoundPartReport} from './crashReport.js';
 
 /** Time for which peers are told of a sound part; gossip reaches hundreds of instances in less. */
 const NEWS_MILLISECONDS = 2_000;
 
-/** Remembers when prompt parts were last shown to be sound, of those parts that crashes make suspect. */
+/** Maximum parts that are remembered; those that were sound longest ago are forgotten first. */
+const PART_LIMIT = 4_096;
+
+/** Remembers when prompt parts were last shown to be sound. */
 export class SoundParts {
   /** Monotonic milliseconds by part. */
   private readonly soundAt = new Map<string, number>();
@@ -31,7 +35,9 @@
   record(part: string, ageMilliseconds: number): void {
     const at = this.now() - ageMilliseconds;
     if (at > this.lastSoundAt(part)) {
+      this.soundAt.delete(part);
       this.soundAt.set(part, at);
+      evictOldest(this.soundAt, PART_LIMIT);
       this.changeCount++;
     }
   }
--- a/src/features/crashes/test/deadlyParts.test.ts
+++ b/src/features/crashes/test/deadlyParts.test.ts
@@ -229,3 +229,42 @@
   },
   TIMEOUT_AT_SIZE_MILLISECONDS,
 );
+
+const lateSharedSituations: readonly Situation[] = [
+  {name: 'with few upstreams to begin at', upstreamCount: 7},
+  {
+    name: 'while upstreams are lost one after the other',
+    disturb: loseInTurn,
+  },
+  {
+    name: 'beside another account that crashes upstreams with ever new prompts',
+    deadly: [DEADLY, {parts: ['first-2'], perSecond: 1, account: 'hostile'}],
+  },
+  {name: 'from the first moment on', deadlyFromMilliseconds: 0},
+  {
+    name: 'that do not crash, while two upstreams a second are lost from the first moment on',
+    deadly: [],
+    disturb: (simulation, now) => {
+      if (now % 500 === 0) {
+        simulation.crash((now / 500) % 38);
+      }
+    },
+  },
+];
+
+it.each(
+  [3, 7, 19].flatMap(count =>
+    lateSharedSituations.map(situation => ({
+      count,
+      situation,
+      name: situation.name,
+    })),
+  ),
+)(
+  '$count instances together stop different requests that share a part under which upstreams crash late $name',
+  ({count, situation}) => {
+    const late = {...situation, crashDelayMilliseconds: 700};
+    const problems = SEEDS.flatMap(seed => findProblems(late, count, seed));
+    expect(problems).toEqual([]);
+  },
+);
--- a/src/features/instances/common/gossipMessage.ts
+++ b/src/features/instances/common/gossipMessage.ts
@@ -188,6 +188,7 @@
     .default([]),
   crashes: crashes.optional(),
   lateCrashes: crashes.optional(),
+  lateSharedCrashes: crashes.optional(),
   requestLosses: requestLossNewsSchema.optional(),
   list: list.optional(),
   holdsLease: zod.boolean(),
--- a/test/standins/cacheExports.ts
+++ b/test/standins/cacheExports.ts
@@ -5,7 +5,7 @@
 import {LayerRange} from '../../src/infrastructure/engine/common/engineConnection.js';
 import {LayerCache} from './referenceModel.js';
 import {Sequence} from './sequences.js';
-import {evictOldest} from './evictOldest.js';
+import {evictOldest} from '../../src/base/common/evictOldest.js';
 
 const EXPORT_LIMIT = 64;
 
--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -29,7 +29,7 @@
 } from './engineSettings.js';
 import {LoadedModel} from './loadedModel.js';
 import {Ledger} from './ledger.js';
-import {evictOldest} from './evictOldest.js';
+import {evictOldest} from '../../src/base/common/evictOldest.js';
 import {PrefixCache} from './prefixCache.js';
 import {Sequence, SequenceSlots} from './sequences.js';
 import {
