--- a/src/features/crashes/common/crashEvidence.ts
+++ b/src/features/crashes/common/crashEvidence.ts
@@ -21,6 +21,12 @@
 /** Minimum time between two messages with all reports: peers may never agree on them if both have forgotten some. */
 const FULL_EXCHANGE_PERIOD_MILLISECONDS = 200;
 
+/** How an evidence judges. */
+export interface EvidenceOptions {
+  /** Whether a part that was ever sound is never suspect. */
+  readonly isSoundForGood: boolean;
+}
+
 /** What all instances have seen of crashes in one phase, of sound parts, and which parts are suspect for it. */
 export class CrashEvidence {
   private readonly history: CrashHistory;
@@ -33,10 +39,10 @@
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
-    private readonly phase: CrashPhase,
+    /** For the log. */
+    private readonly phase: CrashPhase | 'lateShared',
     private readonly onDidSuspect: () => void,
-    /** Whether a part that was ever sound is never suspect. */
-    private readonly isSoundForGood = false,
+    private readonly options: EvidenceOptions = {isSoundForGood: false},
   ) {
     this.history = new CrashHistory(clock);
     this.sound = new SoundParts(clock);
@@ -72,10 +78,12 @@
   /** Records a request that shows that the parts of its prompt are sound. */
   recordSound(promptParts: readonly string[]): void {
     this.sound.recordAny(0);
-    if (this.crashCount > 0 || this.isSoundForGood) {
+    if (this.crashCount > 0 || this.options.isSoundForGood) {
       promptParts
         .filter(part => this.mustRemember(part))
         .forEach(part => this.sound.record(part, 0));
+    }
+    if (this.crashCount > 0) {
       const isRelease = promptParts.some(part => this.suspectParts.has(part));
       const isDue = this.now() - this.judgedAt >= SOUND_UPDATE_MILLISECONDS;
       if (isRelease || isDue) {
@@ -158,7 +166,14 @@
 
   /** Whether it matters when a part was sound. */
   private mustRemember(part: string): boolean {
-    return this.isSoundForGood || this.history.crashCountOf(part) > 0;
+    return this.options.isSoundForGood || this.history.crashCountOf(part) > 0;
+  }
+
+  /** Number of crashes for which a part may be the cause. */
+  private countCrashes(part: string): number {
+    const isSound =
+      this.options.isSoundForGood && this.sound.lastSoundAt(part) > -Infinity;
+    return isSound ? 0 : this.history.crashCountOf(part);
   }
 
   /** Finds the suspect parts again if anything changed, and logs those that are new or no longer suspect. */
@@ -175,10 +190,7 @@
     this.suspectParts = findSuspectParts(
       this.history.crashes,
       this.sound,
-      part =>
-        this.isSoundForGood && this.sound.lastSoundAt(part) > -Infinity
-          ? 0
-          : this.history.crashCountOf(part),
+      part => this.countCrashes(part),
     );
     this.logChanges(before);
   }
--- a/src/features/crashes/common/promptGuard.ts
+++ b/src/features/crashes/common/promptGuard.ts
@@ -57,9 +57,9 @@
     this.lateShared = new CrashEvidence(
       clock,
       logger,
-      'late',
+      'lateShared',
       onDidSuspect,
-      true,
+      {isSoundForGood: true},
     );
   }
 
