Programs: redwing-entry and redwing-control go on when the reader of their log ends

The listener stands in SettingsCommand, which now holds what the command lines of both programs did twice: reading settings, findings, running until a signal.

--- a/src/programs/control/controlProgram.ts
+++ b/src/programs/control/controlProgram.ts
@@ -51,8 +51,12 @@
   readonly operatorKeys: Readonly<Record<string, string>>;
 }
 
+/** Limit of a stop: its peers are told and the placement lease is returned, which needs the table service. */
+const STOP_LIMIT_MILLISECONDS = 10_000;
+
 /** The control program; creates and connects its components. */
 export class ControlProgram extends DisposableOwner {
+  readonly stopLimitMilliseconds = STOP_LIMIT_MILLISECONDS;
   readonly logger: Logger;
   private readonly metrics: Metrics;
   private readonly core: ControlCore;
--- a/src/programs/control/runControl.ts
+++ b/src/programs/control/runControl.ts
@@ -1,18 +1,17 @@
-import {BaseContext, Command, Option} from 'clipanion';
+import {Command} from 'clipanion';
 
-import {formatFinding, Finding} from '../../base/common/finding.js';
+import {Finding} from '../../base/common/finding.js';
 import {Result, success} from '../../base/common/result.js';
 import {operatorKeysSchema} from '../../features/administration/node/operatorKeys.js';
 import {
   CommandStreams,
   runCommandLine,
-  USAGE_EXIT_CODE,
 } from '../../infrastructure/commandLine/node/runCommandLine.js';
-import {ProcessSignals} from '../../infrastructure/process/node/processSignals.js';
 import {
-  ProgramRunner,
-  restartNeeded,
-} from '../../infrastructure/process/node/programRunner.js';
+  SettingsCommand,
+  SignalContext,
+} from '../../infrastructure/commandLine/node/settingsCommand.js';
+import {ProcessSignals} from '../../infrastructure/process/node/processSignals.js';
 import {ControlSettings} from '../../infrastructure/settings/common/programSettings.js';
 import {controlSettingsSchema} from '../../infrastructure/settings/common/settingsSchemas.js';
 import {
@@ -23,14 +22,6 @@
 
 /** Command line of the program `redwing-control`. */
 
-/** Limit of a stop: its peers are told and the placement lease is returned, which needs the table service. */
-const STOP_LIMIT_MILLISECONDS = 10_000;
-
-/** Context of the commands. */
-interface SignalContext extends BaseContext {
-  readonly signals: ProcessSignals;
-}
-
 interface LoadedSettings {
   readonly settings: ControlSettings;
   readonly secrets: ControlSecrets;
@@ -60,12 +51,17 @@
   });
 }
 
-function formatFindings(findings: readonly Finding[]): string {
-  return findings.map(finding => `${formatFinding(finding)}\n`).join('');
+/** A command that takes the settings of a control program. */
+abstract class ControlCommand extends SettingsCommand<LoadedSettings> {
+  protected override load(
+    path: string,
+  ): Result<LoadedSettings, readonly Finding[]> {
+    return loadSettings(path);
+  }
 }
 
 /** Runs the program until SIGTERM or SIGINT. */
-class RunCommand extends Command<SignalContext> {
+class RunCommand extends ControlCommand {
   static override paths = [Command.Default, ['run']];
   static override usage = Command.Usage({
     description: 'Run the control program of one instance.',
@@ -73,42 +69,23 @@
     examples: [['Run with a settings file', '$0 control.json']],
   });
 
-  readonly settingsFile = Option.String({name: 'settings'});
-
-  override async execute(): Promise<number> {
-    const loaded = loadSettings(this.settingsFile);
-    if (!loaded.ok) {
-      this.context.stderr.write(formatFindings(loaded.error));
-      return USAGE_EXIT_CODE;
-    }
-    const {settings, secrets} = loaded.value;
-    const program = new ControlProgram(settings, secrets);
-    const {signals} = this.context;
-    const runner = new ProgramRunner(program, signals, program.logger, {
-      stopLimitMilliseconds: STOP_LIMIT_MILLISECONDS,
-      hangUpAction: restartNeeded,
-    });
-    return runner.run();
+  protected override async executeWith({
+    settings,
+    secrets,
+  }: LoadedSettings): Promise<number> {
+    return this.runProgram(new ControlProgram(settings, secrets));
   }
 }
 
 /** Checks a settings file and the files that it refers to. */
-class CheckSettingsCommand extends Command<SignalContext> {
+class CheckSettingsCommand extends ControlCommand {
   static override paths = [['check-settings']];
   static override usage = Command.Usage({
     description: 'Check a settings file; all findings are printed.',
   });
 
-  readonly settingsFile = Option.String({name: 'settings'});
-
-  override async execute(): Promise<number> {
-    const loaded = loadSettings(this.settingsFile);
-    if (!loaded.ok) {
-      this.context.stderr.write(formatFindings(loaded.error));
-      return USAGE_EXIT_CODE;
-    }
-    this.context.stdout.write('settings are valid\n');
-    return 0;
+  protected override async executeWith(): Promise<number> {
+    return this.confirmValid();
   }
 }
 
--- a/src/programs/entry/runEntry.ts
+++ b/src/programs/entry/runEntry.ts
@@ -1,17 +1,16 @@
-import {BaseContext, Command, Option} from 'clipanion';
+import {Command} from 'clipanion';
 
-import {formatFinding, Finding} from '../../base/common/finding.js';
+import {Finding} from '../../base/common/finding.js';
 import {failure, Result, success} from '../../base/common/result.js';
 import {
   CommandStreams,
   runCommandLine,
-  USAGE_EXIT_CODE,
 } from '../../infrastructure/commandLine/node/runCommandLine.js';
-import {ProcessSignals} from '../../infrastructure/process/node/processSignals.js';
 import {
-  ProgramRunner,
-  restartNeeded,
-} from '../../infrastructure/process/node/programRunner.js';
+  SettingsCommand,
+  SignalContext,
+} from '../../infrastructure/commandLine/node/settingsCommand.js';
+import {ProcessSignals} from '../../infrastructure/process/node/processSignals.js';
 import {EntrySettings} from '../../infrastructure/settings/common/programSettings.js';
 import {entrySettingsSchema} from '../../infrastructure/settings/common/settingsSchemas.js';
 import {
@@ -22,11 +21,6 @@
 
 /** The program `redwing-entry`. Exit codes: 0 success, 1 failure, 2 invalid settings or usage. */
 
-/** Context of the commands. */
-interface SignalContext extends BaseContext {
-  readonly signals: ProcessSignals;
-}
-
 interface LoadedSettings {
   readonly settings: EntrySettings;
   readonly peerKey: string;
@@ -45,28 +39,17 @@
     : failure(peerKey.error);
 }
 
-function formatFindings(findings: readonly Finding[]): string {
-  return findings.map(finding => `${formatFinding(finding)}\n`).join('');
-}
-
-/** A command that takes a settings file. */
-abstract class SettingsCommand extends Command<SignalContext> {
-  readonly settingsFile = Option.String({name: 'settings'});
-
-  override async execute(): Promise<number> {
-    const loaded = loadSettings(this.settingsFile);
-    if (!loaded.ok) {
-      this.context.stderr.write(formatFindings(loaded.error));
-      return USAGE_EXIT_CODE;
-    }
-    return this.executeWith(loaded.value);
+/** A command that takes the settings of an entry program. */
+abstract class EntryCommand extends SettingsCommand<LoadedSettings> {
+  protected override load(
+    path: string,
+  ): Result<LoadedSettings, readonly Finding[]> {
+    return loadSettings(path);
   }
-
-  protected abstract executeWith(loaded: LoadedSettings): Promise<number>;
 }
 
 /** Runs the program until SIGTERM or SIGINT. */
-class RunCommand extends SettingsCommand {
+class RunCommand extends EntryCommand {
   static override paths = [Command.Default, ['run']];
   static override usage = Command.Usage({
     description: 'Run the entry program of one instance.',
@@ -79,26 +62,19 @@
     settings,
     peerKey,
   }: LoadedSettings): Promise<number> {
-    const program = new EntryProgram(settings, peerKey);
-    const {signals} = this.context;
-    const runner = new ProgramRunner(program, signals, program.logger, {
-      stopLimitMilliseconds: program.stopLimitMilliseconds,
-      hangUpAction: restartNeeded,
-    });
-    return runner.run();
+    return this.runProgram(new EntryProgram(settings, peerKey));
   }
 }
 
 /** Validates a settings file and the key file that it refers to. */
-class CheckSettingsCommand extends SettingsCommand {
+class CheckSettingsCommand extends EntryCommand {
   static override paths = [['check-settings']];
   static override usage = Command.Usage({
     description: 'Check a settings file; all findings are printed.',
   });
 
   protected override async executeWith(): Promise<number> {
-    this.context.stdout.write('settings are valid\n');
-    return 0;
+    return this.confirmValid();
   }
 }
 
