--- a/test/router/repeatedPrompts.test.ts
+++ b/test/router/repeatedPrompts.test.ts
@@ -1,7 +1,11 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {DeadlyBehaviour} from '../standins/fleet/layeredEngine.js';
-import {StandInSystem} from '../standins/fleet/system.js';
+import {
+  RouterInstance,
+  StandInSystem,
+  waitFor,
+} from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
 import {eventIdsOf, sendRequest, waitUntilServing} from './sendRequest.js';
 
@@ -56,6 +60,7 @@
 const PATIENCE_MILLISECONDS = 2_000;
 
 const PLAIN_REPLICAS_PER_ZONE = 6;
+const DEADLY_STREAM = '/chat/deadly?order=1';
 const DEADLY_TARGET = '/look/deadly?order=1';
 
 describe('a request under which upstreams end and that its caller repeats at once elsewhere', () => {
@@ -82,14 +87,25 @@
     return () => clearInterval(timer);
   }
 
-  /** Sends a request and its repeats to one instance after the other. */
-  async function playRepeats(part: string, first: number): Promise<void> {
+  /** Sends a request and its repeats to one instance after the other; without a part it names no prompt. */
+  async function playRepeats(
+    part: string | undefined,
+    first: number,
+    beforeRepeat: (instance: RouterInstance) => Promise<void> = async () =>
+      undefined,
+  ): Promise<void> {
+    const prompt: Readonly<Record<string, string>> =
+      part === undefined ? {} : {'prefix-hash': `first-0:10,${part}:10`};
+    const target = part === undefined ? DEADLY_STREAM : '/chat/x';
     let lastEvent = 0;
     for (let index = first; index <= first + REPEATS; index++) {
       const instance = system.instances[index % INSTANCE_COUNT]!;
-      const response = await sendRequest(instance, '/chat/x', {
+      if (index > first) {
+        await beforeRepeat(instance);
+      }
+      const response = await sendRequest(instance, target, {
         headers: {
-          'prefix-hash': `first-0:10,${part}:10`,
+          ...prompt,
           'token-count': `100,${DEADLY_EVENT_COUNT}`,
           ...(lastEvent > 0 ? {'last-event-id': String(lastEvent)} : {}),
         },
@@ -125,6 +141,30 @@
     },
   );
 
+  it.each(cases)(
+    'reaches no upstream after three have ended $name, without a prompt part',
+    async ({name: _, ...behaviour}) => {
+      system.engines.deadlyBehaviour = behaviour;
+      system.engines.deadlyTargets.add(DEADLY_STREAM);
+      const stopSoundLoad = startSoundLoad();
+      await playRepeats(undefined, 0);
+      stopSoundLoad();
+      expect(arrivalsAfterThirdEnd(0)).toBe(0);
+    },
+  );
+
+  it('reaches no upstream after three have ended before they write, when each instance is started again before its repeat', async () => {
+    const [part] = PROMPTS;
+    system.engines.deadlyParts.add(part!);
+    const stopSoundLoad = startSoundLoad();
+    await playRepeats(part, 0, async instance => {
+      await instance.process.restart();
+      await waitFor(() => system.isReady(instance), RECOVERY_MILLISECONDS);
+    });
+    stopSoundLoad();
+    expect(arrivalsAfterThirdEnd(0)).toBe(0);
+  });
+
   it('reaches no replica of a plain service after three have ended', async () => {
     for (const zone of ['north', 'south']) {
       for (let index = 0; index < PLAIN_REPLICAS_PER_ZONE; index++) {
--- a/test/standins/fleet/layeredEngine.ts
+++ b/test/standins/fleet/layeredEngine.ts
@@ -70,6 +70,8 @@
   readonly engines: LayeredEngine[] = [];
   /** Prompt parts that make each engine crash that begins to run a request with one of them. */
   readonly deadlyParts = new Set<string>();
+  /** The same for requests with one of these targets. */
+  readonly deadlyTargets = new Set<string>();
   deadlyBehaviour: DeadlyBehaviour = {
     delayMilliseconds: 100,
     writes: false,
@@ -405,10 +407,12 @@
     response.on('close', () => this.running.delete(id));
   }
 
-  private isDeadly({headers}: IncomingMessage): boolean {
+  private isDeadly({headers, url}: IncomingMessage): boolean {
+    const {deadlyParts, deadlyTargets} = this.fleet;
     const parts = String(headers['prefix-hash'] ?? '').split(',');
-    return parts.some(part =>
-      this.fleet.deadlyParts.has(part.split(':')[0] ?? ''),
+    return (
+      deadlyTargets.has(url ?? '') ||
+      parts.some(part => deadlyParts.has(part.split(':')[0] ?? ''))
     );
   }
 
