--- a/src/features/instances/test/limitSimulation.ts
+++ b/src/features/instances/test/limitSimulation.ts
@@ -2,21 +2,17 @@
 import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {
-  GossipingInstance,
   GossipScenario,
-  GossipSimulation,
   STEP_MILLISECONDS,
 } from '../../../../test/support/gossipSimulation.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
 import {UpstreamRateLimiter} from '../../fleet/common/upstreamRateLimiter.js';
 import {makeUpstream} from '../../fleet/test/upstreams.js';
-import {InstanceTable} from '../common/instanceTable.js';
+import {TableInstance, TableSimulation} from './tableSimulation.js';
 
 /** Plays many instances that share one limited upstream and gossip about it, on one simulated clock. */
 
-const DATA_CENTRES = ['north', 'south', 'east'];
-
 /**
  * The published bound on what an upstream that names a limit may get: from some time after it first named the limit,
  * requests of instances that were told of it some time before.
@@ -34,42 +30,18 @@
   readonly answerMilliseconds: number;
 }
 
-class SimulatedInstance extends GossipingInstance {
-  table!: InstanceTable;
+class LimitedInstance extends TableInstance {
   limits!: UpstreamLimitTracker;
   limiter!: UpstreamRateLimiter;
   /** Whether answers of the upstream reach it. */
   isAnswered = true;
-  startedAt = 0;
   /** When this run first got an answer that named the limit. */
   toldAt = Infinity;
 
-  constructor(
-    index: number,
-    private readonly clock: FakeClock,
-  ) {
-    super(index);
-  }
-
-  get name(): string {
-    return `instance-${this.index}`;
-  }
-
-  start(): void {
-    const {clock} = this;
-    const logger = new SilentLogger();
-    this.startedAt = clock.wallMilliseconds();
-    this.table = new InstanceTable(clock, logger, {
-      name: this.name,
-      startedAt: this.startedAt,
-      dataCentre: DATA_CENTRES[this.index % DATA_CENTRES.length]!,
-      region: 'region',
-      callerAddress: `${this.name}:1`,
-      peerAddress: `${this.name}:2`,
-    });
-    this.table.state = 'serving';
-    const {table} = this;
-    this.limits = new UpstreamLimitTracker(clock, logger);
+  override start(): void {
+    super.start();
+    const {clock, table} = this;
+    this.limits = new UpstreamLimitTracker(clock, new SilentLogger());
     this.limiter = new UpstreamRateLimiter(
       clock,
       new SeededRandomSource(this.index),
@@ -77,12 +49,11 @@
       () => table.limitSharers,
     );
     this.toldAt = Infinity;
-    this.isRunning = true;
   }
 }
 
 /** The instances, the upstream, which names its limit from the beginning, and what reached it. */
-export class LimitSimulation extends GossipSimulation<SimulatedInstance> {
+export class LimitSimulation extends TableSimulation<LimitedInstance> {
   /** Arrivals from instances that were told of the limit, in simulated milliseconds. */
   readonly arrivedAt: number[] = [];
   private firstNamedAt = Infinity;
@@ -95,17 +66,9 @@
     protected override readonly scenario: LimitScenario,
     random: SeededRandomSource,
   ) {
-    super(random);
-    for (let index = 0; index < scenario.instanceCount; index++) {
-      const instance = new SimulatedInstance(index, this.clock);
-      instance.start();
-      this.instances.push(instance);
-    }
-    for (const instance of this.instances) {
-      for (const other of this.instances) {
-        instance.table.applyHeartbeat(other.table.createHeartbeat());
-      }
-    }
+    const create = (index: number, clock: FakeClock): LimitedInstance =>
+      new LimitedInstance(index, clock);
+    super(random, scenario.instanceCount, create);
   }
 
   /** The most requests in any window that counts. */
@@ -141,26 +104,16 @@
     instance.isRunning = false;
   }
 
-  protected override onUnreachable(
-    one: SimulatedInstance,
-    peer: SimulatedInstance,
-  ): void {
-    one.table.markUnreachable(peer.name);
-  }
-
   protected override exchange(
-    one: SimulatedInstance,
-    other: SimulatedInstance,
+    one: LimitedInstance,
+    other: LimitedInstance,
   ): void {
-    const sent = one.table.liveHeartbeats;
-    const returned = other.table.liveHeartbeats;
+    super.exchange(one, other);
     const readings = one.limits.readings;
     other.limits.readings.forEach(reading =>
       one.limits.recordFromPeer(reading),
     );
     readings.forEach(reading => other.limits.recordFromPeer(reading));
-    sent.forEach(heartbeat => other.table.applyHeartbeat(heartbeat));
-    returned.forEach(heartbeat => one.table.applyHeartbeat(heartbeat));
   }
 
   protected override sendRequests(): void {
@@ -177,7 +130,7 @@
     }
   }
 
-  private sendRequest(instance: SimulatedInstance): void {
+  private sendRequest(instance: LimitedInstance): void {
     const {clock, scenario, upstream} = this;
     const sentAt = clock.monotonicMilliseconds();
     const {startedAt} = instance;
--- a/src/features/instances/test/stopSimulation.ts
+++ b/src/features/instances/test/stopSimulation.ts
@@ -1,21 +1,20 @@
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
-import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {
-  GossipingInstance,
   GossipScenario,
-  GossipSimulation,
   STEP_MILLISECONDS,
 } from '../../../../test/support/gossipSimulation.js';
 import {InstanceStop} from '../../forwarding/common/instanceStop.js';
 import {retryAfterMilliseconds} from '../../forwarding/common/retryAfter.js';
 import {chooseAddresses} from '../common/chooseAddresses.js';
-import {InstanceTable} from '../common/instanceTable.js';
+import {
+  DATA_CENTRES,
+  TableInstance,
+  TableSimulation,
+} from './tableSimulation.js';
 
 /** Plays instances that are stopped and started again under callers that keep addresses and may return once. */
 
-const DATA_CENTRES = ['north', 'south', 'east'];
-
 /** The published time from the stop signal to the end of the process, less what is reserved for the exit. */
 const STOP_MILLISECONDS = 7_600;
 /** An instance without requests still serves callers with old addresses for this long. */
@@ -77,40 +76,20 @@
 }
 
 /** An instance that can be stopped. */
-export class StoppingInstance extends GossipingInstance {
-  table!: InstanceTable;
+export class StoppingInstance extends TableInstance {
   stop!: InstanceStop;
   run = 0;
-  readonly name: string;
-
-  constructor(
-    index: number,
-    private readonly clock: FakeClock,
-  ) {
-    super(index);
-    this.name = `instance-${index}`;
-  }
 
-  start(): void {
-    const {clock, name} = this;
+  override start(): void {
+    super.start();
     this.run++;
-    this.table = new InstanceTable(clock, new SilentLogger(), {
-      name,
-      startedAt: clock.wallMilliseconds(),
-      dataCentre: DATA_CENTRES[this.index % DATA_CENTRES.length]!,
-      region: 'region',
-      callerAddress: name,
-      peerAddress: name,
-    });
-    this.table.state = 'serving';
     const {table} = this;
     this.stop = new InstanceStop(() => table.serving.length > 0);
-    this.isRunning = true;
   }
 }
 
 /** The instances, their callers and what became of the requests. */
-export class StopSimulation extends GossipSimulation<StoppingInstance> {
+export class StopSimulation extends TableSimulation<StoppingInstance> {
   readonly counts: StopCounts = {
     sent: 0,
     served: 0,
@@ -127,17 +106,11 @@
     protected override readonly scenario: StopScenario,
     random: SeededRandomSource,
   ) {
-    super(random);
-    for (let index = 0; index < scenario.instanceCount; index++) {
-      const instance = new StoppingInstance(index, this.clock);
-      instance.start();
-      this.instances.push(instance);
-      this.byName.set(instance.name, instance);
-    }
+    const create = (index: number, clock: FakeClock): StoppingInstance =>
+      new StoppingInstance(index, clock);
+    super(random, scenario.instanceCount, create);
     for (const instance of this.instances) {
-      for (const other of this.instances) {
-        instance.table.applyHeartbeat(other.table.createHeartbeat());
-      }
+      this.byName.set(instance.name, instance);
     }
     const callerCount = scenario.instanceCount * CALLERS_PER_INSTANCE;
     for (let index = 0; index < callerCount; index++) {
@@ -179,23 +152,6 @@
     );
   }
 
-  protected override onUnreachable(
-    one: StoppingInstance,
-    peer: StoppingInstance,
-  ): void {
-    one.table.markUnreachable(peer.name);
-  }
-
-  protected override exchange(
-    one: StoppingInstance,
-    other: StoppingInstance,
-  ): void {
-    const sent = one.table.liveHeartbeats;
-    const returned = other.table.liveHeartbeats;
-    sent.forEach(heartbeat => other.table.applyHeartbeat(heartbeat));
-    returned.forEach(heartbeat => one.table.applyHeartbeat(heartbeat));
-  }
-
   protected override sendRequests(): void {
     const {requestsPerSecond} = this.scenario;
     const expected = (requestsPerSecond * STEP_MILLISECONDS) / 1_000;
--- /dev/null
+++ b/test/router/relayStops.test.ts
@@ -0,0 +1,85 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {StandInSystem} from '../standins/fleet/system.js';
+import {sleep} from '../support/sleep.js';
+import {
+  RecordedResponse,
+  sendRequest,
+  waitUntilServing,
+} from './sendRequest.js';
+
+/** A router instance that reaches upstreams through another one, which is stopped. */
+
+const SEND_PERIOD_MILLISECONDS = 40;
+const EVENT_MILLISECONDS = 60;
+/** Time in which an instance without links finds peers that relay for it. */
+const RELAY_MILLISECONDS = 3_000;
+/** Longer than a stop. */
+const RELAY_STOP_MILLISECONDS = 4_500;
+/** Time in which a peer knows of the stop. */
+const TOLD_MILLISECONDS = 100;
+/** The published limit of a pause. */
+const LONGEST_PAUSE_MILLISECONDS = 200;
+
+interface SentStream {
+  /** Milliseconds from the stop signal until it was sent. */
+  readonly sentAt: number;
+  /** Undefined if its connection ended without a response. */
+  readonly response: RecordedResponse | undefined;
+}
+
+describe('an instance that relays for another and stops', () => {
+  let system: StandInSystem;
+
+  beforeEach(async () => {
+    system = await StandInSystem.startCuttable(3);
+    await waitUntilServing(system.instances);
+  });
+
+  afterEach(() => system.stop());
+
+  // Connections through it were used for new streams until it ended and cut them off.
+  it('interrupts no stream of the other that began after the signal', async () => {
+    system.engines.eventIntervalMilliseconds = EVENT_MILLISECONDS;
+    const [relayed, ...relays] = system.instances;
+    system.cut([relayed!], 'reset');
+    await sleep(RELAY_MILLISECONDS);
+    const [stopping] = relays;
+    const streams: Array<Promise<SentStream>> = [];
+    const begunAt = performance.now();
+    let signalledAt = Infinity;
+    while (performance.now() < signalledAt + RELAY_STOP_MILLISECONDS) {
+      const now = performance.now();
+      if (signalledAt === Infinity && now > begunAt + RELAY_MILLISECONDS) {
+        void stopping!.process.terminate();
+        signalledAt = now;
+      }
+      const sentAt = now - signalledAt;
+      streams.push(
+        sendRequest(relayed!, '/chat/x').then(
+          response => ({sentAt, response}),
+          () => ({sentAt, response: undefined}),
+        ),
+      );
+      await sleep(SEND_PERIOD_MILLISECONDS);
+    }
+    const sent = await Promise.all(streams);
+    expect(stopping!.process.isRunning).toBe(false);
+    const interrupted = sent.filter(
+      ({sentAt, response}) =>
+        sentAt > TOLD_MILLISECONDS &&
+        !(
+          response?.isComplete &&
+          response.longestPauseMilliseconds < LONGEST_PAUSE_MILLISECONDS
+        ),
+    );
+    expect(
+      interrupted.map(({sentAt, response}) => ({
+        sentAt,
+        status: response?.status,
+        isComplete: response?.isComplete,
+        pause: response?.longestPauseMilliseconds,
+      })),
+    ).toEqual([]);
+  });
+});
