Stops: a stall that has passed does not shorten the time of a stop

The monitor now takes the last check after which the loop has polled, which is also 0.1 s closer on a loop that is not late.

--- a/src/programs/router/eventLoopMonitor.ts
+++ b/src/programs/router/eventLoopMonitor.ts
@@ -1,5 +1,6 @@
 import {Clock} from '../../base/common/clock.js';
 import {DisposableOwner, toDisposable} from '../../base/common/lifecycle.js';
+import {nextPoll} from '../../base/node/nextPoll.js';
 import {Logger} from '../../infrastructure/logging/common/logger.js';
 
 /** Period of the check. */
@@ -11,7 +12,8 @@
 /** Logs a warning when the event loop was delayed, either by this process or by contention on the machine. */
 export class EventLoopMonitor extends DisposableOwner {
   private lastCheckAt: number;
-  private previousCheckAt: number;
+  /** The last check after which the event loop has polled. */
+  private polledAt: number;
   private lastUsage = process.cpuUsage();
 
   constructor(
@@ -20,17 +22,17 @@
   ) {
     super();
     this.lastCheckAt = clock.monotonicMilliseconds();
-    this.previousCheckAt = this.lastCheckAt;
+    this.polledAt = this.lastCheckAt;
     const timer = setInterval(() => this.check(), CHECK_PERIOD_MILLISECONDS);
     this.register(toDisposable(() => clearInterval(timer)));
   }
 
   /**
-   * Monotonic milliseconds after which a signal that is received now was sent at the earliest. The event loop has polled
-   * for signals between the last two checks and has not seen it then.
+   * Monotonic milliseconds after which a signal that is received now was sent at the earliest: the event loop has polled for
+   * signals since then and has not seen it.
    */
   get earliestSignalAt(): number {
-    return this.previousCheckAt;
+    return this.polledAt;
   }
 
   private check(): void {
@@ -44,8 +46,8 @@
         processorMilliseconds: Math.round((usage.user + usage.system) / 1000),
       });
     }
-    this.previousCheckAt = this.lastCheckAt;
     this.lastCheckAt = now;
+    void nextPoll().then(() => (this.polledAt = now));
     this.lastUsage = process.cpuUsage();
   }
 }
--- a/src/programs/router/test/gracefulStop.test.ts
+++ b/src/programs/router/test/gracefulStop.test.ts
@@ -3,6 +3,7 @@
 
 import {describe, expect, it} from 'vitest';
 
+import {blockEventLoop} from '../../../../test/support/blockEventLoop.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {Clock} from '../../../base/common/clock.js';
 import {SystemClock} from '../../../base/node/systemClock.js';
@@ -164,10 +165,3 @@
     server.close();
   });
 });
-
-function blockEventLoop(milliseconds: number): void {
-  const end = performance.now() + milliseconds;
-  while (performance.now() < end) {
-    // Busy.
-  }
-}
