--- a/test/router/sendRequest.ts
+++ b/test/router/sendRequest.ts
@@ -22,6 +22,8 @@
   readonly method?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** Time over which the body is sent, in two chunks; by default at once and with a length. */
+  readonly bodyMilliseconds?: number;
   /** Time without a byte after which the caller leaves; never by default. */
   readonly patienceMilliseconds?: number;
 }
@@ -36,6 +38,7 @@
     method = 'POST',
     headers = {},
     body = '',
+    bodyMilliseconds = 0,
     patienceMilliseconds = 0,
   }: RequestOptions = {},
 ): Promise<RecordedResponse> {
@@ -83,7 +86,12 @@
     );
     outgoing.on('error', reject);
     outgoing.setTimeout(patienceMilliseconds, () => outgoing.destroy());
-    outgoing.end(body);
+    if (bodyMilliseconds === 0) {
+      outgoing.end(body);
+    } else {
+      outgoing.write(body);
+      setTimeout(() => outgoing.end(body), bodyMilliseconds);
+    }
   });
 }
 
--- a/test/router/stops.test.ts
+++ b/test/router/stops.test.ts
@@ -10,6 +10,7 @@
 import {
   eventIdsOf,
   RecordedResponse,
+  RequestOptions,
   sendRequest,
   waitUntilServing,
 } from './sendRequest.js';
@@ -20,6 +21,9 @@
 const LOAD_BEFORE_STOP_MILLISECONDS = 4_000;
 const EXIT_TIMEOUT_MILLISECONDS = 8_000;
 const SLOWDOWN = 3;
+/** The first of these bodies arrive before the signal, the others after it. */
+const STREAMS_WITH_LATE_BODIES = 40;
+const LATE_BODY_MILLISECONDS = 1_200;
 const LATE_SIGNAL_MILLISECONDS = 1_200;
 const STREAMS_CUT_OFF = 80;
 /** Longer than a stop. */
@@ -44,8 +48,8 @@
 
 interface LoadOptions {
   readonly loadBeforeMilliseconds?: number;
-  /** Headers of the stream with a number. */
-  readonly headersOf?: (index: number) => Readonly<Record<string, string>>;
+  /** What the stream with a number differs in. */
+  readonly optionsOf?: (index: number) => RequestOptions;
   /** Called before each stream with the time since the stop signal. */
   readonly disturb?: (sinceSignal: number) => void;
 }
@@ -55,7 +59,7 @@
   stopping: RouterInstance,
   {
     loadBeforeMilliseconds = LOAD_BEFORE_STOP_MILLISECONDS,
-    headersOf = () => ({}),
+    optionsOf = () => ({}),
     disturb = () => undefined,
   }: LoadOptions = {},
 ): Promise<StopUnderLoad> {
@@ -71,9 +75,9 @@
     }
     const sentAt = now - signalledAt;
     disturb(sentAt);
-    const headers = headersOf(streams.length);
+    const options = optionsOf(streams.length);
     streams.push(
-      sendRequest(stopping, '/chat/x', {headers}).then(
+      sendRequest(stopping, '/chat/x', options).then(
         response => ({sentAt, response}),
         () => ({sentAt, response: undefined}),
       ),
@@ -116,7 +120,7 @@
       system.engines.eventIntervalMilliseconds = eventMilliseconds;
       const {exitCode, later, cutOff, refused} = await stopUnderLoad(
         system.instances[1]!,
-        {headersOf: () => ({'deadline-ms': String(timeLimit)})},
+        {optionsOf: () => ({headers: {'deadline-ms': String(timeLimit)}})},
       );
       expect(cutOff).toEqual([]);
       expect(refused.length).toBeGreaterThan(0);
@@ -156,15 +160,37 @@
       system.engines.followsTokenCount = true;
       const {cutOff} = await stopUnderLoad(system.instances[1]!, {
         loadBeforeMilliseconds: before,
-        headersOf: index => ({
-          'token-count':
-            index % longOneIn === 0 ? `100,${EVENTS_OF_LONG_STREAM}` : '100,60',
+        optionsOf: index => ({
+          headers: {
+            'token-count':
+              index % longOneIn === 0
+                ? `100,${EVENTS_OF_LONG_STREAM}`
+                : '100,60',
+          },
         }),
       });
       expect(cutOff).toEqual([]);
     },
   );
 
+  it('takes no stream whose body arrives after the signal and that it would have to cut off', async () => {
+    system.engines.eventIntervalMilliseconds = 100;
+    const stopping = system.instances[1]!;
+    const streams: Array<Promise<RecordedResponse>> = [];
+    for (let count = 0; count < STREAMS_WITH_LATE_BODIES; count++) {
+      const options = {body: 'part', bodyMilliseconds: LATE_BODY_MILLISECONDS};
+      streams.push(sendRequest(stopping, '/chat/x', options));
+      await sleep(SEND_PERIOD_MILLISECONDS);
+    }
+    expect(await stopping.process.terminate()).toBe(0);
+    const responses = await Promise.all(streams);
+    expect(responses.map(({isComplete}) => isComplete)).toEqual(
+      responses.map(() => true),
+    );
+    expect(responses.map(({body}) => body)).toContain('{"error":"stopping"}');
+    expect(responses.map(({status}) => status)).toContain(200);
+  });
+
   // It counted its time from when it was told, which was late, and was killed with what it had taken.
   it('ends in time with all that it took when it learns late of the signal', async () => {
     system.engines.eventIntervalMilliseconds = 30;
