Tests that fail: the two lines of the red list that had no test

An instance that hears of no peer when it is told to stop told 2 callers to return later although six instances serve (0 allowed); a stop during which the machine was suspended for 3 s still runs at 8 s, when its process is killed. Both stand in KNOWN-RED.txt with their commands; behaviour is unchanged.

--- a/src/features/instances/test/stopSimulation.ts
+++ b/src/features/instances/test/stopSimulation.ts
@@ -53,6 +53,8 @@
   served: number;
   /** Refused at the first attempt by an instance that stops. */
   refused: number;
+  /** Told by an instance that stops not to return at once. */
+  delayed: number;
   /** Without an answer after the repeat. */
   unserved: number;
   /** Cut off by a stop although they were taken after its signal. */
@@ -94,6 +96,7 @@
     sent: 0,
     served: 0,
     refused: 0,
+    delayed: 0,
     unserved: 0,
     cutAfterTaking: 0,
     cutWhileRunning: 0,
@@ -245,6 +248,7 @@
       const remaining = deadlineAt - now;
       const asked = this.retryAfter(instance, remaining);
       wait = Math.min(asked, remaining * LONGEST_WAIT_SHARE);
+      this.counts.delayed += wait > 0 ? 1 : 0;
     }
     this.clock.setTimer(wait, () =>
       this.attempt(caller, duration, deadlineAt, address ?? ''),
--- a/src/features/instances/test/stops.test.ts
+++ b/src/features/instances/test/stops.test.ts
@@ -9,6 +9,8 @@
 const SEEDS = [1, 2, 3];
 const FIRST_STOP_MILLISECONDS = 3_000;
 const LENGTH_MILLISECONDS = 30_000;
+/** Longer than an instance keeps a silent peer for one that serves. */
+const ISOLATED_MILLISECONDS = 2_000;
 /** Shorter, since each instance tells others about all. */
 const LENGTH_AT_SIZE_MILLISECONDS = 8_000;
 const TIMEOUT_AT_SIZE_MILLISECONDS = 300_000;
@@ -84,6 +86,27 @@
     TIMEOUT_AT_SIZE_MILLISECONDS,
   );
 
+  it('send callers to others at once when no message of a peer reaches them', () => {
+    const simulation = new StopSimulation(
+      {
+        instanceCount: 7,
+        requestsPerSecond: 56,
+        lengthMilliseconds: LENGTH_MILLISECONDS,
+        disturb: (played, now) => {
+          const [isolated] = played.instances;
+          isolated!.side = now < FIRST_STOP_MILLISECONDS ? 0 : 1;
+          if (now === FIRST_STOP_MILLISECONDS + ISOLATED_MILLISECONDS) {
+            played.stop(0);
+          }
+        },
+      },
+      new SeededRandomSource(1),
+    );
+    simulation.run();
+    expect(simulation.counts.refused).toBeGreaterThan(0);
+    expect(simulation.counts.delayed).toBe(0);
+  });
+
   it.each(atOnce)(
     'within 100 ms, all $instanceCount of them, cut off nothing that they took meanwhile',
     scenario =>
--- a/src/programs/router/test/gracefulStop.test.ts
+++ b/src/programs/router/test/gracefulStop.test.ts
@@ -20,6 +20,8 @@
 const SHORT_STOP_END_MILLISECONDS = 600;
 const LATE_MILLISECONDS = 100;
 
+const SUSPENDED_MILLISECONDS = 3_000;
+
 /** Something of which a stop waits until none is left. */
 class Work {
   count = 0;
@@ -140,6 +142,20 @@
     },
   );
 
+  it('ends before its process is killed when the machine was suspended for a part of the stop', async () => {
+    const harness = new StopHarness(new FakeClock());
+    const {clock, requests} = harness;
+    requests.count = 1;
+    void harness.run();
+    await clock.advanceAsync(2_000);
+    // The steady clock doesn't count the time for which a machine is suspended, the wall clock does.
+    clock.shiftWallClock(SUSPENDED_MILLISECONDS);
+    await clock.advanceAsync(
+      STOP_MILLISECONDS - SUSPENDED_MILLISECONDS - 2_000,
+    );
+    expect(harness.hasEnded).toBe(true);
+  });
+
   it('still reads what has arrived when the event loop is late for the end of its time', async () => {
     const harness = new StopHarness(new SystemClock(), SHORT_STOP_MILLISECONDS);
     const server = createServer().listen(0, '127.0.0.1');
