--- a/test/router/relayStops.test.ts
+++ b/test/router/relayStops.test.ts
@@ -2,15 +2,11 @@
 
 import {StandInSystem} from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
-import {
-  RecordedResponse,
-  sendRequest,
-  waitUntilServing,
-} from './sendRequest.js';
+import {sendAroundStop} from './sendAroundStop.js';
+import {waitUntilServing} from './sendRequest.js';
 
 /** A router instance that reaches upstreams through another one, which is stopped. */
 
-const SEND_PERIOD_MILLISECONDS = 40;
 const EVENT_MILLISECONDS = 60;
 /** Time in which an instance without links finds peers that relay for it. */
 const RELAY_MILLISECONDS = 3_000;
@@ -21,13 +17,6 @@
 /** The published limit of a pause. */
 const LONGEST_PAUSE_MILLISECONDS = 200;
 
-interface SentStream {
-  /** Milliseconds from the stop signal until it was sent. */
-  readonly sentAt: number;
-  /** Undefined if its connection ended without a response. */
-  readonly response: RecordedResponse | undefined;
-}
-
 describe('an instance that relays for another and stops', () => {
   let system: StandInSystem;
 
@@ -45,25 +34,12 @@
     system.cut([relayed!], 'reset');
     await sleep(RELAY_MILLISECONDS);
     const [stopping] = relays;
-    const streams: Array<Promise<SentStream>> = [];
-    const begunAt = performance.now();
-    let signalledAt = Infinity;
-    while (performance.now() < signalledAt + RELAY_STOP_MILLISECONDS) {
-      const now = performance.now();
-      if (signalledAt === Infinity && now > begunAt + RELAY_MILLISECONDS) {
-        void stopping!.process.terminate();
-        signalledAt = now;
-      }
-      const sentAt = now - signalledAt;
-      streams.push(
-        sendRequest(relayed!, '/chat/x').then(
-          response => ({sentAt, response}),
-          () => ({sentAt, response: undefined}),
-        ),
-      );
-      await sleep(SEND_PERIOD_MILLISECONDS);
-    }
-    const sent = await Promise.all(streams);
+    const {sent} = await sendAroundStop({
+      target: relayed!,
+      stopping: stopping!,
+      loadBeforeMilliseconds: RELAY_MILLISECONDS,
+      isOver: sinceSignal => sinceSignal > RELAY_STOP_MILLISECONDS,
+    });
     expect(stopping!.process.isRunning).toBe(false);
     const interrupted = sent.filter(
       ({sentAt, response}) =>
--- a/test/router/stops.test.ts
+++ b/test/router/stops.test.ts
@@ -4,13 +4,12 @@
   RouterInstance,
   StandInSystem,
   STOP_SECONDS,
-  waitFor,
 } from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
+import {LoadAroundStop, SentStream, sendAroundStop} from './sendAroundStop.js';
 import {
   eventIdsOf,
   RecordedResponse,
-  RequestOptions,
   sendRequest,
   waitUntilServing,
 } from './sendRequest.js';
@@ -30,13 +29,6 @@
 const EVENTS_OF_LONG_STREAM = 600;
 const RUNNING_MILLISECONDS = 500;
 
-interface SentStream {
-  /** Milliseconds from the stop signal until it was sent. */
-  readonly sentAt: number;
-  /** Undefined if its connection ended without a response. */
-  readonly response: RecordedResponse | undefined;
-}
-
 interface StopUnderLoad {
   readonly exitCode: number | undefined;
   /** Streams that were sent after the signal. */
@@ -46,48 +38,23 @@
   readonly refused: readonly RecordedResponse[];
 }
 
-interface LoadOptions {
-  readonly loadBeforeMilliseconds?: number;
-  /** What the stream with a number differs in. */
-  readonly optionsOf?: (index: number) => RequestOptions;
-  /** Called before each stream with the time since the stop signal. */
-  readonly disturb?: (sinceSignal: number) => void;
-}
-
-/** Sends streams to an instance over connections of their own until it has ended, and stops it meanwhile. */
+/** Sends streams to an instance until it has ended, and stops it meanwhile. */
 async function stopUnderLoad(
   stopping: RouterInstance,
-  {
-    loadBeforeMilliseconds = LOAD_BEFORE_STOP_MILLISECONDS,
-    optionsOf = () => ({}),
-    disturb = () => undefined,
-  }: LoadOptions = {},
+  options: Partial<LoadAroundStop> = {},
 ): Promise<StopUnderLoad> {
-  const streams: Array<Promise<SentStream>> = [];
-  const begunAt = performance.now();
-  let exitCode: Promise<number | undefined> | undefined;
-  let signalledAt = Infinity;
-  while (stopping.process.isRunning) {
-    const now = performance.now();
-    if (exitCode === undefined && now - begunAt > loadBeforeMilliseconds) {
-      exitCode = stopping.process.terminate();
-      signalledAt = now;
-    }
-    const sentAt = now - signalledAt;
-    disturb(sentAt);
-    const options = optionsOf(streams.length);
-    streams.push(
-      sendRequest(stopping, '/chat/x', options).then(
-        response => ({sentAt, response}),
-        () => ({sentAt, response: undefined}),
-      ),
-    );
-    await sleep(SEND_PERIOD_MILLISECONDS);
-  }
-  await waitFor(() => !stopping.process.isRunning, EXIT_TIMEOUT_MILLISECONDS);
-  const later = (await Promise.all(streams)).filter(({sentAt}) => sentAt > 0);
+  const {sent, exitCode} = await sendAroundStop({
+    target: stopping,
+    stopping,
+    loadBeforeMilliseconds: LOAD_BEFORE_STOP_MILLISECONDS,
+    isOver: sinceSignal =>
+      !stopping.process.isRunning || sinceSignal > EXIT_TIMEOUT_MILLISECONDS,
+    ...options,
+  });
+  expect(stopping.process.isRunning).toBe(false);
+  const later = sent.filter(({sentAt}) => sentAt > 0);
   return {
-    exitCode: await exitCode,
+    exitCode,
     later,
     cutOff: later
       .filter(({response}) => response?.isComplete === false)
