--- a/src/features/forwarding/node/upstreamProber.ts
+++ b/src/features/forwarding/node/upstreamProber.ts
@@ -58,6 +58,8 @@
   private probeTokens = PROBE_BURST;
   private refilledAt = 0;
   private readonly respondedAt = new Map<string, number>();
+  /** Milliseconds that the last report took that arrived; undefined before the first one. */
+  private lastResponseMilliseconds: number | undefined;
   private recheckTimer: Disposable;
 
   constructor(
@@ -117,9 +119,11 @@
     if (!this.tryTakeProbe()) {
       return Promise.resolve(undefined);
     }
+    const startedAt = this.clock.monotonicMilliseconds();
     const pendingReport = this.requestReportInTime(upstream).then(report => {
       if (report === undefined) {
-        this.suspicions.suspect(upstream.id, reason, evidence);
+        const details = {...evidence, ...this.describeMissed(startedAt)};
+        this.suspicions.suspect(upstream.id, reason, details);
       }
       return report;
     });
@@ -128,6 +132,15 @@
     return pendingReport;
   }
 
+  /** What shows whether a missed report is due to its upstream or to this process. */
+  private describeMissed(startedAt: number): Readonly<Record<string, unknown>> {
+    return {
+      waited: Math.round(this.clock.monotonicMilliseconds() - startedAt),
+      pending: this.running.size,
+      lastResponse: this.lastResponseMilliseconds ?? null,
+    };
+  }
+
   /** Returns the report if it arrives in time; one that arrives later clears the suspicion. */
   private async requestReportInTime(
     upstream: Upstream,
@@ -183,9 +196,12 @@
     upstream: Upstream,
     milliseconds: number,
   ): Promise<UpstreamReport | undefined> {
+    const startedAt = this.clock.monotonicMilliseconds();
     const report = await this.control.report(upstream, milliseconds);
     if (report.ok) {
-      this.respondedAt.set(upstream.id, this.clock.monotonicMilliseconds());
+      const now = this.clock.monotonicMilliseconds();
+      this.lastResponseMilliseconds = Math.round(now - startedAt);
+      this.respondedAt.set(upstream.id, now);
       this.slowness.recordOwn(upstream.id, report.value.slowness);
       if (report.value.isLeaving) {
         this.directory.markLeaving(upstream.id);
