Losses: the late report of a slow stream's upstream is no longer taken for its end

Callers saw streams leave sound engines in calm at 86 instances. The report is now requested as what it is, with the long time limit; only silence leads to a probe. The new test failed before: expected [ 'a1', 'b1' ] to deeply equal [].

--- a/src/features/forwarding/node/streamMonitor.ts
+++ b/src/features/forwarding/node/streamMonitor.ts
@@ -162,7 +162,7 @@
         byRequest.set(streamProgress.requestId, stream);
       }
     }
-    this.probeSlow(progress);
+    this.readSlowness(progress);
     const silent = findSilentStreams(
       progress,
       this.clock.monotonicMilliseconds(),
@@ -180,8 +180,8 @@
     }
   }
 
-  /** Probes the upstreams of slow streams, since a report states how slow an upstream is. */
-  private probeSlow(streams: readonly StreamProgress[]): void {
+  /** Requests reports of the upstreams of slow streams, since a report states how slow an upstream is. */
+  private readSlowness(streams: readonly StreamProgress[]): void {
     for (const stream of streams.filter(isSlow)) {
       for (const id of stream.upstreams) {
         const upstream = this.directory.find(id);
@@ -190,8 +190,7 @@
           SLOWNESS_VALID_MILLISECONDS,
         );
         if (upstream !== undefined && !isKnown) {
-          const {requestId: request, meanGapMilliseconds: gap} = stream;
-          void this.prober.probe(upstream, 'silent', {request, gap});
+          void this.prober.requestReport(upstream);
         }
       }
     }
--- a/src/features/forwarding/node/upstreamProber.ts
+++ b/src/features/forwarding/node/upstreamProber.ts
@@ -55,6 +55,8 @@
     string,
     Promise<UpstreamReport | undefined>
   >();
+  /** Upstreams whose report is requested without being suspected. */
+  private readonly refreshing = new Set<string>();
   private probeTokens = PROBE_BURST;
   private refilledAt = 0;
   private readonly respondedAt = new Map<string, number>();
@@ -132,6 +134,18 @@
     return pendingReport;
   }
 
+  /** Requests a report for what it states; that it comes late or not at all is no sign of a loss. */
+  async requestReport(upstream: Upstream): Promise<void> {
+    const {id} = upstream;
+    const isPending = this.running.has(id) || this.refreshing.has(id);
+    if (isPending || !this.tryTakeProbe()) {
+      return;
+    }
+    this.refreshing.add(id);
+    await this.ask(upstream, LONG_PROBE_MILLISECONDS);
+    this.refreshing.delete(id);
+  }
+
   /** What shows whether a missed report is due to its upstream or to this process. */
   private describeMissed(startedAt: number): Readonly<Record<string, unknown>> {
     return {
--- a/src/features/forwarding/test/streams.test.ts
+++ b/src/features/forwarding/test/streams.test.ts
@@ -406,6 +406,25 @@
     },
   );
 
+  // Guards against a loss in calm: the probe of a slow stream's upstreams took each late report for the end of its upstream.
+  it('that is slow but not silent loses no upstream whose report is late', async () => {
+    const harness = createHarness();
+    const {control, suspicions} = harness;
+    control.reportDelayMilliseconds = 100;
+    const suspected: string[] = [];
+    suspicions.onDidSuspect(({upstream}) => suspected.push(upstream));
+    await harness.send('/stream/');
+    const running = harness.connector.last;
+    running.head();
+    for (let event = 1, gap = 62; event <= 11; event++, gap *= 1.05) {
+      running.sendEvents(event, event);
+      await harness.advance(gap);
+    }
+    expect(control.reportCount).toBeGreaterThan(0);
+    expect(suspected).toEqual([]);
+    expect(running.isDisposed).toBe(false);
+  });
+
   it('restarts after the loss of a later upstream if moving is disabled', async () => {
     const harness = createHarness({movedStreams: false});
     await harness.send('/stream/');
