Gossip: the records of all instances no longer fill a narrow link

Callers saw streams pause and leave sound engines in calm, at 86 instances. Cause: each gossip message held the whole record of each instance, 18.9 KB at 86; a round of four held a link of 20 Mbit/s for 30 ms each way, every 400 ms and once more at each suspicion. Events and reports queued behind it, so that streams seemed silent and reports late.

Records are now sent for three seconds after a run was first heard of and to peers that lack them; other heartbeats go in columns, and responses leave out what the request had. Instances of earlier releases get whole records.

--- a/src/features/instances/common/gossipMessage.ts
+++ b/src/features/instances/common/gossipMessage.ts
@@ -13,7 +13,8 @@
 import {RestReading} from '../../fleet/common/upstreamRests.js';
 import {SlownessReading} from '../../fleet/common/slownessTracker.js';
 import {Upstream} from '../../fleet/common/upstream.js';
-import {InstanceHeartbeat} from './instance.js';
+import {heartbeatColumnsSchema} from './heartbeatColumns.js';
+import {HeartbeatMessage} from './heartbeatExchange.js';
 
 /** Messages that instances exchange by gossip. */
 
@@ -34,9 +35,8 @@
 }
 
 /** Request or response of an exchange. */
-export interface GossipMessage extends CrashNews {
+export interface GossipMessage extends CrashNews, HeartbeatMessage {
   readonly from: string;
-  readonly instances: readonly InstanceHeartbeat[];
   readonly loads: readonly UpstreamLoadReport[];
   readonly slow: readonly SlownessReading[];
   /** Limits that upstreams name, and ends of limits; passed on from peer to peer. */
@@ -152,6 +152,8 @@
 export const gossipMessageSchema: zod.ZodType<GossipMessage> = zod.object({
   from: text,
   instances: zod.array(instance).max(MESSAGE_LIST_LIMIT),
+  // Instances of earlier releases send none.
+  updates: heartbeatColumnsSchema(MESSAGE_LIST_LIMIT).optional(),
   loads: zod
     .array(
       zod.object({
--- a/src/features/instances/common/instanceTable.ts
+++ b/src/features/instances/common/instanceTable.ts
@@ -2,6 +2,7 @@
 import {Emitter} from '../../../base/common/event.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {LimitSharers} from '../../fleet/common/limitShare.js';
+import {HeartbeatUpdate} from './heartbeatColumns.js';
 import {listAgeLimitFor, selectListReader} from './upstreamListReader.js';
 import {InstanceHeartbeat, InstanceRecord, InstanceState} from './instance.js';
 
@@ -105,6 +106,14 @@
     }
   }
 
+  /** Applies a heartbeat without a record, unless a newer one or no record of its run is known. */
+  applyUpdate({name, startedAt, ...rest}: HeartbeatUpdate): void {
+    const record = this.peerEntries.get(name)?.news.record;
+    if (record?.startedAt === startedAt) {
+      this.applyHeartbeat({record, ...rest});
+    }
+  }
+
   /** Adds an instance from the registry, which doesn't hold its state, unless this run or a later one is known. */
   addRecord(record: InstanceRecord): void {
     const entry = this.peerEntries.get(record.name);
--- a/src/features/instances/node/peerGossip.ts
+++ b/src/features/instances/node/peerGossip.ts
@@ -21,6 +21,10 @@
 import {Mechanisms} from '../../mechanisms/common/mechanisms.js';
 import {RepeatingTask} from '../../membership/common/repeatingTask.js';
 import {TableLease} from '../../placement/common/tableLease.js';
+import {
+  HeartbeatExchange,
+  HeartbeatMessage,
+} from '../common/heartbeatExchange.js';
 import {InstanceRecord} from '../common/instance.js';
 import {InstanceRegistry} from '../common/instanceRegistry.js';
 import {InstanceTable} from '../common/instanceTable.js';
@@ -74,6 +78,7 @@
   private readonly task: RepeatingTask;
   private readonly connections: RpcClientFactory;
   private readonly listExchange: UpstreamListExchange;
+  private readonly heartbeatExchange: HeartbeatExchange;
   private round = 0;
   private holderReportedAt = -Infinity;
   /** Name of the peer that last reported that it holds the lease. */
@@ -93,6 +98,12 @@
   ) {
     super();
     this.listExchange = new UpstreamListExchange(dependencies.directory);
+    this.heartbeatExchange = new HeartbeatExchange(
+      clock,
+      dependencies.instances,
+      own.name,
+      MESSAGE_LIST_LIMIT,
+    );
     this.connections = this.register(new RpcClientFactory(peerKey, memory));
     this.task = this.register(
       new RepeatingTask(
@@ -135,7 +146,7 @@
     this.applyMessage(request);
     const {requestLosses} = this.dependencies;
     return {
-      ...this.composeMessage(),
+      ...this.composeMessage(this.heartbeatExchange.createResponse(request)),
       ...(this.isFirstRequestOfRun(request) && {
         requestLosses: requestLosses.createNewsForStarted(),
       }),
@@ -212,7 +223,10 @@
     const requestedAt = currentMoment(this.clock);
     try {
       const client = this.connections.clientFor<GossipRouter>(peer.peerAddress);
-      const body = await client.news.exchange.mutate(this.composeMessage(), {
+      const message = this.composeMessage(
+        this.heartbeatExchange.createRequest(peer.name),
+      );
+      const body = await client.news.exchange.mutate(message, {
         signal: abortController.signal,
       });
       const response = gossipMessageSchema.parse(body);
@@ -254,9 +268,8 @@
     }
   }
 
-  private composeMessage(): GossipMessage {
-    const {instances, limits, load, rests, slowness, suspicions} =
-      this.dependencies;
+  private composeMessage(heartbeats: HeartbeatMessage): GossipMessage {
+    const {limits, load, rests, slowness, suspicions} = this.dependencies;
     const loads = [...load.ownLoads].map(([upstream, figure]) => ({
       upstream,
       requests: figure.requests,
@@ -264,7 +277,7 @@
     }));
     return {
       from: this.own.name,
-      instances: instances.liveHeartbeats.slice(0, MESSAGE_LIST_LIMIT),
+      ...heartbeats,
       loads: loads.slice(0, MESSAGE_LIST_LIMIT),
       list: this.listExchange.own,
       slow: slowness.own.slice(0, MESSAGE_LIST_LIMIT),
@@ -280,7 +293,7 @@
   private applyMessage(message: GossipMessage): void {
     const {instances, limits, load, rests, slowness} = this.dependencies;
     this.trackLeaseHolder(message);
-    message.instances.forEach(heartbeat => instances.applyHeartbeat(heartbeat));
+    this.heartbeatExchange.apply(message.from, message);
     const figures = new Map(
       message.loads.map(({upstream, ...figure}) => [upstream, figure]),
     );
--- a/src/features/instances/test/tableSimulation.ts
+++ b/src/features/instances/test/tableSimulation.ts
@@ -5,6 +5,8 @@
   GossipingInstance,
   GossipSimulation,
 } from '../../../../test/support/gossipSimulation.js';
+import {MESSAGE_LIST_LIMIT} from '../common/gossipMessage.js';
+import {HeartbeatExchange} from '../common/heartbeatExchange.js';
 import {InstanceTable} from '../common/instanceTable.js';
 
 /** Plays instances that know of each other by their tables, on one simulated clock. */
@@ -14,6 +16,7 @@
 /** An instance with a table. */
 export class TableInstance extends GossipingInstance {
   table!: InstanceTable;
+  heartbeats!: HeartbeatExchange;
   startedAt = 0;
   readonly name: string;
   constructor(
@@ -37,6 +40,12 @@
       peerAddress: name,
     });
     this.table.state = 'serving';
+    this.heartbeats = new HeartbeatExchange(
+      clock,
+      this.table,
+      name,
+      MESSAGE_LIST_LIMIT,
+    );
     this.isRunning = true;
   }
 }
@@ -69,9 +78,9 @@
   }
 
   protected override exchange(one: T, other: T): void {
-    const sent = one.table.liveHeartbeats;
-    const returned = other.table.liveHeartbeats;
-    sent.forEach(heartbeat => other.table.applyHeartbeat(heartbeat));
-    returned.forEach(heartbeat => one.table.applyHeartbeat(heartbeat));
+    const request = one.heartbeats.createRequest(other.name);
+    other.heartbeats.apply(one.name, request);
+    const response = other.heartbeats.createResponse(request);
+    one.heartbeats.apply(other.name, response);
   }
 }
