Losses: responses that are all late are no longer taken for the loss of a whole path

Callers saw streams leave sound engines while responses waited for the link of the instance itself. Cause: each probe of a silent path was judged by itself: 30 ms without a report is a loss, although no probe was answered meanwhile. A probe now waits on, at most 250 ms as before for late ones, while no probe sent since was answered in time and others are pending, and for one timeout after a late answer. If any other upstream answers in time, a loss is found as soon as before; a single probe is judged as before.

--- a/src/features/forwarding/node/upstreamProber.ts
+++ b/src/features/forwarding/node/upstreamProber.ts
@@ -55,6 +55,8 @@
     string,
     Promise<UpstreamReport | undefined>
   >();
+  /** Number of probes that are neither answered nor overdue. */
+  private pendingProbes = 0;
   /** Upstreams whose report is requested without being suspected. */
   private readonly refreshing = new Set<string>();
   private probeTokens = PROBE_BURST;
@@ -62,6 +64,9 @@
   private readonly respondedAt = new Map<string, number>();
   /** Milliseconds that the last report took that arrived; undefined before the first one. */
   private lastResponseMilliseconds: number | undefined;
+  /** Monotonic milliseconds at which the last report arrived, and the last one within the probe timeout. */
+  private lastResponseAt = -Infinity;
+  private respondedInTimeAt = -Infinity;
   private recheckTimer: Disposable;
 
   constructor(
@@ -160,7 +165,9 @@
     upstream: Upstream,
   ): Promise<UpstreamReport | undefined> {
     const pendingReport = this.ask(upstream, LONG_PROBE_MILLISECONDS);
+    this.pendingProbes++;
     const result = await Promise.race([pendingReport, this.waitUntilOverdue()]);
+    this.pendingProbes--;
     if (result !== OVERDUE) {
       return result;
     }
@@ -173,20 +180,39 @@
   }
 
   /**
-   * Resolves after a probe timeout during which the event loop was not blocked, so that responses could be
-   * read.
+   * Resolves after a probe timeout in which responses could be read, and in which those of other upstreams were not
+   * late as well.
    */
   private async waitUntilOverdue(): Promise<typeof OVERDUE> {
-    while (
-      (await this.sleep(this.trialMilliseconds)) >
-      TIMER_DELAY_LIMIT_MILLISECONDS
-    ) {
+    const startedAt = this.clock.monotonicMilliseconds();
+    let delay: number;
+    do {
+      delay = await this.sleep(this.trialMilliseconds);
       // Responses that arrived in the meantime have not been read yet.
-    }
+    } while (
+      delay > TIMER_DELAY_LIMIT_MILLISECONDS ||
+      this.areResponsesLate(startedAt)
+    );
     await this.sleep(READ_GRACE_MILLISECONDS);
     return OVERDUE;
   }
 
+  /**
+   * Whether the responses to all probes since a moment are late. Several upstreams are hardly lost at once: it is rather
+   * this instance's own link that holds up their responses.
+   */
+  private areResponsesLate(startedAt: number): boolean {
+    const now = this.clock.monotonicMilliseconds();
+    const isLastTrial =
+      now + this.trialMilliseconds >= startedAt + LONG_PROBE_MILLISECONDS;
+    if (isLastTrial || this.respondedInTimeAt >= startedAt) {
+      return false;
+    }
+    return this.lastResponseAt >= startedAt
+      ? now - this.lastResponseAt < this.trialMilliseconds
+      : this.pendingProbes > 1;
+  }
+
   /** Resolves with the milliseconds by which the timer was late. */
   private sleep(milliseconds: number): Promise<number> {
     const dueAt = this.clock.monotonicMilliseconds() + milliseconds;
@@ -213,9 +239,7 @@
     const startedAt = this.clock.monotonicMilliseconds();
     const report = await this.control.report(upstream, milliseconds);
     if (report.ok) {
-      const now = this.clock.monotonicMilliseconds();
-      this.lastResponseMilliseconds = Math.round(now - startedAt);
-      this.respondedAt.set(upstream.id, now);
+      this.recordResponse(upstream.id, startedAt);
       this.slowness.recordOwn(upstream.id, report.value.slowness);
       if (report.value.isLeaving) {
         this.directory.markLeaving(upstream.id);
@@ -226,6 +250,17 @@
     return report.error.kind === 'refused' ? NO_REPORT : undefined;
   }
 
+  private recordResponse(id: string, requestedAt: number): void {
+    const now = this.clock.monotonicMilliseconds();
+    const elapsed = now - requestedAt;
+    this.lastResponseMilliseconds = Math.round(elapsed);
+    this.lastResponseAt = now;
+    if (elapsed <= this.trialMilliseconds) {
+      this.respondedInTimeAt = now;
+    }
+    this.respondedAt.set(id, now);
+  }
+
   private scheduleRecheck(): Disposable {
     return this.clock.setTimer(PROBE_PERIOD_MILLISECONDS, () => {
       this.recheckTimer = this.scheduleRecheck();
