Layers: a data centre that can just hold the model no longer takes all of them their room

Callers of the small twins were refused for lack of room after a loss. Ranges never shrink, so it stayed. A data centre now counts if it can beside the share of capacity that upstreams which take over must keep (0.45); if none can, as before.

--- a/src/features/layers/common/rangeSizes.ts
+++ b/src/features/layers/common/rangeSizes.ts
@@ -25,7 +25,10 @@
  */
 const COPIES_PER_DATA_CENTRE = 1.15;
 
-/** Share of the full KV-cache capacity that must remain with second holders, and on upstreams that take over layers. */
+/**
+ * Share of the full KV-cache capacity that must remain with second holders, on upstreams that take over layers, and in data
+ * centres that hold the whole model.
+ */
 export const REDUNDANCY_CAPACITY_SHARE = 0.45;
 
 /** Number of layers in a range, by name of the accelerator kind. */
@@ -68,9 +71,12 @@
   copies: number,
 ): {readonly share: number; readonly sizes: RangeSizes} {
   const usualTokens = engine.usualPromptTokens + engine.usualAnswerTokens;
-  const largestSizes = sizesWithCapacity(engine, layers, 0);
-  const capableDataCentres = [...counts.values()].filter(
-    kinds => totalLayers(largestSizes, kinds) >= layers.layerCount,
+  const fullCapacityTokens = engine.slots * usualTokens;
+  const capableDataCentres = findCapable(
+    engine,
+    layers,
+    counts,
+    fullCapacityTokens,
   );
   const wantedLayers = copies * layers.layerCount;
   const fits = (sizes: RangeSizes): boolean =>
@@ -81,18 +87,36 @@
       : totalLayersOverall(sizes, counts) >=
         COPIES_IN_TOTAL * layers.layerCount;
   let share = 1;
-  let sizes = sizesWithCapacity(engine, layers, engine.slots * usualTokens);
+  let sizes = sizesWithCapacity(engine, layers, fullCapacityTokens);
   while (share > MIN_CAPACITY_SHARE && !fits(sizes)) {
     share *= CAPACITY_STEP_FACTOR;
-    sizes = sizesWithCapacity(
-      engine,
-      layers,
-      engine.slots * usualTokens * share,
-    );
+    sizes = sizesWithCapacity(engine, layers, fullCapacityTokens * share);
   }
   return {share, sizes};
 }
 
+/**
+ * The data centres that can hold the model beside enough capacity, or else those that can hold it at all. All data
+ * centres use the same sizes, so one that has to fill its memory with layers would leave the others no capacity.
+ */
+function findCapable(
+  engine: EngineSettings,
+  layers: LayeredModel,
+  counts: AcceleratorCounts,
+  fullCapacityTokens: number,
+): ReadonlyArray<ReadonlyMap<string, number>> {
+  const capableBeside = (
+    capacityTokens: number,
+  ): ReadonlyArray<ReadonlyMap<string, number>> => {
+    const sizes = sizesWithCapacity(engine, layers, capacityTokens);
+    return [...counts.values()].filter(
+      kinds => totalLayers(sizes, kinds) >= layers.layerCount,
+    );
+  };
+  const capable = capableBeside(REDUNDANCY_CAPACITY_SHARE * fullCapacityTokens);
+  return capable.length > 0 ? capable : capableBeside(0);
+}
+
 /** The larger of the two sizes of each kind. */
 export function maxRangeSizes(left: RangeSizes, right: RangeSizes): RangeSizes {
   const kinds = new Set([...left.keys(), ...right.keys()]);
--- a/src/features/layers/test/layers.test.ts
+++ b/src/features/layers/test/layers.test.ts
@@ -45,6 +45,25 @@
         small: 5,
         fast: 13,
       },
+      // Guards against ranges that leave no data centre room for requests, since one of them could just hold the model.
+      {
+        name: 'leave capacity if one of two data centres can hold the model beside next to none only',
+        fleet: {north: {fast: 1}, south: {small: 40}},
+        small: 5,
+        fast: 11,
+      },
+      {
+        name: 'leave capacity if one of three data centres has lost an upstream that it needs',
+        fleet: {north: {small: 3}, south: {small: 6}, east: {small: 6}},
+        small: 5,
+        fast: 11,
+      },
+      {
+        name: 'hold the model beside little capacity if no data centre can do better',
+        fleet: {north: {small: 3}, south: {small: 3}},
+        small: 7,
+        fast: 15,
+      },
       {
         name: 'provide no second holders if too little capacity would remain',
         fleet: {north: {small: 1, fast: 1}, south: {small: 40}},
