Losses: peers are no longer called for each loss of a request that is answered

Callers' streams paused while event loops of all instances were busy telling one another of losses: each first upstream lost under a request was told to all peers by one call each, n calls for each of n times as many losses (1,989 that were not answered within 150 ms in 6.5 calm seconds at 86 instances). A peer needs the news only when a caller may repeat the request there: a single loss is now told when the request ends without a whole answer, two or more at once and before the answer, as before; a loss that was told is not told again. The simulation of crashes tells by the same rule; before, it told each loss.

--- a/src/features/crashes/common/requestLosses.ts
+++ b/src/features/crashes/common/requestLosses.ts
@@ -40,10 +40,10 @@
 
 /** How urgently peers are to be told of a loss. */
 export type LossUrgency =
-  /** They have been told. */
+  /** Nothing new is known. */
   | 'known'
-  /** At once, but nothing waits for it. */
-  | 'soon'
+  /** When the request ends without a whole answer, since only then its caller repeats it elsewhere. */
+  | 'unlessAnswered'
   /** Before the request is given up, since its caller may repeat it at one of them. */
   | 'beforeAnswer';
 
@@ -137,16 +137,15 @@
   record(key: string, upstream: string, kind: LossKind): LossUrgency {
     const at = this.now();
     const loss = {upstream, kind, isProved: false, at, learnedAt: at};
-    const isNew = this.addLoss(key, loss);
-    const ended = this.endedUnder(key).length;
-    if (isNew) {
-      const fields = {key, upstream, kind, ended};
-      this.logger.decision('requestLostUpstream', fields);
-    }
-    if (kind === 'lost' && ended >= LOSSES_FOR_NEWS) {
-      return 'beforeAnswer';
+    if (!this.addLoss(key, loss)) {
+      return 'known';
     }
-    return isNew ? 'soon' : 'known';
+    const ended = this.endedUnder(key).length;
+    const fields = {key, upstream, kind, ended};
+    this.logger.decision('requestLostUpstream', fields);
+    return kind === 'lost' && ended >= LOSSES_FOR_NEWS
+      ? 'beforeAnswer'
+      : 'unlessAnswered';
   }
 
   /** Records that an attempt ended without a whole answer, so that its caller may repeat the request. */
--- a/src/features/forwarding/node/requestLossWatch.ts
+++ b/src/features/forwarding/node/requestLossWatch.ts
@@ -8,6 +8,10 @@
 /** Watches which upstreams may have ended under one request and its repeats. */
 export class RequestLossWatch {
   private createdKey: string | undefined;
+  /** Whether peers are to be told of a loss if the request ends without a whole answer. */
+  private hasUntoldLoss = false;
+  /** Resolves when peers have been told of the losses so far, as far as they need to know before an answer. */
+  private announced: Promise<void> = Promise.resolve();
 
   constructor(
     private readonly services: Pick<
@@ -32,15 +36,17 @@
 
   /** Records the loss of an upstream; resolves when peers know what they need to know of the request. */
   async record(upstream: string, kind: LossKind): Promise<void> {
-    const {requestLosses, lossAnnouncer} = this.services;
-    const urgency = requestLosses.record(this.key, upstream, kind);
-    if (urgency === 'known') {
-      return;
-    }
-    const announced = lossAnnouncer.announce(this.key);
-    if (urgency === 'beforeAnswer') {
-      await announced;
+    const urgency = this.services.requestLosses.record(
+      this.key,
+      upstream,
+      kind,
+    );
+    if (urgency === 'unlessAnswered') {
+      this.hasUntoldLoss = true;
+    } else if (urgency === 'beforeAnswer') {
+      this.announce();
     }
+    await this.announced;
   }
 
   /** Asks an upstream whose connection ended whether it still runs. */
@@ -60,9 +66,17 @@
     }
     if (isAnswered) {
       requestLosses.recordAnswered(this.key);
-    } else {
-      requestLosses.recordFailed(this.key);
+      return;
     }
+    requestLosses.recordFailed(this.key);
+    if (this.hasUntoldLoss) {
+      this.announce();
+    }
+  }
+
+  private announce(): void {
+    this.hasUntoldLoss = false;
+    this.announced = this.services.lossAnnouncer.announce(this.key);
   }
 
   private get key(): string {
