Losses: one instance collects a request's first losses, so that copies elsewhere are counted again

A first loss is now told to one instance, chosen by hashing the request; its answer tells what others have lost, and from the second loss on it tells all.

--- a/src/features/crashes/common/requestLosses.ts
+++ b/src/features/crashes/common/requestLosses.ts
@@ -42,8 +42,8 @@
 export type LossUrgency =
   /** Nothing new is known. */
   | 'known'
-  /** When the request ends without a whole answer, since only then its caller repeats it elsewhere. */
-  | 'unlessAnswered'
+  /** At once, but only the peer that collects the losses of the request; nothing waits for it. */
+  | 'toCollector'
   /** Before the request is given up, since its caller may repeat it at one of them. */
   | 'beforeAnswer';
 
@@ -71,6 +71,14 @@
   readonly answered: readonly AnsweredRequestReport[];
 }
 
+/** What is known after a peer has reported losses to the instance that collects them. */
+export interface CollectedLosses {
+  /** All that is known of the reported requests, for the peer. */
+  readonly known: RequestLossNews | undefined;
+  /** Requests that have lost so many upstreams by now that all peers are to be told. */
+  readonly keysForAll: readonly string[];
+}
+
 interface StoredLoss {
   readonly upstream: string;
   readonly kind: LossKind;
@@ -145,7 +153,7 @@
     this.logger.decision('requestLostUpstream', fields);
     return kind === 'lost' && ended >= LOSSES_FOR_NEWS
       ? 'beforeAnswer'
-      : 'unlessAnswered';
+      : 'toCollector';
   }
 
   /** Records that an attempt ended without a whole answer, so that its caller may repeat the request. */
@@ -227,6 +235,20 @@
     }
   }
 
+  /** Applies losses that a peer reports to this instance, which collects those of the requests. */
+  collect(news: RequestLossNews): CollectedLosses {
+    const keys = [...new Set(news.losses.map(({key}) => key))];
+    const endedBefore = new Map(
+      keys.map(key => [key, this.endedUnder(key).length]),
+    );
+    this.applyNews(news);
+    const keysForAll = keys.filter(key => {
+      const ended = this.endedUnder(key).length;
+      return ended >= LOSSES_FOR_NEWS && ended > (endedBefore.get(key) ?? 0);
+    });
+    return {known: this.createNewsOf(keys), keysForAll};
+  }
+
   /** Lets gossip tell of a request if it is of interest to peers. */
   private recordChange(request: LosingRequest): void {
     if (this.isNews(request)) {
--- a/src/features/crashes/test/crashSimulation.ts
+++ b/src/features/crashes/test/crashSimulation.ts
@@ -10,6 +10,7 @@
 import {EndedUpstreams} from '../../fleet/common/endedUpstreams.js';
 import {SuspicionTracker} from '../../fleet/common/suspicionTracker.js';
 import {SuspectRequest} from '../common/crashReport.js';
+import {chooseLossCollector} from '../common/lossAnnouncer.js';
 import {
   LossUrgency,
   RequestLosses,
@@ -201,16 +202,14 @@
     this.endedAt.set(run, now);
     upstream.downUntil = now + UPSTREAM_DOWN_MILLISECONDS;
     this.streams = this.streams.filter(stream => stream.upstream !== upstream);
-    const urgent = lost.filter(
-      stream => this.recordLoss(stream, run) === 'beforeAnswer',
-    );
-    for (const instance of new Set(urgent.map(stream => stream.instance))) {
-      this.announce(
-        instance,
-        urgent
-          .filter(stream => stream.instance === instance)
-          .map(({suspect}) => keyOf(suspect)),
-      );
+    for (const stream of lost) {
+      const urgency = this.recordLoss(stream, run);
+      const key = keyOf(stream.suspect);
+      if (urgency === 'toCollector') {
+        this.report(stream.instance, key);
+      } else if (urgency === 'beforeAnswer') {
+        this.announce(stream.instance, key);
+      }
     }
     lost.forEach(stream => this.sendOn(stream));
   }
@@ -230,7 +229,6 @@
       this.soundGivenUpCount++;
     }
     instance.losses.recordFailed(keyOf(suspect));
-    this.announce(instance, [keyOf(suspect)]);
     const others = this.instances.filter(
       other => other.isRunning && other !== instance,
     );
@@ -255,9 +253,28 @@
     }
   }
 
-  /** Tells all instances of requests that have lost upstreams. */
-  private announce(from: SimulatedInstance, keys: readonly string[]): void {
-    const news = from.losses.createNewsOf(keys);
+  /** Tells the instance that collects the losses of a request, which tells all others if they are too many. */
+  private report(from: SimulatedInstance, key: string): void {
+    const reachable = this.instances.filter(
+      ({isRunning, side}) => isRunning && side === from.side,
+    );
+    const news = from.losses.createNewsOf([key]);
+    const collector = chooseLossCollector(key, reachable, ({index}) =>
+      String(index),
+    );
+    if (news === undefined || collector === undefined || collector === from) {
+      return;
+    }
+    const {known, keysForAll} = collector.losses.collect(news);
+    keysForAll.forEach(each => this.announce(collector, each));
+    if (known !== undefined) {
+      from.losses.applyNews(known);
+    }
+  }
+
+  /** Tells all instances of a request that has lost upstreams. */
+  private announce(from: SimulatedInstance, key: string): void {
+    const news = from.losses.createNewsOf([key]);
     if (news !== undefined) {
       this.instances
         .filter(({isRunning, side}) => isRunning && side === from.side)
@@ -399,7 +416,10 @@
     }
   }
 
-  /** Sends a stream to an upstream that runs; returns whether its guard let it through. */
+  /**
+   * Sends a stream to an upstream that runs; returns whether its guard let it through. While no upstream runs it is let
+   * through and ends.
+   */
   private send(stream: Stream): boolean {
     const {instance, suspect} = stream;
     const {request} = suspect;
--- a/src/features/forwarding/node/requestLossWatch.ts
+++ b/src/features/forwarding/node/requestLossWatch.ts
@@ -8,8 +8,6 @@
 /** Watches which upstreams may have ended under one request and its repeats. */
 export class RequestLossWatch {
   private createdKey: string | undefined;
-  /** Whether peers are to be told of a loss if the request ends without a whole answer. */
-  private hasUntoldLoss = false;
   /** Resolves when peers have been told of the losses so far, as far as they need to know before an answer. */
   private announced: Promise<void> = Promise.resolve();
 
@@ -36,15 +34,12 @@
 
   /** Records the loss of an upstream; resolves when peers know what they need to know of the request. */
   async record(upstream: string, kind: LossKind): Promise<void> {
-    const urgency = this.services.requestLosses.record(
-      this.key,
-      upstream,
-      kind,
-    );
-    if (urgency === 'unlessAnswered') {
-      this.hasUntoldLoss = true;
+    const {requestLosses, lossAnnouncer} = this.services;
+    const urgency = requestLosses.record(this.key, upstream, kind);
+    if (urgency === 'toCollector') {
+      void lossAnnouncer.report(this.key);
     } else if (urgency === 'beforeAnswer') {
-      this.announce();
+      this.announced = lossAnnouncer.announce(this.key);
     }
     await this.announced;
   }
@@ -66,19 +61,11 @@
     }
     if (isAnswered) {
       requestLosses.recordAnswered(this.key);
-      return;
-    }
-    requestLosses.recordFailed(this.key);
-    if (this.hasUntoldLoss) {
-      this.announce();
+    } else {
+      requestLosses.recordFailed(this.key);
     }
   }
 
-  private announce(): void {
-    this.hasUntoldLoss = false;
-    this.announced = this.services.lossAnnouncer.announce(this.key);
-  }
-
   private get key(): string {
     this.createdKey ??= createRequestKey(this.admitted, this.request);
     return this.createdKey;
--- a/src/features/forwarding/test/fakeUpstreamCalls.ts
+++ b/src/features/forwarding/test/fakeUpstreamCalls.ts
@@ -118,8 +118,14 @@
 /** Keeps which requests peers are told of. */
 export class FakeLossAnnouncer extends LossAnnouncer {
   readonly announcedKeys: string[] = [];
+  /** Requests of which only one peer is told. */
+  readonly reportedKeys: string[] = [];
 
   override async announce(key: string): Promise<void> {
     this.announcedKeys.push(key);
   }
+
+  override async report(key: string): Promise<void> {
+    this.reportedKeys.push(key);
+  }
 }
--- a/src/features/forwarding/test/lossNews.test.ts
+++ b/src/features/forwarding/test/lossNews.test.ts
@@ -13,6 +13,8 @@
     harness: ForwardingHarness,
     caller: FakeCaller,
   ) => Promise<void>;
+  /** Reports, each of which is a call to one peer. */
+  readonly reports: number;
   /** Announcements, each of which is a call to every peer. */
   readonly announcements: number;
 }
@@ -42,19 +44,22 @@
       await loseUpstream(harness);
       await answer(harness);
     },
+    reports: 1,
     announcements: 0,
   },
   {
     name: 'has lost one and goes on',
     target: '/stream/',
     play: loseUpstream,
+    reports: 1,
     announcements: 0,
   },
   {
     name: 'has lost one and fails',
     target: '/once/',
     play: loseUpstream,
-    announcements: 1,
+    reports: 1,
+    announcements: 0,
   },
   {
     name: 'has lost one and whose caller has left',
@@ -64,7 +69,8 @@
       caller.leave();
       await harness.flushPromises();
     },
-    announcements: 1,
+    reports: 1,
+    announcements: 0,
   },
   {
     name: 'has lost two and goes on',
@@ -73,6 +79,7 @@
       await loseUpstream(harness);
       await loseUpstream(harness);
     },
+    reports: 1,
     announcements: 1,
   },
 ];
@@ -80,12 +87,14 @@
 describe('peers of an instance', () => {
   // Guards against n calls for each of the n times as many losses at n instances.
   it.each(cases)(
-    'are called $announcements times for a request that $name',
-    async ({target, play, announcements}) => {
+    'are called as seldom as is safe for a request that $name',
+    async ({target, play, reports, announcements}) => {
       const harness = createHarness();
       const caller = await harness.send(target);
       await play(harness, caller);
-      expect(harness.lossAnnouncer.announcedKeys).toHaveLength(announcements);
+      const {announcedKeys, reportedKeys} = harness.lossAnnouncer;
+      expect(reportedKeys).toHaveLength(reports);
+      expect(announcedKeys).toHaveLength(announcements);
     },
   );
 });
--- a/src/features/instances/node/gossipRouter.ts
+++ b/src/features/instances/node/gossipRouter.ts
@@ -15,10 +15,16 @@
 /** Processes what a peer tells of requests that have lost upstreams. */
 export type RequestLossHandler = (news: RequestLossNews) => void;
 
+/** Processes the losses that a peer reports to this instance as their collector, and returns what it knows. */
+export type LossReportHandler = (
+  news: RequestLossNews,
+) => RequestLossNews | undefined;
+
 /** Creates the tRPC router for calls between instances. */
 export function createGossipRouter(
   handleMessage: GossipHandler,
   handleRequestLosses: RequestLossHandler,
+  handleLossReport: LossReportHandler,
 ) {
   return createRpcRouter({
     news: createRpcRouter({
@@ -28,6 +34,9 @@
       requestLosses: peerProcedure
         .input(requestLossNewsSchema)
         .mutation(({input}) => handleRequestLosses(input)),
+      lossReport: peerProcedure
+        .input(requestLossNewsSchema)
+        .mutation(({input}) => handleLossReport(input)),
     }),
   });
 }
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -60,6 +60,7 @@
   readonly registry: InstanceRegistry;
   readonly gossip: PeerGossip;
   readonly requestLosses: RequestLosses;
+  readonly lossAnnouncer: RpcLossAnnouncer;
   readonly layers: LayerController;
   readonly handler: RequestHandler;
   readonly tunnels: TunnelServer;
@@ -154,6 +155,17 @@
       () => instances.isCutOff,
     ),
   );
+  const lossAnnouncer = owned.add(
+    new RpcLossAnnouncer(
+      clock,
+      logger,
+      settings.peerKey,
+      ownRecord.name,
+      requestLosses,
+      instances,
+      memory.messages,
+    ),
+  );
   const services: ForwardingServices = {
     settings: defaultForwardingSettings,
     mechanisms,
@@ -201,16 +213,7 @@
     promptGuard,
     crashDetector,
     requestLosses,
-    lossAnnouncer: owned.add(
-      new RpcLossAnnouncer(
-        clock,
-        logger,
-        settings.peerKey,
-        requestLosses,
-        () => instances.peers,
-        memory.messages,
-      ),
-    ),
+    lossAnnouncer,
     stop: new InstanceStop(() => instances.isProbablyServedElsewhere),
   };
   const streamWatch = owned.add(
@@ -284,6 +287,7 @@
     ),
     gossip,
     requestLosses,
+    lossAnnouncer,
     layers: owned.add(
       new LayerController(
         clock,
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -161,13 +161,14 @@
   private async listen(): Promise<void> {
     const {listen, peerKey} = this.settings;
     const {directory} = this.ports;
-    const {gossip, metrics, requestLosses} = this.components;
+    const {gossip, lossAnnouncer, metrics, requestLosses} = this.components;
     const {tunnels, ownLinks} = this.components;
     const {addresses} = this;
     const peerRouter = mergeRpcRouters(
       createGossipRouter(
         input => gossip.answer(input),
         news => requestLosses.applyNews(news),
+        news => lossAnnouncer.collect(news),
       ),
       createLinkRouter(address => ownLinks.test(address)),
     );
