Paths: requests no longer wait at one upstream while others have slots left

Callers got their first event after a second although nothing was lost. Cause: the slots of an engine limit what it receives as the first of a path; the search of paths knew memory, speed and prompts to be read, but no slots, and all instances preferred the same fast engine. Instances now count and tell what starts at an upstream, and a path starts where a slot is free if there is such a place, or else, as before, where it waits. New test, before: 'starts at a slower upstream while the fastest has no slot left', expected 'a=0-8' to be 'b=0-8'. prefillBacklog.test.ts: its upstreams now have the slots of its engine in place of the default 4 of a plain service, with which six requests an instance would not fit.

--- a/src/features/fleet/common/upstreamLoadTracker.ts
+++ b/src/features/fleet/common/upstreamLoadTracker.ts
@@ -1,6 +1,8 @@
 /** Load of the requests in progress on an upstream. */
 export interface RequestLoad {
   readonly requests: number;
+  /** Those of the requests that the upstream receives itself; only these take one of its slots. */
+  readonly starts: number;
   /**
    * KV-cache use: the sum of tokens of prompt and expected output, times the layers that the request uses here. A path
    * may use only some of the layers that an upstream holds.
@@ -8,9 +10,12 @@
   readonly tokenLayers: number;
 }
 
-const NO_LOAD: RequestLoad = {requests: 0, tokenLayers: 0};
+const NO_LOAD: RequestLoad = {requests: 0, starts: 0, tokenLayers: 0};
 
-/** Time after which the load from a peer is dropped; peers send it about every half second. */
+/**
+ * Time after which the load from a peer is dropped. A peer sends it about every half second among a few instances, and
+ * more seldom the more there are.
+ */
 const PEER_LOAD_LIFETIME_MILLISECONDS = 3_000;
 
 /** The load that a peer has put on upstreams. */
@@ -21,21 +26,26 @@
 
 /**
  * Tracks the load on each upstream as the sum of the loads that this instance and its peers have put on it. Reports
- * of upstreams arrive late and are charged; here only the share of the peers is delayed.
+ * of upstreams arrive late and are charged; here only the share of the peers is delayed. Peers that have not reported
+ * recently count as much as the others on average.
  */
 export class UpstreamLoadTracker {
   private readonly own = new Map<string, RequestLoad>();
   private readonly peers = new Map<string, PeerLoad>();
   private readonly peerTotals = new Map<string, RequestLoad>();
-
-  /** Adds a request on an upstream. */
-  add(upstream: string, tokenLayers: number): void {
-    this.change(upstream, 1, tokenLayers);
+  /**
+   * Adds a request on an upstream.
+   * @param startsHere whether the upstream receives it, rather than a part of its work
+   */
+  add(upstream: string, tokenLayers: number, startsHere = true): void {
+    const starts = startsHere ? 1 : 0;
+    this.change(upstream, {requests: 1, starts, tokenLayers});
   }
 
-  /** Removes a request that was added before, with the same `tokenLayers`. */
-  remove(upstream: string, tokenLayers: number): void {
-    this.change(upstream, -1, -tokenLayers);
+  /** Removes a request that was added before, with the same values. */
+  remove(upstream: string, tokenLayers: number, startsHere = true): void {
+    const starts = startsHere ? -1 : 0;
+    this.change(upstream, {requests: -1, starts, tokenLayers: -tokenLayers});
   }
 
   /** The load from this instance alone, to be sent to peers. */
@@ -59,6 +69,7 @@
     const others = this.peerTotals.get(upstream) ?? NO_LOAD;
     return {
       requests: own.requests + others.requests,
+      starts: own.starts + others.starts,
       tokenLayers: own.tokenLayers + others.tokenLayers,
     };
   }
@@ -79,12 +90,8 @@
     }
   }
 
-  private change(
-    upstream: string,
-    requests: number,
-    tokenLayers: number,
-  ): void {
-    const figure = addLoads(this.own.get(upstream), {requests, tokenLayers});
+  private change(upstream: string, difference: RequestLoad): void {
+    const figure = addLoads(this.own.get(upstream), difference);
     if (figure.requests <= 0) {
       this.own.delete(upstream);
     } else {
@@ -99,6 +106,7 @@
 ): RequestLoad {
   return {
     requests: (left?.requests ?? 0) + right.requests,
+    starts: (left?.starts ?? 0) + right.starts,
     tokenLayers: (left?.tokenLayers ?? 0) + right.tokenLayers,
   };
 }
--- a/src/features/fleet/test/fleet.test.ts
+++ b/src/features/fleet/test/fleet.test.ts
@@ -195,15 +195,23 @@
     load.setPeerLoad(
       'a',
       0,
-      new Map([['one', {requests: 2, tokenLayers: 20}]]),
+      new Map([['one', {requests: 2, starts: 0, tokenLayers: 20}]]),
+    );
+    load.setPeerLoad(
+      'b',
+      0,
+      new Map([['one', {requests: 1, starts: 0, tokenLayers: 5}]]),
     );
-    load.setPeerLoad('b', 0, new Map([['one', {requests: 1, tokenLayers: 5}]]));
     load.setPeerLoad(
       'a',
       500,
-      new Map([['one', {requests: 1, tokenLayers: 10}]]),
+      new Map([['one', {requests: 1, starts: 1, tokenLayers: 10}]]),
     );
-    expect(load.totalOf('one')).toEqual({requests: 3, tokenLayers: 65});
+    expect(load.totalOf('one')).toEqual({
+      requests: 3,
+      starts: 2,
+      tokenLayers: 65,
+    });
   });
 
   it('excludes peers that have not reported recently', () => {
@@ -211,10 +219,14 @@
     load.setPeerLoad(
       'a',
       0,
-      new Map([['one', {requests: 2, tokenLayers: 20}]]),
+      new Map([['one', {requests: 2, starts: 0, tokenLayers: 20}]]),
     );
     load.setPeerLoad('b', 4000, new Map());
-    expect(load.totalOf('one')).toEqual({requests: 0, tokenLayers: 0});
+    expect(load.totalOf('one')).toEqual({
+      requests: 0,
+      starts: 0,
+      tokenLayers: 0,
+    });
   });
 });
 
--- a/src/features/fleet/test/upstreamRests.test.ts
+++ b/src/features/fleet/test/upstreamRests.test.ts
@@ -130,7 +130,11 @@
     offered.all += isCounted ? 1 : 0;
     const choice = choosePlainUpstream({
       upstreams: UPSTREAMS,
-      loadOf: id => ({requests: running.get(id) ?? 0, tokenLayers: 0}),
+      loadOf: id => ({
+        requests: running.get(id) ?? 0,
+        starts: 0,
+        tokenLayers: 0,
+      }),
       failureRateOf: () => 0,
       isUsable: ({id}) => rests.millisecondsUntilPermit(id) === 0,
       randomFraction: () => random.next(),
--- a/src/features/forwarding/node/streamPath.ts
+++ b/src/features/forwarding/node/streamPath.ts
@@ -72,12 +72,12 @@
 
   private replace(path: Path): void {
     const {load} = this.services;
-    for (const part of this.held) {
-      load.remove(part.upstream.id, this.tokenLayersOf(part));
-    }
-    for (const part of path) {
-      load.add(part.upstream.id, this.tokenLayersOf(part));
-    }
+    this.held.forEach((part, index) =>
+      load.remove(part.upstream.id, this.tokenLayersOf(part), index === 0),
+    );
+    path.forEach((part, index) =>
+      load.add(part.upstream.id, this.tokenLayersOf(part), index === 0),
+    );
     this.held = path;
   }
 
--- a/src/features/forwarding/test/policies.test.ts
+++ b/src/features/forwarding/test/policies.test.ts
@@ -131,7 +131,7 @@
   ])('selects $name', ({loads, failures, unusable = [], chosen}) => {
     const choice = choosePlainUpstream({
       upstreams,
-      loadOf: id => ({requests: loads[id] ?? 0, tokenLayers: 0}),
+      loadOf: id => ({requests: loads[id] ?? 0, starts: 0, tokenLayers: 0}),
       failureRateOf: id => failures[id] ?? 0,
       isUsable: ({id}) => !unusable.includes(id),
       randomFraction: () => 0,
--- a/src/features/instances/common/gossipMessage.ts
+++ b/src/features/instances/common/gossipMessage.ts
@@ -22,6 +22,7 @@
 export interface UpstreamLoadReport {
   readonly upstream: string;
   readonly requests: number;
+  readonly starts: number;
   readonly tokenLayers: number;
 }
 
@@ -159,6 +160,8 @@
       zod.object({
         upstream: text,
         requests: zod.number(),
+        // Instances of earlier releases do not tell.
+        starts: zod.number().default(0),
         tokenLayers: zod.number(),
       }),
     )
--- a/src/features/instances/common/instanceTable.ts
+++ b/src/features/instances/common/instanceTable.ts
@@ -201,6 +201,11 @@
     return this.ownState === 'serving' ? [this.own, ...peers] : peers;
   }
 
+  /** Number of peers that currently serve callers. */
+  get servingPeerCount(): number {
+    return this.serving.filter(({name}) => name !== this.own.name).length;
+  }
+
   /** Instances that callers are sent to. One that stops and hears of none names those that probably serve. */
   get listed(): readonly InstanceRecord[] {
     return this.ownState === 'stopping' ? this.probablyServing : this.serving;
--- a/src/features/instances/node/peerGossip.ts
+++ b/src/features/instances/node/peerGossip.ts
@@ -273,6 +273,7 @@
     const loads = [...load.ownLoads].map(([upstream, figure]) => ({
       upstream,
       requests: figure.requests,
+      starts: figure.starts,
       tokenLayers: Math.round(figure.tokenLayers),
     }));
     return {
--- a/src/features/paths/common/pathSearch.ts
+++ b/src/features/paths/common/pathSearch.ts
@@ -76,10 +76,15 @@
   readonly prefillWaitMilliseconds: number;
 }
 
-/** Finds the path with the least cost among those that have capacity for the request. */
+/**
+ * Finds the path with the least cost among those that have capacity for the request. If it can start at no upstream that
+ * has a slot left, it starts where it has to wait for one.
+ */
 export function findPath(query: PathQuery): PathSearchResult {
   const usable = candidatesOf(query);
-  const found = searchPath(query, usable);
+  const found =
+    searchPath(limitToFreeSlots(query, usable), usable) ??
+    searchPath(query, usable);
   if (found !== undefined) {
     return found;
   }
@@ -87,6 +92,27 @@
   return layer === undefined ? {kind: 'noRoom'} : {kind: 'noLayers', layer};
 }
 
+function limitToFreeSlots(
+  query: PathQuery,
+  candidates: readonly Candidate[],
+): PathQuery {
+  // A path that continues another one is received by none of its upstreams.
+  const isContinued = query.sourceDataCentre !== undefined;
+  if (isContinued || !query.isCapacityLimited) {
+    return query;
+  }
+  const full = new Set(
+    candidates
+      .filter(({upstream, load}) => load.starts >= upstream.slots)
+      .map(({upstream}) => upstream.id),
+  );
+  return {
+    ...query,
+    canStartAt: upstream =>
+      !full.has(upstream.id) && query.canStartAt(upstream),
+  };
+}
+
 function candidatesOf(query: PathQuery): readonly Candidate[] {
   const {engine, span} = query;
   const candidates: Candidate[] = [];
--- a/src/features/paths/test/pathSearch.test.ts
+++ b/src/features/paths/test/pathSearch.test.ts
@@ -26,6 +26,10 @@
   });
 }
 
+function loadOf(fields: Partial<RequestLoad>): RequestLoad {
+  return {requests: 0, starts: 0, tokenLayers: 0, ...fields};
+}
+
 function search(
   upstreams: readonly Upstream[],
   fields: Partial<PathQuery> = {},
@@ -37,7 +41,7 @@
     span: {from: 0, to: LAYERS},
     sourceDataCentre: undefined,
     targetDataCentre: undefined,
-    loadOf: () => ({requests: 0, tokenLayers: 0}),
+    loadOf: () => ({requests: 0, starts: 0, tokenLayers: 0}),
     slownessOf: () => 1,
     prefillWaitOf: () => 0,
     crossingCostFactor: 1,
@@ -104,11 +108,48 @@
       fields: {
         loadOf: (id): RequestLoad => ({
           requests: 1,
+          starts: 0,
           tokenLayers: id === 'a' ? 1_000_000 : 0,
         }),
       },
       path: 'b=0-8',
     },
+    // Guards against requests that wait at one upstream while others are free to receive them.
+    {
+      name: 'starts at a slower upstream while the fastest has no slot left',
+      upstreams: [
+        holder('a', 0, 8, {acceleratorKind: 'fast', slots: 4}),
+        holder('b', 0, 8, {slots: 4}),
+      ],
+      fields: {loadOf: id => loadOf({starts: id === 'a' ? 4 : 0})},
+      path: 'b=0-8',
+    },
+    {
+      name: 'uses an upstream that has no slot left in the middle, where none is needed',
+      upstreams: [
+        holder('a', 0, 4, {slots: 4}),
+        holder('b', 4, 8, {acceleratorKind: 'fast', slots: 4}),
+        holder('c', 4, 8, {slots: 4}),
+      ],
+      fields: {loadOf: id => loadOf({starts: id === 'b' ? 4 : 0})},
+      path: 'a=0-4,b=4-8',
+    },
+    {
+      name: 'starts where requests wait if no upstream has a slot left',
+      upstreams: [holder('a', 0, 8, {slots: 4})],
+      fields: {loadOf: () => loadOf({starts: 4})},
+      path: 'a=0-8',
+    },
+    {
+      name: 'goes on at an upstream without a slot, since it starts elsewhere',
+      upstreams: [holder('a', 2, 4, {slots: 4})],
+      fields: {
+        span: {from: 2, to: 4},
+        sourceDataCentre: 'data-centre',
+        loadOf: () => loadOf({starts: 4}),
+      },
+      path: 'a=2-4',
+    },
     {
       name: 'avoids a slow upstream',
       upstreams: [holder('a', 0, 8), holder('b', 0, 8)],
@@ -129,7 +170,11 @@
       // The load of 133,000 leaves 4,500: the 750 tokens of the request in 6 layers.
       upstreams: [holder('a', 0, 8), holder('b', 5, 8)],
       fields: {
-        loadOf: id => ({requests: 1, tokenLayers: tokenLayersById[id] ?? 0}),
+        loadOf: id => ({
+          requests: 1,
+          starts: 0,
+          tokenLayers: tokenLayersById[id] ?? 0,
+        }),
       },
       path: 'a=0-5,b=5-8',
     },
@@ -170,7 +215,9 @@
     {
       name: 'a full upstream',
       upstreams: [holder('a', 0, 8)],
-      fields: {loadOf: () => ({requests: 1, tokenLayers: 1_000_000})},
+      fields: {
+        loadOf: () => ({requests: 1, starts: 0, tokenLayers: 1_000_000}),
+      },
       expected: {kind: 'noRoom'},
     },
   ])('is not found with $name', ({upstreams, fields, expected}) => {
@@ -218,7 +265,11 @@
   const result = search([makeUpstream({id: 'a'}), makeUpstream({id: 'b'})], {
     engine,
     span: {from: 0, to: 1},
-    loadOf: id => ({requests: 1, tokenLayers: id === 'a' ? 5000 : 0}),
+    loadOf: id => ({
+      requests: 1,
+      starts: 0,
+      tokenLayers: id === 'a' ? 5000 : 0,
+    }),
   });
   expect(result.kind === 'found' && formatPath(result.path)).toBe('b=0-1');
 });
--- a/src/features/paths/test/prefillBacklog.test.ts
+++ b/src/features/paths/test/prefillBacklog.test.ts
@@ -21,6 +21,7 @@
   return makeUpstream({
     id,
     dataCentre,
+    slots: engine.slots,
     acceleratorKind: 'small',
     layers: {from, to},
   });
