Load: peers that are heard of seldom no longer count as idle

Instances chose upstreams by half of the load at 86 instances: an instance hears of eight peers in 400 ms and drops the loads of those that it has not heard of for 3 s; 96 % of the peers count at 19 instances, 51 % at 86 and 15 % at 370 (worked out). The recent reports now stand for all peers that serve. New tests, before: 36, 170 and 738 requests expected at 18, 85 and 369 peers, 4 counted each time.

--- a/src/features/fleet/common/upstreamLoadTracker.ts
+++ b/src/features/fleet/common/upstreamLoadTracker.ts
@@ -33,6 +33,12 @@
   private readonly own = new Map<string, RequestLoad>();
   private readonly peers = new Map<string, PeerLoad>();
   private readonly peerTotals = new Map<string, RequestLoad>();
+  /** Number of peers for which each report of a peer stands. */
+  private peersPerReport = 1;
+
+  /** @param peerCount number of peers that serve */
+  constructor(private readonly peerCount: () => number = () => 0) {}
+
   /**
    * Adds a request on an upstream.
    * @param startsHere whether the upstream receives it, rather than a part of its work
@@ -63,14 +69,15 @@
     this.updatePeerTotals(receivedAt);
   }
 
-  /** The load on an upstream from this instance and the peers that reported recently. */
+  /** The load on an upstream from this instance and, as far as the recent reports tell, all peers. */
   totalOf(upstream: string): RequestLoad {
     const own = this.own.get(upstream) ?? NO_LOAD;
     const others = this.peerTotals.get(upstream) ?? NO_LOAD;
+    const factor = this.peersPerReport;
     return {
-      requests: own.requests + others.requests,
-      starts: own.starts + others.starts,
-      tokenLayers: own.tokenLayers + others.tokenLayers,
+      requests: own.requests + others.requests * factor,
+      starts: own.starts + others.starts * factor,
+      tokenLayers: own.tokenLayers + others.tokenLayers * factor,
     };
   }
 
@@ -88,6 +95,8 @@
         );
       }
     }
+    const reports = Math.max(1, this.peers.size);
+    this.peersPerReport = Math.max(1, this.peerCount() / reports);
   }
 
   private change(upstream: string, difference: RequestLoad): void {
--- a/src/features/fleet/test/fleet.test.ts
+++ b/src/features/fleet/test/fleet.test.ts
@@ -214,6 +214,31 @@
     });
   });
 
+  // Guards against loads that count for less the more instances there are, since a peer is heard of more seldom then.
+  it.each([
+    {peerCount: 2, total: 25},
+    {peerCount: 18, total: 225},
+    {peerCount: 85, total: 1_062.5},
+    {peerCount: 369, total: 4_612.5},
+  ])(
+    'counts two recent reports for all of $peerCount peers',
+    ({peerCount, total}) => {
+      const load = new UpstreamLoadTracker(() => peerCount);
+      const report = {requests: 2, starts: 1, tokenLayers: 10};
+      load.setPeerLoad('a', 0, new Map([['one', report]]));
+      load.setPeerLoad(
+        'b',
+        500,
+        new Map([['one', {...report, tokenLayers: 15}]]),
+      );
+      expect(load.totalOf('one')).toEqual({
+        requests: 2 * peerCount,
+        starts: peerCount,
+        tokenLayers: total,
+      });
+    },
+  );
+
   it('excludes peers that have not reported recently', () => {
     const load = new UpstreamLoadTracker();
     load.setPeerLoad(
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -109,7 +109,7 @@
     );
   const upstreamControl = owned.add(ports.createUpstreamControl(dialer));
   const registry = new InstanceRegistry(ports.table, logger);
-  const load = new UpstreamLoadTracker();
+  const load = new UpstreamLoadTracker(() => instances.servingPeerCount);
   const upstreamComponents = createUpstreamComponents(
     settings,
     {
