--- a/src/features/forwarding/node/promptWatch.ts
+++ b/src/features/forwarding/node/promptWatch.ts
@@ -8,7 +8,7 @@
 import {EndProof} from '../../fleet/common/endedUpstreams.js';
 import {NotRunReason} from '../common/retryAfter.js';
 import {ForwardingServices} from './forwardingServices.js';
-import {AdmittedRequest} from './requestForwarder.js';
+import {AdmittedRequest} from './admittedRequest.js';
 import {RequestLossWatch} from './requestLossWatch.js';
 import {StreamAttempt} from './streamAttempt.js';
 
--- a/src/features/forwarding/node/requestForwarder.ts
+++ b/src/features/forwarding/node/requestForwarder.ts
@@ -3,33 +3,16 @@
 import {CallerExchange, ResponseHead} from '../common/callerExchange.js';
 import {NotRunReason} from '../common/retryAfter.js';
 import {UpstreamRequest} from '../common/upstreamExchange.js';
-import {RequestMetadata, UpstreamHeaderValues} from '../common/headerCodec.js';
+import {UpstreamHeaderValues} from '../common/headerCodec.js';
 import {Upstream} from '../../fleet/common/upstream.js';
-import {Route} from '../../traffic/common/trafficConfiguration.js';
 import {describeStopTimes} from '../common/stopWindow.js';
+import {AdmittedRequest} from './admittedRequest.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {guardServices} from './guardedServices.js';
 import {notRunDelay} from './notRunDelay.js';
 import {RequestLossWatch} from './requestLossWatch.js';
 import {RequestInProgress} from './requestsInProgress.js';
 
-/** An admitted request with everything that determines how it is forwarded. */
-export interface AdmittedRequest {
-  readonly id: string;
-  readonly facts: RequestMetadata;
-  readonly route: Route;
-  readonly service: string;
-  readonly account: string | undefined;
-  readonly priority: number;
-  readonly body: Uint8Array;
-  /** Monotonic time in milliseconds at which the caller's or the route's time limit ends. */
-  readonly deadlineAt: number;
-  /** Version of the configuration that admitted the request. */
-  readonly configurationVersion: number;
-  /** Milliseconds between the last confirmation of that version and the admission. */
-  readonly configurationAge: number;
-}
-
 /** Parameters that differ between the attempts of a request. */
 type AttemptParameters = Pick<UpstreamHeaderValues, 'path' | 'lastEvent'> &
   Pick<UpstreamRequest, 'isAlone'>;
--- a/src/features/forwarding/node/requestKey.ts
+++ b/src/features/forwarding/node/requestKey.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 
 import {CallerRequest} from '../common/callerExchange.js';
-import {AdmittedRequest} from './requestForwarder.js';
+import {AdmittedRequest} from './admittedRequest.js';
 
 /** Characters of a key: enough that no two requests share one by chance. */
 const KEY_CHARACTERS = 22;
--- a/src/features/forwarding/node/requestLossWatch.ts
+++ b/src/features/forwarding/node/requestLossWatch.ts
@@ -2,7 +2,7 @@
 import {Upstream} from '../../fleet/common/upstream.js';
 import {CallerRequest} from '../common/callerExchange.js';
 import {ForwardingServices} from './forwardingServices.js';
-import {AdmittedRequest} from './requestForwarder.js';
+import {AdmittedRequest} from './admittedRequest.js';
 import {createRequestKey} from './requestKey.js';
 
 /** Watches which upstreams may have ended under one request and its repeats. */
--- a/src/features/forwarding/node/streamForwarder.ts
+++ b/src/features/forwarding/node/streamForwarder.ts
@@ -6,11 +6,8 @@
 import {NotRunReason} from '../common/retryAfter.js';
 import {ResponseMetadata} from '../common/headerCodec.js';
 import {ForwardingServices} from './forwardingServices.js';
-import {
-  AdmittedRequest,
-  EarlyEnd,
-  RequestForwarder,
-} from './requestForwarder.js';
+import {AdmittedRequest} from './admittedRequest.js';
+import {EarlyEnd, RequestForwarder} from './requestForwarder.js';
 import {LostAttempt, StreamAttemptListener} from './streamAttempt.js';
 import {StreamMonitor} from './streamMonitor.js';
 import {StreamMover} from './streamMover.js';
--- a/src/features/forwarding/node/streamRecovery.ts
+++ b/src/features/forwarding/node/streamRecovery.ts
@@ -4,7 +4,7 @@
 import {EntryChoice} from './entryUpstreams.js';
 import {ForwardingServices} from './forwardingServices.js';
 import {suspectRefusingUpstream} from './refusedPath.js';
-import {AdmittedRequest} from './requestForwarder.js';
+import {AdmittedRequest} from './admittedRequest.js';
 import {LostAttempt} from './streamAttempt.js';
 import {StreamState} from './streamState.js';
 import {StreamWait} from './streamWait.js';
--- a/src/features/forwarding/node/streamRetries.ts
+++ b/src/features/forwarding/node/streamRetries.ts
@@ -1,5 +1,5 @@
 import {ForwardingServices} from './forwardingServices.js';
-import {AdmittedRequest} from './requestForwarder.js';
+import {AdmittedRequest} from './admittedRequest.js';
 
 /**
  * Maximum attempts per stream, whatever the budget allows: a stream that broke this often may
--- a/src/features/forwarding/node/streamState.ts
+++ b/src/features/forwarding/node/streamState.ts
@@ -7,7 +7,7 @@
 import {ForwardingServices} from './forwardingServices.js';
 import {PathChooser} from './pathChooser.js';
 import {PromptWatch} from './promptWatch.js';
-import {AdmittedRequest} from './requestForwarder.js';
+import {AdmittedRequest} from './admittedRequest.js';
 import {RequestLossWatch} from './requestLossWatch.js';
 import {StreamAttempt, StreamAttemptListener} from './streamAttempt.js';
 import {StreamPath} from './streamPath.js';
--- a/src/features/forwarding/node/streamWait.ts
+++ b/src/features/forwarding/node/streamWait.ts
@@ -3,7 +3,7 @@
 import {NotRunReason} from '../common/retryAfter.js';
 import {EntryChoice, SentUpstream} from './entryUpstreams.js';
 import {ForwardingServices} from './forwardingServices.js';
-import {AdmittedRequest} from './requestForwarder.js';
+import {AdmittedRequest} from './admittedRequest.js';
 import {StreamResponse} from './streamResponse.js';
 
 /** State of a stream that its wait depends on. */
