--- a/src/features/instances/node/rpcLossAnnouncer.ts
+++ b/src/features/instances/node/rpcLossAnnouncer.ts
@@ -22,6 +22,9 @@
 /** A caller whose request has failed waits for its answer meanwhile; the latency between data centres is about a millisecond. */
 const ANSWER_TIMEOUT_MILLISECONDS = 150;
 
+/** Validates the answer of a collector; it knows nothing if it considers what was reported refuted. */
+const lossAnswerSchema = requestLossNewsSchema.optional();
+
 /** Tells peers by remote calls; announcements to all that come while one is under way share the next one. */
 export class RpcLossAnnouncer extends DisposableOwner implements LossAnnouncer {
   private readonly connections: RpcClientFactory;
@@ -60,16 +63,15 @@
     ) {
       return;
     }
-    const answer = await this.call(collector, news, (client, signal) =>
-      client.news.lossReport.mutate(news, {signal}),
+    const known = await this.call(collector, news, async (client, signal) =>
+      lossAnswerSchema.parse(
+        await client.news.lossReport.mutate(news, {signal}),
+      ),
     );
-    if (!answer.ok) {
+    if (!known.ok) {
       await this.announce(key);
-      return;
-    }
-    const known = requestLossNewsSchema.optional().safeParse(answer.value);
-    if (known.data !== undefined) {
-      this.losses.applyNews(known.data);
+    } else if (known.value !== undefined) {
+      this.losses.applyNews(known.value);
     }
   }
 
