Losses: one response just in time no longer makes those behind it lost

A probe now waits for 1.5 times the time of the last response; with fast responses a loss is found as soon as before. New test, before: 'one responds just in time and the others later' suspected four at 33 ms.

--- a/src/features/forwarding/node/upstreamProber.ts
+++ b/src/features/forwarding/node/upstreamProber.ts
@@ -46,6 +46,9 @@
  */
 const LONG_PROBE_MILLISECONDS = 250;
 
+/** A probe that has waited less than this many times as long as the last response took may still be answered. */
+const LATENESS_FACTOR = 1.5;
+
 /** Marks a probe that exceeded its timeout. */
 const OVERDUE = Symbol('overdue');
 
@@ -64,9 +67,8 @@
   private readonly respondedAt = new Map<string, number>();
   /** Milliseconds that the last report took that arrived; undefined before the first one. */
   private lastResponseMilliseconds: number | undefined;
-  /** Monotonic milliseconds at which the last report arrived, and the last one within the probe timeout. */
+  /** Monotonic milliseconds at which the last report arrived. */
   private lastResponseAt = -Infinity;
-  private respondedInTimeAt = -Infinity;
   private recheckTimer: Disposable;
 
   constructor(
@@ -198,18 +200,18 @@
   }
 
   /**
-   * Whether the responses to all probes since a moment are late. Several upstreams are hardly lost at once: it is rather
+   * Whether the responses to the probes since a moment are late. Several upstreams are hardly lost at once: it is rather
    * this instance's own link that holds up their responses.
    */
   private areResponsesLate(startedAt: number): boolean {
     const now = this.clock.monotonicMilliseconds();
     const isLastTrial =
       now + this.trialMilliseconds >= startedAt + LONG_PROBE_MILLISECONDS;
-    if (isLastTrial || this.respondedInTimeAt >= startedAt) {
+    if (isLastTrial) {
       return false;
     }
     return this.lastResponseAt >= startedAt
-      ? now - this.lastResponseAt < this.trialMilliseconds
+      ? now - startedAt < LATENESS_FACTOR * (this.lastResponseMilliseconds ?? 0)
       : this.pendingProbes > 1;
   }
 
@@ -252,12 +254,8 @@
 
   private recordResponse(id: string, requestedAt: number): void {
     const now = this.clock.monotonicMilliseconds();
-    const elapsed = now - requestedAt;
-    this.lastResponseMilliseconds = Math.round(elapsed);
+    this.lastResponseMilliseconds = Math.round(now - requestedAt);
     this.lastResponseAt = now;
-    if (elapsed <= this.trialMilliseconds) {
-      this.respondedInTimeAt = now;
-    }
     this.respondedAt.set(id, now);
   }
 
--- a/src/features/forwarding/test/upstreamProber.test.ts
+++ b/src/features/forwarding/test/upstreamProber.test.ts
@@ -33,6 +33,13 @@
     gap: 25,
     within: undefined,
   },
+  {
+    name: 'one responds just in time and the others later',
+    first: 70,
+    others: 14,
+    gap: 14,
+    within: undefined,
+  },
   {name: 'one never responds', first: NEVER, others: 5, gap: 1, within: 40},
   {
     name: 'one never responds and the others are late',
