--- a/test/router/sendAroundStop.ts
+++ b/test/router/sendAroundStop.ts
@@ -109,7 +109,7 @@
     .filter(request => !isExcused(request, allowed))
     .map(
       ({index, sentAt, milliseconds, response}) =>
-        `request ${index}: sent ${Math.round(sentAt)} ms after the signal, status ${response?.status} after ${Math.round(milliseconds)} ms`,
+        `request ${index}: sent ${Math.round(sentAt)} ms after the signal, status ${response?.status} after ${milliseconds.toFixed(1)} ms`,
     );
 }
 
