Observability: how much of a store's answer had arrived, and how long a read of a configuration took

The log could not tell a silent store from an answer that was too long for its time limit: both said 'no answer within 500 ms'. The error now names the bytes that had arrived, and each read that brings a version is logged with its bytes and milliseconds. No logic changes.

--- a/src/features/traffic/common/configurationFollower.ts
+++ b/src/features/traffic/common/configurationFollower.ts
@@ -6,6 +6,7 @@
 import {describeError} from '../../../base/common/describeError.js';
 import {Event} from '../../../base/common/event.js';
 import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
+import {elapsedSince, Moment} from '../../../base/common/moment.js';
 import {Result} from '../../../base/common/result.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {ActiveConfiguration} from './activeConfiguration.js';
@@ -87,7 +88,7 @@
     const requestedAt = this.activeConfiguration.now();
     const readResult = await this.readNext(attemptToken);
     if (readResult.ok && !token.isCancelled) {
-      this.applyUpdate(readResult.value);
+      this.applyUpdate(readResult.value, requestedAt);
       this.activeConfiguration.confirm(requestedAt);
     } else if (!readResult.ok && !attemptToken.isCancelled) {
       this.handleError(readResult.error);
@@ -117,7 +118,10 @@
         );
   }
 
-  private applyUpdate({configuration, position}: ConfigurationUpdate): void {
+  private applyUpdate(
+    {configuration, position, bytes}: ConfigurationUpdate,
+    requestedAt: Moment,
+  ): void {
     this.position = position;
     this.failureCount = 0;
     this.hasRecovered = false;
@@ -126,6 +130,11 @@
       this.logger.info('configuration updates resumed', {position});
     }
     if (configuration !== undefined) {
+      this.logger.decision('configurationRead', {
+        version: configuration.version,
+        bytes,
+        milliseconds: Math.round(elapsedSince(this.clock, requestedAt)),
+      });
       this.activeConfiguration.activateIfNewer(configuration);
     }
   }
--- a/src/features/traffic/common/configurationSource.ts
+++ b/src/features/traffic/common/configurationSource.ts
@@ -11,6 +11,8 @@
   readonly configuration: TrafficConfiguration | undefined;
   /** Position in the change feed from which to wait for the next change. */
   readonly position: number;
+  /** Size of all versions in the response; undefined if the source doesn't say. */
+  readonly bytes?: number;
 }
 
 /** Reason why a read or a wait failed. */
--- a/src/infrastructure/http/node/httpExchange.ts
+++ b/src/infrastructure/http/node/httpExchange.ts
@@ -163,7 +163,10 @@
   }
 
   private onTimeout(): void {
-    this.abortWith(this.failed(`no answer within ${this.milliseconds} ms`));
+    const received =
+      this.body.size === 0 ? '' : `, ${this.body.size} bytes arrived`;
+    const detail = `no whole answer within ${this.milliseconds} ms${received}`;
+    this.abortWith(this.failed(detail));
   }
 
   private abortWith(outcome: HttpOutcome): void {
