Store: an answer that arrives steadily is no longer given up at the time limit of its call

Cause: a call had 500 ms for its whole answer. The versions that such an instance missed are some 1.3 MB, 0.5 s of a link of 20 Mbit/s without anything else on it. The call was given up, the store counted as away, the next answered call showed its return, and the read began again.

--- a/src/infrastructure/http/node/httpClient.ts
+++ b/src/infrastructure/http/node/httpClient.ts
@@ -4,7 +4,12 @@
 import {Disposable} from '../../../base/common/lifecycle.js';
 import {MemoryBudget} from '../../../base/common/memoryBudget.js';
 import {ConnectionWatch} from './connectionWatch.js';
-import {HttpRequest, HttpExchange, HttpOutcome} from './httpExchange.js';
+import {
+  HttpExchange,
+  HttpOutcome,
+  HttpRequest,
+  TransferLimits,
+} from './httpExchange.js';
 
 /** Limits of the requests to one address. */
 export interface HttpClientOptions {
@@ -17,6 +22,8 @@
   readonly connect?: buildConnector.connector;
   /** Time limit of requests that do not specify one. */
   readonly callMilliseconds: number;
+  /** By default, a whole response must arrive within the time limit of its call. */
+  readonly transfer?: TransferLimits;
   /** Maximum size of a response body. */
   readonly maxResponseBytes: number;
   /** Accounts response bodies. */
@@ -80,6 +87,7 @@
         this.connectionWatch,
         this.options.memory,
         request.milliseconds ?? this.options.callMilliseconds,
+        this.options.transfer,
         this.options.maxResponseBytes,
       );
       return await exchange.run(request, token);
--- a/src/infrastructure/http/node/httpExchange.ts
+++ b/src/infrastructure/http/node/httpExchange.ts
@@ -21,6 +21,14 @@
   readonly milliseconds?: number;
 }
 
+/** How long a response may take beyond the time limit of its call while its bytes arrive. */
+export interface TransferLimits {
+  /** Longest pause between its bytes. */
+  readonly pauseMilliseconds: number;
+  /** Longest time of the whole call. */
+  readonly totalMilliseconds: number;
+}
+
 /** Response headers; names are in lower case. */
 export type HttpHeaders = Readonly<
   Record<string, string | string[] | undefined>
@@ -53,6 +61,9 @@
 export class HttpExchange implements Dispatcher.DispatchHandler {
   private readonly hold: MemoryHold;
   private readonly body: ByteCollector;
+  private readonly startedAt = performance.now();
+  /** When bytes of the response arrived last; undefined before its head. */
+  private receivedAt: number | undefined;
   private connection: WatchedConnection | undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private settle: (outcome: HttpOutcome) => void = () => undefined;
@@ -68,6 +79,7 @@
     private readonly connectionWatch: ConnectionWatch,
     memory: MemoryBudget,
     private readonly milliseconds: number,
+    private readonly transfer: TransferLimits | undefined,
     private readonly maxResponseBytes: number,
   ) {
     this.hold = memory.hold(() => this.abortWith(this.failed(MEMORY_SPENT)));
@@ -101,6 +113,7 @@
     headers: HttpHeaders,
   ): void {
     this.connection = this.connectionWatch.current;
+    this.receivedAt = performance.now();
     this.status = status;
     this.headers = headers;
   }
@@ -112,6 +125,7 @@
     if (this.settled) {
       return;
     }
+    this.receivedAt = performance.now();
     this.connection?.recordBody(chunk.length);
     if (this.body.size + chunk.length > this.maxResponseBytes) {
       const detail = `answer longer than ${this.maxResponseBytes} bytes`;
@@ -163,12 +177,30 @@
   }
 
   private onTimeout(): void {
+    const remaining = this.remainingTransferMilliseconds();
+    if (remaining > 0) {
+      this.timer = setTimeout(() => this.onTimeout(), remaining);
+      return;
+    }
     const received =
       this.body.size === 0 ? '' : `, ${this.body.size} bytes arrived`;
     const detail = `no whole answer within ${this.milliseconds} ms${received}`;
     this.abortWith(this.failed(detail));
   }
 
+  /** Time for which a response that has begun to arrive may go on if nothing more of it arrives. */
+  private remainingTransferMilliseconds(): number {
+    if (this.transfer === undefined || this.receivedAt === undefined) {
+      return 0;
+    }
+    const {pauseMilliseconds, totalMilliseconds} = this.transfer;
+    const end = Math.min(
+      this.receivedAt + pauseMilliseconds,
+      this.startedAt + totalMilliseconds,
+    );
+    return Math.ceil(end - performance.now());
+  }
+
   private abortWith(outcome: HttpOutcome): void {
     this.settleOnce(outcome);
     this.controller?.abort(new Error('request aborted'));
--- a/src/infrastructure/http/test/httpClient.test.ts
+++ b/src/infrastructure/http/test/httpClient.test.ts
@@ -136,3 +136,35 @@
     expect((await client.send(REQUEST, neverCancelled)).kind).toBe('notSent');
   });
 });
+
+// A large answer on a narrow link was given up, again and again, though it arrived without a pause.
+describe('a response that takes longer than the time limit of its call', () => {
+  const STEP_MILLISECONDS = 20;
+
+  /** Sends a response in steps, and nothing more after the given number of them. */
+  function sendSlowly(socket: Socket, length: number, sentSteps: number): void {
+    socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${length}\r\n\r\n`);
+    for (let step = 1; step <= sentSteps; step++) {
+      setTimeout(() => socket.write('x'), step * STEP_MILLISECONDS);
+    }
+  }
+
+  it.each([
+    {
+      name: 'is read to its end if it arrives steadily',
+      steps: 20,
+      kind: 'answered',
+    },
+    {name: 'is given up after a pause', steps: 3, kind: 'lost'},
+    {name: 'is given up at the limit of the transfer', steps: 60, kind: 'lost'},
+  ])('$name', async ({steps, kind}) => {
+    connect({
+      callMilliseconds: 100,
+      transfer: {pauseMilliseconds: 100, totalMilliseconds: 800},
+    });
+    const length = steps === 3 ? 20 : steps;
+    onData = socket => sendSlowly(socket, length, steps);
+    const outcome = await client.send(REQUEST, neverCancelled);
+    expect(outcome.kind).toBe(kind);
+  });
+});
