Late loops: no request is sent on whose caller has left while it waited to be read

What users saw: work went on for callers that had left (GONE), in a collapse in which nearly all requests were late. Cause: an event loop that was late handles each request in the turn that reads it. It reads the end of the same connection later, and accepts one waiting connection a turn, the oldest first, so that under load the wait grows while each is served in vain. Requests were also written when a connection stood, or from a timer, before the loop had read anything. Now, if what is read may have waited for over 160 ms, the loop first reads all that has arrived, new connections and ends included; then the newest request is handled, and so on. The longest wait counts against the deadline; what may be past it is refused at once, as not run. Requests that are sent by a late loop wait for the same.

--- a/src/features/forwarding/common/retryAfter.ts
+++ b/src/features/forwarding/common/retryAfter.ts
@@ -22,13 +22,15 @@
   | 'noMemory'
   /** The deadline passed before the request could be sent. */
   | 'timeOver'
+  /** It may have waited unread until its deadline, because the event loop was late. */
+  | 'readLate'
   /** The instance is stopping. */
   | 'stopping';
 
 /**
  * Base delay for each reason, from the time until its cause ends. A confirmation is retried at once, and
  * calls to the store are limited to less than a second. A lost upstream is replaced or probed again after
- * half a second. The layers of one accelerator load in one to two seconds. A limit and a rest give their own time. A slot of a plain service is
+ * half a second. A request that was read late is read at once elsewhere. The layers of one accelerator load in one to two seconds. A limit and a rest give their own time. A slot of a plain service is
  * free after a call or two, and a prompt that crashes upstreams is tried again after a minute at the earliest. Capacity on a path is free when some streams have ended, and so is memory for bodies. When this instance stops, another
  * one takes the request at once, or this one after its restart if no other serves.
  */
@@ -43,6 +45,7 @@
   endsUpstreams: 60_000,
   noMemory: 400,
   timeOver: 250,
+  readLate: 0,
   stopping: 0,
 };
 
--- a/src/features/forwarding/node/forwardingServices.ts
+++ b/src/features/forwarding/node/forwardingServices.ts
@@ -1,4 +1,5 @@
 import {Clock} from '../../../base/common/clock.js';
+import {EventLoop} from '../../../base/common/eventLoop.js';
 import {MemoryBudget} from '../../../base/common/memoryBudget.js';
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
@@ -33,6 +34,7 @@
   readonly settings: ForwardingSettings;
   readonly mechanisms: Mechanisms;
   readonly clock: Clock;
+  readonly eventLoop: EventLoop;
   readonly random: RandomSource;
   readonly logger: Logger;
   readonly metrics: RequestMetrics;
--- a/src/features/forwarding/node/handledRequest.ts
+++ b/src/features/forwarding/node/handledRequest.ts
@@ -11,11 +11,18 @@
   constructor(
     readonly exchange: CallerExchange,
     readonly facts: RequestMetadata,
+    /** Monotonic milliseconds at which it arrived at the earliest; the event loop may have read it later. */
+    readonly arrivedAt: number,
     private readonly refuseForStop: (request: HandledRequest) => void,
   ) {
     super();
   }
 
+  /** Whether it may have waited unread, because the event loop was late. */
+  get mayHaveWaited(): boolean {
+    return this.arrivedAt < this.exchange.request.receivedAt;
+  }
+
   override endForStop(): void {
     if (this.forwarder === undefined) {
       this.refuseForStop(this);
--- a/src/features/forwarding/node/httpCallerExchange.ts
+++ b/src/features/forwarding/node/httpCallerExchange.ts
@@ -1,4 +1,5 @@
 import {IncomingMessage, ServerResponse, STATUS_CODES} from 'node:http';
+import {Socket} from 'node:net';
 
 import {Emitter, Event} from '../../../base/common/event.js';
 import {
@@ -68,6 +69,7 @@
       receivedAt,
     };
     response.on('close', () => this.handleClose());
+    this.watchEnd(message.socket);
     // An `error` event on a caller's connection would end the process if it had no listener.
     response.on('error', () => undefined);
     message.on('error', () => undefined);
@@ -253,9 +255,25 @@
     this.failed.fire(MEMORY_SPENT);
   }
 
+  /**
+   * A caller that has ended its side of the connection gets no response from Node.js. It has left then, some turns of the event loop before
+   * the connection is closed.
+   */
+  private watchEnd(socket: Socket): void {
+    const onEnd = (): void => this.handleDisconnect();
+    // Each request in progress has a listener; a caller may send several without waiting.
+    socket.setMaxListeners(0);
+    socket.on('end', onEnd);
+    this.response.once('close', () => socket.off('end', onEnd));
+  }
+
   private handleClose(): void {
     this.bodyHold.dispose();
     this.unreadHold.dispose();
+    this.handleDisconnect();
+  }
+
+  private handleDisconnect(): void {
     if (!this.hasEnded && !this.hasDisconnected) {
       this.hasDisconnected = true;
       this.disconnected.fire();
--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -6,6 +6,7 @@
 import {chooseTarget} from '../../traffic/common/chooseTarget.js';
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {RouteTable} from '../../traffic/common/routeTable.js';
+import {ArrivalQueue} from '../common/arrivalQueue.js';
 import {
   BodyOutcome,
   CallerExchange,
@@ -62,12 +63,15 @@
 /** Decides whether to admit each request of a caller and forwards those that are admitted. */
 export class RequestHandler {
   private readonly inProgress = new RequestsInProgress();
+  private readonly arrivals: ArrivalQueue;
   private unnamedCount = 0;
 
   constructor(
     private readonly services: ForwardingServices,
     private readonly monitor: StreamMonitor,
-  ) {}
+  ) {
+    this.arrivals = new ArrivalQueue(services.clock, services.eventLoop);
+  }
 
   /** Number of requests without a final response. */
   get count(): number {
@@ -91,13 +95,14 @@
 
   /** Handles one request until it has ended. */
   async handle(exchange: CallerExchange): Promise<void> {
-    const {target, headers} = exchange.request;
+    const {target, headers, receivedAt} = exchange.request;
     exchange.onDidFail(detail =>
       this.services.logger.error('response not written', {target, detail}),
     );
     const request = new HandledRequest(
       exchange,
       this.services.headerCodec.readRequest(headers),
+      this.arrivals.earliestArrival(receivedAt),
       unsent => this.respond(unsent, {kind: 'refused', reason: 'stopping'}),
     );
     const entry = this.inProgress.add(request);
@@ -109,6 +114,11 @@
   }
 
   private async process(request: HandledRequest): Promise<void> {
+    await this.arrivals.turn(request.mayHaveWaited);
+    if (request.exchange.isOver) {
+      this.recordLeft(request);
+      return;
+    }
     const initial = await this.admit(request);
     if (initial.kind !== 'admitted') {
       this.respond(request, initial);
@@ -118,7 +128,7 @@
     const outcome = await this.readBodyInTime(
       request.exchange,
       limits.bodyBytes,
-      deadlineOf(request.exchange, request.facts, initial.route),
+      deadlineOf(request, initial.route),
     );
     switch (outcome.kind) {
       case 'timeOver':
@@ -169,7 +179,8 @@
     await this.forward(request, admission, body);
   }
 
-  private async admit({exchange, facts}: HandledRequest): Promise<Admission> {
+  private async admit(request: HandledRequest): Promise<Admission> {
+    const {exchange, facts} = request;
     const {configuration} = this.services;
     if (!configuration.isConfirmed) {
       await this.waitForConfirmation();
@@ -189,7 +200,15 @@
         : {kind: 'refused', reason: 'unconfirmed'};
     }
     const admission = this.authorize(table, route, facts);
-    const deadlineAt = deadlineOf(exchange, facts, route);
+    const deadlineAt = deadlineOf(request, route);
+    if (
+      admission.kind === 'admitted' &&
+      request.mayHaveWaited &&
+      this.millisecondsUntil(deadlineAt) <
+        this.services.settings.leastTimeLeftMilliseconds
+    ) {
+      return {kind: 'refused', reason: 'readLate'};
+    }
     if (
       admission.kind === 'admitted' &&
       this.services.stop.mayCutOff(deadlineAt)
@@ -236,9 +255,10 @@
   }
 
   private respond(
-    {exchange, facts}: HandledRequest,
+    request: HandledRequest,
     decision: Exclude<Admission, {kind: 'admitted'}>,
   ): void {
+    const {exchange, facts} = request;
     const response =
       decision.kind === 'answer'
         ? decision.answer
@@ -254,6 +274,7 @@
       configuration: configuration.table?.configuration.version,
       configurationAge: Math.round(configuration.age),
       timeLimit: decision.kind === 'refused' ? decision.timeLimit : undefined,
+      unread: unreadMilliseconds(request),
       stop:
         stop.window &&
         describeStopTimes(
@@ -265,13 +286,14 @@
   }
 
   /** Records a request whose caller has left before its body was read. */
-  private recordLeft({facts}: HandledRequest): void {
+  private recordLeft(request: HandledRequest): void {
     const outcome = 'callerLeft';
     this.services.metrics.recordEnd('none', outcome, 0);
     this.services.logger.decision('requestEnded', {
-      request: facts.id,
+      request: request.facts.id,
       outcome,
-      reason: 'body not received',
+      reason: 'before it was read whole',
+      unread: unreadMilliseconds(request),
     });
   }
 
@@ -326,7 +348,7 @@
       account: account?.name,
       priority: account?.priority ?? route.priority,
       body,
-      deadlineAt: deadlineOf(exchange, facts, route),
+      deadlineAt: deadlineOf(request, route),
       configurationVersion: table.configuration.version,
       configurationAge: configuration.age,
     };
@@ -353,14 +375,18 @@
   }
 }
 
+/** Longest time for which a request may have waited unread; undefined if the event loop was on time. */
+function unreadMilliseconds(request: HandledRequest): number | undefined {
+  const {receivedAt} = request.exchange.request;
+  return request.mayHaveWaited
+    ? Math.round(receivedAt - request.arrivedAt)
+    : undefined;
+}
+
 /** Monotonic milliseconds at which a request ends at the latest. */
-function deadlineOf(
-  {request}: CallerExchange,
-  facts: RequestMetadata,
-  route: Route,
-): number {
+function deadlineOf({facts, arrivedAt}: HandledRequest, route: Route): number {
   const timeLimit = facts.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
-  return request.receivedAt + Math.min(timeLimit, route.timeoutMilliseconds);
+  return arrivedAt + Math.min(timeLimit, route.timeoutMilliseconds);
 }
 
 function rejection(
--- a/src/features/forwarding/test/forwardingHarness.ts
+++ b/src/features/forwarding/test/forwardingHarness.ts
@@ -3,6 +3,7 @@
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
 import {SilentLogger} from '../../../infrastructure/logging/common/logger.js';
 import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {FakeEventLoop} from '../../../../test/support/fakeEventLoop.js';
 import {SlownessTracker} from '../../fleet/common/slownessTracker.js';
 import {EndedUpstreams} from '../../fleet/common/endedUpstreams.js';
 import {SuspicionTracker} from '../../fleet/common/suspicionTracker.js';
@@ -56,6 +57,7 @@
 /** A request handler with fake dependencies. */
 export class ForwardingHarness {
   readonly clock = new FakeClock();
+  readonly eventLoop = new FakeEventLoop(this.clock);
   /** Memory for responses. */
   readonly memory = new MemoryBudget(MEMORY_BYTES);
   readonly connector = new FakeConnector();
@@ -130,6 +132,7 @@
       settings,
       mechanisms: {...defaultMechanisms, ...mechanisms},
       clock,
+      eventLoop: this.eventLoop,
       random,
       logger,
       metrics: new RequestMetrics(new Registry()),
--- a/src/programs/router/callerListener.ts
+++ b/src/programs/router/callerListener.ts
@@ -35,6 +35,7 @@
     private readonly logger: Logger,
     private readonly handler: RequestHandler,
     memory: CallerMemory,
+    recordAccepted: () => void,
     connectionLimit: number,
   ) {
     this.server = createServer({
@@ -47,6 +48,7 @@
       noDelay: true,
     });
     this.server.maxConnections = connectionLimit;
+    this.server.on('connection', recordAccepted);
     this.connections = new ServerConnections(this.server);
     restana({
       server: this.server,
--- a/src/programs/router/eventLoopMonitor.ts
+++ b/src/programs/router/eventLoopMonitor.ts
@@ -1,4 +1,5 @@
 import {Clock} from '../../base/common/clock.js';
+import {EventLoop} from '../../base/common/eventLoop.js';
 import {DisposableOwner, toDisposable} from '../../base/common/lifecycle.js';
 import {nextPoll} from '../../base/node/nextPoll.js';
 import {Logger} from '../../infrastructure/logging/common/logger.js';
@@ -9,11 +10,19 @@
 /** Delay that is reported: a noticeable part of the pause that callers tolerate between events. */
 const DELAY_THRESHOLD_MILLISECONDS = 60;
 
+/** Longest time for which new connections are accepted before the first of their requests is handled. */
+const READ_LIMIT_MILLISECONDS = 100;
+
 /** Logs a warning when the event loop was delayed, either by this process or by contention on the machine. */
-export class EventLoopMonitor extends DisposableOwner {
+export class EventLoopMonitor extends DisposableOwner implements EventLoop {
   private lastCheckAt: number;
-  /** The last check after which the event loop has polled. */
-  private polledAt: number;
+  /** The last moment before a poll that has ended. */
+  private lastPollAt: number;
+  /** The last of these moments after which no connection waited to be accepted. */
+  private readAt: number;
+  /** Whether no connection waits to be accepted, as of the last poll. */
+  private isRead = true;
+  private acceptedCount = 0;
   private suspendedAtPoll: number;
   private lastUsage = process.cpuUsage();
 
@@ -23,7 +32,8 @@
   ) {
     super();
     this.lastCheckAt = clock.monotonicMilliseconds();
-    this.polledAt = this.lastCheckAt;
+    this.lastPollAt = this.lastCheckAt;
+    this.readAt = this.lastCheckAt;
     this.suspendedAtPoll = clock.suspendedMilliseconds();
     const timer = setInterval(() => this.check(), CHECK_PERIOD_MILLISECONDS);
     this.register(toDisposable(() => clearInterval(timer)));
@@ -34,7 +44,7 @@
    * signals since then and has not seen it.
    */
   get earliestSignalAt(): number {
-    return this.polledAt;
+    return this.lastPollAt;
   }
 
   /** What the clock said at that moment of the time for which the machine was suspended. */
@@ -44,7 +54,6 @@
 
   private check(): void {
     const now = this.clock.monotonicMilliseconds();
-    const suspended = this.clock.suspendedMilliseconds();
     const delayMilliseconds =
       now - this.lastCheckAt - CHECK_PERIOD_MILLISECONDS;
     const usage = process.cpuUsage(this.lastUsage);
@@ -55,10 +64,41 @@
       });
     }
     this.lastCheckAt = now;
-    void nextPoll().then(() => {
-      this.polledAt = now;
-      this.suspendedAtPoll = suspended;
-    });
+    void this.poll();
     this.lastUsage = process.cpuUsage();
   }
+
+  get readUntil(): number {
+    return this.readAt;
+  }
+
+  /** Records that a connection was accepted. */
+  recordAccepted(): void {
+    this.acceptedCount++;
+  }
+
+  /** An event loop accepts one connection in each turn, so it is read to the end when a turn has brought none. */
+  async readAll(): Promise<void> {
+    const end = this.clock.monotonicMilliseconds() + READ_LIMIT_MILLISECONDS;
+    do {
+      await this.poll();
+    } while (!this.isRead && this.clock.monotonicMilliseconds() < end);
+    // Requests of the last connection are read now, and whether it has ended is read next.
+    await nextPoll();
+  }
+
+  private async poll(): Promise<void> {
+    const now = this.clock.monotonicMilliseconds();
+    const suspended = this.clock.suspendedMilliseconds();
+    const {acceptedCount} = this;
+    await nextPoll();
+    this.isRead = acceptedCount === this.acceptedCount;
+    if (this.isRead) {
+      this.readAt = Math.max(this.readAt, now);
+    }
+    if (now > this.lastPollAt) {
+      this.lastPollAt = now;
+      this.suspendedAtPoll = suspended;
+    }
+  }
 }
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -1,6 +1,7 @@
 import {Registry} from 'prom-client';
 
 import {Clock} from '../../base/common/clock.js';
+import {EventLoop} from '../../base/common/eventLoop.js';
 import {anyEvent} from '../../base/common/event.js';
 import {DisposableStore} from '../../base/common/lifecycle.js';
 import {RandomSource} from '../../base/common/randomSource.js';
@@ -74,6 +75,7 @@
   ports: RouterPorts,
   memory: ReceivedMemory,
   clock: Clock,
+  eventLoop: EventLoop,
   random: RandomSource,
   logger: Logger,
   owned: DisposableStore,
@@ -114,6 +116,7 @@
     settings,
     {
       clock,
+      eventLoop,
       random,
       logger,
       directory,
@@ -170,6 +173,7 @@
     settings: defaultForwardingSettings,
     mechanisms,
     clock,
+    eventLoop,
     random,
     logger,
     metrics: new RequestMetrics(metrics),
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -58,17 +58,18 @@
     random: RandomSource,
     private readonly logger: Logger,
   ) {
+    this.eventLoop = this.owned.add(new EventLoopMonitor(clock, logger));
     this.components = createRouterComponents(
       settings,
       ports,
       memory,
       clock,
+      this.eventLoop,
       random,
       logger,
       this.owned,
     );
     this.addresses = this.owned.add(new AddressOpener(clock, logger));
-    this.eventLoop = this.owned.add(new EventLoopMonitor(clock, logger));
     this.owned.add(
       new MemoryMonitor(logger, settings.memoryLimitBytes, () => ({
         requests: this.components.handler.count,
@@ -85,6 +86,7 @@
       logger,
       this.components.handler,
       memory,
+      () => this.eventLoop.recordAccepted(),
       Math.max(
         MINIMUM_CALLER_CONNECTIONS,
         settings.descriptorLimit - RESERVED_DESCRIPTORS,
--- a/src/programs/router/upstreamComponents.ts
+++ b/src/programs/router/upstreamComponents.ts
@@ -1,4 +1,5 @@
 import {Clock} from '../../base/common/clock.js';
+import {EventLoop} from '../../base/common/eventLoop.js';
 import {DisposableStore} from '../../base/common/lifecycle.js';
 import {RandomSource} from '../../base/common/randomSource.js';
 import {rankByRendezvous} from '../../base/common/rendezvous.js';
@@ -15,6 +16,9 @@
 import {defaultForwardingSettings} from '../../features/forwarding/common/forwardingSettings.js';
 import {OutcomeHistory} from '../../features/forwarding/common/outcomeHistory.js';
 import {HttpUpstreamConnector} from '../../features/forwarding/node/httpUpstreamConnector.js';
+import {UpstreamConnector} from '../../features/forwarding/common/upstreamExchange.js';
+import {LateDialer} from '../../features/forwarding/node/lateDialer.js';
+import {LateSendConnector} from '../../features/forwarding/node/lateSendConnector.js';
 import {UpstreamProber} from '../../features/forwarding/node/upstreamProber.js';
 import {InstanceTable} from '../../features/instances/common/instanceTable.js';
 import {UpstreamLinks} from '../../features/links/common/upstreamLinks.js';
@@ -28,6 +32,7 @@
 /** What the components depend on. */
 export interface UpstreamDependencies {
   readonly clock: Clock;
+  readonly eventLoop: EventLoop;
   readonly random: RandomSource;
   readonly logger: Logger;
   readonly directory: UpstreamDirectory;
@@ -47,7 +52,7 @@
   readonly rests: UpstreamRests;
   readonly admission: UpstreamAdmission;
   readonly promptGuard: PromptGuard;
-  readonly connector: HttpUpstreamConnector;
+  readonly connector: UpstreamConnector;
   readonly outcomes: OutcomeHistory;
   readonly prefillBacklog: PrefillBacklog;
 }
@@ -58,7 +63,7 @@
   dependencies: UpstreamDependencies,
   owned: DisposableStore,
 ): UpstreamComponents {
-  const {clock, random, logger, directory, suspicions, instances} =
+  const {clock, eventLoop, random, logger, directory, suspicions, instances} =
     dependencies;
   const {upstreamControl, links, dialer} = dependencies;
   const slowness = owned.add(new SlownessTracker(clock, logger));
@@ -88,7 +93,9 @@
       isFirstInstance(instances, instance.name, part),
     ),
   );
-  const connector = owned.add(new HttpUpstreamConnector(dialer));
+  const connector = owned.add(
+    new HttpUpstreamConnector(new LateDialer(dialer, clock, eventLoop)),
+  );
   owned.add(links.onDidChange(() => prober.recheckSuspected()));
   const outcomes = new OutcomeHistory(clock);
   const prefillBacklog = new PrefillBacklog(
@@ -116,7 +123,7 @@
     rests,
     admission: new UpstreamAdmission(rateLimiter, rests),
     promptGuard,
-    connector,
+    connector: new LateSendConnector(connector, clock, eventLoop),
     outcomes,
     prefillBacklog,
   };
