Timers: a response that waits to be read is no longer taken for missing, nor a party for silent while this process was held

What users saw: in a collapse configurations were late, since a sound store was taken for silent; false suspicions have the same cause. Cause: a timer that is due runs before what has arrived is read, and counts time in which the process could neither send nor read. Each such call was given up with its connection, and made again. Not changed: probes of reports, which have their own check for late timers.

--- a/src/base/common/clock.ts
+++ b/src/base/common/clock.ts
@@ -13,4 +13,13 @@
   abstract suspendedMilliseconds(): number;
   /** Runs a callback once after a delay; dispose the result to cancel it. */
   abstract setTimer(milliseconds: number, callback: () => void): Disposable;
+  /**
+   * Runs a callback once when another party has not responded in time; dispose the result when it has. What has arrived by then is read
+   * first, and a timer that is late waits once more for as long as it was late, up to its time: this process may have been held meanwhile,
+   * so that it could neither send nor read.
+   */
+  abstract setResponseTimer(
+    milliseconds: number,
+    callback: () => void,
+  ): Disposable;
 }
--- a/src/base/node/systemClock.ts
+++ b/src/base/node/systemClock.ts
@@ -2,6 +2,7 @@
 
 import {Clock} from '../common/clock.js';
 import {Disposable, toDisposable} from '../common/lifecycle.js';
+import {ResponseTimer} from './responseTimer.js';
 
 /** Shorter suspensions aren't told from the resolution of the clocks. */
 const SHORTEST_SUSPENSION_MILLISECONDS = 100;
@@ -59,6 +60,13 @@
     const timer = setTimeout(callback, milliseconds);
     return toDisposable(() => clearTimeout(timer));
   }
+
+  override setResponseTimer(
+    milliseconds: number,
+    callback: () => void,
+  ): Disposable {
+    return new ResponseTimer(milliseconds, callback);
+  }
 }
 
 function suspensionBetween(before: ClockReading, after: ClockReading): number {
--- a/src/features/forwarding/node/guardedServices.ts
+++ b/src/features/forwarding/node/guardedServices.ts
@@ -49,6 +49,15 @@
   override setTimer(milliseconds: number, callback: () => void): Disposable {
     return this.clock.setTimer(milliseconds, () => this.guard(callback));
   }
+
+  override setResponseTimer(
+    milliseconds: number,
+    callback: () => void,
+  ): Disposable {
+    return this.clock.setResponseTimer(milliseconds, () =>
+      this.guard(callback),
+    );
+  }
 }
 
 class GuardedConnector extends UpstreamConnector {
--- a/src/features/forwarding/node/httpUpstreamExchange.ts
+++ b/src/features/forwarding/node/httpUpstreamExchange.ts
@@ -1,5 +1,6 @@
 import {Dispatcher} from 'undici';
 
+import {ResponseTimer} from '../../../base/node/responseTimer.js';
 import {
   ConnectionWatch,
   FramingTooLongError,
@@ -20,7 +21,7 @@
   implements Dispatcher.DispatchHandler
 {
   private controller: Dispatcher.DispatchController | undefined;
-  private connectTimer: NodeJS.Timeout | undefined;
+  private connectTimer: ResponseTimer | undefined;
   private wasSent = false;
   /** The connection of the response, once its head has arrived. */
   private connection: WatchedConnection | undefined;
@@ -41,9 +42,8 @@
 
   /** Sends the request. */
   start(dispatcher: Dispatcher, request: UpstreamRequest): void {
-    this.connectTimer = setTimeout(
-      () => this.fail('connection timeout'),
-      request.connectMilliseconds,
+    this.connectTimer = new ResponseTimer(request.connectMilliseconds, () =>
+      this.fail('connection timeout'),
     );
     const hasBody = request.body.length > 0;
     try {
@@ -92,7 +92,7 @@
       controller.abort(new Error('cancelled before sending'));
       return;
     }
-    clearTimeout(this.connectTimer);
+    this.connectTimer?.dispose();
     this.wasSent = true;
   }
 
@@ -157,7 +157,7 @@
   private finish(): void {
     this.setPaused(false);
     this.isDone = true;
-    clearTimeout(this.connectTimer);
+    this.connectTimer?.dispose();
     const {ownDispatcher} = this;
     if (ownDispatcher !== undefined) {
       // Runs after the client's own callback has returned; only one connection is left to be closed.
--- a/src/features/instances/node/peerGossip.ts
+++ b/src/features/instances/node/peerGossip.ts
@@ -214,8 +214,9 @@
     token: CancellationToken,
   ): Promise<void> {
     const abortController = new AbortController();
-    const timer = this.clock.setTimer(EXCHANGE_TIMEOUT_MILLISECONDS, () =>
-      abortController.abort(),
+    const timer = this.clock.setResponseTimer(
+      EXCHANGE_TIMEOUT_MILLISECONDS,
+      () => abortController.abort(),
     );
     const cancellationListener = token.onDidCancel(() =>
       abortController.abort(),
--- a/src/features/instances/node/rpcLossAnnouncer.ts
+++ b/src/features/instances/node/rpcLossAnnouncer.ts
@@ -111,7 +111,7 @@
     send: (client: TRPCClient<GossipRouter>, signal: AbortSignal) => Promise<T>,
   ): Promise<Result<T, 'notTold'>> {
     const abortController = new AbortController();
-    const timer = this.clock.setTimer(ANSWER_TIMEOUT_MILLISECONDS, () =>
+    const timer = this.clock.setResponseTimer(ANSWER_TIMEOUT_MILLISECONDS, () =>
       abortController.abort(),
     );
     try {
--- a/src/features/links/node/directConnectionTester.ts
+++ b/src/features/links/node/directConnectionTester.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 
+import {ResponseTimer} from '../../../base/node/responseTimer.js';
 import {parseAddress} from '../../../infrastructure/rpc/node/rpc.js';
 import {ConnectionTest, ConnectionTester} from '../common/connectionTester.js';
 
@@ -13,11 +14,13 @@
     return new Promise(resolve => {
       const socket = connect({host, port});
       const finish = (result: ConnectionTest): void => {
-        clearTimeout(timer);
+        timer.dispose();
         socket.destroy();
         resolve(result);
       };
-      const timer = setTimeout(() => finish('noAnswer'), TIMEOUT_MILLISECONDS);
+      const timer = new ResponseTimer(TIMEOUT_MILLISECONDS, () =>
+        finish('noAnswer'),
+      );
       socket.once('connect', () => finish('connected'));
       socket.once('error', (error: NodeJS.ErrnoException) =>
         finish(error.code === 'ECONNREFUSED' ? 'refused' : 'noAnswer'),
--- a/src/features/links/node/rpcPeerReachability.ts
+++ b/src/features/links/node/rpcPeerReachability.ts
@@ -61,7 +61,7 @@
     address: string,
   ): Promise<Reachability> {
     const abortController = new AbortController();
-    const timer = this.clock.setTimer(ANSWER_TIMEOUT_MILLISECONDS, () =>
+    const timer = this.clock.setResponseTimer(ANSWER_TIMEOUT_MILLISECONDS, () =>
       abortController.abort(),
     );
     try {
--- a/src/features/placement/test/placementSimulation.ts
+++ b/src/features/placement/test/placementSimulation.ts
@@ -56,6 +56,13 @@
     );
   }
 
+  override setResponseTimer(
+    milliseconds: number,
+    callback: () => void,
+  ): Disposable {
+    return this.setTimer(milliseconds, callback);
+  }
+
   pause(): void {
     this.deferredCallbacks ??= [];
   }
--- a/src/infrastructure/http/node/httpExchange.ts
+++ b/src/infrastructure/http/node/httpExchange.ts
@@ -8,6 +8,7 @@
   MemoryBudget,
   MemoryHold,
 } from '../../../base/common/memoryBudget.js';
+import {ResponseTimer} from '../../../base/node/responseTimer.js';
 import {ConnectionWatch, WatchedConnection} from './connectionWatch.js';
 import {marksItsEnd} from './responseFraming.js';
 
@@ -67,7 +68,7 @@
   private connection: WatchedConnection | undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private settle: (outcome: HttpOutcome) => void = () => undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private timer: Disposable | undefined;
   private cancellation: Disposable | undefined;
   private sent = false;
   private settled = false;
@@ -90,7 +91,7 @@
   run(request: HttpRequest, token: CancellationToken): Promise<HttpOutcome> {
     return new Promise(resolve => {
       this.settle = resolve;
-      this.timer = setTimeout(() => this.onTimeout(), this.milliseconds);
+      this.startTimer(this.milliseconds);
       this.cancellation = token.onDidCancel(() =>
         this.abortWith({kind: 'cancelled', sent: this.sent}),
       );
@@ -176,10 +177,14 @@
     return {kind: this.sent ? 'lost' : 'notSent', detail};
   }
 
+  private startTimer(milliseconds: number): void {
+    this.timer = new ResponseTimer(milliseconds, () => this.onTimeout());
+  }
+
   private onTimeout(): void {
     const remaining = this.remainingTransferMilliseconds();
     if (remaining > 0) {
-      this.timer = setTimeout(() => this.onTimeout(), remaining);
+      this.startTimer(remaining);
       return;
     }
     const received =
@@ -211,7 +216,7 @@
       return;
     }
     this.settled = true;
-    clearTimeout(this.timer);
+    this.timer?.dispose();
     this.hold.dispose();
     this.cancellation?.dispose();
     this.settle(outcome);
--- a/src/infrastructure/http/test/httpClient.test.ts
+++ b/src/infrastructure/http/test/httpClient.test.ts
@@ -6,6 +6,7 @@
   CancellationSource,
   neverCancelled,
 } from '../../../base/common/cancellation.js';
+import {blockEventLoop} from '../../../../test/support/blockEventLoop.js';
 import {HttpClient, HttpClientOptions} from '../node/httpClient.js';
 
 const REQUEST = {method: 'POST', path: '/', body: '{}'};
@@ -168,3 +169,19 @@
     expect(outcome.kind).toBe(kind);
   });
 });
+
+describe('a response that has arrived while the event loop was late', () => {
+  const LIMIT_MILLISECONDS = 100;
+  const BLOCKED_MILLISECONDS = 300;
+
+  it('is not taken for missing', async () => {
+    connect({callMilliseconds: LIMIT_MILLISECONDS});
+    // The timer of the call runs right after this one of the same time, before the event loop reads.
+    setTimeout(() => {
+      sockets[0]?.write(COMPLETE_RESPONSE);
+      blockEventLoop(BLOCKED_MILLISECONDS);
+    }, LIMIT_MILLISECONDS);
+    const outcome = await client.send(REQUEST, neverCancelled);
+    expect(outcome.kind).toBe('answered');
+  });
+});
--- a/src/infrastructure/tunnel/node/openTunnel.ts
+++ b/src/infrastructure/tunnel/node/openTunnel.ts
@@ -2,6 +2,7 @@
 import {Socket} from 'node:net';
 
 import {failure, Result, success} from '../../../base/common/result.js';
+import {ResponseTimer} from '../../../base/node/responseTimer.js';
 import {PEER_KEY_HEADER} from '../../rpc/node/rpcServer.js';
 
 /** Opens connections through a peer by HTTP's CONNECT method. */
@@ -31,18 +32,18 @@
       agent: false,
     });
     const fail = (detail: string): void => {
-      clearTimeout(timer);
+      timer.dispose();
       outgoing.destroy();
       resolve(failure(detail));
     };
-    const timer = setTimeout(() => fail('timeout'), milliseconds);
+    const timer = new ResponseTimer(milliseconds, () => fail('timeout'));
     outgoing.once('connect', (response, socket, head) => {
       if (response.statusCode !== SUCCESS_STATUS) {
         socket.destroy();
         fail(`status ${response.statusCode}`);
         return;
       }
-      clearTimeout(timer);
+      timer.dispose();
       if (head.length > 0) {
         socket.unshift(head);
       }
--- a/src/infrastructure/tunnel/node/tunnelServer.ts
+++ b/src/infrastructure/tunnel/node/tunnelServer.ts
@@ -3,6 +3,7 @@
 import {Duplex} from 'node:stream';
 
 import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
+import {ResponseTimer} from '../../../base/node/responseTimer.js';
 import {isEndOfReset} from '../../../base/node/socketEnd.js';
 import {isSamePeerKey, parseAddress} from '../../rpc/node/rpc.js';
 import {PEER_KEY_HEADER} from '../../rpc/node/rpcServer.js';
@@ -74,16 +75,15 @@
     this.openCount++;
     const {host, port} = parseAddress(request.url ?? '');
     const target = connect({host, port, noDelay: true});
-    const timer = setTimeout(
-      () => target.destroy(new Error('connection timeout')),
-      CONNECT_TIMEOUT_MILLISECONDS,
+    const timer = new ResponseTimer(CONNECT_TIMEOUT_MILLISECONDS, () =>
+      target.destroy(new Error('connection timeout')),
     );
     target.once('connect', () => {
-      clearTimeout(timer);
+      timer.dispose();
       this.join(peer, target, head);
     });
     target.once('error', () => {
-      clearTimeout(timer);
+      timer.dispose();
       refuse(peer, 'unreachable');
     });
     target.once('close', () => this.release(peer, target));
--- a/test/support/fakeClock.ts
+++ b/test/support/fakeClock.ts
@@ -41,6 +41,13 @@
     return toDisposable(() => this.timers.delete(timer));
   }
 
+  override setResponseTimer(
+    milliseconds: number,
+    callback: () => void,
+  ): Disposable {
+    return this.setTimer(milliseconds, callback);
+  }
+
   /** Number of timers that have not run yet. */
   get pendingTimerCount(): number {
     return this.timers.size;
