--- a/src/features/forwarding/node/lateDialer.ts
+++ b/src/features/forwarding/node/lateDialer.ts
@@ -43,7 +43,7 @@
       failure = error;
     };
     socket.on('error', onError);
-    await this.eventLoop.readAll();
+    await this.eventLoop.nextPoll();
     socket.off('error', onError);
     if (socket.destroyed) {
       callback(failure ?? new Error('the connection was closed'), null);
--- a/src/features/forwarding/node/lateSendConnector.ts
+++ b/src/features/forwarding/node/lateSendConnector.ts
@@ -33,7 +33,7 @@
       return open();
     }
     const exchange = new PendingExchange();
-    void this.eventLoop.readAll().then(() => exchange.open(open));
+    void this.eventLoop.nextPoll().then(() => exchange.open(open));
     return exchange;
   }
 }
--- a/src/programs/router/eventLoopMonitor.ts
+++ b/src/programs/router/eventLoopMonitor.ts
@@ -64,7 +64,7 @@
       });
     }
     this.lastCheckAt = now;
-    void this.poll();
+    void this.nextPoll();
     this.lastUsage = process.cpuUsage();
   }
 
@@ -81,13 +81,13 @@
   async readAll(): Promise<void> {
     const end = this.clock.monotonicMilliseconds() + READ_LIMIT_MILLISECONDS;
     do {
-      await this.poll();
+      await this.nextPoll();
     } while (!this.isRead && this.clock.monotonicMilliseconds() < end);
     // Requests of the last connection are read now, and whether it has ended is read next.
     await nextPoll();
   }
 
-  private async poll(): Promise<void> {
+  async nextPoll(): Promise<void> {
     const now = this.clock.monotonicMilliseconds();
     const suspended = this.clock.suspendedMilliseconds();
     const {acceptedCount} = this;
--- a/test/support/fakeEventLoop.ts
+++ b/test/support/fakeEventLoop.ts
@@ -15,6 +15,10 @@
     return this.clock.monotonicMilliseconds() - this.latenessMilliseconds;
   }
 
+  override nextPoll(): Promise<void> {
+    return this.readAll();
+  }
+
   override readAll(): Promise<void> {
     return new Promise(resolve => this.readers.push(resolve));
   }
