Forwarding: no request ends before its deadline

Traced in the red list (stops.test.ts): requests with a limit of 2,500 ms ended after 2,499.5 ms, since timers of Node.js count whole milliseconds and may run early. The timer now looks at the clock and waits for the rest. The new test in lateArrivals.test.ts failed before (504 half a millisecond early).

--- a/src/features/forwarding/node/requestForwarder.ts
+++ b/src/features/forwarding/node/requestForwarder.ts
@@ -76,15 +76,25 @@
       this.finish('callerLeft');
       return done;
     }
-    const timer = this.services.clock.setTimer(
-      Math.max(0, this.remainingMilliseconds),
-      () => this.endEarly(DEADLINE_PASSED),
-    );
-    this.owned.add(timer);
+    this.startDeadlineTimer();
     this.guard(() => this.startFirstAttempt());
     return done;
   }
 
+  /** Timers of Node.js count whole milliseconds and may run a part of one early; no request ends before its time. */
+  private startDeadlineTimer(): void {
+    const milliseconds = Math.ceil(Math.max(0, this.remainingMilliseconds));
+    const timer = this.services.clock.setTimer(milliseconds, () => {
+      this.owned.delete(timer);
+      if (this.remainingMilliseconds > 0) {
+        this.startDeadlineTimer();
+      } else {
+        this.endEarly(DEADLINE_PASSED);
+      }
+    });
+    this.owned.add(timer);
+  }
+
   endForStop(): void {
     this.guard(() => this.endEarly(INSTANCE_STOPS));
   }
--- a/src/features/forwarding/test/lateArrivals.test.ts
+++ b/src/features/forwarding/test/lateArrivals.test.ts
@@ -1,4 +1,4 @@
-import {describe, expect, it} from 'vitest';
+import {describe, expect, it, vi} from 'vitest';
 
 import {FakeClock} from '../../../../test/support/fakeClock.js';
 import {FakeEventLoop} from '../../../../test/support/fakeEventLoop.js';
@@ -101,3 +101,25 @@
     expect(orders).toEqual([[3], [3, 2], [3, 2, 1]]);
   });
 });
+
+describe('a request whose timer runs a part of a millisecond early', () => {
+  const LIMIT_MILLISECONDS = 500;
+  const EARLY_MILLISECONDS = 0.5;
+
+  it('does not end before its deadline', async () => {
+    const harness = createHarness();
+    const {clock} = harness;
+    const setTimer = clock.setTimer.bind(clock);
+    vi.spyOn(clock, 'setTimer').mockImplementation((milliseconds, callback) =>
+      setTimer(milliseconds - EARLY_MILLISECONDS, callback),
+    );
+    const caller = await harness.send('/unsafe/x', [
+      'deadline',
+      String(LIMIT_MILLISECONDS),
+    ]);
+    await harness.advance(LIMIT_MILLISECONDS - EARLY_MILLISECONDS);
+    expect(caller.outcome).toBe('open');
+    await harness.advance(1);
+    expect(caller.outcome).toBe('router 504');
+  });
+});
