Late loops: a request that is refused while it waits for its turn is logged and counted once

A stop refuses it; then it was recorded again as one whose caller had left. The case in lateArrivals.test.ts failed before (requestRefused and requestEnded).

--- a/src/features/forwarding/node/handledRequest.ts
+++ b/src/features/forwarding/node/handledRequest.ts
@@ -7,6 +7,8 @@
 export class HandledRequest extends RequestInProgress {
   /** Forwards the request once it is admitted. */
   forwarder: RequestForwarder | undefined;
+  /** Whether it was refused because the instance stops, while it waited for its turn or its body. */
+  private hasBeenRefused = false;
 
   constructor(
     readonly exchange: CallerExchange,
@@ -18,6 +20,10 @@
     super();
   }
 
+  get isRefused(): boolean {
+    return this.hasBeenRefused;
+  }
+
   /** Whether it may have waited unread, because the event loop was late. */
   get mayHaveWaited(): boolean {
     return this.arrivedAt < this.exchange.request.receivedAt;
@@ -25,6 +31,7 @@
 
   override endForStop(): void {
     if (this.forwarder === undefined) {
+      this.hasBeenRefused = true;
       this.refuseForStop(this);
     } else {
       this.forwarder.endForStop();
--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -287,6 +287,9 @@
 
   /** Records a request whose caller has left before its body was read. */
   private recordLeft(request: HandledRequest): void {
+    if (request.isRefused) {
+      return;
+    }
     const outcome = 'callerLeft';
     this.services.metrics.recordEnd('none', outcome, 0);
     this.services.logger.decision('requestEnded', {
--- a/src/features/forwarding/test/lateArrivals.test.ts
+++ b/src/features/forwarding/test/lateArrivals.test.ts
@@ -89,6 +89,22 @@
   });
 });
 
+describe('a request that waits for its turn when the instance stops', () => {
+  it('is refused once, as not run', async () => {
+    const harness = createHarness();
+    const decisions = vi.spyOn(harness.services.logger, 'decision');
+    harness.eventLoop.latenessMilliseconds = LATE_MILLISECONDS;
+    const caller = await harness.send('/unsafe/x');
+    harness.handler.endAll();
+    harness.eventLoop.read();
+    await harness.flushPromises();
+    expect(caller.outcome).toBe('notRun');
+    expect(decisions.mock.calls.map(([kind]) => kind)).toEqual([
+      'requestRefused',
+    ]);
+  });
+});
+
 describe('the turn of requests that may have waited', () => {
   it("is the newest one's first, one by one", async () => {
     const clock = new FakeClock();
