--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -1,8 +1,4 @@
 import {Disposable} from '../../../base/common/lifecycle.js';
-import {
-  Route,
-  TrafficAccount,
-} from '../../traffic/common/trafficConfiguration.js';
 import {chooseTarget} from '../../traffic/common/chooseTarget.js';
 import {EngineSettings} from '../../traffic/common/trafficConfiguration.js';
 import {RouteTable} from '../../traffic/common/routeTable.js';
@@ -18,6 +14,14 @@
 import {ForwardingServices} from './forwardingServices.js';
 import {PlainForwarder} from './plainForwarder.js';
 import {AdmittedRequest} from './admittedRequest.js';
+import {
+  Admission,
+  deadlineOf,
+  DEFAULT_DEADLINE_MILLISECONDS,
+  rejection,
+  RequestAdmission,
+  upstreamDeadlineOf,
+} from './requestAdmission.js';
 import {RequestForwarder} from './requestForwarder.js';
 import {HandledRequest} from './handledRequest.js';
 import {notRunDelay} from './notRunDelay.js';
@@ -25,9 +29,6 @@
 import {StreamForwarder} from './streamForwarder.js';
 import {StreamMonitor} from './streamMonitor.js';
 
-/** Deadline of a request that does not state one. */
-const DEFAULT_DEADLINE_MILLISECONDS = 30_000;
-
 /** Stands in for the engine of a stream service that describes none: unlimited memory and no layers. */
 const UNBOUNDED_ENGINE: EngineSettings = {
   slots: Infinity,
@@ -44,26 +45,11 @@
   layers: undefined,
 };
 
-/** The result of admission: the request's route and account, or why it is not forwarded. */
-type Admission =
-  | {
-      readonly kind: 'admitted';
-      readonly table: RouteTable;
-      readonly route: Route;
-      readonly account: TrafficAccount | undefined;
-    }
-  | {readonly kind: 'answer'; readonly answer: RouterResponse}
-  | {
-      readonly kind: 'refused';
-      readonly reason: NotRunReason;
-      /** Milliseconds until the request's time limit, where that decided. */
-      readonly timeLimit?: number;
-    };
-
 /** Decides whether to admit each request of a caller and forwards those that are admitted. */
 export class RequestHandler {
   private readonly inProgress = new RequestsInProgress();
   private readonly arrivals: ArrivalQueue;
+  private readonly admission: RequestAdmission;
   private unnamedCount = 0;
 
   constructor(
@@ -71,6 +57,7 @@
     private readonly monitor: StreamMonitor,
   ) {
     this.arrivals = new ArrivalQueue(services.clock, services.eventLoop);
+    this.admission = new RequestAdmission(services);
   }
 
   /** Number of requests without a final response. */
@@ -119,7 +106,7 @@
       this.recordLeft(request);
       return;
     }
-    const initial = await this.admit(request);
+    const initial = await this.admission.admit(request);
     if (initial.kind !== 'admitted') {
       this.respond(request, initial);
       return;
@@ -171,7 +158,7 @@
     body: Uint8Array,
   ): Promise<void> {
     // Reading the body may take long, so the configuration that is now in force decides.
-    const admission = await this.admit(request);
+    const admission = await this.admission.admit(request);
     if (admission.kind !== 'admitted') {
       this.respond(request, admission);
       return;
@@ -179,81 +166,6 @@
     await this.forward(request, admission, body);
   }
 
-  private async admit(request: HandledRequest): Promise<Admission> {
-    const {exchange, facts} = request;
-    const {configuration} = this.services;
-    if (!configuration.isConfirmed) {
-      await this.waitForConfirmation();
-    }
-    const {table} = configuration;
-    if (table === undefined) {
-      return {kind: 'refused', reason: 'unconfirmed'};
-    }
-    const {headers, target} = exchange.request;
-    if (headerSize(headers) > table.configuration.limits.headerBytes) {
-      return rejection(431, 'headers too long');
-    }
-    const route = table.findRoute(facts.host ?? '', target);
-    if (route === undefined) {
-      return configuration.isConfirmed
-        ? rejection(404, 'no such route')
-        : {kind: 'refused', reason: 'unconfirmed'};
-    }
-    const admission = this.authorize(table, route, facts);
-    const deadlineAt = deadlineOf(request, route);
-    if (
-      admission.kind === 'admitted' &&
-      request.mayHaveWaited &&
-      this.millisecondsUntil(upstreamDeadlineOf(request, route)) <
-        this.services.settings.leastTimeLeftMilliseconds
-    ) {
-      return {kind: 'refused', reason: 'readLate'};
-    }
-    if (
-      admission.kind === 'admitted' &&
-      this.services.stop.mayCutOff(deadlineAt)
-    ) {
-      const timeLimit = this.millisecondsUntil(deadlineAt);
-      return {kind: 'refused', reason: 'stopping', timeLimit};
-    }
-    return admission;
-  }
-
-  private authorize(
-    table: RouteTable,
-    route: Route,
-    facts: RequestMetadata,
-  ): Admission {
-    if (!table.requiresKeys || route.isPublic) {
-      return {kind: 'admitted', table, route, account: undefined};
-    }
-    if (!this.services.configuration.isConfirmed) {
-      return {kind: 'refused', reason: 'unconfirmed'};
-    }
-    const {key} = facts;
-    const account = key === undefined ? undefined : table.findAccount(key);
-    return account === undefined
-      ? rejection(401, 'unknown key')
-      : {kind: 'admitted', table, route, account};
-  }
-
-  /** A confirmation is usually in progress, so a short wait serves more callers than refusing at once. */
-  private waitForConfirmation(): Promise<void> {
-    const {clock, configuration, settings} = this.services;
-    return new Promise(resolve => {
-      const finish = (): void => {
-        timer.dispose();
-        listener.dispose();
-        resolve();
-      };
-      const timer = clock.setTimer(
-        settings.confirmationWaitMilliseconds,
-        finish,
-      );
-      const listener = configuration.onDidConfirm(finish);
-    });
-  }
-
   private respond(
     request: HandledRequest,
     decision: Exclude<Admission, {kind: 'admitted'}>,
@@ -386,28 +298,3 @@
     ? Math.round(receivedAt - request.arrivedAt)
     : undefined;
 }
-
-/** Monotonic milliseconds at which a request ends at the latest. */
-function deadlineOf({exchange, facts}: HandledRequest, route: Route): number {
-  const timeLimit = facts.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
-  const {receivedAt} = exchange.request;
-  return receivedAt + Math.min(timeLimit, route.timeoutMilliseconds);
-}
-
-/** Monotonic milliseconds until which the caller of a request surely waits, unless it leaves before its time. */
-function upstreamDeadlineOf(request: HandledRequest, route: Route): number {
-  const {receivedAt} = request.exchange.request;
-  return deadlineOf(request, route) - (receivedAt - request.arrivedAt);
-}
-
-function rejection(
-  status: 401 | 404 | 413 | 431,
-  reason: string,
-): Extract<Admission, {kind: 'answer'}> {
-  return {kind: 'answer', answer: {kind: 'rejected', status, reason}};
-}
-
-/** Approximate size of the headers in bytes. */
-function headerSize(headers: readonly string[]): number {
-  return headers.reduce((sum, text) => sum + text.length + 2, 0);
-}
