Late loops: requests whose callers have left take no turns from those that still wait

Cause, from its log: the queue lets one request go on after each reading of the loop, and a reading takes most of such a period. The newest request that had been read was usually one from before the last pause; its caller had left, and the turn was spent on it. One request was looked at in each period of 1060 ms, 399 were left at the end.

Now a turn goes on until it reaches a request whose caller still waits. The new test failed before, on the queue alone: after one reading only 'left 2' had gone on.

--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -101,7 +101,10 @@
   }
 
   private async process(request: HandledRequest): Promise<void> {
-    await this.arrivals.turn(request.mayHaveWaited);
+    await this.arrivals.turn(
+      request.mayHaveWaited,
+      () => request.exchange.isOver,
+    );
     if (request.exchange.isOver) {
       this.recordLeft(request);
       return;
--- a/src/features/forwarding/test/lateArrivals.test.ts
+++ b/src/features/forwarding/test/lateArrivals.test.ts
@@ -112,7 +112,7 @@
     const queue = new ArrivalQueue(clock, eventLoop);
     const order: number[] = [];
     for (const request of [1, 2, 3]) {
-      void queue.turn(true)?.then(() => order.push(request));
+      void queue.turn(true, () => false)?.then(() => order.push(request));
     }
     const orders: number[][] = [];
     for (let round = 0; round < 3; round++) {
@@ -124,6 +124,22 @@
   });
 });
 
+describe('a request that waits for its turn', () => {
+  it('does not wait for the turns of requests whose callers have left', async () => {
+    const clock = new FakeClock();
+    const eventLoop = new FakeEventLoop(clock);
+    const queue = new ArrivalQueue(clock, eventLoop);
+    const order: string[] = [];
+    for (const caller of ['waits', 'left 1', 'left 2']) {
+      const hasLeft = caller !== 'waits';
+      void queue.turn(true, () => hasLeft)?.then(() => order.push(caller));
+    }
+    eventLoop.read();
+    await new Promise(resolve => setImmediate(resolve));
+    expect(order).toEqual(['left 2', 'left 1', 'waits']);
+  });
+});
+
 describe('a request whose timer runs a part of a millisecond early', () => {
   const LIMIT_MILLISECONDS = 500;
   const EARLY_MILLISECONDS = 0.5;
