Late loops: connections are accepted first, and the newest are read first

Cause: an event loop accepts one connection in each turn, the oldest first, and the HTTP server reads each one's request in the next turn. The limit of 100 ms for accepting also ended while the process was held, so that requests were handled before the newest connections had been accepted.

So a request's longest wait counts from the last moment at which no older connection waited, and not from when all were read. The limit counts polls, which a pause doesn't use up. In calm a connection is handed to the HTTP server in the turn that accepts it.

--- a/src/features/forwarding/common/arrivalQueue.ts
+++ b/src/features/forwarding/common/arrivalQueue.ts
@@ -1,5 +1,6 @@
 import {Clock} from '../../../base/common/clock.js';
 import {EventLoop} from '../../../base/common/eventLoop.js';
+import {CallerRequest} from './callerExchange.js';
 
 /** The event loop is on time if all that arrived until this long ago is known to be read; it looks ten times a second. */
 const ON_TIME_MILLISECONDS = 160;
@@ -26,16 +27,16 @@
   private readonly waiting: WaitingRequest[] = [];
   private isReleasing = false;
 
-  constructor(
-    private readonly clock: Clock,
-    private readonly eventLoop: EventLoop,
-  ) {}
+  constructor(private readonly eventLoop: EventLoop) {}
 
-  /** Monotonic milliseconds at which a request that was read at a time arrived at the earliest. */
-  earliestArrival(readAt: number): number {
-    return isLoopLate(this.clock, this.eventLoop)
-      ? Math.min(readAt, this.eventLoop.readUntil)
-      : readAt;
+  /** Monotonic milliseconds at which a request arrived at the earliest. */
+  earliestArrival({
+    receivedAt,
+    connectedAfter = this.eventLoop.readUntil,
+  }: Pick<CallerRequest, 'receivedAt' | 'connectedAfter'>): number {
+    return receivedAt - connectedAfter > ON_TIME_MILLISECONDS
+      ? connectedAfter
+      : receivedAt;
   }
 
   /** Resolves when it is the turn of a request; undefined if it is now. */
--- a/src/features/forwarding/common/callerExchange.ts
+++ b/src/features/forwarding/common/callerExchange.ts
@@ -49,6 +49,8 @@
   readonly headers: RawHeaders;
   /** Monotonic time in milliseconds at which the head was read. */
   readonly receivedAt: number;
+  /** Monotonic time in milliseconds after which its connection was opened, if that may be long before it was read. */
+  readonly connectedAfter?: number;
 }
 
 /**
--- a/src/features/forwarding/node/httpCallerExchange.ts
+++ b/src/features/forwarding/node/httpCallerExchange.ts
@@ -54,7 +54,7 @@
   constructor(
     private readonly message: IncomingMessage,
     private readonly response: ServerResponse,
-    receivedAt: number,
+    arrival: Pick<CallerRequest, 'receivedAt' | 'connectedAfter'>,
     /** Whether to close the connection after the response. */
     private readonly closesConnection: () => boolean,
     memory: CallerMemory,
@@ -66,7 +66,7 @@
       method: message.method ?? 'GET',
       target: message.url ?? '/',
       headers: message.rawHeaders,
-      receivedAt,
+      ...arrival,
     };
     response.on('close', () => this.handleClose());
     this.watchEnd(message.socket);
--- a/src/features/forwarding/node/requestHandler.ts
+++ b/src/features/forwarding/node/requestHandler.ts
@@ -56,7 +56,7 @@
     private readonly services: ForwardingServices,
     private readonly monitor: StreamMonitor,
   ) {
-    this.arrivals = new ArrivalQueue(services.clock, services.eventLoop);
+    this.arrivals = new ArrivalQueue(services.eventLoop);
     this.admission = new RequestAdmission(services);
   }
 
@@ -82,14 +82,14 @@
 
   /** Handles one request until it has ended. */
   async handle(exchange: CallerExchange): Promise<void> {
-    const {target, headers, receivedAt} = exchange.request;
+    const {target, headers} = exchange.request;
     exchange.onDidFail(detail =>
       this.services.logger.error('response not written', {target, detail}),
     );
     const request = new HandledRequest(
       exchange,
       this.services.headerCodec.readRequest(headers),
-      this.arrivals.earliestArrival(receivedAt),
+      this.arrivals.earliestArrival(exchange.request),
       unsent => this.respond(unsent, {kind: 'refused', reason: 'stopping'}),
     );
     const entry = this.inProgress.add(request);
--- a/src/features/forwarding/test/httpCallerExchange.test.ts
+++ b/src/features/forwarding/test/httpCallerExchange.test.ts
@@ -28,7 +28,7 @@
     const exchange = new HttpCallerExchange(
       message,
       response,
-      0,
+      {receivedAt: 0},
       () => false,
       unlimitedCallerMemory,
     );
@@ -56,7 +56,7 @@
     const exchange = new HttpCallerExchange(
       message,
       response,
-      0,
+      {receivedAt: 0},
       () => false,
       unlimitedCallerMemory,
     );
@@ -93,7 +93,7 @@
       const exchange = new HttpCallerExchange(
         message,
         response,
-        0,
+        {receivedAt: 0},
         () => false,
         unlimitedCallerMemory,
       );
--- a/src/features/forwarding/test/lateArrivals.test.ts
+++ b/src/features/forwarding/test/lateArrivals.test.ts
@@ -109,7 +109,7 @@
   it("is the newest one's first, one by one", async () => {
     const clock = new FakeClock();
     const eventLoop = new FakeEventLoop(clock);
-    const queue = new ArrivalQueue(clock, eventLoop);
+    const queue = new ArrivalQueue(eventLoop);
     const order: number[] = [];
     for (const request of [1, 2, 3]) {
       void queue.turn(true, () => false)?.then(() => order.push(request));
@@ -128,7 +128,7 @@
   it('does not wait for the turns of requests whose callers have left', async () => {
     const clock = new FakeClock();
     const eventLoop = new FakeEventLoop(clock);
-    const queue = new ArrivalQueue(clock, eventLoop);
+    const queue = new ArrivalQueue(eventLoop);
     const order: string[] = [];
     for (const caller of ['waits', 'left 1', 'left 2']) {
       const hasLeft = caller !== 'waits';
--- a/src/features/forwarding/test/socketHarness.ts
+++ b/src/features/forwarding/test/socketHarness.ts
@@ -60,7 +60,7 @@
       const exchange = new HttpCallerExchange(
         message,
         response,
-        clock.monotonicMilliseconds(),
+        {receivedAt: clock.monotonicMilliseconds()},
         () => false,
         unlimitedCallerMemory,
       );
--- a/src/programs/router/callerListener.ts
+++ b/src/programs/router/callerListener.ts
@@ -1,5 +1,9 @@
 import {createServer, Server} from 'node:http';
-import {Server as NetServer} from 'node:net';
+import {
+  createServer as createNetServer,
+  Server as NetServer,
+  Socket,
+} from 'node:net';
 
 import restana from 'restana';
 
@@ -13,6 +17,8 @@
 import {ServerConnections} from '../../infrastructure/http/node/serverConnections.js';
 import {listen} from '../../infrastructure/http/node/textServer.js';
 import {Logger} from '../../infrastructure/logging/common/logger.js';
+import {ConnectionQueue} from './connectionQueue.js';
+import {EventLoopMonitor} from './eventLoopMonitor.js';
 
 /** Header size limit of the HTTP parser. The configured limit may change, so it is checked after parsing. */
 const PARSER_HEADER_LIMIT_BYTES = 64 * 1024;
@@ -26,7 +32,11 @@
 
 /** HTTP server for callers. */
 export class CallerListener {
+  /** Parses the requests of the connections that it is handed. */
   private readonly server: Server;
+  /** Accepts connections and reads nothing from them. */
+  private readonly acceptor: NetServer;
+  private readonly queue: ConnectionQueue;
   private readonly connections: ServerConnections;
   private isClosing = false;
 
@@ -35,7 +45,7 @@
     private readonly logger: Logger,
     private readonly handler: RequestHandler,
     memory: CallerMemory,
-    recordAccepted: () => void,
+    eventLoop: EventLoopMonitor,
     connectionLimit: number,
   ) {
     this.server = createServer({
@@ -45,10 +55,22 @@
       // The deadline of a request limits the time for its body.
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTION_CHECK_MILLISECONDS,
+    });
+    this.queue = new ConnectionQueue(clock, eventLoop, socket => {
+      this.server.emit('connection', socket);
+      socket.resume();
+    });
+    this.acceptor = createNetServer({
+      // A caller may end its side after its request.
+      allowHalfOpen: true,
       noDelay: true,
+      pauseOnConnect: true,
+    });
+    this.acceptor.maxConnections = connectionLimit;
+    this.acceptor.on('connection', (socket: Socket) => {
+      eventLoop.recordAccepted();
+      this.queue.add(socket);
     });
-    this.server.maxConnections = connectionLimit;
-    this.server.on('connection', recordAccepted);
     this.connections = new ServerConnections(this.server);
     restana({
       server: this.server,
@@ -56,7 +78,10 @@
         const exchange = new HttpCallerExchange(
           request,
           response,
-          this.clock.monotonicMilliseconds(),
+          {
+            receivedAt: this.clock.monotonicMilliseconds(),
+            connectedAfter: this.queue.takeConnectedAfter(request.socket),
+          },
           () => this.isClosing,
           memory,
         );
@@ -72,10 +97,12 @@
     });
   }
 
-  listen(address: string): Promise<void> {
-    return listen(this.server, address, ({message}) =>
+  async listen(address: string): Promise<void> {
+    await listen(this.acceptor, address, ({message}) =>
       this.logger.error('connection not accepted', {detail: message}),
     );
+    // The server begins to check its connections for timeouts.
+    this.server.emit('listening');
   }
 
   /** Applies the timeouts of the configuration to the server. */
@@ -106,12 +133,14 @@
 
   /** Stops accepting connections; open ones remain. */
   stopListening(): void {
-    // The method of the HTTP server would close connections with unwritten responses.
-    NetServer.prototype.close.call(this.server);
+    this.acceptor.close();
+    this.queue.releaseAll();
   }
 
   /** Closes the server and all connections, including those with requests in progress. */
   close(): void {
+    this.acceptor.close();
+    this.queue.closeAll();
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/src/programs/router/eventLoopMonitor.ts
+++ b/src/programs/router/eventLoopMonitor.ts
@@ -10,8 +10,8 @@
 /** Delay that is reported: a noticeable part of the pause that callers tolerate between events. */
 const DELAY_THRESHOLD_MILLISECONDS = 60;
 
-/** Longest time for which new connections are accepted before the first of their requests is handled. */
-const READ_LIMIT_MILLISECONDS = 100;
+/** Most polls in which new connections are accepted before the first of their requests is handled. */
+const ACCEPT_POLL_LIMIT = 1_000;
 
 /** Logs a warning when the event loop was delayed, either by this process or by contention on the machine. */
 export class EventLoopMonitor extends DisposableOwner implements EventLoop {
@@ -79,10 +79,11 @@
 
   /** An event loop accepts one connection in each turn, so it is read to the end when a turn has brought none. */
   async readAll(): Promise<void> {
-    const end = this.clock.monotonicMilliseconds() + READ_LIMIT_MILLISECONDS;
+    let polls = 0;
     do {
       await this.nextPoll();
-    } while (!this.isRead && this.clock.monotonicMilliseconds() < end);
+      polls++;
+    } while (!this.isRead && polls < ACCEPT_POLL_LIMIT);
     // Requests of the last connection are read now, and whether it has ended is read next.
     await nextPoll();
   }
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -86,7 +86,7 @@
       logger,
       this.components.handler,
       memory,
-      () => this.eventLoop.recordAccepted(),
+      this.eventLoop,
       Math.max(
         MINIMUM_CALLER_CONNECTIONS,
         settings.descriptorLimit - RESERVED_DESCRIPTORS,
