Late loops: a request is written only if the loop was polled shortly before, also after a hold in its last step

Cause, from a trace of one of them: its connection stood at 8202.4 ms, 0.7 ms after the last poll; the process was held right then and wrote the request at 9202.7 ms. The time between the last look at the loop and the write holds the choice of an upstream or the opening of a connection, and a busy process is in it for much of its time, so a hold often falls there.

Now the HTTP client's last callback before it writes looks at the clock. If the last poll is too long ago, the dispatch is given up (nothing was written, so it certainly has not run) and the request is sent after the next poll, unless its caller has left. What is left is the time from that callback to the system call.

--- a/src/features/forwarding/common/arrivalQueue.ts
+++ b/src/features/forwarding/common/arrivalQueue.ts
@@ -5,10 +5,15 @@
 /** The event loop is on time if all that arrived until this long ago is known to be read; it looks ten times a second. */
 const ON_TIME_MILLISECONDS = 160;
 
-/** Whether what is read now may have waited for long. */
-export function isLoopLate(clock: Clock, eventLoop: EventLoop): boolean {
+/** Whether what is read now may have waited for long; a later moment before a poll may be known. */
+export function isLoopLate(
+  clock: Clock,
+  eventLoop: EventLoop,
+  polledAt = -Infinity,
+): boolean {
   const now = clock.monotonicMilliseconds();
-  return now - eventLoop.readUntil > ON_TIME_MILLISECONDS;
+  const readUntil = Math.max(eventLoop.readUntil, polledAt);
+  return now - readUntil > ON_TIME_MILLISECONDS;
 }
 
 /** A request that waits for its turn. */
--- a/src/features/forwarding/node/httpUpstreamConnector.ts
+++ b/src/features/forwarding/node/httpUpstreamConnector.ts
@@ -1,5 +1,7 @@
 import {Client, Dispatcher, Pool} from 'undici';
 
+import {Clock} from '../../../base/common/clock.js';
+import {EventLoop} from '../../../base/common/eventLoop.js';
 import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
 import {ConnectionWatch} from '../../../infrastructure/http/node/connectionWatch.js';
 import {Dialer} from '../../../infrastructure/http/node/dialer.js';
@@ -37,7 +39,11 @@
   private readonly pools = new Map<string, UpstreamPool>();
   private readonly connectionWatch = new ConnectionWatch();
 
-  constructor(private readonly dialer: Dialer) {
+  constructor(
+    private readonly dialer: Dialer,
+    private readonly clock: Clock,
+    private readonly eventLoop: EventLoop,
+  ) {
     super();
     this.register(
       toDisposable(() => this.pools.forEach(({pool}) => void pool.destroy())),
@@ -50,15 +56,15 @@
     request: UpstreamRequest,
     listener: ResponseListener,
   ): UpstreamExchange {
-    const dispatcher = request.isAlone
-      ? this.createClient(upstream)
-      : this.poolOf(upstream);
     const exchange = new HttpUpstreamExchange(
       listener,
+      request.isAlone ? this.createClient(upstream) : this.poolOf(upstream),
+      request,
+      this.clock,
+      this.eventLoop,
       this.connectionWatch,
-      request.isAlone ? dispatcher : undefined,
     );
-    exchange.start(dispatcher, request);
+    exchange.start();
     return exchange;
   }
 
--- a/src/features/forwarding/node/httpUpstreamExchange.ts
+++ b/src/features/forwarding/node/httpUpstreamExchange.ts
@@ -1,5 +1,7 @@
 import {Dispatcher} from 'undici';
 
+import {Clock} from '../../../base/common/clock.js';
+import {EventLoop} from '../../../base/common/eventLoop.js';
 import {ResponseTimer} from '../../../base/node/responseTimer.js';
 import {
   ConnectionWatch,
@@ -8,6 +10,7 @@
   WatchedConnection,
 } from '../../../infrastructure/http/node/connectionWatch.js';
 import {marksItsEnd} from '../../../infrastructure/http/node/responseFraming.js';
+import {isLoopLate} from '../common/arrivalQueue.js';
 import {
   ExchangeFailure,
   ResponseListener,
@@ -15,7 +18,7 @@
   UpstreamRequest,
 } from '../common/upstreamExchange.js';
 
-/** One HTTP exchange; used only once. */
+/** One HTTP exchange; used only once. A request that is alone has a dispatcher of its own, which is destroyed with it. */
 export class HttpUpstreamExchange
   extends UpstreamExchange
   implements Dispatcher.DispatchHandler
@@ -23,6 +26,10 @@
   private controller: Dispatcher.DispatchController | undefined;
   private connectTimer: ResponseTimer | undefined;
   private wasSent = false;
+  /** Whether it is sent again, since the event loop was late right before it was written. */
+  private isPostponed = false;
+  /** Monotonic milliseconds before the last poll that it waited for. */
+  private polledAt = -Infinity;
   /** The connection of the response, once its head has arrived. */
   private connection: WatchedConnection | undefined;
   private isFramed = false;
@@ -33,21 +40,29 @@
 
   constructor(
     private readonly listener: ResponseListener,
+    private readonly dispatcher: Dispatcher,
+    private readonly request: UpstreamRequest,
+    private readonly clock: Clock,
+    private readonly eventLoop: EventLoop,
     private readonly connectionWatch: ConnectionWatch,
-    /** Dispatcher that belongs to this exchange alone and is destroyed with it. */
-    private readonly ownDispatcher: Dispatcher | undefined,
   ) {
     super();
   }
 
   /** Sends the request. */
-  start(dispatcher: Dispatcher, request: UpstreamRequest): void {
-    this.connectTimer = new ResponseTimer(request.connectMilliseconds, () =>
-      this.fail('connection timeout'),
+  start(): void {
+    this.connectTimer = new ResponseTimer(
+      this.request.connectMilliseconds,
+      () => this.fail('connection timeout'),
     );
+    this.dispatch();
+  }
+
+  private dispatch(): void {
+    const {request} = this;
     const hasBody = request.body.length > 0;
     try {
-      dispatcher.dispatch(
+      this.dispatcher.dispatch(
         {
           method: request.method as Dispatcher.HttpMethod,
           path: request.target,
@@ -92,10 +107,33 @@
       controller.abort(new Error('cancelled before sending'));
       return;
     }
+    if (this.mayHaveLeft()) {
+      this.postpone(controller);
+      return;
+    }
     this.connectTimer?.dispose();
     this.wasSent = true;
   }
 
+  /** Whether the caller may have left, since this process was held between the last poll and now. */
+  private mayHaveLeft(): boolean {
+    return isLoopLate(this.clock, this.eventLoop, this.polledAt);
+  }
+
+  /** Gives up a dispatch of which nothing was written; sends the request after the loop has read whether its caller has left. */
+  private postpone(controller: Dispatcher.DispatchController): void {
+    this.isPostponed = true;
+    const polledAt = this.clock.monotonicMilliseconds();
+    controller.abort(new Error('postponed before sending'));
+    void this.eventLoop.nextPoll().then(() => {
+      if (!this.isDone) {
+        this.isPostponed = false;
+        this.polledAt = polledAt;
+        this.dispatch();
+      }
+    });
+  }
+
   onResponseStart(
     controller: Dispatcher.DispatchController,
     status: number,
@@ -130,6 +168,9 @@
   }
 
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    if (this.isPostponed) {
+      return;
+    }
     const isWhole =
       error instanceof PausedEndError &&
       (!this.isFramed || this.receivedBytes === this.statedBytes);
@@ -158,10 +199,9 @@
     this.setPaused(false);
     this.isDone = true;
     this.connectTimer?.dispose();
-    const {ownDispatcher} = this;
-    if (ownDispatcher !== undefined) {
+    if (this.request.isAlone) {
       // Runs after the client's own callback has returned; only one connection is left to be closed.
-      setImmediate(() => void ownDispatcher.destroy().catch(() => undefined));
+      setImmediate(() => void this.dispatcher.destroy().catch(() => undefined));
     }
   }
 }
--- a/src/features/forwarding/test/cutAnswers.test.ts
+++ b/src/features/forwarding/test/cutAnswers.test.ts
@@ -25,7 +25,7 @@
   makeConfiguration,
   makeRoute,
 } from '../../traffic/test/trafficConfigurations.js';
-import {HttpUpstreamConnector} from '../node/httpUpstreamConnector.js';
+import {makeConnector} from './makeConnector.js';
 import {AttemptOutcome, ResponseBuffer} from '../node/responseBuffer.js';
 import {FakeHeaderCodec} from './fakeHeaderCodec.js';
 import {eventText} from './fakeUpstreams.js';
@@ -152,7 +152,7 @@
   it.each(answerForms)('with $name is lost', async form => {
     const upstreams = new CuttingUpstreams(form, PLAIN_BODY);
     const address = await upstreams.startOne();
-    const connector = own(new HttpUpstreamConnector(await start(address)));
+    const connector = own(makeConnector(await start(address)));
     const upstream = makeUpstream({address});
     const send = (id: string): Promise<AttemptOutcome> =>
       new Promise(resolve => {
--- a/src/features/forwarding/test/httpUpstreamExchange.test.ts
+++ b/src/features/forwarding/test/httpUpstreamExchange.test.ts
@@ -1,7 +1,9 @@
 import {createServer, Server, Socket} from 'node:net';
 
-import {afterEach, describe, expect, it} from 'vitest';
+import {afterEach, describe, expect, it, vi} from 'vitest';
 
+import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {FakeEventLoop} from '../../../../test/support/fakeEventLoop.js';
 import {makeUpstream} from '../../fleet/test/upstreams.js';
 import {
   ExchangeFailure,
@@ -12,6 +14,7 @@
 import {DirectDialer} from '../../../infrastructure/http/node/directDialer.js';
 import {Dialer} from '../../../infrastructure/http/node/dialer.js';
 import {HttpUpstreamConnector} from '../node/httpUpstreamConnector.js';
+import {makeConnector} from './makeConnector.js';
 
 /** Exchanges over real sockets with upstreams that respond in various faulty ways. */
 
@@ -45,6 +48,8 @@
 
 const servers: Server[] = [];
 const connectors: HttpUpstreamConnector[] = [];
+const clock = new FakeClock();
+const eventLoop = new FakeEventLoop(clock);
 
 afterEach(() => {
   connectors.splice(0).forEach(connector => connector.dispose());
@@ -68,10 +73,12 @@
   return `127.0.0.1:${typeof address === 'object' ? address?.port : 0}`;
 }
 
-function makeConnector(
-  dialer: Dialer = new DirectDialer(),
+function startConnector(
+  dialer?: Dialer,
+  latenessMilliseconds = 0,
 ): HttpUpstreamConnector {
-  const connector = new HttpUpstreamConnector(dialer);
+  eventLoop.latenessMilliseconds = latenessMilliseconds;
+  const connector = makeConnector(dialer, clock, eventLoop);
   connectors.push(connector);
   return connector;
 }
@@ -187,7 +194,7 @@
       'with $name ends as "$outcome"',
       async ({respond, outcome, body}) => {
         const address = await startServer(socket => respond(socket));
-        const recorder = open(makeConnector(), address, isAlone);
+        const recorder = open(startConnector(), address, isAlone);
         expect(await recorder.ended).toBe(outcome);
         expect(recorder.body).toContain(body);
       },
@@ -201,7 +208,7 @@
     socket.on('data', bytes => (seen += bytes.toString()));
     socket.end(`${HEAD}X-Two: a\r\nX-Two: b\r\nContent-Length: 0\r\n\r\n`);
   });
-  const recorder = open(makeConnector(), address, true);
+  const recorder = open(startConnector(), address, true);
   await recorder.ended;
   expect(recorder.headers.join(' ')).toContain('X-Proof p X-Two a X-Two b');
 });
@@ -211,7 +218,7 @@
     const response = `${HEAD}Content-Length: 1\r\n\r\n${count}`;
     socket.write(count === 1 ? `${response}${response}` : response);
   });
-  const connector = makeConnector();
+  const connector = startConnector();
   const first = open(connector, address, false);
   expect(await first.ended).toBe('end');
   await new Promise(resolve => setTimeout(resolve, 30));
@@ -223,7 +230,7 @@
   const address = await startServer(() => undefined);
   const [server] = servers.splice(0);
   await new Promise(resolve => server!.close(resolve));
-  const recorder = open(makeConnector(), address, false);
+  const recorder = open(startConnector(), address, false);
   expect(await recorder.ended).toBe('not sent');
 });
 
@@ -293,7 +300,7 @@
           exchanges.forEach(exchange => exchange.pause());
         }
       })();
-      exchanges.push(openFor(makeConnector(), address, false, recorder));
+      exchanges.push(openFor(startConnector(), address, false, recorder));
       await new Promise(resolve => setTimeout(resolve, 60));
       exchanges.forEach(exchange => exchange.resume());
       expect(await recorder.ended).toBe(outcome);
@@ -332,7 +339,7 @@
     }
   })();
   const exchange = openFor(
-    makeConnector(recordingDialer),
+    startConnector(recordingDialer),
     address,
     false,
     recorder,
@@ -341,3 +348,34 @@
   expect(recorder.body).toHaveLength(chunkCount * chunk.length);
   expect(mostHeld).toBeLessThan(heldLimitBytes);
 });
+
+describe('a request whose process was held right before it was written', () => {
+  const LATE_MILLISECONDS = 700;
+
+  it.each([
+    {caller: 'has left', isAlone: false, received: 0},
+    {caller: 'has left', isAlone: true, received: 0},
+    {caller: 'still waits', isAlone: false, received: 1},
+    {caller: 'still waits', isAlone: true, received: 1},
+  ])(
+    'is sent $received times when its caller $caller (alone: $isAlone)',
+    async ({caller, isAlone, received}) => {
+      let count = 0;
+      const address = await startServer(socket => {
+        count++;
+        socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+      });
+      const connector = startConnector(undefined, LATE_MILLISECONDS);
+      const recorder = new Recorder();
+      const exchange = openFor(connector, address, isAlone, recorder);
+      await vi.waitFor(() => expect(eventLoop.isAwaited).toBe(true));
+      if (caller === 'has left') {
+        exchange.dispose();
+      }
+      eventLoop.read();
+      const silence = new Promise(resolve => setTimeout(resolve, 100));
+      await Promise.race([recorder.ended, silence]);
+      expect(count).toBe(received);
+    },
+  );
+});
--- a/src/features/forwarding/test/socketHarness.ts
+++ b/src/features/forwarding/test/socketHarness.ts
@@ -18,6 +18,7 @@
 import {TrafficConfiguration} from '../../traffic/common/trafficConfiguration.js';
 import {CallerMemory, HttpCallerExchange} from '../node/httpCallerExchange.js';
 import {HttpUpstreamConnector} from '../node/httpUpstreamConnector.js';
+import {makeConnector} from './makeConnector.js';
 import {ForwardingHarness} from './forwardingHarness.js';
 
 /** Memory for callers that has no limit. */
@@ -48,7 +49,7 @@
     upstreams: readonly Upstream[],
     dialer: Dialer = new DirectDialer(),
   ) {
-    this.connector = new HttpUpstreamConnector(dialer);
+    this.connector = makeConnector(dialer);
     this.forwarding = new ForwardingHarness(
       configuration,
       upstreams,
--- a/src/programs/router/upstreamComponents.ts
+++ b/src/programs/router/upstreamComponents.ts
@@ -94,7 +94,11 @@
     ),
   );
   const connector = owned.add(
-    new HttpUpstreamConnector(new LateDialer(dialer, clock, eventLoop)),
+    new HttpUpstreamConnector(
+      new LateDialer(dialer, clock, eventLoop),
+      clock,
+      eventLoop,
+    ),
   );
   owned.add(links.onDidChange(() => prober.recheckSuspected()));
   const outcomes = new OutcomeHistory(clock);
--- a/test/support/fakeEventLoop.ts
+++ b/test/support/fakeEventLoop.ts
@@ -23,6 +23,11 @@
     return new Promise(resolve => this.readers.push(resolve));
   }
 
+  /** Whether anything waits for the next poll. */
+  get isAwaited(): boolean {
+    return this.readers.length > 0;
+  }
+
   /** Reads what has arrived: those that wait for it go on. */
   read(): void {
     this.readers.splice(0).forEach(resolve => resolve());
