Late loops: a relay passes a request on only after it has read whether its peer has left

Cause: the tunnel was a pipe between two sockets; what was read late was written at once.

Now the way from a peer to an upstream passes through a gate. While the event loop is late it waits for one poll, and drops the chunk if the peer has left by then. It reads on meanwhile, up to 64 KB, since an end is read only behind the bytes before it. In calm a chunk passes in the same turn. isLoopLate moves to the port's module, as infrastructure uses it now.

Both cases of the new test failed before (nothing waited for a poll; 'request' arrived for a caller that had left). Parts of infrastructure, forwarding, links and programs: 771 of 771. With a relay as a real process held by signals it was not played.

--- a/src/features/forwarding/common/arrivalQueue.ts
+++ b/src/features/forwarding/common/arrivalQueue.ts
@@ -1,21 +1,9 @@
-import {Clock} from '../../../base/common/clock.js';
-import {EventLoop} from '../../../base/common/eventLoop.js';
+import {
+  EventLoop,
+  ON_TIME_MILLISECONDS,
+} from '../../../base/common/eventLoop.js';
 import {CallerRequest} from './callerExchange.js';
 
-/** The event loop is on time if all that arrived until this long ago is known to be read; it looks ten times a second. */
-const ON_TIME_MILLISECONDS = 160;
-
-/** Whether what is read now may have waited for long; a later moment before a poll may be known. */
-export function isLoopLate(
-  clock: Clock,
-  eventLoop: EventLoop,
-  polledAt = -Infinity,
-): boolean {
-  const now = clock.monotonicMilliseconds();
-  const readUntil = Math.max(eventLoop.readUntil, polledAt);
-  return now - readUntil > ON_TIME_MILLISECONDS;
-}
-
 /** A request that waits for its turn. */
 interface WaitingRequest {
   /** Whether its caller has left or it was refused. */
--- a/src/features/forwarding/node/httpUpstreamExchange.ts
+++ b/src/features/forwarding/node/httpUpstreamExchange.ts
@@ -1,7 +1,7 @@
 import {Dispatcher} from 'undici';
 
 import {Clock} from '../../../base/common/clock.js';
-import {EventLoop} from '../../../base/common/eventLoop.js';
+import {EventLoop, isLoopLate} from '../../../base/common/eventLoop.js';
 import {ResponseTimer} from '../../../base/node/responseTimer.js';
 import {
   ConnectionWatch,
@@ -10,7 +10,6 @@
   WatchedConnection,
 } from '../../../infrastructure/http/node/connectionWatch.js';
 import {marksItsEnd} from '../../../infrastructure/http/node/responseFraming.js';
-import {isLoopLate} from '../common/arrivalQueue.js';
 import {
   ExchangeFailure,
   ResponseListener,
--- a/src/features/forwarding/node/lateDialer.ts
+++ b/src/features/forwarding/node/lateDialer.ts
@@ -3,10 +3,9 @@
 import {buildConnector} from 'undici';
 
 import {Clock} from '../../../base/common/clock.js';
-import {EventLoop} from '../../../base/common/eventLoop.js';
+import {EventLoop, isLoopLate} from '../../../base/common/eventLoop.js';
 import {Event} from '../../../base/common/event.js';
 import {Dialer} from '../../../infrastructure/http/node/dialer.js';
-import {isLoopLate} from '../common/arrivalQueue.js';
 
 /**
  * Hands out a connection that was opened while the event loop was late only after the loop has read which callers have left, since a client
--- a/src/features/forwarding/node/lateSendConnector.ts
+++ b/src/features/forwarding/node/lateSendConnector.ts
@@ -1,7 +1,6 @@
 import {Clock} from '../../../base/common/clock.js';
-import {EventLoop} from '../../../base/common/eventLoop.js';
+import {EventLoop, isLoopLate} from '../../../base/common/eventLoop.js';
 import {Upstream} from '../../fleet/common/upstream.js';
-import {isLoopLate} from '../common/arrivalQueue.js';
 import {
   ResponseListener,
   UpstreamConnector,
--- a/src/features/forwarding/test/relayedLinks.ts
+++ b/src/features/forwarding/test/relayedLinks.ts
@@ -4,6 +4,8 @@
   addressOf,
   ANY_LOCAL_ADDRESS,
 } from '../../../../test/support/localServer.js';
+import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {FakeEventLoop} from '../../../../test/support/fakeEventLoop.js';
 import {SeededRandomSource} from '../../../base/common/randomSource.js';
 import {Disposable, toDisposable} from '../../../base/common/lifecycle.js';
 import {SystemClock} from '../../../base/node/systemClock.js';
@@ -39,7 +41,13 @@
 /** Starts a peer that relays all connections; resolves with its address. */
 export async function startRelay(): Promise<Disposable & {address: string}> {
   const server: HttpServer = createServer();
-  const tunnels = new TunnelServer(KEY, () => 'allowed');
+  const clock = new FakeClock();
+  const tunnels = new TunnelServer(
+    KEY,
+    () => 'allowed',
+    clock,
+    new FakeEventLoop(clock),
+  );
   tunnels.attach(server);
   await listen(server, ANY_LOCAL_ADDRESS);
   const stop = toDisposable(() => {
--- a/src/infrastructure/tunnel/node/tunnelServer.ts
+++ b/src/infrastructure/tunnel/node/tunnelServer.ts
@@ -1,12 +1,15 @@
 import {IncomingMessage, Server} from 'node:http';
 import {connect, Socket} from 'node:net';
-import {Duplex} from 'node:stream';
+import {Duplex, Writable} from 'node:stream';
 
+import {Clock} from '../../../base/common/clock.js';
+import {EventLoop} from '../../../base/common/eventLoop.js';
 import {DisposableOwner, toDisposable} from '../../../base/common/lifecycle.js';
 import {ResponseTimer} from '../../../base/node/responseTimer.js';
 import {isEndOfReset} from '../../../base/node/socketEnd.js';
 import {isSamePeerKey, parseAddress} from '../../rpc/node/rpc.js';
 import {PEER_KEY_HEADER} from '../../rpc/node/rpcServer.js';
+import {LateGate} from './lateGate.js';
 
 /** Maximum concurrent tunnels; each holds two descriptors of this process. */
 const TUNNEL_LIMIT = 400;
@@ -38,6 +41,8 @@
   constructor(
     private readonly peerKey: string,
     private readonly guard: TunnelGuard,
+    private readonly clock: Clock,
+    private readonly eventLoop: EventLoop,
   ) {
     super();
     this.register(
@@ -111,11 +116,17 @@
     peer.setNoDelay(true);
     peer.write('HTTP/1.1 200 Connection Established\r\n\r\n');
     target.removeAllListeners('error');
+    const gate = new LateGate(
+      this.clock,
+      this.eventLoop,
+      () => peer.readableEnded || peer.destroyed,
+    );
     if (head.length > 0) {
-      target.write(head);
+      gate.write(head);
     }
-    pass(peer, target);
-    pass(target, peer);
+    gate.pipe(target);
+    pass(peer, target, gate);
+    pass(target, peer, peer);
   }
 
   private release(peer: Socket, target: Socket): void {
@@ -132,8 +143,11 @@
   }
 }
 
-/** Passes bytes on, and how the connection ends: a reset is passed on as a reset, and an end as an end. */
-function pass(source: Socket, destination: Socket): void {
+/**
+ * Passes bytes on, and how the connection ends: a reset is passed on as a reset, and an end as an end.
+ * @param way what leads to the destination
+ */
+function pass(source: Socket, destination: Socket, way: Writable): void {
   let hasFailed = false;
   const passReset = (): void => {
     hasFailed = true;
@@ -144,7 +158,7 @@
     if (isEndOfReset(source)) {
       passReset();
     } else {
-      destination.end();
+      way.end();
     }
   });
   source.once('close', () => {
@@ -152,7 +166,7 @@
       destination.destroySoon();
     }
   });
-  source.pipe(destination, {end: false});
+  source.pipe(way, {end: false});
 }
 
 function refuse(peer: Socket, refusal: Refusal): void {
--- a/src/infrastructure/tunnel/test/tunnel.test.ts
+++ b/src/infrastructure/tunnel/test/tunnel.test.ts
@@ -4,13 +4,15 @@
 } from 'node:http';
 import {AddressInfo, createServer, Server, Socket} from 'node:net';
 
-import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {
   closings,
   CuttingServer,
   mapInBatches,
 } from '../../../../test/standins/cutAnswers.js';
+import {FakeClock} from '../../../../test/support/fakeClock.js';
+import {FakeEventLoop} from '../../../../test/support/fakeEventLoop.js';
 import {isEndOfReset} from '../../../base/node/socketEnd.js';
 import {openTunnel} from '../node/openTunnel.js';
 import {TunnelGuard, TunnelServer} from '../node/tunnelServer.js';
@@ -38,6 +40,8 @@
   let relay: HttpServer;
   let relayAddress: string;
   let tunnels: TunnelServer;
+  const clock = new FakeClock();
+  let eventLoop: FakeEventLoop;
   let decision: ReturnType<TunnelGuard>;
   /** What the target does with a connection. */
   let serve: (socket: Socket) => void;
@@ -50,7 +54,8 @@
       serve(socket);
     });
     targetAddress = await listen(target);
-    tunnels = new TunnelServer(KEY, () => decision);
+    eventLoop = new FakeEventLoop(clock);
+    tunnels = new TunnelServer(KEY, () => decision, clock, eventLoop);
     relay = createHttpServer();
     tunnels.attach(relay);
     relayAddress = await listen(relay);
@@ -160,6 +165,32 @@
     },
   );
 
+  it.each([
+    {user: 'has left', received: ''},
+    {user: 'still waits', received: 'request'},
+  ])(
+    'whose relay was late passes "$received" on when its user $user',
+    async ({user, received}) => {
+      let passed = '';
+      const isOpen = new Promise<Socket>(resolve => (serve = resolve));
+      const socket = await openSocket();
+      const atTarget = await isOpen;
+      atTarget.on('data', chunk => (passed += String(chunk)));
+      eventLoop.latenessMilliseconds = 700;
+      socket.write('request');
+      await vi.waitFor(() => expect(eventLoop.isAwaited).toBe(true));
+      if (user === 'has left') {
+        socket.destroy();
+        await new Promise(resolve => setTimeout(resolve, 50));
+      }
+      eventLoop.read();
+      await vi.waitFor(() => expect(passed).toBe(received));
+      socket.destroy();
+      await nextEvent(atTarget, 'close');
+      expect(passed).toBe(received);
+    },
+  );
+
   it('closes the connection to the target when its user leaves', async () => {
     const closed = new Promise<void>(resolve => {
       serve = socket => socket.once('close', () => resolve());
--- a/src/programs/router/connectionQueue.ts
+++ b/src/programs/router/connectionQueue.ts
@@ -1,11 +1,8 @@
 import {Socket} from 'node:net';
 
 import {Clock} from '../../base/common/clock.js';
-import {EventLoop} from '../../base/common/eventLoop.js';
-import {
-  ArrivalQueue,
-  isLoopLate,
-} from '../../features/forwarding/common/arrivalQueue.js';
+import {EventLoop, isLoopLate} from '../../base/common/eventLoop.js';
+import {ArrivalQueue} from '../../features/forwarding/common/arrivalQueue.js';
 
 /**
  * Hands connections of callers to the HTTP server: at once, or, after the event loop was late, one by one and the newest first. To accept
--- a/src/programs/router/relayComponents.ts
+++ b/src/programs/router/relayComponents.ts
@@ -1,4 +1,5 @@
 import {Clock} from '../../base/common/clock.js';
+import {EventLoop} from '../../base/common/eventLoop.js';
 import {DisposableStore} from '../../base/common/lifecycle.js';
 import {MemoryBudget} from '../../base/common/memoryBudget.js';
 import {RandomSource} from '../../base/common/randomSource.js';
@@ -26,6 +27,7 @@
 /** What the relay components depend on. */
 export interface RelayDependencies {
   readonly clock: Clock;
+  readonly eventLoop: EventLoop;
   readonly random: RandomSource;
   readonly logger: Logger;
   readonly directory: UpstreamDirectory;
@@ -53,9 +55,8 @@
   dependencies: RelayDependencies,
   owned: DisposableStore,
 ): RelayComponents {
-  const {clock, random, logger, directory, suspicions, instances} =
-    dependencies;
-  const {connections, messageMemory} = dependencies;
+  const {clock, eventLoop, random, logger, directory} = dependencies;
+  const {suspicions, instances, connections, messageMemory} = dependencies;
   const links = owned.add(new UpstreamLinks(clock, logger));
   owned.add(
     links.onDidChange(() => {
@@ -92,7 +93,7 @@
     // Connections pass through one peer at most.
     return links.isRelayed(address) ? 'unreachable' : 'allowed';
   };
-  const tunnels = owned.add(new TunnelServer(peerKey, guard));
+  const tunnels = owned.add(new TunnelServer(peerKey, guard, clock, eventLoop));
   const dialer = owned.add(new RelayingDialer(links, relayClient));
   const ownLinks = new ReachabilityTester(
     clock,
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -99,6 +99,7 @@
       settings,
       {
         clock,
+        eventLoop,
         random,
         logger,
         directory,
