Configuration: after a long outage the newest version is read alone, not each one that was missed

Now an instance whose confirmation has run out (4.3 s at size) reads the row. The longest wait is one configuration, however many were missed. If nothing was missed it costs one configuration that the feed would not have sent; an instance that is still confirmed goes on from its position, as before.

--- a/src/features/traffic/common/configurationFollower.ts
+++ b/src/features/traffic/common/configurationFollower.ts
@@ -106,10 +106,11 @@
     return Math.min(LONG_POLL_LIMIT_MILLISECONDS, Math.round(limit));
   }
 
+  /** After a long outage it reads the newest version alone, since awaiting changes would return each one that was missed. */
   private readNext(
     token: CancellationToken,
   ): Promise<Result<ConfigurationUpdate, ConfigurationSourceError>> {
-    return this.position === undefined
+    return this.position === undefined || !this.activeConfiguration.isConfirmed
       ? this.configurationSource.read(token)
       : this.configurationSource.awaitChange(
           this.position,
