--- a/src/features/forwarding/test/spoiledHeads.test.ts
+++ b/src/features/forwarding/test/spoiledHeads.test.ts
@@ -6,6 +6,7 @@
   addressOf,
   ANY_LOCAL_ADDRESS,
 } from '../../../../test/support/localServer.js';
+import {DirectDialer} from '../../../infrastructure/http/node/directDialer.js';
 import {listen} from '../../../infrastructure/http/node/textServer.js';
 import {Upstream} from '../../fleet/common/upstream.js';
 import {makeUpstream} from '../../fleet/test/upstreams.js';
@@ -15,6 +16,7 @@
   makeRoute,
 } from '../../traffic/test/trafficConfigurations.js';
 import {eventText} from './fakeUpstreams.js';
+import {createRelayingDialer, startRelay} from './relayedLinks.js';
 import {CallerAnswer, SocketHarness} from './socketHarness.js';
 
 /** Answers with a spoiled status line on their way from a real socket of an upstream to a real socket of a caller. */
@@ -211,6 +213,18 @@
     {service: 's', target: '/safe/x'},
     {service: 'model', target: '/stream/x'},
   ];
+  const ways = [
+    {way: 'directly', startDialer: async () => new DirectDialer()},
+    {
+      way: 'over a peer',
+      startDialer: async (address: string) => {
+        const relay = await startRelay();
+        const dialer = createRelayingDialer(relay.address, [address]);
+        stops.push(() => [dialer, relay].forEach(part => part.dispose()));
+        return dialer;
+      },
+    },
+  ];
   const odd = ODD_STATUSES.map(status => ({status, forwarded: [] as number[]}));
   const unknown = UNKNOWN_STATUSES.map(status => ({
     status,
@@ -220,13 +234,16 @@
   // On other systems, callers got an answer with the status 000.
   it.each(
     [...odd, ...unknown].flatMap(status =>
-      targets.map(target => ({...status, ...target})),
+      targets.flatMap(target =>
+        ways.map(way => ({...status, ...target, ...way})),
+      ),
     ),
   )(
-    'is never given to a caller: $status on $target',
-    async ({service, target, status, forwarded}) => {
+    'is never given to a caller: $status on $target $way',
+    async ({service, target, status, forwarded, startDialer}) => {
       const {upstream, standIn} = await startUpstream(service, 0);
-      const harness = new SocketHarness(configuration, [upstream]);
+      const dialer = await startDialer(upstream.address);
+      const harness = new SocketHarness(configuration, [upstream], dialer);
       stops.push(() => harness.dispose());
       await harness.start();
       const id = `status=${status}`;
