Soak: late loops, and callers that left judged at held instances, too

They are drawn from a seed of their own, so the other faults of a seed stay what they were. A new check, 'GONE at any time', judges requests of callers that left at every instance, held ones included, which 'GONE' excuses.

The case of four late requests names both checks now.

--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -344,7 +344,23 @@
         }),
         calls: times(4, call),
       },
-      broken: ['GONE'],
+      broken: ['GONE', 'GONE at any time'],
+    },
+    {
+      name: 'four requests that an instance sends on late after it was held',
+      history: {
+        attempts: times(4, {
+          ...attempt,
+          end: {kind: 'left', why: 'early'},
+          endedAt: 20_500,
+        }),
+        calls: times(4, call),
+        processEvents: [
+          start,
+          {kind: 'freeze', instance: 'a', at: 20_200, until: 21_000},
+        ],
+      },
+      broken: ['GONE at any time'],
     },
     {
       name: 'streams at which upstreams work on after their callers left',
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -37,6 +37,7 @@
   {name: 'BUDGET of attempts', judge: findBudget},
   {name: 'DRAIN', judge: findDrain},
   {name: 'GONE', judge: findGone},
+  {name: 'GONE at any time', judge: findLateArrivals},
   {name: 'exit codes', judge: findExits},
 ];
 
@@ -209,6 +210,19 @@
       endedAt !== undefined &&
       index.isInTouch(instance, endedAt + GONE_MILLISECONDS),
   );
+  return joinResults(judgeArrivals(index, left), findWorkLeft(index, left));
+}
+
+/** Requests that are sent on late also by an instance that was held. */
+function findLateArrivals(index: HistoryIndex): CheckResult {
+  const left = index.attempts.filter(({end}) => end.kind === 'left');
+  return judgeArrivals(index, left);
+}
+
+function judgeArrivals(
+  index: HistoryIndex,
+  left: readonly Attempt[],
+): CheckResult {
   const arrivals = checkAll(left, attempt => {
     const isLate = index
       .callsOf(attempt)
@@ -217,10 +231,7 @@
       ? broken(attempt.requestId, 'reached an upstream after its caller left')
       : {kind: 'kept'};
   });
-  return joinResults(
-    allowFew(arrivals, FEW_REQUESTS),
-    findWorkLeft(index, left),
-  );
+  return allowFew(arrivals, FEW_REQUESTS);
 }
 
 /** Work that goes on after the caller has left, where that is too large a share. */
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -16,7 +16,7 @@
 
 const USAGE_EXIT_CODE = 2;
 const USAGE =
-  'usage: npm run soak -- [--seed N] [--seeds N] [--seconds S] [--instances N] [--replay FILE] [--regressions] [--out DIRECTORY] [--schedule]';
+  'usage: npm run soak -- [--seed N] [--seeds N] [--seconds S] [--instances N] [--late-loops] [--replay FILE] [--regressions] [--out DIRECTORY] [--schedule]';
 
 /** Counts of a run or of several. */
 type Counts = Record<string, number>;
@@ -88,6 +88,7 @@
       seeds: {type: 'string', default: DEFAULT_SEEDS},
       seconds: {type: 'string', default: DEFAULT_SECONDS},
       instances: {type: 'string', default: DEFAULT_INSTANCES},
+      'late-loops': {type: 'boolean', default: false},
       replay: {type: 'string'},
       regressions: {type: 'boolean', default: false},
       out: {type: 'string', default: join(tmpdir(), 'redwing-soak')},
@@ -103,7 +104,12 @@
     return USAGE_EXIT_CODE;
   }
   let schedules = [...Array(Number(values.seeds)).keys()].map(index =>
-    drawSchedule({seed: seed + index, seconds, instanceCount}),
+    drawSchedule({
+      seed: seed + index,
+      seconds,
+      instanceCount,
+      hasLateLoops: values['late-loops'],
+    }),
   );
   if (values.regressions) {
     schedules = regressionSeeds.map(scheduleOf);
--- a/test/soak/schedule.test.ts
+++ b/test/soak/schedule.test.ts
@@ -13,6 +13,17 @@
     expect(schedule).not.toEqual(drawSchedule({...options, seed: seed + 1}));
   });
 
+  it('draws late loops beside the same other faults', () => {
+    const options = {seed: 1, seconds: 60, instanceCount: 6};
+    const {faults} = drawSchedule(options);
+    const late = drawSchedule({...options, hasLateLoops: true}).faults;
+    expect(late).toEqual(expect.arrayContaining([...faults]));
+    const added = late.filter(
+      ({fault}) => !faults.some(other => other.fault === fault),
+    );
+    expect(added.length).toBeGreaterThan(faults.length);
+  });
+
   it('draws faults of all kinds in overlapping series', () => {
     const faults = SEEDS.flatMap(
       seed => drawSchedule({seed, seconds: 300, instanceCount: 6}).faults,
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -75,6 +75,8 @@
   readonly seed: number;
   readonly seconds: number;
   readonly instanceCount: number;
+  /** Whether instances are also held for most of the time, often several at once; the other faults stay the same. */
+  readonly hasLateLoops?: boolean;
 }
 
 /** Upstreams of `StandInSystem`. */
@@ -91,6 +93,9 @@
 /** Time between the starts of two series; they overlap, since a stop takes seconds. */
 const SERIES_GAP_MILLISECONDS = {least: 800, range: 4_200};
 
+/** Late loops are drawn from a seed this far from that of the other faults. */
+const LATE_LOOP_SEED_STEP = 1_000_003;
+
 type Series = (random: RandomSource, instanceCount: number) => TimedFault[];
 
 /** Each series starts at zero; one is drawn as often as its weight tells. */
@@ -111,7 +116,7 @@
 
 /** Draws the faults of a run. */
 export function drawSchedule(options: ScheduleOptions): Schedule {
-  const {seed, seconds, instanceCount} = options;
+  const {seed, seconds, instanceCount, hasLateLoops = false} = options;
   const random = new SeededRandomSource(seed);
   const end = seconds * 1000 - QUIET_END_MILLISECONDS;
   const faults: TimedFault[] = [];
@@ -123,6 +128,9 @@
       SERIES_GAP_MILLISECONDS.least +
       random.nextInteger(SERIES_GAP_MILLISECONDS.range);
   }
+  if (hasLateLoops) {
+    faults.push(...drawLateLoops(seed, end, instanceCount));
+  }
   const played = faults
     .filter(({atMilliseconds}) => atMilliseconds < end)
     .sort((left, right) => left.atMilliseconds - right.atMilliseconds);
@@ -235,6 +243,27 @@
   return series;
 }
 
+/** Instances whose event loops are late: their processes run a part of each period. Drawn apart from the other faults. */
+function drawLateLoops(seed: number, end: number, count: number): TimedFault[] {
+  const random = new SeededRandomSource(seed + LATE_LOOP_SEED_STEP);
+  const faults: TimedFault[] = [];
+  let at = FIRST_FAULT_MILLISECONDS;
+  while (at < end) {
+    const until = at + 3_000 + random.nextInteger(7_000);
+    const first = random.nextInteger(count);
+    const held = 1 + random.nextInteger(count);
+    for (let index = 0; index < held; index++) {
+      const run = 20 + random.nextInteger(100);
+      const hold = 150 + random.nextInteger(1_400);
+      for (let start = at; start < until; start += run + hold) {
+        faults.push(freezeAt(start, (first + index) % count, hold));
+      }
+    }
+    at = until + random.nextInteger(3_000);
+  }
+  return faults;
+}
+
 function drawKill(random: RandomSource, count: number): TimedFault[] {
   return [signalAt(0, random.nextInteger(count), 'SIGKILL')];
 }
