Stops: an instance held over the end of its stop takes its last steps before it exits

What callers saw: an instance that was held at the end of its stop exited with code 1, and what it still had got no answer.

After the hold, the timer of the stop's end (7.6 s after SIGTERM) and that of the runner's limit (7.8 s) are due in one turn; the limit ended the process before the stop could read, answer and write. Now the limit leaves 50 ms for these steps; the platform kills 150 ms later.

The new test failed before (exit code 1).

--- a/src/infrastructure/process/node/programRunner.ts
+++ b/src/infrastructure/process/node/programRunner.ts
@@ -7,6 +7,9 @@
 const EXIT_SUCCESS = 0;
 const EXIT_FAILURE = 1;
 
+/** Time after the limit of a stop in which one that was held over its end takes its last steps. */
+const LAST_STEPS_MILLISECONDS = 50;
+
 /** A program that serves between its start and its stop. */
 export interface RunnableProgram {
   /** Resolves once the program serves. */
@@ -128,17 +131,17 @@
     const {stopLimitMilliseconds} = this.options;
     const stopRequestedAt = this.stopRequestedAt ?? performance.now();
     return new Promise(resolve => {
+      const exit = (): void => {
+        this.logger.error('stop has not ended in time; exiting', {
+          stopLimitMilliseconds,
+        });
+        resolve(EXIT_FAILURE);
+      };
+      const remaining =
+        stopRequestedAt + stopLimitMilliseconds - performance.now();
       setTimeout(
-        () => {
-          this.logger.error('stop has not ended in time; exiting', {
-            stopLimitMilliseconds,
-          });
-          resolve(EXIT_FAILURE);
-        },
-        Math.max(
-          0,
-          stopRequestedAt + stopLimitMilliseconds - performance.now(),
-        ),
+        () => setTimeout(exit, LAST_STEPS_MILLISECONDS),
+        Math.max(0, remaining),
       );
       // After a failure, work in progress may still finish until the limit.
       this.program.stop().then(
--- a/src/infrastructure/process/test/programRunner.test.ts
+++ b/src/infrastructure/process/test/programRunner.test.ts
@@ -2,6 +2,8 @@
 
 import {expect, it} from 'vitest';
 
+import {blockEventLoop} from '../../../../test/support/blockEventLoop.js';
+import {nextPoll} from '../../../base/node/nextPoll.js';
 import {LogFields, Logger} from '../../logging/common/logger.js';
 import {ProcessSignals} from '../node/processSignals.js';
 import {ProgramRunner} from '../node/programRunner.js';
@@ -35,6 +37,16 @@
   }
 }
 
+/** A stop that would end in time, of a process that is held over its end and its limit. */
+async function endHeld(): Promise<void> {
+  const ownEnd = new Promise(resolve => setTimeout(resolve, 40));
+  setImmediate(() => blockEventLoop(2 * STOP_LIMIT_MILLISECONDS));
+  await ownEnd;
+  for (let step = 0; step < 5; step++) {
+    await nextPoll();
+  }
+}
+
 interface Case {
   readonly name: string;
   readonly before?: readonly NodeJS.Signals[];
@@ -103,6 +115,15 @@
       'stop has not ended in time; exiting',
     ],
   },
+  {
+    name: 'a stop takes its last steps when the process was held over its limit',
+    later: ['SIGTERM'],
+    start: done,
+    stop: endHeld,
+    calls: ['start', 'stop'],
+    exitCode: 0,
+    lines: ['signal received: SIGTERM, serving, stops'],
+  },
   {
     name: 'a stop that hangs ends at its limit',
     later: ['SIGTERM'],
