--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -133,6 +133,16 @@
   calls: [{...closed, arrivedAt: 23_000, endedAt}],
 });
 
+/** Requests that reach upstreams over half a second after their callers left. */
+const fourLate: Partial<History> = {
+  attempts: times(4, {
+    ...attempt,
+    end: {kind: 'left', why: 'early'},
+    endedAt: 20_500,
+  }),
+  calls: times(4, call),
+};
+
 describe('checks', () => {
   it.each<{name: string; history: Partial<History>; broken: string[]}>([
     {name: 'an answered request', history: stopping, broken: []},
@@ -336,25 +346,13 @@
     },
     {
       name: 'four requests that reach upstreams after their callers left',
-      history: {
-        attempts: times(4, {
-          ...attempt,
-          end: {kind: 'left', why: 'early'},
-          endedAt: 20_500,
-        }),
-        calls: times(4, call),
-      },
+      history: fourLate,
       broken: ['GONE', 'GONE at any time'],
     },
     {
       name: 'four requests that an instance sends on late after it was held',
       history: {
-        attempts: times(4, {
-          ...attempt,
-          end: {kind: 'left', why: 'early'},
-          endedAt: 20_500,
-        }),
-        calls: times(4, call),
+        ...fourLate,
         processEvents: [
           start,
           {kind: 'freeze', instance: 'a', at: 20_200, until: 21_000},
