Configuration: before the first configuration an instance waits for one, and does not read again and again

Before there is any configuration nothing is confirmed, so instances read the row without a pause until the first one came.

Now only an instance that has a configuration reads the row after an outage.

--- a/src/features/traffic/common/configurationFollower.ts
+++ b/src/features/traffic/common/configurationFollower.ts
@@ -110,7 +110,9 @@
   private readNext(
     token: CancellationToken,
   ): Promise<Result<ConfigurationUpdate, ConfigurationSourceError>> {
-    return this.position === undefined || !this.activeConfiguration.isConfirmed
+    const {table, isConfirmed} = this.activeConfiguration;
+    const isOutdated = table !== undefined && !isConfirmed;
+    return this.position === undefined || isOutdated
       ? this.configurationSource.read(token)
       : this.configurationSource.awaitChange(
           this.position,
--- a/src/features/traffic/test/configurationFollower.test.ts
+++ b/src/features/traffic/test/configurationFollower.test.ts
@@ -73,6 +73,12 @@
     calls: ['read', 'await 10', 'await 11', 'await 12'],
     version: 2,
   },
+  {
+    name: 'waits for the first configuration, and does not read again and again',
+    results: [unchangedAt(10), unchangedAt(11), changedAt(1, 12)],
+    calls: ['read', 'await 10', 'await 11', 'await 12'],
+    version: 1,
+  },
   {
     name: 'resumes from its position after an outage',
     results: [changedAt(1, 10), unavailable, unavailable, changedAt(3, 15)],
