--- a/review/shared-2/lab.py
+++ b/review/shared-2/lab.py
@@ -204,6 +204,8 @@
 
     def __init__(self, target_port):
         self.target_port = target_port
+        # The event loop alone holds tasks weakly.
+        self.tasks = set()
         self.open = asyncio.Event()
         self.open.set()
         self.address = None
@@ -220,6 +222,9 @@
         self.open.set()
 
     async def accept(self, reader, writer):
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
         await self.open.wait()
         try:
             far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
