--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.." || exit 1
 command -v python3 >/dev/null || { echo "python3 is missing"; exit 1; }
 npm run --silent build || exit 1
-for file in review/shared-2/*.py review/6/*.py review/9/*.py; do
+for file in review/6/*.py review/9/*.py; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file" || exit 1
 done
