Table: a row can be read with the platform's steady clock

The store's answers about rows hold NowMs, a steady clock that all starts of all instances share; the adapter dropped it. What must outlast all processes needs it, since a process's clock begins anew and the time of day jumps. A type of its own (ClockedTableService), as the project's other platform tells no clock.

--- a/src/programs/router/routerPorts.ts
+++ b/src/programs/router/routerPorts.ts
@@ -5,11 +5,11 @@
 import {DirectoryProtocol} from '../../features/instances/common/directoryProtocol.js';
 import {ConfigurationSource} from '../../features/traffic/common/configurationSource.js';
 import {Dialer} from '../../infrastructure/http/node/dialer.js';
-import {TableService} from '../../infrastructure/table/common/tableService.js';
+import {ClockedTableService} from '../../infrastructure/table/common/clockedTableService.js';
 
 /** Ports to the platform that the router runs on. */
 export interface RouterPorts {
-  readonly table: TableService;
+  readonly table: ClockedTableService;
   readonly configurationSource: ConfigurationSource;
   readonly upstreams: UpstreamSource;
   /** Creates the client of the upstreams' control endpoints; its connections are opened by the dialer. */
--- a/test/support/inMemoryPlatform.ts
+++ b/test/support/inMemoryPlatform.ts
@@ -11,11 +11,14 @@
   MembershipSnapshot,
 } from '../../src/infrastructure/membership/common/membershipList.js';
 import {ObjectStore} from '../../src/infrastructure/objects/common/objectStore.js';
+import {
+  ClockedRow,
+  ClockedTableService,
+} from '../../src/infrastructure/table/common/clockedTableService.js';
 import {
   RowWrite,
   StorageError,
   TableRow,
-  TableService,
   TransactionMode,
   WriteOutcome,
 } from '../../src/infrastructure/table/common/tableService.js';
@@ -64,7 +67,7 @@
 
 /** The platform services as one instance sees them. */
 export interface PlatformServices {
-  readonly table: TableService;
+  readonly table: ClockedTableService;
   readonly objects: ObjectStore;
   readonly membership: MembershipList;
   readonly weights: WeightStore;
@@ -82,6 +85,11 @@
 
   constructor(private readonly clock: Clock = new SystemClock()) {}
 
+  /** The platform's own steady clock. */
+  get clockMilliseconds(): number {
+    return this.clock.monotonicMilliseconds();
+  }
+
   /** Services over the shared state for one instance; its name selects the faults that apply. */
   servicesFor(instance = 'instance'): PlatformServices {
     return {
@@ -161,7 +169,7 @@
 }
 
 /** The transactional table as one instance sees it. */
-class InMemoryTable extends TableService {
+class InMemoryTable extends ClockedTableService {
   constructor(
     private readonly platform: InMemoryPlatform,
     private readonly instance: string,
@@ -178,6 +186,16 @@
     );
   }
 
+  override readWithClock(
+    key: string,
+    token: CancellationToken = neverCancelled,
+  ): Promise<Result<ClockedRow, StorageError>> {
+    return this.platform.run(this.describeCall('read'), token, () => ({
+      row: this.platform.rows.read([key])[0],
+      clockMilliseconds: this.platform.clockMilliseconds,
+    }));
+  }
+
   override scan(
     prefix: string,
     after: string | undefined,
