Crashes: what refuses requests outlasts all processes

Cause: the evidence was kept in memory and shared by gossip only (decision 85 weighed a row for each crash and suspect, not gossip for speed and the store for what must last).

Change (decision 90): one row with reduced evidence: crashes with the requests that are refused, their suspect parts, when these were sound, trials, in the store's clock. Instances take turns by rank until one has written what is new; it is read at the start, before the configuration, and told by gossip.

--- a/src/features/crashes/common/crashEvidence.ts
+++ b/src/features/crashes/common/crashEvidence.ts
@@ -1,10 +1,13 @@
 import {Clock} from '../../../base/common/clock.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {CrashHistory} from './crashHistory.js';
+import {EvidenceRecord} from './crashRecord.js';
 import {CrashExchange, CrashPhase, CrashReport} from './crashReport.js';
+import {selectRecordedCrashes} from './recordedCrashes.js';
 import {SoundParts} from './soundParts.js';
 import {
   AccountPrompt,
+  CRASHES_FOR_PROOF,
   SuspectPart,
   findCause,
   findSuspectParts,
@@ -27,12 +30,21 @@
   readonly isSoundForGood: boolean;
 }
 
+/** What happens to an evidence. */
+export interface EvidenceListener {
+  /** Upstreams have kept crashing under a further part. */
+  readonly onDidSuspect: () => void;
+  /** Other parts than before are suspect, or further upstreams have crashed while any is. */
+  readonly onDidChange: () => void;
+}
+
 /** What all instances have seen of crashes in one phase, of sound parts, and which parts are suspect for it. */
 export class CrashEvidence {
   private readonly history: CrashHistory;
   private readonly sound: SoundParts;
   private suspectParts: ReadonlyMap<string, SuspectPart> = new Map();
   private judgedVersion = '';
+  private judgedCrashVersion = 0;
   private judgedAt = -Infinity;
   private fullExchangeAt = -Infinity;
 
@@ -41,7 +53,7 @@
     private readonly logger: Logger,
     /** For the log. */
     private readonly phase: CrashPhase | 'lateShared',
-    private readonly onDidSuspect: () => void,
+    private readonly listener: EvidenceListener,
     private readonly options: EvidenceOptions = {isSoundForGood: false},
   ) {
     this.history = new CrashHistory(clock);
@@ -164,6 +176,54 @@
     this.update();
   }
 
+  /**
+   * What must outlast this process, in monotonic milliseconds: the crashes under prompts that are held to be deadly, and when their
+   * parts were sound.
+   */
+  createRecord(otherPhase: CrashEvidence): EvidenceRecord {
+    const crashes = selectRecordedCrashes(
+      this.history.crashes,
+      suspect => this.findCause(suspect, otherPhase) !== undefined,
+      part => this.isSuspect(part),
+    );
+    const {lastAnySoundAt} = this.sound;
+    return {
+      crashes,
+      soundParts: this.sound.times.filter(
+        ({part}) =>
+          this.options.isSoundForGood ||
+          this.history.crashCountOf(part) >= CRASHES_FOR_PROOF,
+      ),
+      ...(lastAnySoundAt > -Infinity && {anySoundAt: lastAnySoundAt}),
+    };
+  }
+
+  /** Adds what a record tells, in monotonic milliseconds. */
+  applyRecord({crashes, soundParts, anySoundAt}: EvidenceRecord): void {
+    const now = this.now();
+    const ageOf = (at: number): number => Math.max(0, now - at);
+    this.applyExchange({
+      digest: 0,
+      reports: crashes.map(({upstream, at, requests}) => ({
+        upstream,
+        ageMilliseconds: ageOf(at),
+        requests,
+      })),
+      soundParts: soundParts.map(({part, at}) => ({
+        part,
+        ageMilliseconds: ageOf(at),
+      })),
+      soundAgeMilliseconds:
+        anySoundAt === undefined ? undefined : ageOf(anySoundAt),
+    });
+  }
+
+  /** Forgets the crashes until a moment, in monotonic milliseconds, also those that peers tell later. */
+  forgetUntil(at: number): void {
+    this.history.forgetUntil(at);
+    this.update();
+  }
+
   /** Whether it matters when a part was sound. */
   private mustRemember(part: string): boolean {
     return this.options.isSoundForGood || this.history.crashCountOf(part) > 0;
@@ -183,7 +243,9 @@
     if (version === this.judgedVersion) {
       return;
     }
+    const hasCrashed = this.judgedCrashVersion !== this.history.version;
     this.judgedVersion = version;
+    this.judgedCrashVersion = this.history.version;
     this.judgedAt = this.now();
     this.sound.retain(part => this.mustRemember(part));
     const before = this.suspectParts;
@@ -192,15 +254,20 @@
       this.sound,
       part => this.countCrashes(part),
     );
-    this.logChanges(before);
+    const hasChanged = this.logChanges(before);
+    if (hasChanged || (hasCrashed && this.suspectPartCount > 0)) {
+      this.listener.onDidChange();
+    }
   }
 
-  private logChanges(before: ReadonlyMap<string, SuspectPart>): void {
+  /** Returns whether other parts are suspect than before. */
+  private logChanges(before: ReadonlyMap<string, SuspectPart>): boolean {
     const {phase} = this;
-    for (const part of before.keys()) {
-      if (!this.suspectParts.has(part)) {
-        this.logger.decision('promptPartCleared', {part, phase});
-      }
+    const cleared = [...before.keys()].filter(
+      part => !this.suspectParts.has(part),
+    );
+    for (const part of cleared) {
+      this.logger.decision('promptPartCleared', {part, phase});
     }
     const added = [...this.suspectParts.values()].filter(
       ({part}) => !before.has(part),
@@ -211,8 +278,9 @@
       this.logger.decision('promptPartSuspected', fields);
     }
     if (added.length > 0) {
-      this.onDidSuspect();
+      this.listener.onDidSuspect();
     }
+    return cleared.length + added.length > 0;
   }
 
   private now(): number {
--- a/src/features/crashes/common/crashHistory.ts
+++ b/src/features/crashes/common/crashHistory.ts
@@ -39,6 +39,8 @@
   private readonly crashCounts = new Map<string, number>();
   private partCount = 0;
   private changeCount = 0;
+  /** Crashes until then don't count, in monotonic milliseconds. */
+  private forgottenUntil = -Infinity;
 
   constructor(private readonly clock: Clock) {}
 
@@ -71,6 +73,9 @@
     }
     const learnedAt = this.now();
     const at = Math.min(known?.at ?? Infinity, learnedAt - ageMilliseconds);
+    if (at <= this.forgottenUntil) {
+      return false;
+    }
     this.remove(upstream);
     this.store({upstream, at, requests: merged, learnedAt});
     this.removeExcess();
@@ -84,9 +89,18 @@
 
   /** Forgets crashes that are too old to count. */
   removeExpired(): void {
-    const from = this.now() - RETENTION_MILLISECONDS;
+    this.removeUntil(this.now() - RETENTION_MILLISECONDS);
+  }
+
+  /** Forgets the crashes until a moment, in monotonic milliseconds; reports of them are no news any more. */
+  forgetUntil(at: number): void {
+    this.forgottenUntil = Math.max(this.forgottenUntil, at);
+    this.removeUntil(at);
+  }
+
+  private removeUntil(until: number): void {
     for (const {upstream, at} of [...this.stored.values()]) {
-      if (at < from) {
+      if (at <= until) {
         this.remove(upstream);
       }
     }
@@ -211,6 +225,7 @@
   return requests.reduce((sum, {promptParts}) => sum + promptParts.length, 0);
 }
 
-function distinctParts({requests}: Crash): ReadonlySet<string> {
+/** The parts of the prompts of a crash's suspect requests. */
+export function distinctParts({requests}: Crash): ReadonlySet<string> {
   return new Set(requests.flatMap(({promptParts}) => promptParts));
 }
--- a/src/features/crashes/common/promptGuard.ts
+++ b/src/features/crashes/common/promptGuard.ts
@@ -2,7 +2,8 @@
 import {Emitter} from '../../../base/common/event.js';
 import {DisposableOwner} from '../../../base/common/lifecycle.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
-import {CrashEvidence} from './crashEvidence.js';
+import {CrashEvidence, EvidenceListener} from './crashEvidence.js';
+import {CrashRecord, EMPTY_RECORD} from './crashRecord.js';
 import {CrashNews, CrashPhase, SuspectRequest} from './crashReport.js';
 import {AccountPrompt, SuspectPart} from './suspectParts.js';
 
@@ -34,6 +35,8 @@
 /** Decides which requests make upstreams crash, from what all instances have seen, and blocks them. */
 export class PromptGuard extends DisposableOwner {
   private readonly suspected = this.register(new Emitter<void>());
+  private readonly changed = this.register(new Emitter<void>());
+  private readonly tried = this.register(new Emitter<void>());
   private readonly early: CrashEvidence;
   private readonly late: CrashEvidence;
   /** Of the late phase, too, with all parts of the prompts. */
@@ -43,6 +46,12 @@
   /** Fires when upstreams have kept crashing under a further part. */
   readonly onDidSuspect = this.suspected.event;
 
+  /** Fires when what must be recorded may have changed. */
+  readonly onDidChange = this.changed.event;
+
+  /** Fires when this instance lets a request through as a trial. */
+  readonly onDidTry = this.tried.event;
+
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
@@ -51,16 +60,15 @@
     private readonly isTrialOwner: (part: string) => boolean,
   ) {
     super();
-    const onDidSuspect = (): void => this.suspected.fire();
-    this.early = new CrashEvidence(clock, logger, 'early', onDidSuspect);
-    this.late = new CrashEvidence(clock, logger, 'late', onDidSuspect);
-    this.lateShared = new CrashEvidence(
-      clock,
-      logger,
-      'lateShared',
-      onDidSuspect,
-      {isSoundForGood: true},
-    );
+    const listener: EvidenceListener = {
+      onDidSuspect: () => this.suspected.fire(),
+      onDidChange: () => this.changed.fire(),
+    };
+    this.early = new CrashEvidence(clock, logger, 'early', listener);
+    this.late = new CrashEvidence(clock, logger, 'late', listener);
+    this.lateShared = new CrashEvidence(clock, logger, 'lateShared', listener, {
+      isSoundForGood: true,
+    });
   }
 
   /** Number of remembered crashes. */
@@ -120,6 +128,7 @@
     if (verdict.kind === 'trial') {
       this.trialAt.set(verdict.part, this.now());
       this.logger.decision('promptPartTried', {request, part: verdict.part});
+      this.tried.fire();
     }
     return verdict;
   }
@@ -182,6 +191,46 @@
     }
   }
 
+  /** What must outlast this process, in monotonic milliseconds. */
+  createRecord(): CrashRecord {
+    if (!this.isEnabled) {
+      return EMPTY_RECORD;
+    }
+    return {
+      early: this.early.createRecord(this.late),
+      late: this.late.createRecord(this.early),
+      lateShared: this.lateShared.createRecord(this.early),
+      trials: [...this.trialAt].map(([part, at]) => ({part, at})),
+    };
+  }
+
+  /** Adds what a record tells, in monotonic milliseconds. */
+  applyRecord(record: CrashRecord): void {
+    if (!this.isEnabled) {
+      return;
+    }
+    if (record.forgottenUntil !== undefined) {
+      this.forgetUntil(record.forgottenUntil);
+    }
+    this.early.applyRecord(record.early);
+    this.late.applyRecord(record.late);
+    this.lateShared.applyRecord(record.lateShared);
+    for (const {part, at} of record.trials) {
+      this.trialAt.set(part, Math.max(at, this.trialAt.get(part) ?? at));
+    }
+  }
+
+  private forgetUntil(at: number): void {
+    this.early.forgetUntil(at);
+    this.late.forgetUntil(at);
+    this.lateShared.forgetUntil(at);
+    for (const [part, triedAt] of this.trialAt) {
+      if (triedAt <= at) {
+        this.trialAt.delete(part);
+      }
+    }
+  }
+
   private judgeCause({part, moments, lastCrashAt}: SuspectPart): PromptVerdict {
     const now = this.now();
     const sinceCrash = now - lastCrashAt;
--- a/src/features/crashes/common/soundParts.ts
+++ b/src/features/crashes/common/soundParts.ts
@@ -1,5 +1,6 @@
 import {Clock} from '../../../base/common/clock.js';
 import {evictOldest} from '../../../base/common/evictOldest.js';
+import {PartTime} from './crashRecord.js';
 import {SoundPartReport} from './crashReport.js';
 
 /** Time for which peers are told of a sound part; gossip reaches hundreds of instances in less. */
@@ -60,6 +61,11 @@
     }
   }
 
+  /** When each remembered part was last shown to be sound, in monotonic milliseconds. */
+  get times(): readonly PartTime[] {
+    return [...this.soundAt].map(([part, at]) => ({part, at}));
+  }
+
   get news(): readonly SoundPartReport[] {
     return this.all.filter(
       ({ageMilliseconds}) => ageMilliseconds <= NEWS_MILLISECONDS,
--- a/src/features/crashes/common/suspectParts.ts
+++ b/src/features/crashes/common/suspectParts.ts
@@ -6,7 +6,7 @@
  */
 
 /** Crashes that make a part suspect while requests without it are written; fewer never do. */
-const CRASHES_FOR_PROOF = 3;
+export const CRASHES_FOR_PROOF = 3;
 
 /** Crashes that make a part suspect when nothing else was written, so that all upstreams may be failing. */
 const CRASHES_WITHOUT_CONTRAST = 5;
--- a/src/features/crashes/test/crashSimulation.ts
+++ b/src/features/crashes/test/crashSimulation.ts
@@ -7,8 +7,11 @@
   GossipSimulation,
   STEP_MILLISECONDS,
 } from '../../../../test/support/gossipSimulation.js';
+import {InMemoryPlatform} from '../../../../test/support/inMemoryPlatform.js';
+import {Emitter} from '../../../base/common/event.js';
 import {EndedUpstreams} from '../../fleet/common/endedUpstreams.js';
 import {SuspicionTracker} from '../../fleet/common/suspicionTracker.js';
+import {CrashRecordKeeper} from '../common/crashRecordKeeper.js';
 import {SuspectRequest} from '../common/crashReport.js';
 import {chooseLossCollector} from '../common/lossAnnouncer.js';
 import {
@@ -66,6 +69,8 @@
   readonly deadlyFromMilliseconds: number;
   /** Time from the first event of a deadly request to the crash. */
   readonly crashDelayMilliseconds?: number;
+  /** Whether instances record crashes on the platform; such a play needs `runAsync`. */
+  readonly isRecorded?: boolean;
 }
 
 interface Stream {
@@ -100,11 +105,15 @@
 class SimulatedInstance extends GossipingInstance {
   guard!: PromptGuard;
   losses!: RequestLosses;
+  keeper: CrashRecordKeeper | undefined;
 
   constructor(
     index: number,
     private readonly clock: FakeClock,
     private readonly hasLeftList: (run: string) => boolean,
+    private readonly createKeeper: (
+      instance: SimulatedInstance,
+    ) => CrashRecordKeeper | undefined,
   ) {
     super(index);
     this.start();
@@ -124,6 +133,9 @@
       () => false,
     );
     this.isRunning = true;
+    this.keeper?.dispose();
+    this.keeper = this.createKeeper(this);
+    this.keeper?.start();
   }
 }
 
@@ -133,6 +145,9 @@
   readonly crashedAt: number[] = [];
   /** Sound requests at their first attempt: when, and whether they were let through. */
   readonly soundTries: Array<{at: number; part: string; isSent: boolean}> = [];
+  readonly platform = new InMemoryPlatform(this.clock);
+  /** Fires when the platform answers again. */
+  readonly platformRecovered = new Emitter<void>();
   private readonly upstreams: SimulatedUpstream[] = [];
   private streams: Stream[] = [];
   private requestCount = 0;
@@ -157,7 +172,12 @@
     super(random);
     for (let index = 0; index < scenario.instanceCount; index++) {
       this.instances.push(
-        new SimulatedInstance(index, this.clock, run => this.hasLeftList(run)),
+        new SimulatedInstance(
+          index,
+          this.clock,
+          run => this.hasLeftList(run),
+          instance => this.createKeeper(instance),
+        ),
       );
     }
     for (let index = 0; index < scenario.upstreamCount; index++) {
@@ -181,6 +201,22 @@
     return sentAt.filter(at => at > third).length;
   }
 
+  /** Ends of upstreams, whatever ended them. */
+  get crashCount(): number {
+    return this.endedAt.size;
+  }
+
+  /** Deadly requests that were sent after a moment, by any run of an instance. */
+  deadlySentAfter(from: number): number {
+    return this.deadlySentByAnyRunAt.filter(at => at > from).length;
+  }
+
+  /** Kills instances, and with them their streams. */
+  kill(instances: readonly GossipingInstance[]): void {
+    instances.forEach(instance => (instance.isRunning = false));
+    this.streams = this.streams.filter(({instance}) => instance.isRunning);
+  }
+
   /** Share of the sound requests with a first part that were let through twice the published time after the fifth crash. */
   sentShare(isCounted: (part: string) => boolean): number {
     const counted = this.crashedAt[COUNTED_CRASH - 1] ?? this.crashedAt.at(-1);
@@ -214,6 +250,27 @@
     lost.forEach(stream => this.sendOn(stream));
   }
 
+  private createKeeper(
+    instance: SimulatedInstance,
+  ): CrashRecordKeeper | undefined {
+    if (this.scenario.isRecorded !== true) {
+      return undefined;
+    }
+    const {table} = this.platform.servicesFor(`instance-${instance.index}`);
+    const isBefore = (other: SimulatedInstance): boolean =>
+      other.isRunning &&
+      other.side === instance.side &&
+      other.index < instance.index;
+    return new CrashRecordKeeper(
+      this.clock,
+      new SilentLogger(),
+      table,
+      instance.guard,
+      () => this.instances.filter(isBefore).length,
+      this.platformRecovered.event,
+    );
+  }
+
   private hasLeftList(run: string): boolean {
     const endedAt = this.endedAt.get(run) ?? Infinity;
     return this.now() - endedAt >= LISTED_MILLISECONDS;
@@ -329,6 +386,7 @@
     const request = one.guard.createNews();
     other.guard.applyNews(request);
     one.guard.applyNews(other.guard.createResponse(request));
+    this.exchangeRecords(one, other);
     const losses = [one.losses.createNews(), this.answerTo(one, other)];
     losses.forEach((news, index) => {
       if (news !== undefined) {
@@ -337,6 +395,20 @@
     });
   }
 
+  private exchangeRecords(
+    {keeper: asking}: SimulatedInstance,
+    {keeper: asked}: SimulatedInstance,
+  ): void {
+    const news = asking?.createNews();
+    if (news !== undefined) {
+      asked?.applyNews(news);
+    }
+    const answer = asked?.createResponse(news);
+    if (answer !== undefined) {
+      asking?.applyNews(answer);
+    }
+  }
+
   /** What an instance answers to another one about requests that have lost upstreams. */
   private answerTo(
     {losses: asking}: SimulatedInstance,
--- a/src/features/instances/common/gossipMessage.ts
+++ b/src/features/instances/common/gossipMessage.ts
@@ -1,5 +1,7 @@
 import * as zod from 'zod';
 
+import {CrashRecordNews} from '../../crashes/common/crashRecordKeeper.js';
+import {crashRecordSchema} from '../../crashes/common/crashRecordRow.js';
 import {
   CrashExchange,
   CrashNews,
@@ -46,6 +48,8 @@
   readonly rests: readonly RestReading[];
   /** Requests that have lost upstreams; undefined if there are none, or if the sender is of an earlier release. */
   readonly requestLosses?: RequestLossNews | undefined;
+  /** What is recorded of crashes; undefined if nothing is, or if the sender is of an earlier release. */
+  readonly crashRecord?: CrashRecordNews | undefined;
   /** Undefined before the first read of the list. */
   readonly list?: UpstreamListState;
   /** Whether the sender holds the lease of the layer controller. */
@@ -149,6 +153,15 @@
     .max(REQUEST_NEWS_LIMIT),
 });
 
+const crashRecord: zod.ZodType<CrashRecordNews> = zod.object({
+  version: zod.int().nonnegative(),
+  // A later release may send a record of another format.
+  content: zod
+    .object({record: crashRecordSchema, clockMilliseconds: zod.number()})
+    .optional()
+    .catch(undefined),
+});
+
 /** Validates a message of a peer. */
 export const gossipMessageSchema: zod.ZodType<GossipMessage> = zod.object({
   from: text,
@@ -195,6 +208,7 @@
   lateCrashes: crashes.optional(),
   lateSharedCrashes: crashes.optional(),
   requestLosses: requestLossNewsSchema.optional(),
+  crashRecord: crashRecord.optional(),
   list: list.optional(),
   holdsLease: zod.boolean(),
   lost: zod.array(text).max(MESSAGE_LIST_LIMIT),
--- a/src/features/instances/common/instanceTable.ts
+++ b/src/features/instances/common/instanceTable.ts
@@ -61,6 +61,10 @@
     };
   }
 
+  get ownName(): string {
+    return this.own.name;
+  }
+
   get state(): InstanceState {
     return this.ownState;
   }
--- a/src/features/instances/node/peerGossip.ts
+++ b/src/features/instances/node/peerGossip.ts
@@ -9,6 +9,7 @@
 import {RandomSource} from '../../../base/common/randomSource.js';
 import {Logger} from '../../../infrastructure/logging/common/logger.js';
 import {RpcClientFactory} from '../../../infrastructure/rpc/node/rpc.js';
+import {CrashRecordKeeper} from '../../crashes/common/crashRecordKeeper.js';
 import {PromptGuard} from '../../crashes/common/promptGuard.js';
 import {RequestLosses} from '../../crashes/common/requestLosses.js';
 import {UpstreamLimitTracker} from '../../fleet/common/upstreamLimitTracker.js';
@@ -66,6 +67,7 @@
   readonly suspicions: SuspicionTracker;
   readonly prober: UpstreamProber;
   readonly promptGuard: PromptGuard;
+  readonly crashRecordKeeper: CrashRecordKeeper;
   readonly requestLosses: RequestLosses;
   readonly lease: TableLease;
   readonly mechanisms: Mechanisms;
@@ -144,13 +146,14 @@
   /** Processes the message of a peer and returns the response. */
   answer(request: GossipMessage): GossipMessage {
     this.applyMessage(request);
-    const {requestLosses} = this.dependencies;
+    const {crashRecordKeeper, requestLosses} = this.dependencies;
     return {
       ...this.composeMessage(this.heartbeatExchange.createResponse(request)),
       ...(this.isFirstRequestOfRun(request) && {
         requestLosses: requestLosses.createNewsForStarted(),
       }),
       ...this.dependencies.promptGuard.createResponse(request),
+      crashRecord: crashRecordKeeper.createResponse(request.crashRecord),
       list: this.listExchange.createResponse(request.list),
     };
   }
@@ -286,6 +289,7 @@
       limits: limits.readings.slice(0, MESSAGE_LIST_LIMIT),
       rests: rests.readings.slice(0, MESSAGE_LIST_LIMIT),
       ...this.dependencies.promptGuard.createNews(),
+      crashRecord: this.dependencies.crashRecordKeeper.createNews(),
       requestLosses: this.dependencies.requestLosses.createNews(),
       holdsLease: this.dependencies.lease.isRenewed,
       lost: suspicions.all.map(({upstream}) => upstream),
@@ -310,6 +314,9 @@
     message.limits.forEach(reading => limits.recordFromPeer(reading));
     message.rests.forEach(reading => rests.recordFromPeer(reading));
     this.dependencies.promptGuard.applyNews(message);
+    if (message.crashRecord !== undefined) {
+      this.dependencies.crashRecordKeeper.applyNews(message.crashRecord);
+    }
     if (message.requestLosses !== undefined) {
       this.dependencies.requestLosses.applyNews(message.requestLosses);
     }
--- a/src/features/instances/test/gossipSize.test.ts
+++ b/src/features/instances/test/gossipSize.test.ts
@@ -66,6 +66,10 @@
           readings: [],
         } as never,
         promptGuard: new PromptGuard(clock, logger, true, () => true),
+        crashRecordKeeper: {
+          createNews: () => undefined,
+          createResponse: () => undefined,
+        } as never,
         lease: {isRenewed: false} as never,
         relaysOf: () => [],
       },
--- a/src/programs/router/routerComponents.ts
+++ b/src/programs/router/routerComponents.ts
@@ -5,6 +5,7 @@
 import {anyEvent} from '../../base/common/event.js';
 import {DisposableStore} from '../../base/common/lifecycle.js';
 import {RandomSource} from '../../base/common/randomSource.js';
+import {CrashRecordKeeper} from '../../features/crashes/common/crashRecordKeeper.js';
 import {CrashDetector} from '../../features/crashes/common/crashDetector.js';
 import {SuspicionTracker} from '../../features/fleet/common/suspicionTracker.js';
 import {UpstreamDirectory} from '../../features/fleet/common/upstreamDirectory.js';
@@ -34,6 +35,7 @@
 import {ActiveConfiguration} from '../../features/traffic/common/activeConfiguration.js';
 import {Logger} from '../../infrastructure/logging/common/logger.js';
 import {TunnelServer} from '../../infrastructure/tunnel/node/tunnelServer.js';
+import {createCrashRecordKeeper} from './crashRecord.js';
 import {createLayerLease} from './layerLease.js';
 import {createRelayComponents} from './relayComponents.js';
 import {ReceivedMemory} from './receivedMemory.js';
@@ -60,6 +62,7 @@
   readonly instances: InstanceTable;
   readonly registry: InstanceRegistry;
   readonly gossip: PeerGossip;
+  readonly crashRecordKeeper: CrashRecordKeeper;
   readonly requestLosses: RequestLosses;
   readonly lossAnnouncer: RpcLossAnnouncer;
   readonly layers: LayerController;
@@ -150,6 +153,9 @@
       () => instances.isCutOff,
     ),
   );
+  const crashRecordKeeper = owned.add(
+    createCrashRecordKeeper(clock, logger, ports, promptGuard, instances),
+  );
   const requestLosses = owned.add(
     new RequestLosses(
       clock,
@@ -251,6 +257,7 @@
         suspicions,
         prober,
         promptGuard,
+        crashRecordKeeper,
         requestLosses,
         lease,
         mechanisms,
@@ -291,6 +298,7 @@
       ),
     ),
     gossip,
+    crashRecordKeeper,
     requestLosses,
     lossAnnouncer,
     layers: owned.add(
--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -100,6 +100,7 @@
       activeConfiguration,
       configurationFollower,
       upstreamLister,
+      crashRecordKeeper,
       gossip,
       layers,
     } = this.components;
@@ -108,6 +109,10 @@
         this.callers.setLimits(configuration.limits),
       ),
     );
+    if (this.settings.mechanisms.blockedPrompts) {
+      // Before the configuration, without which no request is served.
+      crashRecordKeeper.start();
+    }
     void configurationFollower.run();
     upstreamLister.start();
     await this.listen();
--- a/test/support/gossipSimulation.ts
+++ b/test/support/gossipSimulation.ts
@@ -1,5 +1,5 @@
 import {SeededRandomSource} from '../../src/base/common/randomSource.js';
-import {FakeClock} from './fakeClock.js';
+import {FakeClock, runPendingCallbacks} from './fakeClock.js';
 
 /** Plays instances that exchange messages with random peers, on one simulated clock. */
 
@@ -50,18 +50,31 @@
 
   /** Plays the scenario. */
   run(): void {
-    const {disturb, lengthMilliseconds} = this.scenario;
+    const {lengthMilliseconds} = this.scenario;
     for (let now = 0; now < lengthMilliseconds; now += STEP_MILLISECONDS) {
-      disturb?.(this, now);
-      this.instances
-        .filter(instance => instance.isRoundDue(now))
-        .forEach(instance => this.runRound(instance));
-      this.sendRequests(now);
-      this.clock.advance(STEP_MILLISECONDS);
-      this.progress();
+      this.step(now);
     }
   }
 
+  /** Plays the scenario, and lets what waits for answers of the platform go on after each step. */
+  async runAsync(): Promise<void> {
+    const {lengthMilliseconds} = this.scenario;
+    for (let now = 0; now < lengthMilliseconds; now += STEP_MILLISECONDS) {
+      this.step(now);
+      await runPendingCallbacks();
+    }
+  }
+
+  private step(now: number): void {
+    this.scenario.disturb?.(this, now);
+    this.instances
+      .filter(instance => instance.isRoundDue(now))
+      .forEach(instance => this.runRound(instance));
+    this.sendRequests(now);
+    this.clock.advance(STEP_MILLISECONDS);
+    this.progress();
+  }
+
   /** One round of an instance: it exchanges messages with random peers. */
   protected runRound(instance: T): void {
     for (let count = 0; count < PEERS_PER_ROUND; count++) {
