--- a/src/features/crashes/common/crashRecordKeeper.ts
+++ b/src/features/crashes/common/crashRecordKeeper.ts
@@ -9,10 +9,10 @@
   CrashRecord,
   EMPTY_RECORD,
   hasNoCrash,
-  mergeRecords,
   shiftRecord,
 } from './crashRecord.js';
 import {formatRecordRow, parseRecordRow} from './crashRecordRow.js';
+import {mergeRecords} from './mergeCrashRecords.js';
 import {PlatformTime} from './platformTime.js';
 import {PromptGuard} from './promptGuard.js';
 
@@ -144,7 +144,7 @@
   private resume(): void {
     if (this.failureCount > 0) {
       this.failureCount = 0;
-      this.schedule(this.delay);
+      this.scheduleByRank();
     }
   }
 
