Tests: one traffic of prompts for the tests of deadly parts; the check of refused sound requests sees them

deadlyPrompts.test.ts and killedInstances.test.ts sent the same requests in copies. In the second one the check that no sound request is refused for its prompt compared identifiers that refusals don't carry, so it could not fail; requests are named by the test now, and requests with the part must be found by the same check.

--- a/test/router/deadlyPrompts.test.ts
+++ b/test/router/deadlyPrompts.test.ts
@@ -2,20 +2,14 @@
 
 import {StandInSystem} from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
-import {
-  eventIdsOf,
-  RecordedResponse,
-  sendRequest,
-  waitUntilServing,
-} from './sendRequest.js';
+import {PromptTraffic, servedShare} from './promptTraffic.js';
+import {waitUntilServing} from './sendRequest.js';
 
 /** Requests under which upstreams end, at several instances, beside sound requests of the same caller. */
 
 const INSTANCE_COUNT = 4;
-const EVENT_COUNT = 30;
 /** Events of a deadly request; an upstream that ends under it late has written some of them. */
 const DEADLY_EVENT_COUNT = 400;
-const SOUND_PERIOD_MILLISECONDS = 25;
 const DEADLY_PERIOD_MILLISECONDS = 300;
 const LOAD_MILLISECONDS = 14_000;
 
@@ -37,50 +31,19 @@
 /** Upstreams that may end under one attempt of a caller before it is given up. */
 const ENDED_UNDER_ONE_ATTEMPT = 3;
 
-interface SoundTry {
-  readonly sentAt: number;
-  readonly response: Promise<RecordedResponse | undefined>;
-}
-
 describe('a request under which upstreams end', () => {
   let system: StandInSystem;
+  let traffic: PromptTraffic;
 
   beforeEach(async () => {
     system = await StandInSystem.start(INSTANCE_COUNT);
     system.engines.followsTokenCount = true;
+    traffic = new PromptTraffic(() => system.instances);
     await waitUntilServing(system.instances);
   });
 
   afterEach(() => system.stop());
 
-  function send(
-    index: number,
-    promptParts: readonly string[],
-    eventCount: number,
-  ): Promise<RecordedResponse | undefined> {
-    const available = system.instances;
-    const prompt = promptParts.map(part => `${part}:10`).join(',');
-    return sendRequest(available[index % available.length]!, '/chat/x', {
-      headers: {'prefix-hash': prompt, 'token-count': `100,${eventCount}`},
-    }).catch(() => undefined);
-  }
-
-  /** Sends sound requests to all instances in turn. */
-  async function playSound(
-    milliseconds: number,
-    firstParts: readonly string[],
-  ): Promise<readonly SoundTry[]> {
-    const tries: SoundTry[] = [];
-    const end = performance.now() + milliseconds;
-    for (let index = 0; performance.now() < end; index++) {
-      const first = firstParts[index % firstParts.length]!;
-      const response = send(index, [first, `sound-${index}`], EVENT_COUNT);
-      tries.push({sentAt: performance.now(), response});
-      await sleep(SOUND_PERIOD_MILLISECONDS);
-    }
-    return tries;
-  }
-
   /** Sends deadly requests to all instances in turn. */
   async function playDeadly(
     milliseconds: number,
@@ -89,25 +52,14 @@
     const responses: Array<Promise<unknown>> = [];
     const end = performance.now() + milliseconds;
     for (let index = 0; performance.now() < end; index++) {
-      responses.push(send(index, promptOf(index), DEADLY_EVENT_COUNT));
+      responses.push(
+        traffic.send(promptOf(index), DEADLY_EVENT_COUNT).response,
+      );
       await sleep(DEADLY_PERIOD_MILLISECONDS);
     }
     await Promise.all(responses);
   }
 
-  async function servedShare(tries: readonly SoundTry[]): Promise<number> {
-    const served = await Promise.all(
-      tries.map(async ({response}) => {
-        const received = await response;
-        return (
-          received?.status === 200 &&
-          eventIdsOf(received).length === EVENT_COUNT
-        );
-      }),
-    );
-    return served.filter(Boolean).length / Math.max(1, served.length);
-  }
-
   function arrivalsAfter(from: number): number {
     return system.engines.deadlyArrivals.filter(({at}) => at > from).length;
   }
@@ -140,7 +92,7 @@
 
   async function expectStopAfterThree(): Promise<void> {
     system.engines.deadlyParts.add('deadly');
-    const sound = playSound(LOAD_MILLISECONDS, FIRST_PARTS);
+    const sound = traffic.playSound(LOAD_MILLISECONDS, FIRST_PARTS);
     await playDeadly(LOAD_MILLISECONDS, () => ['first-0', 'deadly']);
     const tries = await sound;
     const third = system.engines.crashedAt[2] ?? Infinity;
@@ -168,9 +120,11 @@
     'is stopped at all instances when requests share nothing with it but one part of their prompts, beside $name sound ones',
     async ({firstParts, beginMilliseconds}) => {
       system.engines.beginMilliseconds = beginMilliseconds;
-      const before = await servedShare(await playSound(1_000, firstParts));
+      const before = await servedShare(
+        await traffic.playSound(1_000, firstParts),
+      );
       system.engines.deadlyParts.add('deadly');
-      const sound = playSound(LOAD_MILLISECONDS, firstParts);
+      const sound = traffic.playSound(LOAD_MILLISECONDS, firstParts);
       await playDeadly(LOAD_MILLISECONDS, index => [
         firstParts[index % firstParts.length]!,
         'deadly',
--- a/test/router/killedInstances.test.ts
+++ b/test/router/killedInstances.test.ts
@@ -11,19 +11,13 @@
 } from '../standins/fleet/system.js';
 import {builtProgramPath} from '../support/managedProcess.js';
 import {sleep} from '../support/sleep.js';
-import {
-  eventIdsOf,
-  RecordedResponse,
-  sendRequest,
-  waitUntilServing,
-} from './sendRequest.js';
+import {PromptTraffic, servedShare, RequestTry} from './promptTraffic.js';
+import {waitUntilServing} from './sendRequest.js';
 
 /** Requests with a prompt part under which upstreams crash, before and after all instances were killed. */
 
 const INSTANCE_COUNT = 4;
-const EVENT_COUNT = 30;
 const FIRST_PARTS = ['first-0', 'first-1', 'first-2'];
-const SOUND_PERIOD_MILLISECONDS = 25;
 const DEADLY_PERIOD_MILLISECONDS = 300;
 const DEADLY_COUNT = 15;
 const CALM_MILLISECONDS = 1_500;
@@ -94,76 +88,44 @@
 
 describe('a prompt part under which upstreams crash', () => {
   let system: StandInSystem;
-  let sentCount = 0;
+  let traffic: PromptTraffic;
 
   beforeEach(async () => {
     system = await StandInSystem.start(INSTANCE_COUNT);
     system.engines.followsTokenCount = true;
+    traffic = new PromptTraffic(() => system.instances);
     await waitUntilServing(system.instances);
   });
 
   afterEach(() => system.stop());
 
-  function send(
-    promptParts: readonly string[],
-  ): Promise<RecordedResponse | undefined> {
-    const instance = system.instances[sentCount++ % INSTANCE_COUNT]!;
-    const prompt = promptParts.map(part => `${part}:10`).join(',');
-    return sendRequest(instance, '/chat/x', {
-      headers: {'prefix-hash': prompt, 'token-count': `100,${EVENT_COUNT}`},
-    }).catch(() => undefined);
-  }
-
-  /** Sends sound requests; resolves with the responses. */
-  async function playSound(
-    milliseconds: number,
-    name: string,
-  ): Promise<ReadonlyArray<RecordedResponse | undefined>> {
-    const responses: Array<Promise<RecordedResponse | undefined>> = [];
-    const end = performance.now() + milliseconds;
-    for (let index = 0; performance.now() < end; index++) {
-      responses.push(send([FIRST_PARTS[index % 3]!, `${name}-${index}`]));
-      await sleep(SOUND_PERIOD_MILLISECONDS);
-    }
-    return Promise.all(responses);
-  }
-
   /** Sends requests with the part, the first ones at once. */
-  async function playDeadly(name: string): Promise<void> {
-    const responses: Array<Promise<unknown>> = [];
+  async function playDeadly(name: string): Promise<readonly RequestTry[]> {
+    const tries: RequestTry[] = [];
     for (let index = 0; index < DEADLY_COUNT; index++) {
       const first = FIRST_PARTS[index % 3]!;
-      responses.push(send([first, 'deadly', `${name}-${index}`]));
+      tries.push(traffic.send([first, 'deadly', `${name}-${index}`]));
       if (index >= FIRST_PARTS.length - 1) {
         await sleep(DEADLY_PERIOD_MILLISECONDS);
       }
     }
-    await Promise.all(responses);
+    await Promise.all(tries.map(({response}) => response));
+    return tries;
   }
 
-  function isServed(response: RecordedResponse | undefined): boolean {
-    return (
-      response?.status === 200 && eventIdsOf(response).length === EVENT_COUNT
-    );
-  }
-
-  /** Responses to requests that were refused for their prompts. */
-  function refusedForPrompt(
-    responses: ReadonlyArray<RecordedResponse | undefined>,
-  ): ReadonlyArray<RecordedResponse | undefined> {
+  /** Identifiers of the requests that were refused for their prompts. */
+  function refusedForPrompt(tries: readonly RequestTry[]): readonly string[] {
     const blocked = system.instances
-      .flatMap(({process: running}) => running.log().split('\n'))
-      .filter(line => line.includes('"requestBlocked"'));
-    return responses.filter(response => {
-      const id = response?.headers['request-id'];
-      return blocked.some(line => line.includes(`"request":"${String(id)}"`));
-    });
+      .flatMap(({process: running}) => running.logLines())
+      .filter(({decision}) => decision === 'requestBlocked')
+      .map(({request}) => request);
+    return tries.map(({id}) => id).filter(id => blocked.includes(id));
   }
 
   it.each(cases)(
     'is known, and sound requests go on, after all instances were killed $name',
     async ({waitMilliseconds, kill}) => {
-      const before = await playSound(CALM_MILLISECONDS, 'sound-before');
+      const before = await traffic.playSound(CALM_MILLISECONDS, FIRST_PARTS);
       await sleep(QUIET_MILLISECONDS);
       system.engines.deadlyParts.add('deadly');
       const {crashedAt, deadlyArrivals} = system.engines;
@@ -172,27 +134,28 @@
         () => crashedAt.length >= COUNTED_CRASH,
         DEADLY_COUNT * DEADLY_PERIOD_MILLISECONDS,
       );
-      void playSound(waitMilliseconds, 'sound-between');
+      void traffic.playSound(waitMilliseconds, FIRST_PARTS);
       await sleep(waitMilliseconds);
       await kill(system);
       await deadly;
-      const sound = playSound(AFTER_MILLISECONDS, 'sound-after');
+      const sound = traffic.playSound(AFTER_MILLISECONDS, FIRST_PARTS);
       await sleep(NOTICE_MILLISECONDS);
       const arrived = deadlyArrivals.length;
-      await playDeadly('own-after');
+      const deadlyAfter = await playDeadly('own-after');
       const after = await sound;
       expect(deadlyArrivals.length - arrived).toBeLessThanOrEqual(
         ALLOWED_LATER,
       );
+      expect(refusedForPrompt(deadlyAfter)).not.toEqual([]);
       expect(refusedForPrompt(after)).toEqual([]);
-      const shareBefore = before.filter(isServed).length / before.length;
-      const shareAfter = after.filter(isServed).length / after.length;
-      expect(shareAfter).toBeGreaterThanOrEqual(LEAST_SHARE * shareBefore);
+      expect(await servedShare(after)).toBeGreaterThanOrEqual(
+        LEAST_SHARE * (await servedShare(before)),
+      );
     },
   );
 
   it('is forgotten by running instances on the operators’ command', async () => {
-    void playSound(CALM_MILLISECONDS, 'sound');
+    void traffic.playSound(CALM_MILLISECONDS, FIRST_PARTS);
     system.engines.deadlyParts.add('deadly');
     await playDeadly('own-before');
     system.engines.deadlyParts.clear();
@@ -205,8 +168,10 @@
     ]);
     expect(command.stdout).toContain('forgot crashes');
     await waitFor(async () => {
-      const responses = system.instances.map(() => send(['first-0', 'deadly']));
-      return (await Promise.all(responses)).every(isServed);
+      const tries = system.instances.map(() =>
+        traffic.send(['first-0', 'deadly']),
+      );
+      return (await servedShare(tries)) === 1;
     }, FORGET_MILLISECONDS);
   });
 });
