Late loops: a refused connection is told to the request that waits for it

undici reports a failed connection with one argument, while its types promise null as the second one; a dialer whose event loop was late took undefined for a connection and threw, so that the attempt was never told and waited for its time limit.

Also: killedInstances.test.ts imports what it uses; the share of served requests is a method of the traffic.

--- a/src/features/forwarding/node/lateDialer.ts
+++ b/src/features/forwarding/node/lateDialer.ts
@@ -25,8 +25,9 @@
 
   override readonly connect: buildConnector.connector = (options, callback) =>
     this.dialer.connect(options, (...result) => {
-      const [, socket] = result;
-      if (socket === null || !isLoopLate(this.clock, this.eventLoop)) {
+      const [error, socket] = result;
+      // With an error, undici gives no second argument, whatever its types say.
+      if (error !== null || !isLoopLate(this.clock, this.eventLoop)) {
         callback(...result);
       } else {
         void this.handOut(socket, callback);
--- a/test/router/deadlyPrompts.test.ts
+++ b/test/router/deadlyPrompts.test.ts
@@ -2,7 +2,7 @@
 
 import {StandInSystem} from '../standins/fleet/system.js';
 import {sleep} from '../support/sleep.js';
-import {PromptTraffic, servedShare} from './promptTraffic.js';
+import {PromptTraffic} from './promptTraffic.js';
 import {waitUntilServing} from './sendRequest.js';
 
 /** Requests under which upstreams end, at several instances, beside sound requests of the same caller. */
@@ -106,7 +106,7 @@
       ({sentAt}) => sentAt > third + 2 * NOTICE_MILLISECONDS,
     );
     expect(later.length).toBeGreaterThan(20);
-    expect(await servedShare(later)).toBeGreaterThan(LEAST_SHARE);
+    expect(await traffic.servedShare(later)).toBeGreaterThan(LEAST_SHARE);
   }
 
   it.each([
@@ -120,7 +120,7 @@
     'is stopped at all instances when requests share nothing with it but one part of their prompts, beside $name sound ones',
     async ({firstParts, beginMilliseconds}) => {
       system.engines.beginMilliseconds = beginMilliseconds;
-      const before = await servedShare(
+      const before = await traffic.servedShare(
         await traffic.playSound(1_000, firstParts),
       );
       system.engines.deadlyParts.add('deadly');
@@ -140,7 +140,9 @@
         ({sentAt}) => sentAt > fifth + 2 * NOTICE_MILLISECONDS,
       );
       expect(later.length).toBeGreaterThan(20);
-      expect(await servedShare(later)).toBeGreaterThan(LEAST_SHARE * before);
+      expect(await traffic.servedShare(later)).toBeGreaterThan(
+        LEAST_SHARE * before,
+      );
     },
   );
 });
--- a/test/router/killedInstances.test.ts
+++ b/test/router/killedInstances.test.ts
@@ -11,7 +11,7 @@
 } from '../standins/fleet/system.js';
 import {builtProgramPath} from '../support/managedProcess.js';
 import {sleep} from '../support/sleep.js';
-import {PromptTraffic, servedShare, RequestTry} from './promptTraffic.js';
+import {PromptTraffic, RequestTry} from './promptTraffic.js';
 import {waitUntilServing} from './sendRequest.js';
 
 /** Requests with a prompt part under which upstreams crash, before and after all instances were killed. */
@@ -148,8 +148,8 @@
       );
       expect(refusedForPrompt(deadlyAfter)).not.toEqual([]);
       expect(refusedForPrompt(after)).toEqual([]);
-      expect(await servedShare(after)).toBeGreaterThanOrEqual(
-        LEAST_SHARE * (await servedShare(before)),
+      expect(await traffic.servedShare(after)).toBeGreaterThanOrEqual(
+        LEAST_SHARE * (await traffic.servedShare(before)),
       );
     },
   );
@@ -171,7 +171,7 @@
       const tries = system.instances.map(() =>
         traffic.send(['first-0', 'deadly']),
       );
-      return (await servedShare(tries)) === 1;
+      return (await traffic.servedShare(tries)) === 1;
     }, FORGET_MILLISECONDS);
   });
 });
--- a/test/router/promptTraffic.ts
+++ b/test/router/promptTraffic.ts
@@ -5,7 +5,7 @@
 /** Streams of callers that name the parts of their prompts, sent to all instances in turn. */
 
 /** Events of a sound request. */
-export const SOUND_EVENT_COUNT = 30;
+const SOUND_EVENT_COUNT = 30;
 
 const SOUND_PERIOD_MILLISECONDS = 25;
 
@@ -58,20 +58,15 @@
     }
     return tries;
   }
-}
-
-/** Whether a sound request was answered whole. */
-function isServed(response: RecordedResponse | undefined): boolean {
-  return (
-    response?.status === 200 &&
-    eventIdsOf(response).length === SOUND_EVENT_COUNT
-  );
-}
 
-/** Share of sound requests that were answered whole. */
-export async function servedShare(
-  tries: readonly RequestTry[],
-): Promise<number> {
-  const responses = await Promise.all(tries.map(({response}) => response));
-  return responses.filter(isServed).length / Math.max(1, responses.length);
+  /** Share of sound requests that were answered whole. */
+  async servedShare(tries: readonly RequestTry[]): Promise<number> {
+    const responses = await Promise.all(tries.map(({response}) => response));
+    const served = responses.filter(
+      response =>
+        response?.status === 200 &&
+        eventIdsOf(response).length === SOUND_EVENT_COUNT,
+    );
+    return served.length / Math.max(1, responses.length);
+  }
 }
