--- a/src/features/crashes/common/crashEvidence.ts
+++ b/src/features/crashes/common/crashEvidence.ts
@@ -184,7 +184,7 @@
     const crashes = selectRecordedCrashes(
       this.history.crashes,
       suspect => this.findCause(suspect, otherPhase) !== undefined,
-      part => this.isSuspect(part),
+      part => this.suspectParts.get(part)?.crashes.length ?? 0,
     );
     const {lastAnySoundAt} = this.sound;
     return {
--- a/src/features/crashes/common/crashRecordKeeper.ts
+++ b/src/features/crashes/common/crashRecordKeeper.ts
@@ -22,10 +22,7 @@
 /** Time by which each instance waits longer than the one before it in rank, so that the row is there when gossip takes less. */
 const RANK_DELAY_MILLISECONDS = 1_000;
 
-/**
- * Least time between two synchronizations of one instance, which bounds the calls however many upstreams crash. The first in rank
- * looks this often for what the row lacks while it holds crashes.
- */
+/** Least time between two synchronizations of one instance, which bounds the calls however many upstreams crash. */
 const PERIOD_MILLISECONDS = 1_000;
 
 /** Delay after the first failed call; each further one doubles it. */
@@ -189,8 +186,7 @@
       );
       this.schedule(this.delay + retryDelay);
     } else if (!hasNoCrash(this.record)) {
-      const isFirst = this.rank() === 0;
-      this.schedule(isFirst ? PERIOD_MILLISECONDS : READ_PERIOD_MILLISECONDS);
+      this.schedule(READ_PERIOD_MILLISECONDS);
     }
   }
 
