--- a/src/programs/router/routerProgram.ts
+++ b/src/programs/router/routerProgram.ts
@@ -110,7 +110,6 @@
       ),
     );
     if (this.settings.mechanisms.blockedPrompts) {
-      // Before the configuration, without which no request is served.
       crashRecordKeeper.start();
     }
     void configurationFollower.run();
